--- /dev/null
+++ b/Makefile
@@ -0,0 +1,86 @@
+# make            builds build/cyclamenferry
+# make check      builds and runs all tests
+# make demo       shows a fleet on loopback during a drain and a replaced VM
+# make bench      measures against the stated targets
+# make generate   writes the XDR code again (needs rpcgen)
+
+CC = gcc
+BUILD = build
+PACKAGES = glib-2.0 gio-2.0 gio-unix-2.0 libsodium libtirpc libsoup-3.0 json-glib-1.0
+CPPFLAGS = -D_GNU_SOURCE -Iinclude -Isrc
+CFLAGS = -O2 -g
+WARNINGS = -std=gnu11 -Wall -Wextra -Werror
+SANITIZE =
+PKG_CFLAGS := $(shell pkg-config --cflags $(PACKAGES))
+PKG_LIBS := $(shell pkg-config --libs $(PACKAGES))
+CHECK_LIBS := $(shell pkg-config --libs check)
+ALL_CFLAGS = $(WARNINGS) $(CFLAGS) $(SANITIZE) $(CPPFLAGS) $(PKG_CFLAGS) -MMD -MP
+LIBS = $(SANITIZE) $(PKG_LIBS) -lm
+
+LIB_SRC := $(wildcard src/base/*.c src/config/*.c src/core/*.c src/packet/*.c src/peer/*.c)
+APP_SRC := $(wildcard src/platform/*.c src/serve/*.c src/cli/*.c)
+TEST_LIB_SRC := $(filter-out tests/test_%.c tests/standin_%.c tests/demo.c,$(wildcard tests/*.c))
+TEST_SRC := $(wildcard tests/test_*.c)
+STANDIN_SRC := $(wildcard tests/standin_*.c) tests/demo.c
+BENCH_SRC := $(wildcard bench/*.c)
+
+LIB_OBJ = $(LIB_SRC:%.c=$(BUILD)/%.o)
+APP_OBJ = $(APP_SRC:%.c=$(BUILD)/%.o)
+PLATFORM_OBJ = $(filter $(BUILD)/src/platform/%,$(APP_OBJ))
+TEST_LIB_OBJ = $(TEST_LIB_SRC:%.c=$(BUILD)/%.o)
+TESTS = $(TEST_SRC:tests/%.c=$(BUILD)/%)
+STANDINS = $(STANDIN_SRC:tests/%.c=$(BUILD)/%)
+
+all: $(BUILD)/cyclamenferry
+
+$(BUILD)/%.o: %.c
+	@mkdir -p $(@D)
+	$(CC) $(ALL_CFLAGS) -c $< -o $@
+
+# Generated code declares variables that it does not use.
+$(BUILD)/src/peer/peer_xdr.o: WARNINGS = -std=gnu11
+
+$(BUILD)/cyclamenferry: $(LIB_OBJ) $(APP_OBJ)
+	$(CC) $^ $(LIBS) -o $@
+
+$(TESTS): $(BUILD)/%: $(BUILD)/tests/%.o $(TEST_LIB_OBJ) $(PLATFORM_OBJ) $(LIB_OBJ)
+	$(CC) $^ $(LIBS) $(CHECK_LIBS) -o $@
+
+$(STANDINS): $(BUILD)/%: $(BUILD)/tests/%.o $(TEST_LIB_OBJ) $(LIB_OBJ)
+	$(CC) $^ $(LIBS) -o $@
+
+$(BUILD)/bench: $(BENCH_SRC:%.c=$(BUILD)/%.o) $(TEST_LIB_OBJ) $(LIB_OBJ)
+	$(CC) $^ $(LIBS) -o $@
+
+check: $(BUILD)/cyclamenferry $(TESTS) $(STANDINS)
+	tests/run $(BUILD)
+
+demo: $(BUILD)/cyclamenferry $(STANDINS)
+	tests/demo.sh $(BUILD)
+
+bench: $(BUILD)/bench
+	$(BUILD)/bench
+
+generate:
+	cd src/peer && rm -f peer.h peer_xdr.c && rpcgen -N -M -h -o peer.h peer.x \
+	  && rpcgen -N -M -c -o peer_xdr.c peer.x
+
+SOURCES := $(filter-out src/peer/peer_xdr.c,$(wildcard src/*/*.c tests/*.c bench/*.c))
+HEADERS := $(filter-out src/peer/peer.h,$(wildcard include/*.h src/*/*.h tests/*.h bench/*.h))
+
+format:
+	clang-format -i $(SOURCES) $(HEADERS)
+
+format-check:
+	clang-format --dry-run --Werror $(SOURCES) $(HEADERS)
+
+lint:
+	printf '%s\n' $(SOURCES) | xargs -P 8 -n 4 clang-tidy --quiet -- -std=gnu11 $(CPPFLAGS) $(PKG_CFLAGS)
+
+clean:
+	rm -rf $(BUILD)
+
+.PHONY: all check demo bench generate format format-check lint clean
+.SECONDARY:
+
+-include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/include/cf_core.h
@@ -0,0 +1,195 @@
+#ifndef CF_CORE_H
+#define CF_CORE_H
+
+#include "cf_config.h"
+#include "cf_packet.h"
+#include "cf_stats.h"
+#include "peer/peer.h"
+
+/* The decision core of an entry VM.
+ *
+ * The core performs no I/O, reads no clock and starts no thread.  Each input is
+ * one call with the time it happened at; each output is a call of a function in
+ * struct CfCoreOutputs, made before the input call returns.  Times may come from
+ * any monotonic clock.  A core is used from one thread at a time.
+ *
+ * Inputs: packets from the fabric, packets and messages from other entry VMs,
+ * health answers, configurations, the platform's list of VMs, the operator's
+ * request to leave, and the passing of time. */
+
+struct CfCore;
+
+/* What distinguishes one entry VM from another. */
+struct CfCoreOptions
+{
+  uint32_t vm;               /* id of this VM: cf_name_id of its name */
+  uint64_t incarnation;      /* grows with every start of a VM of this name */
+  uint32_t domain;           /* id of its failure domain: cf_name_id of its name */
+  struct CfAddress address;  /* its transfer port, as other VMs reach it */
+  uint8_t flow_key[16];      /* key of the flow hash, the same in the fleet */
+  uint32_t seed;             /* seed of the core's random numbers */
+  const struct CfPolicy *policy; /* NULL: the product's own placement */
+};
+
+/* How flows are placed.  The product's policy is the default; the benchmark also
+ * runs baselines through the same core. */
+struct CfPolicy
+{
+  const char *name;
+  bool local_table; /* remember each flow on the VM that saw it first */
+  bool consult;     /* use owners, entries and marks */
+};
+
+/* Placement by entries, owners and marks: what the product runs. */
+extern const struct CfPolicy cf_policy_product;
+
+/* Rendezvous hashing over the upstreams that are usable now. */
+extern const struct CfPolicy cf_policy_hash;
+
+/* As cf_policy_hash, with a table of flows on each VM. */
+extern const struct CfPolicy cf_policy_local;
+
+/* Context of a packet that one entry VM passes to another. */
+enum CfTransferFlags
+{
+  CF_TRANSFER_DECIDE = 1 << 0, /* the receiver decides, whoever it thinks the owner is */
+};
+
+#define CF_TRANSFER_HOPS_MAX 3
+
+/* What the core asks its surroundings to do.  CONTEXT is the pointer given to
+ * cf_core_new.  Arguments are valid during the call only.  Any function may call
+ * no function of the core. */
+struct CfCoreOutputs
+{
+  /* Sends PACKET on to UPSTREAM in GUE. */
+  void (*forward) (void *context,
+                   const struct CfPacket *packet,
+                   const struct CfUpstream *upstream);
+  /* Sends PACKET with TRANSFER to the entry VM at ADDRESS. */
+  void (*transfer) (void *context,
+                    const struct CfPacket *packet,
+                    const struct peer_transfer *transfer,
+                    const struct CfAddress *address);
+  /* Tells the caller that the flow of PACKET is refused.  VERDICT says whether a
+   * request may have run. */
+  void (*refuse) (void *context, const struct CfPacket *packet, enum CfVerdict verdict);
+  /* Sends MESSAGE to the entry VM whose transfer port is at ADDRESS. */
+  void (*send_peer) (void *context,
+                     const struct CfAddress *address,
+                     const struct peer_message *message);
+  /* The set of upstreams that this VM is to probe, by configuration index. */
+  void (*probe) (void *context, const uint32_t *upstreams, uint32_t count);
+  /* This VM is, or no longer is, one of those that watch the platform. */
+  void (*watch_platform) (void *context, bool watch);
+  /* A newer configuration arrived from a peer and is now in force. */
+  void (*config_changed) (void *context, const struct CfConfig *config);
+  /* The core has become a serving member, or has handed everything over after
+   * cf_core_leave and may be stopped. */
+  void (*state_changed) (void *context, enum peer_state state, bool may_stop);
+};
+
+/* An entry VM as the platform lists it. */
+struct CfListedVm
+{
+  uint32_t id;
+  uint32_t domain;
+  struct CfAddress address; /* transfer port */
+  bool leaving;
+};
+
+/* An answer of an upstream's health endpoint, or the lack of one. */
+struct CfHealthAnswer
+{
+  uint32_t upstream;   /* id */
+  bool reachable;      /* an answer came in time */
+  bool serving;        /* the upstream says that it takes requests */
+  int64_t start_time;  /* when the upstream process started, 0 if not given */
+  uint32_t open_flows; /* as the upstream counts them */
+};
+
+/* Creates a core.  OPTIONS is copied; OUTPUTS and CONTEXT must outlive it. */
+struct CfCore *cf_core_new (const struct CfCoreOptions *options,
+                            const struct CfCoreOutputs *outputs,
+                            void *context,
+                            CfMillis now);
+void cf_core_free (struct CfCore *core);
+
+/* Puts CONFIG in force if its version is above the current one, or if the version
+ * is equal and the digest decides for CONFIG.  Returns true if it was taken.  The
+ * core takes a reference of its own. */
+bool cf_core_set_config (struct CfCore *core, struct CfConfig *config, CfMillis now);
+
+/* Handles the packet of LEN bytes at DATA that the fabric delivered; refusals
+ * return through the fabric's tunnel address REPLY.  Returns what was done. */
+enum CfVerdict cf_core_packet (struct CfCore *core,
+                               const uint8_t *data,
+                               size_t len,
+                               const struct CfAddress *reply,
+                               CfMillis now);
+
+/* Handles a packet that another entry VM transferred with TRANSFER. */
+enum CfVerdict cf_core_transferred (struct CfCore *core,
+                                    const uint8_t *data,
+                                    size_t len,
+                                    const struct peer_transfer *transfer,
+                                    CfMillis now);
+
+/* Handles an authenticated message from another entry VM. */
+void cf_core_peer (struct CfCore *core, const struct peer_envelope *envelope, CfMillis now);
+
+/* Handles a health answer. */
+void cf_core_health (struct CfCore *core, const struct CfHealthAnswer *answer, CfMillis now);
+
+/* Takes over the platform's list of VMs.  The list may lag behind. */
+void
+cf_core_vm_list (struct CfCore *core, const struct CfListedVm *vms, size_t count, CfMillis now);
+
+/* Begins a planned stop: entries are handed over, then state_changed says that
+ * the VM may stop. */
+void cf_core_leave (struct CfCore *core, CfMillis now);
+
+/* Sends what has gathered for other VMs.  To be called after each batch of
+ * packets. */
+void cf_core_flush (struct CfCore *core, CfMillis now);
+
+#define CF_TICK_MS 50
+
+/* Lets time pass.  To be called every CF_TICK_MS.  A gap of more than
+ * CF_PAUSE_LIMIT_MS means that this VM was paused; it then joins anew. */
+void cf_core_tick (struct CfCore *core, CfMillis now);
+
+#define CF_PAUSE_LIMIT_MS 1000
+
+/* Returns the configuration in force, or NULL. */
+const struct CfConfig *cf_core_config (const struct CfCore *core);
+
+/* Returns the core's counters. */
+const struct CfStats *cf_core_stats (const struct CfCore *core);
+
+/* Returns the state of this VM. */
+enum peer_state cf_core_state (const struct CfCore *core);
+
+/* Returns the incarnation of this VM, which grows after a pause. */
+uint64_t cf_core_incarnation (const struct CfCore *core);
+
+/* Returns true if every live member has the same view and configuration as this
+ * VM and no upstream has to be treated as marked for lack of news. */
+bool cf_core_settled (const struct CfCore *core);
+
+/* Returns the bytes of memory that the flow table holds. */
+size_t cf_core_flow_bytes (const struct CfCore *core);
+
+/* Appends a JSON object with members, upstreams and counts to TEXT. */
+void cf_core_status (const struct CfCore *core, GString *text, CfMillis now);
+
+/* Appends to TEXT, in plain words, why a packet of the flow from CALLER to SERVICE
+ * with PROTOCOL goes where it goes. */
+void cf_core_explain (const struct CfCore *core,
+                      const struct CfAddress *caller,
+                      const struct CfAddress *service,
+                      uint8_t protocol,
+                      GString *text,
+                      CfMillis now);
+
+#endif
--- /dev/null
+++ b/src/cli/admin.c
@@ -0,0 +1,283 @@
+#include "commands.h"
+#include "cf_types.h"
+
+#include <argp.h>
+#include <json-glib/json-glib.h>
+#include <libsoup/soup.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* The commands that ask a running entry VM through its admin endpoint. */
+
+#define ADMIN_TIMEOUT_S 5
+#define ADMIN_DEFAULT "http://127.0.0.1:6083"
+
+struct Arguments
+{
+  const char *admin;
+  const char *caller;
+  const char *service;
+  const char *protocol;
+  bool json;
+  bool explain;
+};
+
+static const struct argp_option status_options[] = {
+  { "admin", 'a', "URL", 0,
+    "Admin endpoint of the VM [CYCLAMENFERRY_ADMIN_URL]; default " ADMIN_DEFAULT, 0 },
+  { "json", 'j', NULL, 0, "Print the JSON document as it is", 0 },
+  { 0 },
+};
+
+static const struct argp_option explain_options[] = {
+  { "admin", 'a', "URL", 0,
+    "Admin endpoint of the VM [CYCLAMENFERRY_ADMIN_URL]; default " ADMIN_DEFAULT, 0 },
+  { "json", 'j', NULL, 0, "Print a JSON object with the lines of the explanation", 0 },
+  { "udp", 'u', NULL, 0, "The flow is UDP; default TCP", 0 },
+  { 0 },
+};
+
+static error_t
+parse_option (int key, char *arg, struct argp_state *state)
+{
+  struct Arguments *arguments = state->input;
+
+  switch (key)
+    {
+    case 'a':
+      arguments->admin = arg;
+      return 0;
+    case 'j':
+      arguments->json = true;
+      return 0;
+    case 'u':
+      arguments->protocol = "udp";
+      return 0;
+    case ARGP_KEY_ARG:
+      if (arguments->explain && !arguments->caller)
+        arguments->caller = arg;
+      else if (arguments->explain && !arguments->service)
+        arguments->service = arg;
+      else
+        return ARGP_ERR_UNKNOWN;
+      return 0;
+    case ARGP_KEY_END:
+      if (arguments->explain && !arguments->service)
+        argp_error (state, "the caller's and the service's address are needed");
+      return 0;
+    default:
+      return ARGP_ERR_UNKNOWN;
+    }
+}
+
+/* Returns the body of URL's answer, or NULL with ERROR. */
+static char *
+fetch (const char *url, struct CfError *error)
+{
+  SoupSession *session = soup_session_new_with_options ("timeout", ADMIN_TIMEOUT_S, NULL);
+  SoupMessage *message = soup_message_new ("GET", url);
+  GError *fault = NULL;
+  GBytes *body = NULL;
+  char *text = NULL;
+
+  if (!message)
+    cf_error_set (error, CF_ERROR_INPUT, "'%s' is not a URL", url);
+  else
+    body = soup_session_send_and_read (session, message, NULL, &fault);
+  if (body)
+    {
+      gsize len;
+      const char *data = g_bytes_get_data (body, &len);
+
+      text = g_strndup (data, len);
+      if (soup_message_get_status (message) != SOUP_STATUS_OK)
+        {
+          cf_error_set (error, CF_ERROR_INPUT, "%s: %s", url, g_strchomp (text));
+          g_clear_pointer (&text, g_free);
+        }
+      g_bytes_unref (body);
+    }
+  if (fault)
+    cf_error_set (error, CF_ERROR_IO, "%s: %s", url, fault->message);
+  g_clear_error (&fault);
+  g_clear_object (&message);
+  g_object_unref (session);
+  return text;
+}
+
+static char *
+ask (const struct Arguments *arguments, const char *path)
+{
+  const char *admin = arguments->admin ? arguments->admin : getenv ("CYCLAMENFERRY_ADMIN_URL");
+  char *url = g_strconcat (admin ? admin : ADMIN_DEFAULT, path, NULL);
+  struct CfError error = { 0 };
+  char *text = fetch (url, &error);
+
+  if (!text)
+    fprintf (stderr, "cyclamenferry: %s\n", error.text);
+  g_free (url);
+  return text;
+}
+
+static const char *
+text_of (JsonObject *object, const char *key)
+{
+  return json_object_get_string_member_with_default (object, key, "");
+}
+
+static gint64
+number_of (JsonObject *object, const char *key)
+{
+  return json_object_get_int_member_with_default (object, key, 0);
+}
+
+static bool
+flag_of (JsonObject *object, const char *key)
+{
+  return json_object_get_boolean_member_with_default (object, key, FALSE);
+}
+
+static void
+print_members (JsonArray *members)
+{
+  printf ("%-16s %-24s %-8s %-6s %8s %8s\n", "VM", "address", "state", "alive", "version",
+          "buckets");
+  for (guint i = 0; i < json_array_get_length (members); i++)
+    {
+      JsonObject *member = json_array_get_object_element (members, i);
+
+      printf ("%-16s %-24s %-8s %-6s %8" G_GINT64_FORMAT " %8" G_GINT64_FORMAT "\n",
+              text_of (member, "name"), text_of (member, "address"), text_of (member, "state"),
+              flag_of (member, "alive") ? "yes" : "no", number_of (member, "config_version"),
+              number_of (member, "buckets"));
+    }
+}
+
+static void
+print_upstreams (JsonArray *upstreams)
+{
+  printf ("%-20s %-14s %-9s %-12s %-7s %9s %9s\n", "upstream", "service", "mode", "health",
+          "marked", "open", "entries");
+  for (guint i = 0; i < json_array_get_length (upstreams); i++)
+    {
+      JsonObject *upstream = json_array_get_object_element (upstreams, i);
+      gint64 open = number_of (upstream, "opened") - number_of (upstream, "closed");
+
+      printf ("%-20s %-14s %-9s %-12s %-7s %9" G_GINT64_FORMAT " %9" G_GINT64_FORMAT "\n",
+              text_of (upstream, "name"), text_of (upstream, "service"),
+              flag_of (upstream, "in_service") ? text_of (upstream, "mode") : "out",
+              text_of (upstream, "health"), flag_of (upstream, "marked") ? "yes" : "no",
+              MAX (0, open), number_of (upstream, "entries_away"));
+    }
+}
+
+static int
+print_status (const char *text)
+{
+  JsonParser *parser = json_parser_new ();
+  JsonObject *status;
+
+  if (!json_parser_load_from_data (parser, text, -1, NULL)
+      || !JSON_NODE_HOLDS_OBJECT (json_parser_get_root (parser)))
+    {
+      fprintf (stderr, "cyclamenferry status: the answer is not a JSON object\n");
+      g_object_unref (parser);
+      return CF_EXIT_FAILURE;
+    }
+  status = json_node_get_object (json_parser_get_root (parser));
+  printf ("state %s, configuration version %" G_GINT64_FORMAT ", %s, %" G_GINT64_FORMAT
+          " flow records\n\n",
+          text_of (status, "state"), number_of (status, "config_version"),
+          flag_of (status, "settled") ? "settled" : "not settled", number_of (status, "flows"));
+  print_members (json_object_get_array_member (status, "members"));
+  printf ("\n");
+  print_upstreams (json_object_get_array_member (status, "upstreams"));
+  g_object_unref (parser);
+  return CF_EXIT_OK;
+}
+
+int
+cf_command_status (int argc, char **argv)
+{
+  static const struct argp parser = {
+    .options = status_options,
+    .parser = parse_option,
+    .doc = "Shows members, upstreams and flows as a running entry VM sees them.",
+  };
+  struct Arguments arguments = { 0 };
+  char *text;
+  int status = CF_EXIT_OK;
+
+  argp_err_exit_status = CF_EXIT_INPUT;
+  argp_parse (&parser, argc, argv, 0, NULL, &arguments);
+  text = ask (&arguments, "/status");
+  if (!text)
+    return CF_EXIT_FAILURE;
+  if (arguments.json)
+    fputs (text, stdout);
+  else
+    status = print_status (text);
+  g_free (text);
+  return status;
+}
+
+static void
+print_lines_as_json (const char *text)
+{
+  JsonBuilder *builder = json_builder_new ();
+  char **lines = g_strsplit (text, "\n", -1);
+  JsonNode *root;
+  char *json;
+
+  json_builder_begin_object (builder);
+  json_builder_set_member_name (builder, "explanation");
+  json_builder_begin_array (builder);
+  for (int i = 0; lines[i]; i++)
+    if (*lines[i])
+      json_builder_add_string_value (builder, g_strstrip (lines[i]));
+  json_builder_end_array (builder);
+  json_builder_end_object (builder);
+  root = json_builder_get_root (builder);
+  json = json_to_string (root, FALSE);
+  printf ("%s\n", json);
+  g_free (json);
+  json_node_unref (root);
+  g_strfreev (lines);
+  g_object_unref (builder);
+}
+
+int
+cf_command_explain (int argc, char **argv)
+{
+  static const struct argp parser = {
+    .options = explain_options,
+    .parser = parse_option,
+    .args_doc = "CALLER_IP:PORT SERVICE_IP:PORT",
+    .doc = "Says where a running entry VM would send a packet of the flow, and why.",
+  };
+  struct Arguments arguments = { .explain = true, .protocol = "tcp" };
+  char *caller;
+  char *service;
+  char *path;
+  char *text;
+
+  argp_err_exit_status = CF_EXIT_INPUT;
+  argp_parse (&parser, argc, argv, 0, NULL, &arguments);
+  caller = g_uri_escape_string (arguments.caller, ":", FALSE);
+  service = g_uri_escape_string (arguments.service, ":", FALSE);
+  path = g_strdup_printf ("/explain?caller=%s&service=%s&protocol=%s", caller, service,
+                          arguments.protocol);
+  text = ask (&arguments, path);
+  g_free (caller);
+  g_free (service);
+  g_free (path);
+  if (!text)
+    return CF_EXIT_FAILURE;
+  if (arguments.json)
+    print_lines_as_json (text);
+  else
+    fputs (text, stdout);
+  g_free (text);
+  return CF_EXIT_OK;
+}
--- /dev/null
+++ b/src/config/difference.h
@@ -0,0 +1,17 @@
+#ifndef CF_CONFIG_DIFFERENCE_H
+#define CF_CONFIG_DIFFERENCE_H
+
+#include "cf_config.h"
+
+/* Differences between canonical texts, for configurations on their way between
+ * entry VMs.  A difference is a key file that holds each changed or new group in
+ * full, and the names of the groups that went under [fleet] removed. */
+
+/* Returns the difference that leads from FROM to TO, to be freed. */
+char *cf_difference_make (const struct CfConfig *from, const struct CfConfig *to);
+
+/* Returns the canonical text that DIFFERENCE makes of FROM, to be freed, or NULL if
+ * DIFFERENCE is not valid. */
+char *cf_difference_apply (const struct CfConfig *from, const char *difference);
+
+#endif
--- /dev/null
+++ b/src/config/index.h
@@ -0,0 +1,15 @@
+#ifndef CF_CONFIG_INDEX_H
+#define CF_CONFIG_INDEX_H
+
+#include "cf_config.h"
+
+/* Fills in the look-up tables and the upstream lists of CONFIG. */
+void cf_config_index (struct CfConfig *config);
+
+/* Adds to FAULTS any two objects of one kind whose names hash to one id. */
+void cf_config_check_ids (const struct CfConfig *config, GPtrArray *faults);
+
+/* Returns the digest of canonical TEXT. */
+uint64_t cf_config_digest (const char *text);
+
+#endif
--- /dev/null
+++ b/src/core/core.c
@@ -0,0 +1,406 @@
+#include "internal.h"
+
+#include <string.h>
+
+#define SWEEP_SLOTS 4096   /* flow records looked at in one tick */
+#define WATCHERS 2         /* VMs of a failure domain that watch the platform */
+#define STOP_SETTLE_MS 1000
+
+static void
+free_service_stats (gpointer data)
+{
+  struct CfServiceStats *stats = data;
+
+  g_free (stats->name);
+  g_free (stats->tenant);
+  g_free (stats);
+}
+
+static void
+add_self (struct CfCore *core)
+{
+  struct CfMember *self = cf_member_add (core, core->options.vm);
+
+  self->alive = true;
+  self->listed = true;
+  self->domain = core->options.domain;
+  self->incarnation = core->incarnation;
+  self->state = PEER_JOINING;
+}
+
+struct CfCore *
+cf_core_new (const struct CfCoreOptions *options,
+             const struct CfCoreOutputs *outputs,
+             void *context,
+             CfMillis now)
+{
+  struct CfCore *core = g_new0 (struct CfCore, 1);
+
+  core->options = *options;
+  core->policy = options->policy ? options->policy : &cf_policy_product;
+  core->out = outputs;
+  core->context = context;
+  core->random = g_rand_new_with_seed (options->seed);
+  core->start = core->last_tick = core->state_since = core->tokens_at = now;
+  core->evidence_at = core->tenant_window = core->heartbeat_at = now;
+  core->incarnation = options->incarnation;
+  core->state = PEER_JOINING;
+  core->unsure = true;
+  core->mark_version = 1;
+  core->heartbeat_urgent = true;
+  core->tenants = g_array_new (FALSE, FALSE, sizeof (struct CfTenant));
+  core->slots = g_array_new (FALSE, FALSE, sizeof (struct CfSlot));
+  core->suspects = g_array_new (FALSE, FALSE, sizeof (uint32_t));
+  core->slot_by_id = g_hash_table_new (NULL, NULL);
+  core->members = g_ptr_array_new_with_free_func (cf_member_free);
+  core->member_by_id = g_hash_table_new (NULL, NULL);
+  core->stats.services = g_ptr_array_new_with_free_func (free_service_stats);
+  cf_flow_table_init (&core->table, CF_FLOWS_MAX);
+  cf_owners_init (&core->current);
+  cf_owners_init (&core->planned);
+  for (uint32_t b = 0; b < CF_BUCKETS; b++)
+    {
+      core->fallback[b] = CF_NO_MEMBER;
+      core->gained_at[b] = -1;
+    }
+  add_self (core);
+  return core;
+}
+
+void
+cf_core_free (struct CfCore *core)
+{
+  for (guint i = 0; i < core->tenants->len; i++)
+    g_free (g_array_index (core->tenants, struct CfTenant, i).name);
+  g_array_unref (core->tenants);
+  cf_services_clear (core);
+  cf_spread_clear (core);
+  cf_config_unref (core->config);
+  cf_flow_table_clear (&core->table);
+  cf_owners_clear (&core->current);
+  cf_owners_clear (&core->planned);
+  g_array_unref (core->slots);
+  g_array_unref (core->suspects);
+  g_hash_table_destroy (core->slot_by_id);
+  g_hash_table_destroy (core->member_by_id);
+  g_ptr_array_unref (core->members);
+  g_ptr_array_unref (core->stats.services);
+  g_rand_free (core->random);
+  g_free (core);
+}
+
+static void
+remember_config (struct CfCore *core)
+{
+  if (!core->config)
+    return;
+  cf_config_unref (core->history[CF_HISTORY - 1]);
+  memmove (core->history + 1, core->history, (CF_HISTORY - 1) * sizeof core->history[0]);
+  core->history[0] = core->config;
+}
+
+static void
+find_region (struct CfCore *core)
+{
+  core->region = 0;
+  for (uint32_t i = 0; i < core->config->domain_count; i++)
+    if (core->config->domains[i].id == core->options.domain)
+      core->region = cf_name_id (core->config->domains[i].region);
+}
+
+bool
+cf_core_set_config (struct CfCore *core, struct CfConfig *config, CfMillis now)
+{
+  bool initial = core->config == NULL;
+
+  if (!initial
+      && (config->version < core->config->version
+          || (config->version == core->config->version && config->digest <= core->config->digest)))
+    {
+      core->stats.counter[CF_COUNT_CONFIG_IGNORED]++;
+      return false;
+    }
+  remember_config (core);
+  core->config = cf_config_ref (config);
+  core->stats.counter[CF_COUNT_CONFIG_APPLIED]++;
+  core->heartbeat_urgent = true;
+  find_region (core);
+  cf_slots_bind (core, initial, now);
+  cf_services_compile (core);
+  cf_flows_rebind (core);
+  cf_members_list_config (core);
+  /* Every other VM is unsure until this one has told it of the new version. */
+  core->unsure = true;
+  cf_view_update (core, now);
+  cf_gatekeepers_update (core, now);
+  cf_marks_update (core, now);
+  return true;
+}
+
+static enum CfVerdict
+handle (struct CfCore *core,
+        const struct CfPacket *packet,
+        const struct peer_transfer *transfer,
+        CfMillis now)
+{
+  const struct CfService *service;
+  struct CfRoute route = { .packet = packet, .now = now };
+
+  if (!core->config)
+    return cf_route_drop (core, CF_DROP_NO_CONFIG);
+  service = cf_config_find_service (core->config, &packet->service, packet->protocol);
+  if (!service)
+    return cf_route_drop (core, CF_DROP_NO_SERVICE);
+  route.service = cf_service_state (core, service);
+  route.key = cf_flow_key (core, service, packet);
+  route.opens = packet->flags & CF_PACKET_SYN;
+  if (transfer)
+    {
+      if (transfer->service != service->id || transfer->key != route.key)
+        return cf_route_drop (core, CF_DROP_TRANSFER);
+      route.hops = transfer->hops;
+      route.decide = transfer->flags & CF_TRANSFER_DECIDE;
+    }
+  route.service->stats->packets++;
+  route.service->stats->bytes += packet->len;
+  cf_histogram_add (&route.service->stats->packet_bytes, packet->len);
+  cf_choose_lists (route.service, route.key, &route.implied, &route.first);
+  if (route.implied == CF_NO_SLOT)
+    return cf_route_refuse (core, &route, CF_VERDICT_MAY_HAVE_RUN);
+  return core->policy->consult ? cf_route (core, &route) : cf_route_baseline (core, &route);
+}
+
+enum CfVerdict
+cf_core_packet (struct CfCore *core,
+                const uint8_t *data,
+                size_t len,
+                const struct CfAddress *reply,
+                CfMillis now)
+{
+  struct CfPacket packet = { .reply = *reply };
+  enum CfDrop drop;
+
+  core->stats.counter[CF_COUNT_FABRIC_PACKETS]++;
+  core->stats.counter[CF_COUNT_FABRIC_BYTES] += len;
+  drop = cf_packet_parse (data, len, &packet);
+  if (drop != CF_DROP_NONE)
+    return cf_route_drop (core, drop);
+  return handle (core, &packet, NULL, now);
+}
+
+enum CfVerdict
+cf_core_transferred (struct CfCore *core,
+                     const uint8_t *data,
+                     size_t len,
+                     const struct peer_transfer *transfer,
+                     CfMillis now)
+{
+  struct CfPacket packet = { .reply = { .port = (uint16_t) transfer->reply_port } };
+  enum CfDrop drop;
+
+  memcpy (packet.reply.ip, transfer->reply_address, sizeof packet.reply.ip);
+  core->stats.counter[CF_COUNT_TRANSFERS_RECEIVED]++;
+  drop = cf_packet_parse (data, len, &packet);
+  if (drop != CF_DROP_NONE)
+    return cf_route_drop (core, drop);
+  return handle (core, &packet, transfer, now);
+}
+
+/* Another process runs under this VM's name.  The younger one stays. */
+static void
+meet_namesake (struct CfCore *core, uint64_t incarnation, CfMillis now)
+{
+  if (incarnation <= core->incarnation || core->superseded)
+    return;
+  core->superseded = true;
+  cf_enter_state (core, PEER_LEAVING, now);
+  core->out->state_changed (core->context, PEER_LEAVING, true);
+}
+
+void
+cf_core_peer (struct CfCore *core, const struct peer_envelope *envelope, CfMillis now)
+{
+  const struct peer_message *message = &envelope->message;
+  struct CfMember *member = cf_member_by_id (core, envelope->vm);
+
+  if (envelope->vm == core->options.vm)
+    {
+      meet_namesake (core, envelope->incarnation, now);
+      return;
+    }
+  if (member && envelope->incarnation < member->incarnation)
+    return;
+  if (message->kind == PEER_HEARTBEAT)
+    {
+      cf_heartbeat_receive (core, envelope, now);
+      cf_heartbeats_send (core, now);
+      return;
+    }
+  /* Everything else means nothing before the member's first heartbeat. */
+  if (!member || !member->alive || member->incarnation != envelope->incarnation)
+    return;
+  switch (message->kind)
+    {
+    case PEER_ENTRIES:
+      cf_receive_entries (core, member, &message->peer_message_u.entries, now);
+      break;
+    case PEER_ENTRIES_ACK:
+      if (message->peer_message_u.ack.incarnation == core->incarnation)
+        cf_stream_ack (&member->stream, &message->peer_message_u.ack);
+      break;
+    case PEER_CONFIG_REQUEST:
+      cf_spread_request (core, member, &message->peer_message_u.request);
+      break;
+    case PEER_CONFIG_CHUNK:
+      cf_spread_chunk (core, member, &message->peer_message_u.chunk, now);
+      break;
+    case PEER_HEARTBEAT:
+      break;
+    }
+}
+
+void
+cf_core_vm_list (struct CfCore *core, const struct CfListedVm *vms, size_t count, CfMillis now)
+{
+  for (guint i = 1; i < core->members->len; i++)
+    cf_member (core, i)->listed = false;
+  if (core->config)
+    cf_members_list_config (core);
+  for (size_t i = 0; i < count; i++)
+    {
+      struct CfMember *member = cf_member_add (core, vms[i].id);
+
+      if (member->index == 0)
+        continue;
+      /* The list lags: a VM that still sends heartbeats counts by those. */
+      member->listed = !vms[i].leaving || member->alive;
+      if (member->incarnation)
+        continue;
+      member->domain = vms[i].domain;
+      member->address = vms[i].address;
+    }
+  core->heartbeat_urgent = true;
+  cf_view_settle (core, now);
+}
+
+void
+cf_core_leave (struct CfCore *core, CfMillis now)
+{
+  if (core->state != PEER_LEAVING)
+    cf_enter_state (core, PEER_LEAVING, now);
+}
+
+static void
+check_stop (struct CfCore *core, CfMillis now)
+{
+  bool idle = true;
+  bool others = false;
+
+  if (core->state != PEER_LEAVING || core->stop_announced
+      || now - core->state_since < STOP_SETTLE_MS)
+    return;
+  for (guint i = 1; i < core->members->len; i++)
+    {
+      const struct CfMember *member = cf_member (core, i);
+
+      others |= member->alive;
+      idle &= !member->alive || cf_stream_idle (&member->stream);
+    }
+  if (others && (!idle || !core->settled) && now - core->state_since < CF_JOIN_LIMIT_MS)
+    return;
+  core->stop_announced = true;
+  core->out->state_changed (core->context, PEER_LEAVING, true);
+}
+
+/* A few members of each failure domain watch the platform; the others learn of new
+ * configurations from heartbeats. */
+static void
+check_watch (struct CfCore *core)
+{
+  uint32_t better = 0;
+  bool watch;
+
+  for (guint i = 1; i < core->members->len; i++)
+    {
+      const struct CfMember *member = cf_member (core, i);
+
+      better += member->alive && member->state == PEER_SERVING
+                && member->domain == core->options.domain && member->id < core->options.vm;
+    }
+  watch = better < WATCHERS;
+  if (watch == core->watching)
+    return;
+  core->watching = watch;
+  core->out->watch_platform (core->context, watch);
+}
+
+void
+cf_core_flush (struct CfCore *core, CfMillis now)
+{
+  /* With plenty of budget left, entries leave with the first packet. */
+  if (core->config && core->tokens > core->config->limits.peer_bytes_per_s / 2.0)
+    cf_streams_flush (core, now);
+  cf_heartbeats_send (core, now);
+}
+
+void
+cf_core_tick (struct CfCore *core, CfMillis now)
+{
+  if (now - core->last_tick > CF_PAUSE_LIMIT_MS && core->state == PEER_SERVING)
+    cf_members_pause (core, now);
+  core->last_tick = now;
+  cf_members_check (core, now);
+  cf_members_join (core, now);
+  if (now - core->summed_at >= CF_HEARTBEAT_MS)
+    {
+      core->summed_at = now;
+      cf_limits_sum (core, now);
+      cf_gate_tick (core, now);
+      check_watch (core);
+    }
+  cf_evidence_tick (core, now);
+  cf_marks_update (core, now);
+  cf_view_settle (core, now);
+  if (core->config)
+    cf_flows_sweep (core, SWEEP_SLOTS, now);
+  cf_streams_flush (core, now);
+  cf_heartbeats_send (core, now);
+  cf_spread_tick (core, now);
+  check_stop (core, now);
+}
+
+const struct CfConfig *
+cf_core_config (const struct CfCore *core)
+{
+  return core->config;
+}
+
+const struct CfStats *
+cf_core_stats (const struct CfCore *core)
+{
+  return &core->stats;
+}
+
+enum peer_state
+cf_core_state (const struct CfCore *core)
+{
+  return core->state;
+}
+
+uint64_t
+cf_core_incarnation (const struct CfCore *core)
+{
+  return core->incarnation;
+}
+
+bool
+cf_core_settled (const struct CfCore *core)
+{
+  return core->settled && !core->unsure;
+}
+
+size_t
+cf_core_flow_bytes (const struct CfCore *core)
+{
+  return core->table.capacity * sizeof (struct CfFlow);
+}
--- /dev/null
+++ b/src/core/evidence.c
@@ -0,0 +1,69 @@
+#include "internal.h"
+
+/* In-band evidence that an upstream restarted or fails: its first packets are not
+ * followed by the caller's next packet, or are sent again, far more often than
+ * those of the other upstreams of the service.  Under a fabric that sprays
+ * packets, this VM sees only part of each flow; the comparison within one service
+ * cancels that out. */
+
+#define EVIDENCE_WINDOW_MS 2000
+#define EVIDENCE_MIN_FLOWS 20
+#define FAILING_SHARE 0.25  /* of the completion rate of the others */
+#define OTHERS_MIN_RATE 0.1 /* below this rate the others say nothing */
+#define SUSPECT_MS 2000
+
+static bool
+suspicious (const struct CfCore *core, const struct CfServiceState *service, uint32_t number)
+{
+  const struct CfEvidence *evidence = &cf_slot (core, number)->evidence;
+  double opened = 0;
+  double completed = 0;
+  double rate;
+
+  if (evidence->opened < EVIDENCE_MIN_FLOWS)
+    return false;
+  for (uint32_t i = 0; i < service->count; i++)
+    {
+      const struct CfSlot *other = cf_slot (core, service->choices[i].slot);
+
+      if (service->choices[i].slot == number || other->health != PEER_WARM)
+        continue;
+      opened += other->evidence.opened;
+      completed += other->evidence.completed;
+    }
+  if (opened < EVIDENCE_MIN_FLOWS)
+    return false;
+  rate = completed / opened;
+  return rate >= OTHERS_MIN_RATE && evidence->completed < evidence->opened * rate * FAILING_SHARE;
+}
+
+static void
+evaluate (struct CfCore *core, const struct CfServiceState *service, CfMillis now)
+{
+  for (uint32_t i = 0; i < service->count; i++)
+    {
+      uint32_t number = service->choices[i].slot;
+      struct CfSlot *slot = cf_slot (core, number);
+
+      if (slot->health != PEER_WARM || !suspicious (core, service, number))
+        continue;
+      g_array_append_val (core->suspects, number);
+      core->suspects_until = now + SUSPECT_MS;
+      core->heartbeat_urgent = true;
+      if (slot->gatekeeper == 0)
+        cf_set_health (core, number, PEER_COLD, now);
+    }
+}
+
+void
+cf_evidence_tick (struct CfCore *core, CfMillis now)
+{
+  if (now - core->evidence_at < EVIDENCE_WINDOW_MS)
+    return;
+  core->evidence_at = now;
+  g_array_set_size (core->suspects, 0);
+  for (uint32_t i = 0; i < core->service_count; i++)
+    evaluate (core, &core->services[i], now);
+  for (uint32_t i = 0; i < core->slots->len; i++)
+    cf_slot (core, i)->evidence = (struct CfEvidence){ 0 };
+}
--- /dev/null
+++ b/src/core/gatekeeper.c
@@ -0,0 +1,301 @@
+#include "internal.h"
+
+/* Cold starts.  The gatekeeper of an upstream is the first serving member in
+ * rendezvous order of the upstream.  It alone decides the upstream's health and
+ * hands out admissions to a cold one: a number of new flows that a member may send
+ * within CF_GRANT_MS.  At most CF_GRANTS_PER_BUDGET windows touch any second, so a
+ * window gets that part of the budget. */
+
+#define GROWTH_MS 1000
+#define GROWTH_FACTOR 1.5
+#define SUCCESS_SHARE 0.8   /* completed flows at which the budget grows */
+#define FAILURE_SHARE 0.5   /* completed flows at which the budget shrinks */
+#define FAILURE_MIN_FLOWS 4
+#define WARM_MARGIN 1.5     /* budget over the expected share of a warm upstream */
+#define WARM_PROOF 2        /* completed flows needed, as multiples of bears */
+#define PROBE_FAILURES 3    /* probes without an answer */
+#define IN_BAND_MS 2000     /* completed flows this recent outrank failed probes */
+#define SUSPECT_SETTLE_MS 5000
+
+bool
+cf_grant_available (const struct CfSlot *slot, CfMillis now)
+{
+  return slot->grant > 0 && now < slot->grant_until;
+}
+
+void
+cf_set_health (struct CfCore *core, uint32_t number, enum peer_health health, CfMillis now)
+{
+  struct CfSlot *slot = cf_slot (core, number);
+
+  if (slot->health == health && health != PEER_COLD)
+    return;
+  if (health == PEER_COLD)
+    {
+      core->stats.counter[CF_COUNT_COLD_STARTS] += slot->health != PEER_COLD;
+      slot->gate = (struct CfGate){
+        .budget = slot->upstream ? slot->upstream->bears : 1,
+        .not_before = slot->gate.not_before,
+        .next_growth = now + GROWTH_MS,
+        .opened = slot->fleet.opened,
+        .completed = slot->fleet.completed,
+      };
+      slot->grant = 0;
+    }
+  if (slot->health != health)
+    slot->health_since = now;
+  slot->health = health;
+  core->heartbeat_urgent = true;
+}
+
+/* The part of the fleet that this VM reaches.  Each side of a partition gives only
+ * its own part of the budget. */
+static double
+reached_share (const struct CfCore *core)
+{
+  uint32_t reached = 0;
+  uint32_t known = 0;
+
+  for (guint i = 0; i < core->members->len; i++)
+    {
+      const struct CfMember *member = cf_member (core, i);
+
+      if (!member->alive && (!member->listed || member->left || !member->incarnation))
+        continue;
+      known++;
+      reached += member->alive;
+    }
+  return (double) reached / known;
+}
+
+static void
+open_window (struct CfCore *core, struct CfSlot *slot, CfMillis now)
+{
+  double quota = slot->gate.budget * reached_share (core) / CF_GRANTS_PER_BUDGET;
+
+  if (now < slot->gate.not_before)
+    quota = 0;
+  quota += slot->gate.carry;
+  slot->gate.quota = (uint32_t) quota;
+  slot->gate.carry = quota - slot->gate.quota;
+  slot->gate.rotation++;
+  slot->grant = cf_gate_grant_for (core, slot, cf_member (core, 0));
+  slot->grant_until = now + CF_GRANT_MS;
+}
+
+void
+cf_gate_window (struct CfCore *core, CfMillis now)
+{
+  for (uint32_t i = 0; i < core->slots->len; i++)
+    {
+      struct CfSlot *slot = cf_slot (core, i);
+
+      if (slot->gatekeeper == 0 && slot->health == PEER_COLD && slot->upstream)
+        open_window (core, slot, now);
+    }
+}
+
+uint32_t
+cf_gate_grant_for (const struct CfCore *core,
+                   const struct CfSlot *slot,
+                   const struct CfMember *member)
+{
+  const GArray *serving = core->current.candidates;
+
+  for (guint i = 0; i < serving->len; i++)
+    {
+      uint32_t turn = (i + slot->gate.rotation) % serving->len;
+
+      if (g_array_index (serving, struct CfCandidate, i).member != member->index)
+        continue;
+      return slot->gate.quota / serving->len + (turn < slot->gate.quota % serving->len);
+    }
+  return 0;
+}
+
+static uint32_t
+service_opened (const struct CfCore *core, const struct CfServiceState *service)
+{
+  uint32_t opened = 0;
+
+  for (uint32_t i = 0; i < service->count; i++)
+    opened += cf_slot (core, service->choices[i].slot)->fleet.opened;
+  return opened;
+}
+
+/* Returns the new flows a second that the slot would get as a warm upstream. */
+static double
+expected_share (const struct CfServiceState *service, const struct CfSlot *slot, uint32_t opened)
+{
+  double weights = 0;
+
+  for (uint32_t i = 0; i < service->count; i++)
+    weights += service->choices[i].weight;
+  return weights > 0 ? opened * slot->upstream->weight / weights : 0;
+}
+
+static void
+grow_budget (struct CfCore *core, uint32_t number, CfMillis now)
+{
+  struct CfSlot *slot = cf_slot (core, number);
+  const struct CfServiceState *service = &core->services[slot->upstream->service];
+  uint32_t demand = service_opened (core, service);
+  uint32_t opened = slot->fleet.opened - slot->gate.opened;
+  uint32_t completed = slot->fleet.completed - slot->gate.completed;
+  double share = expected_share (service, slot, demand - slot->gate.demand);
+  bool first = slot->gate.demand == 0;
+
+  slot->gate.next_growth = now + GROWTH_MS;
+  slot->gate.opened = slot->fleet.opened;
+  slot->gate.completed = slot->fleet.completed;
+  slot->gate.demand = demand;
+  if (opened >= FAILURE_MIN_FLOWS && completed < FAILURE_SHARE * opened)
+    {
+      slot->gate.budget = MAX (slot->upstream->bears, slot->gate.budget / 2);
+      return;
+    }
+  slot->gate.proven += completed;
+  if (completed >= SUCCESS_SHARE * opened && opened >= slot->gate.budget / 2)
+    slot->gate.budget *= GROWTH_FACTOR;
+  if (!first && slot->gate.proven >= WARM_PROOF * slot->upstream->bears
+      && slot->gate.budget >= WARM_MARGIN * share)
+    cf_set_health (core, number, PEER_WARM, now);
+}
+
+void
+cf_gate_tick (struct CfCore *core, CfMillis now)
+{
+  for (uint32_t i = 0; i < core->slots->len; i++)
+    {
+      const struct CfSlot *slot = cf_slot (core, i);
+
+      if (slot->gatekeeper == 0 && slot->health == PEER_COLD && slot->upstream
+          && now >= slot->gate.next_growth)
+        grow_budget (core, i, now);
+    }
+}
+
+void
+cf_gatekeepers_update (struct CfCore *core, CfMillis now)
+{
+  GArray *mine = g_array_new (FALSE, FALSE, sizeof (uint32_t));
+
+  for (uint32_t i = 0; i < core->slots->len; i++)
+    {
+      struct CfSlot *slot = cf_slot (core, i);
+      uint32_t gatekeeper = cf_owners_first (&core->current, slot->id);
+
+      if (gatekeeper != slot->gatekeeper)
+        {
+          slot->gate.not_before = now + GROWTH_MS;
+          slot->failures = 0;
+        }
+      slot->gatekeeper = gatekeeper;
+      if (gatekeeper == 0 && slot->upstream && slot->upstream->health.port)
+        g_array_append_val (mine, slot->index);
+    }
+  core->out->probe (core->context, (const uint32_t *) (const void *) mine->data, mine->len);
+  g_array_unref (mine);
+}
+
+static void
+take_state (struct CfCore *core,
+            uint32_t number,
+            const struct peer_upstream *item,
+            CfMillis now)
+{
+  struct CfSlot *slot = cf_slot (core, number);
+
+  if (slot->health != item->health)
+    cf_set_health (core, number, item->health, now);
+  slot->generation = item->generation;
+  if (item->health != PEER_COLD)
+    return;
+  slot->gate.budget = item->budget;
+  if (item->grant == CF_NO_GRANT)
+    return;
+  slot->grant = item->grant;
+  slot->grant_until = now + CF_GRANT_MS;
+}
+
+static bool
+listed (const peer_heartbeat *heartbeat, uint32_t id)
+{
+  for (u_int i = 0; i < heartbeat->upstreams.upstreams_len; i++)
+    if (heartbeat->upstreams.upstreams_val[i].upstream == id)
+      return true;
+  return false;
+}
+
+/* A gatekeeper lists every upstream of its own that is not warm. */
+static void
+take_silence (struct CfCore *core,
+              const struct CfMember *member,
+              const peer_heartbeat *heartbeat,
+              CfMillis now)
+{
+  if (!core->config || heartbeat->config_version < core->config->version
+      || member->view != core->view)
+    return;
+  for (uint32_t i = 0; i < core->slots->len; i++)
+    if (cf_slot (core, i)->gatekeeper == member->index && cf_slot (core, i)->health != PEER_WARM
+        && !listed (heartbeat, cf_slot (core, i)->id))
+      cf_set_health (core, i, PEER_WARM, now);
+}
+
+static void
+take_suspects (struct CfCore *core, const peer_heartbeat *heartbeat, CfMillis now)
+{
+  for (u_int i = 0; i < heartbeat->suspects.suspects_len; i++)
+    {
+      uint32_t number = cf_slot_for_id (core, heartbeat->suspects.suspects_val[i]);
+      const struct CfSlot *slot = cf_slot (core, number);
+
+      if (slot->gatekeeper == 0 && slot->health == PEER_WARM
+          && now - slot->health_since > SUSPECT_SETTLE_MS)
+        cf_set_health (core, number, PEER_COLD, now);
+    }
+}
+
+void
+cf_health_receive (struct CfCore *core,
+                   struct CfMember *member,
+                   const peer_heartbeat *heartbeat,
+                   CfMillis now)
+{
+  for (u_int i = 0; i < heartbeat->upstreams.upstreams_len; i++)
+    {
+      const struct peer_upstream *item = &heartbeat->upstreams.upstreams_val[i];
+      uint32_t number = cf_slot_for_id (core, item->upstream);
+
+      if (cf_slot (core, number)->gatekeeper == member->index)
+        take_state (core, number, item, now);
+    }
+  take_silence (core, member, heartbeat, now);
+  take_suspects (core, heartbeat, now);
+}
+
+void
+cf_core_health (struct CfCore *core, const struct CfHealthAnswer *answer, CfMillis now)
+{
+  uint32_t number = cf_slot_for_id (core, answer->upstream);
+  struct CfSlot *slot = cf_slot (core, number);
+  uint32_t generation = (uint32_t) answer->start_time;
+  bool in_band = slot->completed_at && now - slot->completed_at < IN_BAND_MS;
+
+  if (slot->gatekeeper != 0 || !slot->upstream)
+    return;
+  if (!answer->reachable || !answer->serving)
+    {
+      /* Flows that complete outrank an endpoint that says otherwise. */
+      if (++slot->failures >= PROBE_FAILURES && !in_band)
+        cf_set_health (core, number, PEER_UNREACHABLE, now);
+      return;
+    }
+  slot->failures = 0;
+  if (slot->health == PEER_UNREACHABLE
+      || (generation && slot->generation && generation != slot->generation))
+    cf_set_health (core, number, PEER_COLD, now);
+  if (generation)
+    slot->generation = generation;
+}
--- /dev/null
+++ b/src/core/internal.h
@@ -0,0 +1,410 @@
+#ifndef CF_CORE_INTERNAL_H
+#define CF_CORE_INTERNAL_H
+
+#include "cf_core.h"
+#include "flow_table.h"
+#include "owners.h"
+
+/* State that the modules of the core share. */
+
+#define CF_HEARTBEAT_MS 500
+#define CF_URGENT_HEARTBEAT_MS 20   /* least time between two heartbeats */
+#define CF_DEAD_PROBE_MS 2000       /* heartbeats towards silent members */
+#define CF_GRANT_MS 400             /* how long an admission may be used */
+#define CF_GRANTS_PER_BUDGET 3      /* windows that may fall within one second */
+#define CF_MEMBER_DOUBT_MS 1250     /* silence after which news may be missing */
+#define CF_MEMBER_DEAD_MS 2000      /* silence after which a member is dead */
+#define CF_JOIN_WAIT_MS 1600        /* time to hear of serving members */
+#define CF_JOIN_LIMIT_MS 20000      /* longest wait for a handover */
+#define CF_DOUBT_MS 3000            /* longest delay of a flow whose entry may be lost */
+#define CF_GRACE_MS 2500            /* a leaving upstream still gets unknown UDP flows */
+#define CF_REPORT_S 20              /* age of first packets reported on a new mark */
+#define CF_HALF_OPEN_S 64           /* a first packet without a successor is forgotten */
+#define CF_RECENT_S 20              /* other records of this VM alone */
+#define CF_CLOSING_S 60             /* a flow after its FIN or RST */
+#define CF_TOUCH_S 1800             /* backups are told again of a living flow */
+#define CF_FLOWS_MAX (1U << 21)
+#define CF_WINDOW 8                 /* unacknowledged batches of entries to a member */
+#define CF_BATCH 64                 /* entries in a batch */
+#define CF_RESEND_MS 250
+#define CF_ACK_DELAY_MS 100
+#define CF_NO_SLOT UINT32_MAX
+
+/* Counts of flows at an upstream, as one VM saw them. */
+struct CfLoad
+{
+  uint32_t opened;
+  uint32_t completed; /* the caller answered after the first packet */
+  uint32_t closed;
+};
+
+/* Evidence about an upstream in the current observation window. */
+struct CfEvidence
+{
+  uint32_t opened;
+  uint32_t completed;
+  uint32_t repeated; /* first packets sent again */
+};
+
+/* What the gatekeeper of a cold upstream keeps. */
+struct CfGate
+{
+  double budget;        /* new flows a second that the upstream bears now */
+  double carry;         /* part of a grant left from the last window */
+  CfMillis not_before;  /* grants of an earlier gatekeeper may be in use until then */
+  CfMillis next_growth;
+  uint32_t opened;    /* fleet counts at the last growth */
+  uint32_t completed;
+  uint32_t demand;    /* new flows of the whole service at the last growth */
+  uint32_t proven;    /* flows completed since the cold start */
+  uint32_t quota;     /* grants of the current window */
+  uint32_t rotation;  /* which member gets the first odd grant */
+};
+
+/* An upstream as this VM knows it.  Slots keep their index while configurations
+ * come and go, and are found by the upstream's id. */
+struct CfSlot
+{
+  uint32_t id;
+  uint32_t index; /* into the configuration's upstreams, or CF_NO_INDEX */
+  const struct CfUpstream *upstream;
+  bool in_domain; /* its failure domain is in service */
+  enum peer_health health;
+  uint32_t generation; /* start time that the upstream last reported */
+  CfMillis health_since;
+  CfMillis closed_since; /* when it stopped taking new flows, or -1 */
+  uint32_t failures;     /* health probes without an answer, in a row */
+  struct CfLoad load;    /* of this VM */
+  struct CfLoad retired; /* of former incarnations of members */
+  struct CfLoad fleet;   /* sum, updated every tick */
+  CfMillis completed_at; /* when fleet.completed last grew */
+  struct CfEvidence evidence;
+  uint32_t entries_away; /* entries with this implied slot */
+  CfMillis wants_mark_until;
+  uint32_t mark_version; /* version of this VM's marks that contains it, or 0 */
+  uint32_t peer_marks;   /* members that mark it */
+  CfMillis marked_since; /* -1 while unmarked */
+  uint32_t grant;        /* admissions given by the gatekeeper */
+  CfMillis grant_until;
+  uint32_t gatekeeper; /* member */
+  struct CfGate gate;
+};
+
+/* A service as compiled from the configuration. */
+struct CfChoice
+{
+  uint32_t slot;
+  uint32_t weight;
+  uint32_t baseline_weight;
+  uint64_t salt; /* of the upstream's id */
+};
+
+struct CfServiceState
+{
+  const struct CfService *service;
+  struct CfServiceStats *stats;
+  struct CfChoice *choices;
+  uint32_t count;
+  bool same_lists;       /* the current list is the baseline */
+  bool uniform;          /* all weights of the current list are equal */
+  bool baseline_uniform; /* the same for the baseline */
+  uint32_t tenant;       /* index into the core's tenants */
+};
+
+/* New flows of one tenant in the current window. */
+struct CfTenant
+{
+  char *name;
+  uint32_t accepted;
+  uint32_t wanted;
+  uint32_t last_wanted;
+};
+
+/* A batch of entries that its receiver has not acknowledged. */
+struct CfBatch
+{
+  uint32_t seq; /* 0: unused */
+  uint32_t count;
+  CfMillis sent_at;
+  struct peer_entry entries[CF_BATCH];
+};
+
+/* Replication towards one member. */
+struct CfStream
+{
+  GArray *urgent; /* of struct peer_entry: of new flows */
+  GArray *bulk;   /* of struct peer_entry: handover and refresh */
+  uint32_t bulk_head;
+  uint32_t next_seq;
+  struct CfBatch *window; /* CF_WINDOW batches */
+  uint32_t outstanding;
+};
+
+struct CfMember
+{
+  uint32_t index;
+  uint32_t id;
+  uint32_t domain;
+  struct CfAddress address;
+  bool listed;
+  bool alive;
+  bool left; /* said that it was leaving and fell silent */
+  enum peer_state state;
+  uint64_t incarnation;
+  CfMillis heard_at;
+  CfMillis sent_at;
+  uint64_t config_version;
+  uint64_t config_digest;
+  uint64_t view;
+  uint32_t mark_version; /* of the marks held in marks */
+  GArray *marks;         /* of slots */
+  bool sees_me;
+  uint32_t acked_marks; /* version of this VM's marks that it has seen */
+  GArray *loads;        /* of struct CfLoad, by slot */
+  uint64_t pushed;      /* incarnation that got this VM's handover */
+  uint64_t done;        /* this VM's incarnation that its handover reached */
+  struct CfStream stream;
+  uint32_t acks[32];
+  uint32_t ack_count;
+  CfMillis ack_due;
+};
+
+/* A configuration that is being fetched from a peer. */
+struct CfPull
+{
+  uint64_t version;
+  uint64_t digest;
+  uint64_t base;
+  uint32_t member;
+  uint32_t total;
+  GString *data;
+  CfMillis deadline; /* 0: idle */
+};
+
+#define CF_HISTORY 8
+
+struct CfCore
+{
+  struct CfCoreOptions options;
+  const struct CfPolicy *policy;
+  const struct CfCoreOutputs *out;
+  void *context;
+  GRand *random;
+  CfMillis start;
+  CfMillis last_tick;
+  uint64_t incarnation;
+  enum peer_state state;
+  CfMillis state_since;
+  bool superseded;
+  bool stop_announced;
+
+  struct CfConfig *config;
+  struct CfConfig *history[CF_HISTORY]; /* earlier versions, newest first */
+  uint32_t region; /* id of this VM's region, 0 if unknown */
+  struct CfServiceState *services;
+  uint32_t service_count;
+  GArray *tenants; /* of struct CfTenant */
+  CfMillis tenant_window;
+  uint32_t window_accepted;
+  struct CfPull pull;
+
+  GArray *slots; /* of struct CfSlot */
+  GHashTable *slot_by_id;
+  struct CfFlowTable table;
+  uint32_t sweep;
+
+  GPtrArray *members; /* of struct CfMember; entry 0 is this VM */
+  GHashTable *member_by_id;
+  struct CfOwners current; /* serving members */
+  struct CfOwners planned; /* serving and joining members */
+  uint32_t fallback[CF_BUCKETS];    /* member that knew the bucket's flows before this VM */
+  CfMillis owned_since[CF_BUCKETS]; /* when this VM became its owner */
+  CfMillis gained_at[CF_BUCKETS];   /* when it did so without the entries, or -1 */
+  uint64_t view;
+  bool settled;
+  bool config_settled;
+  bool unsure;
+
+  uint32_t mark_version;
+  bool heartbeat_urgent;
+  CfMillis heartbeat_at; /* last regular heartbeat */
+  CfMillis urgent_at;    /* last heartbeat of any kind */
+  CfMillis summed_at;    /* last sum of the members' counts */
+  uint32_t load_cursor;
+  uint32_t warm_cursor;
+  double tokens; /* bytes that replication may send now */
+  CfMillis tokens_at;
+  CfMillis evidence_at;
+  GArray *suspects; /* of slots */
+  CfMillis suspects_until;
+  bool watching;
+
+  struct CfStats stats;
+};
+
+/* A packet on its way through the core. */
+struct CfRoute
+{
+  const struct CfPacket *packet;
+  struct CfServiceState *service;
+  uint64_t key;
+  uint32_t implied; /* slot */
+  uint32_t first;   /* slot that the current list prefers */
+  bool opens;       /* the packet may open a flow */
+  uint32_t hops;
+  bool decide;
+  CfMillis now;
+};
+
+/* slots.c */
+struct CfSlot *cf_slot (const struct CfCore *core, uint32_t slot);
+uint32_t cf_slot_for_id (struct CfCore *core, uint32_t id);
+void cf_slots_bind (struct CfCore *core, bool initial, CfMillis now);
+bool cf_slot_usable (const struct CfSlot *slot);
+bool cf_slot_takes_new (const struct CfSlot *slot);
+
+/* services.c */
+void cf_services_compile (struct CfCore *core);
+void cf_services_clear (struct CfCore *core);
+struct CfServiceState *cf_service_state (const struct CfCore *core,
+                                         const struct CfService *service);
+
+/* choose.c */
+uint64_t cf_flow_key (const struct CfCore *core,
+                      const struct CfService *service,
+                      const struct CfPacket *packet);
+void cf_choose_lists (const struct CfServiceState *service,
+                      uint64_t key,
+                      uint32_t *implied,
+                      uint32_t *first);
+
+/* Walks the current list of SERVICE for KEY in preference order until ADMIT returns
+ * true; returns that slot or CF_NO_SLOT. */
+uint32_t cf_choose_first (struct CfCore *core,
+                          const struct CfServiceState *service,
+                          uint64_t key,
+                          bool (*admit) (struct CfCore *core, uint32_t slot, void *data),
+                          void *data);
+
+/* flows.c */
+struct CfFlow *
+cf_flows_record (struct CfCore *core, const struct CfRoute *route, uint32_t slot, uint8_t kind);
+void cf_flows_move (struct CfCore *core, struct CfFlow *flow, uint32_t slot, uint8_t kind);
+void cf_flows_drop (struct CfCore *core, struct CfFlow *flow);
+void cf_flows_seen (struct CfCore *core, struct CfFlow *flow, const struct CfRoute *route);
+void cf_flows_sweep (struct CfCore *core, uint32_t slots, CfMillis now);
+void cf_flows_rebind (struct CfCore *core);
+void cf_flows_count_away (struct CfCore *core, const struct CfFlow *flow, int step);
+uint32_t cf_core_seconds (const struct CfCore *core, CfMillis now);
+
+/* replicate.c */
+void cf_replicate (struct CfCore *core, struct CfFlow *flow, CfMillis now);
+void cf_replicate_removal (struct CfCore *core, const struct CfFlow *flow);
+void cf_replicate_to (struct CfCore *core,
+                      struct CfMember *member,
+                      const struct CfFlow *flow,
+                      bool urgent,
+                      CfMillis now);
+void cf_replicate_done (struct CfCore *core, struct CfMember *member);
+void cf_report_recent (struct CfCore *core, uint32_t slot, CfMillis now);
+void cf_receive_entries (struct CfCore *core,
+                         struct CfMember *member,
+                         const peer_entries *entries,
+                         CfMillis now);
+
+/* stream.c */
+void cf_stream_init (struct CfStream *stream);
+void cf_stream_clear (struct CfStream *stream);
+void cf_stream_reset (struct CfStream *stream);
+bool cf_stream_idle (const struct CfStream *stream);
+void cf_stream_ack (struct CfStream *stream, const peer_entries_ack *ack);
+void cf_streams_flush (struct CfCore *core, CfMillis now);
+
+/* members.c */
+struct CfMember *cf_member (const struct CfCore *core, uint32_t index);
+struct CfMember *cf_member_by_id (const struct CfCore *core, uint32_t id);
+struct CfMember *cf_member_add (struct CfCore *core, uint32_t id);
+void cf_member_free (gpointer member);
+void cf_members_list_config (struct CfCore *core);
+void cf_members_check (struct CfCore *core, CfMillis now);
+bool cf_member_serves (const struct CfCore *core, const struct CfMember *member);
+bool cf_member_forget_marks (struct CfCore *core, struct CfMember *member);
+struct CfLoad *cf_member_load (struct CfMember *member, uint32_t slot);
+void cf_member_restarted (struct CfCore *core, struct CfMember *member);
+void cf_members_pause (struct CfCore *core, CfMillis now);
+void cf_members_join (struct CfCore *core, CfMillis now);
+void cf_enter_state (struct CfCore *core, enum peer_state state, CfMillis now);
+
+/* view.c */
+void cf_view_update (struct CfCore *core, CfMillis now);
+void cf_view_settle (struct CfCore *core, CfMillis now);
+
+/* marks.c */
+bool cf_marked (const struct CfCore *core, uint32_t slot);
+bool cf_marked_by_config (const struct CfSlot *slot);
+bool cf_may_divert (struct CfCore *core, uint32_t slot, CfMillis now);
+void cf_marks_update (struct CfCore *core, CfMillis now);
+void cf_marks_receive (struct CfCore *core,
+                       struct CfMember *member,
+                       const peer_heartbeat *heartbeat,
+                       CfMillis now);
+
+/* heartbeat.c */
+void cf_heartbeats_send (struct CfCore *core, CfMillis now);
+void cf_heartbeat_receive (struct CfCore *core,
+                           const struct peer_envelope *envelope,
+                           CfMillis now);
+void cf_send (struct CfCore *core, const struct CfMember *member, struct peer_message *message);
+
+/* route.c */
+enum CfVerdict cf_route (struct CfCore *core, struct CfRoute *route);
+enum CfVerdict cf_route_to (struct CfCore *core, const struct CfRoute *route, uint32_t slot);
+enum CfVerdict cf_route_drop (struct CfCore *core, enum CfDrop drop);
+enum CfVerdict
+cf_route_refuse (struct CfCore *core, const struct CfRoute *route, enum CfVerdict verdict);
+
+/* place.c */
+enum CfVerdict cf_place (struct CfCore *core, struct CfRoute *route, struct CfFlow *flow);
+
+/* baseline.c */
+enum CfVerdict cf_route_baseline (struct CfCore *core, struct CfRoute *route);
+
+/* limits.c */
+bool cf_limit_tenant (struct CfCore *core, struct CfServiceState *service, CfMillis now);
+bool cf_limit_full (const struct CfCore *core, const struct CfSlot *slot);
+bool cf_limit_unfair (const struct CfCore *core,
+                      const struct CfServiceState *service,
+                      uint32_t slot);
+void cf_limits_sum (struct CfCore *core, CfMillis now);
+
+/* gatekeeper.c */
+#define CF_NO_GRANT UINT32_MAX /* the heartbeat says nothing about grants */
+bool cf_grant_available (const struct CfSlot *slot, CfMillis now);
+void cf_gate_window (struct CfCore *core, CfMillis now);
+uint32_t cf_gate_grant_for (const struct CfCore *core,
+                            const struct CfSlot *slot,
+                            const struct CfMember *member);
+void cf_gate_tick (struct CfCore *core, CfMillis now);
+void cf_gatekeepers_update (struct CfCore *core, CfMillis now);
+void cf_set_health (struct CfCore *core, uint32_t slot, enum peer_health health, CfMillis now);
+void cf_health_receive (struct CfCore *core,
+                        struct CfMember *member,
+                        const peer_heartbeat *heartbeat,
+                        CfMillis now);
+
+/* evidence.c */
+void cf_evidence_tick (struct CfCore *core, CfMillis now);
+
+/* spread.c */
+void cf_spread_check (struct CfCore *core, struct CfMember *member, CfMillis now);
+void cf_spread_request (struct CfCore *core,
+                        struct CfMember *member,
+                        const peer_config_request *request);
+void cf_spread_chunk (struct CfCore *core,
+                      struct CfMember *member,
+                      const peer_config_chunk *chunk,
+                      CfMillis now);
+void cf_spread_tick (struct CfCore *core, CfMillis now);
+void cf_spread_clear (struct CfCore *core);
+
+#endif
--- /dev/null
+++ b/src/core/limits.c
@@ -0,0 +1,128 @@
+#include "internal.h"
+
+#define TENANT_WINDOW_MS 100
+#define UNFAIR_MIN_FLOWS 32 /* below this share an imbalance is chance */
+
+static void
+next_window (struct CfCore *core, CfMillis now)
+{
+  core->tenant_window = now;
+  core->window_accepted = 0;
+  for (guint i = 0; i < core->tenants->len; i++)
+    {
+      struct CfTenant *tenant = &g_array_index (core->tenants, struct CfTenant, i);
+
+      tenant->last_wanted = tenant->wanted;
+      tenant->wanted = 0;
+      tenant->accepted = 0;
+    }
+}
+
+/* Returns what the other tenants are still owed in this window: their fair share,
+ * as far as they used it in the window before. */
+static uint32_t
+owed_to_others (const struct CfCore *core, uint32_t except, uint32_t share)
+{
+  uint32_t owed = 0;
+
+  for (guint i = 0; i < core->tenants->len; i++)
+    {
+      const struct CfTenant *tenant = &g_array_index (core->tenants, struct CfTenant, i);
+      uint32_t due = MIN (share, tenant->last_wanted);
+
+      if (i != except && due > tenant->accepted)
+        owed += due - tenant->accepted;
+    }
+  return owed;
+}
+
+bool
+cf_limit_tenant (struct CfCore *core, struct CfServiceState *service, CfMillis now)
+{
+  struct CfTenant *tenant;
+  uint32_t limit = core->config->limits.new_flows_per_s;
+  uint32_t allowance = MAX (1, limit * TENANT_WINDOW_MS / CF_MS_PER_S);
+  uint32_t share = MAX (1, allowance / MAX (1, core->tenants->len));
+
+  if (limit == 0)
+    return true;
+  if (now - core->tenant_window >= TENANT_WINDOW_MS)
+    next_window (core, now);
+  tenant = &g_array_index (core->tenants, struct CfTenant, service->tenant);
+  tenant->wanted++;
+  if (core->window_accepted >= allowance)
+    return false;
+  if (tenant->accepted >= share
+      && core->window_accepted + owed_to_others (core, service->tenant, share) >= allowance)
+    return false;
+  tenant->accepted++;
+  core->window_accepted++;
+  return true;
+}
+
+static int64_t
+open_flows (const struct CfSlot *slot)
+{
+  int64_t open = (int64_t) slot->fleet.opened - slot->fleet.closed;
+
+  return MAX (0, open);
+}
+
+bool
+cf_limit_full (const struct CfCore *core, const struct CfSlot *slot)
+{
+  (void) core;
+  return open_flows (slot) >= slot->upstream->connections;
+}
+
+bool
+cf_limit_unfair (const struct CfCore *core, const struct CfServiceState *service, uint32_t number)
+{
+  const struct CfSlot *slot = cf_slot (core, number);
+  double open = 0;
+  double weight = 0;
+
+  for (uint32_t i = 0; i < service->count; i++)
+    {
+      const struct CfSlot *other = cf_slot (core, service->choices[i].slot);
+
+      if (!cf_slot_takes_new (other) || other->health != PEER_WARM)
+        continue;
+      open += (double) open_flows (other);
+      weight += other->upstream->weight;
+    }
+  if (weight == 0)
+    return false;
+  open = open * slot->upstream->weight / weight;
+  return open_flows (slot) > UNFAIR_MIN_FLOWS
+         && (double) open_flows (slot) > open * (1 + core->config->limits.imbalance);
+}
+
+static void
+sum_slot (struct CfCore *core, uint32_t number, CfMillis now)
+{
+  struct CfSlot *slot = cf_slot (core, number);
+  uint32_t completed = slot->fleet.completed;
+
+  slot->fleet = slot->load;
+  slot->fleet.opened += slot->retired.opened;
+  slot->fleet.completed += slot->retired.completed;
+  slot->fleet.closed += slot->retired.closed;
+  for (guint i = 1; i < core->members->len; i++)
+    {
+      const struct CfLoad *load = cf_member_load (cf_member (core, i), number);
+
+      slot->fleet.opened += load->opened;
+      slot->fleet.completed += load->completed;
+      slot->fleet.closed += load->closed;
+    }
+  if (slot->fleet.completed != completed)
+    slot->completed_at = now;
+}
+
+void
+cf_limits_sum (struct CfCore *core, CfMillis now)
+{
+  for (uint32_t i = 0; i < core->slots->len; i++)
+    sum_slot (core, i, now);
+}
--- /dev/null
+++ b/src/core/marks.c
@@ -0,0 +1,103 @@
+#include "internal.h"
+
+/* Marks: an upstream is marked while a flow for which it is the implied upstream may
+ * be at another one.  Packets of a marked upstream go through the bucket's owner. */
+
+#define WANT_MARK_MS 30000 /* a mark without entries is kept this long */
+
+bool
+cf_marked_by_config (const struct CfSlot *slot)
+{
+  return !cf_slot_takes_new (slot);
+}
+
+bool
+cf_marked (const struct CfCore *core, uint32_t number)
+{
+  const struct CfSlot *slot = cf_slot (core, number);
+
+  return cf_marked_by_config (slot) || slot->health != PEER_WARM || slot->peer_marks
+         || slot->mark_version || slot->entries_away;
+}
+
+static bool
+acknowledged (const struct CfCore *core, uint32_t mark_version)
+{
+  for (guint i = 1; i < core->members->len; i++)
+    {
+      const struct CfMember *member = cf_member (core, i);
+
+      if (member->alive && member->state != PEER_JOINING && member->acked_marks < mark_version)
+        return false;
+    }
+  return true;
+}
+
+bool
+cf_may_divert (struct CfCore *core, uint32_t number, CfMillis now)
+{
+  struct CfSlot *slot = cf_slot (core, number);
+
+  if (!core->config_settled)
+    return false;
+  if (cf_marked_by_config (slot))
+    return true;
+  slot->wants_mark_until = now + WANT_MARK_MS;
+  if (!slot->mark_version)
+    cf_marks_update (core, now);
+  return acknowledged (core, slot->mark_version);
+}
+
+static bool
+update_own (struct CfCore *core, struct CfSlot *slot, CfMillis now)
+{
+  bool want = slot->entries_away || now < slot->wants_mark_until;
+
+  if (want == (slot->mark_version != 0))
+    return false;
+  core->mark_version++;
+  slot->mark_version = want ? core->mark_version : 0;
+  return want;
+}
+
+void
+cf_marks_update (struct CfCore *core, CfMillis now)
+{
+  for (uint32_t i = 0; i < core->slots->len; i++)
+    {
+      struct CfSlot *slot = cf_slot (core, i);
+
+      if (update_own (core, slot, now))
+        core->heartbeat_urgent = true;
+      if (!cf_marked (core, i))
+        slot->marked_since = -1;
+      else if (slot->marked_since < 0)
+        {
+          slot->marked_since = now;
+          cf_report_recent (core, i, now);
+        }
+    }
+}
+
+void
+cf_marks_receive (struct CfCore *core,
+                  struct CfMember *member,
+                  const peer_heartbeat *heartbeat,
+                  CfMillis now)
+{
+  if (member->mark_version == heartbeat->mark_version)
+    return;
+  cf_member_forget_marks (core, member);
+  member->mark_version = heartbeat->mark_version;
+  for (u_int i = 0; i < heartbeat->marks.marks_len; i++)
+    {
+      uint32_t slot = cf_slot_for_id (core, heartbeat->marks.marks_val[i]);
+
+      g_array_append_val (member->marks, slot);
+      cf_slot (core, slot)->peer_marks++;
+    }
+  /* Report first packets before the acknowledgement that the heartbeat carries. */
+  cf_marks_update (core, now);
+  cf_streams_flush (core, now);
+  core->heartbeat_urgent = true;
+}
--- /dev/null
+++ b/src/core/owners.h
@@ -0,0 +1,52 @@
+#ifndef CF_OWNERS_H
+#define CF_OWNERS_H
+
+#include "cf_types.h"
+
+#include <glib.h>
+
+/* Which members own and back up each bucket of flows.
+ *
+ * The owner is the first member in rendezvous order of the bucket, the first
+ * backup the second.  The second backup is the best member of a failure domain
+ * other than theirs.  When an owner goes, its successor is its first backup. */
+
+#define CF_BUCKET_BITS 12
+#define CF_BUCKETS (1U << CF_BUCKET_BITS)
+#define CF_HOLDERS 3
+#define CF_NO_MEMBER UINT32_MAX
+
+/* Returns the bucket of flow KEY. */
+#define CF_BUCKET(key) ((uint32_t) ((key) >> (64 - CF_BUCKET_BITS)))
+
+struct CfCandidate
+{
+  uint32_t member; /* the caller's index */
+  uint32_t id;
+  uint32_t domain;
+};
+
+struct CfOwners
+{
+  struct CfCandidate holders[CF_BUCKETS][CF_HOLDERS];
+  GArray *candidates; /* of struct CfCandidate, ordered by id */
+};
+
+void cf_owners_init (struct CfOwners *owners);
+void cf_owners_clear (struct CfOwners *owners);
+
+/* Makes CANDIDATES (of struct CfCandidate, ordered by id) the members to choose
+ * from.  Only buckets that a change concerns are computed again.  Returns true
+ * if anything changed. */
+bool cf_owners_update (struct CfOwners *owners, const GArray *candidates);
+
+/* Returns true if MEMBER holds BUCKET. */
+bool cf_owners_holds (const struct CfOwners *owners, uint32_t bucket, uint32_t member);
+
+/* Returns the rendezvous score of member ID for KEY. */
+uint64_t cf_rendezvous_score (uint64_t key, uint32_t id);
+
+/* Returns the member with the highest score for KEY, or CF_NO_MEMBER. */
+uint32_t cf_owners_first (const struct CfOwners *owners, uint64_t key);
+
+#endif
--- /dev/null
+++ b/src/core/route.c
@@ -0,0 +1,245 @@
+#include "internal.h"
+
+#include <string.h>
+
+/* The way of a packet: straight to its implied upstream, to the upstream of its
+ * entry, to the owner of its bucket, or back to the caller as a refusal. */
+
+enum CfVerdict
+cf_route_drop (struct CfCore *core, enum CfDrop drop)
+{
+  core->stats.drop[drop]++;
+  return CF_VERDICT_DELAYED;
+}
+
+enum CfVerdict
+cf_route_refuse (struct CfCore *core, const struct CfRoute *route, enum CfVerdict verdict)
+{
+  core->stats.counter[verdict == CF_VERDICT_NOT_RUN ? CF_COUNT_REFUSED_NOT_RUN
+                                                    : CF_COUNT_REFUSED_MAY_HAVE_RUN]++;
+  route->service->stats->refused++;
+  core->out->refuse (core->context, route->packet, verdict);
+  return verdict;
+}
+
+enum CfVerdict
+cf_route_to (struct CfCore *core, const struct CfRoute *route, uint32_t number)
+{
+  const struct CfSlot *slot = cf_slot (core, number);
+
+  /* Whatever led here, a packet never leaves its service, and never enters a
+   * failure domain that is out of service. */
+  if (!cf_slot_usable (slot)
+      || &core->config->services[slot->upstream->service] != route->service->service)
+    return cf_route_refuse (core, route, CF_VERDICT_MAY_HAVE_RUN);
+  core->stats.counter[CF_COUNT_FORWARDED]++;
+  core->out->forward (core->context, route->packet, slot->upstream);
+  return CF_VERDICT_FORWARDED;
+}
+
+static enum CfVerdict
+transfer (struct CfCore *core, const struct CfRoute *route, uint32_t index, uint32_t flags)
+{
+  const struct CfMember *member = cf_member (core, index);
+  struct peer_transfer context = {
+    .from = core->options.vm,
+    .service = route->service->service->id,
+    .key = route->key,
+    .hops = route->hops + 1,
+    .flags = flags,
+    .reply_port = route->packet->reply.port,
+  };
+
+  if (route->hops >= CF_TRANSFER_HOPS_MAX)
+    return cf_route_drop (core, CF_DROP_HOPS);
+  memcpy (context.reply_address, route->packet->reply.ip, sizeof context.reply_address);
+  core->stats.counter[CF_COUNT_TRANSFERRED]++;
+  core->stats.counter[CF_COUNT_TRANSFERRED_BYTES] += route->packet->len;
+  core->out->transfer (core->context, route->packet, &context, &member->address);
+  return CF_VERDICT_TRANSFERRED;
+}
+
+/* Returns true if FLOW is over, so that a first packet opens a new flow of the same
+ * name. */
+static bool
+reusable (const struct CfCore *core, const struct CfFlow *flow, CfMillis now)
+{
+  return (flow->flags & CF_FLOW_CLOSING)
+         || cf_core_seconds (core, now) - flow->seen_s > CF_HALF_OPEN_S;
+}
+
+/* A packet of a flow that has a record here. */
+static enum CfVerdict
+follow (struct CfCore *core, struct CfRoute *route, struct CfFlow *flow)
+{
+  uint32_t slot = flow->slot;
+
+  cf_flows_seen (core, flow, route);
+  /* The caller will be told to open its flow anew. */
+  if (!cf_slot_usable (cf_slot (core, slot)))
+    flow->flags |= CF_FLOW_CLOSING;
+  return cf_route_to (core, route, slot);
+}
+
+/* Sends a packet of an unmarked upstream straight on, from whichever VM has it. */
+static enum CfVerdict
+direct (struct CfCore *core, struct CfRoute *route, struct CfFlow *flow)
+{
+  struct CfSlot *slot = cf_slot (core, route->implied);
+  bool udp = route->packet->protocol == CF_PROTOCOL_UDP;
+
+  if (flow && !(route->opens && reusable (core, flow, route->now)))
+    return follow (core, route, flow);
+  if (flow)
+    cf_flows_drop (core, flow);
+  if (route->opens && !cf_limit_tenant (core, route->service, route->now))
+    {
+      /* Another VM may have sent an earlier copy of this packet. */
+      core->stats.counter[CF_COUNT_REFUSED_OVERLOAD]++;
+      return cf_route_refuse (core, route, CF_VERDICT_MAY_HAVE_RUN);
+    }
+  if (route->opens || udp)
+    {
+      flow = cf_flows_record (core, route, route->implied, CF_FLOW_RECENT);
+      if (flow)
+        flow->flags |= CF_FLOW_HALF_OPEN;
+      core->stats.counter[CF_COUNT_NEW_FLOWS]++;
+      route->service->stats->new_flows++;
+      slot->load.opened++;
+      slot->evidence.opened++;
+    }
+  else if (route->packet->flags & (CF_PACKET_FIN | CF_PACKET_RST))
+    {
+      flow = cf_flows_record (core, route, route->implied, CF_FLOW_RECENT);
+      if (flow)
+        cf_flows_seen (core, flow, route);
+    }
+  return cf_route_to (core, route, route->implied);
+}
+
+/* Returns the member that knew the bucket's flows before this VM, while it is to be
+ * asked, or CF_NO_MEMBER. */
+static uint32_t
+fallback (const struct CfCore *core, const struct CfRoute *route)
+{
+  uint32_t bucket = CF_BUCKET (route->key);
+  uint32_t index = core->fallback[bucket];
+  CfMillis gained = core->gained_at[bucket];
+
+  if (index == CF_NO_MEMBER || !cf_member (core, index)->alive
+      || cf_member (core, index)->state == PEER_JOINING)
+    return CF_NO_MEMBER;
+  if (!core->settled || (gained >= 0 && route->now - gained < CF_DOUBT_MS))
+    return index;
+  return CF_NO_MEMBER;
+}
+
+static bool
+in_doubt (const struct CfCore *core, const struct CfRoute *route)
+{
+  CfMillis gained = core->gained_at[CF_BUCKET (route->key)];
+
+  return gained >= 0 && route->now - gained < CF_DOUBT_MS;
+}
+
+/* A packet after the first of a flow without a record: it belongs to the implied
+ * upstream.  Where lists differ, an entry makes that last when the baseline
+ * advances. */
+static enum CfVerdict
+resolve (struct CfCore *core, struct CfRoute *route)
+{
+  if (in_doubt (core, route))
+    return cf_route_drop (core, CF_DROP_DOUBT);
+  if (route->first != route->implied && cf_slot_usable (cf_slot (core, route->implied)))
+    {
+      struct CfFlow *flow = cf_flows_record (core, route, route->implied, CF_FLOW_ENTRY);
+
+      core->stats.counter[CF_COUNT_PINNED]++;
+      if (flow)
+        {
+          flow->flags |= CF_FLOW_PINNED;
+          cf_flows_seen (core, flow, route);
+          cf_replicate (core, flow, route->now);
+        }
+    }
+  else if (route->packet->flags & (CF_PACKET_FIN | CF_PACKET_RST))
+    {
+      struct CfFlow *flow = cf_flows_record (core, route, route->implied, CF_FLOW_RECENT);
+
+      if (flow)
+        cf_flows_seen (core, flow, route);
+    }
+  return cf_route_to (core, route, route->implied);
+}
+
+/* A UDP flow without a record may be older than this VM's knowledge.  An upstream
+ * that stopped taking new flows keeps those that are seen within the grace time. */
+static enum CfVerdict
+resolve_udp (struct CfCore *core, struct CfRoute *route)
+{
+  const struct CfSlot *slot = cf_slot (core, route->implied);
+  struct CfFlow *flow;
+
+  if (!cf_slot_usable (slot) || slot->closed_since < 0
+      || route->now - slot->closed_since > CF_GRACE_MS)
+    return cf_place (core, route, NULL);
+  flow = cf_flows_record (core, route, route->implied, CF_FLOW_ENTRY);
+  core->stats.counter[CF_COUNT_PINNED]++;
+  if (flow)
+    {
+      flow->flags |= CF_FLOW_PINNED;
+      cf_replicate (core, flow, route->now);
+    }
+  return cf_route_to (core, route, route->implied);
+}
+
+static enum CfVerdict
+decide (struct CfCore *core, struct CfRoute *route, struct CfFlow *flow)
+{
+  uint32_t other;
+
+  if (flow && !(route->opens && reusable (core, flow, route->now)))
+    return follow (core, route, flow);
+  if (flow)
+    return cf_place (core, route, flow);
+  other = route->decide ? CF_NO_MEMBER : fallback (core, route);
+  if (other != CF_NO_MEMBER)
+    return transfer (core, route, other, CF_TRANSFER_DECIDE);
+  if (route->packet->protocol == CF_PROTOCOL_UDP)
+    return resolve_udp (core, route);
+  if (route->opens)
+    return cf_place (core, route, NULL);
+  return resolve (core, route);
+}
+
+/* Returns true if the packet needs no knowledge beyond the configuration. */
+static bool
+is_direct (const struct CfCore *core, const struct CfRoute *route)
+{
+  if (core->unsure || route->decide || route->first != route->implied
+      || cf_marked (core, route->implied))
+    return false;
+  return !route->opens
+         || (!cf_limit_full (core, cf_slot (core, route->implied))
+             && !cf_limit_unfair (core, route->service, route->implied));
+}
+
+enum CfVerdict
+cf_route (struct CfCore *core, struct CfRoute *route)
+{
+  struct CfFlow *flow = cf_flow_find (&core->table, route->key);
+  uint32_t owner = core->current.holders[CF_BUCKET (route->key)][0].member;
+  bool entry = flow && flow->kind == CF_FLOW_ENTRY;
+
+  if (!entry && is_direct (core, route))
+    return direct (core, route, flow);
+  if (owner == 0 || route->decide)
+    return decide (core, route, flow);
+  /* Every holder of an entry may send the flow's packets on; only a first packet
+   * can change it. */
+  if (entry && !route->opens && core->state != PEER_JOINING && !(flow->flags & CF_FLOW_STALE))
+    return follow (core, route, flow);
+  if (owner == CF_NO_MEMBER)
+    return cf_route_drop (core, CF_DROP_NO_OWNER);
+  return transfer (core, route, owner, 0);
+}
--- /dev/null
+++ b/src/core/spread.c
@@ -0,0 +1,164 @@
+#include "internal.h"
+#include "config/difference.h"
+
+#include <string.h>
+
+/* Spread of configurations.  A VM that hears of a newer configuration in a heartbeat
+ * asks the sender for it, as a difference to its own if the sender still has that. */
+
+#define CHUNK_BYTES 1024
+#define PULL_TIMEOUT_MS 300
+#define CONFIG_BYTES_MAX (64U << 20)
+
+static bool
+newer (const struct CfCore *core, uint64_t version, uint64_t digest)
+{
+  if (!core->config)
+    return version > 0;
+  if (version != core->config->version)
+    return version > core->config->version;
+  return digest > core->config->digest;
+}
+
+static void
+request (struct CfCore *core, struct CfMember *member, CfMillis now)
+{
+  struct peer_message message = { .kind = PEER_CONFIG_REQUEST };
+  peer_config_request *ask = &message.peer_message_u.request;
+
+  ask->have = core->config ? core->config->version : 0;
+  ask->revision = core->pull.version;
+  ask->digest = core->pull.digest;
+  ask->offset = (u_int) core->pull.data->len;
+  core->pull.deadline = now + PULL_TIMEOUT_MS;
+  cf_send (core, member, &message);
+}
+
+void
+cf_spread_check (struct CfCore *core, struct CfMember *member, CfMillis now)
+{
+  struct CfPull *pull = &core->pull;
+
+  if (!newer (core, member->config_version, member->config_digest))
+    return;
+  if (pull->deadline && member->config_version <= pull->version)
+    return;
+  if (!pull->data)
+    pull->data = g_string_new (NULL);
+  g_string_truncate (pull->data, 0);
+  pull->version = member->config_version;
+  pull->digest = member->config_digest;
+  pull->member = member->index;
+  request (core, member, now);
+}
+
+static const struct CfConfig *
+earlier_version (const struct CfCore *core, uint64_t version)
+{
+  for (int i = 0; i < CF_HISTORY; i++)
+    if (core->history[i] && core->history[i]->version == version)
+      return core->history[i];
+  return NULL;
+}
+
+void
+cf_spread_request (struct CfCore *core,
+                   struct CfMember *member,
+                   const peer_config_request *ask)
+{
+  struct peer_message message = { .kind = PEER_CONFIG_CHUNK };
+  peer_config_chunk *chunk = &message.peer_message_u.chunk;
+  const struct CfConfig *base;
+  char *text;
+  size_t len;
+
+  if (!core->config || ask->revision != core->config->version
+      || ask->digest != core->config->digest)
+    return;
+  base = earlier_version (core, ask->have);
+  text = base ? cf_difference_make (base, core->config) : g_strdup (core->config->text);
+  len = strlen (text);
+  if (ask->offset <= len)
+    {
+      chunk->revision = core->config->version;
+      chunk->digest = core->config->digest;
+      chunk->base = base ? base->version : 0;
+      chunk->total = (u_int) len;
+      chunk->offset = ask->offset;
+      chunk->data.data_val = text + ask->offset;
+      chunk->data.data_len = (u_int) MIN (len - ask->offset, CHUNK_BYTES);
+      cf_send (core, member, &message);
+    }
+  g_free (text);
+}
+
+static void
+finish (struct CfCore *core, CfMillis now)
+{
+  struct CfPull *pull = &core->pull;
+  char *text;
+  struct CfConfig *config = NULL;
+  bool usable = pull->base == 0 || (core->config && core->config->version == pull->base);
+
+  pull->deadline = 0;
+  text = pull->base == 0 ? g_strdup (pull->data->str) : NULL;
+  if (!text && usable)
+    text = cf_difference_apply (core->config, pull->data->str);
+  if (text)
+    config = cf_config_parse (text, NULL);
+  g_free (text);
+  if (!config)
+    return;
+  /* The base may have differed, for instance after a conflict of two folders. */
+  if (config->version == pull->version && config->digest == pull->digest
+      && cf_core_set_config (core, config, now))
+    core->out->config_changed (core->context, core->config);
+  cf_config_unref (config);
+}
+
+void
+cf_spread_chunk (struct CfCore *core,
+                 struct CfMember *member,
+                 const peer_config_chunk *chunk,
+                 CfMillis now)
+{
+  struct CfPull *pull = &core->pull;
+
+  if (!pull->deadline || chunk->revision != pull->version || chunk->digest != pull->digest
+      || chunk->offset != pull->data->len || chunk->total > CONFIG_BYTES_MAX
+      || chunk->offset + chunk->data.data_len > chunk->total)
+    return;
+  if (chunk->offset > 0 && (chunk->base != pull->base || chunk->total != pull->total))
+    return;
+  pull->base = chunk->base;
+  pull->total = chunk->total;
+  g_string_append_len (pull->data, chunk->data.data_val, chunk->data.data_len);
+  if (pull->data->len == pull->total)
+    finish (core, now);
+  else
+    request (core, member, now);
+}
+
+void
+cf_spread_tick (struct CfCore *core, CfMillis now)
+{
+  struct CfPull *pull = &core->pull;
+
+  if (!pull->deadline || now < pull->deadline)
+    return;
+  if (!newer (core, pull->version, pull->digest) || !cf_member (core, pull->member)->alive)
+    {
+      pull->deadline = 0;
+      return;
+    }
+  request (core, cf_member (core, pull->member), now);
+}
+
+void
+cf_spread_clear (struct CfCore *core)
+{
+  for (int i = 0; i < CF_HISTORY; i++)
+    cf_config_unref (core->history[i]);
+  if (core->pull.data)
+    g_string_free (core->pull.data, TRUE);
+}
--- /dev/null
+++ b/src/core/view.c
@@ -0,0 +1,231 @@
+#include "internal.h"
+
+#include <string.h>
+
+/* The view: which members serve, who holds each bucket, and whether all members
+ * agree about it. */
+
+static gint
+by_id (gconstpointer a, gconstpointer b)
+{
+  const struct CfCandidate *left = a;
+  const struct CfCandidate *right = b;
+
+  return left->id < right->id ? -1 : left->id > right->id;
+}
+
+static GArray *
+candidates (const struct CfCore *core, bool joining)
+{
+  GArray *list = g_array_new (FALSE, FALSE, sizeof (struct CfCandidate));
+
+  for (guint i = 0; i < core->members->len; i++)
+    {
+      const struct CfMember *member = cf_member (core, i);
+      struct CfCandidate candidate = { .member = i, .id = member->id, .domain = member->domain };
+
+      if (cf_member_serves (core, member) && (joining || member->state == PEER_SERVING))
+        g_array_append_val (list, candidate);
+    }
+  g_array_sort (list, by_id);
+  return list;
+}
+
+typedef struct CfCandidate Holders[CF_HOLDERS];
+
+static bool
+in_holders (const Holders holders, uint32_t member)
+{
+  for (int i = 0; i < CF_HOLDERS; i++)
+    if (holders[i].member == member)
+      return true;
+  return false;
+}
+
+/* Returns the first of HOLDERS other than EXCEPT that is alive and has entries, or
+ * CF_NO_MEMBER. */
+static uint32_t
+first_alive (const struct CfCore *core, const Holders holders, uint32_t except)
+{
+  for (int i = 0; i < CF_HOLDERS; i++)
+    {
+      uint32_t index = holders[i].member;
+
+      if (index == CF_NO_MEMBER || index == except)
+        continue;
+      if (cf_member (core, index)->alive && cf_member (core, index)->state != PEER_JOINING)
+        return index;
+    }
+  return CF_NO_MEMBER;
+}
+
+static bool
+awaits_handover (const struct CfMember *member)
+{
+  return member->alive && member->state == PEER_JOINING && member->pushed != member->incarnation;
+}
+
+/* Sends FLOW to every holder that lacks it, if that is this VM's part. */
+static void
+push_flow (struct CfCore *core,
+           const struct CfFlow *flow,
+           const Holders *old_current,
+           const Holders *old_planned,
+           CfMillis now)
+{
+  uint32_t bucket = CF_BUCKET (flow->key);
+  struct CfMember *done[2 * CF_HOLDERS];
+  int done_count = 0;
+
+  for (int i = 0; i < 2 * CF_HOLDERS; i++)
+    {
+      const Holders *table = i < CF_HOLDERS ? core->current.holders : core->planned.holders;
+      uint32_t index = table[bucket][i % CF_HOLDERS].member;
+      struct CfMember *member;
+      bool twice = false;
+
+      if (index == CF_NO_MEMBER || index == 0)
+        continue;
+      member = cf_member (core, index);
+      for (int j = 0; j < done_count; j++)
+        twice |= done[j] == member;
+      if (twice || !member->alive)
+        continue;
+      if (!awaits_handover (member)
+          && (in_holders (old_current[bucket], index) || in_holders (old_planned[bucket], index)))
+        continue;
+      if (first_alive (core, old_current[bucket], index) != 0)
+        continue;
+      done[done_count++] = member;
+      cf_replicate_to (core, member, flow, false, now);
+    }
+}
+
+static bool
+anyone_awaits (const struct CfCore *core)
+{
+  for (guint i = 1; i < core->members->len; i++)
+    if (awaits_handover (cf_member (core, i)))
+      return true;
+  return false;
+}
+
+static void
+push_entries (struct CfCore *core,
+              const Holders *old_current,
+              const Holders *old_planned,
+              CfMillis now)
+{
+  for (uint32_t i = 0; i < core->table.capacity; i++)
+    {
+      const struct CfFlow *flow = &core->table.flows[i];
+
+      if (flow->key && flow->kind == CF_FLOW_ENTRY && !(flow->flags & CF_FLOW_STALE))
+        push_flow (core, flow, old_current, old_planned, now);
+    }
+  for (guint i = 1; i < core->members->len; i++)
+    {
+      struct CfMember *member = cf_member (core, i);
+
+      if (!awaits_handover (member))
+        continue;
+      cf_replicate_done (core, member);
+      member->pushed = member->incarnation;
+    }
+}
+
+/* Notes the buckets that this VM owns now and did not own before, and who knows
+ * their flows. */
+static void
+note_gains (struct CfCore *core, const Holders *old_current, const Holders *old_planned, CfMillis now)
+{
+  for (uint32_t b = 0; b < CF_BUCKETS; b++)
+    {
+      uint32_t old_owner = old_current[b][0].member;
+      bool held = in_holders (old_current[b], 0) || in_holders (old_planned[b], 0);
+
+      if (core->current.holders[b][0].member != 0 || old_owner == 0)
+        continue;
+      core->owned_since[b] = now;
+      core->fallback[b] = CF_NO_MEMBER;
+      if (old_owner == CF_NO_MEMBER)
+        continue;
+      if (!held)
+        {
+          core->gained_at[b] = now;
+          core->fallback[b] = first_alive (core, old_current[b], 0);
+        }
+      else if (cf_member (core, old_owner)->alive
+               && cf_member (core, old_owner)->state != PEER_JOINING)
+        core->fallback[b] = old_owner;
+    }
+}
+
+static uint64_t
+view_digest (const struct CfCore *core)
+{
+  uint64_t digest = 1;
+
+  for (guint i = 0; i < core->current.candidates->len; i++)
+    {
+      const struct CfCandidate *candidate
+          = &g_array_index (core->current.candidates, struct CfCandidate, i);
+
+      digest = cf_rendezvous_score (
+          digest ^ cf_member (core, candidate->member)->incarnation, candidate->id);
+    }
+  return digest;
+}
+
+void
+cf_view_update (struct CfCore *core, CfMillis now)
+{
+  GArray *serving = candidates (core, false);
+  GArray *planned = candidates (core, true);
+  Holders *old_current = g_memdup2 (core->current.holders, sizeof core->current.holders);
+  Holders *old_planned = g_memdup2 (core->planned.holders, sizeof core->planned.holders);
+  bool changed = cf_owners_update (&core->current, serving);
+  uint64_t view;
+
+  changed |= cf_owners_update (&core->planned, planned);
+  if (changed)
+    {
+      core->stats.counter[CF_COUNT_VIEW_CHANGES]++;
+      note_gains (core, old_current, old_planned, now);
+      cf_gatekeepers_update (core, now);
+    }
+  if (core->state != PEER_JOINING && (changed || anyone_awaits (core)))
+    push_entries (core, (const Holders *) old_current, (const Holders *) old_planned, now);
+  view = view_digest (core);
+  if (view != core->view)
+    core->heartbeat_urgent = true;
+  core->view = view;
+  g_free (old_current);
+  g_free (old_planned);
+  g_array_unref (serving);
+  g_array_unref (planned);
+  cf_view_settle (core, now);
+}
+
+void
+cf_view_settle (struct CfCore *core, CfMillis now)
+{
+  bool config_settled = core->config != NULL;
+  bool agreed = true;
+  bool fresh = true;
+
+  for (guint i = 1; i < core->members->len; i++)
+    {
+      const struct CfMember *member = cf_member (core, i);
+
+      if (!member->alive || member->state == PEER_JOINING)
+        continue;
+      config_settled = config_settled && member->config_version == core->config->version
+                       && member->config_digest == core->config->digest;
+      agreed &= member->view == core->view;
+      fresh &= now - member->heard_at <= CF_MEMBER_DOUBT_MS && member->sees_me;
+    }
+  core->config_settled = config_settled;
+  core->settled = config_settled && agreed && fresh && core->state != PEER_JOINING;
+  core->unsure = core->state == PEER_JOINING || !config_settled || !fresh;
+}
--- /dev/null
+++ b/src/peer/peer.x
@@ -0,0 +1,133 @@
+/* The protocol between entry VMs.  Every datagram is one ONC RPC call of
+ * PEER_DELIVER followed by a keyed MAC; there are no RPC replies.  All messages
+ * are idempotent. */
+
+enum peer_state {
+  PEER_JOINING = 0,
+  PEER_SERVING = 1,
+  PEER_LEAVING = 2
+};
+
+enum peer_kind {
+  PEER_HEARTBEAT = 0,
+  PEER_ENTRIES = 1,
+  PEER_ENTRIES_ACK = 2,
+  PEER_CONFIG_REQUEST = 3,
+  PEER_CONFIG_CHUNK = 4
+};
+
+/* What the sender has seen of another member. */
+struct peer_seen {
+  unsigned vm;
+  unsigned hyper incarnation;
+  unsigned mark_version;
+};
+
+/* Cumulative counts of flows that the sender forwarded to an upstream. */
+struct peer_load {
+  unsigned upstream;
+  unsigned opened;
+  unsigned completed;
+  unsigned closed;
+};
+
+enum peer_health {
+  PEER_WARM = 0,
+  PEER_COLD = 1,
+  PEER_UNREACHABLE = 2
+};
+
+/* State of an upstream as its gatekeeper decided it, with the number of new
+ * flows that the receiver may admit until the next heartbeat. */
+struct peer_upstream {
+  unsigned upstream;
+  peer_health health;
+  unsigned generation;
+  unsigned budget;
+  unsigned grant;
+};
+
+struct peer_heartbeat {
+  peer_state state;
+  unsigned domain;
+  opaque address[16];
+  unsigned port;
+  unsigned hyper config_version;
+  unsigned hyper config_digest;
+  unsigned hyper view;
+  unsigned mark_version;
+  unsigned marks<4096>;
+  peer_seen seen<4096>;
+  peer_load loads<64>;
+  peer_upstream upstreams<1024>;
+  unsigned suspects<64>;
+};
+
+/* A flow that is not at the upstream where every VM would look for it. */
+struct peer_entry {
+  unsigned hyper key;
+  unsigned upstream;
+  unsigned flags;
+};
+
+struct peer_entries {
+  unsigned seq;
+  peer_entry entries<64>;
+};
+
+struct peer_entries_ack {
+  unsigned hyper incarnation;
+  unsigned seqs<32>;
+};
+
+struct peer_config_request {
+  unsigned hyper have;
+  unsigned hyper revision;
+  unsigned hyper digest;
+  unsigned offset;
+};
+
+struct peer_config_chunk {
+  unsigned hyper revision;
+  unsigned hyper digest;
+  unsigned hyper base;
+  unsigned total;
+  unsigned offset;
+  opaque data<1024>;
+};
+
+union peer_message switch (peer_kind kind) {
+  case PEER_HEARTBEAT:
+    peer_heartbeat heartbeat;
+  case PEER_ENTRIES:
+    peer_entries entries;
+  case PEER_ENTRIES_ACK:
+    peer_entries_ack ack;
+  case PEER_CONFIG_REQUEST:
+    peer_config_request request;
+  case PEER_CONFIG_CHUNK:
+    peer_config_chunk chunk;
+};
+
+struct peer_envelope {
+  unsigned vm;
+  unsigned hyper incarnation;
+  peer_message message;
+};
+
+/* Travels with a packet that one entry VM passes to another. */
+struct peer_transfer {
+  unsigned from;
+  unsigned service;
+  unsigned hyper key;
+  unsigned hops;
+  unsigned flags;
+  opaque reply_address[16];
+  unsigned reply_port;
+};
+
+program PEER_PROGRAM {
+  version PEER_VERSION {
+    void PEER_DELIVER (peer_envelope) = 1;
+  } = 1;
+} = 0x2cfe0001;
--- /dev/null
+++ b/src/platform/change.c
@@ -0,0 +1,168 @@
+#include "store.h"
+#include "config/build.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#define READ_ATTEMPTS 4
+#define WRITE_ATTEMPTS 3
+
+void
+cf_object_clear (struct CfObject *object)
+{
+  g_free (object->tag);
+  g_free (object->text);
+  *object = (struct CfObject){ 0 };
+}
+
+static enum CfStoreResult
+read_with_retries (const struct CfStore *store, struct CfObject *object, struct CfError *error)
+{
+  enum CfStoreResult result = CF_STORE_UNKNOWN;
+
+  for (int attempt = 0; attempt < READ_ATTEMPTS && result == CF_STORE_UNKNOWN; attempt++)
+    {
+      if (attempt > 0)
+        store->pause (store->context, attempt);
+      cf_object_clear (object);
+      result = store->read (store->context, CF_CONFIG_OBJECT, object, error);
+    }
+  return result;
+}
+
+/* What a read after a write of unknown outcome shows. */
+enum Outcome
+{
+  OUTCOME_OURS,      /* the write took effect */
+  OUTCOME_NOT_YET,   /* the object is as before: the write can be repeated */
+  OUTCOME_LOST,      /* another change took the version */
+  OUTCOME_UNCERTAIN, /* the object is further on; ours may have been in between */
+};
+
+static enum Outcome
+judge (const struct CfObject *object,
+       const char *old_tag,
+       uint64_t version,
+       const char *apply_id,
+       uint64_t *found)
+{
+  char *marker = g_strdup_printf ("\napply-id=%s\n", apply_id);
+  bool ours = object->text && strstr (object->text, marker);
+  struct CfConfig *config;
+
+  g_free (marker);
+  *found = 0;
+  if (ours)
+    return OUTCOME_OURS;
+  if (g_strcmp0 (object->tag, old_tag) == 0)
+    return OUTCOME_NOT_YET;
+  config = object->text ? cf_config_parse (object->text, NULL) : NULL;
+  if (config)
+    *found = config->version;
+  cf_config_unref (config);
+  return *found == version ? OUTCOME_LOST : OUTCOME_UNCERTAIN;
+}
+
+static bool
+report_loss (enum Outcome outcome, uint64_t found, struct CfError *error)
+{
+  if (outcome == OUTCOME_LOST)
+    return cf_error_set (error, CF_ERROR_CONFLICT,
+                         "another change was first: version %" PRIu64
+                         " is in force and nothing of this change was written",
+                         found);
+  return cf_error_set (error, CF_ERROR_UNKNOWN,
+                       "version %" PRIu64 " is in force; whether this change was in force before "
+                       "it is not known",
+                       found);
+}
+
+/* Writes NEXT over the object with OLD_TAG.  Returns true once it is known to have
+ * taken effect. */
+static bool
+write_config (const struct CfStore *store,
+              const struct CfConfig *next,
+              const char *old_tag,
+              const char *apply_id,
+              struct CfError *error)
+{
+  bool written_before = false;
+
+  for (int attempt = 0; attempt < WRITE_ATTEMPTS; attempt++)
+    {
+      struct CfObject object = { 0 };
+      enum CfStoreResult result
+          = store->write (store->context, CF_CONFIG_OBJECT, next->text, old_tag, error);
+      enum Outcome outcome;
+      uint64_t found;
+
+      if (result == CF_STORE_OK)
+        return true;
+      if (result == CF_STORE_REFUSED && !written_before)
+        return cf_error_set (error, CF_ERROR_IO, "%s", error->text);
+      written_before = true;
+      if (read_with_retries (store, &object, error) == CF_STORE_UNKNOWN)
+        break;
+      outcome = judge (&object, old_tag, next->version, apply_id, &found);
+      cf_object_clear (&object);
+      if (outcome == OUTCOME_OURS)
+        return true;
+      if (outcome != OUTCOME_NOT_YET)
+        return report_loss (outcome, found, error);
+    }
+  return cf_error_set (error, CF_ERROR_UNKNOWN,
+                       "the platform did not answer; whether the change took effect is not known. "
+                       "Repeating the command is safe");
+}
+
+static struct CfConfig *
+with_apply_id (struct CfConfig *config, const char *apply_id)
+{
+  GKeyFile *file = g_key_file_new ();
+  char *text;
+  struct CfConfig *result;
+
+  g_key_file_load_from_data (file, config->text, strlen (config->text), G_KEY_FILE_NONE, NULL);
+  g_key_file_set_string (file, "fleet", "apply-id", apply_id);
+  text = cf_config_canonical (file);
+  result = cf_config_parse (text, NULL);
+  g_free (text);
+  g_key_file_unref (file);
+  cf_config_unref (config);
+  return result;
+}
+
+bool
+cf_store_change (const struct CfStore *store,
+                 CfChange *change,
+                 void *data,
+                 const char *apply_id,
+                 struct CfConfig **result,
+                 struct CfError *error)
+{
+  struct CfObject object = { 0 };
+  struct CfConfig *previous = NULL;
+  struct CfConfig *next = NULL;
+  enum CfStoreResult read = read_with_retries (store, &object, error);
+  bool done = false;
+
+  if (read == CF_STORE_OK)
+    previous = cf_config_parse (object.text, error);
+  else if (read != CF_STORE_MISSING)
+    return cf_error_set (error, CF_ERROR_IO, "%s; nothing was changed", error->text);
+  if (read == CF_STORE_MISSING || previous)
+    next = change (previous, previous ? previous->version + 1 : 1, data, error);
+  if (next && next == previous)
+    done = true;
+  else if (next)
+    {
+      next = with_apply_id (next, apply_id);
+      done = write_config (store, next, object.tag, apply_id, error);
+    }
+  if (done)
+    *result = cf_config_ref (next);
+  cf_config_unref (next);
+  cf_config_unref (previous);
+  cf_object_clear (&object);
+  return done;
+}
--- /dev/null
+++ b/src/serve/metrics.c
@@ -0,0 +1,117 @@
+#include "server.h"
+
+#define PREFIX "cyclamenferry_"
+
+static void
+write_value (GString *text, const char *name, const char *label, const char *value, uint64_t n)
+{
+  if (label)
+    g_string_append_printf (text, PREFIX "%s{%s=\"%s\"} %" G_GUINT64_FORMAT "\n", name, label,
+                            value, n);
+  else
+    g_string_append_printf (text, PREFIX "%s %" G_GUINT64_FORMAT "\n", name, n);
+}
+
+static void
+write_type (GString *text, const char *name, const char *type)
+{
+  g_string_append_printf (text, "# TYPE " PREFIX "%s %s\n", name, type);
+}
+
+static void
+write_counters (GString *text, const struct CfStats *stats)
+{
+  for (int i = 0; i < CF_COUNT_MAX; i++)
+    {
+      char *name = g_strdup_printf ("%s_total", cf_counter_name ((enum CfCounter) i));
+
+      write_type (text, name, "counter");
+      write_value (text, name, NULL, NULL, stats->counter[i]);
+      g_free (name);
+    }
+  write_type (text, "dropped_total", "counter");
+  for (int i = 1; i < CF_DROP_COUNT; i++)
+    write_value (text, "dropped_total", "reason", cf_drop_name ((enum CfDrop) i), stats->drop[i]);
+}
+
+static void
+write_histogram (GString *text,
+                 const char *name,
+                 const struct CfServiceStats *service,
+                 const struct CfHistogram *histogram)
+{
+  uint64_t sum = 0;
+
+  for (int i = 0; i < CF_HISTOGRAM_BUCKETS; i++)
+    {
+      if (!histogram->count[i])
+        continue;
+      sum += histogram->count[i];
+      g_string_append_printf (text,
+                              PREFIX "%s_bucket{tenant=\"%s\",service=\"%s\",le=\"%" G_GUINT64_FORMAT
+                                     "\"} %" G_GUINT64_FORMAT "\n",
+                              name, service->tenant, service->name,
+                              i ? (G_GUINT64_CONSTANT (1) << i) - 1 : 0, sum);
+    }
+  g_string_append_printf (text,
+                          PREFIX "%s_bucket{tenant=\"%s\",service=\"%s\",le=\"+Inf\"} "
+                                 "%" G_GUINT64_FORMAT "\n" PREFIX
+                                 "%s_sum{tenant=\"%s\",service=\"%s\"} %" G_GUINT64_FORMAT
+                                 "\n" PREFIX
+                                 "%s_count{tenant=\"%s\",service=\"%s\"} %" G_GUINT64_FORMAT "\n",
+                          name, service->tenant, service->name, histogram->total, name,
+                          service->tenant, service->name, histogram->sum, name, service->tenant,
+                          service->name, histogram->total);
+}
+
+static void
+write_service_counter (GString *text,
+                       const char *name,
+                       const struct CfServiceStats *service,
+                       uint64_t n)
+{
+  g_string_append_printf (text,
+                          PREFIX "%s{tenant=\"%s\",service=\"%s\"} %" G_GUINT64_FORMAT "\n", name,
+                          service->tenant, service->name, n);
+}
+
+static void
+write_services (const struct CfMetricsInput *input, GString *text)
+{
+  const GPtrArray *services = cf_core_stats (input->core)->services;
+
+  for (guint i = 0; i < services->len; i++)
+    {
+      const struct CfServiceStats *service = services->pdata[i];
+      const struct CfHistogram *decision
+          = g_hash_table_lookup (input->decision_ns, GUINT_TO_POINTER (service->service));
+
+      write_service_counter (text, "service_packets_total", service, service->packets);
+      write_service_counter (text, "service_bytes_total", service, service->bytes);
+      write_service_counter (text, "service_new_flows_total", service, service->new_flows);
+      write_service_counter (text, "service_refused_total", service, service->refused);
+      write_histogram (text, "packet_bytes", service, &service->packet_bytes);
+      write_histogram (text, "handshake_ms", service, &service->handshake_ms);
+      if (decision)
+        write_histogram (text, "decision_ns", service, decision);
+    }
+}
+
+void
+cf_metrics_write (const struct CfMetricsInput *input, GString *text)
+{
+  const struct CfConfig *config = cf_core_config (input->core);
+
+  write_counters (text, cf_core_stats (input->core));
+  write_type (text, "peer_messages_total", "counter");
+  for (int i = 0; i < CF_PEER_FAULT_COUNT; i++)
+    write_value (text, "peer_messages_total", "result", cf_peer_fault_name ((enum CfPeerFault) i),
+                 cf_peer_task_faults (input->server, (enum CfPeerFault) i));
+  write_value (text, "bad_gue_total", NULL, NULL, input->bad_gue);
+  write_value (text, "bad_transfers_total", NULL, NULL, input->bad_transfers);
+  write_value (text, "send_failures_total", NULL, NULL, input->send_failures);
+  write_value (text, "flow_table_bytes", NULL, NULL, cf_core_flow_bytes (input->core));
+  write_value (text, "config_version", NULL, NULL, config ? config->version : 0);
+  write_value (text, "settled", NULL, NULL, cf_core_settled (input->core));
+  write_services (input, text);
+}
--- /dev/null
+++ b/src/serve/packet_task.c
@@ -0,0 +1,568 @@
+#include "server.h"
+#include "log.h"
+#include "outbox.h"
+
+#include <string.h>
+#include <time.h>
+
+/* The packet task owns the core and the sockets for callers' packets. */
+
+#define BATCH_LEN 64
+#define BATCHES_PER_WAKE 8  /* packets must not keep messages from the core */
+#define SAMPLE_EVERY 16     /* packets per measured decision */
+#define FOLDER_HOLD_MS 1200 /* time for peers to offer a configuration first */
+
+struct PacketTask
+{
+  struct CfServer *server;
+  struct CfCore *core;
+  GSocket *fabric;
+  GSocket *transfer;
+  GSource *sources[3];
+  struct CfOutbox out;
+  uint8_t buffers[BATCH_LEN][CF_PACKET_MAX];
+  uint8_t refusals[CF_OUTBOX_LEN][CF_REFUSAL_MAX];
+  guint refusal_count;
+  GHashTable *decision_ns; /* service id to struct CfHistogram */
+  uint32_t decided_service;
+  uint32_t sample;
+  uint32_t xid;
+  uint64_t bad_transfers;
+  uint64_t bad_gue;
+  struct CfConfig *folder; /* read from the operators' folder, not in force yet */
+  CfMillis started;
+  CfMillis stop_at; /* 0: not leaving, or the handover is going on */
+};
+
+static void
+forward (void *context, const struct CfPacket *packet, const struct CfUpstream *upstream)
+{
+  struct PacketTask *task = context;
+  uint8_t header[CF_GUE_HEADER_LEN];
+
+  cf_gue_header (header, packet->data[0], 0);
+  task->decided_service = cf_core_config (task->core)->services[upstream->service].id;
+  cf_outbox_add (&task->out, &upstream->tunnel, header, sizeof header, packet->data, packet->len);
+}
+
+static void
+transfer (void *context,
+          const struct CfPacket *packet,
+          const struct peer_transfer *transfer,
+          const struct CfAddress *address)
+{
+  struct PacketTask *task = context;
+  uint8_t header[CF_GUE_HEADER_LEN + CF_TRANSFER_OPTIONS];
+
+  cf_gue_header (header, packet->data[0], CF_TRANSFER_OPTIONS);
+  if (!cf_transfer_encode (&task->server->keys, transfer, packet->data, packet->len,
+                           header + CF_GUE_HEADER_LEN))
+    return;
+  task->decided_service = transfer->service;
+  cf_outbox_add (&task->out, address, header, sizeof header, packet->data, packet->len);
+}
+
+static void
+refuse (void *context, const struct CfPacket *packet, enum CfVerdict verdict)
+{
+  struct PacketTask *task = context;
+  uint8_t header[CF_GUE_HEADER_LEN];
+  uint8_t *answer;
+  size_t len;
+
+  (void) verdict;
+  if (task->refusal_count == CF_OUTBOX_LEN)
+    {
+      cf_outbox_flush (&task->out);
+      task->refusal_count = 0;
+    }
+  answer = task->refusals[task->refusal_count];
+  len = cf_refusal_build (packet, answer);
+  if (len == 0)
+    return;
+  task->refusal_count++;
+  cf_gue_header (header, answer[0], 0);
+  cf_outbox_add (&task->out, &packet->reply, header, sizeof header, answer, len);
+}
+
+static void
+send_peer (void *context, const struct CfAddress *address, const struct peer_message *message)
+{
+  struct PacketTask *task = context;
+  struct peer_envelope envelope = {
+    .vm = cf_name_id (task->server->settings.name),
+    .incarnation = cf_core_incarnation (task->core),
+    .message = *message,
+  };
+  uint8_t *datagram = g_malloc (CF_PEER_DATAGRAM_MAX);
+  size_t len = cf_peer_encode (&task->server->keys, ++task->xid, &envelope, datagram,
+                               CF_PEER_DATAGRAM_MAX);
+
+  if (len > 0)
+    cf_send_datagram (task->server, address, g_bytes_new (datagram, len));
+  g_free (datagram);
+}
+
+static void
+probe (void *context, const uint32_t *upstreams, uint32_t count)
+{
+  struct PacketTask *task = context;
+  GArray *probes = g_array_new (FALSE, FALSE, sizeof (struct CfProbe));
+
+  for (uint32_t i = 0; i < count; i++)
+    {
+      const struct CfUpstream *upstream = &cf_core_config (task->core)->upstreams[upstreams[i]];
+      struct CfProbe item = { .upstream = upstream->id, .address = upstream->health };
+
+      g_array_append_val (probes, item);
+    }
+  cf_send_probes (task->server, probes);
+}
+
+static void
+watch_platform (void *context, bool watch)
+{
+  cf_send_watch (((struct PacketTask *) context)->server, watch);
+}
+
+static void
+log_config (const struct CfConfig *config, const char *from)
+{
+  char version[32];
+
+  g_snprintf (version, sizeof version, "%" G_GUINT64_FORMAT, config->version);
+  cf_log_state ("CONFIG_VERSION", version, "configuration version %s from %s is in force", version,
+                from);
+}
+
+static void
+config_changed (void *context, const struct CfConfig *config)
+{
+  (void) context;
+  log_config (config, "a peer");
+}
+
+static void
+state_changed (void *context, enum peer_state state, bool may_stop)
+{
+  static const char *const names[] = { "joining", "serving", "leaving" };
+  struct PacketTask *task = context;
+
+  if (!may_stop)
+    {
+      cf_log_state ("STATE", names[state], "this VM is %s", names[state]);
+      return;
+    }
+  cf_log_state ("STATE", "left", "everything is handed over; lingering %d ms",
+                (int) task->server->settings.linger_ms);
+  task->stop_at = cf_now () + task->server->settings.linger_ms + 1;
+}
+
+static const struct CfCoreOutputs outputs = {
+  .forward = forward,
+  .transfer = transfer,
+  .refuse = refuse,
+  .send_peer = send_peer,
+  .probe = probe,
+  .watch_platform = watch_platform,
+  .config_changed = config_changed,
+  .state_changed = state_changed,
+};
+
+static gint64
+nanoseconds (void)
+{
+  struct timespec now;
+
+  clock_gettime (CLOCK_MONOTONIC, &now);
+  return now.tv_sec * G_GINT64_CONSTANT (1000000000) + now.tv_nsec;
+}
+
+static struct CfHistogram *
+decision_histogram (struct PacketTask *task)
+{
+  gpointer key = GUINT_TO_POINTER (task->decided_service);
+  struct CfHistogram *histogram = g_hash_table_lookup (task->decision_ns, key);
+
+  if (histogram)
+    return histogram;
+  histogram = g_new0 (struct CfHistogram, 1);
+  g_hash_table_insert (task->decision_ns, key, histogram);
+  return histogram;
+}
+
+static void
+handle_fabric (struct PacketTask *task,
+               const uint8_t *data,
+               size_t len,
+               const struct CfAddress *from,
+               CfMillis now)
+{
+  size_t offset = cf_gue_inner (data, len);
+  gint64 began;
+
+  if (offset == 0)
+    {
+      task->bad_gue++;
+      return;
+    }
+  if (task->sample++ % SAMPLE_EVERY)
+    {
+      cf_core_packet (task->core, data + offset, len - offset, from, now);
+      return;
+    }
+  task->decided_service = 0;
+  began = nanoseconds ();
+  cf_core_packet (task->core, data + offset, len - offset, from, now);
+  if (task->decided_service)
+    cf_histogram_add (decision_histogram (task), (uint64_t) (nanoseconds () - began));
+}
+
+static void
+handle_transfer (struct PacketTask *task,
+                 const uint8_t *data,
+                 size_t len,
+                 const struct CfAddress *from,
+                 CfMillis now)
+{
+  size_t offset = cf_gue_inner (data, len);
+  struct peer_transfer context;
+
+  (void) from;
+  if (offset != CF_GUE_HEADER_LEN + CF_TRANSFER_OPTIONS
+      || !cf_transfer_decode (&task->server->keys, data + CF_GUE_HEADER_LEN, data + offset,
+                              len - offset, &context))
+    {
+      task->bad_transfers++;
+      return;
+    }
+  cf_core_transferred (task->core, data + offset, len - offset, &context, now);
+}
+
+typedef void Handler (struct PacketTask *task,
+                      const uint8_t *data,
+                      size_t len,
+                      const struct CfAddress *from,
+                      CfMillis now);
+
+/* Receives one batch.  Returns false when the socket is empty. */
+static bool
+receive_batch (struct PacketTask *task, GSocket *socket, Handler *handler)
+{
+  GInputMessage messages[BATCH_LEN] = { 0 };
+  GInputVector vectors[BATCH_LEN];
+  GSocketAddress *from[BATCH_LEN] = { 0 };
+  CfMillis now = cf_now ();
+  gint n;
+
+  for (int i = 0; i < BATCH_LEN; i++)
+    {
+      vectors[i] = (GInputVector){ task->buffers[i], CF_PACKET_MAX };
+      messages[i] = (GInputMessage){
+        .address = &from[i],
+        .vectors = &vectors[i],
+        .num_vectors = 1,
+      };
+    }
+  n = g_socket_receive_messages (socket, messages, BATCH_LEN, 0, NULL, NULL);
+  for (gint i = 0; i < n; i++)
+    {
+      struct CfAddress address;
+
+      if (from[i] && cf_from_socket_address (from[i], &address))
+        handler (task, task->buffers[i], messages[i].bytes_received, &address, now);
+      g_clear_object (&from[i]);
+    }
+  /* What was gathered points into the buffers. */
+  cf_outbox_flush (&task->out);
+  task->refusal_count = 0;
+  cf_core_flush (task->core, now);
+  return n == BATCH_LEN;
+}
+
+static void
+receive (struct PacketTask *task, GSocket *socket, Handler *handler)
+{
+  for (int i = 0; i < BATCHES_PER_WAKE; i++)
+    if (!receive_batch (task, socket, handler))
+      return;
+}
+
+static gboolean
+fabric_ready (GSocket *socket, GIOCondition condition, gpointer data)
+{
+  (void) condition;
+  receive (data, socket, handle_fabric);
+  return G_SOURCE_CONTINUE;
+}
+
+static gboolean
+transfer_ready (GSocket *socket, GIOCondition condition, gpointer data)
+{
+  (void) condition;
+  receive (data, socket, handle_transfer);
+  return G_SOURCE_CONTINUE;
+}
+
+/* Puts the operators' folder in force once peers had the time to offer what the
+ * fleet has, baselines included. */
+static void
+apply_folder (struct PacketTask *task, CfMillis now)
+{
+  const struct CfConfig *current = cf_core_config (task->core);
+  struct CfConfig *next;
+
+  if (!task->folder
+      || (cf_core_state (task->core) == PEER_JOINING && now - task->started < FOLDER_HOLD_MS))
+    return;
+  if (!current || task->folder->version > current->version)
+    {
+      next = cf_config_succeed (current && current->version ? current : NULL, task->folder,
+                                task->folder->version, g_get_real_time () / G_USEC_PER_SEC);
+      if (cf_core_set_config (task->core, next, now))
+        log_config (next, "the folder");
+      cf_config_unref (next);
+    }
+  else if (!cf_config_same_content (task->folder, current))
+    cf_log_fault ("CONFIG", "version",
+                  "the folder was changed, but [fleet] version %" G_GUINT64_FORMAT
+                  " is not above the version in force, %" G_GUINT64_FORMAT,
+                  task->folder->version, current->version);
+  g_clear_pointer (&task->folder, cf_config_unref);
+}
+
+static gboolean
+tick (gpointer data)
+{
+  struct PacketTask *task = data;
+  CfMillis now = cf_now ();
+
+  apply_folder (task, now);
+  cf_core_tick (task->core, now);
+  if (task->stop_at && now >= task->stop_at)
+    g_main_loop_quit (task->server->main_loop);
+  return G_SOURCE_CONTINUE;
+}
+
+static GSource *
+watch_socket (GSocket *socket, GSocketSourceFunc func, struct PacketTask *task, GMainContext *context)
+{
+  GSource *source = g_socket_create_source (socket, G_IO_IN, NULL);
+
+  g_source_set_callback (source, G_SOURCE_FUNC (func), task, NULL);
+  g_source_attach (source, context);
+  return source;
+}
+
+static bool
+start (struct CfTask *base, void *data, struct CfError *error)
+{
+  struct PacketTask *task = data;
+  const struct CfSettings *settings = &task->server->settings;
+
+  task->fabric = cf_udp_open (settings->ip, settings->fabric_port, error);
+  if (!task->fabric)
+    return false;
+  task->transfer = cf_udp_open (settings->ip, settings->transfer_port, error);
+  if (!task->transfer)
+    return false;
+  cf_outbox_init (&task->out, task->fabric);
+  task->sources[0] = watch_socket (task->fabric, fabric_ready, task, base->context);
+  task->sources[1] = watch_socket (task->transfer, transfer_ready, task, base->context);
+  task->sources[2] = cf_task_timer (base, CF_TICK_MS, tick);
+  return true;
+}
+
+static void
+stop (struct CfTask *base, void *data)
+{
+  struct PacketTask *task = data;
+
+  (void) base;
+  for (size_t i = 0; i < G_N_ELEMENTS (task->sources); i++)
+    if (task->sources[i])
+      {
+        g_source_destroy (task->sources[i]);
+        g_clear_pointer (&task->sources[i], g_source_unref);
+      }
+  cf_outbox_clear (&task->out);
+  g_clear_object (&task->fabric);
+  g_clear_object (&task->transfer);
+}
+
+const struct CfTaskClass cf_packet_task = { .name = "packet", .start = start, .stop = stop };
+
+void *
+cf_packet_task_new (struct CfServer *server)
+{
+  struct PacketTask *task = g_new0 (struct PacketTask, 1);
+  const struct CfSettings *settings = &server->settings;
+  struct CfCoreOptions options = {
+    .vm = cf_name_id (settings->name),
+    .incarnation = (uint64_t) g_get_real_time () / G_TIME_SPAN_MILLISECOND,
+    .domain = cf_name_id (settings->failure_domain),
+    .seed = g_random_int (),
+  };
+
+  cf_address_parse (settings->ip, settings->transfer_port, &options.address);
+  memcpy (options.flow_key, server->keys.flow, sizeof options.flow_key);
+  task->server = server;
+  task->started = cf_now ();
+  task->decision_ns = g_hash_table_new_full (NULL, NULL, NULL, g_free);
+  task->core = cf_core_new (&options, &outputs, task, task->started);
+  return task;
+}
+
+void
+cf_packet_task_free (void *data)
+{
+  struct PacketTask *task = data;
+
+  cf_core_free (task->core);
+  cf_config_unref (task->folder);
+  g_hash_table_destroy (task->decision_ns);
+  g_free (task);
+}
+
+/* Messages. */
+
+static void
+take_envelope (void *data, void *message)
+{
+  cf_core_peer (((struct PacketTask *) data)->core, message, cf_now ());
+}
+
+static void
+free_envelope (gpointer data)
+{
+  cf_peer_release (data);
+  g_free (data);
+}
+
+void
+cf_send_envelope (struct CfServer *server, struct peer_envelope *envelope)
+{
+  cf_task_post (&server->packet, take_envelope, envelope, free_envelope);
+}
+
+static void
+take_config (void *data, void *message)
+{
+  struct PacketTask *task = data;
+
+  if (cf_core_set_config (task->core, message, cf_now ()))
+    log_config (message, "the platform");
+}
+
+static void
+free_config (gpointer data)
+{
+  cf_config_unref (data);
+}
+
+void
+cf_send_config (struct CfServer *server, struct CfConfig *config)
+{
+  cf_task_post (&server->packet, take_config, config, free_config);
+}
+
+static void
+take_folder (void *data, void *message)
+{
+  struct PacketTask *task = data;
+
+  cf_config_unref (task->folder);
+  task->folder = cf_config_ref (message);
+  if (!cf_core_config (task->core))
+    {
+      /* Only to find the other VMs: any real version goes before it. */
+      struct CfConfig *provisional = cf_config_succeed (NULL, message, 0, 0);
+
+      cf_core_set_config (task->core, provisional, cf_now ());
+      cf_config_unref (provisional);
+    }
+}
+
+void
+cf_send_folder (struct CfServer *server, struct CfConfig *config)
+{
+  cf_task_post (&server->packet, take_folder, config, free_config);
+}
+
+static void
+take_health (void *data, void *message)
+{
+  cf_core_health (((struct PacketTask *) data)->core, message, cf_now ());
+}
+
+void
+cf_send_health (struct CfServer *server, const struct CfHealthAnswer *answer)
+{
+  cf_task_post (&server->packet, take_health, g_memdup2 (answer, sizeof *answer), g_free);
+}
+
+static void
+take_vm_list (void *data, void *message)
+{
+  const GArray *vms = message;
+
+  cf_core_vm_list (((struct PacketTask *) data)->core,
+                   (const struct CfListedVm *) (const void *) vms->data, vms->len, cf_now ());
+}
+
+static void
+free_array (gpointer data)
+{
+  g_array_unref (data);
+}
+
+void
+cf_send_vm_list (struct CfServer *server, GArray *vms)
+{
+  cf_task_post (&server->packet, take_vm_list, vms, free_array);
+}
+
+static void
+take_leave (void *data, void *message)
+{
+  (void) message;
+  cf_core_leave (((struct PacketTask *) data)->core, cf_now ());
+}
+
+void
+cf_send_leave (struct CfServer *server)
+{
+  cf_task_post (&server->packet, take_leave, NULL, NULL);
+}
+
+static void
+take_report_request (void *data, void *message)
+{
+  struct PacketTask *task = data;
+  struct CfReport *report = message;
+  struct CfMetricsInput input = {
+    .core = task->core,
+    .decision_ns = task->decision_ns,
+    .server = task->server,
+    .now = cf_now (),
+    .bad_gue = task->bad_gue,
+    .bad_transfers = task->bad_transfers,
+    .send_failures = task->out.failed,
+  };
+
+  report->text = g_string_new (NULL);
+  if (report->kind == CF_REPORT_METRICS)
+    cf_metrics_write (&input, report->text);
+  else if (report->kind == CF_REPORT_STATUS)
+    cf_core_status (task->core, report->text, input.now);
+  else
+    cf_core_explain (task->core, &report->caller, &report->service, report->protocol,
+                     report->text, input.now);
+  cf_send_report (task->server, report);
+}
+
+void
+cf_send_report_request (struct CfServer *server, struct CfReport *report)
+{
+  cf_task_post (&server->packet, take_report_request, report, NULL);
+}
--- /dev/null
+++ b/src/serve/peer_task.c
@@ -0,0 +1,168 @@
+#include "server.h"
+#include "log.h"
+#include "peer/replay.h"
+
+#include <stdatomic.h>
+#include <string.h>
+
+/* The peer task owns the socket for messages between entry VMs.  It checks their
+ * MAC and their serial numbers before the core sees them. */
+
+#define RECEIVES_PER_WAKE 64
+
+struct PeerTask
+{
+  struct CfServer *server;
+  GSocket *socket;
+  GSource *source;
+  GHashTable *windows; /* VM id to struct CfReplayWindow */
+  atomic_uint_fast64_t faults[CF_PEER_FAULT_COUNT];
+  uint8_t buffer[CF_PEER_DATAGRAM_MAX];
+};
+
+static struct CfReplayWindow *
+window_of (struct PeerTask *task, uint32_t vm)
+{
+  struct CfReplayWindow *window = g_hash_table_lookup (task->windows, GUINT_TO_POINTER (vm));
+
+  if (window)
+    return window;
+  window = g_new0 (struct CfReplayWindow, 1);
+  g_hash_table_insert (task->windows, GUINT_TO_POINTER (vm), window);
+  return window;
+}
+
+static void
+handle (struct PeerTask *task, size_t len)
+{
+  struct peer_envelope *envelope = g_new0 (struct peer_envelope, 1);
+  uint32_t xid;
+  enum CfPeerFault fault
+      = cf_peer_decode (&task->server->keys, task->buffer, len, &xid, envelope);
+
+  if (fault == CF_PEER_OK
+      && !cf_replay_accept (window_of (task, envelope->vm), envelope->incarnation, xid))
+    {
+      cf_peer_release (envelope);
+      fault = CF_PEER_REPLAYED;
+    }
+  atomic_fetch_add (&task->faults[fault], 1);
+  if (fault == CF_PEER_OK)
+    cf_send_envelope (task->server, envelope);
+  else
+    g_free (envelope);
+}
+
+static gboolean
+ready (GSocket *socket, GIOCondition condition, gpointer data)
+{
+  struct PeerTask *task = data;
+
+  (void) condition;
+  for (int i = 0; i < RECEIVES_PER_WAKE; i++)
+    {
+      gssize n = g_socket_receive (socket, (gchar *) task->buffer, sizeof task->buffer, NULL, NULL);
+
+      if (n < 0)
+        break;
+      handle (task, (size_t) n);
+    }
+  return G_SOURCE_CONTINUE;
+}
+
+static bool
+start (struct CfTask *base, void *data, struct CfError *error)
+{
+  struct PeerTask *task = data;
+  const struct CfSettings *settings = &task->server->settings;
+
+  task->socket = cf_udp_open (settings->ip, settings->peer_port, error);
+  if (!task->socket)
+    return false;
+  task->source = g_socket_create_source (task->socket, G_IO_IN, NULL);
+  g_source_set_callback (task->source, G_SOURCE_FUNC (ready), task, NULL);
+  g_source_attach (task->source, base->context);
+  return true;
+}
+
+static void
+stop (struct CfTask *base, void *data)
+{
+  struct PeerTask *task = data;
+
+  (void) base;
+  if (task->source)
+    g_source_destroy (task->source);
+  g_clear_pointer (&task->source, g_source_unref);
+  g_clear_object (&task->socket);
+}
+
+const struct CfTaskClass cf_peer_task = { .name = "peer", .start = start, .stop = stop };
+
+void *
+cf_peer_task_new (struct CfServer *server)
+{
+  struct PeerTask *task = g_new0 (struct PeerTask, 1);
+
+  task->server = server;
+  task->windows = g_hash_table_new_full (NULL, NULL, NULL, g_free);
+  return task;
+}
+
+void
+cf_peer_task_free (void *data)
+{
+  struct PeerTask *task = data;
+
+  g_hash_table_destroy (task->windows);
+  g_free (task);
+}
+
+struct Datagram
+{
+  struct CfAddress address;
+  GBytes *bytes;
+};
+
+static void
+free_datagram (gpointer data)
+{
+  struct Datagram *datagram = data;
+
+  g_bytes_unref (datagram->bytes);
+  g_free (datagram);
+}
+
+static void
+send_datagram (void *data, void *message)
+{
+  struct PeerTask *task = data;
+  struct Datagram *datagram = message;
+  GSocketAddress *to;
+  gsize len;
+  const char *bytes = g_bytes_get_data (datagram->bytes, &len);
+
+  if (!task->socket)
+    return;
+  datagram->address.port = task->server->settings.peer_port;
+  to = cf_socket_address (&datagram->address);
+  g_socket_send_to (task->socket, to, bytes, len, NULL, NULL);
+  g_object_unref (to);
+}
+
+void
+cf_send_datagram (struct CfServer *server, const struct CfAddress *address, GBytes *bytes)
+{
+  struct Datagram *datagram = g_new (struct Datagram, 1);
+
+  *datagram = (struct Datagram){ .address = *address, .bytes = bytes };
+  cf_task_post (&server->peer, send_datagram, datagram, free_datagram);
+}
+
+uint64_t
+cf_peer_task_faults (const struct CfServer *server, enum CfPeerFault fault)
+{
+  struct PeerTask *task = server->peer.data;
+
+  return atomic_load (&task->faults[fault]);
+}
--- /dev/null
+++ b/src/serve/platform_task.c
@@ -0,0 +1,327 @@
+#include "server.h"
+#include "log.h"
+#include "platform/http.h"
+
+#include <json-glib/json-glib.h>
+#include <string.h>
+
+/* The platform task watches the configuration object while the core wants it to, and
+ * reads the platform's list of VMs.  Each call has a deadline; a watch that stays
+ * silent beyond it is replaced by one over a fresh connection. */
+
+#define WATCH_WAIT_S 20
+#define WATCH_DEADLINE_MS 23000
+#define CALL_DEADLINE_MS 3000
+#define RETRY_MIN_MS 200
+#define RETRY_MAX_MS 5000
+#define LIST_INTERVAL_MS 5000
+
+/* One outstanding call. */
+struct Call
+{
+  struct PlatformTask *task;
+  SoupMessage *message;
+  GCancellable *cancellable;
+  GSource *deadline;
+  void (*finish) (struct PlatformTask *task, SoupMessage *message, GBytes *body);
+};
+
+struct PlatformTask
+{
+  struct CfServer *server;
+  GMainContext *context;
+  SoupSession *session;
+  struct Call *watch;
+  struct Call *list;
+  GSource *list_timer;
+  GSource *retry;
+  guint retry_ms;
+  char *tag;     /* of the configuration last read */
+  bool watching; /* the core wants this VM to watch */
+  bool reached;  /* the platform answered the last call */
+};
+
+static void begin_watch (struct PlatformTask *task);
+
+static gboolean
+past_deadline (gpointer data)
+{
+  g_cancellable_cancel (((struct Call *) data)->cancellable);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+free_call (struct Call *call)
+{
+  g_source_destroy (call->deadline);
+  g_source_unref (call->deadline);
+  g_object_unref (call->cancellable);
+  g_object_unref (call->message);
+  g_free (call);
+}
+
+static void
+note_reached (struct PlatformTask *task, bool reached)
+{
+  if (reached != task->reached)
+    cf_log_state ("PLATFORM", reached ? "reached" : "unreachable", "the platform %s",
+                  reached ? "answers" : "does not answer; peers keep the configuration");
+  task->reached = reached;
+}
+
+static void
+call_done (GObject *source, GAsyncResult *result, gpointer data)
+{
+  struct Call *call = data;
+  struct PlatformTask *task = call->task;
+  GBytes *body = soup_session_send_and_read_finish (SOUP_SESSION (source), result, NULL);
+
+  if (call == task->watch)
+    task->watch = NULL;
+  if (call == task->list)
+    task->list = NULL;
+  if (task->session)
+    call->finish (task, call->message, body);
+  g_clear_pointer (&body, g_bytes_unref);
+  free_call (call);
+}
+
+static struct Call *
+begin_call (struct PlatformTask *task,
+            SoupMessage *message,
+            guint deadline_ms,
+            void (*finish) (struct PlatformTask *task, SoupMessage *message, GBytes *body))
+{
+  struct Call *call;
+
+  if (!message)
+    return NULL;
+  call = g_new0 (struct Call, 1);
+  call->task = task;
+  call->message = message;
+  call->finish = finish;
+  call->cancellable = g_cancellable_new ();
+  call->deadline = g_timeout_source_new (deadline_ms);
+  g_source_set_callback (call->deadline, past_deadline, call, NULL);
+  g_source_attach (call->deadline, task->context);
+  soup_message_add_flags (message, SOUP_MESSAGE_NEW_CONNECTION);
+  soup_session_send_and_read_async (task->session, message, G_PRIORITY_DEFAULT, call->cancellable,
+                                    call_done, call);
+  return call;
+}
+
+static gboolean
+retry_now (gpointer data)
+{
+  struct PlatformTask *task = data;
+
+  g_clear_pointer (&task->retry, g_source_unref);
+  begin_watch (task);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+retry_later (struct PlatformTask *task)
+{
+  if (task->retry)
+    return;
+  task->retry = g_timeout_source_new (task->retry_ms);
+  g_source_set_callback (task->retry, retry_now, task, NULL);
+  g_source_attach (task->retry, task->context);
+  task->retry_ms = MIN (task->retry_ms * 2, RETRY_MAX_MS);
+}
+
+static void
+take_object (struct PlatformTask *task, struct CfObject *object)
+{
+  struct CfError error = { 0 };
+  struct CfConfig *config = cf_config_parse (object->text, &error);
+
+  g_free (task->tag);
+  task->tag = g_steal_pointer (&object->tag);
+  if (config)
+    cf_send_config (task->server, config);
+  else
+    cf_log_fault ("CONFIG", "fault", "the platform's configuration is not valid: %s", error.text);
+}
+
+static void
+finish_watch (struct PlatformTask *task, SoupMessage *message, GBytes *body)
+{
+  struct CfObject object = { 0 };
+  enum CfStoreResult result = cf_http_read_result (message, body, &object);
+
+  note_reached (task, result != CF_STORE_UNKNOWN);
+  if (result == CF_STORE_OK)
+    take_object (task, &object);
+  cf_object_clear (&object);
+  if (result == CF_STORE_OK || result == CF_STORE_UNCHANGED)
+    {
+      task->retry_ms = RETRY_MIN_MS;
+      begin_watch (task);
+      return;
+    }
+  retry_later (task);
+}
+
+static void
+begin_watch (struct PlatformTask *task)
+{
+  /* Until the first read succeeds every VM asks, so that a fleet can start. */
+  if (task->watch || task->retry || (!task->watching && task->tag))
+    return;
+  task->watch = begin_call (task,
+                            cf_http_read_message (task->server->settings.platform,
+                                                  CF_CONFIG_OBJECT, task->tag, WATCH_WAIT_S),
+                            task->tag ? WATCH_DEADLINE_MS : CALL_DEADLINE_MS, finish_watch);
+}
+
+static bool
+read_vm (const struct PlatformTask *task, JsonNode *node, struct CfListedVm *vm)
+{
+  JsonObject *object;
+  const char *name;
+  const char *domain;
+  const char *ip;
+
+  if (!JSON_NODE_HOLDS_OBJECT (node))
+    return false;
+  object = json_node_get_object (node);
+  name = json_object_get_string_member_with_default (object, "name", NULL);
+  domain = json_object_get_string_member_with_default (object, "failure-domain", NULL);
+  ip = json_object_get_string_member_with_default (object, "address", NULL);
+  if (!name || !domain || !ip
+      || !cf_address_parse (ip, task->server->settings.transfer_port, &vm->address))
+    return false;
+  vm->id = cf_name_id (name);
+  vm->domain = cf_name_id (domain);
+  vm->leaving
+      = strcmp (json_object_get_string_member_with_default (object, "state", "live"), "leaving")
+        == 0;
+  return true;
+}
+
+static void
+finish_list (struct PlatformTask *task, SoupMessage *message, GBytes *body)
+{
+  JsonParser *parser = json_parser_new ();
+  JsonNode *root = NULL;
+  const char *text;
+  gsize len;
+
+  if (body && soup_message_get_status (message) == SOUP_STATUS_OK)
+    {
+      text = g_bytes_get_data (body, &len);
+      if (json_parser_load_from_data (parser, text, (gssize) len, NULL))
+        root = json_parser_get_root (parser);
+    }
+  if (root && JSON_NODE_HOLDS_ARRAY (root))
+    {
+      JsonArray *array = json_node_get_array (root);
+      GArray *vms = g_array_new (FALSE, TRUE, sizeof (struct CfListedVm));
+
+      for (guint i = 0; i < json_array_get_length (array); i++)
+        {
+          struct CfListedVm vm = { 0 };
+
+          if (read_vm (task, json_array_get_element (array, i), &vm))
+            g_array_append_val (vms, vm);
+        }
+      cf_send_vm_list (task->server, vms);
+    }
+  g_object_unref (parser);
+}
+
+static gboolean
+read_list (gpointer data)
+{
+  struct PlatformTask *task = data;
+  char *url;
+
+  if (task->list)
+    return G_SOURCE_CONTINUE;
+  url = g_strdup_printf ("%s/vms", task->server->settings.platform);
+  task->list = begin_call (task, soup_message_new ("GET", url), CALL_DEADLINE_MS, finish_list);
+  g_free (url);
+  return G_SOURCE_CONTINUE;
+}
+
+static bool
+start (struct CfTask *base, void *data, struct CfError *error)
+{
+  struct PlatformTask *task = data;
+  SoupMessage *probe
+      = cf_http_read_message (task->server->settings.platform, CF_CONFIG_OBJECT, NULL, 0);
+
+  if (!probe)
+    return cf_error_set (error, CF_ERROR_INPUT, "--platform: '%s' is not a URL",
+                         task->server->settings.platform);
+  g_object_unref (probe);
+  task->context = base->context;
+  task->retry_ms = RETRY_MIN_MS;
+  task->reached = true;
+  task->session = soup_session_new ();
+  task->list_timer = cf_task_timer (base, LIST_INTERVAL_MS, read_list);
+  read_list (task);
+  begin_watch (task);
+  return true;
+}
+
+static void
+stop (struct CfTask *base, void *data)
+{
+  struct PlatformTask *task = data;
+  SoupSession *session = g_steal_pointer (&task->session);
+
+  if (!session)
+    return;
+  if (task->watch)
+    g_cancellable_cancel (task->watch->cancellable);
+  if (task->list)
+    g_cancellable_cancel (task->list->cancellable);
+  while (task->watch || task->list)
+    g_main_context_iteration (base->context, TRUE);
+  if (task->retry)
+    g_source_destroy (task->retry);
+  g_clear_pointer (&task->retry, g_source_unref);
+  g_source_destroy (task->list_timer);
+  g_clear_pointer (&task->list_timer, g_source_unref);
+  g_object_unref (session);
+}
+
+const struct CfTaskClass cf_platform_task = { .name = "platform", .start = start, .stop = stop };
+
+void *
+cf_platform_task_new (struct CfServer *server)
+{
+  struct PlatformTask *task = g_new0 (struct PlatformTask, 1);
+
+  task->server = server;
+  return task;
+}
+
+void
+cf_platform_task_free (void *data)
+{
+  struct PlatformTask *task = data;
+
+  g_free (task->tag);
+  g_free (task);
+}
+
+static void
+take_watch (void *data, void *message)
+{
+  struct PlatformTask *task = data;
+
+  task->watching = GPOINTER_TO_INT (message);
+  if (task->session)
+    begin_watch (task);
+}
+
+void
+cf_send_watch (struct CfServer *server, bool watch)
+{
+  if (server->settings.platform && !server->settings.config_dir)
+    cf_task_post (&server->source, take_watch, GINT_TO_POINTER (watch), NULL);
+}
--- /dev/null
+++ b/src/serve/server.c
@@ -0,0 +1,79 @@
+#include "server.h"
+#include "log.h"
+
+#include <glib-unix.h>
+#include <sodium.h>
+
+/* The supervisor: starts the tasks, turns signals into messages, and stops the tasks
+ * in reverse order.  A task that fails is started again by its own thread. */
+
+struct Child
+{
+  const struct CfTaskClass *class;
+  struct CfTask *task;
+  void *(*new) (struct CfServer *server);
+  void (*free) (void *data);
+};
+
+static gboolean
+on_stop (gpointer data)
+{
+  cf_send_leave (data);
+  return G_SOURCE_CONTINUE;
+}
+
+static gboolean
+on_reload (gpointer data)
+{
+  cf_send_reload (data);
+  return G_SOURCE_CONTINUE;
+}
+
+static void
+run_children (struct CfServer *server, struct Child *children, size_t count)
+{
+  /* A task may post to any other as soon as it runs, so all states and contexts
+   * exist before the first thread starts its work. */
+  for (size_t i = 0; i < count; i++)
+    cf_task_prepare (children[i].task, children[i].class, children[i].new (server));
+  for (size_t i = 0; i < count; i++)
+    cf_task_start (children[i].task);
+  g_main_loop_run (server->main_loop);
+  for (size_t i = count; i > 0; i--)
+    cf_task_stop (children[i - 1].task);
+  for (size_t i = count; i > 0; i--)
+    {
+      cf_task_finish (children[i - 1].task);
+      children[i - 1].free (children[i - 1].task->data);
+    }
+}
+
+int
+cf_server_run (const struct CfSettings *settings)
+{
+  struct CfServer *server = g_new0 (struct CfServer, 1);
+  bool folder = settings->config_dir != NULL;
+  struct Child children[] = {
+    { &cf_peer_task, &server->peer, cf_peer_task_new, cf_peer_task_free },
+    { &cf_health_task, &server->health, cf_health_task_new, cf_health_task_free },
+    { &cf_packet_task, &server->packet, cf_packet_task_new, cf_packet_task_free },
+    { folder ? &cf_folder_task : &cf_platform_task, &server->source,
+      folder ? cf_folder_task_new : cf_platform_task_new,
+      folder ? cf_folder_task_free : cf_platform_task_free },
+    { &cf_admin_task, &server->admin, cf_admin_task_new, cf_admin_task_free },
+  };
+  size_t count = G_N_ELEMENTS (children) - (settings->admin_port == 0);
+  int status;
+
+  server->settings = *settings;
+  cf_peer_keys (settings->fleet_key, &server->keys);
+  server->main_loop = g_main_loop_new (NULL, FALSE);
+  g_unix_signal_add (SIGTERM, on_stop, server);
+  g_unix_signal_add (SIGINT, on_stop, server);
+  g_unix_signal_add (SIGHUP, on_reload, server);
+  run_children (server, children, count);
+  status = server->exit_status;
+  g_main_loop_unref (server->main_loop);
+  g_free (server);
+  return status;
+}
--- /dev/null
+++ b/src/serve/server.h
@@ -0,0 +1,128 @@
+#ifndef CF_SERVE_SERVER_H
+#define CF_SERVE_SERVER_H
+
+#include "cf_core.h"
+#include "settings.h"
+#include "task.h"
+
+/* The parts of a running entry VM and the messages between them. */
+
+struct CfServer
+{
+  struct CfSettings settings;
+  struct CfPeerKeys keys;
+  struct CfTask packet;
+  struct CfTask peer;
+  struct CfTask health;
+  struct CfTask source; /* where configurations come from */
+  struct CfTask admin;
+  GMainLoop *main_loop;
+  int exit_status;
+};
+
+extern const struct CfTaskClass cf_packet_task;
+extern const struct CfTaskClass cf_peer_task;
+extern const struct CfTaskClass cf_health_task;
+extern const struct CfTaskClass cf_folder_task;
+extern const struct CfTaskClass cf_platform_task;
+extern const struct CfTaskClass cf_admin_task;
+
+/* Each task's state, created before the first start and freed after the last. */
+void *cf_packet_task_new (struct CfServer *server);
+void cf_packet_task_free (void *data);
+void *cf_peer_task_new (struct CfServer *server);
+void cf_peer_task_free (void *data);
+void *cf_health_task_new (struct CfServer *server);
+void cf_health_task_free (void *data);
+void *cf_folder_task_new (struct CfServer *server);
+void cf_folder_task_free (void *data);
+void *cf_platform_task_new (struct CfServer *server);
+void cf_platform_task_free (void *data);
+void *cf_admin_task_new (struct CfServer *server);
+void cf_admin_task_free (void *data);
+
+/* Messages to the packet task, which owns the core. */
+
+/* Hands over ENVELOPE, which the packet task releases. */
+void cf_send_envelope (struct CfServer *server, struct peer_envelope *envelope);
+/* Hands over a reference of CONFIG, read from the platform. */
+void cf_send_config (struct CfServer *server, struct CfConfig *config);
+/* Hands over a reference of CONFIG, read from the operators' folder. */
+void cf_send_folder (struct CfServer *server, struct CfConfig *config);
+void cf_send_health (struct CfServer *server, const struct CfHealthAnswer *answer);
+/* VMS is an array of struct CfListedVm that the packet task releases. */
+void cf_send_vm_list (struct CfServer *server, GArray *vms);
+void cf_send_leave (struct CfServer *server);
+
+/* A request for a report on the core.  The answer goes to the admin task. */
+enum CfReportKind
+{
+  CF_REPORT_METRICS,
+  CF_REPORT_STATUS,
+  CF_REPORT_EXPLAIN,
+};
+
+struct CfReport
+{
+  enum CfReportKind kind;
+  struct CfAddress caller; /* for CF_REPORT_EXPLAIN */
+  struct CfAddress service;
+  uint8_t protocol;
+  void *request; /* of the admin task */
+  GString *text; /* the answer */
+};
+
+/* Hands REPORT to the packet task, and back to the admin task with its text. */
+void cf_send_report_request (struct CfServer *server, struct CfReport *report);
+void cf_send_report (struct CfServer *server, struct CfReport *report);
+
+/* Message to the peer task: sends DATAGRAM, an encoded message, to the VM whose
+ * transfer port is at ADDRESS. */
+void cf_send_datagram (struct CfServer *server, const struct CfAddress *address, GBytes *datagram);
+
+/* Counts of the peer task for metrics, read by other threads. */
+uint64_t cf_peer_task_faults (const struct CfServer *server, enum CfPeerFault fault);
+
+/* An upstream that the health task probes. */
+struct CfProbe
+{
+  uint32_t upstream; /* id */
+  struct CfAddress address;
+};
+
+/* Message to the health task: PROBES (of struct CfProbe) replaces the list. */
+void cf_send_probes (struct CfServer *server, GArray *probes);
+
+/* Messages to the source task. */
+void cf_send_watch (struct CfServer *server, bool watch);
+void cf_send_reload (struct CfServer *server);
+
+/* Returns milliseconds of the monotonic clock. */
+CfMillis cf_now (void);
+
+/* Returns a GSocketAddress for ADDRESS. */
+GSocketAddress *cf_socket_address (const struct CfAddress *address);
+
+/* Reads a GSocketAddress into ADDRESS.  Returns false if it is not an IP address. */
+bool cf_from_socket_address (GSocketAddress *socket_address, struct CfAddress *address);
+
+/* Opens a non-blocking UDP socket at IP and PORT, or returns NULL with ERROR. */
+GSocket *cf_udp_open (const char *ip, uint16_t port, struct CfError *error);
+
+/* Appends all metrics in Prometheus text format to TEXT. */
+struct CfMetricsInput
+{
+  const struct CfCore *core;
+  GHashTable *decision_ns; /* service id to struct CfHistogram */
+  const struct CfServer *server;
+  CfMillis now;
+  uint64_t bad_gue;       /* fabric datagrams that are not GUE */
+  uint64_t bad_transfers; /* transferred datagrams with a wrong MAC or form */
+  uint64_t send_failures; /* datagrams that the kernel did not take */
+};
+void cf_metrics_write (const struct CfMetricsInput *input, GString *text);
+
+/* Runs an entry VM with SETTINGS until SIGTERM.  Returns the exit status. */
+int cf_server_run (const struct CfSettings *settings);
+
+#endif
--- /dev/null
+++ b/src/serve/task.c
@@ -0,0 +1,142 @@
+#include "task.h"
+#include "log.h"
+
+#define RESTART_MIN_MS 100
+#define RESTART_MAX_MS 10000
+#define RUN_GOOD_MS 30000 /* a run this long resets the delay */
+
+struct Message
+{
+  struct CfTask *task;
+  CfTaskFunc *func;
+  void *message;
+  GDestroyNotify free;
+};
+
+static void
+sleep_unless_quit (struct CfTask *task, gint64 ms)
+{
+  for (gint64 slept = 0; slept < ms && !g_atomic_int_get (&task->quit); slept += 20)
+    g_usleep (20 * 1000);
+}
+
+static gpointer
+run (gpointer data)
+{
+  struct CfTask *task = data;
+  gint64 delay_ms = RESTART_MIN_MS;
+
+  g_main_context_push_thread_default (task->context);
+  while (!g_atomic_int_get (&task->quit))
+    {
+      struct CfError error = { 0 };
+      gint64 began = g_get_monotonic_time ();
+
+      if (task->class->start (task, task->data, &error))
+        g_main_loop_run (task->loop);
+      else
+        cf_log_fault ("TASK", task->class->name, "task %s did not start: %s", task->class->name,
+                      error.text);
+      task->class->stop (task, task->data);
+      if (g_atomic_int_get (&task->quit))
+        break;
+      g_atomic_int_inc (&task->restarts);
+      if (g_get_monotonic_time () - began > RUN_GOOD_MS * G_TIME_SPAN_MILLISECOND)
+        delay_ms = RESTART_MIN_MS;
+      sleep_unless_quit (task, delay_ms);
+      delay_ms = MIN (delay_ms * 2, RESTART_MAX_MS);
+    }
+  g_main_context_pop_thread_default (task->context);
+  return NULL;
+}
+
+void
+cf_task_prepare (struct CfTask *task, const struct CfTaskClass *class, void *data)
+{
+  *task = (struct CfTask){
+    .class = class,
+    .data = data,
+    .context = g_main_context_new (),
+  };
+  task->loop = g_main_loop_new (task->context, FALSE);
+}
+
+void
+cf_task_start (struct CfTask *task)
+{
+  task->thread = g_thread_new (task->class->name, run, task);
+}
+
+static void
+quit_loop (void *data, void *message)
+{
+  (void) data;
+  g_main_loop_quit (((struct CfTask *) message)->loop);
+}
+
+void
+cf_task_stop (struct CfTask *task)
+{
+  if (!task->thread)
+    return;
+  g_atomic_int_set (&task->quit, 1);
+  cf_task_post (task, quit_loop, task, NULL);
+  g_thread_join (task->thread);
+  task->thread = NULL;
+}
+
+void
+cf_task_finish (struct CfTask *task)
+{
+  g_main_loop_unref (task->loop);
+  g_main_context_unref (task->context);
+}
+
+static gboolean
+deliver (gpointer data)
+{
+  struct Message *message = data;
+
+  message->func (message->task->data, message->message);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+free_message (gpointer data)
+{
+  struct Message *message = data;
+
+  if (message->free)
+    message->free (message->message);
+  g_free (message);
+}
+
+void
+cf_task_post (struct CfTask *task, CfTaskFunc *func, void *message, GDestroyNotify free)
+{
+  struct Message *copy = g_new (struct Message, 1);
+  GSource *source = g_idle_source_new ();
+
+  *copy = (struct Message){ .task = task, .func = func, .message = message, .free = free };
+  g_source_set_priority (source, G_PRIORITY_DEFAULT);
+  g_source_set_callback (source, deliver, copy, free_message);
+  g_source_attach (source, task->context);
+  g_source_unref (source);
+}
+
+GSource *
+cf_task_timer (struct CfTask *task, guint interval_ms, GSourceFunc func)
+{
+  GSource *source = g_timeout_source_new (interval_ms);
+
+  g_source_set_callback (source, func, task->data, NULL);
+  g_source_attach (source, task->context);
+  return source;
+}
+
+void
+cf_task_fail (struct CfTask *task, const struct CfError *error)
+{
+  cf_log_fault ("TASK", task->class->name, "task %s failed: %s", task->class->name, error->text);
+  g_main_loop_quit (task->loop);
+}
--- /dev/null
+++ b/src/serve/task.h
@@ -0,0 +1,61 @@
+#ifndef CF_SERVE_TASK_H
+#define CF_SERVE_TASK_H
+
+#include "cf_types.h"
+
+#include <gio/gio.h>
+
+/* A task: a thread with a main context of its own.  A task owns its sockets and its
+ * state; other threads reach it only by posting messages. */
+
+struct CfTask;
+
+struct CfTaskClass
+{
+  const char *name;
+  /* Opens the task's sockets and adds its sources to the thread-default context.
+   * Returns false with ERROR filled in if that failed; the task is then started
+   * again after an exponential delay. */
+  bool (*start) (struct CfTask *task, void *data, struct CfError *error);
+  /* Releases what start opened.  Also called after a failed start. */
+  void (*stop) (struct CfTask *task, void *data);
+};
+
+struct CfTask
+{
+  const struct CfTaskClass *class;
+  void *data;
+  GThread *thread;
+  GMainContext *context;
+  GMainLoop *loop;
+  int quit;     /* atomic */
+  int restarts; /* atomic */
+};
+
+typedef void CfTaskFunc (void *data, void *message);
+
+/* Prepares TASK of CLASS, whose functions get DATA.  From now on messages can be
+ * posted to it. */
+void cf_task_prepare (struct CfTask *task, const struct CfTaskClass *class, void *data);
+
+/* Starts the thread of TASK. */
+void cf_task_start (struct CfTask *task);
+
+/* Stops TASK and waits for its thread.  Messages can still be posted. */
+void cf_task_stop (struct CfTask *task);
+
+/* Releases TASK and the messages that nobody took. */
+void cf_task_finish (struct CfTask *task);
+
+/* Calls FUNC with the task's data and MESSAGE on the task's thread, then frees
+ * MESSAGE with FREE (may be NULL).  Messages of one sender arrive in order. */
+void cf_task_post (struct CfTask *task, CfTaskFunc *func, void *message, GDestroyNotify free);
+
+/* Adds a timer that calls FUNC with the task's data every INTERVAL_MS.  To be
+ * called from start. */
+GSource *cf_task_timer (struct CfTask *task, guint interval_ms, GSourceFunc func);
+
+/* Logs the failure ERROR and has TASK stopped and started again. */
+void cf_task_fail (struct CfTask *task, const struct CfError *error);
+
+#endif
