--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 CC = gcc
 BUILD = build
 PACKAGES = glib-2.0 gio-2.0 gio-unix-2.0 libsodium libtirpc libsoup-3.0 json-glib-1.0
-CPPFLAGS = -D_GNU_SOURCE -Iinclude -Isrc
+CPPFLAGS = -D_GNU_SOURCE -Iinclude -Isrc -Itests
 CFLAGS = -O2 -g
 WARNINGS = -std=gnu11 -Wall -Wextra -Werror
 SANITIZE =
@@ -19,9 +19,9 @@
 
 LIB_SRC := $(wildcard src/base/*.c src/config/*.c src/core/*.c src/packet/*.c src/peer/*.c)
 APP_SRC := $(wildcard src/platform/*.c src/serve/*.c src/cli/*.c)
-TEST_LIB_SRC := $(filter-out tests/test_%.c tests/standin_%.c tests/demo.c,$(wildcard tests/*.c))
+TEST_LIB_SRC := $(filter-out tests/test_%.c tests/live.c,$(wildcard tests/*.c))
 TEST_SRC := $(wildcard tests/test_*.c)
-STANDIN_SRC := $(wildcard tests/standin_*.c) tests/demo.c
+STANDIN_SRC := tests/live.c
 BENCH_SRC := $(wildcard bench/*.c)
 
 LIB_OBJ = $(LIB_SRC:%.c=$(BUILD)/%.o)
@@ -46,7 +46,7 @@
 $(TESTS): $(BUILD)/%: $(BUILD)/tests/%.o $(TEST_LIB_OBJ) $(PLATFORM_OBJ) $(LIB_OBJ)
 	$(CC) $^ $(LIBS) $(CHECK_LIBS) -o $@
 
-$(STANDINS): $(BUILD)/%: $(BUILD)/tests/%.o $(TEST_LIB_OBJ) $(LIB_OBJ)
+$(STANDINS): $(BUILD)/%: $(BUILD)/tests/%.o $(TEST_LIB_OBJ) $(BUILD)/src/serve/udp.o $(LIB_OBJ)
 	$(CC) $^ $(LIBS) -o $@
 
 $(BUILD)/bench: $(BENCH_SRC:%.c=$(BUILD)/%.o) $(TEST_LIB_OBJ) $(LIB_OBJ)
@@ -75,7 +75,8 @@
 	clang-format --dry-run --Werror $(SOURCES) $(HEADERS)
 
 lint:
-	printf '%s\n' $(SOURCES) | xargs -P 8 -n 4 clang-tidy --quiet -- -std=gnu11 $(CPPFLAGS) $(PKG_CFLAGS)
+	printf '%s\n' $(SOURCES) | xargs -P 8 -n 4 \
+	  sh -c 'clang-tidy --quiet "$$@" -- -std=gnu11 $(CPPFLAGS) $(PKG_CFLAGS)' sh
 
 clean:
 	rm -rf $(BUILD)
--- a/include/cf_core.h
+++ b/include/cf_core.h
@@ -22,12 +22,12 @@
 /* What distinguishes one entry VM from another. */
 struct CfCoreOptions
 {
-  uint32_t vm;               /* id of this VM: cf_name_id of its name */
-  uint64_t incarnation;      /* grows with every start of a VM of this name */
-  uint32_t domain;           /* id of its failure domain: cf_name_id of its name */
-  struct CfAddress address;  /* its transfer port, as other VMs reach it */
-  uint8_t flow_key[16];      /* key of the flow hash, the same in the fleet */
-  uint32_t seed;             /* seed of the core's random numbers */
+  uint32_t vm;                   /* id of this VM: cf_name_id of its name */
+  uint64_t incarnation;          /* grows with every start of a VM of this name */
+  uint32_t domain;               /* id of its failure domain: cf_name_id of its name */
+  struct CfAddress address;      /* its transfer port, as other VMs reach it */
+  uint8_t flow_key[16];          /* key of the flow hash, the same in the fleet */
+  uint32_t seed;                 /* seed of the core's random numbers */
   const struct CfPolicy *policy; /* NULL: the product's own placement */
 };
 
@@ -63,9 +63,7 @@
 struct CfCoreOutputs
 {
   /* Sends PACKET on to UPSTREAM in GUE. */
-  void (*forward) (void *context,
-                   const struct CfPacket *packet,
-                   const struct CfUpstream *upstream);
+  void (*forward) (void *context, const struct CfPacket *packet, const struct CfUpstream *upstream);
   /* Sends PACKET with TRANSFER to the entry VM at ADDRESS. */
   void (*transfer) (void *context,
                     const struct CfPacket *packet,
--- a/include/cf_packet.h
+++ b/include/cf_packet.h
@@ -14,19 +14,19 @@
 enum CfDrop
 {
   CF_DROP_NONE,
-  CF_DROP_GUE,         /* not a GUE data packet of variant 0 */
-  CF_DROP_TRUNCATED,   /* a header or the stated length exceeds the packet */
-  CF_DROP_VERSION,     /* neither IPv4 nor IPv6 */
-  CF_DROP_HEADER,      /* a header field is not valid */
-  CF_DROP_FRAGMENT,    /* a fragment carries no ports */
-  CF_DROP_PROTOCOL,    /* neither TCP nor UDP */
-  CF_DROP_NO_SERVICE,  /* no service at the destination address */
-  CF_DROP_NO_CONFIG,   /* no configuration yet */
-  CF_DROP_HOPS,        /* passed between entry VMs too often */
-  CF_DROP_TRANSFER,    /* a transferred packet whose context does not match */
-  CF_DROP_DOUBT,       /* delayed while the flow's upstream is not known */
-  CF_DROP_GATE,        /* delayed until every VM has acknowledged a mark */
-  CF_DROP_NO_OWNER,    /* no entry VM to transfer to */
+  CF_DROP_GUE,        /* not a GUE data packet of variant 0 */
+  CF_DROP_TRUNCATED,  /* a header or the stated length exceeds the packet */
+  CF_DROP_VERSION,    /* neither IPv4 nor IPv6 */
+  CF_DROP_HEADER,     /* a header field is not valid */
+  CF_DROP_FRAGMENT,   /* a fragment carries no ports */
+  CF_DROP_PROTOCOL,   /* neither TCP nor UDP */
+  CF_DROP_NO_SERVICE, /* no service at the destination address */
+  CF_DROP_NO_CONFIG,  /* no configuration yet */
+  CF_DROP_HOPS,       /* passed between entry VMs too often */
+  CF_DROP_TRANSFER,   /* a transferred packet whose context does not match */
+  CF_DROP_DOUBT,      /* delayed while the flow's upstream is not known */
+  CF_DROP_GATE,       /* delayed until every VM has acknowledged a mark */
+  CF_DROP_NO_OWNER,   /* no entry VM to transfer to */
   CF_DROP_COUNT,
 };
 
--- a/include/cf_stats.h
+++ b/include/cf_stats.h
@@ -23,29 +23,29 @@
 
 enum CfCounter
 {
-  CF_COUNT_FABRIC_PACKETS,      /* packets from the fabric */
-  CF_COUNT_FABRIC_BYTES,        /* bytes of those */
-  CF_COUNT_FORWARDED,           /* packets sent to upstreams */
-  CF_COUNT_TRANSFERRED,         /* packets sent to other entry VMs */
-  CF_COUNT_TRANSFERRED_BYTES,   /* inner bytes of those */
-  CF_COUNT_TRANSFERS_RECEIVED,  /* packets from other entry VMs */
-  CF_COUNT_NEW_FLOWS,           /* first packets placed */
-  CF_COUNT_NEW_AWAY,            /* of those, placed with an entry */
-  CF_COUNT_PINNED,              /* entries created for older flows */
-  CF_COUNT_REFUSED_NOT_RUN,     /* refusals where no upstream saw the flow */
-  CF_COUNT_REFUSED_MAY_HAVE_RUN,/* refusals where one may have */
-  CF_COUNT_REFUSED_OVERLOAD,    /* of the first, for the VM's own limit */
-  CF_COUNT_ENTRIES_SENT,        /* replicated entries, without repetitions */
-  CF_COUNT_ENTRIES_RESENT,      /* repetitions for lack of an acknowledgement */
-  CF_COUNT_ENTRIES_RECEIVED,    /* entries from other VMs */
-  CF_COUNT_ENTRIES_REFUSED,     /* entries that do not fit the configuration */
-  CF_COUNT_FLOWS_EXPIRED,       /* flow records removed after idling */
-  CF_COUNT_FLOWS_LOST,          /* new records refused for lack of room */
-  CF_COUNT_PAUSES,              /* times this VM found that it was paused */
-  CF_COUNT_VIEW_CHANGES,        /* changes of the set of serving members */
-  CF_COUNT_CONFIG_APPLIED,      /* configurations put in force */
-  CF_COUNT_CONFIG_IGNORED,      /* configurations that were not newer */
-  CF_COUNT_COLD_STARTS,         /* upstreams found to be cold */
+  CF_COUNT_FABRIC_PACKETS,       /* packets from the fabric */
+  CF_COUNT_FABRIC_BYTES,         /* bytes of those */
+  CF_COUNT_FORWARDED,            /* packets sent to upstreams */
+  CF_COUNT_TRANSFERRED,          /* packets sent to other entry VMs */
+  CF_COUNT_TRANSFERRED_BYTES,    /* inner bytes of those */
+  CF_COUNT_TRANSFERS_RECEIVED,   /* packets from other entry VMs */
+  CF_COUNT_NEW_FLOWS,            /* first packets placed */
+  CF_COUNT_NEW_AWAY,             /* of those, placed with an entry */
+  CF_COUNT_PINNED,               /* entries created for older flows */
+  CF_COUNT_REFUSED_NOT_RUN,      /* refusals where no upstream saw the flow */
+  CF_COUNT_REFUSED_MAY_HAVE_RUN, /* refusals where one may have */
+  CF_COUNT_REFUSED_OVERLOAD,     /* of the first, for the VM's own limit */
+  CF_COUNT_ENTRIES_SENT,         /* replicated entries, without repetitions */
+  CF_COUNT_ENTRIES_RESENT,       /* repetitions for lack of an acknowledgement */
+  CF_COUNT_ENTRIES_RECEIVED,     /* entries from other VMs */
+  CF_COUNT_ENTRIES_REFUSED,      /* entries that do not fit the configuration */
+  CF_COUNT_FLOWS_EXPIRED,        /* flow records removed after idling */
+  CF_COUNT_FLOWS_LOST,           /* new records refused for lack of room */
+  CF_COUNT_PAUSES,               /* times this VM found that it was paused */
+  CF_COUNT_VIEW_CHANGES,         /* changes of the set of serving members */
+  CF_COUNT_CONFIG_APPLIED,       /* configurations put in force */
+  CF_COUNT_CONFIG_IGNORED,       /* configurations that were not newer */
+  CF_COUNT_COLD_STARTS,          /* upstreams found to be cold */
   CF_COUNT_MAX,
 };
 
--- a/src/config/build.c
+++ b/src/config/build.c
@@ -17,8 +17,7 @@
   GHashTable *by_group; /* group header to index + 1 in its array */
 };
 
-static void
-fault (struct Build *build, const char *group, const char *key, const char *format, ...)
+static void fault (struct Build *build, const char *group, const char *key, const char *format, ...)
     __attribute__ ((format (printf, 4, 5)));
 
 static void
@@ -278,11 +277,8 @@
 
 /* Adds a fault if TABLE already has an object under the address TEXT. */
 static void
-claim_address (struct Build *build,
-               GHashTable *table,
-               const char *text,
-               const char *group,
-               const char *key)
+claim_address (
+    struct Build *build, GHashTable *table, const char *text, const char *group, const char *key)
 {
   const char *other = g_hash_table_lookup (table, text);
 
--- a/src/config/folder.c
+++ b/src/config/folder.c
@@ -64,11 +64,8 @@
 }
 
 static void
-merge_file (GKeyFile *merged,
-            GHashTable *origins,
-            const char *dir,
-            const char *name,
-            GPtrArray *faults)
+merge_file (
+    GKeyFile *merged, GHashTable *origins, const char *dir, const char *name, GPtrArray *faults)
 {
   char *path = g_build_filename (dir, name, NULL);
   GKeyFile *file = g_key_file_new ();
--- a/src/config/origins.c
+++ b/src/config/origins.c
@@ -61,11 +61,8 @@
 }
 
 void
-cf_origins_fault (GHashTable *origins,
-                  GPtrArray *faults,
-                  const char *group,
-                  const char *key,
-                  const char *reason)
+cf_origins_fault (
+    GHashTable *origins, GPtrArray *faults, const char *group, const char *key, const char *reason)
 {
   char *id = origin_key (group, key);
   const char *where = origins ? g_hash_table_lookup (origins, id) : NULL;
--- a/src/config/origins.h
+++ b/src/config/origins.h
@@ -15,10 +15,7 @@
 
 /* Adds to FAULTS a line for KEY of GROUP (KEY may be NULL) with REASON.  ORIGINS
  * may be NULL, for text that did not come from files. */
-void cf_origins_fault (GHashTable *origins,
-                       GPtrArray *faults,
-                       const char *group,
-                       const char *key,
-                       const char *reason);
+void cf_origins_fault (
+    GHashTable *origins, GPtrArray *faults, const char *group, const char *key, const char *reason);
 
 #endif
--- a/src/core/choose.c
+++ b/src/core/choose.c
@@ -30,8 +30,7 @@
 
   memcpy (name.caller_ip, packet->caller.ip, sizeof name.caller_ip);
   memcpy (name.service_ip, packet->service.ip, sizeof name.service_ip);
-  crypto_shorthash ((uint8_t *) &key, (const uint8_t *) &name, sizeof name,
-                    core->options.flow_key);
+  crypto_shorthash ((uint8_t *) &key, (const uint8_t *) &name, sizeof name, core->options.flow_key);
   return key ? key : 1;
 }
 
@@ -107,8 +106,8 @@
                  uint32_t *implied,
                  uint32_t *first)
 {
-  *first = service->uniform ? best_uniform (service, key, false)
-                            : best_weighted (service, key, false);
+  *first
+      = service->uniform ? best_uniform (service, key, false) : best_weighted (service, key, false);
   if (service->same_lists)
     *implied = *first;
   else
--- a/src/core/core.c
+++ b/src/core/core.c
@@ -2,8 +2,8 @@
 
 #include <string.h>
 
-#define SWEEP_SLOTS 4096   /* flow records looked at in one tick */
-#define WATCHERS 2         /* VMs of a failure domain that watch the platform */
+#define SWEEP_SLOTS 4096 /* flow records looked at in one tick */
+#define WATCHERS 2       /* VMs of a failure domain that watch the platform */
 #define STOP_SETTLE_MS 1000
 
 static void
--- a/src/core/explain.c
+++ b/src/core/explain.c
@@ -61,7 +61,10 @@
         continue;
       member = cf_member (core, index);
       vm = cf_config_find_vm (core->config, member->id);
-      g_string_append_printf (text, "%s %s", i == 0 ? " owner" : i == 1 ? ", backups" : ",",
+      g_string_append_printf (text, "%s %s",
+                              i == 0   ? " owner"
+                              : i == 1 ? ", backups"
+                                       : ",",
                               vm == CF_NO_INDEX ? "(unlisted)" : core->config->vms[vm].name);
       if (index == 0)
         g_string_append (text, " (this VM)");
@@ -76,8 +79,9 @@
 
   if (!flow)
     {
-      g_string_append_printf (text, "record: none here; a packet after the first goes to the "
-                                    "implied upstream %s\n",
+      g_string_append_printf (text,
+                              "record: none here; a packet after the first goes to the "
+                              "implied upstream %s\n",
                               cf_slot (core, implied)->upstream->name);
       return;
     }
--- a/src/core/gatekeeper.c
+++ b/src/core/gatekeeper.c
@@ -8,13 +8,13 @@
 
 #define GROWTH_MS 1000
 #define GROWTH_FACTOR 1.5
-#define SUCCESS_SHARE 0.8   /* completed flows at which the budget grows */
-#define FAILURE_SHARE 0.5   /* completed flows at which the budget shrinks */
+#define SUCCESS_SHARE 0.8 /* completed flows at which the budget grows */
+#define FAILURE_SHARE 0.5 /* completed flows at which the budget shrinks */
 #define FAILURE_MIN_FLOWS 4
-#define WARM_MARGIN 1.5     /* budget over the expected share of a warm upstream */
-#define WARM_PROOF 2        /* completed flows needed, as multiples of bears */
-#define PROBE_FAILURES 3    /* probes without an answer */
-#define IN_BAND_MS 2000     /* completed flows this recent outrank failed probes */
+#define WARM_MARGIN 1.5  /* budget over the expected share of a warm upstream */
+#define WARM_PROOF 2     /* completed flows needed, as multiples of bears */
+#define PROBE_FAILURES 3 /* probes without an answer */
+#define IN_BAND_MS 2000  /* completed flows this recent outrank failed probes */
 #define SUSPECT_SETTLE_MS 5000
 
 bool
@@ -199,10 +199,7 @@
 }
 
 static void
-take_state (struct CfCore *core,
-            uint32_t number,
-            const struct peer_upstream *item,
-            CfMillis now)
+take_state (struct CfCore *core, uint32_t number, const struct peer_upstream *item, CfMillis now)
 {
   struct CfSlot *slot = cf_slot (core, number);
 
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -8,24 +8,24 @@
 /* State that the modules of the core share. */
 
 #define CF_HEARTBEAT_MS 500
-#define CF_URGENT_HEARTBEAT_MS 20   /* least time between two heartbeats */
-#define CF_DEAD_PROBE_MS 2000       /* heartbeats towards silent members */
-#define CF_GRANT_MS 400             /* how long an admission may be used */
-#define CF_GRANTS_PER_BUDGET 3      /* windows that may fall within one second */
-#define CF_MEMBER_DOUBT_MS 1250     /* silence after which news may be missing */
-#define CF_MEMBER_DEAD_MS 2000      /* silence after which a member is dead */
-#define CF_JOIN_WAIT_MS 1600        /* time to hear of serving members */
-#define CF_JOIN_LIMIT_MS 20000      /* longest wait for a handover */
-#define CF_DOUBT_MS 3000            /* longest delay of a flow whose entry may be lost */
-#define CF_GRACE_MS 2500            /* a leaving upstream still gets unknown UDP flows */
-#define CF_REPORT_S 20              /* age of first packets reported on a new mark */
-#define CF_HALF_OPEN_S 64           /* a first packet without a successor is forgotten */
-#define CF_RECENT_S 20              /* other records of this VM alone */
-#define CF_CLOSING_S 60             /* a flow after its FIN or RST */
-#define CF_TOUCH_S 1800             /* backups are told again of a living flow */
+#define CF_URGENT_HEARTBEAT_MS 20 /* least time between two heartbeats */
+#define CF_DEAD_PROBE_MS 2000     /* heartbeats towards silent members */
+#define CF_GRANT_MS 400           /* how long an admission may be used */
+#define CF_GRANTS_PER_BUDGET 3    /* windows that may fall within one second */
+#define CF_MEMBER_DOUBT_MS 1250   /* silence after which news may be missing */
+#define CF_MEMBER_DEAD_MS 2000    /* silence after which a member is dead */
+#define CF_JOIN_WAIT_MS 1600      /* time to hear of serving members */
+#define CF_JOIN_LIMIT_MS 20000    /* longest wait for a handover */
+#define CF_DOUBT_MS 3000          /* longest delay of a flow whose entry may be lost */
+#define CF_GRACE_MS 2500          /* a leaving upstream still gets unknown UDP flows */
+#define CF_REPORT_S 20            /* age of first packets reported on a new mark */
+#define CF_HALF_OPEN_S 64         /* a first packet without a successor is forgotten */
+#define CF_RECENT_S 20            /* other records of this VM alone */
+#define CF_CLOSING_S 60           /* a flow after its FIN or RST */
+#define CF_TOUCH_S 1800           /* backups are told again of a living flow */
 #define CF_FLOWS_MAX (1U << 21)
-#define CF_WINDOW 8                 /* unacknowledged batches of entries to a member */
-#define CF_BATCH 64                 /* entries in a batch */
+#define CF_WINDOW 8 /* unacknowledged batches of entries to a member */
+#define CF_BATCH 64 /* entries in a batch */
 #define CF_RESEND_MS 250
 #define CF_ACK_DELAY_MS 100
 #define CF_NO_SLOT UINT32_MAX
@@ -49,16 +49,16 @@
 /* What the gatekeeper of a cold upstream keeps. */
 struct CfGate
 {
-  double budget;        /* new flows a second that the upstream bears now */
-  double carry;         /* part of a grant left from the last window */
-  CfMillis not_before;  /* grants of an earlier gatekeeper may be in use until then */
+  double budget;       /* new flows a second that the upstream bears now */
+  double carry;        /* part of a grant left from the last window */
+  CfMillis not_before; /* grants of an earlier gatekeeper may be in use until then */
   CfMillis next_growth;
-  uint32_t opened;    /* fleet counts at the last growth */
+  uint32_t opened; /* fleet counts at the last growth */
   uint32_t completed;
-  uint32_t demand;    /* new flows of the whole service at the last growth */
-  uint32_t proven;    /* flows completed since the cold start */
-  uint32_t quota;     /* grants of the current window */
-  uint32_t rotation;  /* which member gets the first odd grant */
+  uint32_t demand;   /* new flows of the whole service at the last growth */
+  uint32_t proven;   /* flows completed since the cold start */
+  uint32_t quota;    /* grants of the current window */
+  uint32_t rotation; /* which member gets the first odd grant */
 };
 
 /* An upstream as this VM knows it.  Slots keep their index while configurations
@@ -200,7 +200,7 @@
 
   struct CfConfig *config;
   struct CfConfig *history[CF_HISTORY]; /* earlier versions, newest first */
-  uint32_t region; /* id of this VM's region, 0 if unknown */
+  uint32_t region;                      /* id of this VM's region, 0 if unknown */
   struct CfServiceState *services;
   uint32_t service_count;
   GArray *tenants; /* of struct CfTenant */
@@ -215,8 +215,8 @@
 
   GPtrArray *members; /* of struct CfMember; entry 0 is this VM */
   GHashTable *member_by_id;
-  struct CfOwners current; /* serving members */
-  struct CfOwners planned; /* serving and joining members */
+  struct CfOwners current;          /* serving members */
+  struct CfOwners planned;          /* serving and joining members */
   uint32_t fallback[CF_BUCKETS];    /* member that knew the bucket's flows before this VM */
   CfMillis owned_since[CF_BUCKETS]; /* when this VM became its owner */
   CfMillis gained_at[CF_BUCKETS];   /* when it did so without the entries, or -1 */
@@ -351,9 +351,7 @@
 
 /* heartbeat.c */
 void cf_heartbeats_send (struct CfCore *core, CfMillis now);
-void cf_heartbeat_receive (struct CfCore *core,
-                           const struct peer_envelope *envelope,
-                           CfMillis now);
+void cf_heartbeat_receive (struct CfCore *core, const struct peer_envelope *envelope, CfMillis now);
 void cf_send (struct CfCore *core, const struct CfMember *member, struct peer_message *message);
 
 /* route.c */
@@ -372,9 +370,8 @@
 /* limits.c */
 bool cf_limit_tenant (struct CfCore *core, struct CfServiceState *service, CfMillis now);
 bool cf_limit_full (const struct CfCore *core, const struct CfSlot *slot);
-bool cf_limit_unfair (const struct CfCore *core,
-                      const struct CfServiceState *service,
-                      uint32_t slot);
+bool
+cf_limit_unfair (const struct CfCore *core, const struct CfServiceState *service, uint32_t slot);
 void cf_limits_sum (struct CfCore *core, CfMillis now);
 
 /* gatekeeper.c */
--- a/src/core/limits.c
+++ b/src/core/limits.c
@@ -1,7 +1,9 @@
 #include "internal.h"
 
+#include <math.h>
+
 #define TENANT_WINDOW_MS 100
-#define UNFAIR_MIN_FLOWS 32 /* below this share an imbalance is chance */
+#define CHANCE_DEVIATIONS 3 /* hashing alone scatters by the square root of the mean */
 
 static void
 next_window (struct CfCore *core, CfMillis now)
@@ -94,8 +96,8 @@
   if (weight == 0)
     return false;
   open = open * slot->upstream->weight / weight;
-  return open_flows (slot) > UNFAIR_MIN_FLOWS
-         && (double) open_flows (slot) > open * (1 + core->config->limits.imbalance);
+  return (double) open_flows (slot)
+         > open * (1 + core->config->limits.imbalance) + CHANCE_DEVIATIONS * sqrt (open);
 }
 
 static void
--- a/src/core/members.c
+++ b/src/core/members.c
@@ -234,8 +234,8 @@
       if (!member->alive || member->state != PEER_SERVING)
         continue;
       any = true;
-      complete &= member->done == core->incarnation
-                  && member->config_version <= core->config->version;
+      complete
+          &= member->done == core->incarnation && member->config_version <= core->config->version;
     }
   if (waited < CF_JOIN_WAIT_MS || (any && !complete && waited < CF_JOIN_LIMIT_MS))
     return;
--- a/src/core/place.c
+++ b/src/core/place.c
@@ -96,13 +96,13 @@
   if (!cf_limit_tenant (core, route->service, route->now))
     {
       core->stats.counter[CF_COUNT_REFUSED_OVERLOAD]++;
-      return cf_route_refuse (core, route, flow ? CF_VERDICT_MAY_HAVE_RUN
-                                                : refusal_verdict (core, route));
+      return cf_route_refuse (core, route,
+                              flow ? CF_VERDICT_MAY_HAVE_RUN : refusal_verdict (core, route));
     }
   slot = choose (core, route);
   if (slot == CF_NO_SLOT)
-    return cf_route_refuse (core, route, flow ? CF_VERDICT_MAY_HAVE_RUN
-                                              : refusal_verdict (core, route));
+    return cf_route_refuse (core, route,
+                            flow ? CF_VERDICT_MAY_HAVE_RUN : refusal_verdict (core, route));
   if (slot != route->implied && !cf_may_divert (core, route->implied, route->now))
     {
       if (!implied_bears (implied))
--- a/src/core/spread.c
+++ b/src/core/spread.c
@@ -62,9 +62,7 @@
 }
 
 void
-cf_spread_request (struct CfCore *core,
-                   struct CfMember *member,
-                   const peer_config_request *ask)
+cf_spread_request (struct CfCore *core, struct CfMember *member, const peer_config_request *ask)
 {
   struct peer_message message = { .kind = PEER_CONFIG_CHUNK };
   peer_config_chunk *chunk = &message.peer_message_u.chunk;
--- a/src/core/status.c
+++ b/src/core/status.c
@@ -52,19 +52,17 @@
       cf_address_format (i ? &member->address : &core->options.address, address, sizeof address);
       g_string_append_printf (text, "%s{", i ? "," : "");
       append_text (text, "name", member_name (core, member));
-      g_string_append_printf (text,
-                              ",\"id\":%u,\"address\":\"%s\",\"alive\":%s,\"state\":\"%s\","
-                              "\"incarnation\":%" G_GUINT64_FORMAT
-                              ",\"config_version\":%" G_GUINT64_FORMAT
-                              ",\"silent_ms\":%" G_GINT64_FORMAT
-                              ",\"buckets\":%u,\"marks\":%u,\"unacknowledged_batches\":%u}",
-                              member->id, address, member->alive ? "true" : "false",
-                              state_names[member->state], member->incarnation,
-                              i ? member->config_version
-                                : (core->config ? core->config->version : 0),
-                              i && member->incarnation ? now - member->heard_at : 0,
-                              owned_buckets (core, i), member->marks->len,
-                              member->stream.outstanding);
+      g_string_append_printf (
+          text,
+          ",\"id\":%u,\"address\":\"%s\",\"alive\":%s,\"state\":\"%s\","
+          "\"incarnation\":%" G_GUINT64_FORMAT ",\"config_version\":%" G_GUINT64_FORMAT
+          ",\"silent_ms\":%" G_GINT64_FORMAT
+          ",\"buckets\":%u,\"marks\":%u,\"unacknowledged_batches\":%u}",
+          member->id, address, member->alive ? "true" : "false", state_names[member->state],
+          member->incarnation,
+          i ? member->config_version : (core->config ? core->config->version : 0),
+          i && member->incarnation ? now - member->heard_at : 0, owned_buckets (core, i),
+          member->marks->len, member->stream.outstanding);
     }
   g_string_append_c (text, ']');
 }
@@ -88,19 +86,18 @@
       append_text (text, "service", core->config->services[slot->upstream->service].name);
       g_string_append_c (text, ',');
       append_text (text, "failure_domain", core->config->domains[slot->upstream->domain].name);
-      g_string_append_printf (
-          text,
-          ",\"mode\":\"%s\",\"in_service\":%s,\"health\":\"%s\",\"marked\":%s,"
-          "\"opened\":%u,\"completed\":%u,\"closed\":%u,\"entries_away\":%u,"
-          "\"budget\":%u,\"gatekeeper\":%s}",
-          slot->upstream->mode == CF_UPSTREAM_ACTIVE     ? "active"
-          : slot->upstream->mode == CF_UPSTREAM_DRAINING ? "draining"
-                                                         : "removed",
-          slot->in_domain ? "true" : "false", health_names[slot->health],
-          cf_marked (core, i) ? "true" : "false", slot->fleet.opened, slot->fleet.completed,
-          slot->fleet.closed, slot->entries_away,
-          slot->health == PEER_COLD ? (uint32_t) slot->gate.budget : 0,
-          slot->gatekeeper == 0 ? "true" : "false");
+      g_string_append_printf (text,
+                              ",\"mode\":\"%s\",\"in_service\":%s,\"health\":\"%s\",\"marked\":%s,"
+                              "\"opened\":%u,\"completed\":%u,\"closed\":%u,\"entries_away\":%u,"
+                              "\"budget\":%u,\"gatekeeper\":%s}",
+                              slot->upstream->mode == CF_UPSTREAM_ACTIVE     ? "active"
+                              : slot->upstream->mode == CF_UPSTREAM_DRAINING ? "draining"
+                                                                             : "removed",
+                              slot->in_domain ? "true" : "false", health_names[slot->health],
+                              cf_marked (core, i) ? "true" : "false", slot->fleet.opened,
+                              slot->fleet.completed, slot->fleet.closed, slot->entries_away,
+                              slot->health == PEER_COLD ? (uint32_t) slot->gate.budget : 0,
+                              slot->gatekeeper == 0 ? "true" : "false");
     }
   g_string_append_c (text, ']');
 }
@@ -121,15 +118,14 @@
 void
 cf_core_status (const struct CfCore *core, GString *text, CfMillis now)
 {
-  g_string_append_printf (text,
-                          "{\"state\":\"%s\",\"settled\":%s,\"unsure\":%s,"
-                          "\"config_version\":%" G_GUINT64_FORMAT ",\"config_digest\":\"%016" G_GINT64_MODIFIER
-                          "x\",\"flows\":%u,\"flow_table_bytes\":%" G_GSIZE_FORMAT ",",
-                          state_names[core->state], core->settled ? "true" : "false",
-                          core->unsure ? "true" : "false",
-                          core->config ? core->config->version : 0,
-                          core->config ? core->config->digest : 0, core->table.count,
-                          cf_core_flow_bytes (core));
+  g_string_append_printf (
+      text,
+      "{\"state\":\"%s\",\"settled\":%s,\"unsure\":%s,"
+      "\"config_version\":%" G_GUINT64_FORMAT ",\"config_digest\":\"%016" G_GINT64_MODIFIER
+      "x\",\"flows\":%u,\"flow_table_bytes\":%" G_GSIZE_FORMAT ",",
+      state_names[core->state], core->settled ? "true" : "false", core->unsure ? "true" : "false",
+      core->config ? core->config->version : 0, core->config ? core->config->digest : 0,
+      core->table.count, cf_core_flow_bytes (core));
   append_members (core, text, now);
   g_string_append_c (text, ',');
   append_upstreams (core, text);
--- a/src/core/view.c
+++ b/src/core/view.c
@@ -137,7 +137,10 @@
 /* Notes the buckets that this VM owns now and did not own before, and who knows
  * their flows. */
 static void
-note_gains (struct CfCore *core, const Holders *old_current, const Holders *old_planned, CfMillis now)
+note_gains (struct CfCore *core,
+            const Holders *old_current,
+            const Holders *old_planned,
+            CfMillis now)
 {
   for (uint32_t b = 0; b < CF_BUCKETS; b++)
     {
@@ -171,8 +174,8 @@
       const struct CfCandidate *candidate
           = &g_array_index (core->current.candidates, struct CfCandidate, i);
 
-      digest = cf_rendezvous_score (
-          digest ^ cf_member (core, candidate->member)->incarnation, candidate->id);
+      digest = cf_rendezvous_score (digest ^ cf_member (core, candidate->member)->incarnation,
+                                    candidate->id);
     }
   return digest;
 }
--- a/src/packet/parse.c
+++ b/src/packet/parse.c
@@ -34,9 +34,9 @@
     return CF_DROP_HEADER;
   packet->caller.port = ntohs (tcp.source);
   packet->service.port = ntohs (tcp.dest);
-  packet->flags = (uint8_t) ((tcp.syn && !tcp.ack ? CF_PACKET_SYN : 0)
-                             | (tcp.ack ? CF_PACKET_ACK : 0) | (tcp.fin ? CF_PACKET_FIN : 0)
-                             | (tcp.rst ? CF_PACKET_RST : 0));
+  packet->flags
+      = (uint8_t) ((tcp.syn && !tcp.ack ? CF_PACKET_SYN : 0) | (tcp.ack ? CF_PACKET_ACK : 0)
+                   | (tcp.fin ? CF_PACKET_FIN : 0) | (tcp.rst ? CF_PACKET_RST : 0));
   return CF_DROP_NONE;
 }
 
--- a/src/packet/refusal.c
+++ b/src/packet/refusal.c
@@ -76,8 +76,8 @@
       reset.ack_seq = htonl (ntohl (in.seq) + (uint32_t) payload + in.syn + in.fin);
     }
   offset = write_ip (packet, IPPROTO_TCP, sizeof reset, out);
-  reset.check = cf_checksum_end (cf_checksum_add (
-      pseudo_header (packet, IPPROTO_TCP, sizeof reset), &reset, sizeof reset));
+  reset.check = cf_checksum_end (
+      cf_checksum_add (pseudo_header (packet, IPPROTO_TCP, sizeof reset), &reset, sizeof reset));
   memcpy (out + offset, &reset, sizeof reset);
   return offset + sizeof reset;
 }
--- a/src/platform/http.c
+++ b/src/platform/http.c
@@ -114,11 +114,8 @@
 }
 
 static enum CfStoreResult
-http_write (void *context,
-            const char *name,
-            const char *text,
-            const char *tag,
-            struct CfError *error)
+http_write (
+    void *context, const char *name, const char *text, const char *tag, struct CfError *error)
 {
   struct CfHttpStore *http = context;
   char *url = object_url (http->base, name);
--- a/src/platform/store.h
+++ b/src/platform/store.h
@@ -34,11 +34,8 @@
                               struct CfError *error);
   /* Writes TEXT to object NAME if its tag is TAG, or if it does not exist and TAG
    * is NULL. */
-  enum CfStoreResult (*write) (void *context,
-                               const char *name,
-                               const char *text,
-                               const char *tag,
-                               struct CfError *error);
+  enum CfStoreResult (*write) (
+      void *context, const char *name, const char *text, const char *tag, struct CfError *error);
   /* Waits before attempt number ATTEMPT (1, 2, ...) of a call. */
   void (*pause) (void *context, int attempt);
   void *context;
--- a/src/serve/admin_task.c
+++ b/src/serve/admin_task.c
@@ -44,8 +44,7 @@
   if (!query || !parse_endpoint (g_hash_table_lookup (query, "caller"), &report->caller)
       || !parse_endpoint (g_hash_table_lookup (query, "service"), &report->service))
     return false;
-  report->protocol
-      = protocol && strcmp (protocol, "udp") == 0 ? CF_PROTOCOL_UDP : CF_PROTOCOL_TCP;
+  report->protocol = protocol && strcmp (protocol, "udp") == 0 ? CF_PROTOCOL_UDP : CF_PROTOCOL_TCP;
   return true;
 }
 
--- a/src/serve/folder_task.c
+++ b/src/serve/folder_task.c
@@ -32,8 +32,8 @@
 
       if (g_stat (file, &status) == 0)
         signature += (g_str_hash (name) + 1ULL)
-                     * ((uint64_t) status.st_mtim.tv_sec * 1000003 + (uint64_t) status.st_mtim.tv_nsec
-                        + (uint64_t) status.st_size * 31);
+                     * ((uint64_t) status.st_mtim.tv_sec * 1000003
+                        + (uint64_t) status.st_mtim.tv_nsec + (uint64_t) status.st_size * 31);
       g_free (file);
     }
   g_dir_close (dir);
--- a/src/serve/health_task.c
+++ b/src/serve/health_task.c
@@ -42,8 +42,7 @@
     {
       answer->serving = json_object_get_boolean_member_with_default (object, "serving", FALSE);
       answer->start_time = json_object_get_int_member_with_default (object, "start", 0);
-      answer->open_flows
-          = (uint32_t) json_object_get_int_member_with_default (object, "open", 0);
+      answer->open_flows = (uint32_t) json_object_get_int_member_with_default (object, "open", 0);
     }
   g_object_unref (parser);
   return object != NULL;
--- a/src/serve/log.h
+++ b/src/serve/log.h
@@ -10,12 +10,12 @@
 
 /* Logs one line about a change of state, with the structured field FIELD = VALUE. */
 #define cf_log_state(FIELD, VALUE, ...)                                                            \
-  g_log_structured (G_LOG_DOMAIN, G_LOG_LEVEL_MESSAGE, "CYCLAMENFERRY_" FIELD, VALUE,       \
-                    "MESSAGE", __VA_ARGS__)
+  g_log_structured (G_LOG_DOMAIN, G_LOG_LEVEL_MESSAGE, "CYCLAMENFERRY_" FIELD, VALUE, "MESSAGE",   \
+                    __VA_ARGS__)
 
 /* The same for a fault that the process goes on after. */
 #define cf_log_fault(FIELD, VALUE, ...)                                                            \
-  g_log_structured (G_LOG_DOMAIN, G_LOG_LEVEL_WARNING, "CYCLAMENFERRY_" FIELD, VALUE,       \
-                    "MESSAGE", __VA_ARGS__)
+  g_log_structured (G_LOG_DOMAIN, G_LOG_LEVEL_WARNING, "CYCLAMENFERRY_" FIELD, VALUE, "MESSAGE",   \
+                    __VA_ARGS__)
 
 #endif
--- a/src/serve/metrics.c
+++ b/src/serve/metrics.c
@@ -47,21 +47,20 @@
       if (!histogram->count[i])
         continue;
       sum += histogram->count[i];
-      g_string_append_printf (text,
-                              PREFIX "%s_bucket{tenant=\"%s\",service=\"%s\",le=\"%" G_GUINT64_FORMAT
-                                     "\"} %" G_GUINT64_FORMAT "\n",
-                              name, service->tenant, service->name,
-                              i ? (G_GUINT64_CONSTANT (1) << i) - 1 : 0, sum);
+      g_string_append_printf (
+          text,
+          PREFIX "%s_bucket{tenant=\"%s\",service=\"%s\",le=\"%" G_GUINT64_FORMAT
+                 "\"} %" G_GUINT64_FORMAT "\n",
+          name, service->tenant, service->name, i ? (G_GUINT64_CONSTANT (1) << i) - 1 : 0, sum);
     }
-  g_string_append_printf (text,
-                          PREFIX "%s_bucket{tenant=\"%s\",service=\"%s\",le=\"+Inf\"} "
-                                 "%" G_GUINT64_FORMAT "\n" PREFIX
-                                 "%s_sum{tenant=\"%s\",service=\"%s\"} %" G_GUINT64_FORMAT
-                                 "\n" PREFIX
-                                 "%s_count{tenant=\"%s\",service=\"%s\"} %" G_GUINT64_FORMAT "\n",
-                          name, service->tenant, service->name, histogram->total, name,
-                          service->tenant, service->name, histogram->sum, name, service->tenant,
-                          service->name, histogram->total);
+  g_string_append_printf (
+      text,
+      PREFIX "%s_bucket{tenant=\"%s\",service=\"%s\",le=\"+Inf\"} "
+             "%" G_GUINT64_FORMAT "\n" PREFIX
+             "%s_sum{tenant=\"%s\",service=\"%s\"} %" G_GUINT64_FORMAT "\n" PREFIX
+             "%s_count{tenant=\"%s\",service=\"%s\"} %" G_GUINT64_FORMAT "\n",
+      name, service->tenant, service->name, histogram->total, name, service->tenant, service->name,
+      histogram->sum, name, service->tenant, service->name, histogram->total);
 }
 
 static void
@@ -70,9 +69,8 @@
                        const struct CfServiceStats *service,
                        uint64_t n)
 {
-  g_string_append_printf (text,
-                          PREFIX "%s{tenant=\"%s\",service=\"%s\"} %" G_GUINT64_FORMAT "\n", name,
-                          service->tenant, service->name, n);
+  g_string_append_printf (text, PREFIX "%s{tenant=\"%s\",service=\"%s\"} %" G_GUINT64_FORMAT "\n",
+                          name, service->tenant, service->name, n);
 }
 
 static void
--- a/src/serve/outbox.c
+++ b/src/serve/outbox.c
@@ -84,8 +84,8 @@
 
   while (sent < outbox->len)
     {
-      gint n = g_socket_send_messages (outbox->socket, outbox->messages + sent,
-                                       outbox->len - sent, 0, NULL, NULL);
+      gint n = g_socket_send_messages (outbox->socket, outbox->messages + sent, outbox->len - sent,
+                                       0, NULL, NULL);
 
       if (n > 0)
         {
--- a/src/serve/packet_task.c
+++ b/src/serve/packet_task.c
@@ -345,7 +345,10 @@
 }
 
 static GSource *
-watch_socket (GSocket *socket, GSocketSourceFunc func, struct PacketTask *task, GMainContext *context)
+watch_socket (GSocket *socket,
+              GSocketSourceFunc func,
+              struct PacketTask *task,
+              GMainContext *context)
 {
   GSource *source = g_socket_create_source (socket, G_IO_IN, NULL);
 
@@ -556,8 +559,8 @@
   else if (report->kind == CF_REPORT_STATUS)
     cf_core_status (task->core, report->text, input.now);
   else
-    cf_core_explain (task->core, &report->caller, &report->service, report->protocol,
-                     report->text, input.now);
+    cf_core_explain (task->core, &report->caller, &report->service, report->protocol, report->text,
+                     input.now);
   cf_send_report (task->server, report);
 }
 
--- a/src/serve/peer_task.c
+++ b/src/serve/peer_task.c
@@ -37,8 +37,7 @@
 {
   struct peer_envelope *envelope = g_new0 (struct peer_envelope, 1);
   uint32_t xid;
-  enum CfPeerFault fault
-      = cf_peer_decode (&task->server->keys, task->buffer, len, &xid, envelope);
+  enum CfPeerFault fault = cf_peer_decode (&task->server->keys, task->buffer, len, &xid, envelope);
 
   if (fault == CF_PEER_OK
       && !cf_replay_accept (window_of (task, envelope->vm), envelope->incarnation, xid))
--- a/src/serve/platform_task.c
+++ b/src/serve/platform_task.c
@@ -171,8 +171,8 @@
   if (task->watch || task->retry || (!task->watching && task->tag))
     return;
   task->watch = begin_call (task,
-                            cf_http_read_message (task->server->settings.platform,
-                                                  CF_CONFIG_OBJECT, task->tag, WATCH_WAIT_S),
+                            cf_http_read_message (task->server->settings.platform, CF_CONFIG_OBJECT,
+                                                  task->tag, WATCH_WAIT_S),
                             task->tag ? WATCH_DEADLINE_MS : CALL_DEADLINE_MS, finish_watch);
 }
 
--- a/src/serve/settings.c
+++ b/src/serve/settings.c
@@ -26,19 +26,45 @@
 };
 
 static const struct argp_option options[] = {
-  { "name", SET_NAME, "NAME", 0, "Name of this entry VM, unique in the fleet [CYCLAMENFERRY_NAME]; required", 0 },
-  { "failure-domain", SET_DOMAIN, "NAME", 0, "Failure domain of this VM [CYCLAMENFERRY_FAILURE_DOMAIN]; required", 0 },
-  { "address", SET_ADDRESS, "IP", 0, "Address of this VM's sockets [CYCLAMENFERRY_ADDRESS]; required", 0 },
-  { "fabric-port", SET_FABRIC_PORT, "PORT", 0, "UDP port for GUE packets from the fabric [CYCLAMENFERRY_FABRIC_PORT]; default 6080", 0 },
-  { "transfer-port", SET_TRANSFER_PORT, "PORT", 0, "UDP port for packets from other entry VMs, the same in the fleet [CYCLAMENFERRY_TRANSFER_PORT]; default 6081", 0 },
-  { "peer-port", SET_PEER_PORT, "PORT", 0, "UDP port for messages from other entry VMs, the same in the fleet [CYCLAMENFERRY_PEER_PORT]; default 6082", 0 },
-  { "admin-address", SET_ADMIN_ADDRESS, "IP", 0, "Address of the admin endpoint [CYCLAMENFERRY_ADMIN_ADDRESS]; default 127.0.0.1", 0 },
-  { "admin-port", SET_ADMIN_PORT, "PORT", 0, "TCP port of the admin endpoint, 0 for none [CYCLAMENFERRY_ADMIN_PORT]; default 6083", 0 },
-  { "config-dir", SET_CONFIG_DIR, "DIR", 0, "Folder of configuration files; read again on SIGHUP and when a file changes [CYCLAMENFERRY_CONFIG_DIR]", 0 },
-  { "platform", SET_PLATFORM, "URL", 0, "Base URL of the platform's object API [CYCLAMENFERRY_PLATFORM]; this or --config-dir is required", 0 },
-  { "fleet-key", SET_FLEET_KEY, "HEX", 0, "Key of the fleet, 64 hexadecimal digits; better given as [CYCLAMENFERRY_FLEET_KEY], since other users see a process's flags; required", 0 },
-  { "linger", SET_LINGER, "SECONDS", 0, "How long packets are passed on after a handover, for a fabric that is slow to notice [CYCLAMENFERRY_LINGER]; default 10", 0 },
-  { "health-interval", SET_HEALTH_INTERVAL, "MS", 0, "Milliseconds between two probes of an upstream [CYCLAMENFERRY_HEALTH_INTERVAL]; default 1000", 0 },
+  { "name", SET_NAME, "NAME", 0,
+    "Name of this entry VM, unique in the fleet [CYCLAMENFERRY_NAME]; required", 0 },
+  { "failure-domain", SET_DOMAIN, "NAME", 0,
+    "Failure domain of this VM [CYCLAMENFERRY_FAILURE_DOMAIN]; required", 0 },
+  { "address", SET_ADDRESS, "IP", 0,
+    "Address of this VM's sockets [CYCLAMENFERRY_ADDRESS]; required", 0 },
+  { "fabric-port", SET_FABRIC_PORT, "PORT", 0,
+    "UDP port for GUE packets from the fabric [CYCLAMENFERRY_FABRIC_PORT]; default 6080", 0 },
+  { "transfer-port", SET_TRANSFER_PORT, "PORT", 0,
+    "UDP port for packets from other entry VMs, the same in the fleet "
+    "[CYCLAMENFERRY_TRANSFER_PORT]; default 6081",
+    0 },
+  { "peer-port", SET_PEER_PORT, "PORT", 0,
+    "UDP port for messages from other entry VMs, the same in the fleet [CYCLAMENFERRY_PEER_PORT]; "
+    "default 6082",
+    0 },
+  { "admin-address", SET_ADMIN_ADDRESS, "IP", 0,
+    "Address of the admin endpoint [CYCLAMENFERRY_ADMIN_ADDRESS]; default 127.0.0.1", 0 },
+  { "admin-port", SET_ADMIN_PORT, "PORT", 0,
+    "TCP port of the admin endpoint, 0 for none [CYCLAMENFERRY_ADMIN_PORT]; default 6083", 0 },
+  { "config-dir", SET_CONFIG_DIR, "DIR", 0,
+    "Folder of configuration files; read again on SIGHUP and when a file changes "
+    "[CYCLAMENFERRY_CONFIG_DIR]",
+    0 },
+  { "platform", SET_PLATFORM, "URL", 0,
+    "Base URL of the platform's object API [CYCLAMENFERRY_PLATFORM]; this or --config-dir is "
+    "required",
+    0 },
+  { "fleet-key", SET_FLEET_KEY, "HEX", 0,
+    "Key of the fleet, 64 hexadecimal digits; better given as [CYCLAMENFERRY_FLEET_KEY], since "
+    "other users see a process's flags; required",
+    0 },
+  { "linger", SET_LINGER, "SECONDS", 0,
+    "How long packets are passed on after a handover, for a fabric that is slow to notice "
+    "[CYCLAMENFERRY_LINGER]; default 10",
+    0 },
+  { "health-interval", SET_HEALTH_INTERVAL, "MS", 0,
+    "Milliseconds between two probes of an upstream [CYCLAMENFERRY_HEALTH_INTERVAL]; default 1000",
+    0 },
   { 0 },
 };
 
--- a/src/serve/settings.h
+++ b/src/serve/settings.h
@@ -25,9 +25,6 @@
 
 /* Reads the arguments of "serve" into SETTINGS.  Returns false with ERROR filled in
  * if a value is missing or not valid.  --help prints and exits. */
-bool cf_settings_parse (struct CfSettings *settings,
-                        int argc,
-                        char **argv,
-                        struct CfError *error);
+bool cf_settings_parse (struct CfSettings *settings, int argc, char **argv, struct CfError *error);
 
 #endif
--- a/src/serve/task.c
+++ b/src/serve/task.c
@@ -1,6 +1,8 @@
 #include "task.h"
 #include "log.h"
 
+#include <string.h>
+
 #define RESTART_MIN_MS 100
 #define RESTART_MAX_MS 10000
 #define RUN_GOOD_MS 30000 /* a run this long resets the delay */
@@ -25,6 +27,7 @@
 {
   struct CfTask *task = data;
   gint64 delay_ms = RESTART_MIN_MS;
+  char last[CF_ERROR_TEXT_MAX] = "";
 
   g_main_context_push_thread_default (task->context);
   while (!g_atomic_int_get (&task->quit))
@@ -34,9 +37,12 @@
 
       if (task->class->start (task, task->data, &error))
         g_main_loop_run (task->loop);
-      else
-        cf_log_fault ("TASK", task->class->name, "task %s did not start: %s", task->class->name,
-                      error.text);
+      else if (strcmp (last, error.text) != 0)
+        {
+          cf_log_fault ("TASK", task->class->name, "task %s did not start: %s", task->class->name,
+                        error.text);
+          g_strlcpy (last, error.text, sizeof last);
+        }
       task->class->stop (task, task->data);
       if (g_atomic_int_get (&task->quit))
         break;
--- /dev/null
+++ b/tests/fleet.h
@@ -0,0 +1,192 @@
+#ifndef CF_TEST_FLEET_H
+#define CF_TEST_FLEET_H
+
+#include "cf_core.h"
+#include "network.h"
+
+/* A fleet of cores on the test network, with callers, upstreams and a checker that
+ * knows where every flow really is. */
+
+#define FLEET_VMS 64
+#define FLEET_UPSTREAMS 64
+
+struct FleetSpec
+{
+  uint32_t seed;
+  uint32_t vms;
+  uint32_t domains;
+  uint32_t upstreams[2]; /* of the two services */
+  uint32_t bears;
+  uint32_t connections; /* 0: 2000 */
+  const struct CfPolicy *policy;
+  bool udp;
+};
+
+/* What the callers do. */
+struct FleetTraffic
+{
+  double flows_per_s;
+  CfMillis life_min;
+  CfMillis life_max;
+  CfMillis gap; /* between two packets of a flow */
+};
+
+struct FleetVm
+{
+  struct Fleet *fleet;
+  uint32_t index;
+  struct CfCore *core; /* NULL: not running */
+  bool in_fabric;      /* the fabric hands it packets */
+  CfMillis paused_until;
+  uint64_t run; /* counts starts, so that old timers end */
+  GArray *probes;
+  bool may_stop;
+  uint64_t peer_bytes;     /* control bytes sent, with IP and UDP headers */
+  uint64_t transfer_bytes; /* transferred packets with all headers */
+  struct CfStats last;     /* counters of former incarnations, summed */
+};
+
+/* An upstream and what the checker saw at it. */
+struct FleetUpstream
+{
+  struct Fleet *fleet;
+  uint32_t index;
+  char name[32];
+  uint32_t service;
+  uint32_t domain;
+  GHashTable *open; /* flow index to itself */
+  bool down;
+  bool refusing; /* answers every first packet with a reset */
+  bool health_lies_down;
+  bool health_lies_up;
+  int64_t start_time;
+  CfMillis cold_since; /* -1: not cold in the checker's eyes */
+  CfMillis closed_at;  /* no new flow from then on, -1: none */
+  CfMillis out_at;     /* no packet at all from then on, -1: none */
+  uint64_t accepted;   /* new flows */
+  GArray *arrivals;    /* times of new flows while cold */
+  uint32_t worst_rate; /* most new flows within any second while cold */
+};
+
+enum FlowState
+{
+  FLOW_OPENING,
+  FLOW_OPEN,
+  FLOW_DONE,
+  FLOW_REFUSED,
+  FLOW_BROKEN,
+  FLOW_GIVEN_UP, /* its failure domain was taken out, or its upstream died */
+};
+
+struct FleetFlow
+{
+  enum FlowState state;
+  uint8_t service;
+  bool udp;
+  bool muted;         /* sends nothing of its own accord */
+  int32_t upstream;   /* where it is open, -1: nowhere */
+  int32_t first_seen; /* upstream that saw its first packet, -1: none */
+  uint32_t acked;
+  uint32_t sent;
+  uint32_t tries;
+  CfMillis opened_at;
+  CfMillis ends_at;
+  CfMillis wait; /* for the answer to the last packet */
+};
+
+/* The checker's counts. */
+struct FleetCount
+{
+  uint64_t opened;
+  uint64_t done;
+  uint64_t refused;
+  uint64_t broken;
+  uint64_t given_up;
+  uint64_t unanswered;    /* first packets never answered */
+  uint64_t misdelivered;  /* packets at an upstream of another service */
+  uint64_t twice;         /* first packets that reached two upstreams */
+  uint64_t false_not_run; /* refusals NOT_RUN of a flow that an upstream saw */
+  uint64_t late_new;      /* new flows at an upstream that was to get none */
+  uint64_t late_packets;  /* packets into a failure domain that was out */
+  uint64_t delayed;       /* flows whose first packet had to be repeated */
+};
+
+struct Fleet
+{
+  struct FleetSpec spec;
+  struct TestNetwork *network;
+  struct CfConfig *config; /* the newest */
+  struct FleetVm vms[FLEET_VMS];
+  struct FleetUpstream upstreams[FLEET_UPSTREAMS];
+  uint32_t upstream_count;
+  struct CfAddress services[2];
+  GPtrArray *flows; /* of struct FleetFlow */
+  struct FleetTraffic traffic;
+  struct FleetCount count;
+  bool trace;
+  /* Takes packets to VM in place of the fabric, for processes on sockets. */
+  void (*send) (void *context, uint32_t vm, const uint8_t *data, size_t len);
+  void *send_context;
+};
+
+struct Fleet *fleet_new (const struct FleetSpec *spec);
+void fleet_free (struct Fleet *fleet);
+
+/* Starts VM with the newest configuration, or with none if BARE. */
+void fleet_start (struct Fleet *fleet, uint32_t vm, bool bare);
+
+/* Starts all VMs and lets them settle. */
+void fleet_start_all (struct Fleet *fleet);
+
+/* Ends VM without notice.  The fabric goes on for a while if LINGER is not 0. */
+void fleet_kill (struct Fleet *fleet, uint32_t vm);
+
+/* Plans the stop of VM: it hands over, the fabric leaves it, it ends. */
+void fleet_leave (struct Fleet *fleet, uint32_t vm);
+
+/* Lets VM stand still for SPAN: no timer, no packet; they arrive afterwards. */
+void fleet_pause (struct Fleet *fleet, uint32_t vm, CfMillis span);
+
+/* Makes CONFIG (the fleet takes the reference) the newest and gives it to every VM,
+ * each after a random time of up to SPREAD. */
+void fleet_set_config (struct Fleet *fleet, struct CfConfig *config, CfMillis spread);
+
+/* Drains or undrains upstream number U through the configuration. */
+void fleet_drain (struct Fleet *fleet, uint32_t u, bool draining, CfMillis spread);
+
+/* Takes failure domain number D out or in. */
+void fleet_domain (struct Fleet *fleet, uint32_t d, bool in, CfMillis spread);
+
+/* Returns the text of the fleet's first configuration with COUNTS upstreams. */
+char *fleet_config_text (const struct FleetSpec *spec, const uint32_t counts[2]);
+
+/* Restarts upstream U without notice: its flows are lost and it is cold. */
+void fleet_restart_upstream (struct Fleet *fleet, uint32_t u);
+
+/* Sets the traffic from now on. */
+void fleet_traffic (struct Fleet *fleet, const struct FleetTraffic *traffic);
+
+/* Opens one flow to SERVICE that lives for LIFE and sends every GAP, 0 for never.
+ * Returns it. */
+struct FleetFlow *fleet_open (struct Fleet *fleet, uint32_t service, CfMillis life, CfMillis gap);
+
+/* Sends one more packet of FLOW. */
+void fleet_poke (struct Fleet *fleet, struct FleetFlow *flow);
+
+/* Lets SPAN pass. */
+void fleet_run (struct Fleet *fleet, CfMillis span);
+
+/* Returns the number of flows now open. */
+uint64_t fleet_open_count (const struct Fleet *fleet);
+
+/* Returns the largest share over the mean among the upstreams of SERVICE that take
+ * new flows. */
+double fleet_imbalance (const struct Fleet *fleet, uint32_t service);
+
+/* Returns the sum of COUNTER over all VMs. */
+uint64_t fleet_counter (const struct Fleet *fleet, enum CfCounter counter);
+
+/* Prints the counts on one line with LABEL. */
+void fleet_print (const struct Fleet *fleet, const char *label);
+
+#endif
--- /dev/null
+++ b/tests/fleet_traffic.c
@@ -0,0 +1,465 @@
+#include "fleet_internal.h"
+#include "packets.h"
+
+#include <stdio.h>
+#include <string.h>
+
+/* Callers, upstreams and the checker of the test fleet. */
+
+#define FABRIC_DELAY_MS 1
+#define ANSWER_DELAY_MS 2
+#define OPEN_RETRY_MS 1000 /* doubled with every repetition */
+#define OPEN_TRIES 4
+#define DATA_RETRY_MS 300
+#define DATA_TRIES 9 /* a caller gives up after about 75 s, as TCP may */
+#define RETRY_MAX_MS 10000
+#define PORT_BASE 1024
+#define PORT_BITS 14
+#define COLD_CHECK_MS 5000 /* the checker counts a cold upstream's arrivals for this long */
+
+static struct FleetFlow *
+flow_at (struct Fleet *fleet, uint32_t index)
+{
+  return fleet->flows->pdata[index];
+}
+
+static void
+caller_of (uint32_t flow, struct CfAddress *caller)
+{
+  uint32_t host = flow >> PORT_BITS;
+
+  *caller = (struct CfAddress){ .ip = { [10] = 0xff,
+                                        [11] = 0xff,
+                                        [12] = 11,
+                                        [13] = (uint8_t) (host >> 16),
+                                        [14] = (uint8_t) (host >> 8),
+                                        [15] = (uint8_t) host },
+                                .port = (uint16_t) (PORT_BASE + (flow & ((1 << PORT_BITS) - 1))) };
+}
+
+uint32_t
+fleet_flow_of (const struct CfPacket *packet)
+{
+  const uint8_t *ip = packet->caller.ip + 12;
+  uint32_t host = (uint32_t) ip[1] << 16 | (uint32_t) ip[2] << 8 | ip[3];
+
+  return host << PORT_BITS | (uint32_t) (packet->caller.port - PORT_BASE);
+}
+
+/* The fabric. */
+
+static void
+arrive_fabric (void *context, void *payload)
+{
+  struct FleetVm *vm = context;
+  const struct FleetPacket *packet = payload;
+  static const struct CfAddress reply = { .port = 6080 };
+  CfMillis now = test_network_now (vm->fleet->network);
+
+  if (!vm->core)
+    return;
+  if (now < vm->paused_until)
+    {
+      test_network_at (vm->fleet->network, vm->paused_until, arrive_fabric, vm,
+                       g_memdup2 (packet, sizeof *packet), g_free);
+      return;
+    }
+  cf_core_packet (vm->core, packet->data, packet->len, &reply, now);
+  cf_core_flush (vm->core, now);
+}
+
+void
+fleet_to_fabric (struct Fleet *fleet, const struct FleetPacket *packet)
+{
+  uint32_t count = 0;
+  uint32_t pick;
+
+  for (uint32_t i = 0; i < fleet->spec.vms; i++)
+    count += fleet->vms[i].in_fabric;
+  if (count == 0)
+    return;
+  pick = (uint32_t) g_rand_int_range (test_network_random (fleet->network), 0, (gint32) count);
+  for (uint32_t i = 0; i < fleet->spec.vms; i++)
+    if (fleet->vms[i].in_fabric && pick-- == 0)
+      {
+        if (fleet->send)
+          {
+            fleet->send (fleet->send_context, i, packet->data, packet->len);
+            return;
+          }
+        test_network_at (fleet->network,
+                         test_network_now (fleet->network) + FABRIC_DELAY_MS
+                             + g_rand_int_range (test_network_random (fleet->network), 0, 2),
+                         arrive_fabric, &fleet->vms[i], g_memdup2 (packet, sizeof *packet), g_free);
+        return;
+      }
+}
+
+/* Callers. */
+
+struct FlowEvent
+{
+  uint32_t flow;
+  uint32_t sent; /* for a repetition: the packet it is about */
+  enum FleetAnswer answer;
+  int32_t upstream;
+};
+
+static void
+send_packet (struct Fleet *fleet, uint32_t index, uint8_t flags)
+{
+  const struct FleetFlow *flow = flow_at (fleet, index);
+  struct FleetPacket packet = { 0 };
+  struct CfAddress caller;
+  uint8_t data[CF_PACKET_MAX];
+
+  caller_of (index, &caller);
+  packet.len = test_packet_build (&caller, &fleet->services[flow->service],
+                                  flow->udp ? CF_PROTOCOL_UDP : CF_PROTOCOL_TCP, flags, 32, data);
+  memcpy (packet.data, data, packet.len);
+  fleet_to_fabric (fleet, &packet);
+}
+
+static void
+finish (struct Fleet *fleet, struct FleetFlow *flow, enum FlowState state)
+{
+  if (state == FLOW_BROKEN && flow->upstream >= 0)
+    {
+      const struct FleetUpstream *upstream = &fleet->upstreams[flow->upstream];
+
+      /* What ends in a failure domain that was taken out is given up. */
+      if (upstream->out_at >= 0 || upstream->down)
+        state = FLOW_GIVEN_UP;
+    }
+  flow->state = state;
+  fleet->count.done += state == FLOW_DONE;
+  fleet->count.broken += state == FLOW_BROKEN;
+  fleet->count.given_up += state == FLOW_GIVEN_UP;
+  fleet->count.refused += state == FLOW_REFUSED;
+}
+
+static void schedule (struct Fleet *fleet, uint32_t index, CfMillis wait, TestHandler *handler);
+
+static void
+repeat (void *context, void *payload)
+{
+  struct Fleet *fleet = context;
+  const struct FlowEvent *event = payload;
+  struct FleetFlow *flow = flow_at (fleet, event->flow);
+  bool opening = flow->state == FLOW_OPENING;
+
+  if (event->sent != flow->sent || (flow->state != FLOW_OPEN && !opening)
+      || (!opening && flow->acked == flow->sent))
+    return;
+  if (++flow->tries >= (opening ? OPEN_TRIES : DATA_TRIES))
+    {
+      fleet->count.unanswered += opening;
+      if (fleet->trace)
+        printf ("%8" G_GINT64_FORMAT " flow %u at %d times out\n",
+                test_network_now (fleet->network), event->flow, flow->upstream);
+      finish (fleet, flow, opening ? FLOW_REFUSED : FLOW_BROKEN);
+      return;
+    }
+  fleet->count.delayed += opening && flow->tries == 1;
+  send_packet (fleet, event->flow, opening ? CF_PACKET_SYN : CF_PACKET_ACK);
+  flow->wait = MIN (flow->wait * 2, RETRY_MAX_MS);
+  schedule (fleet, event->flow, flow->wait, repeat);
+}
+
+static void
+schedule (struct Fleet *fleet, uint32_t index, CfMillis wait, TestHandler *handler)
+{
+  struct FlowEvent *event = g_new0 (struct FlowEvent, 1);
+
+  event->flow = index;
+  event->sent = flow_at (fleet, index)->sent;
+  test_network_at (fleet->network, test_network_now (fleet->network) + wait, handler, fleet, event,
+                   g_free);
+}
+
+static void
+send_data (struct Fleet *fleet, uint32_t index)
+{
+  struct FleetFlow *flow = flow_at (fleet, index);
+
+  flow->sent++;
+  flow->tries = 0;
+  flow->wait = DATA_RETRY_MS;
+  send_packet (fleet, index, CF_PACKET_ACK);
+  schedule (fleet, index, flow->wait, repeat);
+}
+
+static void
+next_packet (void *context, void *payload)
+{
+  struct Fleet *fleet = context;
+  const struct FlowEvent *event = payload;
+  struct FleetFlow *flow = flow_at (fleet, event->flow);
+  CfMillis now = test_network_now (fleet->network);
+
+  if (flow->state != FLOW_OPEN)
+    return;
+  if (now >= flow->ends_at && flow->acked == flow->sent)
+    {
+      send_packet (fleet, event->flow, CF_PACKET_FIN | CF_PACKET_ACK);
+      finish (fleet, flow, FLOW_DONE);
+      return;
+    }
+  if (flow->acked == flow->sent)
+    send_data (fleet, event->flow);
+  schedule (fleet, event->flow, fleet->traffic.gap, next_packet);
+}
+
+void
+fleet_poke (struct Fleet *fleet, struct FleetFlow *flow)
+{
+  for (guint i = 0; i < fleet->flows->len; i++)
+    if (fleet->flows->pdata[i] == flow)
+      send_data (fleet, i);
+}
+
+static void
+take_answer (void *context, void *payload)
+{
+  struct Fleet *fleet = context;
+  const struct FlowEvent *event = payload;
+  struct FleetFlow *flow = flow_at (fleet, event->flow);
+
+  if (flow->state != FLOW_OPENING && flow->state != FLOW_OPEN)
+    return;
+  switch (event->answer)
+    {
+    case ANSWER_OPENED:
+      if (flow->state == FLOW_OPEN)
+        return;
+      flow->state = FLOW_OPEN;
+      flow->upstream = event->upstream;
+      fleet->count.opened++;
+      send_packet (fleet, event->flow, CF_PACKET_ACK);
+      if (!flow->muted)
+        {
+          send_data (fleet, event->flow);
+          schedule (fleet, event->flow, fleet->traffic.gap, next_packet);
+        }
+      return;
+    case ANSWER_ACK:
+      if (event->upstream == flow->upstream)
+        flow->acked = flow->sent;
+      return;
+    case ANSWER_REFUSED_NOT_RUN:
+    case ANSWER_REFUSED:
+      if (event->answer == ANSWER_REFUSED_NOT_RUN && flow->first_seen >= 0)
+        fleet->count.false_not_run++;
+      finish (fleet, flow, flow->state == FLOW_OPENING ? FLOW_REFUSED : FLOW_BROKEN);
+      return;
+    case ANSWER_RESET:
+      if (fleet->trace)
+        printf ("%8" G_GINT64_FORMAT " flow %u of upstream %d is reset by upstream %d\n",
+                test_network_now (fleet->network), event->flow, flow->upstream, event->upstream);
+      finish (fleet, flow, flow->state == FLOW_OPENING ? FLOW_REFUSED : FLOW_BROKEN);
+      return;
+    }
+}
+
+void
+fleet_answer (struct Fleet *fleet, uint32_t flow, enum FleetAnswer answer, int32_t upstream)
+{
+  struct FlowEvent *event = g_new0 (struct FlowEvent, 1);
+
+  *event = (struct FlowEvent){ .flow = flow, .answer = answer, .upstream = upstream };
+  test_network_at (fleet->network, test_network_now (fleet->network) + ANSWER_DELAY_MS, take_answer,
+                   fleet, event, g_free);
+}
+
+struct FleetFlow *
+fleet_open (struct Fleet *fleet, uint32_t service, CfMillis life, CfMillis gap)
+{
+  struct FleetFlow *flow = g_new0 (struct FleetFlow, 1);
+  CfMillis now = test_network_now (fleet->network);
+
+  *flow = (struct FleetFlow){
+    .service = (uint8_t) service,
+    .udp = fleet->spec.udp,
+    .muted = gap == 0,
+    .upstream = -1,
+    .first_seen = -1,
+    .opened_at = now,
+    .ends_at = now + life,
+    .wait = OPEN_RETRY_MS,
+  };
+  g_ptr_array_add (fleet->flows, flow);
+  send_packet (fleet, fleet->flows->len - 1, CF_PACKET_SYN);
+  schedule (fleet, fleet->flows->len - 1, flow->wait, repeat);
+  return flow;
+}
+
+static void
+new_flows (void *context, void *payload)
+{
+  struct Fleet *fleet = context;
+  GRand *random = test_network_random (fleet->network);
+  double rate = fleet->traffic.flows_per_s;
+  CfMillis wait
+      = rate > 0 ? (CfMillis) (-1000 / rate * __builtin_log (1 - g_rand_double (random))) : 100;
+
+  (void) payload;
+  if (rate > 0)
+    fleet_open (fleet, g_rand_int_range (random, 0, 4) == 0,
+                g_rand_int_range (random, (gint32) fleet->traffic.life_min,
+                                  (gint32) fleet->traffic.life_max + 1),
+                fleet->traffic.gap);
+  test_network_at (fleet->network, test_network_now (fleet->network) + wait, new_flows, fleet, NULL,
+                   NULL);
+}
+
+void
+fleet_traffic_start (struct Fleet *fleet)
+{
+  new_flows (fleet, NULL);
+}
+
+void
+fleet_traffic (struct Fleet *fleet, const struct FleetTraffic *traffic)
+{
+  fleet->traffic = *traffic;
+}
+
+/* Upstreams. */
+
+static void
+count_arrival (struct FleetUpstream *upstream, CfMillis now)
+{
+  guint within = 0;
+
+  if (upstream->cold_since < 0 || now - upstream->cold_since > COLD_CHECK_MS)
+    return;
+  g_array_append_val (upstream->arrivals, now);
+  for (guint i = upstream->arrivals->len; i > 0; i--)
+    within += g_array_index (upstream->arrivals, CfMillis, i - 1) > now - CF_MS_PER_S;
+  upstream->worst_rate = MAX (upstream->worst_rate, within);
+}
+
+static void
+receive_first (struct Fleet *fleet, struct FleetUpstream *upstream, uint32_t index)
+{
+  struct FleetFlow *flow = flow_at (fleet, index);
+  CfMillis now = test_network_now (fleet->network);
+
+  if (flow->first_seen >= 0 && flow->first_seen != (int32_t) upstream->index)
+    {
+      if (fleet->trace)
+        printf ("%8" G_GINT64_FORMAT " flow %u: first packet at %d and at %u\n", now, index,
+                flow->first_seen, upstream->index);
+      fleet->count.twice++;
+    }
+  if (flow->first_seen < 0)
+    {
+      fleet->count.late_new += upstream->closed_at >= 0 && now > upstream->closed_at;
+      upstream->accepted++;
+      count_arrival (upstream, now);
+    }
+  flow->first_seen = (int32_t) upstream->index;
+  if (upstream->refusing)
+    {
+      fleet_answer (fleet, index, ANSWER_RESET, (int32_t) upstream->index);
+      return;
+    }
+  g_hash_table_add (upstream->open, GUINT_TO_POINTER (index + 1));
+  fleet_answer (fleet, index, ANSWER_OPENED, (int32_t) upstream->index);
+}
+
+void
+fleet_upstream_receive (struct Fleet *fleet, uint32_t number, const struct FleetPacket *bytes)
+{
+  struct FleetUpstream *upstream = &fleet->upstreams[number];
+  struct CfPacket packet = { 0 };
+  uint32_t index;
+  bool known;
+
+  if (cf_packet_parse (bytes->data, bytes->len, &packet) != CF_DROP_NONE)
+    g_error ("an upstream got a packet that is not one");
+  if (!cf_address_equal (&packet.service, &fleet->services[upstream->service]))
+    {
+      fleet->count.misdelivered++;
+      return;
+    }
+  if (upstream->out_at >= 0 && test_network_now (fleet->network) > upstream->out_at)
+    fleet->count.late_packets++;
+  if (upstream->down)
+    return;
+  index = fleet_flow_of (&packet);
+  known = g_hash_table_contains (upstream->open, GUINT_TO_POINTER (index + 1));
+  if (packet.flags & CF_PACKET_SYN || (flow_at (fleet, index)->udp && !known))
+    receive_first (fleet, upstream, index);
+  else if (packet.flags & CF_PACKET_FIN)
+    g_hash_table_remove (upstream->open, GUINT_TO_POINTER (index + 1));
+  else
+    fleet_answer (fleet, index, known ? ANSWER_ACK : ANSWER_RESET, (int32_t) number);
+}
+
+void
+fleet_restart_upstream (struct Fleet *fleet, uint32_t u)
+{
+  struct FleetUpstream *upstream = &fleet->upstreams[u];
+
+  for (guint i = 0; i < fleet->flows->len; i++)
+    {
+      struct FleetFlow *flow = fleet->flows->pdata[i];
+
+      if (flow->upstream == (int32_t) u && flow->state == FLOW_OPEN)
+        finish (fleet, flow, FLOW_GIVEN_UP);
+    }
+  g_hash_table_remove_all (upstream->open);
+  upstream->start_time = test_network_now (fleet->network);
+  upstream->cold_since = test_network_now (fleet->network);
+  upstream->worst_rate = 0;
+  g_array_set_size (upstream->arrivals, 0);
+}
+
+uint64_t
+fleet_open_count (const struct Fleet *fleet)
+{
+  uint64_t count = 0;
+
+  for (guint i = 0; i < fleet->flows->len; i++)
+    count += ((const struct FleetFlow *) fleet->flows->pdata[i])->state == FLOW_OPEN;
+  return count;
+}
+
+double
+fleet_imbalance (const struct Fleet *fleet, uint32_t service)
+{
+  uint64_t largest = 0;
+  uint64_t sum = 0;
+  uint64_t count = 0;
+
+  for (uint32_t u = 0; u < fleet->upstream_count; u++)
+    {
+      const struct FleetUpstream *upstream = &fleet->upstreams[u];
+      uint64_t open = g_hash_table_size (upstream->open);
+
+      if (upstream->service != service || upstream->closed_at >= 0 || upstream->out_at >= 0
+          || u % 32 >= fleet->spec.upstreams[service])
+        continue;
+      largest = MAX (largest, open);
+      sum += open;
+      count++;
+    }
+  return sum ? (double) largest * (double) count / (double) sum : 1;
+}
+
+void
+fleet_print (const struct Fleet *fleet, const char *label)
+{
+  const struct FleetCount *count = &fleet->count;
+
+  printf ("%-28s opened %" G_GUINT64_FORMAT " done %" G_GUINT64_FORMAT " broken %" G_GUINT64_FORMAT
+          " given-up %" G_GUINT64_FORMAT " refused %" G_GUINT64_FORMAT
+          " unanswered %" G_GUINT64_FORMAT " delayed %" G_GUINT64_FORMAT
+          " misdelivered %" G_GUINT64_FORMAT " twice %" G_GUINT64_FORMAT
+          " false-not-run %" G_GUINT64_FORMAT " late-new %" G_GUINT64_FORMAT
+          " late-packets %" G_GUINT64_FORMAT "\n",
+          label, count->opened, count->done, count->broken, count->given_up, count->refused,
+          count->unanswered, count->delayed, count->misdelivered, count->twice,
+          count->false_not_run, count->late_new, count->late_packets);
+}
