Established flows survive bad networks and partitions

Causes found with the checker's traces, each on a fixed seed: - an owner went on asking a former owner in every unsettled moment, long after it knew everything, and stopped before entries in flight had arrived; - a leaving VM ended with entries unacknowledged that a late packet caused; - after a partition the first holder of a bucket could be a member of the other side, which has none of the entries it was to hand over; - while a partition lasts, a packet without a record went to the implied upstream although its flow had been placed on the other side; - a half-open entry expired after 64 s, within the time a partition is suspected.

--- a/include/cf_core.h
+++ b/include/cf_core.h
@@ -147,6 +147,10 @@
  * the VM may stop. */
 void cf_core_leave (struct CfCore *core, CfMillis now);
 
+/* Returns true if this VM is leaving and has nothing left to hand over at this
+ * moment.  To be asked once more before the process ends. */
+bool cf_core_may_stop (const struct CfCore *core);
+
 /* Sends what has gathered for other VMs.  To be called after each batch of
  * packets. */
 void cf_core_flush (struct CfCore *core, CfMillis now);
--- a/src/core/core.c
+++ b/src/core/core.c
@@ -47,6 +47,7 @@
   core->state = PEER_JOINING;
   core->unsure = true;
   core->mark_version = 1;
+  core->death_at = -1;
   core->heartbeat_urgent = true;
   core->tenants = g_array_new (FALSE, FALSE, sizeof (struct CfTenant));
   core->slots = g_array_new (FALSE, FALSE, sizeof (struct CfSlot));
@@ -295,11 +296,11 @@
 static void
 check_stop (struct CfCore *core, CfMillis now)
 {
+  CfMillis waited = now - core->state_since;
   bool idle = true;
   bool others = false;
 
-  if (core->state != PEER_LEAVING || core->stop_announced
-      || now - core->state_since < STOP_SETTLE_MS)
+  if (core->state != PEER_LEAVING)
     return;
   for (guint i = 1; i < core->members->len; i++)
     {
@@ -308,12 +309,20 @@
       others |= member->alive;
       idle &= !member->alive || cf_stream_idle (&member->stream);
     }
-  if (others && (!idle || !core->settled) && now - core->state_since < CF_JOIN_LIMIT_MS)
+  core->may_stop = waited >= STOP_SETTLE_MS
+                   && (!others || (idle && core->settled) || waited >= CF_JOIN_LIMIT_MS);
+  if (!core->may_stop || core->stop_announced)
     return;
   core->stop_announced = true;
   core->out->state_changed (core->context, PEER_LEAVING, true);
 }
 
+bool
+cf_core_may_stop (const struct CfCore *core)
+{
+  return core->superseded || core->may_stop;
+}
+
 /* A few members of each failure domain watch the platform; the others learn of new
  * configurations from heartbeats. */
 static void
@@ -363,6 +372,7 @@
   cf_evidence_tick (core, now);
   cf_marks_update (core, now);
   cf_view_settle (core, now);
+  cf_view_end_fallbacks (core, now);
   if (core->config)
     cf_flows_sweep (core, SWEEP_SLOTS, now);
   cf_streams_flush (core, now);
--- a/src/core/flows.c
+++ b/src/core/flows.c
@@ -85,8 +85,10 @@
 
   if (flow->flags & CF_FLOW_CLOSING)
     return CF_CLOSING_S;
-  if ((flow->flags & CF_FLOW_HALF_OPEN) && (owner || flow->kind == CF_FLOW_RECENT))
+  if ((flow->flags & CF_FLOW_HALF_OPEN) && flow->kind == CF_FLOW_RECENT)
     return CF_HALF_OPEN_S;
+  if ((flow->flags & CF_FLOW_HALF_OPEN) && owner)
+    return CF_HALF_OPEN_ENTRY_S;
   if (core->policy->local_table || flow->kind == CF_FLOW_ENTRY)
     return idle_s + CF_TOUCH_S;
   return flow->flags & CF_FLOW_UDP ? UDP_RECENT_S : CF_RECENT_S;
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -16,11 +16,14 @@
 #define CF_MEMBER_DEAD_MS 2000    /* silence after which a member is dead */
 #define CF_JOIN_WAIT_MS 1600      /* time to hear of serving members */
 #define CF_JOIN_LIMIT_MS 20000    /* longest wait for a handover */
-#define CF_DOUBT_MS 3000          /* longest delay of a flow whose entry may be lost */
-#define CF_PARTITION_MS 90000        /* a silent member may be cut off for this long */
+#define CF_DOUBT_MS 3000          /* a new owner asks the one before it for this long */
+#define CF_PUSH_MS 30000          /* a handover may be unfinished for this long */
+#define CF_IN_FLIGHT_MS 500       /* entries on their way have arrived, repeated once */
+#define CF_PARTITION_MS 90000     /* a silent member may be cut off for this long */
 #define CF_GRACE_MS 2500          /* a leaving upstream still gets unknown UDP flows */
 #define CF_REPORT_S 20            /* age of first packets reported on a new mark */
 #define CF_HALF_OPEN_S 64         /* a first packet without a successor is forgotten */
+#define CF_HALF_OPEN_ENTRY_S 150  /* the same for an entry: longer than a partition is suspected */
 #define CF_RECENT_S 20            /* other records of this VM alone */
 #define CF_CLOSING_S 60           /* a flow after its FIN or RST */
 #define CF_TOUCH_S 1800           /* backups are told again of a living flow */
@@ -73,12 +76,13 @@
   enum peer_health health;
   uint32_t generation; /* start time that the upstream last reported */
   CfMillis health_since;
-  CfMillis closed_since; /* when it stopped taking new flows, or -1 */
-  uint32_t failures;     /* health probes without an answer, in a row */
-  struct CfLoad load;    /* of this VM */
-  struct CfLoad retired; /* of former incarnations of members */
-  struct CfLoad fleet;   /* sum, updated every tick */
-  CfMillis completed_at; /* when fleet.completed last grew */
+  CfMillis closed_since;   /* when it stopped taking new flows, or -1 */
+  uint64_t closed_version; /* the configuration that closed it */
+  uint32_t failures;       /* health probes without an answer, in a row */
+  struct CfLoad load;      /* of this VM */
+  struct CfLoad retired;   /* of former incarnations of members */
+  struct CfLoad fleet;     /* sum, updated every tick */
+  CfMillis completed_at;   /* when fleet.completed last grew */
   struct CfEvidence evidence;
   uint32_t entries_away; /* entries with this implied slot */
   CfMillis wants_mark_until;
@@ -160,12 +164,12 @@
   uint32_t mark_version; /* of the marks held in marks */
   GArray *marks;         /* of slots */
   bool sees_me;
-  uint32_t acked_marks; /* version of this VM's marks that it has seen */
-  GArray *loads;        /* of struct CfLoad, by slot */
-  uint64_t pushed;      /* incarnation that got this VM's handover */
-  uint64_t done;        /* this VM's incarnation that its handover reached */
+  uint32_t acked_marks;        /* version of this VM's marks that it has seen */
+  GArray *loads;               /* of struct CfLoad, by slot */
+  uint64_t pushed;             /* incarnation that got this VM's handover */
+  uint64_t done;               /* this VM's incarnation that its handover reached */
   uint64_t incarnation_before; /* when this VM was paused */
-  CfMillis reunited_at; /* when it was heard again after it seemed dead, or -1 */
+  CfMillis reunited_at;        /* when it was heard again after it seemed dead, or -1 */
   struct CfStream stream;
   uint32_t acks[32];
   uint32_t ack_count;
@@ -200,6 +204,7 @@
   CfMillis state_since;
   bool superseded;
   bool stop_announced;
+  bool may_stop;
 
   struct CfConfig *config;
   struct CfConfig *history[CF_HISTORY]; /* earlier versions, newest first */
@@ -218,15 +223,19 @@
 
   GPtrArray *members; /* of struct CfMember; entry 0 is this VM */
   GHashTable *member_by_id;
-  struct CfOwners current;          /* serving members */
-  struct CfOwners planned;          /* serving and joining members */
-  uint32_t fallback[CF_BUCKETS];    /* member that knew the bucket's flows before this VM */
-  CfMillis owned_since[CF_BUCKETS]; /* when this VM became its owner */
-  CfMillis gained_at[CF_BUCKETS];   /* when it did so without the entries, or -1 */
+  struct CfOwners current;            /* serving members */
+  struct CfOwners planned;            /* serving and joining members */
+  uint32_t fallback[CF_BUCKETS];      /* member that knew the bucket's flows before this VM */
+  CfMillis death_at;                  /* when a member was last found dead, or -1 */
+  CfMillis owned_since[CF_BUCKETS];   /* when this VM became its owner */
+  CfMillis decides_since[CF_BUCKETS]; /* when it stopped to ask the fallback */
+  bool asks_fallback;                 /* some bucket has a fallback */
+  CfMillis gained_at[CF_BUCKETS];     /* when it did so without the entries, or -1 */
   struct CfCandidate (*before_pause)[CF_HOLDERS]; /* holders then, or NULL */
   uint64_t view;
   bool settled;
   bool config_settled;
+  uint64_t common_version; /* every living member has this configuration or a newer one */
   bool unsure;
   bool divided; /* a listed member fell silent: the fleet may be partitioned */
 
@@ -344,6 +353,7 @@
 /* view.c */
 void cf_view_update (struct CfCore *core, CfMillis now);
 void cf_view_settle (struct CfCore *core, CfMillis now);
+void cf_view_end_fallbacks (struct CfCore *core, CfMillis now);
 
 /* marks.c */
 bool cf_marked (const struct CfCore *core, uint32_t slot);
--- a/src/core/marks.c
+++ b/src/core/marks.c
@@ -38,10 +38,10 @@
 {
   struct CfSlot *slot = cf_slot (core, number);
 
+  if (cf_marked_by_config (slot))
+    return core->common_version >= slot->closed_version;
   if (!core->config_settled)
     return false;
-  if (cf_marked_by_config (slot))
-    return true;
   slot->wants_mark_until = now + WANT_MARK_MS;
   if (!slot->mark_version)
     cf_marks_update (core, now);
--- a/src/core/members.c
+++ b/src/core/members.c
@@ -171,7 +171,10 @@
         cf_member_forget_marks (core, member);
     }
   if (changed)
-    cf_view_update (core, now);
+    {
+      core->death_at = now;
+      cf_view_update (core, now);
+    }
 }
 
 void
@@ -289,6 +292,7 @@
       /* Others that join at the same time may know flows that this VM does not. */
       core->gained_at[b] = any || alone ? -1 : now;
       core->owned_since[b] = now;
+      core->decides_since[b] = now - CF_IN_FLIGHT_MS;
     }
   cf_enter_state (core, PEER_SERVING, now);
 }
--- a/src/core/owners.c
+++ b/src/core/owners.c
@@ -78,10 +78,23 @@
          && domains (holders, n, candidate) > domains (holders, n, NULL);
 }
 
+/* Returns since when MEMBER is among the holders OLD, or NOW if it is not. */
+static CfMillis
+holder_since (const struct CfCandidate *old, uint32_t member, CfMillis now)
+{
+  for (int i = 0; i < CF_HOLDERS; i++)
+    if (old[i].member == member)
+      return old[i].since;
+  return now;
+}
+
 static void
-compute_bucket (struct CfOwners *owners, uint32_t bucket)
+compute_bucket (struct CfOwners *owners, uint32_t bucket, CfMillis now)
 {
   struct CfCandidate *holders = owners->holders[bucket];
+  struct CfCandidate old[CF_HOLDERS];
+
+  memcpy (old, holders, sizeof old);
 
   for (int n = 0; n < CF_HOLDERS; n++)
     {
@@ -103,6 +116,7 @@
           best_domains = spread;
           best_score = score;
           holders[n] = *candidate;
+          holders[n].since = holder_since (old, candidate->member, now);
         }
     }
 }
@@ -115,8 +129,7 @@
   uint64_t score = cf_rendezvous_score (bucket, candidate->id);
 
   for (int n = 0; n < CF_HOLDERS - 1; n++)
-    if (holders[n].member == CF_NO_MEMBER
-        || score > cf_rendezvous_score (bucket, holders[n].id))
+    if (holders[n].member == CF_NO_MEMBER || score > cf_rendezvous_score (bucket, holders[n].id))
       return true;
   if (domains (holders, CF_HOLDERS, candidate) > domains (holders, CF_HOLDERS, NULL)
       && domains (holders, CF_HOLDERS, NULL) < CF_HOLDER_DOMAINS)
@@ -169,7 +182,7 @@
 }
 
 bool
-cf_owners_update (struct CfOwners *owners, const GArray *candidates)
+cf_owners_update (struct CfOwners *owners, const GArray *candidates, CfMillis now)
 {
   GArray *gone = difference (owners->candidates, candidates);
   GArray *come = difference (candidates, owners->candidates);
@@ -182,7 +195,7 @@
         g_array_append_vals (owners->candidates, candidates->data, candidates->len);
       for (uint32_t b = 0; b < CF_BUCKETS; b++)
         if (concerned (owners, b, gone, come))
-          compute_bucket (owners, b);
+          compute_bucket (owners, b, now);
     }
   g_array_unref (gone);
   g_array_unref (come);
--- a/src/core/owners.h
+++ b/src/core/owners.h
@@ -28,6 +28,7 @@
   uint32_t member; /* the caller's index */
   uint32_t id;
   uint32_t domain;
+  CfMillis since; /* when it became a holder of the bucket */
 };
 
 struct CfOwners
@@ -42,7 +43,7 @@
 /* Makes CANDIDATES (of struct CfCandidate, ordered by id) the members to choose
  * from.  Only buckets that a change concerns are computed again.  Returns true
  * if anything changed. */
-bool cf_owners_update (struct CfOwners *owners, const GArray *candidates);
+bool cf_owners_update (struct CfOwners *owners, const GArray *candidates, CfMillis now);
 
 /* Returns true if MEMBER holds BUCKET. */
 bool cf_owners_holds (const struct CfOwners *owners, uint32_t bucket, uint32_t member);
--- a/src/core/replicate.c
+++ b/src/core/replicate.c
@@ -3,7 +3,8 @@
 #define AGE_SHIFT 8
 #define AGE_MAX 0xffffffU
 #define WIRE_FLAGS                                                                                 \
-  (CF_FLOW_HALF_OPEN | CF_FLOW_CLOSING | CF_FLOW_PINNED | CF_FLOW_UDP | CF_FLOW_REMOVED | CF_FLOW_REPORT | CF_FLOW_DONE)
+  (CF_FLOW_HALF_OPEN | CF_FLOW_CLOSING | CF_FLOW_PINNED | CF_FLOW_UDP | CF_FLOW_REMOVED            \
+   | CF_FLOW_REPORT | CF_FLOW_DONE)
 
 static struct peer_entry
 wire_entry (const struct CfCore *core, const struct CfFlow *flow, uint32_t extra, CfMillis now)
--- a/src/core/route.c
+++ b/src/core/route.c
@@ -122,16 +122,19 @@
 static uint32_t
 fallback (const struct CfCore *core, const struct CfRoute *route)
 {
-  uint32_t bucket = CF_BUCKET (route->key);
-  uint32_t index = core->fallback[bucket];
-  CfMillis gained = core->gained_at[bucket];
+  uint32_t index = core->fallback[CF_BUCKET (route->key)];
 
   if (index == CF_NO_MEMBER || !cf_member (core, index)->alive
       || cf_member (core, index)->state == PEER_JOINING)
     return CF_NO_MEMBER;
-  if (!core->settled || (gained >= 0 && route->now - gained < CF_DOUBT_MS))
-    return index;
-  return CF_NO_MEMBER;
+  return index;
+}
+
+/* Returns true if an entry that another member made may still be on its way here. */
+static bool
+entry_in_flight (const struct CfCore *core, const struct CfRoute *route)
+{
+  return route->now - core->decides_since[CF_BUCKET (route->key)] < CF_IN_FLIGHT_MS;
 }
 
 /* Returns true if every flow of the implied upstream that is still alive ought to
@@ -148,11 +151,13 @@
 static bool
 in_doubt (const struct CfCore *core, const struct CfRoute *route)
 {
-  CfMillis gained = core->gained_at[CF_BUCKET (route->key)];
+  uint32_t bucket = CF_BUCKET (route->key);
+  CfMillis gained = core->gained_at[bucket];
 
-  if (gained >= 0 && route->now - gained < CF_DOUBT_MS)
+  if (entry_in_flight (core, route) || (gained >= 0 && route->now - gained < CF_DOUBT_MS))
     return true;
-  return core->divided && expects_record (core, route);
+  return expects_record (core, route)
+         && (core->divided || route->now - core->decides_since[bucket] < CF_DOUBT_MS);
 }
 
 /* Makes FLOW an entry that the bucket's holders share. */
@@ -220,9 +225,10 @@
     return transfer (core, route, other, CF_TRANSFER_DECIDE);
   if (route->packet->protocol == CF_PROTOCOL_UDP)
     return resolve_udp (core, route);
-  if (route->opens)
-    return cf_place (core, route, NULL);
-  return resolve (core, route);
+  if (!route->opens)
+    return resolve (core, route);
+  return entry_in_flight (core, route) ? cf_route_drop (core, CF_DROP_DOUBT)
+                                       : cf_place (core, route, NULL);
 }
 
 /* Returns true if the packet needs no knowledge beyond the configuration. */
--- a/src/core/slots.c
+++ b/src/core/slots.c
@@ -53,7 +53,10 @@
   if (cf_slot_takes_new (slot))
     slot->closed_since = -1;
   else if (slot->closed_since < 0)
-    slot->closed_since = now;
+    {
+      slot->closed_since = now;
+      slot->closed_version = core->config->version;
+    }
   /* An upstream that the fleet has not used so far starts cold, and so does one
    * whose failure domain returns. */
   if (!initial && (!known || (was_out && slot->in_domain)))
--- a/src/core/view.c
+++ b/src/core/view.c
@@ -33,6 +33,19 @@
 
 typedef struct CfCandidate Holders[CF_HOLDERS];
 
+/* Returns true if MEMBER was among HOLDERS for long enough to have the entries.  Who
+ * should have handed them over may have died meanwhile. */
+static bool
+was_supplied (const struct CfCore *core, const Holders holders, uint32_t member, CfMillis now)
+{
+  bool deaths = core->death_at >= 0 && now - core->death_at < CF_PUSH_MS;
+
+  for (int i = 0; i < CF_HOLDERS; i++)
+    if (holders[i].member == member)
+      return !deaths || now - holders[i].since > CF_PUSH_MS;
+  return false;
+}
+
 static bool
 in_holders (const Holders holders, uint32_t member)
 {
@@ -42,10 +55,18 @@
   return false;
 }
 
-/* Returns the first of HOLDERS other than EXCEPT that is alive and has entries, or
- * CF_NO_MEMBER. */
+/* Returns true if MEMBER has the entries that this VM's side of a partition, if there
+ * was one, shares. */
+static bool
+has_entries (const struct CfMember *member, CfMillis now)
+{
+  return member->alive && member->state != PEER_JOINING
+         && (member->reunited_at < 0 || now - member->reunited_at > CF_PARTITION_MS);
+}
+
+/* Returns the first of HOLDERS other than EXCEPT that has entries, or CF_NO_MEMBER. */
 static uint32_t
-first_alive (const struct CfCore *core, const Holders holders, uint32_t except)
+first_alive (const struct CfCore *core, const Holders holders, uint32_t except, CfMillis now)
 {
   for (int i = 0; i < CF_HOLDERS; i++)
     {
@@ -53,7 +74,7 @@
 
       if (index == CF_NO_MEMBER || index == except)
         continue;
-      if (cf_member (core, index)->alive && cf_member (core, index)->state != PEER_JOINING)
+      if (index == 0 ? core->state != PEER_JOINING : has_entries (cf_member (core, index), now))
         return index;
     }
   return CF_NO_MEMBER;
@@ -93,9 +114,10 @@
       if (twice || !member->alive)
         continue;
       if (!awaits_handover (member)
-          && (in_holders (old_current[bucket], index) || in_holders (old_planned[bucket], index)))
+          && (was_supplied (core, old_current[bucket], index, now)
+              || was_supplied (core, old_planned[bucket], index, now)))
         continue;
-      if (first_alive (core, old_current[bucket], index) != 0)
+      if (first_alive (core, old_current[bucket], index, now) != 0)
         continue;
       done[done_count++] = member;
       cf_replicate_to (core, member, flow, false, now);
@@ -151,20 +173,50 @@
       if (core->current.holders[b][0].member != 0 || old_owner == 0)
         continue;
       core->owned_since[b] = now;
+      core->decides_since[b] = now;
+      core->gained_at[b] = -1;
       core->fallback[b] = CF_NO_MEMBER;
+      core->asks_fallback = true;
       if (old_owner == CF_NO_MEMBER)
         continue;
       if (!held)
         {
           core->gained_at[b] = now;
-          core->fallback[b] = first_alive (core, old_current[b], 0);
+          core->fallback[b] = first_alive (core, old_current[b], 0, now);
         }
-      else if (cf_member (core, old_owner)->alive
-               && cf_member (core, old_owner)->state != PEER_JOINING)
+      else if (has_entries (cf_member (core, old_owner), now))
         core->fallback[b] = old_owner;
     }
 }
 
+/* A fallback is asked until everyone agrees that this VM is the owner, and for
+ * CF_DOUBT_MS at least.  One that died cannot be asked. */
+void
+cf_view_end_fallbacks (struct CfCore *core, CfMillis now)
+{
+  bool any = false;
+
+  if (!core->asks_fallback)
+    return;
+  for (uint32_t b = 0; b < CF_BUCKETS; b++)
+    {
+      const struct CfMember *member;
+
+      if (core->fallback[b] == CF_NO_MEMBER)
+        continue;
+      member = cf_member (core, core->fallback[b]);
+      if (member->alive && member->state != PEER_JOINING
+          && (!core->settled || now - core->owned_since[b] < CF_DOUBT_MS))
+        {
+          any = true;
+          continue;
+        }
+      core->fallback[b] = CF_NO_MEMBER;
+      core->decides_since[b] = now;
+    }
+  core->asks_fallback = any;
+}
+
 static uint64_t
 view_digest (const struct CfCore *core)
 {
@@ -188,10 +240,10 @@
   GArray *planned = candidates (core, true);
   Holders *old_current = g_memdup2 (core->current.holders, sizeof core->current.holders);
   Holders *old_planned = g_memdup2 (core->planned.holders, sizeof core->planned.holders);
-  bool changed = cf_owners_update (&core->current, serving);
+  bool changed = cf_owners_update (&core->current, serving, now);
   uint64_t view;
 
-  changed |= cf_owners_update (&core->planned, planned);
+  changed |= cf_owners_update (&core->planned, planned, now);
   if (changed)
     {
       core->stats.counter[CF_COUNT_VIEW_CHANGES]++;
@@ -233,6 +285,7 @@
 void
 cf_view_settle (struct CfCore *core, CfMillis now)
 {
+  uint64_t common = core->config ? core->config->version : 0;
   bool config_settled = core->config != NULL;
   bool agreed = true;
   bool fresh = true;
@@ -245,11 +298,13 @@
         continue;
       config_settled = config_settled && member->config_version == core->config->version
                        && member->config_digest == core->config->digest;
+      common = MIN (common, member->config_version);
       agreed &= member->view == core->view;
       fresh &= now - member->heard_at <= CF_MEMBER_DOUBT_MS && member->sees_me;
     }
   core->divided = divided (core, now);
   core->config_settled = config_settled;
+  core->common_version = common;
   core->settled = config_settled && agreed && fresh && core->state != PEER_JOINING;
   core->unsure = core->state == PEER_JOINING || !config_settled || !fresh;
 }
--- a/src/serve/packet_task.c
+++ b/src/serve/packet_task.c
@@ -10,6 +10,7 @@
 #define BATCH_LEN 64
 #define BATCHES_PER_WAKE 8  /* packets must not keep messages from the core */
 #define SAMPLE_EVERY 16     /* packets per measured decision */
+#define STOP_LIMIT_MS 5000  /* for entries that a late packet caused */
 #define FOLDER_HOLD_MS 1200 /* time for peers to offer a configuration first */
 
 struct PacketTask
@@ -339,7 +340,8 @@
 
   apply_folder (task, now);
   cf_core_tick (task->core, now);
-  if (task->stop_at && now >= task->stop_at)
+  if (task->stop_at && now >= task->stop_at
+      && (cf_core_may_stop (task->core) || now >= task->stop_at + STOP_LIMIT_MS))
     g_main_loop_quit (task->server->main_loop);
   return G_SOURCE_CONTINUE;
 }
--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -43,8 +43,11 @@
   const struct FleetFlow *flow = vm->fleet->flows->pdata[fleet_flow_of (packet)];
   GString *text;
 
-  if (flow->state != FLOW_OPEN || flow->upstream == (int32_t) index
-      || (packet->flags & CF_PACKET_SYN))
+  CfMillis closed_at = vm->fleet->upstreams[index].closed_at;
+  bool late = closed_at >= 0 && test_network_now (vm->fleet->network) > closed_at;
+
+  if (packet->flags & CF_PACKET_SYN ? !late || flow->first_seen >= 0
+                                    : flow->state != FLOW_OPEN || flow->upstream == (int32_t) index)
     return;
   text = g_string_new (NULL);
   cf_core_explain (vm->core, &packet->caller, &packet->service, packet->protocol, text,
@@ -53,6 +56,17 @@
   printf ("%8" G_GINT64_FORMAT " vm-%u (state %d, settled %d) sends flow %u of %d to %u:\n%s",
           test_network_now (vm->fleet->network), vm->index, cf_core_state (vm->core),
           cf_core_settled (vm->core), fleet_flow_of (packet), flow->upstream, index, text->str);
+  for (uint32_t i = 0; i < vm->fleet->spec.vms; i++)
+    if (vm->fleet->vms[i].core && i != vm->index)
+      {
+        char *record;
+
+        g_string_truncate (text, 0);
+        cf_core_explain (vm->fleet->vms[i].core, &packet->caller, &packet->service,
+                         packet->protocol, text, test_network_now (vm->fleet->network));
+        record = strstr (text->str, "record");
+        printf ("         vm-%u %.*s\n", i, (int) strcspn (record, "\n"), record);
+      }
   g_string_free (text, TRUE);
 }
 
@@ -249,7 +263,7 @@
       return;
     }
   cf_core_tick (vm->core, now);
-  if (vm->may_stop && !vm->in_fabric)
+  if (vm->may_stop && !vm->in_fabric && cf_core_may_stop (vm->core))
     {
       stop_vm (vm);
       return;
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -16,8 +16,7 @@
 static struct Fleet *
 running_fleet (uint32_t seed, uint32_t vms)
 {
-  struct FleetSpec spec
-      = { .seed = seed, .vms = vms, .domains = 4, .upstreams = { 15, 4 } };
+  struct FleetSpec spec = { .seed = seed, .vms = vms, .domains = 4, .upstreams = { 15, 4 } };
   struct Fleet *fleet = fleet_new (&spec);
 
   fleet->trace = getenv ("FLEET_TRACE") != NULL;
@@ -62,6 +61,8 @@
       if (u % 2 == 0)
         fleet_leave (fleet, vm);
       fleet_run (fleet, 6000);
+      for (int i = 0; i < 10 && u % 2 == 0 && fleet->vms[vm].core; i++)
+        fleet_run (fleet, 500);
       if (u % 2 == 0)
         {
           ck_assert_ptr_null (fleet->vms[vm].core);
