--- a/src/config/difference.c
+++ b/src/config/difference.c
@@ -3,8 +3,8 @@
 
 #include <string.h>
 
-#define REMOVED_GROUP "fleet"
-#define REMOVED_KEY "removed"
+#define REMOVED_GROUP "removed"
+#define REMOVED_KEY "groups"
 
 static char *
 group_text (GKeyFile *file, const char *group)
@@ -99,7 +99,7 @@
   removed = g_key_file_get_string_list (changes, REMOVED_GROUP, REMOVED_KEY, NULL, NULL);
   for (int i = 0; removed && removed[i]; i++)
     g_key_file_remove_group (file, removed[i], NULL);
-  g_key_file_remove_key (changes, REMOVED_GROUP, REMOVED_KEY, NULL);
+  g_key_file_remove_group (changes, REMOVED_GROUP, NULL);
   groups = g_key_file_get_groups (changes, NULL);
   for (int i = 0; groups[i]; i++)
     copy_group (file, changes, groups[i]);
--- a/src/config/difference.h
+++ b/src/config/difference.h
@@ -5,7 +5,7 @@
 
 /* Differences between canonical texts, for configurations on their way between
  * entry VMs.  A difference is a key file that holds each changed or new group in
- * full, and the names of the groups that went under [fleet] removed. */
+ * full, and the names of the groups that went under [removed] groups. */
 
 /* Returns the difference that leads from FROM to TO, to be freed. */
 char *cf_difference_make (const struct CfConfig *from, const struct CfConfig *to);
--- a/src/config/succeed.c
+++ b/src/config/succeed.c
@@ -86,24 +86,49 @@
   return NULL;
 }
 
+static bool
+tunnel_is_used (const struct CfConfig *folder, const struct CfAddress *tunnel)
+{
+  for (uint32_t i = 0; i < folder->upstream_count; i++)
+    if (cf_address_equal (&folder->upstreams[i].tunnel, tunnel))
+      return true;
+  return false;
+}
+
+static void
+carry_group (GKeyFile *into, GKeyFile *from, const char *group)
+{
+  char **keys = g_key_file_get_keys (from, group, NULL, NULL);
+
+  for (int i = 0; keys && keys[i]; i++)
+    carry_key (into, from, group, keys[i]);
+  g_strfreev (keys);
+}
+
+/* Keeps the upstream OLD of PREVIOUS, which FOLDER no longer has, until its flows have
+ * ended.  If its address belongs to another upstream by now, its flows are given
+ * up: none of their packets may go there. */
 static void
 keep_removed (GKeyFile *file,
               GKeyFile *old_file,
+              const struct CfConfig *previous,
               const struct CfConfig *folder,
               const struct CfUpstream *old,
-              const char *group,
               int64_t now_s)
 {
   int64_t removed_at = old->removed_at_s ? old->removed_at_s : now_s;
-  char **keys;
+  char *group;
 
-  if (now_s - removed_at > folder->limits.retain_ms / CF_MS_PER_S)
+  if (now_s - removed_at > folder->limits.retain_ms / CF_MS_PER_S
+      || tunnel_is_used (folder, &old->tunnel))
     return;
-  keys = g_key_file_get_keys (old_file, group, NULL, NULL);
-  for (int i = 0; keys && keys[i]; i++)
-    carry_key (file, old_file, group, keys[i]);
-  g_strfreev (keys);
+  group = g_strdup_printf ("failure-domain %s", previous->domains[old->domain].name);
+  carry_group (file, old_file, group);
+  g_free (group);
+  group = g_strdup_printf ("upstream %s", old->name);
+  carry_group (file, old_file, group);
   g_key_file_set_int64 (file, group, "removed-at", removed_at);
+  g_free (group);
 }
 
 /* Sets the baseline weight of every upstream that PREVIOUS has in SERVICE.  With
@@ -125,7 +150,7 @@
       uint32_t weight = advance ? old->weight : old->baseline_weight;
 
       if (index == CF_NO_INDEX)
-        keep_removed (file, old_file, folder, old, group, now_s);
+        keep_removed (file, old_file, previous, folder, old, now_s);
       else if (upstream_moved (previous, old, folder, &folder->upstreams[index]))
         weight = 0;
       if (g_key_file_has_group (file, group))
--- a/src/peer/codec.c
+++ b/src/peer/codec.c
@@ -27,6 +27,12 @@
   crypto_generichash (mac, CF_PEER_MAC_BYTES, data, len, keys->peer, sizeof keys->peer);
 }
 
+void
+cf_peer_sign (const struct CfPeerKeys *keys, uint8_t *data, size_t len)
+{
+  peer_mac (keys, data, len, data + len);
+}
+
 size_t
 cf_peer_encode (const struct CfPeerKeys *keys,
                 uint32_t xid,
@@ -50,7 +56,7 @@
   xdr_destroy (&xdr);
   if (len == 0)
     return 0;
-  peer_mac (keys, out, len, out + len);
+  cf_peer_sign (keys, out, len);
   return len + CF_PEER_MAC_BYTES;
 }
 
--- a/src/peer/codec.h
+++ b/src/peer/codec.h
@@ -33,6 +33,9 @@
                        uint8_t *out,
                        size_t size);
 
+/* Appends the MAC to the LEN bytes at DATA, which has room for it. */
+void cf_peer_sign (const struct CfPeerKeys *keys, uint8_t *data, size_t len);
+
 enum CfPeerFault
 {
   CF_PEER_OK,
--- /dev/null
+++ b/tests/test_packet.c
@@ -0,0 +1,418 @@
+#include "cf_core.h"
+#include "packets.h"
+#include "peer/codec.h"
+#include "peer/replay.h"
+
+#include <arpa/inet.h>
+#include <check.h>
+#include <netinet/ip.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Packets and datagrams: parsing, refusals, and what mutated input can do. */
+
+#define MUTATIONS 100000
+
+static const struct CfAddress service4
+    = { .ip = { [10] = 0xff, [11] = 0xff, [12] = 10, [15] = 1 }, .port = 443 };
+static const struct CfAddress caller4
+    = { .ip = { [10] = 0xff, [11] = 0xff, [12] = 11, [15] = 9 }, .port = 4000 };
+
+static struct CfAddress service6;
+static struct CfAddress caller6;
+
+static void
+setup (void)
+{
+  cf_address_parse ("fd00::1", 443, &service6);
+  cf_address_parse ("fd01::9", 4000, &caller6);
+}
+
+START_TEST (test_parse)
+{
+  const struct CfAddress *caller = _i ? &caller6 : &caller4;
+  const struct CfAddress *service = _i ? &service6 : &service4;
+  uint8_t data[CF_PACKET_MAX];
+  struct CfPacket packet = { 0 };
+  size_t len = test_packet_build (caller, service, CF_PROTOCOL_TCP, CF_PACKET_SYN, 5, data);
+
+  ck_assert_int_eq (cf_packet_parse (data, len, &packet), CF_DROP_NONE);
+  ck_assert (cf_address_equal (&packet.caller, caller));
+  ck_assert (cf_address_equal (&packet.service, service));
+  ck_assert_int_eq (packet.flags, CF_PACKET_SYN);
+  for (size_t cut = 0; cut < len; cut++)
+    ck_assert_int_eq (cf_packet_parse (data, cut, &packet), CF_DROP_TRUNCATED);
+}
+END_TEST
+
+START_TEST (test_fragment)
+{
+  uint8_t data[CF_PACKET_MAX];
+  struct CfPacket packet = { 0 };
+  size_t len = test_packet_build (&caller4, &service4, CF_PROTOCOL_UDP, 0, 20, data);
+
+  data[6] = 0x20;
+  ck_assert_int_eq (cf_packet_parse (data, len, &packet), CF_DROP_FRAGMENT);
+  data[6] = 0;
+  data[7] = 4;
+  ck_assert_int_eq (cf_packet_parse (data, len, &packet), CF_DROP_FRAGMENT);
+}
+END_TEST
+
+START_TEST (test_refusal)
+{
+  const struct CfAddress *caller = _i & 1 ? &caller6 : &caller4;
+  const struct CfAddress *service = _i & 1 ? &service6 : &service4;
+  uint8_t protocol = _i & 2 ? CF_PROTOCOL_UDP : CF_PROTOCOL_TCP;
+  uint8_t data[CF_PACKET_MAX];
+  uint8_t answer[CF_REFUSAL_MAX];
+  struct CfPacket packet = { 0 };
+  struct CfPacket back = { 0 };
+  size_t len = test_packet_build (caller, service, protocol, CF_PACKET_SYN, 40, data);
+
+  ck_assert_int_eq (cf_packet_parse (data, len, &packet), CF_DROP_NONE);
+  len = cf_refusal_build (&packet, answer);
+  ck_assert_uint_gt (len, 0);
+  if (protocol == CF_PROTOCOL_UDP)
+    {
+      ck_assert_int_eq (cf_packet_parse (answer, len, &back), CF_DROP_PROTOCOL);
+      return;
+    }
+  ck_assert_int_eq (cf_packet_parse (answer, len, &back), CF_DROP_NONE);
+  ck_assert (cf_address_equal (&back.caller, service));
+  ck_assert (cf_address_equal (&back.service, caller));
+  ck_assert_int_eq (back.flags, CF_PACKET_RST | CF_PACKET_ACK);
+  /* A reset is never answered by a reset. */
+  ck_assert_uint_eq (cf_refusal_build (&back, data), 0);
+}
+END_TEST
+
+/* A core with two services, whose outputs check where packets go. */
+struct Sink
+{
+  uint64_t forwarded;
+  const struct CfConfig *config;
+};
+
+static void
+sink_forward (void *context, const struct CfPacket *packet, const struct CfUpstream *upstream)
+{
+  struct Sink *sink = context;
+  const struct CfService *service = &sink->config->services[upstream->service];
+
+  ck_assert (cf_address_equal (&packet->service, &service->address));
+  ck_assert_int_eq (packet->protocol, service->protocol);
+  sink->forwarded++;
+}
+
+static void
+sink_transfer (void *context,
+               const struct CfPacket *packet,
+               const struct peer_transfer *transfer,
+               const struct CfAddress *address)
+{
+  (void) context;
+  (void) packet;
+  (void) transfer;
+  (void) address;
+}
+
+static void
+sink_refuse (void *context, const struct CfPacket *packet, enum CfVerdict verdict)
+{
+  uint8_t answer[CF_REFUSAL_MAX];
+
+  (void) context;
+  (void) verdict;
+  cf_refusal_build (packet, answer);
+}
+
+static void
+sink_peer (void *context, const struct CfAddress *address, const struct peer_message *message)
+{
+  (void) context;
+  (void) address;
+  (void) message;
+}
+
+static void
+sink_probe (void *context, const uint32_t *upstreams, uint32_t count)
+{
+  (void) context;
+  (void) upstreams;
+  (void) count;
+}
+
+static void
+sink_watch (void *context, bool watch)
+{
+  (void) context;
+  (void) watch;
+}
+
+static void
+sink_config (void *context, const struct CfConfig *config)
+{
+  (void) context;
+  (void) config;
+}
+
+static void
+sink_state (void *context, enum peer_state state, bool may_stop)
+{
+  (void) context;
+  (void) state;
+  (void) may_stop;
+}
+
+static const struct CfCoreOutputs sink_outputs = {
+  .forward = sink_forward,
+  .transfer = sink_transfer,
+  .refuse = sink_refuse,
+  .send_peer = sink_peer,
+  .probe = sink_probe,
+  .watch_platform = sink_watch,
+  .config_changed = sink_config,
+  .state_changed = sink_state,
+};
+
+static const char sink_config_text[]
+    = "[fleet]\nversion=1\n[failure-domain a]\nregion=r\n"
+      "[service s]\naddress=10.0.0.1\nport=443\n"
+      "[service t]\naddress=10.0.0.2\nport=443\n"
+      "[service v]\naddress=fd00::1\nport=443\n"
+      "[service w]\naddress=10.0.0.1\nport=443\nprotocol=udp\n"
+      "[upstream s1]\nservice=s\nfailure-domain=a\ntunnel=127.1.0.1\n"
+      "[upstream s2]\nservice=s\nfailure-domain=a\ntunnel=127.1.0.2\nstate=draining\n"
+      "[upstream t1]\nservice=t\nfailure-domain=a\ntunnel=127.1.0.3\n"
+      "[upstream v1]\nservice=v\nfailure-domain=a\ntunnel=127.1.0.4\n"
+      "[upstream w1]\nservice=w\nfailure-domain=a\ntunnel=127.1.0.5\n";
+
+static struct CfCore *
+sink_core (struct Sink *sink)
+{
+  struct CfCoreOptions options = { .vm = 1, .incarnation = 1, .domain = cf_name_id ("a") };
+  struct CfError error = { 0 };
+  struct CfConfig *config = cf_config_parse (sink_config_text, &error);
+  struct CfCore *core;
+
+  ck_assert_msg (config != NULL, "%s", error.text);
+  core = cf_core_new (&options, &sink_outputs, sink, 1000);
+  cf_core_set_config (core, config, 1000);
+  sink->config = cf_core_config (core);
+  cf_config_unref (config);
+  for (CfMillis now = 1000; now < 4000; now += CF_TICK_MS)
+    cf_core_tick (core, now);
+  ck_assert_int_eq (cf_core_state (core), PEER_SERVING);
+  return core;
+}
+
+static size_t
+mutate (GRand *random, uint8_t data[CF_PACKET_MAX])
+{
+  bool v6 = g_rand_int_range (random, 0, 3) == 0;
+  struct CfAddress caller = v6 ? caller6 : caller4;
+  struct CfAddress service = v6 ? service6 : service4;
+  uint8_t protocol = g_rand_boolean (random) ? CF_PROTOCOL_TCP : CF_PROTOCOL_UDP;
+  size_t len;
+
+  caller.port = (uint16_t) g_rand_int (random);
+  service.ip[15] = (uint8_t) g_rand_int_range (random, 1, 4);
+  len = test_packet_build (&caller, &service, protocol, (uint8_t) g_rand_int_range (random, 0, 16),
+                           (size_t) g_rand_int_range (random, 0, 60), data);
+  for (int n = g_rand_int_range (random, 0, 5); n > 0; n--)
+    data[g_rand_int_range (random, 0, (gint32) MIN (len, 64))] = (uint8_t) g_rand_int (random);
+  if (g_rand_int_range (random, 0, 4) == 0)
+    len = (size_t) g_rand_int_range (random, 0, (gint32) len + 1);
+  return len;
+}
+
+START_TEST (test_mutated_packets)
+{
+  struct Sink sink = { 0 };
+  struct CfCore *core = sink_core (&sink);
+  GRand *random = g_rand_new_with_seed (7);
+  const struct CfStats *stats = cf_core_stats (core);
+  uint64_t dropped = 0;
+  uint64_t other;
+
+  for (int n = 0; n < MUTATIONS; n++)
+    {
+      uint8_t data[CF_PACKET_MAX];
+      size_t len = mutate (random, data);
+      /* A copy of the exact size lets the sanitizer see any read beyond it. */
+      uint8_t *exact = g_memdup2 (data, MAX (len, 1));
+
+      cf_core_packet (core, exact, len, &service4, 4000 + n / 100);
+      if (n % 500 == 0)
+        cf_core_tick (core, 4000 + n / 100);
+      g_free (exact);
+    }
+  for (int i = 1; i < CF_DROP_COUNT; i++)
+    dropped += stats->drop[i];
+  other = stats->counter[CF_COUNT_REFUSED_NOT_RUN] + stats->counter[CF_COUNT_REFUSED_MAY_HAVE_RUN];
+  /* Every packet has one outcome, and every kind of drop occurred. */
+  ck_assert_uint_eq (dropped + sink.forwarded + other, MUTATIONS);
+  ck_assert_uint_gt (sink.forwarded, MUTATIONS / 10);
+  for (int i = CF_DROP_TRUNCATED; i <= CF_DROP_NO_SERVICE; i++)
+    ck_assert_msg (stats->drop[i] > 0, "no packet was dropped for '%s'", cf_drop_name (i));
+  cf_core_free (core);
+  g_rand_free (random);
+}
+END_TEST
+
+START_TEST (test_mutated_transfers)
+{
+  struct Sink sink = { 0 };
+  struct CfCore *core = sink_core (&sink);
+  GRand *random = g_rand_new_with_seed (11);
+
+  for (int n = 0; n < MUTATIONS; n++)
+    {
+      uint8_t data[CF_PACKET_MAX];
+      struct peer_transfer transfer = {
+        .from = g_rand_int (random),
+        .service = g_rand_boolean (random) ? cf_name_id ("t") : cf_name_id ("s"),
+        .key = g_rand_int (random),
+        .hops = (u_int) g_rand_int_range (random, 0, 6),
+        .flags = (u_int) g_rand_int_range (random, 0, 4),
+      };
+
+      cf_core_transferred (core, data, mutate (random, data), &transfer, 4000);
+    }
+  /* A context that does not match its packet decides nothing. */
+  ck_assert_uint_eq (sink.forwarded, 0);
+  ck_assert_uint_gt (cf_core_stats (core)->drop[CF_DROP_TRANSFER], MUTATIONS / 10);
+  cf_core_free (core);
+  g_rand_free (random);
+}
+END_TEST
+
+static const struct CfPeerKeys keys = { .peer = { 1 }, .transfer = { 2 } };
+
+static size_t
+encoded_entries (uint8_t *out, size_t size)
+{
+  struct peer_entry list[3] = { { .key = 7, .upstream = 8 }, { .key = 9, .upstream = 8 } };
+  struct peer_envelope envelope = { .vm = 2, .incarnation = 3 };
+
+  envelope.message.kind = PEER_ENTRIES;
+  envelope.message.peer_message_u.entries.seq = 4;
+  envelope.message.peer_message_u.entries.entries.entries_len = 3;
+  envelope.message.peer_message_u.entries.entries.entries_val = list;
+  return cf_peer_encode (&keys, 5, &envelope, out, size);
+}
+
+START_TEST (test_peer_codec)
+{
+  uint8_t data[2048];
+  size_t len = encoded_entries (data, sizeof data);
+  struct peer_envelope envelope;
+  uint32_t xid;
+
+  ck_assert_uint_gt (len, 0);
+  ck_assert_int_eq (cf_peer_decode (&keys, data, len, &xid, &envelope), CF_PEER_OK);
+  ck_assert_uint_eq (xid, 5);
+  ck_assert_uint_eq (envelope.message.peer_message_u.entries.entries.entries_val[1].key, 9);
+  cf_peer_release (&envelope);
+  for (size_t i = 0; i < len; i++)
+    {
+      data[i] ^= 0x40;
+      ck_assert_int_eq (cf_peer_decode (&keys, data, len, &xid, &envelope), CF_PEER_FORGED);
+      data[i] ^= 0x40;
+    }
+  ck_assert_int_eq (cf_peer_decode (&keys, data, 16, &xid, &envelope), CF_PEER_SHORT);
+  ck_assert_uint_eq (encoded_entries (data, 64), 0);
+}
+END_TEST
+
+START_TEST (test_malformed_messages)
+{
+  GRand *random = g_rand_new_with_seed (3);
+  uint64_t malformed = 0;
+
+  for (int n = 0; n < 20000; n++)
+    {
+      uint8_t data[2048];
+      size_t len = encoded_entries (data, sizeof data) - CF_PEER_MAC_BYTES;
+      struct peer_envelope envelope;
+      uint32_t xid;
+      uint8_t *exact;
+
+      for (int k = g_rand_int_range (random, 1, 4); k > 0; k--)
+        data[g_rand_int_range (random, 0, (gint32) len)] = (uint8_t) g_rand_int (random);
+      len = (size_t) g_rand_int_range (random, 8, (gint32) len + 1);
+      cf_peer_sign (&keys, data, len);
+      exact = g_memdup2 (data, len + CF_PEER_MAC_BYTES);
+      if (cf_peer_decode (&keys, exact, len + CF_PEER_MAC_BYTES, &xid, &envelope) == CF_PEER_OK)
+        cf_peer_release (&envelope);
+      else
+        malformed++;
+      g_free (exact);
+    }
+  ck_assert_uint_gt (malformed, 10000);
+  g_rand_free (random);
+}
+END_TEST
+
+START_TEST (test_replay)
+{
+  struct CfReplayWindow window = { 0 };
+
+  ck_assert (cf_replay_accept (&window, 1, 10));
+  ck_assert (!cf_replay_accept (&window, 1, 10));
+  ck_assert (cf_replay_accept (&window, 1, 12));
+  ck_assert (cf_replay_accept (&window, 1, 11));
+  ck_assert (!cf_replay_accept (&window, 1, 11));
+  ck_assert (cf_replay_accept (&window, 1, 200));
+  ck_assert (!cf_replay_accept (&window, 1, 12));
+  ck_assert (cf_replay_accept (&window, 2, 1));
+  ck_assert (!cf_replay_accept (&window, 1, 201));
+}
+END_TEST
+
+START_TEST (test_transfer_codec)
+{
+  struct peer_transfer transfer = { .from = 1, .service = 2, .key = 3, .hops = 1 };
+  struct peer_transfer read = { 0 };
+  uint8_t options[CF_TRANSFER_OPTIONS];
+  uint8_t packet[40] = { 0x45 };
+
+  ck_assert (cf_transfer_encode (&keys, &transfer, packet, sizeof packet, options));
+  ck_assert (cf_transfer_decode (&keys, options, packet, sizeof packet, &read));
+  ck_assert_uint_eq (read.key, 3);
+  packet[39] ^= 1;
+  ck_assert (!cf_transfer_decode (&keys, options, packet, sizeof packet, &read));
+  packet[39] ^= 1;
+  options[3] ^= 1;
+  ck_assert (!cf_transfer_decode (&keys, options, packet, sizeof packet, &read));
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("packet");
+  TCase *group = tcase_create ("packet");
+  SRunner *runner;
+  int failed;
+
+  tcase_add_checked_fixture (group, setup, NULL);
+  tcase_set_timeout (group, 0);
+  tcase_add_loop_test (group, test_parse, 0, 2);
+  tcase_add_test (group, test_fragment);
+  tcase_add_loop_test (group, test_refusal, 0, 4);
+  tcase_add_test (group, test_mutated_packets);
+  tcase_add_test (group, test_mutated_transfers);
+  tcase_add_test (group, test_peer_codec);
+  tcase_add_test (group, test_malformed_messages);
+  tcase_add_test (group, test_replay);
+  tcase_add_test (group, test_transfer_codec);
+  suite_add_tcase (suite, group);
+  runner = srunner_create (suite);
+  srunner_run_all (runner, CK_NORMAL);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
