Limits, failure domains and the spread of configurations under faults

Any input now notices the pause, and packets read within 100 ms of it are dropped; - repeated first packets to a cold upstream spent no admission: 138 to 234 new flows beyond what it bears after a power cut. They do now; - an upstream was called warm while its neighbours were cold, and got their share too: the expected share counts only upstreams that are ready; - flows counted by other VMs reach the gatekeeper seconds late and outranked failed probes: only its own observation does; - during a partition a change was acted on before members that were cut off had it from the platform: a wait of 3 s; - with two VMs limited to 100 new flows a second, a tenant of 40 a second lost a quarter to one of 600: its recent peak is reserved.

--- a/src/core/core.c
+++ b/src/core/core.c
@@ -47,6 +47,7 @@
   core->state = PEER_JOINING;
   core->unsure = true;
   core->mark_version = 1;
+  core->woke_at = now - CF_WAKE_MS;
   core->death_at = -1;
   core->heartbeat_urgent = true;
   core->tenants = g_array_new (FALSE, FALSE, sizeof (struct CfTenant));
@@ -140,6 +141,18 @@
   return true;
 }
 
+/* Whatever arrives first after a pause, nothing is decided on beliefs from before. */
+static void
+notice_pause (struct CfCore *core, CfMillis now)
+{
+  if (now - core->last_tick <= CF_PAUSE_LIMIT_MS)
+    return;
+  core->last_tick = now;
+  core->woke_at = now;
+  if (core->state == PEER_SERVING)
+    cf_members_pause (core, now);
+}
+
 static enum CfVerdict
 handle (struct CfCore *core,
         const struct CfPacket *packet,
@@ -151,6 +164,9 @@
 
   if (!core->config)
     return cf_route_drop (core, CF_DROP_NO_CONFIG);
+  /* The caller has sent it again meanwhile: by now it could open its flow twice. */
+  if (now - core->woke_at < CF_WAKE_MS)
+    return cf_route_drop (core, CF_DROP_DOUBT);
   service = cf_config_find_service (core->config, &packet->service, packet->protocol);
   if (!service)
     return cf_route_drop (core, CF_DROP_NO_SERVICE);
@@ -183,6 +199,7 @@
   struct CfPacket packet = { .reply = *reply };
   enum CfDrop drop;
 
+  notice_pause (core, now);
   core->stats.counter[CF_COUNT_FABRIC_PACKETS]++;
   core->stats.counter[CF_COUNT_FABRIC_BYTES] += len;
   drop = cf_packet_parse (data, len, &packet);
@@ -201,6 +218,7 @@
   struct CfPacket packet = { .reply = { .port = (uint16_t) transfer->reply_port } };
   enum CfDrop drop;
 
+  notice_pause (core, now);
   memcpy (packet.reply.ip, transfer->reply_address, sizeof packet.reply.ip);
   core->stats.counter[CF_COUNT_TRANSFERS_RECEIVED]++;
   drop = cf_packet_parse (data, len, &packet);
@@ -226,6 +244,7 @@
   const struct peer_message *message = &envelope->message;
   struct CfMember *member = cf_member_by_id (core, envelope->vm);
 
+  notice_pause (core, now);
   if (envelope->vm == core->options.vm)
     {
       meet_namesake (core, envelope->incarnation, now);
@@ -357,15 +376,14 @@
 void
 cf_core_tick (struct CfCore *core, CfMillis now)
 {
-  if (now - core->last_tick > CF_PAUSE_LIMIT_MS && core->state == PEER_SERVING)
-    cf_members_pause (core, now);
+  notice_pause (core, now);
   core->last_tick = now;
   cf_members_check (core, now);
   cf_members_join (core, now);
   if (now - core->summed_at >= CF_HEARTBEAT_MS)
     {
       core->summed_at = now;
-      cf_limits_sum (core, now);
+      cf_limits_sum (core);
       cf_gate_tick (core, now);
       check_watch (core);
     }
--- a/src/core/flows.c
+++ b/src/core/flows.c
@@ -67,6 +67,7 @@
     {
       flow->flags &= ~CF_FLOW_HALF_OPEN;
       slot->load.completed++;
+      slot->completed_at = route->now;
       slot->evidence.completed++;
       cf_histogram_add (&route->service->stats->handshake_ms,
                         (uint16_t) ((uint16_t) route->now - flow->first_ms));
--- a/src/core/gatekeeper.c
+++ b/src/core/gatekeeper.c
@@ -14,7 +14,7 @@
 #define WARM_MARGIN 1.5  /* budget over the expected share of a warm upstream */
 #define WARM_PROOF 2     /* completed flows needed, as multiples of bears */
 #define PROBE_FAILURES 3 /* probes without an answer */
-#define IN_BAND_MS 2000  /* completed flows this recent outrank failed probes */
+#define IN_BAND_MS 3000  /* completed flows this recent outrank failed probes */
 #define SUSPECT_SETTLE_MS 5000
 
 bool
@@ -113,25 +113,49 @@
   return 0;
 }
 
+/* Returns the first packets of SERVICE so far, those that were refused included.  The
+ * other members own as many buckets as this one and refuse as many. */
 static uint32_t
-service_opened (const struct CfCore *core, const struct CfServiceState *service)
+service_demand (const struct CfCore *core, const struct CfServiceState *service)
 {
-  uint32_t opened = 0;
+  uint64_t demand = service->stats->refused * core->current.candidates->len;
 
   for (uint32_t i = 0; i < service->count; i++)
-    opened += cf_slot (core, service->choices[i].slot)->fleet.opened;
-  return opened;
+    demand += cf_slot (core, service->choices[i].slot)->fleet.opened;
+  return (uint32_t) demand;
 }
 
-/* Returns the new flows a second that the slot would get as a warm upstream. */
 static double
-expected_share (const struct CfServiceState *service, const struct CfSlot *slot, uint32_t opened)
+weight_sum (const struct CfCore *core, const struct CfServiceState *service, double ready_budget)
 {
-  double weights = 0;
+  double sum = 0;
 
   for (uint32_t i = 0; i < service->count; i++)
-    weights += service->choices[i].weight;
-  return weights > 0 ? opened * slot->upstream->weight / weights : 0;
+    {
+      const struct CfSlot *slot = cf_slot (core, service->choices[i].slot);
+      double weight = service->choices[i].weight;
+
+      if (!cf_slot_takes_new (slot) || slot->health == PEER_UNREACHABLE)
+        continue;
+      if (slot->health == PEER_WARM || slot->gate.budget >= ready_budget * weight)
+        sum += weight;
+    }
+  return sum;
+}
+
+/* Returns the new flows a second that the slot would get as a warm upstream, of RATE
+ * for the whole service.  Other cold upstreams count if their budgets suffice for a
+ * fair share; what the rest cannot take falls to those that are warm. */
+static double
+expected_share (const struct CfCore *core,
+                const struct CfServiceState *service,
+                const struct CfSlot *slot,
+                uint32_t rate)
+{
+  double all = weight_sum (core, service, 0);
+  double ready = all > 0 ? weight_sum (core, service, WARM_MARGIN * rate / all) : 0;
+
+  return ready > 0 ? rate * slot->upstream->weight / ready : rate;
 }
 
 static void
@@ -139,10 +163,10 @@
 {
   struct CfSlot *slot = cf_slot (core, number);
   const struct CfServiceState *service = &core->services[slot->upstream->service];
-  uint32_t demand = service_opened (core, service);
+  uint32_t demand = service_demand (core, service);
   uint32_t opened = slot->fleet.opened - slot->gate.opened;
   uint32_t completed = slot->fleet.completed - slot->gate.completed;
-  double share = expected_share (service, slot, demand - slot->gate.demand);
+  double share = expected_share (core, service, slot, demand - slot->gate.demand);
   bool first = slot->gate.demand == 0;
 
   slot->gate.next_growth = now + GROWTH_MS;
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -18,6 +18,8 @@
 #define CF_JOIN_LIMIT_MS 20000    /* longest wait for a handover */
 #define CF_DOUBT_MS 3000          /* a new owner asks the one before it for this long */
 #define CF_PUSH_MS 30000          /* a handover may be unfinished for this long */
+#define CF_WAKE_MS 100            /* packets read just after a pause waited in a queue */
+#define CF_DIVIDED_WAIT_MS 3000   /* members that are cut off learn of a change by then */
 #define CF_IN_FLIGHT_MS 500       /* entries on their way have arrived, repeated once */
 #define CF_PARTITION_MS 90000     /* a silent member may be cut off for this long */
 #define CF_GRACE_MS 2500          /* a leaving upstream still gets unknown UDP flows */
@@ -82,7 +84,7 @@
   struct CfLoad load;      /* of this VM */
   struct CfLoad retired;   /* of former incarnations of members */
   struct CfLoad fleet;     /* sum, updated every tick */
-  CfMillis completed_at;   /* when fleet.completed last grew */
+  CfMillis completed_at;   /* when this VM last saw a flow complete, 0: never */
   struct CfEvidence evidence;
   uint32_t entries_away; /* entries with this implied slot */
   CfMillis wants_mark_until;
@@ -122,7 +124,7 @@
   char *name;
   uint32_t accepted;
   uint32_t wanted;
-  uint32_t last_wanted;
+  uint32_t last_wanted; /* most that recent windows wanted, forgotten slowly */
 };
 
 /* A batch of entries that its receiver has not acknowledged. */
@@ -199,6 +201,7 @@
   GRand *random;
   CfMillis start;
   CfMillis last_tick;
+  CfMillis woke_at; /* when a pause was last noticed */
   uint64_t incarnation;
   enum peer_state state;
   CfMillis state_since;
@@ -388,7 +391,7 @@
 bool cf_limit_full (const struct CfCore *core, const struct CfSlot *slot);
 bool
 cf_limit_unfair (const struct CfCore *core, const struct CfServiceState *service, uint32_t slot);
-void cf_limits_sum (struct CfCore *core, CfMillis now);
+void cf_limits_sum (struct CfCore *core);
 
 /* gatekeeper.c */
 #define CF_NO_GRANT UINT32_MAX /* the heartbeat says nothing about grants */
--- a/src/core/limits.c
+++ b/src/core/limits.c
@@ -14,14 +14,15 @@
     {
       struct CfTenant *tenant = &g_array_index (core->tenants, struct CfTenant, i);
 
-      tenant->last_wanted = tenant->wanted;
+      tenant->last_wanted -= tenant->last_wanted / 8;
+      tenant->last_wanted = MAX (tenant->last_wanted, tenant->wanted);
       tenant->wanted = 0;
       tenant->accepted = 0;
     }
 }
 
 /* Returns what the other tenants are still owed in this window: their fair share,
- * as far as they used it in the window before. */
+ * as far as they used it in the windows before. */
 static uint32_t
 owed_to_others (const struct CfCore *core, uint32_t except, uint32_t share)
 {
@@ -101,11 +102,9 @@
 }
 
 static void
-sum_slot (struct CfCore *core, uint32_t number, CfMillis now)
+sum_slot (struct CfCore *core, uint32_t number)
 {
   struct CfSlot *slot = cf_slot (core, number);
-  uint32_t completed = slot->fleet.completed;
-
   slot->fleet = slot->load;
   slot->fleet.opened += slot->retired.opened;
   slot->fleet.completed += slot->retired.completed;
@@ -118,13 +117,11 @@
       slot->fleet.completed += load->completed;
       slot->fleet.closed += load->closed;
     }
-  if (slot->fleet.completed != completed)
-    slot->completed_at = now;
 }
 
 void
-cf_limits_sum (struct CfCore *core, CfMillis now)
+cf_limits_sum (struct CfCore *core)
 {
   for (uint32_t i = 0; i < core->slots->len; i++)
-    sum_slot (core, i, now);
+    sum_slot (core, i);
 }
--- a/src/core/marks.c
+++ b/src/core/marks.c
@@ -39,7 +39,8 @@
   struct CfSlot *slot = cf_slot (core, number);
 
   if (cf_marked_by_config (slot))
-    return core->common_version >= slot->closed_version;
+    return core->common_version >= slot->closed_version
+           && (!core->divided || now - slot->closed_since >= CF_DIVIDED_WAIT_MS);
   if (!core->config_settled)
     return false;
   slot->wants_mark_until = now + WANT_MARK_MS;
--- a/src/core/route.c
+++ b/src/core/route.c
@@ -207,6 +207,27 @@
   return cf_route_to (core, route, route->implied);
 }
 
+/* A first packet sent again.  The upstream may never have got it, so it counts as a
+ * new flow there; it never goes to another one. */
+static enum CfVerdict
+repeat_first (struct CfCore *core, struct CfRoute *route, struct CfFlow *flow)
+{
+  struct CfSlot *slot = cf_slot (core, flow->slot);
+
+  if (slot->health == PEER_UNREACHABLE)
+    {
+      flow->flags |= CF_FLOW_CLOSING;
+      return cf_route_refuse (core, route, CF_VERDICT_MAY_HAVE_RUN);
+    }
+  if (slot->health == PEER_COLD)
+    {
+      if (!cf_grant_available (slot, route->now))
+        return cf_route_drop (core, CF_DROP_GATE);
+      slot->grant--;
+    }
+  return follow (core, route, flow);
+}
+
 static enum CfVerdict
 decide (struct CfCore *core, struct CfRoute *route, struct CfFlow *flow)
 {
@@ -216,7 +237,7 @@
     {
       if (flow->kind == CF_FLOW_RECENT && expects_record (core, route))
         pin (core, route, flow);
-      return follow (core, route, flow);
+      return route->opens ? repeat_first (core, route, flow) : follow (core, route, flow);
     }
   if (flow)
     return cf_place (core, route, flow);
--- a/src/serve/settings.c
+++ b/src/serve/settings.c
@@ -63,7 +63,7 @@
     "[CYCLAMENFERRY_LINGER]; default 10",
     0 },
   { "health-interval", SET_HEALTH_INTERVAL, "MS", 0,
-    "Milliseconds between two probes of an upstream [CYCLAMENFERRY_HEALTH_INTERVAL]; default 1000",
+    "Milliseconds between two probes of an upstream [CYCLAMENFERRY_HEALTH_INTERVAL]; default 250",
     0 },
   { 0 },
 };
@@ -250,7 +250,7 @@
     .admin_ip = "127.0.0.1",
     .admin_port = 6083,
     .linger_ms = 10 * CF_MS_PER_S,
-    .health_interval_ms = CF_MS_PER_S,
+    .health_interval_ms = 250,
   };
   read_environment (&parse);
   if (argp_parse (&parser, argc, argv, 0, NULL, &parse) != 0)
