Platform: stand-in, changes through it, and the faults of its answers

Cause: apply, domain and upstream had not met a platform. tests/platform.c is a stand-in over HTTP with version tags, conditional writes, waiting reads and outages; tests/test_change.c a fake at the store's callbacks for races and lost answers.

Found: an error that quotes the error it replaces came out empty. Shown on sockets: apply, domain out and in, a lost answer recognised by read-back, a silent platform (nothing changed, exit 1), a fresh VM that starts from its peers meanwhile, version 5 in force on all three VMs afterwards.

--- a/Makefile
+++ b/Makefile
@@ -19,9 +19,9 @@
 
 LIB_SRC := $(wildcard src/base/*.c src/config/*.c src/core/*.c src/packet/*.c src/peer/*.c)
 APP_SRC := $(wildcard src/platform/*.c src/serve/*.c src/cli/*.c)
-TEST_LIB_SRC := $(filter-out tests/test_%.c tests/live.c,$(wildcard tests/*.c))
+TEST_LIB_SRC := $(filter-out tests/test_%.c tests/live.c tests/platform.c,$(wildcard tests/*.c))
 TEST_SRC := $(wildcard tests/test_*.c)
-STANDIN_SRC := tests/live.c
+STANDIN_SRC := tests/live.c tests/platform.c
 BENCH_SRC := $(wildcard bench/*.c)
 
 LIB_OBJ = $(LIB_SRC:%.c=$(BUILD)/%.o)
--- /dev/null
+++ b/bench/main.c
@@ -0,0 +1,28 @@
+#include "bench.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+
+static int missed;
+
+void
+bench_bound (const char *name, double value, double bound)
+{
+  if (value <= bound)
+    return;
+  printf ("MISSED: %s is %.1f, target %.1f\n", name, value, bound);
+  missed++;
+}
+
+int
+main (void)
+{
+  setvbuf (stdout, NULL, _IOLBF, 0);
+  bench_packets ();
+  bench_slopes ();
+  bench_balance ();
+  bench_scenarios ();
+  bench_today ();
+  printf ("\n%d bounds missed\n", missed);
+  return missed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
--- /dev/null
+++ b/bench/scenario.c
@@ -0,0 +1,233 @@
+#include "bench.h"
+
+#include <stdio.h>
+
+/* Deploys and failures at a small size, for the product and the baselines. */
+
+static const struct FleetTraffic traffic
+    = { .flows_per_s = 120, .life_min = 5000, .life_max = 60000, .gap = 1000 };
+
+struct Bytes
+{
+  uint64_t control;
+  uint64_t transferred;
+};
+
+static struct Bytes
+bytes_sent (const struct Fleet *fleet)
+{
+  struct Bytes sum = { 0 };
+
+  for (uint32_t i = 0; i < fleet->spec.vms; i++)
+    {
+      sum.control += fleet->vms[i].peer_bytes;
+      sum.transferred += fleet->vms[i].transfer_bytes;
+    }
+  return sum;
+}
+
+static void
+replace_and_drain (struct Fleet *fleet)
+{
+  for (uint32_t u = 0; u < 6; u++)
+    {
+      fleet_drain (fleet, u, true, 1000);
+      fleet_leave (fleet, u);
+      fleet_run (fleet, 7000);
+      fleet_start (fleet, u, false);
+      fleet_drain (fleet, u, false, 1000);
+      fleet_run (fleet, 6000);
+    }
+}
+
+static void
+change_upstreams (struct Fleet *fleet)
+{
+  static const uint32_t sizes[] = { 18, 12, 15 };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (sizes); i++)
+    {
+      uint32_t counts[2] = { sizes[i], 4 };
+      char *text = fleet_config_text (&fleet->spec, counts);
+      struct CfConfig *folder = cf_config_parse (text, NULL);
+
+      fleet_set_config (fleet,
+                        cf_config_succeed (fleet->config, folder, fleet->config->version + 1, 1000),
+                        3000);
+      fleet_run (fleet, 12000);
+      cf_config_unref (folder);
+      g_free (text);
+    }
+}
+
+static void
+owner_dies (struct Fleet *fleet)
+{
+  for (uint32_t vm = 0; vm < 3; vm++)
+    {
+      fleet_drain (fleet, vm, true, 500);
+      fleet_run (fleet, 8000);
+      fleet_kill (fleet, vm);
+      fleet_run (fleet, 8000);
+      fleet_start (fleet, vm, false);
+      fleet_run (fleet, 8000);
+    }
+}
+
+static void
+two_die (struct Fleet *fleet)
+{
+  fleet_drain (fleet, 0, true, 500);
+  fleet_drain (fleet, 1, true, 500);
+  fleet_run (fleet, 20000);
+  fleet_kill (fleet, 1);
+  fleet_kill (fleet, 2);
+  fleet_run (fleet, 10000);
+  fleet_start (fleet, 1, false);
+  fleet_start (fleet, 2, false);
+  fleet_run (fleet, 20000);
+}
+
+static const struct
+{
+  const char *name;
+  void (*run) (struct Fleet *fleet);
+} scenarios[] = {
+  { "replace 6 VMs, drain 6", replace_and_drain },
+  { "upstreams 15-18-12-15", change_upstreams },
+  { "owner dies in a drain", owner_dies },
+  { "two VMs die", two_die },
+};
+
+static void
+run_one (size_t scenario, const struct CfPolicy *policy)
+{
+  struct FleetSpec spec
+      = { .seed = 1, .vms = 6, .domains = 4, .upstreams = { 15, 4 }, .policy = policy };
+  struct Fleet *fleet = fleet_new (&spec);
+  bool product = policy == &cf_policy_product;
+  struct Bytes before;
+  struct Bytes after;
+  CfMillis began;
+  double seconds;
+
+  fleet_start_all (fleet);
+  fleet_traffic (fleet, &traffic);
+  fleet_run (fleet, 20000);
+  before = bytes_sent (fleet);
+  began = test_network_now (fleet->network);
+  scenarios[scenario].run (fleet);
+  seconds = (double) (test_network_now (fleet->network) - began) / CF_MS_PER_S * spec.vms;
+  after = bytes_sent (fleet);
+  fleet_run (fleet, 70000);
+  printf ("%-24s %-8s %7" G_GUINT64_FORMAT " %7" G_GUINT64_FORMAT " %9.3f %10.0f %10.0f\n",
+          scenarios[scenario].name, policy->name, fleet->count.opened, fleet->count.broken,
+          fleet_imbalance (fleet, 0), (double) (after.control - before.control) / seconds,
+          (double) (after.transferred - before.transferred) / seconds);
+  bench_bound ("misdelivered packets", (double) fleet->count.misdelivered, 0);
+  if (product)
+    {
+      bench_bound ("broken flows", (double) fleet->count.broken, 0);
+      bench_bound ("control bytes a second a VM during changes",
+                   (double) (after.control - before.control) / seconds, 24000);
+    }
+  fleet_free (fleet);
+}
+
+void
+bench_scenarios (void)
+{
+  const struct CfPolicy *policies[] = { &cf_policy_hash, &cf_policy_local, &cf_policy_product };
+
+  printf ("\n%-24s %-8s %7s %7s %9s %10s %10s\n", "120 new flows/s", "policy", "opened", "broken",
+          "imbalance", "control", "transfer");
+  printf ("%-24s %-8s %7s %7s %9s %10s %10s\n", "", "", "", "", "max/mean", "B/s/VM", "B/s/VM");
+  for (size_t i = 0; i < G_N_ELEMENTS (scenarios); i++)
+    for (size_t p = 0; p < G_N_ELEMENTS (policies); p++)
+      run_one (i, policies[p]);
+}
+
+/* Today's size: 18,000 new flows a second over 6 VMs. */
+void
+bench_today (void)
+{
+  struct FleetSpec spec = {
+    .seed = 1, .vms = 6, .domains = 4, .upstreams = { 15, 4 }, .connections = 1000000
+  };
+  struct Fleet *fleet = fleet_new (&spec);
+  struct Bytes marks[4];
+
+  fleet_start_all (fleet);
+  fleet_traffic (fleet, &(struct FleetTraffic){
+                            .flows_per_s = 18000, .life_min = 4000, .life_max = 20000, .gap = 3000 });
+  fleet_run (fleet, 6000);
+  marks[0] = bytes_sent (fleet);
+  fleet_run (fleet, 5000);
+  marks[1] = bytes_sent (fleet);
+  fleet_leave (fleet, 0);
+  fleet_run (fleet, 5000);
+  fleet_start (fleet, 0, false);
+  fleet_run (fleet, 5000);
+  marks[2] = bytes_sent (fleet);
+  fleet_drain (fleet, 2, true, 1000);
+  fleet_run (fleet, 5000);
+  marks[3] = bytes_sent (fleet);
+  printf ("\ntoday's size: 6 VMs, 3,000 new flows/s a VM, 19 upstreams, %" G_GUINT64_FORMAT
+          " flows open\n",
+          fleet_open_count (fleet));
+  for (int i = 0; i < 3; i++)
+    {
+      static const char *const names[] = { "steady", "a VM is replaced", "an upstream drains" };
+      double seconds = (i == 1 ? 10.0 : 5.0) * spec.vms;
+
+      printf ("%-24s control %8.0f B/s/VM, transferred %10.0f B/s/VM\n", names[i],
+              (double) (marks[i + 1].control - marks[i].control) / seconds,
+              (double) (marks[i + 1].transferred - marks[i].transferred) / seconds);
+    }
+  printf ("%-24s %.0f\n", "broken flows", (double) fleet->count.broken);
+  bench_bound ("broken flows at today's size", (double) fleet->count.broken, 0);
+  bench_bound ("control bytes a second a VM, steady",
+               (double) (marks[1].control - marks[0].control) / 5 / spec.vms, 4096);
+  bench_bound ("transferred bytes a second a VM, steady",
+               (double) (marks[1].transferred - marks[0].transferred) / 5 / spec.vms, 4096);
+  bench_bound ("control bytes a second a VM, replacement",
+               (double) (marks[2].control - marks[1].control) / 10 / spec.vms, 24576);
+  bench_bound ("control bytes a second a VM, drain",
+               (double) (marks[3].control - marks[2].control) / 5 / spec.vms, 24576);
+  fleet_free (fleet);
+}
+
+/* How even the load is, for several bounds of imbalance, against the entries that
+ * the bound costs. */
+void
+bench_balance (void)
+{
+  static const char *const bounds[] = { "0.05", "0.10", "0.25", "0.50", "10" };
+
+  printf ("\n%-24s %12s %12s %12s\n", "imbalance bound", "15 upstreams", "4 upstreams",
+          "away, %");
+  for (size_t i = 0; i < G_N_ELEMENTS (bounds); i++)
+    {
+      struct FleetSpec spec = {
+        .seed = 3, .vms = 6, .domains = 4, .upstreams = { 15, 4 }, .connections = 1000000
+      };
+      struct Fleet *fleet = fleet_new (&spec);
+      char *text = fleet_config_text (&spec, spec.upstreams);
+      char *bounded = g_strdup_printf ("%s[limits]\nimbalance=%s\n", text, bounds[i]);
+
+      cf_config_unref (fleet->config);
+      fleet->config = cf_config_parse (bounded, NULL);
+      fleet_start_all (fleet);
+      fleet_traffic (fleet, &(struct FleetTraffic){
+                                .flows_per_s = 2000, .life_min = 5000, .life_max = 15000,
+                                .gap = 5000 });
+      fleet_run (fleet, 25000);
+      printf ("%-24s %12.3f %12.3f %12.2f\n", bounds[i], fleet_imbalance (fleet, 0),
+              fleet_imbalance (fleet, 1),
+              100.0 * (double) fleet_counter (fleet, CF_COUNT_NEW_AWAY)
+                  / (double) fleet_counter (fleet, CF_COUNT_NEW_FLOWS));
+      g_free (bounded);
+      g_free (text);
+      fleet_free (fleet);
+    }
+}
--- /dev/null
+++ b/bench/slopes.c
@@ -0,0 +1,335 @@
+#include "bench.h"
+#include "packets.h"
+#include "peer/codec.h"
+
+#include <malloc.h>
+#include <stdio.h>
+#include <string.h>
+#include <time.h>
+
+/* Costs in one core, without processes. */
+
+#define PACKETS 200000
+
+static double
+nanoseconds (void)
+{
+  struct timespec now;
+
+  clock_gettime (CLOCK_PROCESS_CPUTIME_ID, &now);
+  return (double) now.tv_sec * 1e9 + (double) now.tv_nsec;
+}
+
+struct Probe
+{
+  size_t peer_bytes; /* of the last message */
+  const struct CfPeerKeys *keys;
+};
+
+static void
+probe_forward (void *context, const struct CfPacket *packet, const struct CfUpstream *upstream)
+{
+  (void) context;
+  (void) packet;
+  (void) upstream;
+}
+
+static void
+probe_transfer (void *context,
+                const struct CfPacket *packet,
+                const struct peer_transfer *transfer,
+                const struct CfAddress *address)
+{
+  (void) context;
+  (void) packet;
+  (void) transfer;
+  (void) address;
+}
+
+static void
+probe_refuse (void *context, const struct CfPacket *packet, enum CfVerdict verdict)
+{
+  (void) context;
+  (void) packet;
+  (void) verdict;
+}
+
+static void
+probe_peer (void *context, const struct CfAddress *address, const struct peer_message *message)
+{
+  struct Probe *probe = context;
+  static uint8_t datagram[CF_PEER_DATAGRAM_MAX];
+  struct peer_envelope envelope = { .message = *message };
+
+  (void) address;
+  probe->peer_bytes
+      = cf_peer_encode (probe->keys, 0, &envelope, datagram, sizeof datagram);
+}
+
+static void
+probe_upstreams (void *context, const uint32_t *upstreams, uint32_t count)
+{
+  (void) context;
+  (void) upstreams;
+  (void) count;
+}
+
+static void
+probe_watch (void *context, bool watch)
+{
+  (void) context;
+  (void) watch;
+}
+
+static void
+probe_config (void *context, const struct CfConfig *config)
+{
+  (void) context;
+  (void) config;
+}
+
+static void
+probe_state (void *context, enum peer_state state, bool may_stop)
+{
+  (void) context;
+  (void) state;
+  (void) may_stop;
+}
+
+static const struct CfPeerKeys keys;
+
+static const struct CfCoreOutputs outputs = {
+  .forward = probe_forward,
+  .transfer = probe_transfer,
+  .refuse = probe_refuse,
+  .send_peer = probe_peer,
+  .probe = probe_upstreams,
+  .watch_platform = probe_watch,
+  .config_changed = probe_config,
+  .state_changed = probe_state,
+};
+
+static struct CfConfig *
+config_of (uint32_t services, uint32_t upstreams, const char *extra)
+{
+  GString *text = g_string_new ("[fleet]\nversion=1\n[failure-domain a]\nregion=r\n");
+  struct CfError error = { 0 };
+  struct CfConfig *config;
+
+  for (uint32_t s = 0; s < services; s++)
+    g_string_append_printf (text, "[service s%u]\naddress=10.%u.%u.1\nport=443\n", s, s >> 8,
+                            s & 0xff);
+  for (uint32_t u = 0; u < upstreams; u++)
+    g_string_append_printf (text,
+                            "[upstream u%u]\nservice=s%u\nfailure-domain=a\ntunnel=10.200.%u.%u\n",
+                            u, u % services, u >> 8, u & 0xff);
+  g_string_append (text, extra);
+  config = cf_config_parse (text->str, &error);
+  if (!config)
+    g_error ("%s", error.text);
+  g_string_free (text, TRUE);
+  return config;
+}
+
+static struct CfCore *
+serving_core (struct Probe *probe, struct CfConfig *config)
+{
+  struct CfCoreOptions options = { .vm = 1, .incarnation = 1, .domain = cf_name_id ("a") };
+  struct CfCore *core = cf_core_new (&options, &outputs, probe, 0);
+
+  probe->keys = &keys;
+  cf_core_set_config (core, config, 0);
+  for (CfMillis now = 0; now < 3000; now += CF_TICK_MS)
+    cf_core_tick (core, now);
+  return core;
+}
+
+enum PacketKind
+{
+  PACKET_HIT,
+  PACKET_NEW,
+  PACKET_OWNED,
+};
+
+/* Returns the time of one packet, the best of three rounds. */
+static double
+packet_time (struct CfCore *core, enum PacketKind kind)
+{
+  const struct CfAddress service
+      = { .ip = { [10] = 0xff, [11] = 0xff, [12] = 10, [15] = 1 }, .port = 443 };
+  struct CfAddress caller = { .ip = { [10] = 0xff, [11] = 0xff, [12] = 11 } };
+  double best = 1e18;
+
+  for (int round = 0; round < 3; round++)
+    {
+      double began;
+
+      caller.ip[13] = (uint8_t) (kind * 3 + round);
+      began = nanoseconds ();
+      for (uint32_t n = 0; n < PACKETS; n++)
+        {
+          static uint8_t data[CF_PACKET_MAX];
+          size_t len;
+
+          caller.ip[14] = (uint8_t) (n >> 14);
+          caller.port = (uint16_t) (1024 + (n & 0x3fff));
+          len = test_packet_build (&caller, &service, CF_PROTOCOL_TCP,
+                                   kind == PACKET_NEW ? CF_PACKET_SYN : CF_PACKET_ACK, 32, data);
+          cf_core_packet (core, data, len, &service, 3000);
+        }
+      best = MIN (best, (nanoseconds () - began) / PACKETS);
+    }
+  return best;
+}
+
+static double
+bare_time (void)
+{
+  const struct CfAddress service
+      = { .ip = { [10] = 0xff, [11] = 0xff, [12] = 10, [15] = 1 }, .port = 443 };
+  struct CfAddress caller = { .ip = { [10] = 0xff, [11] = 0xff, [12] = 11 } };
+  GHashTable *table = g_hash_table_new (g_direct_hash, g_direct_equal);
+  struct CfPacket packet = { 0 };
+  uint64_t found = 0;
+  double best = 1e18;
+
+  for (uint32_t n = 0; n < PACKETS; n++)
+    g_hash_table_add (table, GUINT_TO_POINTER (n + 1));
+  for (int round = 0; round < 3; round++)
+    {
+      double began = nanoseconds ();
+
+      for (uint32_t n = 0; n < PACKETS; n++)
+        {
+          static uint8_t data[CF_PACKET_MAX];
+          size_t len;
+
+          caller.ip[14] = (uint8_t) (n >> 14);
+          caller.port = (uint16_t) (1024 + (n & 0x3fff));
+          len = test_packet_build (&caller, &service, CF_PROTOCOL_TCP, CF_PACKET_ACK, 32, data);
+          cf_packet_parse (data, len, &packet);
+          found += g_hash_table_contains (
+              table, GUINT_TO_POINTER ((packet.caller.port * 7919U + packet.caller.ip[14]) % PACKETS));
+        }
+      best = MIN (best, (nanoseconds () - began) / PACKETS);
+    }
+  g_hash_table_destroy (table);
+  return found ? best : 0;
+}
+
+void
+bench_packets (void)
+{
+  struct Probe probe = { 0 };
+  struct CfConfig *config = config_of (1, 15, "");
+  struct CfConfig *draining = config_of (1, 15, "[upstream u0]\nstate=draining\n");
+  struct CfCore *core = serving_core (&probe, config);
+  struct CfCore *marked = serving_core (&probe, draining);
+  double bare = bare_time ();
+  double hit = packet_time (core, PACKET_HIT);
+  double first = packet_time (core, PACKET_NEW);
+  double owned = packet_time (marked, PACKET_OWNED);
+
+  printf ("one packet, built and parsed: bare look-up %.0f ns; packet of a flow %.0f ns (x%.1f), "
+          "first packet %.0f ns (x%.1f),\nwith 1 of 15 upstreams draining %.0f ns (x%.1f); "
+          "record %u bytes a flow\n",
+          bare, hit, hit / bare, first, first / bare, owned, owned / bare, 32U);
+  bench_bound ("packet of a flow, ratio to a bare look-up", hit / bare, 5);
+  bench_bound ("first packet, ratio to a bare look-up", first / bare, 10);
+  bench_bound ("packet in a drain, ratio to a bare look-up", owned / bare, 10);
+  cf_core_free (core);
+  cf_core_free (marked);
+  cf_config_unref (config);
+  cf_config_unref (draining);
+}
+
+static void
+hear (struct CfCore *core, uint32_t vm, const struct CfConfig *config, CfMillis now)
+{
+  struct peer_envelope envelope = { .vm = vm, .incarnation = 1 };
+  peer_heartbeat *heartbeat = &envelope.message.peer_message_u.heartbeat;
+
+  envelope.message.kind = PEER_HEARTBEAT;
+  heartbeat->state = PEER_SERVING;
+  heartbeat->domain = vm % 11 + 1;
+  heartbeat->port = 6081;
+  heartbeat->config_version = config->version;
+  heartbeat->config_digest = config->digest;
+  cf_core_peer (core, &envelope, now);
+}
+
+static void
+member_slope (uint32_t members)
+{
+  struct Probe probe = { 0 };
+  struct CfConfig *config = config_of (2, 19, "");
+  size_t memory = mallinfo2 ().uordblks;
+  struct CfCore *core = serving_core (&probe, config);
+  double began;
+  double beat;
+  double join;
+  double tick;
+
+  for (uint32_t i = 2; i < members; i++)
+    hear (core, i, config, 3000);
+  began = nanoseconds ();
+  hear (core, members, config, 3000);
+  join = nanoseconds () - began;
+  began = nanoseconds ();
+  for (uint32_t i = 2; i <= members; i++)
+    hear (core, i, config, 3010);
+  beat = (nanoseconds () - began) / (members - 1);
+  began = nanoseconds ();
+  cf_core_tick (core, 3050);
+  tick = nanoseconds () - began;
+  printf ("%8u members  %8.1f us/heartbeat  %8.2f ms/join  %8.2f ms/tick  %7zu B/heartbeat  "
+          "%8.0f KB\n",
+          members, beat / 1e3, join / 1e6, tick / 1e6, probe.peer_bytes,
+          (double) (mallinfo2 ().uordblks - memory) / 1024);
+  cf_core_free (core);
+  cf_config_unref (config);
+}
+
+static void
+upstream_slope (uint32_t services, uint32_t upstreams)
+{
+  struct Probe probe = { 0 };
+  size_t memory = mallinfo2 ().uordblks;
+  double began = nanoseconds ();
+  struct CfConfig *config = config_of (services, upstreams, "");
+  double parse = nanoseconds () - began;
+  struct CfCore *core = serving_core (&probe, config);
+  struct CfConfig *next
+      = cf_config_set_drain (config, "u1", true, config->version + 1, NULL);
+  double apply;
+  double tick;
+
+  began = nanoseconds ();
+  cf_core_set_config (core, next, 3000);
+  apply = nanoseconds () - began;
+  began = nanoseconds ();
+  cf_core_tick (core, 3050);
+  tick = nanoseconds () - began;
+  printf ("%8u upstreams %6u services  %8.1f ms/parse  %8.2f ms/apply  %8.2f ms/tick  %8zu B text  "
+          "%8.0f KB\n",
+          upstreams, services, parse / 1e6, apply / 1e6, tick / 1e6, strlen (config->text),
+          (double) (mallinfo2 ().uordblks - memory) / 1024);
+  cf_core_free (core);
+  cf_config_unref (next);
+  cf_config_unref (config);
+}
+
+void
+bench_slopes (void)
+{
+  static const uint32_t members[] = { 6, 31, 100, 340, 1700 };
+
+  printf ("\ncosts in one core, against its number of members\n");
+  for (size_t i = 0; i < G_N_ELEMENTS (members); i++)
+    member_slope (members[i]);
+  printf ("\ncosts in one core, against the number of upstreams\n");
+  upstream_slope (2, 19);
+  upstream_slope (11, 160);
+  upstream_slope (110, 1600);
+  upstream_slope (1100, 16000);
+}
--- a/src/base/error.c
+++ b/src/base/error.c
@@ -2,6 +2,7 @@
 
 #include <stdarg.h>
 #include <stdio.h>
+#include <string.h>
 
 const char *
 cf_verdict_name (enum CfVerdict verdict)
@@ -25,13 +26,16 @@
 bool
 cf_error_set (struct CfError *error, enum CfErrorCode code, const char *format, ...)
 {
+  char text[CF_ERROR_TEXT_MAX];
   va_list args;
 
   if (!error)
     return false;
-  error->code = code;
+  /* The arguments may include the text that is replaced. */
   va_start (args, format);
-  vsnprintf (error->text, sizeof error->text, format, args);
+  vsnprintf (text, sizeof text, format, args);
   va_end (args);
+  error->code = code;
+  memcpy (error->text, text, sizeof text);
   return false;
 }
--- /dev/null
+++ b/tests/platform.c
@@ -0,0 +1,251 @@
+#include <fcntl.h>
+#include <glib-unix.h>
+#include <libsoup/soup.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "cf_types.h"
+
+/* Stands in for the platform's object API, on loopback: objects with version tags,
+ * conditional writes, reads that wait, and the list of VMs.  Commands come from
+ * standard input, one a line:
+ *
+ *   down, up     refuse every call, or answer again
+ *   silent       take calls and never answer
+ *   lose N       let the next N writes take effect without an answer
+ *   vms TEXT     the JSON text of the list of VMs
+ *   calls        print the number of calls so far */
+
+#define WAIT_STEP_MS 50
+
+struct Platform
+{
+  SoupServer *server;
+  GHashTable *values;   /* name to text */
+  GHashTable *versions; /* name to version */
+  char *vms;
+  bool down;
+  bool silent;
+  int lose;
+  uint64_t calls;
+  GMainLoop *loop;
+};
+
+/* A read that waits for another version. */
+struct Waiting
+{
+  struct Platform *platform;
+  SoupServerMessage *message;
+  char *name;
+  char *tag;
+  gint64 deadline;
+};
+
+static char *
+tag_of (const struct Platform *platform, const char *name)
+{
+  return g_strdup_printf ("\"%u\"",
+                          GPOINTER_TO_UINT (g_hash_table_lookup (platform->versions, name)));
+}
+
+static void
+answer_value (const struct Platform *platform, SoupServerMessage *message, const char *name)
+{
+  const char *value = g_hash_table_lookup (platform->values, name);
+  char *tag = tag_of (platform, name);
+
+  soup_server_message_set_status (message, value ? SOUP_STATUS_OK : SOUP_STATUS_NOT_FOUND, NULL);
+  if (value)
+    {
+      soup_message_headers_replace (soup_server_message_get_response_headers (message), "ETag",
+                                    tag);
+      soup_server_message_set_response (message, "text/plain; charset=utf-8", SOUP_MEMORY_COPY,
+                                        value, strlen (value));
+    }
+  g_free (tag);
+}
+
+static gboolean
+check_waiting (gpointer data)
+{
+  struct Waiting *waiting = data;
+  char *tag = tag_of (waiting->platform, waiting->name);
+  bool changed = strcmp (tag, waiting->tag) != 0;
+  bool late = g_get_monotonic_time () > waiting->deadline;
+
+  g_free (tag);
+  if (waiting->platform->silent || (!changed && !late))
+    return G_SOURCE_CONTINUE;
+  if (changed)
+    answer_value (waiting->platform, waiting->message, waiting->name);
+  else
+    soup_server_message_set_status (waiting->message, SOUP_STATUS_NOT_MODIFIED, NULL);
+  soup_server_message_unpause (waiting->message);
+  g_object_unref (waiting->message);
+  g_free (waiting->name);
+  g_free (waiting->tag);
+  g_free (waiting);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+read_object (struct Platform *platform, SoupServerMessage *message, const char *name)
+{
+  SoupMessageHeaders *headers = soup_server_message_get_request_headers (message);
+  const char *known = soup_message_headers_get_one (headers, "If-None-Match");
+  const char *prefer = soup_message_headers_get_one (headers, "Prefer");
+  char *tag = tag_of (platform, name);
+  int wait_s = prefer && g_str_has_prefix (prefer, "wait=") ? atoi (prefer + 5) : 0;
+
+  if (known && strcmp (known, tag) == 0)
+    {
+      struct Waiting *waiting = g_new0 (struct Waiting, 1);
+
+      *waiting = (struct Waiting){
+        .platform = platform,
+        .message = g_object_ref (message),
+        .name = g_strdup (name),
+        .tag = g_strdup (known),
+        .deadline = g_get_monotonic_time () + wait_s * G_USEC_PER_SEC,
+      };
+      soup_server_message_pause (message);
+      g_timeout_add (WAIT_STEP_MS, check_waiting, waiting);
+    }
+  else
+    answer_value (platform, message, name);
+  g_free (tag);
+}
+
+static void
+write_object (struct Platform *platform, SoupServerMessage *message, const char *name)
+{
+  SoupMessageHeaders *headers = soup_server_message_get_request_headers (message);
+  const char *match = soup_message_headers_get_one (headers, "If-Match");
+  const char *none = soup_message_headers_get_one (headers, "If-None-Match");
+  SoupMessageBody *body = soup_server_message_get_request_body (message);
+  uint32_t version = GPOINTER_TO_UINT (g_hash_table_lookup (platform->versions, name));
+  char *tag = tag_of (platform, name);
+  bool allowed = match ? version && strcmp (match, tag) == 0 : none && version == 0;
+
+  g_free (tag);
+  if (!allowed)
+    {
+      soup_server_message_set_status (message, SOUP_STATUS_PRECONDITION_FAILED, NULL);
+      return;
+    }
+  g_hash_table_insert (platform->values, g_strdup (name),
+                       g_strndup (body->data, (gsize) body->length));
+  g_hash_table_insert (platform->versions, g_strdup (name), GUINT_TO_POINTER (version + 1));
+  if (platform->lose > 0)
+    {
+      platform->lose--;
+      soup_server_message_pause (message);
+      return;
+    }
+  soup_server_message_set_status (message, SOUP_STATUS_OK, NULL);
+}
+
+static void
+handle (SoupServer *server,
+        SoupServerMessage *message,
+        const char *path,
+        GHashTable *query,
+        gpointer data)
+{
+  struct Platform *platform = data;
+  const char *method = soup_server_message_get_method (message);
+
+  (void) server;
+  (void) query;
+  platform->calls++;
+  if (platform->silent)
+    soup_server_message_pause (message);
+  else if (platform->down)
+    soup_server_message_set_status (message, SOUP_STATUS_SERVICE_UNAVAILABLE, NULL);
+  else if (strcmp (path, "/vms") == 0)
+    {
+      soup_server_message_set_status (message, SOUP_STATUS_OK, NULL);
+      soup_server_message_set_response (message, "application/json", SOUP_MEMORY_COPY,
+                                        platform->vms, strlen (platform->vms));
+    }
+  else if (!g_str_has_prefix (path, "/objects/"))
+    soup_server_message_set_status (message, SOUP_STATUS_NOT_FOUND, NULL);
+  else if (strcmp (method, "PUT") == 0)
+    write_object (platform, message, path + strlen ("/objects/"));
+  else
+    read_object (platform, message, path + strlen ("/objects/"));
+}
+
+static void
+command (struct Platform *platform, const char *line)
+{
+  if (strcmp (line, "down") == 0)
+    platform->down = true;
+  else if (strcmp (line, "silent") == 0)
+    platform->silent = true;
+  else if (strcmp (line, "up") == 0)
+    platform->down = platform->silent = false;
+  else if (g_str_has_prefix (line, "lose "))
+    platform->lose = atoi (line + 5);
+  else if (g_str_has_prefix (line, "vms "))
+    {
+      g_free (platform->vms);
+      platform->vms = g_strdup (line + 4);
+    }
+  else if (strcmp (line, "calls") == 0)
+    printf ("calls %" G_GUINT64_FORMAT "\n", platform->calls);
+  fflush (stdout);
+}
+
+static gboolean
+read_commands (gint fd, GIOCondition condition, gpointer data)
+{
+  struct Platform *platform = data;
+  char buffer[4096];
+  ssize_t n = read (fd, buffer, sizeof buffer - 1);
+  char **lines;
+
+  (void) condition;
+  if (n <= 0)
+    {
+      g_main_loop_quit (platform->loop);
+      return G_SOURCE_REMOVE;
+    }
+  buffer[n] = '\0';
+  lines = g_strsplit (buffer, "\n", -1);
+  for (int i = 0; lines[i]; i++)
+    if (*lines[i])
+      command (platform, lines[i]);
+  g_strfreev (lines);
+  return G_SOURCE_CONTINUE;
+}
+
+int
+main (int argc, char **argv)
+{
+  struct Platform platform = { .vms = g_strdup ("[]") };
+  GError *error = NULL;
+
+  if (argc != 2)
+    {
+      fprintf (stderr, "usage: platform PORT\n");
+      return EXIT_FAILURE;
+    }
+  platform.values = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  platform.versions = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  platform.loop = g_main_loop_new (NULL, FALSE);
+  platform.server = soup_server_new (NULL, NULL);
+  soup_server_add_handler (platform.server, NULL, handle, &platform, NULL);
+  if (!soup_server_listen_local (platform.server, (guint) atoi (argv[1]),
+                                 SOUP_SERVER_LISTEN_IPV4_ONLY, &error))
+    {
+      fprintf (stderr, "platform: %s\n", error->message);
+      return EXIT_FAILURE;
+    }
+  fcntl (STDIN_FILENO, F_SETFL, O_NONBLOCK);
+  g_unix_fd_add (STDIN_FILENO, G_IO_IN | G_IO_HUP, read_commands, &platform);
+  g_main_loop_run (platform.loop);
+  return EXIT_SUCCESS;
+}
--- /dev/null
+++ b/tests/sockets/platform.sh
@@ -0,0 +1,89 @@
+#!/bin/sh
+# Entry VMs that take their configuration from a platform with outages.
+set -u
+
+cf=$1/cyclamenferry
+work=$(mktemp -d)
+pids=
+failed=0
+export CYCLAMENFERRY_FLEET_KEY=00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff
+export CYCLAMENFERRY_PLATFORM=http://127.0.0.1:6190
+
+stop_all() {
+  for pid in $pids; do
+    kill -9 "$pid" 2>/dev/null
+  done
+  rm -rf "$work"
+}
+trap stop_all EXIT
+
+start_vm() { # NUMBER DOMAIN
+  "$cf" serve --name "ingresso-$1" --failure-domain "$2" --address "127.0.0.3$1" \
+    --admin-port "619$1" --linger 0 2>>"$work/log" &
+  eval "vm$1=$!"
+  pids="$pids $!"
+}
+
+# Waits until every VM has the version in force, as long as a slow machine needs.
+await_version() { # VERSION VM...
+  version=$1
+  shift
+  for vm in "$@"; do
+    for _ in $(seq 300); do
+      "$cf" status --admin "http://127.0.0.1:619$vm" 2>/dev/null \
+        | grep -q "state serving, configuration version $version," && break
+      sleep 0.1
+    done
+    "$cf" status --admin "http://127.0.0.1:619$vm" 2>&1 | head -1 \
+      | grep -q "configuration version $version," || {
+      echo "FAILED: VM $vm does not have version $version"
+      "$cf" status --admin "http://127.0.0.1:619$vm" 2>&1 | head -9
+      failed=1
+    }
+  done
+}
+
+expect() { # STATUS COMMAND...
+  status=$1
+  shift
+  output=$("$@" 2>&1)
+  got=$?
+  echo "$* -> $got: $output"
+  [ "$got" -eq "$status" ] || { echo "FAILED: expected $status"; failed=1; }
+}
+
+mkfifo "$work/commands"
+"$1/platform" 6190 < "$work/commands" &
+pids="$pids $!"
+exec 3> "$work/commands"
+sleep 0.3
+start_vm 1 palermo
+start_vm 2 catania
+start_vm 3 trapani
+expect 0 "$cf" apply examples/scordato
+await_version 1 1 2 3
+expect 0 "$cf" apply examples/scordato
+expect 0 "$cf" domain out catania
+await_version 2 1 2 3
+expect 0 "$cf" upstream drain prenota-1
+expect 2 "$cf" domain out nowhere
+# The answer is lost after the write took effect: the command finds out.
+echo "lose 1" >&3
+expect 0 "$cf" domain in catania
+await_version 4 1 2 3
+# The platform goes silent: a fresh VM starts from its peers, and nothing reverts.
+echo "silent" >&3
+expect 1 "$cf" domain out palermo
+kill -9 "$vm2"
+wait "$vm2" 2>/dev/null
+start_vm 2 catania
+await_version 4 1 2 3
+echo "up" >&3
+expect 0 "$cf" domain out palermo
+await_version 5 1 2 3
+for pid in "$vm1" "$vm2" "$vm3"; do
+  kill -TERM "$pid"
+  wait "$pid" || { echo "FAILED: an entry VM exited with $?"; failed=1; }
+done
+cat "$work/log"
+exit $failed
--- /dev/null
+++ b/tests/test_change.c
@@ -0,0 +1,267 @@
+#include "platform/store.h"
+
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Changes through the platform: races between operators, and answers that are lost
+ * before or after the write took effect. */
+
+static const char base[] = "[fleet]\nversion=1\n[failure-domain a]\nregion=r\n"
+                           "[failure-domain b]\nregion=r\n"
+                           "[service s]\naddress=10.0.0.1\nport=80\n"
+                           "[upstream u]\nservice=s\ntunnel=127.0.1.1\nfailure-domain=a\n"
+                           "[upstream w]\nservice=s\ntunnel=127.0.1.2\nfailure-domain=b\n";
+
+struct FakeStore
+{
+  char *text;
+  int tag;
+  int lose_answers; /* writes that take effect without an answer */
+  int lose_writes;  /* writes that get lost on the way */
+  int lose_reads;
+  int writes;
+  bool refuse;
+  /* Runs once before the next write, and once after a lost answer. */
+  void (*before_write) (struct FakeStore *fake);
+  void (*after_loss) (struct FakeStore *fake);
+};
+
+static enum CfStoreResult
+fake_read (void *context, const char *name, struct CfObject *object, struct CfError *error)
+{
+  struct FakeStore *fake = context;
+
+  (void) name;
+  if (fake->lose_reads-- > 0)
+    {
+      cf_error_set (error, CF_ERROR_IO, "no answer");
+      return CF_STORE_UNKNOWN;
+    }
+  if (!fake->text)
+    return CF_STORE_MISSING;
+  object->text = g_strdup (fake->text);
+  object->tag = g_strdup_printf ("%d", fake->tag);
+  return CF_STORE_OK;
+}
+
+static void
+put (struct FakeStore *fake, const char *text)
+{
+  g_free (fake->text);
+  fake->text = g_strdup (text);
+  fake->tag++;
+}
+
+static enum CfStoreResult
+fake_write (
+    void *context, const char *name, const char *text, const char *tag, struct CfError *error)
+{
+  struct FakeStore *fake = context;
+  void (*hook) (struct FakeStore *) = fake->before_write;
+
+  (void) name;
+  fake->before_write = NULL;
+  if (hook)
+    hook (fake);
+  fake->writes++;
+  if (fake->refuse)
+    {
+      cf_error_set (error, CF_ERROR_IO, "too large");
+      return CF_STORE_REFUSED;
+    }
+  if (fake->lose_writes-- > 0)
+    return CF_STORE_UNKNOWN;
+  if (tag ? atoi (tag) != fake->tag : fake->text != NULL)
+    return CF_STORE_CONFLICT;
+  put (fake, text);
+  if (fake->lose_answers-- <= 0)
+    return CF_STORE_OK;
+  if (fake->after_loss)
+    fake->after_loss (fake);
+  return CF_STORE_UNKNOWN;
+}
+
+static void
+fake_pause (void *context, int attempt)
+{
+  (void) context;
+  (void) attempt;
+}
+
+static struct CfStore
+store_of (struct FakeStore *fake)
+{
+  return (struct CfStore){
+    .read = fake_read, .write = fake_write, .pause = fake_pause, .context = fake
+  };
+}
+
+static struct CfConfig *
+domain_out (struct CfConfig *previous, uint64_t version, void *data, struct CfError *error)
+{
+  return cf_config_set_domain (previous, data, false, false, version, error);
+}
+
+static bool
+change (struct FakeStore *fake, const char *domain, const char *id, struct CfError *error)
+{
+  struct CfStore store = store_of (fake);
+  struct CfConfig *result = NULL;
+  bool done = cf_store_change (&store, domain_out, (void *) domain, id, &result, error);
+
+  if (done)
+    ck_assert (!result->domains[domain[0] - 'a'].in_service);
+  cf_config_unref (result);
+  return done;
+}
+
+static struct CfConfig *
+current (const struct FakeStore *fake)
+{
+  struct CfConfig *config = cf_config_parse (fake->text, NULL);
+
+  ck_assert_ptr_nonnull (config);
+  return config;
+}
+
+static struct CfConfig *
+domain_in (struct CfConfig *previous, uint64_t version, void *data, struct CfError *error)
+{
+  return cf_config_set_domain (previous, data, true, false, version, error);
+}
+
+static void
+put_in_again (struct FakeStore *fake)
+{
+  struct CfStore store = store_of (fake);
+  struct CfConfig *result = NULL;
+  struct CfError error = { 0 };
+
+  fake->after_loss = NULL;
+  ck_assert (cf_store_change (&store, domain_in, (void *) "a", "other", &result, &error));
+  cf_config_unref (result);
+}
+
+static void
+other_operator (struct FakeStore *fake)
+{
+  struct CfError error = { 0 };
+
+  ck_assert (change (fake, "b", "other", &error));
+}
+
+START_TEST (test_plain)
+{
+  struct FakeStore fake = { .text = g_strdup (base), .tag = 1 };
+  struct CfError error = { 0 };
+  struct CfConfig *config;
+
+  ck_assert (change (&fake, "a", "one", &error));
+  config = current (&fake);
+  ck_assert_uint_eq (config->version, 2);
+  /* The last failure domain stays, and nothing is written. */
+  ck_assert (!change (&fake, "b", "two", &error));
+  ck_assert_int_eq (error.code, CF_ERROR_INPUT);
+  ck_assert_int_eq (fake.writes, 1);
+  cf_config_unref (config);
+  g_free (fake.text);
+}
+END_TEST
+
+START_TEST (test_lost_race)
+{
+  struct FakeStore fake = { .text = g_strdup (base), .tag = 1 };
+  struct CfError error = { 0 };
+  struct CfConfig *config;
+
+  fake.before_write = other_operator;
+  ck_assert (!change (&fake, "a", "one", &error));
+  ck_assert_int_eq (error.code, CF_ERROR_CONFLICT);
+  ck_assert_ptr_nonnull (strstr (error.text, "version 2 is in force"));
+  config = current (&fake);
+  ck_assert (config->domains[0].in_service);
+  ck_assert (!config->domains[1].in_service);
+  cf_config_unref (config);
+  g_free (fake.text);
+}
+END_TEST
+
+START_TEST (test_lost_answer)
+{
+  struct FakeStore fake = { .text = g_strdup (base), .tag = 1, .lose_answers = 1 };
+  struct CfError error = { 0 };
+
+  ck_assert (change (&fake, "a", "one", &error));
+  ck_assert_int_eq (fake.writes, 1);
+  ck_assert_int_eq (fake.tag, 2);
+  g_free (fake.text);
+}
+END_TEST
+
+START_TEST (test_lost_write)
+{
+  struct FakeStore fake = { .text = g_strdup (base), .tag = 1, .lose_writes = 2 };
+  struct CfError error = { 0 };
+
+  ck_assert (change (&fake, "a", "one", &error));
+  ck_assert_int_eq (fake.writes, 3);
+  ck_assert_int_eq (fake.tag, 2);
+  g_free (fake.text);
+}
+END_TEST
+
+/* Our write took effect, its answer was lost, and another change followed. */
+START_TEST (test_uncertain)
+{
+  struct FakeStore fake = { .text = g_strdup (base), .tag = 1, .lose_answers = 1 };
+  struct CfError error = { 0 };
+
+  fake.after_loss = put_in_again;
+  ck_assert (!change (&fake, "a", "one", &error));
+  ck_assert_int_eq (error.code, CF_ERROR_UNKNOWN);
+  ck_assert_ptr_nonnull (strstr (error.text, "version 3 is in force"));
+  g_free (fake.text);
+}
+END_TEST
+
+START_TEST (test_platform_silent)
+{
+  struct FakeStore fake = { .text = g_strdup (base), .tag = 1, .lose_reads = 1000 };
+  struct CfError error = { 0 };
+
+  ck_assert (!change (&fake, "a", "one", &error));
+  ck_assert_int_eq (error.code, CF_ERROR_IO);
+  ck_assert_str_eq (error.text, "no answer; nothing was changed");
+  fake.lose_reads = 0;
+  fake.lose_writes = 1000;
+  ck_assert (!change (&fake, "a", "one", &error));
+  ck_assert_int_eq (error.code, CF_ERROR_UNKNOWN);
+  fake.refuse = true;
+  ck_assert (!change (&fake, "a", "one", &error));
+  ck_assert_int_eq (error.code, CF_ERROR_IO);
+  g_free (fake.text);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("change");
+  TCase *group = tcase_create ("change");
+  SRunner *runner;
+  int failed;
+
+  tcase_add_test (group, test_plain);
+  tcase_add_test (group, test_lost_race);
+  tcase_add_test (group, test_lost_answer);
+  tcase_add_test (group, test_lost_write);
+  tcase_add_test (group, test_uncertain);
+  tcase_add_test (group, test_platform_silent);
+  suite_add_tcase (suite, group);
+  runner = srunner_create (suite);
+  srunner_run_all (runner, CK_NORMAL);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
