--- a/src/core/flows.c
+++ b/src/core/flows.c
@@ -113,7 +113,7 @@
       return true;
     }
   if (owner && flow->kind == CF_FLOW_ENTRY && flow->seen_s > flow->sent_s + CF_TOUCH_S)
-    cf_replicate (core, flow, now);
+    cf_replicate (core, flow, false, now);
   return false;
 }
 
--- a/src/core/gatekeeper.c
+++ b/src/core/gatekeeper.c
@@ -143,9 +143,9 @@
   return sum;
 }
 
-/* Returns the new flows a second that the slot would get as a warm upstream, of RATE
- * for the whole service.  Other cold upstreams count if their budgets suffice for a
- * fair share; what the rest cannot take falls to those that are warm. */
+/* Returns the new flows a second that the slot may get as a warm upstream, of RATE for
+ * the whole service.  While other upstreams cannot take their fair shares, what they
+ * leave may all fall to this one. */
 static double
 expected_share (const struct CfCore *core,
                 const struct CfServiceState *service,
@@ -155,7 +155,7 @@
   double all = weight_sum (core, service, 0);
   double ready = all > 0 ? weight_sum (core, service, WARM_MARGIN * rate / all) : 0;
 
-  return ready > 0 ? rate * slot->upstream->weight / ready : rate;
+  return ready < all ? rate : rate * slot->upstream->weight / all;
 }
 
 static void
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -33,7 +33,7 @@
 #define CF_WINDOW 8 /* unacknowledged batches of entries to a member */
 #define CF_BATCH 64 /* entries in a batch */
 #define CF_RESEND_MS 250
-#define CF_ACK_DELAY_MS 100
+#define CF_ACK_DELAY_MS 150
 #define CF_NO_SLOT UINT32_MAX
 
 /* Counts of flows at an upstream, as one VM saw them. */
@@ -83,7 +83,8 @@
   uint32_t failures;       /* health probes without an answer, in a row */
   struct CfLoad load;      /* of this VM */
   struct CfLoad retired;   /* of former incarnations of members */
-  struct CfLoad fleet;     /* sum, updated every tick */
+  struct CfLoad fleet;     /* sum, updated with every heartbeat */
+  double rate;             /* new flows a second, averaged */
   CfMillis completed_at;   /* when this VM last saw a flow complete, 0: never */
   struct CfEvidence evidence;
   uint32_t entries_away; /* entries with this implied slot */
@@ -315,7 +316,9 @@
 uint32_t cf_core_seconds (const struct CfCore *core, CfMillis now);
 
 /* replicate.c */
-void cf_replicate (struct CfCore *core, struct CfFlow *flow, CfMillis now);
+/* Tells the holders of FLOW.  URGENT entries leave at once, others as the byte budget
+ * allows. */
+void cf_replicate (struct CfCore *core, struct CfFlow *flow, bool urgent, CfMillis now);
 void cf_replicate_removal (struct CfCore *core, const struct CfFlow *flow);
 void cf_replicate_to (struct CfCore *core,
                       struct CfMember *member,
--- a/src/core/limits.c
+++ b/src/core/limits.c
@@ -3,6 +3,8 @@
 #include <math.h>
 
 #define TENANT_WINDOW_MS 100
+#define LOAD_LAG_S 4        /* counts of other VMs may be this old */
+#define RATE_SMOOTHING 0.25 /* weight of the newest rate in the average */
 #define CHANCE_DEVIATIONS 3 /* hashing alone scatters by the square root of the mean */
 
 static void
@@ -97,14 +99,17 @@
   if (weight == 0)
     return false;
   open = open * slot->upstream->weight / weight;
-  return (double) open_flows (slot)
-         > open * (1 + core->config->limits.imbalance) + CHANCE_DEVIATIONS * sqrt (open);
+  return (double) open_flows (slot) > open * (1 + core->config->limits.imbalance)
+                                          + CHANCE_DEVIATIONS * sqrt (open)
+                                          + slot->rate * LOAD_LAG_S;
 }
 
 static void
 sum_slot (struct CfCore *core, uint32_t number)
 {
   struct CfSlot *slot = cf_slot (core, number);
+  uint32_t opened = slot->fleet.opened;
+
   slot->fleet = slot->load;
   slot->fleet.opened += slot->retired.opened;
   slot->fleet.completed += slot->retired.completed;
@@ -117,6 +122,9 @@
       slot->fleet.completed += load->completed;
       slot->fleet.closed += load->closed;
     }
+  slot->rate += RATE_SMOOTHING
+                * ((double) (int32_t) (slot->fleet.opened - opened) * CF_MS_PER_S / CF_HEARTBEAT_MS
+                   - slot->rate);
 }
 
 void
--- a/src/core/place.c
+++ b/src/core/place.c
@@ -84,7 +84,7 @@
   flow->placed_s = flow->seen_s = cf_core_seconds (core, route->now);
   flow->first_ms = (uint16_t) route->now;
   if (flow->kind == CF_FLOW_ENTRY)
-    cf_replicate (core, flow, route->now);
+    cf_replicate (core, flow, true, route->now);
 }
 
 enum CfVerdict
--- a/src/core/replicate.c
+++ b/src/core/replicate.c
@@ -73,14 +73,14 @@
 }
 
 void
-cf_replicate (struct CfCore *core, struct CfFlow *flow, CfMillis now)
+cf_replicate (struct CfCore *core, struct CfFlow *flow, bool urgent, CfMillis now)
 {
   struct CfMember *list[2 * CF_HOLDERS + 1];
   uint32_t count = targets (core, CF_BUCKET (flow->key), list);
 
   flow->sent_s = cf_core_seconds (core, now);
   for (uint32_t i = 0; i < count; i++)
-    cf_replicate_to (core, list[i], flow, true, now);
+    cf_replicate_to (core, list[i], flow, urgent, now);
 }
 
 void
@@ -126,7 +126,7 @@
   if (flow->flags & CF_FLOW_UDP)
     {
       cf_flows_move (core, flow, flow->slot, CF_FLOW_ENTRY);
-      cf_replicate (core, flow, now);
+      cf_replicate (core, flow, false, now);
     }
 }
 
@@ -250,7 +250,7 @@
   if (flow->kind == CF_FLOW_RECENT)
     flow->flags |= CF_FLOW_HALF_OPEN;
   else
-    cf_replicate (core, flow, now);
+    cf_replicate (core, flow, false, now);
 }
 
 static void
@@ -269,7 +269,7 @@
   if (cf_slot (core, flow->slot)->id == entry->upstream)
     flow->seen_s = MAX (flow->seen_s, cf_core_seconds (core, now));
   else if (owns (core, entry->key))
-    cf_replicate (core, flow, now);
+    cf_replicate (core, flow, false, now);
 }
 
 void
--- a/src/core/route.c
+++ b/src/core/route.c
@@ -167,7 +167,7 @@
   core->stats.counter[CF_COUNT_PINNED]++;
   cf_flows_move (core, flow, flow->slot, CF_FLOW_ENTRY);
   flow->flags |= CF_FLOW_PINNED;
-  cf_replicate (core, flow, route->now);
+  cf_replicate (core, flow, false, route->now);
 }
 
 /* A packet after the first of a flow without a record: it belongs to the implied
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -123,6 +123,7 @@
   struct CfAddress services[2];
   GPtrArray *flows; /* of struct FleetFlow */
   struct FleetTraffic traffic;
+  double next_flow; /* time of the next new flow, in fractions of a millisecond */
   struct FleetCount count;
   bool trace;
   /* Takes packets to VM in place of the fabric, for processes on sockets. */
