--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -144,6 +144,7 @@
   GArray *bulk;   /* of struct peer_entry: handover and refresh */
   uint32_t bulk_head;
   uint32_t next_seq;
+  CfMillis sent_at;       /* of the last new batch */
   struct CfBatch *window; /* CF_WINDOW batches */
   uint32_t outstanding;
 };
--- a/src/core/stream.c
+++ b/src/core/stream.c
@@ -6,6 +6,8 @@
 
 #define BATCH_OVERHEAD_BYTES 112 /* IP, UDP, RPC header, envelope and MAC */
 #define ENTRY_BYTES 16
+#define GATHER_MS 200     /* time between batches once the budget is spent */
+#define BULK_RESERVE 0.25 /* part of the budget kept for new flows */
 
 void
 cf_stream_init (struct CfStream *stream)
@@ -116,17 +118,19 @@
   struct CfStream *stream = &member->stream;
   struct CfBatch *batch = free_batch (stream);
 
-  if (!batch)
+  /* With the budget spent, fewer and fuller batches carry the entries of new flows. */
+  if (!batch || (core->tokens <= 0 && now - stream->sent_at < GATHER_MS))
     return false;
   batch->count = 0;
   if (stream->urgent->len)
     take_urgent (stream, batch);
-  if (core->tokens > 0)
+  if (core->config && core->tokens > core->config->limits.peer_bytes_per_s * BULK_RESERVE)
     take_bulk (stream, batch);
   if (batch->count == 0)
     return false;
   batch->seq = stream->next_seq++;
   stream->outstanding++;
+  stream->sent_at = now;
   send_batch (core, member, batch, now);
   return true;
 }
