UDP flows stay whole through a rolling deploy

Three faults: - a UDP flow without a record was placed by load, like a new one, although it may be older; it stays at its implied upstream now while that takes new flows; - a VM that had just joined judged fairness by counts of which most were missing; it waits until all members have told theirs; - the share of completed flows was taken as evidence against a UDP upstream, and UDP flows never counted as closed, so that an upstream filled up for good.

--- a/src/core/evidence.c
+++ b/src/core/evidence.c
@@ -62,8 +62,10 @@
     return;
   core->evidence_at = now;
   g_array_set_size (core->suspects, 0);
+  /* A UDP flow may well be a single packet, which proves nothing. */
   for (uint32_t i = 0; i < core->service_count; i++)
-    evaluate (core, &core->services[i], now);
+    if (core->services[i].service->protocol == CF_PROTOCOL_TCP)
+      evaluate (core, &core->services[i], now);
   for (uint32_t i = 0; i < core->slots->len; i++)
     cf_slot (core, i)->evidence = (struct CfEvidence){ 0 };
 }
--- a/src/core/flow_table.h
+++ b/src/core/flow_table.h
@@ -21,6 +21,7 @@
   CF_FLOW_REMOVED = 1 << 5,     /* on the wire: the flow has ended */
   CF_FLOW_REPORT = 1 << 6,      /* on the wire: from a VM that is not the owner */
   CF_FLOW_DONE = 1 << 7,        /* on the wire: marks the end of a handover */
+  CF_FLOW_COUNTED = 1 << 9,     /* this VM counted it as opened */
   CF_FLOW_UNCONFIRMED = 1 << 8, /* half open when the owner last told of it */
 };
 
--- a/src/core/flows.c
+++ b/src/core/flows.c
@@ -107,6 +107,9 @@
     {
       if (owner && flow->kind == CF_FLOW_ENTRY)
         cf_replicate_removal (core, flow);
+      /* A UDP flow has no other end than its silence. */
+      if ((flow->flags & CF_FLOW_UDP) && (flow->flags & CF_FLOW_COUNTED))
+        cf_slot (core, flow->slot)->load.closed++;
       if (!(flow->flags & (CF_FLOW_CLOSING | CF_FLOW_HALF_OPEN)))
         core->stats.counter[CF_COUNT_FLOWS_EXPIRED]++;
       cf_flows_drop (core, flow);
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -248,7 +248,8 @@
   bool heartbeat_urgent;
   CfMillis heartbeat_at; /* last regular heartbeat */
   CfMillis urgent_at;    /* last heartbeat of any kind */
-  CfMillis summed_at;    /* last sum of the members' counts */
+  CfMillis view_changed_at;
+  CfMillis summed_at; /* last sum of the members' counts */
   uint32_t load_cursor;
   uint32_t warm_cursor;
   double tokens; /* bytes that replication may send now */
--- a/src/core/limits.c
+++ b/src/core/limits.c
@@ -73,11 +73,19 @@
   return MAX (0, open);
 }
 
+/* Every VM that sees packets of a UDP flow counts it. */
+static uint32_t
+counters_of (const struct CfCore *core, const struct CfSlot *slot)
+{
+  if (core->config->services[slot->upstream->service].protocol == CF_PROTOCOL_TCP)
+    return 1;
+  return MAX (1, core->current.candidates->len);
+}
+
 bool
 cf_limit_full (const struct CfCore *core, const struct CfSlot *slot)
 {
-  (void) core;
-  return open_flows (slot) >= slot->upstream->connections;
+  return open_flows (slot) / counters_of (core, slot) >= slot->upstream->connections;
 }
 
 bool
@@ -96,7 +104,8 @@
       open += (double) open_flows (other);
       weight += other->upstream->weight;
     }
-  if (weight == 0)
+  /* After a change of members, some of them have not told all their counts yet. */
+  if (weight == 0 || core->last_tick - core->view_changed_at < LOAD_LAG_S * CF_MS_PER_S)
     return false;
   open = open * slot->upstream->weight / weight;
   return (double) open_flows (slot) > open * (1 + core->config->limits.imbalance)
--- a/src/core/place.c
+++ b/src/core/place.c
@@ -80,7 +80,7 @@
     slot->grant--;
   if (!flow)
     return;
-  flow->flags = (flow->flags & CF_FLOW_UDP) | CF_FLOW_HALF_OPEN;
+  flow->flags = (flow->flags & CF_FLOW_UDP) | CF_FLOW_HALF_OPEN | CF_FLOW_COUNTED;
   flow->placed_s = flow->seen_s = cf_core_seconds (core, route->now);
   flow->first_ms = (uint16_t) route->now;
   if (flow->kind == CF_FLOW_ENTRY)
--- a/src/core/route.c
+++ b/src/core/route.c
@@ -102,7 +102,7 @@
     {
       flow = cf_flows_record (core, route, route->implied, CF_FLOW_RECENT);
       if (flow)
-        flow->flags |= CF_FLOW_HALF_OPEN;
+        flow->flags |= CF_FLOW_HALF_OPEN | CF_FLOW_COUNTED;
       core->stats.counter[CF_COUNT_NEW_FLOWS]++;
       route->service->stats->new_flows++;
       slot->load.opened++;
@@ -190,19 +190,22 @@
   return follow (core, route, flow);
 }
 
-/* A UDP flow without a record may be older than this VM's knowledge.  An upstream
- * that stopped taking new flows keeps those that are seen within the grace time. */
+/* A UDP flow without a record may be older than this VM's knowledge.  It stays at its
+ * implied upstream while that takes new flows, however loaded, and for the grace time
+ * after it stopped to. */
 static enum CfVerdict
 resolve_udp (struct CfCore *core, struct CfRoute *route)
 {
   const struct CfSlot *slot = cf_slot (core, route->implied);
+  bool open = cf_slot_takes_new (slot) && slot->health == PEER_WARM;
+  bool grace = cf_slot_usable (slot) && slot->closed_since >= 0
+               && route->now - slot->closed_since <= CF_GRACE_MS;
   struct CfFlow *flow;
 
-  if (!cf_slot_usable (slot) || slot->closed_since < 0
-      || route->now - slot->closed_since > CF_GRACE_MS)
+  if (route->first != route->implied || (!open && !grace))
     return cf_place (core, route, NULL);
   flow = cf_flows_record (core, route, route->implied, CF_FLOW_RECENT);
-  if (flow)
+  if (flow && expects_record (core, route))
     pin (core, route, flow);
   return cf_route_to (core, route, route->implied);
 }
--- a/src/core/view.c
+++ b/src/core/view.c
@@ -247,6 +247,7 @@
   if (changed)
     {
       core->stats.counter[CF_COUNT_VIEW_CHANGES]++;
+      core->view_changed_at = now;
       note_gains (core, old_current, old_planned, now);
       cf_gatekeepers_update (core, now);
     }
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -358,6 +358,22 @@
 }
 END_TEST
 
+/* UDP flows have no first packet that tells itself from the others. */
+START_TEST (test_udp)
+{
+  struct FleetSpec spec
+      = { .seed = (uint32_t) _i + 1, .vms = 6, .domains = 4, .upstreams = { 15, 4 }, .udp = true };
+  struct Fleet *fleet = fleet_new (&spec);
+
+  fleet->trace = getenv ("FLEET_TRACE") != NULL;
+  fleet_start_all (fleet);
+  fleet_traffic (fleet, &traffic);
+  fleet_run (fleet, 15000);
+  rolling_deploy (fleet);
+  check_whole (fleet, "UDP flows, rolling deploy");
+}
+END_TEST
+
 /* The checker itself must be able to fail: without the product's policy the same
  * deploy breaks flows. */
 START_TEST (test_baselines_break_flows)
@@ -410,6 +426,7 @@
   add (suite, test_reordering, SEEDS);
   add (suite, test_silent_flow, 2);
   add (suite, test_lost_entry, SEEDS);
+  add (suite, test_udp, SEEDS);
   add (suite, test_namesake, 1);
   add (suite, test_baselines_break_flows, 2);
   runner = srunner_create (suite);
