--- a/bench/slopes.c
+++ b/bench/slopes.c
@@ -1,5 +1,6 @@
 #include "bench.h"
 #include "packets.h"
+#include "sink.h"
 #include "peer/codec.h"
 
 #include <malloc.h>
@@ -22,38 +23,11 @@
 
 struct Probe
 {
+  struct CfCoreOutputs outputs;
   size_t peer_bytes; /* of the last message */
   const struct CfPeerKeys *keys;
 };
 
-static void
-probe_forward (void *context, const struct CfPacket *packet, const struct CfUpstream *upstream)
-{
-  (void) context;
-  (void) packet;
-  (void) upstream;
-}
-
-static void
-probe_transfer (void *context,
-                const struct CfPacket *packet,
-                const struct peer_transfer *transfer,
-                const struct CfAddress *address)
-{
-  (void) context;
-  (void) packet;
-  (void) transfer;
-  (void) address;
-}
-
-static void
-probe_refuse (void *context, const struct CfPacket *packet, enum CfVerdict verdict)
-{
-  (void) context;
-  (void) packet;
-  (void) verdict;
-}
-
 static void
 probe_peer (void *context, const struct CfAddress *address, const struct peer_message *message)
 {
@@ -65,49 +39,8 @@
   probe->peer_bytes = cf_peer_encode (probe->keys, 0, &envelope, datagram, sizeof datagram);
 }
 
-static void
-probe_upstreams (void *context, const uint32_t *upstreams, uint32_t count)
-{
-  (void) context;
-  (void) upstreams;
-  (void) count;
-}
-
-static void
-probe_watch (void *context, bool watch)
-{
-  (void) context;
-  (void) watch;
-}
-
-static void
-probe_config (void *context, const struct CfConfig *config)
-{
-  (void) context;
-  (void) config;
-}
-
-static void
-probe_state (void *context, enum peer_state state, bool may_stop)
-{
-  (void) context;
-  (void) state;
-  (void) may_stop;
-}
-
 static const struct CfPeerKeys keys;
 
-static const struct CfCoreOutputs outputs = {
-  .forward = probe_forward,
-  .transfer = probe_transfer,
-  .refuse = probe_refuse,
-  .send_peer = probe_peer,
-  .probe = probe_upstreams,
-  .watch_platform = probe_watch,
-  .config_changed = probe_config,
-  .state_changed = probe_state,
-};
-
 static struct CfConfig *
 config_of (uint32_t services, uint32_t upstreams, const char *extra)
 {
@@ -134,9 +67,12 @@
 serving_core (struct Probe *probe, struct CfConfig *config)
 {
   struct CfCoreOptions options = { .vm = 1, .incarnation = 1, .domain = cf_name_id ("a") };
-  struct CfCore *core = cf_core_new (&options, &outputs, probe, 0);
+  struct CfCore *core;
 
   probe->keys = &keys;
+  probe->outputs = test_sink_outputs ();
+  probe->outputs.send_peer = probe_peer;
+  core = cf_core_new (&options, &probe->outputs, probe, 0);
   cf_core_set_config (core, config, 0);
   for (CfMillis now = 0; now < 3000; now += CF_TICK_MS)
     cf_core_tick (core, now);
--- a/src/serve/packet_task.c
+++ b/src/serve/packet_task.c
@@ -1,40 +1,16 @@
-#include "server.h"
+#include "packet_task.h"
 #include "log.h"
-#include "outbox.h"
 
 #include <string.h>
 #include <time.h>
 
 /* The packet task owns the core and the sockets for callers' packets. */
 
-#define BATCH_LEN 64
 #define BATCHES_PER_WAKE 8  /* packets must not keep messages from the core */
 #define SAMPLE_EVERY 16     /* packets per measured decision */
 #define STOP_LIMIT_MS 5000  /* for entries that a late packet caused */
 #define FOLDER_HOLD_MS 1200 /* time for peers to offer a configuration first */
 
-struct PacketTask
-{
-  struct CfServer *server;
-  struct CfCore *core;
-  GSocket *fabric;
-  GSocket *transfer;
-  GSource *sources[3];
-  struct CfOutbox out;
-  uint8_t buffers[BATCH_LEN][CF_PACKET_MAX];
-  uint8_t refusals[CF_OUTBOX_LEN][CF_REFUSAL_MAX];
-  guint refusal_count;
-  GHashTable *decision_ns; /* service id to struct CfHistogram */
-  uint32_t decided_service;
-  uint32_t sample;
-  uint32_t xid;
-  uint64_t bad_transfers;
-  uint64_t bad_gue;
-  struct CfConfig *folder; /* read from the operators' folder, not in force yet */
-  CfMillis started;
-  CfMillis stop_at; /* 0: not leaving, or the handover is going on */
-};
-
 static void
 forward (void *context, const struct CfPacket *packet, const struct CfUpstream *upstream)
 {
@@ -126,21 +102,11 @@
   cf_send_watch (((struct PacketTask *) context)->server, watch);
 }
 
-static void
-log_config (const struct CfConfig *config, const char *from)
-{
-  char version[32];
-
-  g_snprintf (version, sizeof version, "%" G_GUINT64_FORMAT, config->version);
-  cf_log_state ("CONFIG_VERSION", version, "configuration version %s from %s is in force", version,
-                from);
-}
-
 static void
 config_changed (void *context, const struct CfConfig *config)
 {
   (void) context;
-  log_config (config, "a peer");
+  cf_packet_log_config (config, "a peer");
 }
 
 static void
@@ -321,7 +287,7 @@
       next = cf_config_succeed (current && current->version ? current : NULL, task->folder,
                                 task->folder->version, g_get_real_time () / G_USEC_PER_SEC);
       if (cf_core_set_config (task->core, next, now))
-        log_config (next, "the folder");
+        cf_packet_log_config (next, "the folder");
       cf_config_unref (next);
     }
   else if (!cf_config_same_content (task->folder, current))
@@ -428,146 +394,3 @@
   g_hash_table_destroy (task->decision_ns);
   g_free (task);
 }
-
-/* Messages. */
-
-static void
-take_envelope (void *data, void *message)
-{
-  cf_core_peer (((struct PacketTask *) data)->core, message, cf_now ());
-}
-
-static void
-free_envelope (gpointer data)
-{
-  cf_peer_release (data);
-  g_free (data);
-}
-
-void
-cf_send_envelope (struct CfServer *server, struct peer_envelope *envelope)
-{
-  cf_task_post (&server->packet, take_envelope, envelope, free_envelope);
-}
-
-static void
-take_config (void *data, void *message)
-{
-  struct PacketTask *task = data;
-
-  if (cf_core_set_config (task->core, message, cf_now ()))
-    log_config (message, "the platform");
-}
-
-static void
-free_config (gpointer data)
-{
-  cf_config_unref (data);
-}
-
-void
-cf_send_config (struct CfServer *server, struct CfConfig *config)
-{
-  cf_task_post (&server->packet, take_config, config, free_config);
-}
-
-static void
-take_folder (void *data, void *message)
-{
-  struct PacketTask *task = data;
-
-  cf_config_unref (task->folder);
-  task->folder = cf_config_ref (message);
-  if (!cf_core_config (task->core))
-    {
-      /* Only to find the other VMs: any real version goes before it. */
-      struct CfConfig *provisional = cf_config_succeed (NULL, message, 0, 0);
-
-      cf_core_set_config (task->core, provisional, cf_now ());
-      cf_config_unref (provisional);
-    }
-}
-
-void
-cf_send_folder (struct CfServer *server, struct CfConfig *config)
-{
-  cf_task_post (&server->packet, take_folder, config, free_config);
-}
-
-static void
-take_health (void *data, void *message)
-{
-  cf_core_health (((struct PacketTask *) data)->core, message, cf_now ());
-}
-
-void
-cf_send_health (struct CfServer *server, const struct CfHealthAnswer *answer)
-{
-  cf_task_post (&server->packet, take_health, g_memdup2 (answer, sizeof *answer), g_free);
-}
-
-static void
-take_vm_list (void *data, void *message)
-{
-  const GArray *vms = message;
-
-  cf_core_vm_list (((struct PacketTask *) data)->core,
-                   (const struct CfListedVm *) (const void *) vms->data, vms->len, cf_now ());
-}
-
-static void
-free_array (gpointer data)
-{
-  g_array_unref (data);
-}
-
-void
-cf_send_vm_list (struct CfServer *server, GArray *vms)
-{
-  cf_task_post (&server->packet, take_vm_list, vms, free_array);
-}
-
-static void
-take_leave (void *data, void *message)
-{
-  (void) message;
-  cf_core_leave (((struct PacketTask *) data)->core, cf_now ());
-}
-
-void
-cf_send_leave (struct CfServer *server)
-{
-  cf_task_post (&server->packet, take_leave, NULL, NULL);
-}
-
-static void
-take_report_request (void *data, void *message)
-{
-  struct PacketTask *task = data;
-  struct CfReport *report = message;
-  struct CfMetricsInput input = {
-    .core = task->core,
-    .decision_ns = task->decision_ns,
-    .server = task->server,
-    .now = cf_now (),
-    .bad_gue = task->bad_gue,
-    .bad_transfers = task->bad_transfers,
-    .send_failures = task->out.failed,
-  };
-
-  report->text = g_string_new (NULL);
-  if (report->kind == CF_REPORT_METRICS)
-    cf_metrics_write (&input, report->text);
-  else if (report->kind == CF_REPORT_STATUS)
-    cf_core_status (task->core, report->text, input.now);
-  else
-    cf_core_explain (task->core, &report->caller, &report->service, report->protocol, report->text,
-                     input.now);
-  cf_send_report (task->server, report);
-}
-
-void
-cf_send_report_request (struct CfServer *server, struct CfReport *report)
-{
-  cf_task_post (&server->packet, take_report_request, report, NULL);
-}
--- /dev/null
+++ b/src/serve/packet_task.h
@@ -0,0 +1,37 @@
+#ifndef CF_SERVE_PACKET_TASK_H
+#define CF_SERVE_PACKET_TASK_H
+
+#include "outbox.h"
+#include "server.h"
+
+/* State of the packet task, shared by its sockets (packet_task.c) and its messages
+ * (packet_messages.c).  Only its own thread touches it. */
+
+#define BATCH_LEN 64 /* packets received at once */
+
+struct PacketTask
+{
+  struct CfServer *server;
+  struct CfCore *core;
+  GSocket *fabric;
+  GSocket *transfer;
+  GSource *sources[3];
+  struct CfOutbox out;
+  uint8_t buffers[BATCH_LEN][CF_PACKET_MAX];
+  uint8_t refusals[CF_OUTBOX_LEN][CF_REFUSAL_MAX];
+  guint refusal_count;
+  GHashTable *decision_ns; /* service id to struct CfHistogram */
+  uint32_t decided_service;
+  uint32_t sample;
+  uint32_t xid;
+  uint64_t bad_transfers;
+  uint64_t bad_gue;
+  struct CfConfig *folder; /* read from the operators' folder, not in force yet */
+  CfMillis started;
+  CfMillis stop_at; /* 0: not leaving, or the handover is going on */
+};
+
+/* Logs that CONFIG, which came FROM somewhere, is in force. */
+void cf_packet_log_config (const struct CfConfig *config, const char *from);
+
+#endif
--- a/tests/fleet_internal.h
+++ b/tests/fleet_internal.h
@@ -33,4 +33,7 @@
 void fleet_to_fabric (struct Fleet *fleet, const struct FleetPacket *packet);
 void fleet_traffic_start (struct Fleet *fleet);
 
+/* The outputs of a core; the context is a struct FleetVm. */
+extern const struct CfCoreOutputs fleet_outputs;
+
 #endif
--- /dev/null
+++ b/tests/suite.h
@@ -0,0 +1,34 @@
+#ifndef CF_TEST_SUITE_H
+#define CF_TEST_SUITE_H
+
+#include <check.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+/* Adds TEST as a test case of its own, run LOOPS times with _i from 0, so that
+ * CK_RUN_CASE can select it by name. */
+static inline void
+suite_add_loop (Suite *suite, const TTest *test, int loops)
+{
+  TCase *group = tcase_create (test->name);
+
+  tcase_set_timeout (group, 0);
+  tcase_add_loop_test (group, test, 0, loops);
+  suite_add_tcase (suite, group);
+}
+
+/* Runs SUITE and returns the exit status of the program. */
+static inline int
+suite_run (Suite *suite)
+{
+  SRunner *runner = srunner_create (suite);
+  int failed;
+
+  setvbuf (stdout, NULL, _IOLBF, 0);
+  srunner_run_all (runner, CK_NORMAL);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
+
+#endif
--- a/tests/test_change.c
+++ b/tests/test_change.c
@@ -1,6 +1,6 @@
 #include "platform/store.h"
+#include "suite.h"
 
-#include <check.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -249,8 +249,6 @@
 {
   Suite *suite = suite_create ("change");
   TCase *group = tcase_create ("change");
-  SRunner *runner;
-  int failed;
 
   tcase_add_test (group, test_plain);
   tcase_add_test (group, test_lost_race);
@@ -259,9 +257,5 @@
   tcase_add_test (group, test_uncertain);
   tcase_add_test (group, test_platform_silent);
   suite_add_tcase (suite, group);
-  runner = srunner_create (suite);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+  return suite_run (suite);
 }
--- a/tests/test_config.c
+++ b/tests/test_config.c
@@ -1,7 +1,7 @@
 #include "cf_config.h"
 #include "config/difference.h"
+#include "suite.h"
 
-#include <check.h>
 #include <glib/gstdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -321,8 +321,6 @@
 {
   Suite *suite = suite_create ("config");
   TCase *group = tcase_create ("config");
-  SRunner *runner;
-  int failed;
 
   tcase_add_checked_fixture (group, setup, teardown);
   tcase_add_loop_test (group, test_bad_input, 0, (int) G_N_ELEMENTS (bad));
@@ -336,9 +334,5 @@
   tcase_add_test (group, test_difference);
   tcase_add_loop_test (group, test_examples, 0, 2);
   suite_add_tcase (suite, group);
-  runner = srunner_create (suite);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+  return suite_run (suite);
 }
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -1,6 +1,6 @@
 #include "fleet.h"
+#include "suite.h"
 
-#include <check.h>
 #include <stdio.h>
 #include <stdlib.h>
 
@@ -396,42 +396,25 @@
 }
 END_TEST
 
-static void
-add (Suite *suite, const TTest *test, int seeds)
-{
-  TCase *group = tcase_create (test->name);
-
-  tcase_set_timeout (group, 0);
-  tcase_add_loop_test (group, test, 0, seeds);
-  suite_add_tcase (suite, group);
-}
-
 int
 main (void)
 {
   Suite *suite = suite_create ("fleet");
-  SRunner *runner;
-  int failed;
-
-  setvbuf (stdout, NULL, _IOLBF, 0);
-  add (suite, test_rolling_deploy, SEEDS);
-  add (suite, test_rolling_deploy_bad_network, SEEDS);
-  add (suite, test_upstreams_change, SEEDS);
-  add (suite, test_owner_dies_during_drain, SEEDS);
-  add (suite, test_two_die_in_one_domain, SEEDS);
-  add (suite, test_two_die_in_two_domains, SEEDS);
-  add (suite, test_partition, SEEDS);
-  add (suite, test_pause, SEEDS);
-  add (suite, test_all_pause, SEEDS);
-  add (suite, test_reordering, SEEDS);
-  add (suite, test_silent_flow, 2);
-  add (suite, test_lost_entry, SEEDS);
-  add (suite, test_udp, SEEDS);
-  add (suite, test_namesake, 1);
-  add (suite, test_baselines_break_flows, 2);
-  runner = srunner_create (suite);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+
+  suite_add_loop (suite, test_rolling_deploy, SEEDS);
+  suite_add_loop (suite, test_rolling_deploy_bad_network, SEEDS);
+  suite_add_loop (suite, test_upstreams_change, SEEDS);
+  suite_add_loop (suite, test_owner_dies_during_drain, SEEDS);
+  suite_add_loop (suite, test_two_die_in_one_domain, SEEDS);
+  suite_add_loop (suite, test_two_die_in_two_domains, SEEDS);
+  suite_add_loop (suite, test_partition, SEEDS);
+  suite_add_loop (suite, test_pause, SEEDS);
+  suite_add_loop (suite, test_all_pause, SEEDS);
+  suite_add_loop (suite, test_reordering, SEEDS);
+  suite_add_loop (suite, test_silent_flow, 2);
+  suite_add_loop (suite, test_lost_entry, SEEDS);
+  suite_add_loop (suite, test_udp, SEEDS);
+  suite_add_loop (suite, test_namesake, 1);
+  suite_add_loop (suite, test_baselines_break_flows, 2);
+  return suite_run (suite);
 }
--- a/tests/test_limits.c
+++ b/tests/test_limits.c
@@ -1,6 +1,6 @@
 #include "fleet.h"
+#include "suite.h"
 
-#include <check.h>
 #include <stdio.h>
 #include <stdlib.h>
 
@@ -341,40 +341,23 @@
 }
 END_TEST
 
-static void
-add (Suite *suite, const TTest *test, int seeds)
-{
-  TCase *group = tcase_create (test->name);
-
-  tcase_set_timeout (group, 0);
-  tcase_add_loop_test (group, test, 0, seeds);
-  suite_add_tcase (suite, group);
-}
-
 int
 main (void)
 {
   Suite *suite = suite_create ("limits");
-  SRunner *runner;
-  int failed;
-
-  setvbuf (stdout, NULL, _IOLBF, 0);
-  add (suite, test_silent_restart, SEEDS);
-  add (suite, test_new_upstream_is_cold, SEEDS);
-  add (suite, test_gatekeeper_pauses, SEEDS);
-  add (suite, test_gatekeeper_dies, SEEDS);
-  add (suite, test_cold_in_partition, SEEDS);
-  add (suite, test_power_cut, SEEDS);
-  add (suite, test_health_says_up, SEEDS);
-  add (suite, test_health_says_down, SEEDS);
-  add (suite, test_domain_out_and_in, SEEDS);
-  add (suite, test_domain_out_in_partition, SEEDS);
-  add (suite, test_spread, SEEDS);
-  add (suite, test_fresh_vm_without_platform, SEEDS);
-  add (suite, test_overload_is_fair, 1);
-  runner = srunner_create (suite);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+
+  suite_add_loop (suite, test_silent_restart, SEEDS);
+  suite_add_loop (suite, test_new_upstream_is_cold, SEEDS);
+  suite_add_loop (suite, test_gatekeeper_pauses, SEEDS);
+  suite_add_loop (suite, test_gatekeeper_dies, SEEDS);
+  suite_add_loop (suite, test_cold_in_partition, SEEDS);
+  suite_add_loop (suite, test_power_cut, SEEDS);
+  suite_add_loop (suite, test_health_says_up, SEEDS);
+  suite_add_loop (suite, test_health_says_down, SEEDS);
+  suite_add_loop (suite, test_domain_out_and_in, SEEDS);
+  suite_add_loop (suite, test_domain_out_in_partition, SEEDS);
+  suite_add_loop (suite, test_spread, SEEDS);
+  suite_add_loop (suite, test_fresh_vm_without_platform, SEEDS);
+  suite_add_loop (suite, test_overload_is_fair, 1);
+  return suite_run (suite);
 }
--- a/tests/test_packet.c
+++ b/tests/test_packet.c
@@ -2,9 +2,10 @@
 #include "packets.h"
 #include "peer/codec.h"
 #include "peer/replay.h"
+#include "sink.h"
+#include "suite.h"
 
 #include <arpa/inet.h>
-#include <check.h>
 #include <netinet/ip.h>
 #include <netinet/tcp.h>
 #include <stdlib.h>
@@ -88,9 +89,10 @@
 }
 END_TEST
 
-/* A core with two services, whose outputs check where packets go. */
+/* A core with four services, whose outputs check where packets go. */
 struct Sink
 {
+  struct CfCoreOutputs outputs;
   uint64_t forwarded;
   const struct CfConfig *config;
 };
@@ -106,18 +108,6 @@
   sink->forwarded++;
 }
 
-static void
-sink_transfer (void *context,
-               const struct CfPacket *packet,
-               const struct peer_transfer *transfer,
-               const struct CfAddress *address)
-{
-  (void) context;
-  (void) packet;
-  (void) transfer;
-  (void) address;
-}
-
 static void
 sink_refuse (void *context, const struct CfPacket *packet, enum CfVerdict verdict)
 {
@@ -128,55 +118,6 @@
   cf_refusal_build (packet, answer);
 }
 
-static void
-sink_peer (void *context, const struct CfAddress *address, const struct peer_message *message)
-{
-  (void) context;
-  (void) address;
-  (void) message;
-}
-
-static void
-sink_probe (void *context, const uint32_t *upstreams, uint32_t count)
-{
-  (void) context;
-  (void) upstreams;
-  (void) count;
-}
-
-static void
-sink_watch (void *context, bool watch)
-{
-  (void) context;
-  (void) watch;
-}
-
-static void
-sink_config (void *context, const struct CfConfig *config)
-{
-  (void) context;
-  (void) config;
-}
-
-static void
-sink_state (void *context, enum peer_state state, bool may_stop)
-{
-  (void) context;
-  (void) state;
-  (void) may_stop;
-}
-
-static const struct CfCoreOutputs sink_outputs = {
-  .forward = sink_forward,
-  .transfer = sink_transfer,
-  .refuse = sink_refuse,
-  .send_peer = sink_peer,
-  .probe = sink_probe,
-  .watch_platform = sink_watch,
-  .config_changed = sink_config,
-  .state_changed = sink_state,
-};
-
 static const char sink_config_text[]
     = "[fleet]\nversion=1\n[failure-domain a]\nregion=r\n"
       "[service s]\naddress=10.0.0.1\nport=443\n"
@@ -198,7 +139,10 @@
   struct CfCore *core;
 
   ck_assert_msg (config != NULL, "%s", error.text);
-  core = cf_core_new (&options, &sink_outputs, sink, 1000);
+  sink->outputs = test_sink_outputs ();
+  sink->outputs.forward = sink_forward;
+  sink->outputs.refuse = sink_refuse;
+  core = cf_core_new (&options, &sink->outputs, sink, 1000);
   cf_core_set_config (core, config, 1000);
   sink->config = cf_core_config (core);
   cf_config_unref (config);
@@ -395,8 +339,6 @@
 {
   Suite *suite = suite_create ("packet");
   TCase *group = tcase_create ("packet");
-  SRunner *runner;
-  int failed;
 
   tcase_add_checked_fixture (group, setup, NULL);
   tcase_set_timeout (group, 0);
@@ -410,9 +352,5 @@
   tcase_add_test (group, test_replay);
   tcase_add_test (group, test_transfer_codec);
   suite_add_tcase (suite, group);
-  runner = srunner_create (suite);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+  return suite_run (suite);
 }
