--- a/bench/bench.h
+++ b/bench/bench.h
@@ -12,6 +12,9 @@
 /* Control and transferred bytes at today's size. */
 void bench_today (void);
 
+/* Service while a failure domain leaves and returns. */
+void bench_domain (void);
+
 /* Evenness of the load against the entries it costs. */
 void bench_balance (void);
 
--- a/bench/main.c
+++ b/bench/main.c
@@ -22,6 +22,7 @@
   bench_slopes ();
   bench_balance ();
   bench_scenarios ();
+  bench_domain ();
   bench_today ();
   printf ("\n%d bounds missed\n", missed);
   return missed ? EXIT_FAILURE : EXIT_SUCCESS;
--- a/bench/scenario.c
+++ b/bench/scenario.c
@@ -196,6 +196,101 @@
   fleet_free (fleet);
 }
 
+/* What callers meet whose flows begin within SPAN from BEGAN. */
+struct Service
+{
+  uint64_t flows;
+  uint64_t refused;
+  uint64_t slow; /* waited for more than SLOW_MS, or for ever */
+  CfMillis longest;
+};
+
+#define SLOW_MS 500
+
+static struct Service
+service_from (const struct Fleet *fleet, CfMillis began, CfMillis span)
+{
+  struct Service service = { 0 };
+
+  for (guint i = 0; i < fleet->flows->len; i++)
+    {
+      const struct FleetFlow *flow = fleet->flows->pdata[i];
+      CfMillis waited = flow->answered_at - flow->opened_at;
+
+      if (flow->opened_at < began || flow->opened_at >= began + span)
+        continue;
+      service.flows++;
+      service.refused += flow->state == FLOW_REFUSED;
+      service.slow += !flow->answered_at || waited > SLOW_MS;
+      if (flow->answered_at)
+        service.longest = MAX (service.longest, waited);
+    }
+  return service;
+}
+
+static void
+print_service (const char *policy, const char *phase, const struct Service *service)
+{
+  printf ("%-8s %-26s %7" G_GUINT64_FORMAT " %7" G_GUINT64_FORMAT " %7" G_GUINT64_FORMAT
+          " %9" G_GINT64_FORMAT "\n",
+          policy, phase, service->flows, service->refused, service->slow, service->longest);
+}
+
+#define PHASE_MS 10000
+
+static void
+domain_leaves (const struct CfPolicy *policy)
+{
+  struct FleetSpec spec
+      = { .seed = 5, .vms = 6, .domains = 4, .upstreams = { 15, 4 }, .policy = policy };
+  struct Fleet *fleet = fleet_new (&spec);
+  struct Service service;
+  CfMillis began;
+  uint64_t broken;
+
+  fleet_start_all (fleet);
+  fleet_traffic (fleet, &(struct FleetTraffic){
+                            .flows_per_s = 300, .life_min = 2000, .life_max = 20000, .gap = 1000 });
+  fleet_run (fleet, 15000);
+  began = test_network_now (fleet->network);
+  fleet_domain (fleet, 2, false, 1000);
+  fleet_run (fleet, 2 * PHASE_MS);
+  service = service_from (fleet, began, PHASE_MS);
+  print_service (policy->name, "10 s from leaving", &service);
+  began = test_network_now (fleet->network);
+  fleet_domain (fleet, 2, true, 1000);
+  fleet_run (fleet, 2 * PHASE_MS);
+  service = service_from (fleet, began, PHASE_MS);
+  print_service (policy->name, "10 s from returning", &service);
+  broken = fleet->count.broken;
+  printf ("%-8s flows broken elsewhere %" G_GUINT64_FORMAT ", given up %" G_GUINT64_FORMAT
+          ", packets after 3 s %" G_GUINT64_FORMAT
+          ", beyond what cold upstreams bear %" G_GUINT64_FORMAT "\n",
+          policy->name, broken, fleet->count.given_up, fleet->count.late_packets,
+          fleet->count.cold_overload);
+  if (policy == &cf_policy_product)
+    {
+      bench_bound ("flows broken when a failure domain leaves and returns", (double) broken, 0);
+      bench_bound ("packets into a failure domain after 3 s", (double) fleet->count.late_packets,
+                   0);
+      bench_bound ("new flows beyond what cold upstreams bear", (double) fleet->count.cold_overload,
+                   0);
+      bench_bound ("refused while a failure domain returns", (double) service.refused, 0);
+    }
+  fleet_free (fleet);
+}
+
+void
+bench_domain (void)
+{
+  const struct CfPolicy *policies[] = { &cf_policy_hash, &cf_policy_local, &cf_policy_product };
+
+  printf ("\n%-8s %-26s %7s %7s %7s %9s\n", "policy", "a failure domain, 300/s", "flows", "refused",
+          ">500 ms", "longest");
+  for (size_t p = 0; p < G_N_ELEMENTS (policies); p++)
+    domain_leaves (policies[p]);
+}
+
 /* How even the load is, for several bounds of imbalance, against the entries that
  * the bound costs. */
 void
@@ -219,10 +314,13 @@
                      &(struct FleetTraffic){
                          .flows_per_s = 300, .life_min = 60000, .life_max = 90000, .gap = 20000 });
       fleet_run (fleet, 120000);
-      printf ("%-24s %12.3f %12.3f %12.2f\n", bounds[i], fleet_imbalance (fleet, 0),
+      printf ("%-16s %12.3f %12.3f %8.2f", bounds[i], fleet_imbalance (fleet, 0),
               fleet_imbalance (fleet, 1),
               100.0 * (double) fleet_counter (fleet, CF_COUNT_NEW_AWAY)
                   / (double) fleet_counter (fleet, CF_COUNT_NEW_FLOWS));
+      fleet_domain (fleet, 3, false, 1000);
+      fleet_run (fleet, 100000);
+      printf ("  %12.3f %12.3f\n", fleet_imbalance (fleet, 0), fleet_imbalance (fleet, 1));
       g_free (bounded);
       g_free (text);
       fleet_free (fleet);
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -89,7 +89,8 @@
   uint32_t acked;
   uint32_t sent;
   uint32_t tries;
-  CfMillis opened_at;
+  CfMillis opened_at;   /* its first packet was sent */
+  CfMillis answered_at; /* the first answer came, 0: none yet */
   CfMillis ends_at;
   CfMillis wait; /* for the answer to the last packet */
 };
--- a/tests/fleet_traffic.c
+++ b/tests/fleet_traffic.c
@@ -238,6 +238,7 @@
       if (flow->state == FLOW_OPEN)
         return;
       flow->state = FLOW_OPEN;
+      flow->answered_at = test_network_now (fleet->network);
       flow->upstream = event->upstream;
       fleet->count.opened++;
       send_packet (fleet, event->flow, CF_PACKET_ACK);
