First packets that may not be placed yet wait instead of being dropped

Cause: while a failure domain left or returned, 16 of 6,025 first packets met a mark that was not acknowledged or an entry in flight, were dropped, and cost their callers a second. Ruled out: sending them to the implied upstream, which may be out or cold.

--- a/include/cf_stats.h
+++ b/include/cf_stats.h
@@ -46,6 +46,7 @@
   CF_COUNT_CONFIG_APPLIED,       /* configurations put in force */
   CF_COUNT_CONFIG_IGNORED,       /* configurations that were not newer */
   CF_COUNT_COLD_STARTS,          /* upstreams found to be cold */
+  CF_COUNT_PARKED,               /* first packets that waited for a moment */
   CF_COUNT_MAX,
 };
 
--- a/src/base/stats.c
+++ b/src/base/stats.c
@@ -24,6 +24,7 @@
   [CF_COUNT_CONFIG_APPLIED] = "config_applied",
   [CF_COUNT_CONFIG_IGNORED] = "config_ignored",
   [CF_COUNT_COLD_STARTS] = "cold_starts",
+  [CF_COUNT_PARKED] = "parked",
 };
 
 const char *
--- /dev/null
+++ b/src/core/arrive.c
@@ -0,0 +1,167 @@
+#include "internal.h"
+
+#include <string.h>
+
+/* Packets as they arrive, and first packets that wait for a moment. */
+
+#define PARK_LIMIT_MS 600 /* below the time after which callers send again */
+
+void
+cf_notice_pause (struct CfCore *core, CfMillis now)
+{
+  if (now - core->last_tick <= CF_PAUSE_LIMIT_MS)
+    return;
+  core->last_tick = now;
+  core->woke_at = now;
+  if (core->state == PEER_SERVING)
+    cf_members_pause (core, now);
+}
+
+/* Finds the service of the route's packet and the lists' choices.  Returns
+ * CF_DROP_NONE, or the reason to drop the packet. */
+static enum CfDrop
+prepare (struct CfCore *core, struct CfRoute *route)
+{
+  const struct CfPacket *packet = route->packet;
+  const struct CfService *service;
+
+  if (!core->config)
+    return CF_DROP_NO_CONFIG;
+  /* The caller has sent it again meanwhile: by now it could open its flow twice. */
+  if (route->now - core->woke_at < CF_WAKE_MS)
+    return CF_DROP_DOUBT;
+  service = cf_config_find_service (core->config, &packet->service, packet->protocol);
+  if (!service)
+    return CF_DROP_NO_SERVICE;
+  route->service = cf_service_state (core, service);
+  route->key = cf_flow_key (core, service, packet);
+  route->opens = packet->flags & CF_PACKET_SYN;
+  cf_choose_lists (route->service, route->key, &route->implied, &route->first);
+  return CF_DROP_NONE;
+}
+
+static enum CfVerdict
+run (struct CfCore *core, struct CfRoute *route)
+{
+  if (route->implied == CF_NO_SLOT)
+    return cf_route_refuse (core, route, CF_VERDICT_MAY_HAVE_RUN);
+  return core->policy->consult ? cf_route (core, route) : cf_route_baseline (core, route);
+}
+
+static enum CfVerdict
+count_and_run (struct CfCore *core, struct CfRoute *route)
+{
+  struct CfServiceStats *stats = route->service->stats;
+
+  stats->packets++;
+  stats->bytes += route->packet->len;
+  cf_histogram_add (&stats->packet_bytes, route->packet->len);
+  return run (core, route);
+}
+
+enum CfVerdict
+cf_core_packet (struct CfCore *core,
+                const uint8_t *data,
+                size_t len,
+                const struct CfAddress *reply,
+                CfMillis now)
+{
+  struct CfPacket packet = { .reply = *reply };
+  struct CfRoute route = { .packet = &packet, .now = now };
+  enum CfDrop drop;
+
+  cf_notice_pause (core, now);
+  core->stats.counter[CF_COUNT_FABRIC_PACKETS]++;
+  core->stats.counter[CF_COUNT_FABRIC_BYTES] += len;
+  drop = cf_packet_parse (data, len, &packet);
+  if (drop == CF_DROP_NONE)
+    drop = prepare (core, &route);
+  return drop == CF_DROP_NONE ? count_and_run (core, &route) : cf_route_drop (core, drop);
+}
+
+enum CfVerdict
+cf_core_transferred (struct CfCore *core,
+                     const uint8_t *data,
+                     size_t len,
+                     const struct peer_transfer *transfer,
+                     CfMillis now)
+{
+  struct CfPacket packet = { .reply = { .port = (uint16_t) transfer->reply_port } };
+  struct CfRoute route = {
+    .packet = &packet,
+    .hops = transfer->hops,
+    .decide = transfer->flags & CF_TRANSFER_DECIDE,
+    .now = now,
+  };
+  enum CfDrop drop;
+
+  cf_notice_pause (core, now);
+  memcpy (packet.reply.ip, transfer->reply_address, sizeof packet.reply.ip);
+  core->stats.counter[CF_COUNT_TRANSFERS_RECEIVED]++;
+  drop = cf_packet_parse (data, len, &packet);
+  if (drop == CF_DROP_NONE)
+    drop = prepare (core, &route);
+  if (drop == CF_DROP_NONE
+      && (transfer->service != route.service->service->id || transfer->key != route.key))
+    drop = CF_DROP_TRANSFER;
+  return drop == CF_DROP_NONE ? count_and_run (core, &route) : cf_route_drop (core, drop);
+}
+
+static struct CfParked *
+free_place (struct CfCore *core)
+{
+  for (uint32_t i = 0; i < CF_PARKED_MAX; i++)
+    if (!core->parked[i].used)
+      return &core->parked[i];
+  return NULL;
+}
+
+enum CfVerdict
+cf_park (struct CfCore *core, const struct CfRoute *route, enum CfDrop drop)
+{
+  struct CfParked *parked = core->retrying;
+
+  if (parked && route->now - parked->since < PARK_LIMIT_MS)
+    {
+      parked->used = true;
+      return CF_VERDICT_DELAYED;
+    }
+  if (parked || route->packet->len > sizeof parked->data || !(parked = free_place (core)))
+    return cf_route_drop (core, drop);
+  memcpy (parked->data, route->packet->data, route->packet->len);
+  parked->len = route->packet->len;
+  parked->reply = route->packet->reply;
+  parked->hops = route->hops;
+  parked->decide = route->decide;
+  parked->since = route->now;
+  parked->used = true;
+  core->parked_count++;
+  core->stats.counter[CF_COUNT_PARKED]++;
+  return CF_VERDICT_DELAYED;
+}
+
+static void
+retry (struct CfCore *core, struct CfParked *parked, CfMillis now)
+{
+  struct CfPacket packet = { .reply = parked->reply };
+  struct CfRoute route
+      = { .packet = &packet, .hops = parked->hops, .decide = parked->decide, .now = now };
+
+  parked->used = false;
+  core->retrying = parked;
+  if (cf_packet_parse (parked->data, parked->len, &packet) == CF_DROP_NONE
+      && prepare (core, &route) == CF_DROP_NONE)
+    run (core, &route);
+  core->retrying = NULL;
+  core->parked_count -= !parked->used;
+}
+
+void
+cf_park_retry (struct CfCore *core, CfMillis now)
+{
+  /* A place that was left keeps its bytes until the next packet is parked, since the
+   * outputs may still refer to them. */
+  for (uint32_t i = 0; i < CF_PARKED_MAX && core->parked_count; i++)
+    if (core->parked[i].used)
+      retry (core, &core->parked[i], now);
+}
--- a/src/core/core.c
+++ b/src/core/core.c
@@ -58,6 +58,7 @@
   core->member_by_id = g_hash_table_new (NULL, NULL);
   core->stats.services = g_ptr_array_new_with_free_func (free_service_stats);
   cf_flow_table_init (&core->table, CF_FLOWS_MAX);
+  core->parked = g_new0 (struct CfParked, CF_PARKED_MAX);
   cf_owners_init (&core->current);
   cf_owners_init (&core->planned);
   for (uint32_t b = 0; b < CF_BUCKETS; b++)
@@ -79,6 +80,7 @@
   cf_spread_clear (core);
   cf_config_unref (core->config);
   cf_flow_table_clear (&core->table);
+  g_free (core->parked);
   g_free (core->before_pause);
   cf_owners_clear (&core->current);
   cf_owners_clear (&core->planned);
@@ -141,92 +143,6 @@
   return true;
 }
 
-/* Whatever arrives first after a pause, nothing is decided on beliefs from before. */
-static void
-notice_pause (struct CfCore *core, CfMillis now)
-{
-  if (now - core->last_tick <= CF_PAUSE_LIMIT_MS)
-    return;
-  core->last_tick = now;
-  core->woke_at = now;
-  if (core->state == PEER_SERVING)
-    cf_members_pause (core, now);
-}
-
-static enum CfVerdict
-handle (struct CfCore *core,
-        const struct CfPacket *packet,
-        const struct peer_transfer *transfer,
-        CfMillis now)
-{
-  const struct CfService *service;
-  struct CfRoute route = { .packet = packet, .now = now };
-
-  if (!core->config)
-    return cf_route_drop (core, CF_DROP_NO_CONFIG);
-  /* The caller has sent it again meanwhile: by now it could open its flow twice. */
-  if (now - core->woke_at < CF_WAKE_MS)
-    return cf_route_drop (core, CF_DROP_DOUBT);
-  service = cf_config_find_service (core->config, &packet->service, packet->protocol);
-  if (!service)
-    return cf_route_drop (core, CF_DROP_NO_SERVICE);
-  route.service = cf_service_state (core, service);
-  route.key = cf_flow_key (core, service, packet);
-  route.opens = packet->flags & CF_PACKET_SYN;
-  if (transfer)
-    {
-      if (transfer->service != service->id || transfer->key != route.key)
-        return cf_route_drop (core, CF_DROP_TRANSFER);
-      route.hops = transfer->hops;
-      route.decide = transfer->flags & CF_TRANSFER_DECIDE;
-    }
-  route.service->stats->packets++;
-  route.service->stats->bytes += packet->len;
-  cf_histogram_add (&route.service->stats->packet_bytes, packet->len);
-  cf_choose_lists (route.service, route.key, &route.implied, &route.first);
-  if (route.implied == CF_NO_SLOT)
-    return cf_route_refuse (core, &route, CF_VERDICT_MAY_HAVE_RUN);
-  return core->policy->consult ? cf_route (core, &route) : cf_route_baseline (core, &route);
-}
-
-enum CfVerdict
-cf_core_packet (struct CfCore *core,
-                const uint8_t *data,
-                size_t len,
-                const struct CfAddress *reply,
-                CfMillis now)
-{
-  struct CfPacket packet = { .reply = *reply };
-  enum CfDrop drop;
-
-  notice_pause (core, now);
-  core->stats.counter[CF_COUNT_FABRIC_PACKETS]++;
-  core->stats.counter[CF_COUNT_FABRIC_BYTES] += len;
-  drop = cf_packet_parse (data, len, &packet);
-  if (drop != CF_DROP_NONE)
-    return cf_route_drop (core, drop);
-  return handle (core, &packet, NULL, now);
-}
-
-enum CfVerdict
-cf_core_transferred (struct CfCore *core,
-                     const uint8_t *data,
-                     size_t len,
-                     const struct peer_transfer *transfer,
-                     CfMillis now)
-{
-  struct CfPacket packet = { .reply = { .port = (uint16_t) transfer->reply_port } };
-  enum CfDrop drop;
-
-  notice_pause (core, now);
-  memcpy (packet.reply.ip, transfer->reply_address, sizeof packet.reply.ip);
-  core->stats.counter[CF_COUNT_TRANSFERS_RECEIVED]++;
-  drop = cf_packet_parse (data, len, &packet);
-  if (drop != CF_DROP_NONE)
-    return cf_route_drop (core, drop);
-  return handle (core, &packet, transfer, now);
-}
-
 /* Another process runs under this VM's name.  The younger one stays. */
 static void
 meet_namesake (struct CfCore *core, uint64_t incarnation, CfMillis now)
@@ -244,7 +160,7 @@
   const struct peer_message *message = &envelope->message;
   struct CfMember *member = cf_member_by_id (core, envelope->vm);
 
-  notice_pause (core, now);
+  cf_notice_pause (core, now);
   if (envelope->vm == core->options.vm)
     {
       meet_namesake (core, envelope->incarnation, now);
@@ -376,7 +292,7 @@
 void
 cf_core_tick (struct CfCore *core, CfMillis now)
 {
-  notice_pause (core, now);
+  cf_notice_pause (core, now);
   core->last_tick = now;
   cf_members_check (core, now);
   cf_members_join (core, now);
@@ -393,6 +309,7 @@
   cf_view_end_fallbacks (core, now);
   if (core->config)
     cf_flows_sweep (core, SWEEP_SLOTS, now);
+  cf_park_retry (core, now);
   cf_streams_flush (core, now);
   cf_heartbeats_send (core, now);
   cf_spread_tick (core, now);
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -192,6 +192,21 @@
   CfMillis deadline; /* 0: idle */
 };
 
+/* A first packet that waits for a mark to be acknowledged, for an entry in flight or
+ * for an admission, so that its caller need not send it again. */
+struct CfParked
+{
+  bool used;
+  bool decide;
+  uint32_t hops;
+  CfMillis since;
+  struct CfAddress reply;
+  size_t len;
+  uint8_t data[128];
+};
+
+#define CF_PARKED_MAX 512
+
 #define CF_HISTORY 8
 
 struct CfCore
@@ -225,6 +240,9 @@
   GHashTable *slot_by_id;
   struct CfFlowTable table;
   uint32_t sweep;
+  struct CfParked *parked; /* CF_PARKED_MAX places */
+  uint32_t parked_count;
+  struct CfParked *retrying; /* the packet that is tried again now, or NULL */
 
   GPtrArray *members; /* of struct CfMember; entry 0 is this VM */
   GHashTable *member_by_id;
@@ -378,6 +396,13 @@
 void cf_heartbeat_receive (struct CfCore *core, const struct peer_envelope *envelope, CfMillis now);
 void cf_send (struct CfCore *core, const struct CfMember *member, struct peer_message *message);
 
+/* arrive.c */
+void cf_notice_pause (struct CfCore *core, CfMillis now);
+
+/* Lets the first packet of ROUTE wait, or drops it for the reason DROP. */
+enum CfVerdict cf_park (struct CfCore *core, const struct CfRoute *route, enum CfDrop drop);
+void cf_park_retry (struct CfCore *core, CfMillis now);
+
 /* route.c */
 enum CfVerdict cf_route (struct CfCore *core, struct CfRoute *route);
 enum CfVerdict cf_route_to (struct CfCore *core, const struct CfRoute *route, uint32_t slot);
--- a/src/core/place.c
+++ b/src/core/place.c
@@ -106,7 +106,7 @@
   if (slot != route->implied && !cf_may_divert (core, route->implied, route->now))
     {
       if (!implied_bears (implied))
-        return cf_route_drop (core, CF_DROP_GATE);
+        return cf_park (core, route, CF_DROP_GATE);
       slot = route->implied;
     }
   record (core, route, flow, slot);
--- a/src/core/route.c
+++ b/src/core/route.c
@@ -225,7 +225,7 @@
   if (slot->health == PEER_COLD)
     {
       if (!cf_grant_available (slot, route->now))
-        return cf_route_drop (core, CF_DROP_GATE);
+        return cf_park (core, route, CF_DROP_GATE);
       slot->grant--;
     }
   return follow (core, route, flow);
@@ -251,7 +251,7 @@
     return resolve_udp (core, route);
   if (!route->opens)
     return resolve (core, route);
-  return entry_in_flight (core, route) ? cf_route_drop (core, CF_DROP_DOUBT)
+  return entry_in_flight (core, route) ? cf_park (core, route, CF_DROP_DOUBT)
                                        : cf_place (core, route, NULL);
 }
 
--- a/src/serve/packet_task.c
+++ b/src/serve/packet_task.c
@@ -306,6 +306,8 @@
 
   apply_folder (task, now);
   cf_core_tick (task->core, now);
+  cf_outbox_flush (&task->out);
+  task->refusal_count = 0;
   if (task->stop_at && now >= task->stop_at
       && (cf_core_may_stop (task->core) || now >= task->stop_at + STOP_LIMIT_MS))
     g_main_loop_quit (task->server->main_loop);
--- a/tests/test_limits.c
+++ b/tests/test_limits.c
@@ -222,6 +222,8 @@
   fleet_domain (fleet, 1, true, 1000);
   fleet_run (fleet, 30000);
   ck_assert_uint_eq (fleet->count.refused, refused);
+  /* First packets wait for the marks; no caller has to send one again. */
+  ck_assert_uint_eq (fleet->count.delayed, 0);
   ck_assert_uint_gt (g_hash_table_size (fleet->upstreams[1].open), 10);
   check_limits (fleet, "failure domain out and in");
 }
