Members that are gone give up their memory

A silent member that the platform no longer lists is folded into the sums after ten minutes; windows are allocated when the first batch is sent.

--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -22,6 +22,7 @@
 #define CF_DIVIDED_WAIT_MS 3000   /* members that are cut off learn of a change by then */
 #define CF_IN_FLIGHT_MS 500       /* entries on their way have arrived, repeated once */
 #define CF_PARTITION_MS 90000     /* a silent member may be cut off for this long */
+#define CF_RETIRE_MS 600000       /* an unlisted silent member gives up its memory */
 #define CF_GRACE_MS 2500          /* a leaving upstream still gets unknown UDP flows */
 #define CF_REPORT_S 20            /* age of first packets reported on a new mark */
 #define CF_HALF_OPEN_S 64         /* a first packet without a successor is forgotten */
@@ -145,7 +146,7 @@
   uint32_t bulk_head;
   uint32_t next_seq;
   CfMillis sent_at;       /* of the last new batch */
-  struct CfBatch *window; /* CF_WINDOW batches */
+  struct CfBatch *window; /* CF_WINDOW batches, NULL until the first is sent */
   uint32_t outstanding;
 };
 
--- a/src/core/limits.c
+++ b/src/core/limits.c
@@ -125,8 +125,11 @@
   slot->fleet.closed += slot->retired.closed;
   for (guint i = 1; i < core->members->len; i++)
     {
-      const struct CfLoad *load = cf_member_load (cf_member (core, i), number);
+      const struct CfMember *member = cf_member (core, i);
+      const struct CfLoad *load = &g_array_index (member->loads, struct CfLoad, number);
 
+      if (number >= member->loads->len)
+        continue;
       slot->fleet.opened += load->opened;
       slot->fleet.completed += load->completed;
       slot->fleet.closed += load->closed;
--- a/src/core/members.c
+++ b/src/core/members.c
@@ -152,6 +152,16 @@
     cf_member_forget_marks (core, member);
 }
 
+/* VMs come and go under new names.  One that is gone keeps only what a late message
+ * of it is recognised by. */
+static void
+retire (struct CfCore *core, struct CfMember *member)
+{
+  cf_member_restarted (core, member);
+  g_array_unref (member->loads);
+  member->loads = g_array_new (FALSE, TRUE, sizeof (struct CfLoad));
+}
+
 void
 cf_members_check (struct CfCore *core, CfMillis now)
 {
@@ -169,6 +179,9 @@
       if (!member->alive && member->marks->len && core->config
           && (!member->listed || now - member->heard_at > core->config->limits.flow_idle_ms))
         cf_member_forget_marks (core, member);
+      if (!member->alive && !member->listed && member->loads->len
+          && now - member->heard_at > CF_RETIRE_MS)
+        retire (core, member);
     }
   if (changed)
     {
--- a/src/core/stream.c
+++ b/src/core/stream.c
@@ -16,7 +16,6 @@
     .urgent = g_array_new (FALSE, FALSE, sizeof (struct peer_entry)),
     .bulk = g_array_new (FALSE, FALSE, sizeof (struct peer_entry)),
     .next_seq = 1,
-    .window = g_new0 (struct CfBatch, CF_WINDOW),
   };
 }
 
@@ -31,12 +30,11 @@
 void
 cf_stream_reset (struct CfStream *stream)
 {
-  g_array_set_size (stream->urgent, 0);
-  g_array_set_size (stream->bulk, 0);
-  stream->bulk_head = 0;
-  stream->outstanding = 0;
-  for (int i = 0; i < CF_WINDOW; i++)
-    stream->window[i].seq = 0;
+  uint32_t next_seq = stream->next_seq;
+
+  cf_stream_clear (stream);
+  cf_stream_init (stream);
+  stream->next_seq = next_seq;
 }
 
 bool
@@ -50,7 +48,7 @@
 cf_stream_ack (struct CfStream *stream, const peer_entries_ack *ack)
 {
   for (u_int i = 0; i < ack->seqs.seqs_len; i++)
-    for (int j = 0; j < CF_WINDOW; j++)
+    for (int j = 0; stream->window && j < CF_WINDOW; j++)
       if (stream->window[j].seq && stream->window[j].seq == ack->seqs.seqs_val[i])
         {
           stream->window[j].seq = 0;
@@ -75,6 +73,8 @@
 static struct CfBatch *
 free_batch (struct CfStream *stream)
 {
+  if (!stream->window)
+    stream->window = g_new0 (struct CfBatch, CF_WINDOW);
   for (int i = 0; i < CF_WINDOW; i++)
     if (!stream->window[i].seq)
       return &stream->window[i];
@@ -116,7 +116,8 @@
 send_next (struct CfCore *core, struct CfMember *member, CfMillis now)
 {
   struct CfStream *stream = &member->stream;
-  struct CfBatch *batch = free_batch (stream);
+  bool pending = stream->urgent->len > 0 || stream->bulk_head < stream->bulk->len;
+  struct CfBatch *batch = pending ? free_batch (stream) : NULL;
 
   /* With the budget spent, fewer and fuller batches carry the entries of new flows. */
   if (!batch || (core->tokens <= 0 && now - stream->sent_at < GATHER_MS))
@@ -138,7 +139,7 @@
 static void
 resend (struct CfCore *core, struct CfMember *member, CfMillis now)
 {
-  for (int i = 0; i < CF_WINDOW; i++)
+  for (int i = 0; member->stream.window && i < CF_WINDOW; i++)
     {
       struct CfBatch *batch = &member->stream.window[i];
 
