A fresh VM with a folder takes the fleet's configuration, not its own

Every VM keeps the provisional version 0 of its folder among the earlier ones; peers took theirs as the base of a difference for a VM whose version 0 was another text, the result did not match the digest, and the pull began again for ever. After its wait the VM used its folder, with a baseline of its own, and the larger digest won over the fleet's: flows could have moved.

--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -190,6 +190,7 @@
   uint32_t member;
   uint32_t total;
   GString *data;
+  bool whole;        /* differences did not fit: ask for the whole text */
   CfMillis deadline; /* 0: idle */
 };
 
--- a/src/core/spread.c
+++ b/src/core/spread.c
@@ -26,7 +26,11 @@
   struct peer_message message = { .kind = PEER_CONFIG_REQUEST };
   peer_config_request *ask = &message.peer_message_u.request;
 
-  ask->have = core->config ? core->config->version : 0;
+  if (core->config && !core->pull.whole)
+    {
+      ask->have = core->config->version;
+      ask->have_digest = core->config->digest;
+    }
   ask->revision = core->pull.version;
   ask->digest = core->pull.digest;
   ask->offset = (u_int) core->pull.data->len;
@@ -52,11 +56,13 @@
   request (core, member, now);
 }
 
+/* Two VMs may have different texts under one version, each from its own folder. */
 static const struct CfConfig *
-earlier_version (const struct CfCore *core, uint64_t version)
+earlier_version (const struct CfCore *core, uint64_t version, uint64_t digest)
 {
   for (int i = 0; i < CF_HISTORY; i++)
-    if (core->history[i] && core->history[i]->version == version)
+    if (core->history[i] && core->history[i]->version == version
+        && core->history[i]->digest == digest)
       return core->history[i];
   return NULL;
 }
@@ -73,7 +79,7 @@
   if (!core->config || ask->revision != core->config->version
       || ask->digest != core->config->digest)
     return;
-  base = earlier_version (core, ask->have);
+  base = earlier_version (core, ask->have, ask->have_digest);
   text = base ? cf_difference_make (base, core->config) : g_strdup (core->config->text);
   len = strlen (text);
   if (ask->offset <= len)
@@ -90,26 +96,37 @@
   g_free (text);
 }
 
+/* Returns the configuration that was fetched, or NULL if it is not the one that was
+ * announced. */
+static struct CfConfig *
+assemble (const struct CfCore *core)
+{
+  const struct CfPull *pull = &core->pull;
+  struct CfConfig *config;
+  char *text;
+
+  if (pull->base == 0)
+    text = g_strdup (pull->data->str);
+  else if (core->config && core->config->version == pull->base)
+    text = cf_difference_apply (core->config, pull->data->str);
+  else
+    return NULL;
+  config = text ? cf_config_parse (text, NULL) : NULL;
+  g_free (text);
+  if (config && (config->version != pull->version || config->digest != pull->digest))
+    g_clear_pointer (&config, cf_config_unref);
+  return config;
+}
+
 static void
 finish (struct CfCore *core, CfMillis now)
 {
   struct CfPull *pull = &core->pull;
-  char *text;
-  struct CfConfig *config = NULL;
-  bool usable = pull->base == 0 || (core->config && core->config->version == pull->base);
+  struct CfConfig *config = assemble (core);
 
   pull->deadline = 0;
-  text = pull->base == 0 ? g_strdup (pull->data->str) : NULL;
-  if (!text && usable)
-    text = cf_difference_apply (core->config, pull->data->str);
-  if (text)
-    config = cf_config_parse (text, NULL);
-  g_free (text);
-  if (!config)
-    return;
-  /* The base may have differed, for instance after a conflict of two folders. */
-  if (config->version == pull->version && config->digest == pull->digest
-      && cf_core_set_config (core, config, now))
+  pull->whole = !config;
+  if (config && cf_core_set_config (core, config, now))
     core->out->config_changed (core->context, core->config);
   cf_config_unref (config);
 }
--- a/src/peer/peer.h
+++ b/src/peer/peer.h
@@ -121,6 +121,7 @@
 
 struct peer_config_request {
 	u_quad_t have;
+	u_quad_t have_digest;
 	u_quad_t revision;
 	u_quad_t digest;
 	u_int offset;
--- a/src/peer/peer.x
+++ b/src/peer/peer.x
@@ -82,6 +82,7 @@
 
 struct peer_config_request {
   unsigned hyper have;
+  unsigned hyper have_digest;
   unsigned hyper revision;
   unsigned hyper digest;
   unsigned offset;
--- a/src/peer/peer_xdr.c
+++ b/src/peer/peer_xdr.c
@@ -209,6 +209,8 @@
 
 	 if (!xdr_u_quad_t (xdrs, &objp->have))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->have_digest))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->revision))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->digest))
--- /dev/null
+++ b/tests/live_fleet.sh
@@ -0,0 +1,64 @@
+# Functions for scripts that drive entry VMs on loopback with tests/live.c.  To be
+# sourced with $build set to the build folder.
+
+work=$(mktemp -d)
+pids=
+export CYCLAMENFERRY_FLEET_KEY=00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff
+
+stop_all() {
+  for pid in $pids; do
+    kill -CONT "$pid" 2>/dev/null || true
+    kill -9 "$pid" 2>/dev/null || true
+  done
+  rm -rf "$work"
+}
+trap stop_all EXIT
+
+start_vm() { # NUMBER DOMAIN
+  "$build/cyclamenferry" serve --name "entry-$1" --failure-domain "fi-south-$2" \
+    --address "127.0.0.1$1" --admin-port "608$1" --linger 1 \
+    --config-dir "$work/conf" 2>>"$work/log" &
+  eval "vm$1=$!"
+  pids="$pids $!"
+}
+
+set_folder() { # VERSION LINES...
+  {
+    printf '[fleet]\nversion = %s\n' "$1"
+    shift
+    printf '%s\n' "$@"
+  } > "$work/90.conf"
+  mv "$work/90.conf" "$work/conf/90-operator.conf"
+}
+
+# Starts three VMs and the stand-in, whose commands go to file descriptor 3.
+start_fleet() {
+  cp -r examples/vuokravuoka "$work/conf"
+  mkfifo "$work/commands"
+  start_vm 1 a
+  start_vm 2 b
+  start_vm 3 c
+  "$build/live" "$work/conf" < "$work/commands" &
+  live=$!
+  pids="$pids $live"
+  exec 3> "$work/commands"
+  sleep 2.5
+}
+
+say() {
+  echo "$*" >&3
+}
+
+# Ends the traffic and the VMs; sets status to 1 if a flow was broken.
+end_fleet() {
+  say quit
+  exec 3>&-
+  status=0
+  wait "$live" || status=$?
+  for pid in "$vm1" "$vm2" "$vm3"; do
+    kill -TERM "$pid"
+  done
+  for pid in "$vm1" "$vm2" "$vm3"; do
+    wait "$pid" || { echo "an entry VM exited with $?"; status=1; }
+  done
+}
--- a/tests/test_limits.c
+++ b/tests/test_limits.c
@@ -304,6 +304,53 @@
 }
 END_TEST
 
+static void
+set_provisional (struct Fleet *fleet, uint32_t vm, struct CfConfig *folder)
+{
+  struct CfConfig *provisional = cf_config_succeed (NULL, folder, 0, 0);
+
+  cf_core_set_config (fleet->vms[vm].core, provisional, test_network_now (fleet->network));
+  cf_config_unref (provisional);
+}
+
+/* Folders instead of a platform: every VM starts with a provisional version 0 of its
+ * own folder.  A fresh VM takes what the fleet has, with its baseline, though its
+ * folder has the same version. */
+START_TEST (test_fresh_vm_with_folder)
+{
+  struct FleetSpec spec
+      = { .seed = (uint32_t) _i + 1, .vms = 6, .domains = 4, .upstreams = { 15, 4 } };
+  struct Fleet *fleet = fleet_new (&spec);
+  uint32_t counts[2] = { 17, 4 };
+  char *text = fleet_config_text (&spec, counts);
+  struct CfConfig *folder = cf_config_parse (text, NULL);
+  const struct CfConfig *config;
+
+  for (uint32_t vm = 0; vm < 6; vm++)
+    {
+      fleet_start (fleet, vm, true);
+      set_provisional (fleet, vm, fleet->config);
+    }
+  fleet_set_config (fleet, cf_config_ref (fleet->config), 0);
+  fleet_run (fleet, 4000);
+  fleet_traffic (fleet, &traffic);
+  fleet_set_config (fleet, cf_config_succeed (fleet->config, folder, 2, 1000), 0);
+  fleet_run (fleet, 5000);
+  fleet_kill (fleet, 3);
+  fleet_run (fleet, 4000);
+  fleet_start (fleet, 3, true);
+  set_provisional (fleet, 3, folder);
+  fleet_run (fleet, 1000);
+  config = cf_core_config (fleet->vms[3].core);
+  ck_assert_uint_eq (config->version, 2);
+  ck_assert_uint_eq (config->digest, fleet->config->digest);
+  fleet_run (fleet, 10000);
+  cf_config_unref (folder);
+  g_free (text);
+  check_limits (fleet, "fresh VM with a folder");
+}
+END_TEST
+
 /* One tenant floods; the other still gets its share. */
 START_TEST (test_overload_is_fair)
 {
@@ -360,6 +407,7 @@
   suite_add_loop (suite, test_domain_out_in_partition, SEEDS);
   suite_add_loop (suite, test_spread, SEEDS);
   suite_add_loop (suite, test_fresh_vm_without_platform, SEEDS);
+  suite_add_loop (suite, test_fresh_vm_with_folder, SEEDS);
   suite_add_loop (suite, test_overload_is_fair, 1);
   return suite_run (suite);
 }
