--- a/bench/scenario.c
+++ b/bench/scenario.c
@@ -291,6 +291,36 @@
     domain_leaves (policies[p]);
 }
 
+/* Prints the share of an upstream with three times the weight of the 14 others, over
+ * its due. */
+static void
+unequal_weights (void)
+{
+  struct FleetSpec spec
+      = { .seed = 3, .vms = 6, .domains = 4, .upstreams = { 15, 4 }, .connections = 1000000 };
+  struct Fleet *fleet = fleet_new (&spec);
+  char *text = fleet_config_text (&spec, spec.upstreams);
+  char *weighted = g_strconcat (text, "[upstream u-0-0]\nweight=300\n", NULL);
+  double sum = 0;
+
+  cf_config_unref (fleet->config);
+  fleet->config = cf_config_parse (weighted, NULL);
+  fleet_start_all (fleet);
+  fleet_traffic (fleet,
+                 &(struct FleetTraffic){
+                     .flows_per_s = 1000, .life_min = 10000, .life_max = 20000, .gap = 20000 });
+  fleet_run (fleet, 40000);
+  for (uint32_t u = 0; u < spec.upstreams[0]; u++)
+    sum += (double) fleet->upstreams[u].accepted;
+  printf ("weight 3 among 14 of weight 1: %.3f of its due\n",
+          (double) fleet->upstreams[0].accepted / sum * 17 / 3);
+  bench_bound ("share of a weighted upstream over its due",
+               (double) fleet->upstreams[0].accepted / sum * 17 / 3, 1.05);
+  g_free (weighted);
+  g_free (text);
+  fleet_free (fleet);
+}
+
 /* How even the load is, for several bounds of imbalance, against the entries that
  * the bound costs. */
 void
@@ -325,4 +355,5 @@
       g_free (text);
       fleet_free (fleet);
     }
+  unequal_weights ();
 }
--- a/src/platform/http.h
+++ b/src/platform/http.h
@@ -12,6 +12,7 @@
  *        N seconds for another version, then is 304.
  *   PUT  BASE/objects/NAME   with If-Match, or If-None-Match: * for a new object;
  *        412 if the condition does not hold.
+ *        Status objects, "status-" and the VM's name, are written without condition.
  *   GET  BASE/vms            JSON array of the entry VMs. */
 
 #define CF_HTTP_DEADLINE_S 3
--- a/src/serve/packet_task.c
+++ b/src/serve/packet_task.c
@@ -8,6 +8,7 @@
 
 #define BATCHES_PER_WAKE 8  /* packets must not keep messages from the core */
 #define SAMPLE_EVERY 16     /* packets per measured decision */
+#define STATUS_GAP_MS 30000 /* least time between two writes of the status object */
 #define STOP_LIMIT_MS 5000  /* for entries that a late packet caused */
 #define FOLDER_HOLD_MS 1200 /* time for peers to offer a configuration first */
 
@@ -99,7 +100,10 @@
 static void
 watch_platform (void *context, bool watch)
 {
-  cf_send_watch (((struct PacketTask *) context)->server, watch);
+  struct PacketTask *task = context;
+
+  task->watching = watch;
+  cf_send_watch (task->server, watch);
 }
 
 static void
@@ -298,6 +302,25 @@
   g_clear_pointer (&task->folder, cf_config_unref);
 }
 
+/* Writes this VM's status object once every VM has a new configuration. */
+static void
+report_status (struct PacketTask *task, CfMillis now)
+{
+  const struct CfConfig *config = cf_core_config (task->core);
+
+  if (!task->watching || !config || !cf_core_settled (task->core)
+      || config->version == task->status_version
+      || (task->status_at && now - task->status_at < STATUS_GAP_MS))
+    return;
+  task->status_at = now;
+  task->status_version = config->version;
+  cf_send_platform_status (task->server,
+                           g_strdup_printf ("{\"config_version\":%" G_GUINT64_FORMAT
+                                            ",\"config_digest\":\"%016" G_GINT64_MODIFIER
+                                            "x\",\"settled\":true}",
+                                            config->version, config->digest));
+}
+
 static gboolean
 tick (gpointer data)
 {
@@ -308,6 +331,7 @@
   cf_core_tick (task->core, now);
   cf_outbox_flush (&task->out);
   task->refusal_count = 0;
+  report_status (task, now);
   if (task->stop_at && now >= task->stop_at
       && (cf_core_may_stop (task->core) || now >= task->stop_at + STOP_LIMIT_MS))
     g_main_loop_quit (task->server->main_loop);
--- a/src/serve/packet_task.h
+++ b/src/serve/packet_task.h
@@ -28,7 +28,10 @@
   uint64_t bad_gue;
   struct CfConfig *folder; /* read from the operators' folder, not in force yet */
   CfMillis started;
-  CfMillis stop_at; /* 0: not leaving, or the handover is going on */
+  bool watching;           /* this VM speaks for its failure domain to the platform */
+  CfMillis status_at;      /* when the status object was last written */
+  uint64_t status_version; /* the configuration that it named */
+  CfMillis stop_at;        /* 0: not leaving, or the handover is going on */
 };
 
 /* Logs that CONFIG, which came FROM somewhere, is in force. */
--- a/src/serve/platform_task.c
+++ b/src/serve/platform_task.c
@@ -15,6 +15,7 @@
 #define RETRY_MIN_MS 200
 #define RETRY_MAX_MS 5000
 #define LIST_INTERVAL_MS 5000
+#define STATUS_OBJECT_PREFIX "status-"
 
 /* One outstanding call. */
 struct Call
@@ -33,6 +34,7 @@
   SoupSession *session;
   struct Call *watch;
   struct Call *list;
+  struct Call *status;
   GSource *list_timer;
   GSource *retry;
   guint retry_ms;
@@ -80,6 +82,8 @@
     task->watch = NULL;
   if (call == task->list)
     task->list = NULL;
+  if (call == task->status)
+    task->status = NULL;
   if (task->session)
     call->finish (task, call->message, body);
   g_clear_pointer (&body, g_bytes_unref);
@@ -279,7 +283,9 @@
     g_cancellable_cancel (task->watch->cancellable);
   if (task->list)
     g_cancellable_cancel (task->list->cancellable);
-  while (task->watch || task->list)
+  if (task->status)
+    g_cancellable_cancel (task->status->cancellable);
+  while (task->watch || task->list || task->status)
     g_main_context_iteration (base->context, TRUE);
   if (task->retry)
     g_source_destroy (task->retry);
@@ -325,3 +331,42 @@
   if (server->settings.platform && !server->settings.config_dir)
     cf_task_post (&server->source, take_watch, GINT_TO_POINTER (watch), NULL);
 }
+
+static void
+finish_status (struct PlatformTask *task, SoupMessage *message, GBytes *body)
+{
+  /* Nothing depends on the object; the next change writes it again. */
+  (void) task;
+  (void) message;
+  (void) body;
+}
+
+static void
+take_status (void *data, void *message)
+{
+  struct PlatformTask *task = data;
+  SoupMessage *put;
+  GBytes *value;
+  char *url;
+
+  if (!task->session || task->status)
+    return;
+  url = g_strdup_printf ("%s/objects/" STATUS_OBJECT_PREFIX "%s", task->server->settings.platform,
+                         task->server->settings.name);
+  put = soup_message_new ("PUT", url);
+  value = g_bytes_new (message, strlen (message));
+  if (put)
+    soup_message_set_request_body_from_bytes (put, "application/json", value);
+  task->status = begin_call (task, put, CALL_DEADLINE_MS, finish_status);
+  g_bytes_unref (value);
+  g_free (url);
+}
+
+void
+cf_send_platform_status (struct CfServer *server, char *status)
+{
+  if (server->settings.platform && !server->settings.config_dir)
+    cf_task_post (&server->source, take_status, status, g_free);
+  else
+    g_free (status);
+}
--- a/src/serve/server.h
+++ b/src/serve/server.h
@@ -96,6 +96,8 @@
 /* Messages to the source task. */
 void cf_send_watch (struct CfServer *server, bool watch);
 void cf_send_reload (struct CfServer *server);
+/* STATUS is the JSON text of this VM's status object; the platform task frees it. */
+void cf_send_platform_status (struct CfServer *server, char *status);
 
 /* Returns milliseconds of the monotonic clock. */
 CfMillis cf_now (void);
--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -114,6 +114,7 @@
   vm->fleet = fleet;
   vm->index = index;
   vm->may_stop = false;
+  vm->watching = false;
   vm->in_fabric = true;
   if (!vm->probes)
     vm->probes = g_array_new (FALSE, FALSE, sizeof (uint32_t));
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -41,6 +41,7 @@
   uint64_t run; /* counts starts, so that old timers end */
   GArray *probes;
   bool may_stop;
+  bool watching;           /* asked to watch the platform */
   uint64_t peer_bytes;     /* control bytes sent, with IP and UDP headers */
   uint64_t transfer_bytes; /* transferred packets with all headers */
   struct CfStats last;     /* counters of former incarnations, summed */
--- a/tests/test_limits.c
+++ b/tests/test_limits.c
@@ -304,6 +304,37 @@
 }
 END_TEST
 
+static uint32_t
+watchers (const struct Fleet *fleet, uint32_t domain)
+{
+  uint32_t count = 0;
+
+  for (uint32_t vm = 0; vm < fleet->spec.vms; vm++)
+    count += fleet->vms[vm].core && vm % fleet->spec.domains == domain && fleet->vms[vm].watching;
+  return count;
+}
+
+/* Two VMs of a failure domain watch the platform, however many there are; when they
+ * die, others do. */
+START_TEST (test_watchers)
+{
+  struct FleetSpec spec = { .seed = 1, .vms = 20, .domains = 2, .upstreams = { 4, 4 } };
+  struct Fleet *fleet = fleet_new (&spec);
+
+  fleet_start_all (fleet);
+  fleet_run (fleet, 2000);
+  ck_assert_uint_eq (watchers (fleet, 0), 2);
+  ck_assert_uint_eq (watchers (fleet, 1), 2);
+  for (uint32_t vm = 0; vm < 20; vm++)
+    if (vm % 2 == 0 && fleet->vms[vm].watching)
+      fleet_kill (fleet, vm);
+  ck_assert_uint_eq (watchers (fleet, 0), 0);
+  fleet_run (fleet, IN_FORCE_MS);
+  ck_assert_uint_eq (watchers (fleet, 0), 2);
+  fleet_free (fleet);
+}
+END_TEST
+
 static void
 set_provisional (struct Fleet *fleet, uint32_t vm, struct CfConfig *folder)
 {
@@ -407,6 +438,7 @@
   suite_add_loop (suite, test_domain_out_in_partition, SEEDS);
   suite_add_loop (suite, test_spread, SEEDS);
   suite_add_loop (suite, test_fresh_vm_without_platform, SEEDS);
+  suite_add_loop (suite, test_watchers, 1);
   suite_add_loop (suite, test_fresh_vm_with_folder, SEEDS);
   suite_add_loop (suite, test_overload_is_fair, 1);
   return suite_run (suite);
