After a power cut, admissions spent on repeated first packets count as work

First packets sent again since the outage spend admissions, but were counted as opened before it, so the budget saw too little work to grow. Ruled out: parked packets (the repeats are few) and the later warm state (a wait for all neighbours costs under a second). Change: completed flows count too.

--- a/src/core/gatekeeper.c
+++ b/src/core/gatekeeper.c
@@ -179,7 +179,8 @@
       return;
     }
   slot->gate.proven += completed;
-  if (completed >= SUCCESS_SHARE * opened && opened >= slot->gate.budget / 2)
+  /* A repeated first packet spends an admission of a flow that was counted before. */
+  if (completed >= SUCCESS_SHARE * opened && MAX (opened, completed) >= slot->gate.budget / 2)
     slot->gate.budget *= GROWTH_FACTOR;
   if (!first && slot->gate.proven >= WARM_PROOF * slot->upstream->bears
       && slot->gate.budget >= WARM_MARGIN * share)
