One address hash, one clean-up of test processes, no unused exit status

Read over the whole change: the hash of an address stood in config/index.c and in serve/outbox.c (now cf_address_hash); the folder, key and clean-up of test processes stood in three scripts (now tests/processes.sh); a server's exit status was returned and never set. Behaviour is unchanged.

Checked: lint and format clean; config, packet, change; the spread, watchers, domain, deploy, partition and upstream cases; commands, platform, deploy and reload on sockets. A first run of reload failed because it ran beside platform, whose VMs have the same fleet key and neighbouring addresses; alone, as tests/run does, it passes. kill.sh uses the same functions as deploy and was not run again.

--- a/include/cf_types.h
+++ b/include/cf_types.h
@@ -65,6 +65,9 @@
 /* Returns true if A and B name the same address and port. */
 bool cf_address_equal (const struct CfAddress *a, const struct CfAddress *b);
 
+/* Returns a hash of ADDRESS for look-up tables. */
+uint32_t cf_address_hash (const struct CfAddress *address);
+
 /* Returns true if ADDRESS holds an IPv4 address. */
 bool cf_address_is_ipv4 (const struct CfAddress *address);
 
--- a/src/base/address.c
+++ b/src/base/address.c
@@ -23,6 +23,15 @@
   return a->port == b->port && memcmp (a->ip, b->ip, sizeof a->ip) == 0;
 }
 
+uint32_t
+cf_address_hash (const struct CfAddress *address)
+{
+  uint32_t words[4];
+
+  memcpy (words, address->ip, sizeof words);
+  return (words[0] ^ words[1] ^ words[2] ^ words[3]) * 2654435761U + address->port;
+}
+
 bool
 cf_address_is_ipv4 (const struct CfAddress *address)
 {
--- a/src/cli/serve.c
+++ b/src/cli/serve.c
@@ -26,5 +26,6 @@
         return CF_EXIT_INPUT;
       cf_config_unref (config);
     }
-  return cf_server_run (&settings);
+  cf_server_run (&settings);
+  return CF_EXIT_OK;
 }
--- a/src/config/index.c
+++ b/src/config/index.c
@@ -39,11 +39,8 @@
 service_key_hash (gconstpointer data)
 {
   const struct ServiceKey *key = data;
-  uint32_t words[4];
 
-  memcpy (words, key->address.ip, sizeof words);
-  return (words[0] ^ words[1] ^ words[2] ^ words[3]) * 2654435761U + key->address.port
-         + key->protocol;
+  return cf_address_hash (&key->address) + key->protocol;
 }
 
 static gboolean
--- a/src/serve/outbox.c
+++ b/src/serve/outbox.c
@@ -8,11 +8,7 @@
 static guint
 address_hash (gconstpointer data)
 {
-  const struct CfAddress *address = data;
-  uint32_t words[4];
-
-  memcpy (words, address->ip, sizeof words);
-  return (words[0] ^ words[1] ^ words[2] ^ words[3]) * 2654435761U + address->port;
+  return cf_address_hash (data);
 }
 
 static gboolean
--- a/src/serve/server.c
+++ b/src/serve/server.c
@@ -64,7 +64,7 @@
     g_type_class_unref (g_type_class_ref (types[i]));
 }
 
-int
+void
 cf_server_run (const struct CfSettings *settings)
 {
   struct CfServer *server = g_new0 (struct CfServer, 1);
@@ -79,7 +79,6 @@
     { &cf_admin_task, &server->admin, cf_admin_task_new, cf_admin_task_free },
   };
   size_t count = G_N_ELEMENTS (children) - (settings->admin_port == 0);
-  int status;
 
   register_types ();
   server->settings = *settings;
@@ -89,8 +88,6 @@
   g_unix_signal_add (SIGINT, on_stop, server);
   g_unix_signal_add (SIGHUP, on_reload, server);
   run_children (server, children, count);
-  status = server->exit_status;
   g_main_loop_unref (server->main_loop);
   g_free (server);
-  return status;
 }
--- a/src/serve/server.h
+++ b/src/serve/server.h
@@ -17,7 +17,6 @@
   struct CfTask source; /* where configurations come from */
   struct CfTask admin;
   GMainLoop *main_loop;
-  int exit_status;
 };
 
 extern const struct CfTaskClass cf_packet_task;
@@ -124,7 +123,7 @@
 };
 void cf_metrics_write (const struct CfMetricsInput *input, GString *text);
 
-/* Runs an entry VM with SETTINGS until SIGTERM.  Returns the exit status. */
-int cf_server_run (const struct CfSettings *settings);
+/* Runs an entry VM with SETTINGS until SIGTERM, or until a namesake takes over. */
+void cf_server_run (const struct CfSettings *settings);
 
 #endif
--- a/tests/live_fleet.sh
+++ b/tests/live_fleet.sh
@@ -1,18 +1,7 @@
 # Functions for scripts that drive entry VMs on loopback with tests/live.c.  To be
 # sourced with $build set to the build folder.
 
-work=$(mktemp -d)
-pids=
-export CYCLAMENFERRY_FLEET_KEY=00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff
-
-stop_all() {
-  for pid in $pids; do
-    kill -CONT "$pid" 2>/dev/null || true
-    kill -9 "$pid" 2>/dev/null || true
-  done
-  rm -rf "$work"
-}
-trap stop_all EXIT
+. tests/processes.sh
 
 start_vm() { # NUMBER DOMAIN
   "$build/cyclamenferry" serve --name "entry-$1" --failure-domain "fi-south-$2" \
--- a/tests/sockets/platform.sh
+++ b/tests/sockets/platform.sh
@@ -2,21 +2,11 @@
 # Entry VMs that take their configuration from a platform with outages.
 set -u
 
+. tests/processes.sh
 cf=$1/cyclamenferry
-work=$(mktemp -d)
-pids=
 failed=0
-export CYCLAMENFERRY_FLEET_KEY=00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff
 export CYCLAMENFERRY_PLATFORM=http://127.0.0.1:6190
 
-stop_all() {
-  for pid in $pids; do
-    kill -9 "$pid" 2>/dev/null
-  done
-  rm -rf "$work"
-}
-trap stop_all EXIT
-
 start_vm() { # NUMBER DOMAIN
   "$cf" serve --name "ingresso-$1" --failure-domain "$2" --address "127.0.0.3$1" \
     --admin-port "619$1" --linger 0 2>>"$work/log" &
--- a/tests/sockets/reload.sh
+++ b/tests/sockets/reload.sh
@@ -2,19 +2,9 @@
 # A folder with faults is not used, and a task whose port is taken starts later.
 set -u
 
+. tests/processes.sh
 cf=$1/cyclamenferry
-work=$(mktemp -d)
-pids=
 failed=0
-export CYCLAMENFERRY_FLEET_KEY=00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff
-
-stop_all() {
-  for pid in $pids; do
-    kill -9 "$pid" 2>/dev/null
-  done
-  rm -rf "$work"
-}
-trap stop_all EXIT
 
 start_vm() { # NAME ADMIN_PORT
   "$cf" serve --name "$1" --failure-domain palermo --address 127.0.0.41 --admin-port "$2" \
