Stand-in of the platform no longer ends on a missing object

Cause: the platform stand-in printed a NULL string when asked to show an object that had not been written; the compiler turns printf of a plain string into puts, which crashed. platform.sh then died of SIGPIPE without its EXIT trap (dash runs none after a signal), so three VMs stayed and joined the fleet of the next run, which failed with version 2 where version 1 was expected. Ruled out: a fault of the product (the same script passes once the object is there).

Change: the stand-in answers 'no object NAME', and platform.sh asks for a missing object first; scripts clean up on SIGPIPE, HUP, INT and TERM; each script has a fleet key of its own, so a stray VM cannot join another script's fleet.

--- a/tests/platform.c
+++ b/tests/platform.c
@@ -17,7 +17,7 @@
  *   lose N       let the next N writes take effect without an answer
  *   vms TEXT     the JSON text of the list of VMs
  *   calls        print the number of calls so far
- *   show NAME    print the object */
+ *   show NAME    print the object, or "no object NAME" */
 
 #define WAIT_STEP_MS 50
 
@@ -179,6 +179,17 @@
     read_object (platform, message, path + strlen ("/objects/"));
 }
 
+static void
+show (const struct Platform *platform, const char *name)
+{
+  const char *value = g_hash_table_lookup (platform->values, name);
+
+  if (value)
+    printf ("%s\n", value);
+  else
+    printf ("no object %s\n", name);
+}
+
 static void
 command (struct Platform *platform, const char *line)
 {
@@ -196,7 +207,7 @@
       platform->vms = g_strdup (line + 4);
     }
   else if (g_str_has_prefix (line, "show "))
-    printf ("%s\n", (const char *) g_hash_table_lookup (platform->values, line + 5));
+    show (platform, line + 5);
   else if (strcmp (line, "calls") == 0)
     printf ("calls %" G_GUINT64_FORMAT "\n", platform->calls);
   fflush (stdout);
--- a/tests/processes.sh
+++ b/tests/processes.sh
@@ -1,9 +1,11 @@
 # A folder for a script's files and the processes that it ends with itself.  A script
-# adds the pids of what it starts to $pids.
+# adds the pids of what it starts to $pids.  Each script has a fleet key of its own, so
+# that its VMs take no VM of another script for a member.
 
 work=$(mktemp -d)
 pids=
-export CYCLAMENFERRY_FLEET_KEY=00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff
+CYCLAMENFERRY_FLEET_KEY=$(printf '%064d' $$)
+export CYCLAMENFERRY_FLEET_KEY
 
 stop_all() {
   for pid in $pids; do
@@ -13,3 +15,6 @@
   rm -rf "$work"
 }
 trap stop_all EXIT
+# A shell that a signal ends does not run the EXIT trap by itself.
+trap 'echo "FAILED: a stand-in ended early"; exit 1' PIPE
+trap 'exit 1' HUP INT TERM
--- a/tests/sockets/platform.sh
+++ b/tests/sockets/platform.sh
@@ -46,7 +46,11 @@
 "$1/platform" 6190 < "$work/commands" > "$work/objects" &
 pids="$pids $!"
 exec 3> "$work/commands"
-sleep 0.3
+echo "show status-ingresso-1" >&3
+for _ in $(seq 300); do
+  grep -q 'no object status-ingresso-1' "$work/objects" && break
+  sleep 0.1
+done
 start_vm 1 palermo
 start_vm 2 catania
 start_vm 3 trapani
