Heartbeats tell each receiver only what was seen of it

Cause: every heartbeat listed what its sender had seen of every member, 16 bytes each, though a receiver reads only its own line: bytes grew with the square of the members, and encoding 340 copies of the list took most of a tick. Marks were sent again to members that had told that they have them.

Change: a heartbeat carries the receiver's incarnation and mark version as the sender knows them, and leaves the marks out once the receiver has told that it has this version; a receiver that lost them says so and gets them again. Weighed: a digest of the list (same bytes saved, but a mismatch says nothing about which mark is missing). The benchmark's tick is now the mean of a second, where it was one tick that happened to send heartbeats.

--- a/bench/slopes.c
+++ b/bench/slopes.c
@@ -216,8 +216,9 @@
     hear (core, i, config, 3010);
   beat = (nanoseconds () - began) / (members - 1);
   began = nanoseconds ();
-  cf_core_tick (core, 3050);
-  tick = nanoseconds () - began;
+  for (CfMillis now = 3050; now < 3050 + CF_MS_PER_S; now += CF_TICK_MS)
+    cf_core_tick (core, now);
+  tick = (nanoseconds () - began) * CF_TICK_MS / CF_MS_PER_S;
   printf ("%8u members  %8.1f us/heartbeat  %8.2f ms/join  %8.2f ms/tick  %7zu B/heartbeat  "
           "%8.0f KB\n",
           members, beat / 1e3, join / 1e6, tick / 1e6, probe.peer_bytes,
--- a/src/core/heartbeat.c
+++ b/src/core/heartbeat.c
@@ -15,7 +15,6 @@
 {
   struct peer_message message;
   GArray *marks;
-  GArray *seen;
   GArray *loads;
   GArray *upstreams;
   GArray *suspects;
@@ -27,23 +26,6 @@
   core->out->send_peer (core->context, &member->address, message);
 }
 
-static void
-add_seen (const struct CfCore *core, GArray *seen)
-{
-  for (guint i = 1; i < core->members->len; i++)
-    {
-      const struct CfMember *member = cf_member (core, i);
-      struct peer_seen item = {
-        .vm = member->id,
-        .incarnation = member->incarnation,
-        .mark_version = member->mark_version,
-      };
-
-      if (member->alive)
-        g_array_append_val (seen, item);
-    }
-}
-
 static void
 add_load (const struct CfCore *core, GArray *loads, uint32_t number)
 {
@@ -124,13 +106,11 @@
   *draft = (struct Draft){
     .message = { .kind = PEER_HEARTBEAT },
     .marks = g_array_new (FALSE, FALSE, sizeof (u_int)),
-    .seen = g_array_new (FALSE, FALSE, sizeof (struct peer_seen)),
     .loads = g_array_new (FALSE, FALSE, sizeof (struct peer_load)),
     .upstreams = g_array_new (FALSE, FALSE, sizeof (struct peer_upstream)),
     .suspects = g_array_new (FALSE, FALSE, sizeof (u_int)),
   };
   add_marks (core, draft->marks);
-  add_seen (core, draft->seen);
   add_loads (core, draft->loads);
   add_upstreams (core, draft->upstreams);
   for (guint i = 0; now < core->suspects_until && i < MIN (core->suspects->len, SUSPECTS_MAX); i++)
@@ -144,10 +124,6 @@
   heartbeat->config_digest = core->config ? core->config->digest : 0;
   heartbeat->view = core->view;
   heartbeat->mark_version = core->mark_version;
-  heartbeat->marks.marks_len = draft->marks->len;
-  heartbeat->marks.marks_val = (u_int *) (void *) draft->marks->data;
-  heartbeat->seen.seen_len = draft->seen->len;
-  heartbeat->seen.seen_val = (struct peer_seen *) (void *) draft->seen->data;
   heartbeat->loads.loads_len = draft->loads->len;
   heartbeat->loads.loads_val = (struct peer_load *) (void *) draft->loads->data;
   heartbeat->upstreams.upstreams_len = draft->upstreams->len;
@@ -160,12 +136,25 @@
 end_draft (struct Draft *draft)
 {
   g_array_unref (draft->marks);
-  g_array_unref (draft->seen);
   g_array_unref (draft->loads);
   g_array_unref (draft->upstreams);
   g_array_unref (draft->suspects);
 }
 
+/* Fills in what differs from receiver to receiver, so that the size of a heartbeat
+ * does not grow with the number of members. */
+static void
+address_draft (const struct CfCore *core, struct Draft *draft, const struct CfMember *member)
+{
+  peer_heartbeat *heartbeat = &draft->message.peer_message_u.heartbeat;
+
+  heartbeat->seen_incarnation = member->alive ? member->incarnation : 0;
+  heartbeat->seen_marks = member->alive ? member->mark_version : 0;
+  heartbeat->has_marks = !member->sees_me || member->acked_marks != core->mark_version;
+  heartbeat->marks.marks_len = heartbeat->has_marks ? draft->marks->len : 0;
+  heartbeat->marks.marks_val = (u_int *) (void *) draft->marks->data;
+}
+
 /* Grants are given once in a window, so that their sum stays within the budget. */
 static void
 set_grants (const struct CfCore *core, GArray *upstreams, const struct CfMember *member)
@@ -205,6 +194,7 @@
         continue;
       if (regular)
         set_grants (core, draft.upstreams, member);
+      address_draft (core, &draft, member);
       member->sent_at = now;
       cf_send (core, member, &draft.message);
     }
@@ -212,18 +202,11 @@
 }
 
 static void
-receive_seen (struct CfCore *core, struct CfMember *member, const peer_heartbeat *heartbeat)
+receive_seen (const struct CfCore *core, struct CfMember *member, const peer_heartbeat *heartbeat)
 {
-  member->sees_me = false;
-  for (u_int i = 0; i < heartbeat->seen.seen_len; i++)
-    {
-      const struct peer_seen *seen = &heartbeat->seen.seen_val[i];
-
-      if (seen->vm != core->options.vm || seen->incarnation != core->incarnation)
-        continue;
-      member->sees_me = true;
-      member->acked_marks = seen->mark_version;
-    }
+  member->sees_me = heartbeat->seen_incarnation == core->incarnation;
+  if (member->sees_me)
+    member->acked_marks = heartbeat->seen_marks;
 }
 
 static void
--- a/src/core/marks.c
+++ b/src/core/marks.c
@@ -86,7 +86,7 @@
                   const peer_heartbeat *heartbeat,
                   CfMillis now)
 {
-  if (member->mark_version == heartbeat->mark_version)
+  if (member->mark_version == heartbeat->mark_version || !heartbeat->has_marks)
     return;
   cf_member_forget_marks (core, member);
   member->mark_version = heartbeat->mark_version;
--- a/src/peer/peer.h
+++ b/src/peer/peer.h
@@ -31,13 +31,6 @@
 };
 typedef enum peer_kind peer_kind;
 
-struct peer_seen {
-	u_int vm;
-	u_quad_t incarnation;
-	u_int mark_version;
-};
-typedef struct peer_seen peer_seen;
-
 struct peer_load {
 	u_int upstream;
 	u_int opened;
@@ -70,15 +63,14 @@
 	u_quad_t config_version;
 	u_quad_t config_digest;
 	u_quad_t view;
+	u_quad_t seen_incarnation;
+	u_int seen_marks;
 	u_int mark_version;
+	bool_t has_marks;
 	struct {
 		u_int marks_len;
 		u_int *marks_val;
 	} marks;
-	struct {
-		u_int seen_len;
-		peer_seen *seen_val;
-	} seen;
 	struct {
 		u_int loads_len;
 		peer_load *loads_val;
@@ -192,7 +184,6 @@
 #if defined(__STDC__) || defined(__cplusplus)
 extern  bool_t xdr_peer_state (XDR *, peer_state*);
 extern  bool_t xdr_peer_kind (XDR *, peer_kind*);
-extern  bool_t xdr_peer_seen (XDR *, peer_seen*);
 extern  bool_t xdr_peer_load (XDR *, peer_load*);
 extern  bool_t xdr_peer_health (XDR *, peer_health*);
 extern  bool_t xdr_peer_upstream (XDR *, peer_upstream*);
@@ -209,7 +200,6 @@
 #else /* K&R C */
 extern bool_t xdr_peer_state ();
 extern bool_t xdr_peer_kind ();
-extern bool_t xdr_peer_seen ();
 extern bool_t xdr_peer_load ();
 extern bool_t xdr_peer_health ();
 extern bool_t xdr_peer_upstream ();
--- a/src/peer/peer.x
+++ b/src/peer/peer.x
@@ -16,13 +16,6 @@
   PEER_CONFIG_CHUNK = 4
 };
 
-/* What the sender has seen of another member. */
-struct peer_seen {
-  unsigned vm;
-  unsigned hyper incarnation;
-  unsigned mark_version;
-};
-
 /* Cumulative counts of flows that the sender forwarded to an upstream. */
 struct peer_load {
   unsigned upstream;
@@ -47,6 +40,9 @@
   unsigned grant;
 };
 
+/* seen_incarnation and seen_marks are the receiver's, as the sender knows them; 0 if
+ * the sender has not heard it.  The marks are left out once the receiver has told
+ * that it has this version of them. */
 struct peer_heartbeat {
   peer_state state;
   unsigned domain;
@@ -55,9 +51,11 @@
   unsigned hyper config_version;
   unsigned hyper config_digest;
   unsigned hyper view;
+  unsigned hyper seen_incarnation;
+  unsigned seen_marks;
   unsigned mark_version;
+  bool has_marks;
   unsigned marks<4096>;
-  peer_seen seen<4096>;
   peer_load loads<64>;
   peer_upstream upstreams<1024>;
   unsigned suspects<64>;
--- a/src/peer/peer_xdr.c
+++ b/src/peer/peer_xdr.c
@@ -25,20 +25,6 @@
 	return TRUE;
 }
 
-bool_t
-xdr_peer_seen (XDR *xdrs, peer_seen *objp)
-{
-	register int32_t *buf;
-
-	 if (!xdr_u_int (xdrs, &objp->vm))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->mark_version))
-		 return FALSE;
-	return TRUE;
-}
-
 bool_t
 xdr_peer_load (XDR *xdrs, peer_load *objp)
 {
@@ -128,6 +114,97 @@
 	register int32_t *buf;
 
 	int i;
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_peer_state (xdrs, &objp->state))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->domain))
+			 return FALSE;
+		 if (!xdr_opaque (xdrs, objp->address, 16))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->port))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->config_version))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->config_digest))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->view))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->seen_incarnation))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->seen_marks))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->mark_version))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->has_marks))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->seen_marks);
+		IXDR_PUT_U_LONG(buf, objp->mark_version);
+		IXDR_PUT_BOOL(buf, objp->has_marks);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->marks.marks_val, (u_int *) &objp->marks.marks_len, 4096,
+			sizeof (u_int), (xdrproc_t) xdr_u_int))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->loads.loads_val, (u_int *) &objp->loads.loads_len, 64,
+			sizeof (peer_load), (xdrproc_t) xdr_peer_load))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->upstreams.upstreams_val, (u_int *) &objp->upstreams.upstreams_len, 1024,
+			sizeof (peer_upstream), (xdrproc_t) xdr_peer_upstream))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->suspects.suspects_val, (u_int *) &objp->suspects.suspects_len, 64,
+			sizeof (u_int), (xdrproc_t) xdr_u_int))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_peer_state (xdrs, &objp->state))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->domain))
+			 return FALSE;
+		 if (!xdr_opaque (xdrs, objp->address, 16))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->port))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->config_version))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->config_digest))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->view))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->seen_incarnation))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->seen_marks))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->mark_version))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->has_marks))
+				 return FALSE;
+
+		} else {
+		objp->seen_marks = IXDR_GET_U_LONG(buf);
+		objp->mark_version = IXDR_GET_U_LONG(buf);
+		objp->has_marks = IXDR_GET_BOOL(buf);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->marks.marks_val, (u_int *) &objp->marks.marks_len, 4096,
+			sizeof (u_int), (xdrproc_t) xdr_u_int))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->loads.loads_val, (u_int *) &objp->loads.loads_len, 64,
+			sizeof (peer_load), (xdrproc_t) xdr_peer_load))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->upstreams.upstreams_val, (u_int *) &objp->upstreams.upstreams_len, 1024,
+			sizeof (peer_upstream), (xdrproc_t) xdr_peer_upstream))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->suspects.suspects_val, (u_int *) &objp->suspects.suspects_len, 64,
+			sizeof (u_int), (xdrproc_t) xdr_u_int))
+			 return FALSE;
+	 return TRUE;
+	}
+
 	 if (!xdr_peer_state (xdrs, &objp->state))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->domain))
@@ -142,14 +219,17 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->view))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->seen_incarnation))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->seen_marks))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->mark_version))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->has_marks))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->marks.marks_val, (u_int *) &objp->marks.marks_len, 4096,
 		sizeof (u_int), (xdrproc_t) xdr_u_int))
 		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->seen.seen_val, (u_int *) &objp->seen.seen_len, 4096,
-		sizeof (peer_seen), (xdrproc_t) xdr_peer_seen))
-		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->loads.loads_val, (u_int *) &objp->loads.loads_len, 64,
 		sizeof (peer_load), (xdrproc_t) xdr_peer_load))
 		 return FALSE;
--- a/tests/test_members.c
+++ b/tests/test_members.c
@@ -1,10 +1,12 @@
 #include "cf_core.h"
+#include "packets.h"
 #include "sink.h"
 #include "suite.h"
+#include "peer/codec.h"
 
 #include <malloc.h>
 
-/* Members that come and go for good. */
+/* Heartbeats, and members that come and go for good. */
 
 #define GENERATIONS 2000
 #define STUB_BYTES 1024 /* what a member that is gone may keep */
@@ -14,22 +16,68 @@
                            "[upstream u]\nservice=s\nfailure-domain=a\ntunnel=127.1.0.1\n"
                            "[upstream w]\nservice=s\nfailure-domain=a\ntunnel=127.1.0.2\n";
 
+/* The heartbeat that a core sent last. */
+struct Sent
+{
+  struct CfPeerKeys keys;
+  size_t bytes;
+  peer_heartbeat heartbeat; /* without its lists */
+};
+
 static void
-hear (struct CfCore *core, uint32_t vm, CfMillis now)
+keep_heartbeat (void *context, const struct CfAddress *address, const struct peer_message *message)
+{
+  struct Sent *sent = context;
+  struct peer_envelope envelope = { .message = *message };
+  uint8_t datagram[CF_PEER_DATAGRAM_MAX];
+
+  (void) address;
+  if (message->kind != PEER_HEARTBEAT)
+    return;
+  sent->bytes = cf_peer_encode (&sent->keys, 0, &envelope, datagram, sizeof datagram);
+  sent->heartbeat = message->peer_message_u.heartbeat;
+}
+
+static struct CfCore *
+new_core (struct CfCoreOutputs *outputs, struct Sent *sent)
+{
+  struct CfCoreOptions options = { .vm = 1, .incarnation = 1, .domain = cf_name_id ("a") };
+  struct CfConfig *config = cf_config_parse (text, NULL);
+  struct CfCore *core;
+
+  *outputs = test_sink_outputs ();
+  if (sent)
+    outputs->send_peer = keep_heartbeat;
+  core = cf_core_new (&options, outputs, sent, 0);
+  cf_core_set_config (core, config, 0);
+  cf_config_unref (config);
+  return core;
+}
+
+/* Lets CORE hear VM say SAID, the rest of the heartbeat being that of a member in
+ * agreement. */
+static void
+hear_said (struct CfCore *core, uint32_t vm, peer_heartbeat said, CfMillis now)
 {
   struct peer_envelope envelope = { .vm = vm, .incarnation = 1 };
-  peer_heartbeat *heartbeat = &envelope.message.peer_message_u.heartbeat;
   struct peer_load load = { .upstream = cf_name_id ("u"), .opened = 1 };
 
+  said.state = PEER_SERVING;
+  said.config_version = 1;
+  said.config_digest = cf_core_config (core)->digest;
+  said.loads.loads_len = 1;
+  said.loads.loads_val = &load;
   envelope.message.kind = PEER_HEARTBEAT;
-  heartbeat->state = PEER_SERVING;
-  heartbeat->config_version = 1;
-  heartbeat->config_digest = cf_core_config (core)->digest;
-  heartbeat->loads.loads_len = 1;
-  heartbeat->loads.loads_val = &load;
+  envelope.message.peer_message_u.heartbeat = said;
   cf_core_peer (core, &envelope, now);
 }
 
+static void
+hear (struct CfCore *core, uint32_t vm, CfMillis now)
+{
+  hear_said (core, vm, (peer_heartbeat){ 0 }, now);
+}
+
 static CfMillis
 pass (struct CfCore *core, CfMillis now, CfMillis span)
 {
@@ -40,15 +88,12 @@
 
 START_TEST (test_replaced_members)
 {
-  struct CfCoreOptions options = { .vm = 1, .incarnation = 1, .domain = cf_name_id ("a") };
-  struct CfCoreOutputs outputs = test_sink_outputs ();
-  struct CfConfig *config = cf_config_parse (text, NULL);
-  struct CfCore *core = cf_core_new (&options, &outputs, NULL, 0);
+  struct CfCoreOutputs outputs;
+  struct CfCore *core = new_core (&outputs, NULL);
   CfMillis now = 0;
   size_t before;
   size_t kept;
 
-  cf_core_set_config (core, config, now);
   now = pass (core, now, 5000);
   ck_assert_int_eq (cf_core_state (core), PEER_SERVING);
   before = mallinfo2 ().uordblks;
@@ -66,7 +111,96 @@
   ck_assert_int_eq (cf_core_state (core), PEER_SERVING);
   ck_assert (cf_core_settled (core));
   cf_core_free (core);
-  cf_config_unref (config);
+}
+END_TEST
+
+/* What a heartbeat takes does not depend on how many members there are. */
+START_TEST (test_heartbeat_size)
+{
+  struct CfCoreOutputs outputs;
+  struct Sent sent = { 0 };
+  struct CfCore *core = new_core (&outputs, &sent);
+  size_t small;
+
+  pass (core, 0, 3000);
+  hear (core, 2, 3000);
+  small = sent.bytes;
+  for (uint32_t vm = 3; vm < 340; vm++)
+    hear (core, vm, 3000);
+  cf_core_tick (core, 3500);
+  ck_assert_uint_gt (small, 0);
+  ck_assert_uint_eq (sent.bytes, small);
+  cf_core_free (core);
+}
+END_TEST
+
+/* Marks travel until the receiver has them, and again once it says that it has lost
+ * them. */
+START_TEST (test_marks_sent_until_seen)
+{
+  static const struct CfAddress caller = { .ip = { [10] = 0xff, 0xff, 11 }, .port = 1024 };
+  static const struct CfAddress service = { .ip = { [10] = 0xff, 0xff, 10, 0, 0, 1 }, .port = 443 };
+  struct CfHealthAnswer answer
+      = { .upstream = cf_name_id ("u"), .reachable = true, .serving = true, .start_time = 1 };
+  struct CfCoreOutputs outputs;
+  struct Sent sent = { 0 };
+  struct CfCore *core = new_core (&outputs, &sent);
+  peer_heartbeat said = { .seen_incarnation = 1 };
+  CfMillis now = pass (core, 0, 5000);
+
+  /* One of the two upstreams is cold: its first packets want to go to the other. */
+  cf_core_health (core, &answer, now);
+  answer.start_time = 2;
+  cf_core_health (core, &answer, now);
+  for (uint16_t n = 0; n < 64; n++)
+    {
+      struct CfAddress from = caller;
+      uint8_t data[CF_PACKET_MAX];
+
+      from.port = (uint16_t) (from.port + n);
+      cf_core_packet (core, data,
+                      test_packet_build (&from, &service, CF_PROTOCOL_TCP, CF_PACKET_SYN, 0, data),
+                      &service, now);
+    }
+  hear_said (core, 2, said, now);
+  ck_assert (sent.heartbeat.has_marks);
+  ck_assert_uint_eq (sent.heartbeat.marks.marks_len, 1);
+
+  said.seen_marks = sent.heartbeat.mark_version;
+  hear_said (core, 2, said, now);
+  now = pass (core, now, 1000);
+  ck_assert (!sent.heartbeat.has_marks);
+  ck_assert_uint_eq (sent.heartbeat.marks.marks_len, 0);
+
+  said.seen_marks = 0;
+  hear_said (core, 2, said, now);
+  pass (core, now, 1000);
+  ck_assert (sent.heartbeat.has_marks);
+  ck_assert_uint_eq (sent.heartbeat.marks.marks_len, 1);
+  cf_core_free (core);
+}
+END_TEST
+
+/* A version of marks that came without them is not acknowledged. */
+START_TEST (test_marks_left_out)
+{
+  struct CfCoreOutputs outputs;
+  struct Sent sent = { 0 };
+  struct CfCore *core = new_core (&outputs, &sent);
+  u_int marks[] = { cf_name_id ("u") };
+  peer_heartbeat said = { .mark_version = 5 };
+
+  pass (core, 0, 3000);
+  hear_said (core, 2, said, 3000);
+  cf_core_tick (core, 3500);
+  ck_assert_uint_eq (sent.heartbeat.seen_marks, 0);
+  said.has_marks = TRUE;
+  said.marks.marks_len = 1;
+  said.marks.marks_val = marks;
+  hear_said (core, 2, said, 3600);
+  cf_core_tick (core, 4000);
+  ck_assert_uint_eq (sent.heartbeat.seen_marks, 5);
+  cf_core_free (core);
 }
 END_TEST
 
@@ -76,5 +210,8 @@
   Suite *suite = suite_create ("members");
 
   suite_add_loop (suite, test_replaced_members, 1);
+  suite_add_loop (suite, test_heartbeat_size, 1);
+  suite_add_loop (suite, test_marks_sent_until_seen, 1);
+  suite_add_loop (suite, test_marks_left_out, 1);
   return suite_run (suite);
 }
