Health probes are bounded; the list of VMs is read by watchers

Cause, found by reading: an upstream whose health endpoint takes connections and never answers got four new requests a second, of which two waited in connections and the rest in the client's queue, without bound and without a deadline of their own: a frozen upstream of an hour is 14,400 requests in memory. A VM that probes 47 upstreams (the target size) would spend 45 KB/s on probes alone. Every VM read the platform's list of VMs each 5 s: 340 reads a second at the target, nearly all its reads. A list entry whose state is not a text would have ended the process.

VMs that do not watch read the list at their start and then each 60 s: new VMs make themselves known by heartbeats. The state is compared safely.

--- a/src/cli/admin.c
+++ b/src/cli/admin.c
@@ -20,6 +20,7 @@
   const char *service;
   const char *protocol;
   bool json;
+  bool metrics;
   bool explain;
 };
 
@@ -27,6 +28,7 @@
   { "admin", 'a', "URL", 0,
     "Admin endpoint of the VM [CYCLAMENFERRY_ADMIN_URL]; default " ADMIN_DEFAULT, 0 },
   { "json", 'j', NULL, 0, "Print the JSON document as it is", 0 },
+  { "metrics", 'm', NULL, 0, "Print the metrics instead, as Prometheus text", 0 },
   { 0 },
 };
 
@@ -51,6 +53,9 @@
     case 'j':
       arguments->json = true;
       return 0;
+    case 'm':
+      arguments->metrics = true;
+      return 0;
     case 'u':
       arguments->protocol = "udp";
       return 0;
@@ -211,10 +216,10 @@
 
   argp_err_exit_status = CF_EXIT_INPUT;
   argp_parse (&parser, argc, argv, 0, NULL, &arguments);
-  text = ask (&arguments, "/status");
+  text = ask (&arguments, arguments.metrics ? "/metrics" : "/status");
   if (!text)
     return CF_EXIT_FAILURE;
-  if (arguments.json)
+  if (arguments.json || arguments.metrics)
     fputs (text, stdout);
   else
     status = print_status (text);
--- a/src/serve/health_task.c
+++ b/src/serve/health_task.c
@@ -3,12 +3,16 @@
 
 #include <json-glib/json-glib.h>
 #include <libsoup/soup.h>
+#include <stdatomic.h>
 
 /* The health task asks the upstreams that this VM is the gatekeeper of for their
  * health: GET /health, answered by a JSON object with "serving" (boolean), "start"
  * (seconds since the epoch) and "open" (open flows). */
 
-#define PROBE_TIMEOUT_S 2
+#define PROBE_TIMEOUT_MS 2000
+#define PROBES_MAX 8 /* of one upstream without an answer at a time */
+#define PROBES_PER_S 50
+#define CONNECTIONS_MAX 256
 #define BODY_MAX 4096
 
 struct HealthTask
@@ -16,15 +20,21 @@
   struct CfServer *server;
   SoupSession *session;
   GSource *timer;
-  GArray *probes; /* of struct CfProbe */
-  GCancellable *cancellable;
+  GArray *probes;      /* of struct CfProbe */
+  guint next;          /* of probes */
+  GQueue requests;     /* of struct Request, oldest first */
+  atomic_uint waiting; /* their number */
+  bool stopping;
 };
 
 struct Request
 {
+  GList link; /* in the task's requests */
   struct HealthTask *task;
   uint32_t upstream;
+  CfMillis began;
   SoupMessage *message;
+  GCancellable *cancellable;
 };
 
 static bool
@@ -35,8 +45,8 @@
   const char *text = g_bytes_get_data (body, &len);
   JsonObject *object = NULL;
 
-  if (len <= BODY_MAX && json_parser_load_from_data (parser, text, (gssize) len, NULL)
-      && JSON_NODE_HOLDS_OBJECT (json_parser_get_root (parser)))
+  if (len > 0 && len <= BODY_MAX && json_parser_load_from_data (parser, text, (gssize) len, NULL)
+      && json_parser_get_root (parser) && JSON_NODE_HOLDS_OBJECT (json_parser_get_root (parser)))
     object = json_node_get_object (json_parser_get_root (parser));
   if (object)
     {
@@ -52,24 +62,26 @@
 answered (GObject *source, GAsyncResult *result, gpointer data)
 {
   struct Request *request = data;
-  GError *error = NULL;
-  GBytes *body = soup_session_send_and_read_finish (SOUP_SESSION (source), result, &error);
+  struct HealthTask *task = request->task;
+  GBytes *body = soup_session_send_and_read_finish (SOUP_SESSION (source), result, NULL);
   struct CfHealthAnswer answer = { .upstream = request->upstream };
 
-  if (!g_error_matches (error, G_IO_ERROR, G_IO_ERROR_CANCELLED))
+  if (!task->stopping)
     {
       if (body && soup_message_get_status (request->message) == SOUP_STATUS_OK)
         answer.reachable = read_answer (body, &answer);
-      cf_send_health (request->task->server, &answer);
+      cf_send_health (task->server, &answer);
     }
-  g_clear_error (&error);
+  g_queue_unlink (&task->requests, &request->link);
+  atomic_store (&task->waiting, task->requests.length);
   g_clear_pointer (&body, g_bytes_unref);
+  g_object_unref (request->cancellable);
   g_object_unref (request->message);
   g_free (request);
 }
 
 static void
-probe (struct HealthTask *task, const struct CfProbe *item)
+probe (struct HealthTask *task, const struct CfProbe *item, CfMillis now)
 {
   struct Request *request = g_new0 (struct Request, 1);
   char text[CF_ADDRESS_TEXT_MAX];
@@ -77,22 +89,65 @@
 
   cf_address_format (&item->address, text, sizeof text);
   url = g_strdup_printf ("http://%s/health", text);
-  request->task = task;
-  request->upstream = item->upstream;
-  request->message = soup_message_new ("GET", url);
+  *request = (struct Request){
+    .link = { .data = request },
+    .task = task,
+    .upstream = item->upstream,
+    .began = now,
+    .message = soup_message_new ("GET", url),
+    .cancellable = g_cancellable_new (),
+  };
+  g_queue_push_tail_link (&task->requests, &request->link);
+  atomic_store (&task->waiting, task->requests.length);
   soup_message_add_flags (request->message, SOUP_MESSAGE_NEW_CONNECTION);
   soup_session_send_and_read_async (task->session, request->message, G_PRIORITY_DEFAULT,
-                                    task->cancellable, answered, request);
+                                    request->cancellable, answered, request);
   g_free (url);
 }
 
+/* Ends the requests that began before SINCE. */
+static void
+cancel_requests (struct HealthTask *task, CfMillis since)
+{
+  for (GList *link = task->requests.head; link;)
+    {
+      const struct Request *request = link->data;
+
+      link = link->next;
+      if (request->began >= since)
+        return;
+      g_cancellable_cancel (request->cancellable);
+    }
+}
+
+static uint32_t
+count_requests (const struct HealthTask *task, uint32_t upstream)
+{
+  uint32_t n = 0;
+
+  for (const GList *link = task->requests.head; link; link = link->next)
+    n += ((const struct Request *) link->data)->upstream == upstream;
+  return n;
+}
+
+/* Probes all upstreams, or the next ones in turn if they are too many for one
+ * interval. */
 static gboolean
-probe_all (gpointer data)
+probe_next (gpointer data)
 {
   struct HealthTask *task = data;
+  CfMillis now = cf_now ();
+  CfMillis most = MAX (1, task->server->settings.health_interval_ms * PROBES_PER_S / CF_MS_PER_S);
+
+  cancel_requests (task, now - PROBE_TIMEOUT_MS);
+  for (guint n = 0; n < task->probes->len && n < most; n++)
+    {
+      guint i = task->next++ % task->probes->len;
+      const struct CfProbe *item = &g_array_index (task->probes, struct CfProbe, i);
 
-  for (guint i = 0; i < task->probes->len; i++)
-    probe (task, &g_array_index (task->probes, struct CfProbe, i));
+      if (count_requests (task, item->upstream) < PROBES_MAX)
+        probe (task, item, now);
+    }
   return G_SOURCE_CONTINUE;
 }
 
@@ -102,10 +157,10 @@
   struct HealthTask *task = data;
 
   (void) error;
-  task->cancellable = g_cancellable_new ();
-  task->session = soup_session_new_with_options ("timeout", PROBE_TIMEOUT_S, "max-conns", 256,
-                                                 "max-conns-per-host", 2, NULL);
-  task->timer = cf_task_timer (base, (guint) task->server->settings.health_interval_ms, probe_all);
+  task->stopping = false;
+  task->session = soup_session_new_with_options ("max-conns", CONNECTIONS_MAX, "max-conns-per-host",
+                                                 PROBES_MAX, NULL);
+  task->timer = cf_task_timer (base, (guint) task->server->settings.health_interval_ms, probe_next);
   return true;
 }
 
@@ -114,14 +169,13 @@
 {
   struct HealthTask *task = data;
 
-  g_cancellable_cancel (task->cancellable);
-  soup_session_abort (task->session);
-  while (g_main_context_iteration (base->context, FALSE))
-    ;
+  task->stopping = true;
+  cancel_requests (task, G_MAXINT64);
+  while (task->requests.length > 0)
+    g_main_context_iteration (base->context, TRUE);
   g_source_destroy (task->timer);
   g_clear_pointer (&task->timer, g_source_unref);
   g_clear_object (&task->session);
-  g_clear_object (&task->cancellable);
 }
 
 const struct CfTaskClass cf_health_task = { .name = "health", .start = start, .stop = stop };
@@ -133,6 +187,7 @@
 
   task->server = server;
   task->probes = g_array_new (FALSE, FALSE, sizeof (struct CfProbe));
+  g_queue_init (&task->requests);
   return task;
 }
 
@@ -165,3 +220,11 @@
 {
   cf_task_post (&server->health, take_probes, probes, free_array);
 }
+
+uint64_t
+cf_health_task_waiting (const struct CfServer *server)
+{
+  struct HealthTask *task = server->health.data;
+
+  return atomic_load (&task->waiting);
+}
--- a/src/serve/metrics.c
+++ b/src/serve/metrics.c
@@ -108,6 +108,7 @@
   write_value (text, "bad_gue_total", NULL, NULL, input->bad_gue);
   write_value (text, "bad_transfers_total", NULL, NULL, input->bad_transfers);
   write_value (text, "send_failures_total", NULL, NULL, input->send_failures);
+  write_value (text, "health_probes_waiting", NULL, NULL, cf_health_task_waiting (input->server));
   write_value (text, "flow_table_bytes", NULL, NULL, cf_core_flow_bytes (input->core));
   write_value (text, "config_version", NULL, NULL, config ? config->version : 0);
   write_value (text, "settled", NULL, NULL, cf_core_settled (input->core));
--- a/src/serve/platform_task.c
+++ b/src/serve/platform_task.c
@@ -15,6 +15,7 @@
 #define RETRY_MIN_MS 200
 #define RETRY_MAX_MS 5000
 #define LIST_INTERVAL_MS 5000
+#define LIST_SKIP 12 /* intervals between two reads of a VM that does not watch */
 #define STATUS_OBJECT_PREFIX "status-"
 
 /* One outstanding call. */
@@ -38,9 +39,10 @@
   GSource *list_timer;
   GSource *retry;
   guint retry_ms;
-  char *tag;     /* of the configuration last read */
-  bool watching; /* the core wants this VM to watch */
-  bool reached;  /* the platform answered the last call */
+  guint list_skip; /* intervals to pass before the next read of the list */
+  char *tag;       /* of the configuration last read */
+  bool watching;   /* the core wants this VM to watch */
+  bool reached;    /* the platform answered the last call */
 };
 
 static void begin_watch (struct PlatformTask *task);
@@ -200,7 +202,7 @@
   vm->id = cf_name_id (name);
   vm->domain = cf_name_id (domain);
   vm->leaving
-      = strcmp (json_object_get_string_member_with_default (object, "state", "live"), "leaving")
+      = g_strcmp0 (json_object_get_string_member_with_default (object, "state", "live"), "leaving")
         == 0;
   return true;
 }
@@ -232,17 +234,20 @@
             g_array_append_val (vms, vm);
         }
       cf_send_vm_list (task->server, vms);
+      task->list_skip = LIST_SKIP - 1;
     }
   g_object_unref (parser);
 }
 
+/* Those that watch the platform read the list often.  The others learn of new VMs from
+ * the heartbeats of these, and read seldom. */
 static gboolean
 read_list (gpointer data)
 {
   struct PlatformTask *task = data;
   char *url;
 
-  if (task->list)
+  if (task->list || (!task->watching && task->list_skip > 0 && task->list_skip--))
     return G_SOURCE_CONTINUE;
   url = g_strdup_printf ("%s/vms", task->server->settings.platform);
   task->list = begin_call (task, soup_message_new ("GET", url), CALL_DEADLINE_MS, finish_list);
--- a/src/serve/server.h
+++ b/src/serve/server.h
@@ -79,8 +79,10 @@
  * transfer port is at ADDRESS. */
 void cf_send_datagram (struct CfServer *server, const struct CfAddress *address, GBytes *datagram);
 
-/* Counts of the peer task for metrics, read by other threads. */
+/* Counts of the peer task and the health task for metrics, read by other threads. */
 uint64_t cf_peer_task_faults (const struct CfServer *server, enum CfPeerFault fault);
+/* Returns the number of probes that wait for an answer. */
+uint64_t cf_health_task_waiting (const struct CfServer *server);
 
 /* An upstream that the health task probes. */
 struct CfProbe
--- a/src/serve/settings.c
+++ b/src/serve/settings.c
@@ -63,7 +63,8 @@
     "[CYCLAMENFERRY_LINGER]; default 10",
     0 },
   { "health-interval", SET_HEALTH_INTERVAL, "MS", 0,
-    "Milliseconds between two probes of an upstream [CYCLAMENFERRY_HEALTH_INTERVAL]; default 250",
+    "Milliseconds between two probes of an upstream, more if this VM probes over 50 a second "
+    "[CYCLAMENFERRY_HEALTH_INTERVAL]; default 250",
     0 },
   { 0 },
 };
--- a/tests/live.c
+++ b/tests/live.c
@@ -19,6 +19,7 @@
  *   drain NAME     the upstream is to get no new flow in a few seconds
  *   undrain NAME
  *   restart NAME   the upstream loses its flows and starts cold
+ *   hush NAME      the health endpoint of the upstream takes calls and never answers
  *   quit           let the open flows end and print the report
  *
  * The exit status is 1 if a flow was broken or a packet went astray.  What depends on
@@ -38,6 +39,7 @@
   GSocket *tunnels[FLEET_UPSTREAMS];
   uint32_t index_of[FLEET_UPSTREAMS]; /* configuration index to upstream number */
   SoupServer *health;
+  bool hushed[FLEET_UPSTREAMS];
   CfMillis began;
   CfMillis base;
   bool quitting;
@@ -198,6 +200,8 @@
     upstream->closed_at = -1;
   else if (strcmp (verb, "restart") == 0 && upstream)
     fleet_restart_upstream (live->fleet, upstream->index);
+  else if (strcmp (verb, "hush") == 0 && upstream)
+    live->hushed[upstream->index] = true;
   else if (strcmp (verb, "quit") == 0)
     {
       live->fleet->traffic.flows_per_s = 0;
@@ -254,6 +258,11 @@
       {
         const struct FleetUpstream *upstream = &live->fleet->upstreams[live->index_of[i]];
 
+        if (live->hushed[upstream->index])
+          {
+            soup_server_message_pause (message);
+            return;
+          }
         text = g_strdup_printf ("{\"serving\":%s,\"start\":%" G_GINT64_FORMAT ",\"open\":%u}",
                                 upstream->down ? "false" : "true", upstream->start_time,
                                 g_hash_table_size (upstream->open));
