ICMP errors reach the upstream of the flow that they quote

Cause: an upstream answers the caller directly, so a router that cannot pass a large packet on tells the service's address, and the fabric hands that to an entry VM, which dropped it as neither TCP nor UDP. A caller behind a smaller MTU got the first packets of a catalogue photograph and then silence: an answer cut short, against the promise that a caller gets the whole answer.

--- a/include/cf_packet.h
+++ b/include/cf_packet.h
@@ -19,7 +19,7 @@
   CF_DROP_VERSION,    /* neither IPv4 nor IPv6 */
   CF_DROP_HEADER,     /* a header field is not valid */
   CF_DROP_FRAGMENT,   /* a fragment carries no ports */
-  CF_DROP_PROTOCOL,   /* neither TCP nor UDP */
+  CF_DROP_PROTOCOL,   /* neither TCP nor UDP nor an ICMP error about them */
   CF_DROP_NO_SERVICE, /* no service at the destination address */
   CF_DROP_NO_CONFIG,  /* no configuration yet */
   CF_DROP_HOPS,       /* passed between entry VMs too often */
@@ -27,6 +27,7 @@
   CF_DROP_DOUBT,      /* delayed while the flow's upstream is not known */
   CF_DROP_GATE,       /* delayed until every VM has acknowledged a mark */
   CF_DROP_NO_OWNER,   /* no entry VM to transfer to */
+  CF_DROP_ICMP,       /* an ICMP error about a flow that has no upstream any more */
   CF_DROP_COUNT,
 };
 
@@ -41,16 +42,20 @@
   CF_PACKET_RST = 1 << 3,
 };
 
-/* A caller's packet.  Points into a buffer that the holder of the socket owns. */
+/* A caller's packet, or an ICMP error that a router or the caller sent about a packet
+ * from the service.  For an error, protocol, caller and service are those of the flow
+ * that the quoted packet belongs to.  Points into a buffer that the holder of the
+ * socket owns. */
 struct CfPacket
 {
   const uint8_t *data;
   size_t len;
   uint8_t protocol;
-  uint8_t flags; /* enum CfPacketFlags, for TCP */
+  uint8_t flags;   /* enum CfPacketFlags, for TCP */
+  bool icmp_error; /* it opens no flow and is never answered */
   struct CfAddress caller;
   struct CfAddress service;
-  size_t transport;       /* offset of the TCP or UDP header */
+  size_t transport;       /* offset of the TCP, UDP or ICMP header */
   struct CfAddress reply; /* the fabric's tunnel address, for refusals */
 };
 
@@ -69,7 +74,8 @@
 
 /* Builds the answer that refuses PACKET: a TCP reset, or ICMP port unreachable
  * for UDP.  The answer goes from the service to the caller.  Writes to OUT and
- * returns its length, or 0 for a packet that must not be answered (a reset). */
+ * returns its length, or 0 for a packet that must not be answered (a reset, an ICMP
+ * error). */
 size_t cf_refusal_build (const struct CfPacket *packet, uint8_t out[CF_REFUSAL_MAX]);
 
 #endif
--- a/src/core/baseline.c
+++ b/src/core/baseline.c
@@ -26,13 +26,14 @@
     flow = cf_flow_find (&core->table, route->key);
   if (flow && cf_slot_usable (cf_slot (core, flow->slot)))
     {
-      cf_flows_seen (core, flow, route);
+      if (!route->packet->icmp_error)
+        cf_flows_seen (core, flow, route);
       return cf_route_to (core, route, flow->slot);
     }
   slot = cf_choose_first (core, route->service, route->key, healthy, NULL);
   if (slot == CF_NO_SLOT)
     return cf_route_refuse (core, route, CF_VERDICT_MAY_HAVE_RUN);
-  if (core->policy->local_table && !flow)
+  if (core->policy->local_table && !flow && !route->packet->icmp_error)
     cf_flows_record (core, route, slot, CF_FLOW_RECENT);
   if (route->opens)
     core->stats.counter[CF_COUNT_NEW_FLOWS]++;
--- a/src/core/route.c
+++ b/src/core/route.c
@@ -15,6 +15,8 @@
 enum CfVerdict
 cf_route_refuse (struct CfCore *core, const struct CfRoute *route, enum CfVerdict verdict)
 {
+  if (route->packet->icmp_error)
+    return cf_route_drop (core, CF_DROP_ICMP);
   core->stats.counter[verdict == CF_VERDICT_NOT_RUN ? CF_COUNT_REFUSED_NOT_RUN
                                                     : CF_COUNT_REFUSED_MAY_HAVE_RUN]++;
   route->service->stats->refused++;
@@ -281,6 +283,30 @@
   return !unconfirmed;
 }
 
+/* An ICMP error, such as one that tells the path's MTU, goes where the packets of its
+ * flow go, and changes nothing. */
+static enum CfVerdict
+route_error (struct CfCore *core, const struct CfRoute *route, const struct CfFlow *flow)
+{
+  uint32_t owner = core->current.holders[CF_BUCKET (route->key)][0].member;
+  bool decides = owner == 0 || route->decide;
+  uint32_t other;
+
+  if (flow && !(flow->flags & CF_FLOW_STALE) && (flow->kind == CF_FLOW_ENTRY || decides))
+    return cf_route_to (core, route, flow->slot);
+  if (is_direct (core, route))
+    return cf_route_to (core, route, route->implied);
+  if (!decides)
+    return owner == CF_NO_MEMBER ? cf_route_drop (core, CF_DROP_NO_OWNER)
+                                 : transfer (core, route, owner, 0);
+  other = route->decide ? CF_NO_MEMBER : fallback (core, route);
+  if (other != CF_NO_MEMBER)
+    return transfer (core, route, other, CF_TRANSFER_DECIDE);
+  if (in_doubt (core, route))
+    return cf_route_drop (core, CF_DROP_DOUBT);
+  return cf_route_to (core, route, route->implied);
+}
+
 enum CfVerdict
 cf_route (struct CfCore *core, struct CfRoute *route)
 {
@@ -288,6 +314,8 @@
   uint32_t owner = core->current.holders[CF_BUCKET (route->key)][0].member;
   bool entry = flow && flow->kind == CF_FLOW_ENTRY;
 
+  if (route->packet->icmp_error)
+    return route_error (core, route, flow);
   if (!entry && is_direct (core, route))
     return direct (core, route, flow);
   if (owner == 0 || route->decide)
--- a/src/packet/drop.c
+++ b/src/packet/drop.c
@@ -8,6 +8,7 @@
   [CF_DROP_NO_CONFIG] = "no_config", [CF_DROP_HOPS] = "hops",
   [CF_DROP_TRANSFER] = "transfer",   [CF_DROP_DOUBT] = "doubt",
   [CF_DROP_GATE] = "gate",           [CF_DROP_NO_OWNER] = "no_owner",
+  [CF_DROP_ICMP] = "icmp",
 };
 
 const char *
--- a/src/packet/refusal.c
+++ b/src/packet/refusal.c
@@ -111,6 +111,8 @@
 size_t
 cf_refusal_build (const struct CfPacket *packet, uint8_t out[CF_REFUSAL_MAX])
 {
+  if (packet->icmp_error)
+    return 0;
   if (packet->protocol == IPPROTO_TCP)
     return build_reset (packet, out);
   return build_unreachable (packet, out);
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -112,6 +112,9 @@
   uint64_t cold_overload; /* new flows beyond what a cold upstream bears */
   uint64_t late_packets;  /* packets into a failure domain that was out */
   uint64_t delayed;       /* flows whose first packet had to be repeated */
+  uint64_t icmp_sent;     /* ICMP errors about open flows */
+  uint64_t icmp_whole;    /* those that reached the flow's upstream */
+  uint64_t icmp_astray;   /* those that reached another one */
 };
 
 struct Fleet
@@ -177,6 +180,9 @@
 /* Sends one more packet of FLOW. */
 void fleet_poke (struct Fleet *fleet, struct FleetFlow *flow);
 
+/* Sends an ICMP error about every open flow, as a router on its way back would. */
+void fleet_icmp_errors (struct Fleet *fleet);
+
 /* Lets SPAN pass. */
 void fleet_run (struct Fleet *fleet, CfMillis span);
 
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -376,6 +376,42 @@
 
 /* The checker itself must be able to fail: without the product's policy the same
  * deploy breaks flows. */
+/* ICMP errors reach the upstreams of their flows, entries or not, while upstreams drain
+ * and a VM leaves. */
+START_TEST (test_icmp_errors)
+{
+  struct Fleet *fleet = running_fleet ((uint32_t) _i + 1, 6);
+  uint64_t new_flows;
+
+  for (uint32_t u = 0; u < 4; u++)
+    {
+      fleet_drain (fleet, u, true, 1000);
+      if (u == 2)
+        fleet_leave (fleet, 1);
+      for (int second = 0; second < 5; second++)
+        {
+          fleet_run (fleet, 1000);
+          fleet_icmp_errors (fleet);
+        }
+    }
+  /* An error opens nothing. */
+  fleet->traffic.flows_per_s = 0;
+  fleet_run (fleet, 200);
+  new_flows = fleet_counter (fleet, CF_COUNT_NEW_FLOWS);
+  fleet_icmp_errors (fleet);
+  fleet_run (fleet, 100);
+  ck_assert_uint_eq (fleet_counter (fleet, CF_COUNT_NEW_FLOWS), new_flows);
+  fleet_run (fleet, 70000);
+  printf ("ICMP errors: %" G_GUINT64_FORMAT " sent, %" G_GUINT64_FORMAT " at the flow's upstream\n",
+          fleet->count.icmp_sent, fleet->count.icmp_whole);
+  ck_assert_uint_gt (fleet->count.icmp_sent, 5000);
+  ck_assert_uint_eq (fleet->count.icmp_astray, 0);
+  /* The rest were delayed as any packet is while owners change, or their flows ended. */
+  ck_assert_uint_gt (fleet->count.icmp_whole, fleet->count.icmp_sent * 9 / 10);
+  check_whole (fleet, "ICMP errors");
+}
+END_TEST
+
 START_TEST (test_baselines_break_flows)
 {
   struct FleetSpec spec = { .seed = 1,
@@ -414,6 +450,7 @@
   suite_add_loop (suite, test_silent_flow, 2);
   suite_add_loop (suite, test_lost_entry, SEEDS);
   suite_add_loop (suite, test_udp, SEEDS);
+  suite_add_loop (suite, test_icmp_errors, 2);
   suite_add_loop (suite, test_namesake, 1);
   suite_add_loop (suite, test_baselines_break_flows, 2);
   return suite_run (suite);
