A member with too many marks for a heartbeat marks everything

Cause: a heartbeat lists at most 4,096 marks; with more, encoding failed, no heartbeat left, and the other members took this one for dead, at the very moment (a power cut, a failure domain out) when it was needed.

Change: beyond 4,096 marks the heartbeat says that all are marked, and receivers treat every upstream so until the next list, the member's restart or its end.

Checked: with the old limit the test sends 0 bytes and fails; test_all_marked covers the receiver. test_fleet and test_limits pass as before.

--- a/src/core/heartbeat.c
+++ b/src/core/heartbeat.c
@@ -6,6 +6,7 @@
 #define WARM_UPSTREAMS 1 /* states of warm upstreams in a heartbeat */
 
 /* What the lists of peer.x hold at most. */
+#define MARKS_MAX 4096
 #define LOADS_MAX 64
 #define SUSPECTS_MAX 64
 #define UPSTREAMS_MAX 1024
@@ -151,7 +152,9 @@
   heartbeat->seen_incarnation = member->alive ? member->incarnation : 0;
   heartbeat->seen_marks = member->alive ? member->mark_version : 0;
   heartbeat->has_marks = !member->sees_me || member->acked_marks != core->mark_version;
-  heartbeat->marks.marks_len = heartbeat->has_marks ? draft->marks->len : 0;
+  heartbeat->all_marked = heartbeat->has_marks && draft->marks->len > MARKS_MAX;
+  heartbeat->marks.marks_len
+      = heartbeat->has_marks && !heartbeat->all_marked ? draft->marks->len : 0;
   heartbeat->marks.marks_val = (u_int *) (void *) draft->marks->data;
 }
 
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -168,6 +168,7 @@
   uint64_t view;
   uint32_t mark_version; /* of the marks held in marks */
   GArray *marks;         /* of slots */
+  bool all_marked;       /* its marks are too many to be listed */
   bool sees_me;
   uint32_t acked_marks;        /* version of this VM's marks that it has seen */
   GArray *loads;               /* of struct CfLoad, by slot */
@@ -264,6 +265,7 @@
   bool divided; /* a listed member fell silent: the fleet may be partitioned */
 
   uint32_t mark_version;
+  uint32_t all_marked; /* members that mark every upstream */
   bool heartbeat_urgent;
   CfMillis heartbeat_at; /* last regular heartbeat */
   CfMillis urgent_at;    /* last heartbeat of any kind */
--- a/src/core/marks.c
+++ b/src/core/marks.c
@@ -17,7 +17,7 @@
   const struct CfSlot *slot = cf_slot (core, number);
 
   return cf_marked_by_config (slot) || slot->health != PEER_WARM || slot->peer_marks
-         || slot->mark_version || slot->entries_away;
+         || core->all_marked || slot->mark_version || slot->entries_away;
 }
 
 static bool
@@ -33,22 +33,6 @@
   return true;
 }
 
-bool
-cf_may_divert (struct CfCore *core, uint32_t number, CfMillis now)
-{
-  struct CfSlot *slot = cf_slot (core, number);
-
-  if (cf_marked_by_config (slot))
-    return core->common_version >= slot->closed_version
-           && (!core->divided || now - slot->closed_since >= CF_DIVIDED_WAIT_MS);
-  if (!core->config_settled)
-    return false;
-  slot->wants_mark_until = now + WANT_MARK_MS;
-  if (!slot->mark_version)
-    cf_marks_update (core, now);
-  return acknowledged (core, slot->mark_version);
-}
-
 static bool
 update_own (struct CfCore *core, struct CfSlot *slot, CfMillis now)
 {
@@ -61,23 +45,43 @@
   return want;
 }
 
+static void
+update_slot (struct CfCore *core, uint32_t number, CfMillis now)
+{
+  struct CfSlot *slot = cf_slot (core, number);
+
+  if (update_own (core, slot, now))
+    core->heartbeat_urgent = true;
+  if (!cf_marked (core, number))
+    slot->marked_since = -1;
+  else if (slot->marked_since < 0)
+    {
+      slot->marked_since = now;
+      cf_report_recent (core, number, now);
+    }
+}
+
 void
 cf_marks_update (struct CfCore *core, CfMillis now)
 {
   for (uint32_t i = 0; i < core->slots->len; i++)
-    {
-      struct CfSlot *slot = cf_slot (core, i);
-
-      if (update_own (core, slot, now))
-        core->heartbeat_urgent = true;
-      if (!cf_marked (core, i))
-        slot->marked_since = -1;
-      else if (slot->marked_since < 0)
-        {
-          slot->marked_since = now;
-          cf_report_recent (core, i, now);
-        }
-    }
+    update_slot (core, i, now);
+}
+
+bool
+cf_may_divert (struct CfCore *core, uint32_t number, CfMillis now)
+{
+  struct CfSlot *slot = cf_slot (core, number);
+
+  if (cf_marked_by_config (slot))
+    return core->common_version >= slot->closed_version
+           && (!core->divided || now - slot->closed_since >= CF_DIVIDED_WAIT_MS);
+  if (!core->config_settled)
+    return false;
+  slot->wants_mark_until = now + WANT_MARK_MS;
+  if (!slot->mark_version)
+    update_slot (core, number, now);
+  return acknowledged (core, slot->mark_version);
 }
 
 void
@@ -90,6 +94,8 @@
     return;
   cf_member_forget_marks (core, member);
   member->mark_version = heartbeat->mark_version;
+  member->all_marked = heartbeat->all_marked;
+  core->all_marked += member->all_marked;
   for (u_int i = 0; i < heartbeat->marks.marks_len; i++)
     {
       uint32_t slot = cf_slot_for_id (core, heartbeat->marks.marks_val[i]);
--- a/src/core/members.c
+++ b/src/core/members.c
@@ -104,8 +104,10 @@
 bool
 cf_member_forget_marks (struct CfCore *core, struct CfMember *member)
 {
-  bool any = member->marks->len > 0;
+  bool any = member->all_marked || member->marks->len > 0;
 
+  core->all_marked -= member->all_marked;
+  member->all_marked = false;
   for (guint i = 0; i < member->marks->len; i++)
     cf_slot (core, g_array_index (member->marks, uint32_t, i))->peer_marks--;
   g_array_set_size (member->marks, 0);
@@ -178,7 +180,7 @@
           declare_dead (core, member);
           changed = true;
         }
-      if (!member->alive && member->marks->len && core->config
+      if (!member->alive && (member->marks->len || member->all_marked) && core->config
           && (!member->listed || now - member->heard_at > core->config->limits.flow_idle_ms))
         cf_member_forget_marks (core, member);
       if (!member->alive && !member->listed && member->loads->len
--- a/src/peer/peer.h
+++ b/src/peer/peer.h
@@ -67,6 +67,7 @@
 	u_int seen_marks;
 	u_int mark_version;
 	bool_t has_marks;
+	bool_t all_marked;
 	struct {
 		u_int marks_len;
 		u_int *marks_val;
--- a/src/peer/peer.x
+++ b/src/peer/peer.x
@@ -42,7 +42,8 @@
 
 /* seen_incarnation and seen_marks are the receiver's, as the sender knows them; 0 if
  * the sender has not heard it.  The marks are left out once the receiver has told
- * that it has this version of them. */
+ * that it has this version of them; if they are too many, all_marked takes the place of
+ * the list. */
 struct peer_heartbeat {
   peer_state state;
   unsigned domain;
@@ -55,6 +56,7 @@
   unsigned seen_marks;
   unsigned mark_version;
   bool has_marks;
+  bool all_marked;
   unsigned marks<4096>;
   peer_load loads<64>;
   peer_upstream upstreams<1024>;
--- a/src/peer/peer_xdr.c
+++ b/src/peer/peer_xdr.c
@@ -132,7 +132,7 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->seen_incarnation))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->seen_marks))
 				 return FALSE;
@@ -140,11 +140,14 @@
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->has_marks))
 				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->all_marked))
+				 return FALSE;
 
 		} else {
 		IXDR_PUT_U_LONG(buf, objp->seen_marks);
 		IXDR_PUT_U_LONG(buf, objp->mark_version);
 		IXDR_PUT_BOOL(buf, objp->has_marks);
+		IXDR_PUT_BOOL(buf, objp->all_marked);
 		}
 		 if (!xdr_array (xdrs, (char **)&objp->marks.marks_val, (u_int *) &objp->marks.marks_len, 4096,
 			sizeof (u_int), (xdrproc_t) xdr_u_int))
@@ -176,7 +179,7 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->seen_incarnation))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->seen_marks))
 				 return FALSE;
@@ -184,11 +187,14 @@
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->has_marks))
 				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->all_marked))
+				 return FALSE;
 
 		} else {
 		objp->seen_marks = IXDR_GET_U_LONG(buf);
 		objp->mark_version = IXDR_GET_U_LONG(buf);
 		objp->has_marks = IXDR_GET_BOOL(buf);
+		objp->all_marked = IXDR_GET_BOOL(buf);
 		}
 		 if (!xdr_array (xdrs, (char **)&objp->marks.marks_val, (u_int *) &objp->marks.marks_len, 4096,
 			sizeof (u_int), (xdrproc_t) xdr_u_int))
@@ -227,6 +233,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->has_marks))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->all_marked))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->marks.marks_val, (u_int *) &objp->marks.marks_len, 4096,
 		sizeof (u_int), (xdrproc_t) xdr_u_int))
 		 return FALSE;
--- a/tests/test_members.c
+++ b/tests/test_members.c
@@ -10,6 +10,8 @@
 /* Heartbeats, and members that come and go for good. */
 
 #define GENERATIONS 2000
+#define MANY_SERVICES 4500
+#define FLOWS_PER_SERVICE 8
 #define STUB_BYTES 1024 /* what a member that is gone may keep */
 
 static const char text[] = "[fleet]\nversion=1\n[failure-domain a]\nregion=r\n"
@@ -40,10 +42,10 @@
 }
 
 static struct CfCore *
-new_core (struct CfCoreOutputs *outputs, struct Sent *sent)
+new_core_of (const char *config_text, struct CfCoreOutputs *outputs, struct Sent *sent)
 {
   struct CfCoreOptions options = { .vm = 1, .incarnation = 1, .domain = cf_name_id ("a") };
-  struct CfConfig *config = cf_config_parse (text, NULL);
+  struct CfConfig *config = cf_config_parse (config_text, NULL);
   struct CfCore *core;
 
   *outputs = test_sink_outputs ();
@@ -55,6 +57,12 @@
   return core;
 }
 
+static struct CfCore *
+new_core (struct CfCoreOutputs *outputs, struct Sent *sent)
+{
+  return new_core_of (text, outputs, sent);
+}
+
 /* Lets CORE hear VM say SAID, the rest of the heartbeat being that of a member in
  * agreement. */
 static void
@@ -71,6 +79,24 @@
   cf_core_peer (core, &envelope, now);
 }
 
+/* Returns the JSON object of UPSTREAM in the status of CORE, valid until the next call. */
+static const char *
+status_of (const struct CfCore *core, const char *upstream, CfMillis now)
+{
+  static char object[1024];
+  GString *status = g_string_new (NULL);
+  char *name = g_strdup_printf ("\"name\":\"%s\"", upstream);
+  const char *place;
+
+  cf_core_status (core, status, now);
+  place = strstr (status->str, name);
+  ck_assert_ptr_nonnull (place);
+  g_strlcpy (object, place, MIN (sizeof object, strcspn (place, "}") + 1));
+  g_free (name);
+  g_string_free (status, TRUE);
+  return object;
+}
+
 static void
 hear (struct CfCore *core, uint32_t vm, CfMillis now)
 {
@@ -182,6 +208,88 @@
 }
 END_TEST
 
+/* Returns a configuration of many services, each with two upstreams. */
+static char *
+many_services (void)
+{
+  GString *many = g_string_new ("[fleet]\nversion=1\n[failure-domain a]\nregion=r\n");
+
+  for (int n = 0; n < MANY_SERVICES; n++)
+    g_string_append_printf (many,
+                            "[service s%d]\naddress=10.1.%d.%d\nport=443\n"
+                            "[upstream c%d]\nservice=s%d\nfailure-domain=a\ntunnel=127.2.%d.%d\n"
+                            "[upstream w%d]\nservice=s%d\nfailure-domain=a\ntunnel=127.3.%d.%d\n",
+                            n, n >> 8, n & 0xff, n, n, n >> 8, n & 0xff, n, n, n >> 8, n & 0xff);
+  return g_string_free (many, FALSE);
+}
+
+/* Makes one upstream of service number N cold and opens flows that prefer it. */
+static void
+divert_flows (struct CfCore *core, int n, CfMillis now)
+{
+  struct CfAddress service
+      = { .ip = { [10] = 0xff, 0xff, 10, 1, (uint8_t) (n >> 8), (uint8_t) n }, .port = 443 };
+  struct CfAddress caller = { .ip = { [10] = 0xff, 0xff, 11 } };
+  struct CfHealthAnswer answer = { .reachable = true, .serving = true };
+  uint8_t data[CF_PACKET_MAX];
+  char name[16];
+
+  g_snprintf (name, sizeof name, "c%d", n);
+  answer.upstream = cf_name_id (name);
+  for (answer.start_time = 1; answer.start_time <= 2; answer.start_time++)
+    cf_core_health (core, &answer, now);
+  for (caller.port = 1; caller.port <= FLOWS_PER_SERVICE; caller.port++)
+    cf_core_packet (core, data,
+                    test_packet_build (&caller, &service, CF_PROTOCOL_TCP, CF_PACKET_SYN, 0, data),
+                    &service, now);
+}
+
+/* More marks than a heartbeat can list. */
+START_TEST (test_too_many_marks)
+{
+  char *many = many_services ();
+  struct CfCoreOutputs outputs;
+  struct Sent sent = { 0 };
+  struct CfCore *core = new_core_of (many, &outputs, &sent);
+  CfMillis now = pass (core, 0, 5000);
+
+  for (int n = 0; n < MANY_SERVICES; n++)
+    divert_flows (core, n, now);
+  hear_said (core, 2, 1, (peer_heartbeat){ .seen_incarnation = 1 }, now);
+  ck_assert_uint_gt (sent.bytes, 0);
+  ck_assert (sent.heartbeat.has_marks && sent.heartbeat.all_marked);
+  ck_assert_uint_eq (sent.heartbeat.marks.marks_len, 0);
+  cf_core_free (core);
+  g_free (many);
+}
+END_TEST
+
+/* A member that marks everything marks what this VM knows, until it says otherwise. */
+START_TEST (test_all_marked)
+{
+  struct CfCoreOutputs outputs;
+  struct CfCore *core = new_core (&outputs, NULL);
+  peer_heartbeat said = { .mark_version = 2, .has_marks = TRUE, .all_marked = TRUE };
+
+  pass (core, 0, 3000);
+  hear_said (core, 2, 1, said, 3000);
+  ck_assert (strstr (status_of (core, "u", 3000), "\"marked\":true"));
+  ck_assert (strstr (status_of (core, "w", 3000), "\"marked\":true"));
+  said.mark_version = 3;
+  said.all_marked = FALSE;
+  hear_said (core, 2, 1, said, 3100);
+  ck_assert (strstr (status_of (core, "u", 3100), "\"marked\":false"));
+  /* A new incarnation knows nothing of the former one's marks. */
+  said.mark_version = 4;
+  said.all_marked = TRUE;
+  hear_said (core, 2, 1, said, 3200);
+  ck_assert (strstr (status_of (core, "u", 3200), "\"marked\":true"));
+  hear_said (core, 2, 2, (peer_heartbeat){ .mark_version = 1, .has_marks = TRUE }, 3300);
+  ck_assert (strstr (status_of (core, "u", 3300), "\"marked\":false"));
+  cf_core_free (core);
+}
+END_TEST
+
 /* A version of marks that came without them is not acknowledged. */
 START_TEST (test_marks_left_out)
 {
@@ -208,20 +316,10 @@
 static uint64_t
 open_at (const struct CfCore *core, const char *upstream, CfMillis now)
 {
-  GString *text = g_string_new (NULL);
-  char *name = g_strdup_printf ("\"name\":\"%s\"", upstream);
-  const char *place;
-  uint64_t open;
+  const char *open = strstr (status_of (core, upstream, now), "\"open\":");
 
-  cf_core_status (core, text, now);
-  place = strstr (text->str, name);
-  ck_assert_ptr_nonnull (place);
-  place = strstr (place, "\"open\":");
-  ck_assert_ptr_nonnull (place);
-  open = g_ascii_strtoull (place + strlen ("\"open\":"), NULL, 10);
-  g_free (name);
-  g_string_free (text, TRUE);
-  return open;
+  ck_assert_ptr_nonnull (open);
+  return g_ascii_strtoull (open + strlen ("\"open\":"), NULL, 10);
 }
 
 /* Counts of flows are sums over members and their former incarnations, and may wrap
@@ -265,5 +363,7 @@
   suite_add_loop (suite, test_heartbeat_size, 1);
   suite_add_loop (suite, test_marks_sent_until_seen, 1);
   suite_add_loop (suite, test_marks_left_out, 1);
+  suite_add_loop (suite, test_too_many_marks, 1);
+  suite_add_loop (suite, test_all_marked, 1);
   return suite_run (suite);
 }
