An outage of many upstreams looks at the flow table once

Cause: each upstream that becomes marked had its recent first packets reported by a walk over the whole flow table. Found by a new row of the benchmark with the bound CF_PAUSE_LIMIT_MS, 1,000 ms.

Change: upstreams marked at the same moment carry a flag, and one walk reports the flows of all of them. Weighed: a list of records by upstream (8 bytes more for each record, on a path that is rare).

--- a/bench/slopes.c
+++ b/bench/slopes.c
@@ -11,6 +11,7 @@
 /* Costs in one core, without processes. */
 
 #define PACKETS 200000
+#define FLOWS_HELD 83000 /* by a node at the target: 25,300 of its own, the rest for others */
 #define LOADS_PER_HEARTBEAT 64
 #define HEARTBEATS_PER_S 2 /* of a member */
 
@@ -276,6 +277,25 @@
   cf_config_unref (config);
 }
 
+/* Opens FLOWS flows, spread over the services of CONFIG. */
+static void
+open_flows (struct CfCore *core, const struct CfConfig *config, uint32_t flows, CfMillis now)
+{
+  struct CfAddress caller = { .ip = { [10] = 0xff, [11] = 0xff, [12] = 11 } };
+
+  for (uint32_t n = 0; n < flows; n++)
+    {
+      const struct CfAddress *service = &config->services[n % config->service_count].address;
+      uint8_t data[CF_PACKET_MAX];
+      size_t len;
+
+      caller.ip[14] = (uint8_t) (n >> 14);
+      caller.port = (uint16_t) (1024 + (n & 0x3fff));
+      len = test_packet_build (&caller, service, CF_PROTOCOL_TCP, CF_PACKET_SYN, 32, data);
+      cf_core_packet (core, data, len, service, now);
+    }
+}
+
 /* The target's region in one core: MEMBERS that all told their counts of every
  * upstream. */
 static void
@@ -289,7 +309,10 @@
   double began;
   double beat;
   double tick;
+  double out;
+  struct CfConfig *next = cf_config_set_domain (config, "a", false, true, 2, NULL);
 
+  open_flows (core, config, FLOWS_HELD, 2950);
   for (uint32_t vm = 2; vm <= members; vm++)
     for (uint32_t u = 0; u + LOADS_PER_HEARTBEAT <= upstreams; u += LOADS_PER_HEARTBEAT)
       {
@@ -302,11 +325,18 @@
     hear_loads (core, vm, config, loads, 3, 3010);
   beat = (nanoseconds () - began) / (members - 1);
   tick = mean_tick (core, 3050);
-  printf ("%8u members %6u upstreams  %8.1f us/heartbeat  %8.2f ms/tick  %8.0f KB\n", members,
-          upstreams, beat / 1e3, tick / 1e6, (double) (mallinfo2 ().uordblks - memory) / 1024);
+  began = nanoseconds ();
+  cf_core_set_config (core, next, 4050);
+  out = nanoseconds () - began;
+  printf ("%8u members %6u upstreams  %8.1f us/heartbeat  %8.2f ms/tick  %8.0f KB  "
+          "%8.1f ms when all leave service\n",
+          members, upstreams, beat / 1e3, tick / 1e6,
+          (double) (mallinfo2 ().uordblks - memory) / 1024, out / 1e6);
+  bench_bound ("ms in which all upstreams leave service", out / 1e6, CF_PAUSE_LIMIT_MS);
   bench_bound ("control of a region, percent of a core",
                (tick / 1e6 / CF_TICK_MS + beat / 1e9 * members * HEARTBEATS_PER_S) * 100, 3.7);
   cf_core_free (core);
+  cf_config_unref (next);
   cf_config_unref (config);
 }
 
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -93,6 +93,7 @@
   uint32_t mark_version; /* version of this VM's marks that contains it, or 0 */
   uint32_t peer_marks;   /* members that mark it */
   CfMillis marked_since; /* -1 while unmarked */
+  bool report;           /* it was marked just now, and its first packets are to be reported */
   uint32_t grant;        /* admissions given by the gatekeeper */
   CfMillis grant_until;
   uint32_t gatekeeper; /* member */
@@ -349,7 +350,8 @@
                       bool urgent,
                       CfMillis now);
 void cf_replicate_done (struct CfMember *member);
-void cf_report_recent (struct CfCore *core, uint32_t slot, CfMillis now);
+/* Reports the first packets of late to upstreams with the report flag to the owners. */
+void cf_report_recent (struct CfCore *core, CfMillis now);
 void cf_receive_entries (struct CfCore *core,
                          struct CfMember *member,
                          const peer_entries *entries,
--- a/src/core/marks.c
+++ b/src/core/marks.c
@@ -45,27 +45,46 @@
   return want;
 }
 
-static void
+/* Returns true if the slot has just become marked. */
+static bool
 update_slot (struct CfCore *core, uint32_t number, CfMillis now)
 {
   struct CfSlot *slot = cf_slot (core, number);
+  bool marked;
 
   if (update_own (core, slot, now))
     core->heartbeat_urgent = true;
-  if (!cf_marked (core, number))
+  marked = cf_marked (core, number);
+  slot->report = marked && slot->marked_since < 0;
+  if (!marked)
     slot->marked_since = -1;
-  else if (slot->marked_since < 0)
-    {
-      slot->marked_since = now;
-      cf_report_recent (core, number, now);
-    }
+  else if (slot->report)
+    slot->marked_since = now;
+  return slot->report;
 }
 
 void
 cf_marks_update (struct CfCore *core, CfMillis now)
 {
+  bool any = false;
+
+  for (uint32_t i = 0; i < core->slots->len; i++)
+    any |= update_slot (core, i, now);
+  /* One look at the flow table, however many upstreams were marked at once. */
+  if (!any)
+    return;
+  cf_report_recent (core, now);
   for (uint32_t i = 0; i < core->slots->len; i++)
-    update_slot (core, i, now);
+    cf_slot (core, i)->report = false;
+}
+
+static void
+update_one (struct CfCore *core, uint32_t number, CfMillis now)
+{
+  if (!update_slot (core, number, now))
+    return;
+  cf_report_recent (core, now);
+  cf_slot (core, number)->report = false;
 }
 
 bool
@@ -80,7 +99,7 @@
     return false;
   slot->wants_mark_until = now + WANT_MARK_MS;
   if (!slot->mark_version)
-    update_slot (core, number, now);
+    update_one (core, number, now);
   return acknowledged (core, slot->mark_version);
 }
 
--- a/src/core/replicate.c
+++ b/src/core/replicate.c
@@ -130,7 +130,7 @@
 }
 
 void
-cf_report_recent (struct CfCore *core, uint32_t slot, CfMillis now)
+cf_report_recent (struct CfCore *core, CfMillis now)
 {
   uint32_t now_s = cf_core_seconds (core, now);
 
@@ -140,7 +140,7 @@
     {
       struct CfFlow *flow = &core->table.flows[i];
 
-      if (!flow->key || flow->slot != slot || flow->kind != CF_FLOW_RECENT)
+      if (!flow->key || flow->kind != CF_FLOW_RECENT || !cf_slot (core, flow->slot)->report)
         continue;
       if (flow->flags & CF_FLOW_UDP
           || ((flow->flags & CF_FLOW_HALF_OPEN) && now_s - flow->seen_s <= CF_REPORT_S))
