--- a/include/cf_core.h
+++ b/include/cf_core.h
@@ -59,8 +59,8 @@
 #define CF_TRANSFER_HOPS_MAX 3
 
 /* What the core asks its surroundings to do.  CONTEXT is the pointer given to
- * cf_core_new.  Arguments are valid during the call only.  Any function may call
- * no function of the core. */
+ * cf_core_new.  Arguments are valid during the call only.  Of the core's functions,
+ * these may call only those that take a const core. */
 struct CfCoreOutputs
 {
   /* Sends PACKET on to UPSTREAM in GUE. */
--- a/tests/fleet_internal.h
+++ b/tests/fleet_internal.h
@@ -29,6 +29,15 @@
 void
 fleet_upstream_receive (struct Fleet *fleet, uint32_t upstream, const struct FleetPacket *packet);
 void fleet_answer (struct Fleet *fleet, uint32_t flow, enum FleetAnswer answer, int32_t upstream);
+/* Returns flow number INDEX. */
+static inline struct FleetFlow *
+fleet_flow_at (const struct Fleet *fleet, uint32_t index)
+{
+  return fleet->flows->pdata[index];
+}
+
+/* Ends FLOW with STATE, or as given up if its upstream was. */
+void fleet_finish (struct Fleet *fleet, struct FleetFlow *flow, enum FlowState state);
 uint32_t fleet_flow_of (const struct CfPacket *packet);
 void fleet_to_fabric (struct Fleet *fleet, const struct FleetPacket *packet);
 void fleet_traffic_start (struct Fleet *fleet);
--- a/tests/fleet_traffic.c
+++ b/tests/fleet_traffic.c
@@ -5,7 +5,7 @@
 #include <stdio.h>
 #include <string.h>
 
-/* Callers, upstreams and the checker of the test fleet. */
+/* Callers and the fabric of the test fleet. */
 
 #define FABRIC_DELAY_MS 1
 #define ANSWER_DELAY_MS 2
@@ -16,18 +16,9 @@
 #define RETRY_MAX_MS 10000
 #define PORT_BASE 1024
 #define PORT_BITS 14
-#define COLD_CHECK_MS 20000 /* after that the upstream is warm */
-#define COLD_NOTICE_MS 500  /* two probes: the least time to notice a silent restart */
-#define WARMING 1.6
 #define IPV4_MAPPED "\0\0\0\0\0\0\0\0\0\0\xff\xff"
 #define IPV6_CALLERS "\x20\x01\x0d\xb8\0\0\0\0\0\0\0\0"
 
-static struct FleetFlow *
-flow_at (struct Fleet *fleet, uint32_t index)
-{
-  return fleet->flows->pdata[index];
-}
-
 /* Sets CALLER to the one of FLOW, in the address family of SERVICE. */
 static void
 caller_of (uint32_t flow, const struct CfAddress *service, struct CfAddress *caller)
@@ -113,7 +104,7 @@
 static void
 send_packet (struct Fleet *fleet, uint32_t index, uint8_t flags)
 {
-  const struct FleetFlow *flow = flow_at (fleet, index);
+  const struct FleetFlow *flow = fleet_flow_at (fleet, index);
   struct FleetPacket packet = { 0 };
   struct CfAddress caller;
   uint8_t data[CF_PACKET_MAX];
@@ -125,8 +116,8 @@
   fleet_to_fabric (fleet, &packet);
 }
 
-static void
-finish (struct Fleet *fleet, struct FleetFlow *flow, enum FlowState state)
+void
+fleet_finish (struct Fleet *fleet, struct FleetFlow *flow, enum FlowState state)
 {
   if (state == FLOW_BROKEN && flow->upstream >= 0)
     {
@@ -152,7 +143,7 @@
 {
   struct Fleet *fleet = context;
   const struct FlowEvent *event = payload;
-  struct FleetFlow *flow = flow_at (fleet, event->flow);
+  struct FleetFlow *flow = fleet_flow_at (fleet, event->flow);
   bool opening = flow->state == FLOW_OPENING;
 
   if (event->sent != flow->sent || (flow->state != FLOW_OPEN && !opening)
@@ -164,7 +155,7 @@
       if (fleet->trace)
         printf ("%8" G_GINT64_FORMAT " flow %u at %d times out\n",
                 test_network_now (fleet->network), event->flow, flow->upstream);
-      finish (fleet, flow, opening ? FLOW_REFUSED : FLOW_BROKEN);
+      fleet_finish (fleet, flow, opening ? FLOW_REFUSED : FLOW_BROKEN);
       return;
     }
   fleet->count.delayed += opening && flow->tries == 1;
@@ -179,7 +170,7 @@
   struct FlowEvent *event = g_new0 (struct FlowEvent, 1);
 
   event->flow = index;
-  event->sent = flow_at (fleet, index)->sent;
+  event->sent = fleet_flow_at (fleet, index)->sent;
   test_network_at (fleet->network, test_network_now (fleet->network) + wait, handler, fleet, event,
                    g_free);
 }
@@ -187,7 +178,7 @@
 static void
 send_data (struct Fleet *fleet, uint32_t index)
 {
-  struct FleetFlow *flow = flow_at (fleet, index);
+  struct FleetFlow *flow = fleet_flow_at (fleet, index);
 
   flow->sent++;
   flow->tries = 0;
@@ -201,7 +192,7 @@
 {
   struct Fleet *fleet = context;
   const struct FlowEvent *event = payload;
-  struct FleetFlow *flow = flow_at (fleet, event->flow);
+  struct FleetFlow *flow = fleet_flow_at (fleet, event->flow);
   CfMillis now = test_network_now (fleet->network);
 
   if (flow->state != FLOW_OPEN)
@@ -209,7 +200,7 @@
   if (now >= flow->ends_at && flow->acked == flow->sent)
     {
       send_packet (fleet, event->flow, CF_PACKET_FIN | CF_PACKET_ACK);
-      finish (fleet, flow, FLOW_DONE);
+      fleet_finish (fleet, flow, FLOW_DONE);
       return;
     }
   if (flow->acked == flow->sent)
@@ -222,7 +213,7 @@
 {
   for (guint i = 0; i < fleet->flows->len; i++)
     {
-      const struct FleetFlow *flow = flow_at (fleet, i);
+      const struct FleetFlow *flow = fleet_flow_at (fleet, i);
       struct FleetPacket packet = { 0 };
       struct CfAddress caller;
       uint8_t data[CF_PACKET_MAX];
@@ -251,7 +242,7 @@
 {
   struct Fleet *fleet = context;
   const struct FlowEvent *event = payload;
-  struct FleetFlow *flow = flow_at (fleet, event->flow);
+  struct FleetFlow *flow = fleet_flow_at (fleet, event->flow);
 
   if (flow->state != FLOW_OPENING && flow->state != FLOW_OPEN)
     return;
@@ -279,13 +270,13 @@
     case ANSWER_REFUSED:
       if (event->answer == ANSWER_REFUSED_NOT_RUN && flow->first_seen >= 0)
         fleet->count.false_not_run++;
-      finish (fleet, flow, flow->state == FLOW_OPENING ? FLOW_REFUSED : FLOW_BROKEN);
+      fleet_finish (fleet, flow, flow->state == FLOW_OPENING ? FLOW_REFUSED : FLOW_BROKEN);
       return;
     case ANSWER_RESET:
       if (fleet->trace)
         printf ("%8" G_GINT64_FORMAT " flow %u of upstream %d is reset by upstream %d\n",
                 test_network_now (fleet->network), event->flow, flow->upstream, event->upstream);
-      finish (fleet, flow, flow->state == FLOW_OPENING ? FLOW_REFUSED : FLOW_BROKEN);
+      fleet_finish (fleet, flow, flow->state == FLOW_OPENING ? FLOW_REFUSED : FLOW_BROKEN);
       return;
     }
 }
@@ -352,177 +343,3 @@
 {
   fleet->traffic = *traffic;
 }
-
-/* Upstreams. */
-
-/* A cold upstream bears the stated rate at first.  As it works it bears more, by
- * WARMING a second; one that fails its flows never does. */
-static void
-count_arrival (struct Fleet *fleet, struct FleetUpstream *upstream, CfMillis now)
-{
-  double bears = fleet->spec.bears ? fleet->spec.bears : 10;
-  guint within = 0;
-
-  if (upstream->cold_since < 0 || now - upstream->cold_since < COLD_NOTICE_MS
-      || (!upstream->refusing && now - upstream->cold_since > COLD_CHECK_MS))
-    return;
-  g_array_append_val (upstream->arrivals, now);
-  for (guint i = upstream->arrivals->len;
-       i > 0 && g_array_index (upstream->arrivals, CfMillis, i - 1) > now - CF_MS_PER_S; i--)
-    within++;
-  if (!upstream->refusing)
-    bears *= pow (WARMING,
-                  (double) (now - g_array_index (upstream->arrivals, CfMillis, 0)) / CF_MS_PER_S);
-  if (within <= bears)
-    return;
-  fleet->count.cold_overload++;
-  if (fleet->trace)
-    printf ("%8" G_GINT64_FORMAT " upstream %u gets %u new flows within 1 s and bears %.1f\n", now,
-            upstream->index, within, bears);
-}
-
-static void
-receive_first (struct Fleet *fleet, struct FleetUpstream *upstream, uint32_t index)
-{
-  struct FleetFlow *flow = flow_at (fleet, index);
-  CfMillis now = test_network_now (fleet->network);
-
-  if (flow->first_seen >= 0 && flow->first_seen != (int32_t) upstream->index)
-    {
-      if (fleet->trace)
-        printf ("%8" G_GINT64_FORMAT " flow %u: first packet at %d and at %u\n", now, index,
-                flow->first_seen, upstream->index);
-      fleet->count.twice++;
-    }
-  if (flow->first_seen < 0)
-    {
-      if (upstream->closed_at >= 0 && now > upstream->closed_at)
-        {
-          fleet->count.late_new++;
-          if (fleet->trace)
-            printf ("%8" G_GINT64_FORMAT " flow %u opens late at upstream %u\n", now, index,
-                    upstream->index);
-        }
-      upstream->accepted++;
-      count_arrival (fleet, upstream, now);
-    }
-  flow->first_seen = (int32_t) upstream->index;
-  if (upstream->refusing)
-    {
-      fleet_answer (fleet, index, ANSWER_RESET, (int32_t) upstream->index);
-      return;
-    }
-  g_hash_table_add (upstream->open, GUINT_TO_POINTER (index + 1));
-  fleet_answer (fleet, index, ANSWER_OPENED, (int32_t) upstream->index);
-}
-
-static void
-receive_icmp_error (struct Fleet *fleet, uint32_t upstream, uint32_t index)
-{
-  const struct FleetFlow *flow = flow_at (fleet, index);
-
-  if (flow->state != FLOW_OPEN)
-    return;
-  fleet->count.icmp_whole += flow->upstream == (int32_t) upstream;
-  fleet->count.icmp_astray += flow->upstream != (int32_t) upstream;
-}
-
-void
-fleet_upstream_receive (struct Fleet *fleet, uint32_t number, const struct FleetPacket *bytes)
-{
-  struct FleetUpstream *upstream = &fleet->upstreams[number];
-  struct CfPacket packet = { 0 };
-  uint32_t index;
-  bool known;
-
-  if (cf_packet_parse (bytes->data, bytes->len, &packet) != CF_DROP_NONE)
-    g_error ("an upstream got a packet that is not one");
-  if (!cf_address_equal (&packet.service, &fleet->services[upstream->service]))
-    {
-      fleet->count.misdelivered++;
-      return;
-    }
-  if (upstream->out_at >= 0 && test_network_now (fleet->network) > upstream->out_at)
-    fleet->count.late_packets++;
-  if (upstream->down)
-    return;
-  index = fleet_flow_of (&packet);
-  if (packet.icmp_error)
-    {
-      receive_icmp_error (fleet, number, index);
-      return;
-    }
-  known = g_hash_table_contains (upstream->open, GUINT_TO_POINTER (index + 1));
-  if (packet.flags & CF_PACKET_SYN || (flow_at (fleet, index)->udp && !known))
-    receive_first (fleet, upstream, index);
-  else if (packet.flags & CF_PACKET_FIN)
-    g_hash_table_remove (upstream->open, GUINT_TO_POINTER (index + 1));
-  else
-    fleet_answer (fleet, index, known ? ANSWER_ACK : ANSWER_RESET, (int32_t) number);
-}
-
-void
-fleet_restart_upstream (struct Fleet *fleet, uint32_t u)
-{
-  struct FleetUpstream *upstream = &fleet->upstreams[u];
-
-  for (guint i = 0; i < fleet->flows->len; i++)
-    {
-      struct FleetFlow *flow = fleet->flows->pdata[i];
-
-      if (flow->upstream == (int32_t) u && flow->state == FLOW_OPEN)
-        finish (fleet, flow, FLOW_GIVEN_UP);
-    }
-  g_hash_table_remove_all (upstream->open);
-  upstream->start_time = test_network_now (fleet->network);
-  upstream->cold_since = test_network_now (fleet->network);
-  g_array_set_size (upstream->arrivals, 0);
-}
-
-uint64_t
-fleet_open_count (const struct Fleet *fleet)
-{
-  uint64_t count = 0;
-
-  for (guint i = 0; i < fleet->flows->len; i++)
-    count += ((const struct FleetFlow *) fleet->flows->pdata[i])->state == FLOW_OPEN;
-  return count;
-}
-
-double
-fleet_imbalance (const struct Fleet *fleet, uint32_t service)
-{
-  uint64_t largest = 0;
-  uint64_t sum = 0;
-  uint64_t count = 0;
-
-  for (uint32_t u = 0; u < fleet->upstream_count; u++)
-    {
-      const struct FleetUpstream *upstream = &fleet->upstreams[u];
-      uint64_t open = g_hash_table_size (upstream->open);
-
-      if (upstream->service != service || upstream->closed_at >= 0 || upstream->out_at >= 0
-          || u % 32 >= fleet->spec.upstreams[service])
-        continue;
-      largest = MAX (largest, open);
-      sum += open;
-      count++;
-    }
-  return sum ? (double) largest * (double) count / (double) sum : 1;
-}
-
-void
-fleet_print (const struct Fleet *fleet, const char *label)
-{
-  const struct FleetCount *count = &fleet->count;
-
-  printf ("%-28s opened %" G_GUINT64_FORMAT " done %" G_GUINT64_FORMAT " broken %" G_GUINT64_FORMAT
-          " given-up %" G_GUINT64_FORMAT " refused %" G_GUINT64_FORMAT
-          " unanswered %" G_GUINT64_FORMAT " delayed %" G_GUINT64_FORMAT
-          " misdelivered %" G_GUINT64_FORMAT " twice %" G_GUINT64_FORMAT
-          " false-not-run %" G_GUINT64_FORMAT " late-new %" G_GUINT64_FORMAT
-          " late-packets %" G_GUINT64_FORMAT " cold-overload %" G_GUINT64_FORMAT "\n",
-          label, count->opened, count->done, count->broken, count->given_up, count->refused,
-          count->unanswered, count->delayed, count->misdelivered, count->twice,
-          count->false_not_run, count->late_new, count->late_packets, count->cold_overload);
-}
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -5,7 +5,7 @@
 #include <stdlib.h>
 
 /* Established flows survive: the cases that the project promises, on virtual time.
- * The checker in fleet_traffic.c knows where each flow is. */
+ * The checker in fleet_upstreams.c knows where each flow is. */
 
 #define SEEDS 4
 #define LOST_ENTRY_BOUND_MS 95000 /* stated in docs/DESIGN.md */
