Test that a kept difference ends with its version

test_spread passed with the line removed that forgets the differences when a new version comes: a wrong difference fails its digest at the receiver, which then asks for the whole text. test_changes_served asks a core for the change before and after another one; it fails with the line removed (the answer led to version 2 where 3 was in force) and passes with it.

--- a/tests/test_members.c
+++ b/tests/test_members.c
@@ -2,6 +2,7 @@
 #include "packets.h"
 #include "sink.h"
 #include "suite.h"
+#include "config/difference.h"
 #include "peer/codec.h"
 
 #include <malloc.h>
@@ -19,22 +20,32 @@
                            "[upstream u]\nservice=s\nfailure-domain=a\ntunnel=127.1.0.1\n"
                            "[upstream w]\nservice=s\nfailure-domain=a\ntunnel=127.1.0.2\n";
 
-/* The heartbeat that a core sent last. */
+/* The heartbeat and the piece of a configuration that a core sent last. */
 struct Sent
 {
   struct CfPeerKeys keys;
   size_t bytes;
   peer_heartbeat heartbeat; /* without its lists */
+  uint64_t base;
+  char chunk[1025];
 };
 
 static void
-keep_heartbeat (void *context, const struct CfAddress *address, const struct peer_message *message)
+keep_sent (void *context, const struct CfAddress *address, const struct peer_message *message)
 {
   struct Sent *sent = context;
   struct peer_envelope envelope = { .message = *message };
   uint8_t datagram[CF_PEER_DATAGRAM_MAX];
 
   (void) address;
+  if (message->kind == PEER_CONFIG_CHUNK)
+    {
+      const peer_config_chunk *chunk = &message->peer_message_u.chunk;
+
+      sent->base = chunk->base;
+      memcpy (sent->chunk, chunk->data.data_val, chunk->data.data_len);
+      sent->chunk[chunk->data.data_len] = '\0';
+    }
   if (message->kind != PEER_HEARTBEAT)
     return;
   sent->bytes = cf_peer_encode (&sent->keys, 0, &envelope, datagram, sizeof datagram);
@@ -50,7 +61,7 @@
 
   *outputs = test_sink_outputs ();
   if (sent)
-    outputs->send_peer = keep_heartbeat;
+    outputs->send_peer = keep_sent;
   core = cf_core_new (&options, outputs, sent, 0);
   cf_core_set_config (core, config, 0);
   cf_config_unref (config);
@@ -208,6 +219,55 @@
 }
 END_TEST
 
+/* Lets VM 2, which has the configuration FROM, ask CORE for the one in force, and checks
+ * that the answer is the difference. */
+static void
+check_change (struct CfCore *core,
+              const struct Sent *sent,
+              const struct CfConfig *from,
+              CfMillis now)
+{
+  const struct CfConfig *to = cf_core_config (core);
+  struct peer_envelope envelope = { .vm = 2, .incarnation = 1 };
+  peer_config_request *ask = &envelope.message.peer_message_u.request;
+  char *difference = cf_difference_make (from, to);
+
+  envelope.message.kind = PEER_CONFIG_REQUEST;
+  ask->have = from->version;
+  ask->have_digest = from->digest;
+  ask->revision = to->version;
+  ask->digest = to->digest;
+  cf_core_peer (core, &envelope, now);
+  ck_assert_uint_eq (sent->base, from->version);
+  ck_assert_str_eq (sent->chunk, difference);
+  g_free (difference);
+}
+
+/* What a member is told to catch up fits the configuration in force, asked for before
+ * the last change or not. */
+START_TEST (test_changes_served)
+{
+  struct CfCoreOutputs outputs;
+  struct Sent sent = { 0 };
+  struct CfCore *core = new_core (&outputs, &sent);
+  struct CfConfig *first = cf_config_ref ((struct CfConfig *) cf_core_config (core));
+  struct CfConfig *second = cf_config_set_drain (first, "u", true, 2, NULL);
+  struct CfConfig *third = cf_config_set_drain (second, "w", true, 3, NULL);
+
+  hear (core, 2, 0);
+  cf_core_set_config (core, second, 0);
+  check_change (core, &sent, first, 0);
+  cf_core_set_config (core, third, 0);
+  check_change (core, &sent, second, 0);
+  check_change (core, &sent, first, 0);
+  check_change (core, &sent, second, 0);
+  cf_core_free (core);
+  cf_config_unref (first);
+  cf_config_unref (second);
+  cf_config_unref (third);
+}
+END_TEST
+
 /* Returns a configuration of many services, each with two upstreams. */
 static char *
 many_services (void)
@@ -361,6 +421,7 @@
   suite_add_loop (suite, test_replaced_members, 1);
   suite_add_loop (suite, test_counts_of_flows, 1);
   suite_add_loop (suite, test_heartbeat_size, 1);
+  suite_add_loop (suite, test_changes_served, 1);
   suite_add_loop (suite, test_marks_sent_until_seen, 1);
   suite_add_loop (suite, test_marks_left_out, 1);
   suite_add_loop (suite, test_too_many_marks, 1);
