Routes of ICMP errors share their steps with other packets

Read over the whole change. Two steps stood twice in core/route.c since ICMP errors are routed: the transfer to the owner, or the drop if there is none (now transfer_to_owner), and not asking the previous owner when the packet says that this VM decides (now in fallback). The owner was looked up twice for an error. The two lengths of ICMP errors stood in parse.c and refusal.c (now packet/icmp.h). A decrement hid in a condition of the platform task. Behaviour is unchanged.

--- a/src/core/route.c
+++ b/src/core/route.c
@@ -126,7 +126,7 @@
 {
   uint32_t index = core->fallback[CF_BUCKET (route->key)];
 
-  if (index == CF_NO_MEMBER || !cf_member (core, index)->alive
+  if (route->decide || index == CF_NO_MEMBER || !cf_member (core, index)->alive
       || cf_member (core, index)->state == PEER_JOINING)
     return CF_NO_MEMBER;
   return index;
@@ -246,7 +246,7 @@
     }
   if (flow)
     return cf_place (core, route, flow);
-  other = route->decide ? CF_NO_MEMBER : fallback (core, route);
+  other = fallback (core, route);
   if (other != CF_NO_MEMBER)
     return transfer (core, route, other, CF_TRANSFER_DECIDE);
   if (route->packet->protocol == CF_PROTOCOL_UDP)
@@ -283,12 +283,22 @@
   return !unconfirmed;
 }
 
+static enum CfVerdict
+transfer_to_owner (struct CfCore *core, const struct CfRoute *route, uint32_t owner)
+{
+  if (owner == CF_NO_MEMBER)
+    return cf_route_drop (core, CF_DROP_NO_OWNER);
+  return transfer (core, route, owner, 0);
+}
+
 /* An ICMP error, such as one that tells the path's MTU, goes where the packets of its
  * flow go, and changes nothing. */
 static enum CfVerdict
-route_error (struct CfCore *core, const struct CfRoute *route, const struct CfFlow *flow)
+route_error (struct CfCore *core,
+             const struct CfRoute *route,
+             const struct CfFlow *flow,
+             uint32_t owner)
 {
-  uint32_t owner = core->current.holders[CF_BUCKET (route->key)][0].member;
   bool decides = owner == 0 || route->decide;
   uint32_t other;
 
@@ -297,9 +307,8 @@
   if (is_direct (core, route))
     return cf_route_to (core, route, route->implied);
   if (!decides)
-    return owner == CF_NO_MEMBER ? cf_route_drop (core, CF_DROP_NO_OWNER)
-                                 : transfer (core, route, owner, 0);
-  other = route->decide ? CF_NO_MEMBER : fallback (core, route);
+    return transfer_to_owner (core, route, owner);
+  other = fallback (core, route);
   if (other != CF_NO_MEMBER)
     return transfer (core, route, other, CF_TRANSFER_DECIDE);
   if (in_doubt (core, route))
@@ -315,14 +324,12 @@
   bool entry = flow && flow->kind == CF_FLOW_ENTRY;
 
   if (route->packet->icmp_error)
-    return route_error (core, route, flow);
+    return route_error (core, route, flow, owner);
   if (!entry && is_direct (core, route))
     return direct (core, route, flow);
   if (owner == 0 || route->decide)
     return decide (core, route, flow);
   if (entry && holder_may_follow (core, route, flow))
     return follow (core, route, flow);
-  if (owner == CF_NO_MEMBER)
-    return cf_route_drop (core, CF_DROP_NO_OWNER);
-  return transfer (core, route, owner, 0);
+  return transfer_to_owner (core, route, owner);
 }
--- a/src/packet/parse.c
+++ b/src/packet/parse.c
@@ -1,4 +1,5 @@
 #include "cf_packet.h"
+#include "icmp.h"
 
 #include <arpa/inet.h>
 #include <netinet/icmp6.h>
@@ -11,8 +12,6 @@
 
 #define IPV4_MIN_WORDS 5
 #define TCP_MIN_WORDS 5
-#define ICMP_HEADER_LEN 8
-#define ICMP_QUOTE_LEN 8 /* bytes of the transport header that every error quotes */
 
 static void
 set_ipv4 (struct CfAddress *address, uint32_t ip)
--- a/src/packet/refusal.c
+++ b/src/packet/refusal.c
@@ -1,5 +1,6 @@
 #include "cf_packet.h"
 #include "checksum.h"
+#include "icmp.h"
 
 #include <arpa/inet.h>
 #include <netinet/icmp6.h>
@@ -10,8 +11,6 @@
 #include <string.h>
 
 #define REFUSAL_TTL 64
-#define ICMP_QUOTE_LEN 8 /* bytes of the transport header that ICMP quotes */
-#define ICMP_HEADER_LEN 8
 
 /* Writes the IP header of an answer to PACKET with PAYLOAD bytes to follow. */
 static size_t
--- a/src/serve/platform_task.c
+++ b/src/serve/platform_task.c
@@ -247,8 +247,13 @@
   struct PlatformTask *task = data;
   char *url;
 
-  if (task->list || (!task->watching && task->list_skip > 0 && task->list_skip--))
+  if (task->list)
     return G_SOURCE_CONTINUE;
+  if (!task->watching && task->list_skip > 0)
+    {
+      task->list_skip--;
+      return G_SOURCE_CONTINUE;
+    }
   url = g_strdup_printf ("%s/vms", task->server->settings.platform);
   task->list = begin_call (task, soup_message_new ("GET", url), CALL_DEADLINE_MS, finish_list);
   g_free (url);
