--- a/bench/slopes.c
+++ b/bench/slopes.c
@@ -11,8 +11,9 @@
 /* Costs in one core, without processes. */
 
 #define PACKETS 200000
-#define FLOWS_HELD 83000 /* by a node at the target: 25,300 of its own, the rest for others */
-#define CHANGE_MS 4000   /* in which a change is in force everywhere */
+#define FLOWS_HELD 83000    /* by a node at the target: 25,300 of its own, the rest for others */
+#define CHANGE_MS 4000      /* in which a change is in force everywhere */
+#define CONTROL_PERCENT 3.7 /* of a core that a node may spend on control */
 #define LOADS_PER_HEARTBEAT 64
 #define HEARTBEATS_PER_S 2 /* of a member */
 
@@ -363,7 +364,8 @@
   bench_bound ("ms to serve a change to all members", served / 1e6, CHANGE_MS);
   bench_bound ("ms in which all upstreams leave service", out / 1e6, CF_PAUSE_LIMIT_MS);
   bench_bound ("control of a region, percent of a core",
-               (tick / 1e6 / CF_TICK_MS + beat / 1e9 * members * HEARTBEATS_PER_S) * 100, 3.7);
+               (tick / 1e6 / CF_TICK_MS + beat / 1e9 * members * HEARTBEATS_PER_S) * 100,
+               CONTROL_PERCENT);
   cf_core_free (core);
   cf_config_unref (next);
   cf_config_unref (drained);
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -374,7 +374,7 @@
 void cf_members_list_config (struct CfCore *core);
 void cf_members_check (struct CfCore *core, CfMillis now);
 bool cf_member_serves (const struct CfCore *core, const struct CfMember *member);
-bool cf_member_forget_marks (struct CfCore *core, struct CfMember *member);
+void cf_member_forget_marks (struct CfCore *core, struct CfMember *member);
 void cf_member_tell_load (struct CfCore *core,
                           struct CfMember *member,
                           uint32_t slot,
--- a/src/core/members.c
+++ b/src/core/members.c
@@ -101,18 +101,15 @@
   *known = load;
 }
 
-bool
+void
 cf_member_forget_marks (struct CfCore *core, struct CfMember *member)
 {
-  bool any = member->all_marked || member->marks->len > 0;
-
   core->all_marked -= member->all_marked;
   member->all_marked = false;
   for (guint i = 0; i < member->marks->len; i++)
     cf_slot (core, g_array_index (member->marks, uint32_t, i))->peer_marks--;
   g_array_set_size (member->marks, 0);
   member->mark_version = 0;
-  return any;
 }
 
 void
