--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 CC = gcc
 BUILD = build
 PACKAGES = glib-2.0 gio-2.0 gio-unix-2.0 libsodium libtirpc libsoup-3.0 json-glib-1.0
-CPPFLAGS = -D_GNU_SOURCE -Iinclude -Isrc -Itests
+CPPFLAGS = -D_GNU_SOURCE -Iinclude -Isrc -I. -Itests
 CFLAGS = -O2 -g
 WARNINGS = -std=gnu11 -Wall -Wextra -Werror
 SANITIZE =
@@ -17,8 +17,9 @@
 ALL_CFLAGS = $(WARNINGS) $(CFLAGS) $(SANITIZE) $(CPPFLAGS) $(PKG_CFLAGS) -MMD -MP
 LIBS = $(SANITIZE) $(PKG_LIBS) -lm
 
-LIB_SRC := $(wildcard src/base/*.c src/config/*.c src/core/*.c src/packet/*.c src/peer/*.c)
-APP_SRC := $(wildcard src/platform/*.c src/serve/*.c src/cli/*.c)
+LIB_SRC := $(wildcard src/base/*.c src/config/*.c src/core/*.c src/packet/*.c src/peer/*.c \
+  src/balance/*.c src/feed/*.c)
+APP_SRC := $(wildcard platform/*.c src/platform/*.c src/serve/*.c src/cli/*.c)
 TEST_LIB_SRC := $(filter-out tests/test_%.c tests/live.c tests/platform.c,$(wildcard tests/*.c))
 TEST_SRC := $(wildcard tests/test_*.c)
 STANDIN_SRC := tests/live.c tests/platform.c
@@ -26,7 +27,7 @@
 
 LIB_OBJ = $(LIB_SRC:%.c=$(BUILD)/%.o)
 APP_OBJ = $(APP_SRC:%.c=$(BUILD)/%.o)
-PLATFORM_OBJ = $(filter $(BUILD)/src/platform/%,$(APP_OBJ))
+PLATFORM_OBJ = $(filter $(BUILD)/src/platform/% $(BUILD)/platform/%,$(APP_OBJ))
 TEST_LIB_OBJ = $(TEST_LIB_SRC:%.c=$(BUILD)/%.o)
 TESTS = $(TEST_SRC:tests/%.c=$(BUILD)/%)
 STANDINS = $(STANDIN_SRC:tests/%.c=$(BUILD)/%)
@@ -65,8 +66,8 @@
 	cd src/peer && rm -f peer.h peer_xdr.c && rpcgen -N -M -h -o peer.h peer.x \
 	  && rpcgen -N -M -c -o peer_xdr.c peer.x
 
-SOURCES := $(filter-out src/peer/peer_xdr.c,$(wildcard src/*/*.c tests/*.c bench/*.c))
-HEADERS := $(filter-out src/peer/peer.h,$(wildcard include/*.h src/*/*.h tests/*.h bench/*.h))
+SOURCES := $(filter-out src/peer/peer_xdr.c,$(wildcard platform/*.c src/*/*.c tests/*.c bench/*.c))
+HEADERS := $(filter-out src/peer/peer.h,$(wildcard include/*.h platform/*.h src/*/*.h tests/*.h bench/*.h))
 
 format:
 	clang-format -i $(SOURCES) $(HEADERS)
--- /dev/null
+++ b/src/balance/balance.c
@@ -0,0 +1,496 @@
+#include "balance.h"
+#include "connections.h"
+#include "reach.h"
+
+#include <string.h>
+
+/* How long a first packet waits for its successor before it goes to another upstream
+ * too: four times the usual wait, within these bounds.  Below, a datagram that is merely
+ * queued would be doubled; above, a caller waits in vain. */
+#define WAIT_MIN_MS 12
+#define WAIT_MAX_MS 100
+#define WAIT_START_MS 30 /* before the first flow has opened */
+#define WAIT_FACTOR 4
+#define WAIT_WEIGHT 0.1 /* of one flow in the smoothed wait */
+
+/* A caller sends its first packet again 200 ms after the first time, so no further
+ * upstream is tried on its behalf from then on. */
+#define CALLER_REPEATS_MS 190
+/* A caller gives a flow up that has not opened after 1.4 s. */
+#define PENDING_MAX_MS 1500
+
+/* A tick that comes this late says that this VM stood still: nothing that it missed
+ * speaks against an upstream. */
+#define PAUSE_MS 60
+
+/* An address without a route is refused while the manifest is known to be this fresh:
+ * the store's answers and those of peers come at least every second or two. */
+#define NEWS_FRESH_MS 3000
+
+/* An upstream that an evacuation is taken back for may be cold without having said so:
+ * its next announcement comes within about this time. */
+#define ANNOUNCE_MS 1500
+
+#define PRUNE_MS 10000 /* between two looks for upstreams to forget */
+
+struct CfBalance
+{
+  struct CfBalanceOptions options;
+  const struct CfBalanceOutputs *out;
+  void *context;
+  struct CfDirectory *directory;
+  struct CfRoutes *routes;
+  struct CfConnections connections;
+  GHashTable *evacuated; /* set of GQuark */
+  GRand *random;
+  GQuark domain;
+  double wait_near; /* smoothed ms from a first packet to its successor */
+  double wait_far;
+  uint32_t fleet;
+  CfMillis news_at;
+  CfMillis pruned_at;
+};
+
+const char *
+cf_fate_name (enum CfFate fate)
+{
+  static const char *const names[CF_FATE_COUNT] = {
+    [CF_FATE_PLACED] = "placed",
+    [CF_FATE_PASSED] = "passed",
+    [CF_FATE_MOVED] = "moved",
+    [CF_FATE_REPEATED] = "repeated",
+    [CF_FATE_RESET_ROUTE] = "reset-no-route",
+    [CF_FATE_RESET_SERVICE] = "reset-no-upstream",
+    [CF_FATE_RESET_REMOVED] = "reset-route-removed",
+    [CF_FATE_SILENT_ROUTE] = "dropped-no-route",
+    [CF_FATE_SILENT_COOKIE] = "dropped-unknown-cookie",
+    [CF_FATE_SILENT_OTHER] = "dropped-other-service",
+    [CF_FATE_SILENT_FULL] = "dropped-no-room",
+  };
+
+  return names[fate];
+}
+
+struct CfBalance *
+cf_balance_new (const struct CfBalanceOptions *options,
+                const struct CfBalanceOutputs *outputs,
+                void *context)
+{
+  struct CfBalance *balance = g_new0 (struct CfBalance, 1);
+
+  balance->options = *options;
+  balance->domain = g_quark_from_string (options->domain);
+  balance->options.domain = g_quark_to_string (balance->domain);
+  balance->out = outputs;
+  balance->context = context;
+  balance->directory = cf_directory_new ();
+  balance->routes = cf_routes_new ();
+  balance->evacuated = g_hash_table_new (NULL, NULL);
+  balance->random = g_rand_new_with_seed (options->seed);
+  balance->wait_near = WAIT_START_MS / WAIT_FACTOR;
+  balance->wait_far = WAIT_START_MS / WAIT_FACTOR;
+  balance->fleet = 1;
+  balance->news_at = -NEWS_FRESH_MS;
+  cf_connections_init (&balance->connections);
+  return balance;
+}
+
+void
+cf_balance_free (struct CfBalance *balance)
+{
+  cf_connections_clear (&balance->connections);
+  g_rand_free (balance->random);
+  g_hash_table_unref (balance->evacuated);
+  cf_routes_free (balance->routes);
+  cf_directory_free (balance->directory);
+  g_free (balance);
+}
+
+static void
+decide (struct CfBalance *balance, const struct CfDecision *decision)
+{
+  balance->out->decided (balance->context, decision);
+}
+
+static enum CfFate
+end (struct CfBalance *balance,
+     const struct CfSegment *segment,
+     const struct CfTarget *target,
+     enum CfFate fate,
+     CfMillis now)
+{
+  if (fate == CF_FATE_RESET_ROUTE || fate == CF_FATE_RESET_SERVICE
+      || fate == CF_FATE_RESET_REMOVED)
+    balance->out->reset (balance->context, segment);
+  decide (balance, &(struct CfDecision){
+                       .fate = fate,
+                       .caller = segment->caller,
+                       .service = segment->service,
+                       .target = target,
+                       .reason = CF_PLACE_NONE,
+                       .manifest_version = cf_routes_version (balance->routes),
+                       .known_for = target ? now - target->state_since : 0,
+                       .news_age = now - balance->news_at,
+                   });
+  return fate;
+}
+
+static double
+cold_share (const struct CfBalance *balance, GQuark service)
+{
+  const struct CfServiceTraits *traits = cf_routes_service (balance->routes, service);
+
+  return traits ? traits->cold_per_s / MAX (balance->fleet, 1) : 0;
+}
+
+static struct CfTarget *
+choose (struct CfBalance *balance,
+        const struct CfConnection *connection,
+        CfMillis now,
+        enum CfPlaceReason *reason)
+{
+  struct CfPlacement placement = {
+    .directory = balance->directory,
+    .domain = balance->domain,
+    .evacuated = balance->evacuated,
+    .cold_share = cold_share (balance, connection->service_name),
+    .random = balance->random,
+  };
+
+  return cf_place_flow (&placement, connection->service_name, connection->tried, connection->tries,
+                        now, reason);
+}
+
+static CfMillis
+wait_for (const struct CfBalance *balance, const struct CfTarget *target)
+{
+  double usual = target->domain == balance->domain ? balance->wait_near : balance->wait_far;
+
+  return CLAMP ((CfMillis) (WAIT_FACTOR * usual), WAIT_MIN_MS, WAIT_MAX_MS);
+}
+
+/* Sends the first packet BYTES of CONNECTION to the next upstream. */
+static bool
+try_next (struct CfBalance *balance,
+          struct CfConnection *connection,
+          const uint8_t *bytes,
+          size_t size,
+          enum CfFate fate,
+          CfMillis now)
+{
+  enum CfPlaceReason reason;
+  struct CfTarget *target = choose (balance, connection, now, &reason);
+
+  if (!target)
+    return false;
+  decide (balance, &(struct CfDecision){
+                       .fate = fate,
+                       .caller = connection->caller,
+                       .service = connection->service,
+                       .target = target,
+                       .reason = reason,
+                       .tries = connection->tries,
+                       .manifest_version = cf_routes_version (balance->routes),
+                       .known_for = now - target->state_since,
+                       .news_age = now - balance->news_at,
+                   });
+  connection->tried[connection->tries] = target;
+  connection->tried_at[connection->tries] = now;
+  connection->tries++;
+  cf_connection_move (connection, target);
+  cf_reach_begin (&target->reach);
+  cf_connections_schedule (&balance->connections, connection, now + wait_for (balance, target));
+  balance->out->forward (balance->context, bytes, size, target);
+  return true;
+}
+
+static struct CfConnection *
+begin (struct CfBalance *balance,
+       const struct CfSegment *segment,
+       const struct CfRouteEntry *route,
+       CfMillis now)
+{
+  struct CfConnection *connection
+      = cf_connections_add (&balance->connections, segment->caller, segment->service, now);
+
+  connection->service_name = cf_route_service (route, segment->caller);
+  if (segment->size <= CF_FIRST_BYTES_MAX)
+    {
+      memcpy (connection->first, segment->bytes, segment->size);
+      connection->first_size = segment->size;
+    }
+  return connection;
+}
+
+/* No upstream may take the flow of SEGMENT.  Refuses it, unless one may soon. */
+static enum CfFate
+unplaced (struct CfBalance *balance,
+          const struct CfSegment *segment,
+          struct CfConnection *connection,
+          CfMillis now)
+{
+  cf_connections_remove (&balance->connections, connection);
+  return end (balance, segment, NULL, CF_FATE_RESET_SERVICE, now);
+}
+
+static enum CfFate
+handle_first (struct CfBalance *balance, const struct CfSegment *segment, CfMillis now)
+{
+  const struct CfRouteEntry *route = cf_routes_find (balance->routes, segment->service);
+  struct CfConnection *connection
+      = cf_connections_find (&balance->connections, segment->caller, segment->service);
+  enum CfFate fate = segment->copy > 0 ? CF_FATE_REPEATED : CF_FATE_PLACED;
+
+  if (!route && now - balance->news_at > NEWS_FRESH_MS)
+    return end (balance, segment, NULL, CF_FATE_SILENT_ROUTE, now);
+  if (!route || route->removed)
+    return end (balance, segment, NULL, CF_FATE_RESET_ROUTE, now);
+  if (connection && !connection->pending && segment->copy > 0 && connection->target)
+    {
+      /* The flow has opened since this repetition was sent. */
+      balance->out->forward (balance->context, segment->bytes, segment->size, connection->target);
+      return CF_FATE_PASSED;
+    }
+  if (connection && (!connection->pending || segment->copy == 0))
+    {
+      cf_connections_remove (&balance->connections, connection);
+      connection = NULL;
+    }
+  if (!connection)
+    connection = begin (balance, segment, route, now);
+  if (connection->tries == CF_TRIES_MAX)
+    connection->tries = 0;
+  if (try_next (balance, connection, segment->bytes, segment->size, fate, now))
+    return fate;
+  if (connection->tries > 0)
+    {
+      /* Every upstream was tried: once more from the first. */
+      connection->tries = 0;
+      if (try_next (balance, connection, segment->bytes, segment->size, fate, now))
+        return fate;
+    }
+  return unplaced (balance, segment, connection, now);
+}
+
+static void
+smooth (double *usual, CfMillis wait)
+{
+  *usual += WAIT_WEIGHT * ((double) wait - *usual);
+}
+
+/* A packet with the cookie of TARGET followed the first packet of CONNECTION. */
+static void
+opened (struct CfBalance *balance,
+        struct CfConnection *connection,
+        struct CfTarget *target,
+        CfMillis now)
+{
+  bool suspected = !cf_reach_good (&target->reach);
+
+  for (uint32_t i = 0; i < connection->tries; i++)
+    if (connection->tried[i] == target && i + 1 == connection->tries)
+      smooth (target->domain == balance->domain ? &balance->wait_near : &balance->wait_far,
+              now - connection->tried_at[i]);
+  cf_reach_confirm (&target->reach, now);
+  if (suspected)
+    balance->out->reach_changed (balance->context, target);
+  cf_connection_move (connection, target);
+  balance->out->opened (balance->context, target->service, now - connection->begun_at);
+}
+
+static bool
+route_leads_to (const struct CfRouteEntry *route, GQuark service)
+{
+  for (uint32_t i = 0; i < route->split_count; i++)
+    if (route->splits[i].service == service)
+      return true;
+  return false;
+}
+
+static enum CfFate
+handle_later (struct CfBalance *balance, const struct CfSegment *segment, CfMillis now)
+{
+  const struct CfRouteEntry *route = cf_routes_find (balance->routes, segment->service);
+  struct CfTarget *target = cf_directory_by_cookie (balance->directory, segment->cookie);
+  struct CfConnection *connection
+      = cf_connections_find (&balance->connections, segment->caller, segment->service);
+
+  if (route && route->removed)
+    {
+      if (connection)
+        cf_connections_remove (&balance->connections, connection);
+      return end (balance, segment, target, CF_FATE_RESET_REMOVED, now);
+    }
+  if (!target)
+    return end (balance, segment, NULL, CF_FATE_SILENT_COOKIE, now);
+  if (route && !route_leads_to (route, target->service))
+    return end (balance, segment, target, CF_FATE_SILENT_OTHER, now);
+  balance->out->forward (balance->context, segment->bytes, segment->size, target);
+  if (!connection)
+    return CF_FATE_PASSED;
+  if (connection->pending)
+    opened (balance, connection, target, now);
+  if (segment->flags & (CF_SEGMENT_FIN | CF_SEGMENT_RST))
+    cf_connections_remove (&balance->connections, connection);
+  else
+    cf_connections_touch (&balance->connections, connection, now);
+  return CF_FATE_PASSED;
+}
+
+enum CfFate
+cf_balance_segment (struct CfBalance *balance, const struct CfSegment *segment, CfMillis now)
+{
+  if (segment->flags & CF_SEGMENT_SYN)
+    return handle_first (balance, segment, now);
+  return handle_later (balance, segment, now);
+}
+
+/* The successor of a first packet is overdue. */
+static void
+handle_overdue (struct CfBalance *balance, struct CfConnection *connection, CfMillis now)
+{
+  CfMillis give_up = connection->begun_at + PENDING_MAX_MS;
+  bool paused = now - connection->due_at > PAUSE_MS;
+
+  if (now >= give_up)
+    {
+      cf_connections_remove (&balance->connections, connection);
+      return;
+    }
+  if (connection->tries > 0 && !paused && connection->due_at < give_up)
+    {
+      struct CfTarget *last = connection->tried[connection->tries - 1];
+      bool good = cf_reach_good (&last->reach);
+
+      cf_reach_strike (&last->reach, connection->tried_at[connection->tries - 1], now);
+      if (good && !cf_reach_good (&last->reach))
+        balance->out->reach_changed (balance->context, last);
+    }
+  if (connection->first_size > 0 && connection->tries < CF_TRIES_MAX
+      && now - connection->begun_at < CALLER_REPEATS_MS
+      && try_next (balance, connection, connection->first, connection->first_size, CF_FATE_MOVED,
+                   now))
+    return;
+  cf_connection_move (connection, NULL);
+  cf_connections_schedule (&balance->connections, connection, give_up);
+}
+
+CfMillis
+cf_balance_tick (struct CfBalance *balance, CfMillis now)
+{
+  struct CfConnections *connections = &balance->connections;
+  CfMillis idle = cf_routes_flow_idle (balance->routes);
+
+  while (!cf_list_empty (&connections->pending))
+    {
+      struct CfConnection *connection
+          = CF_LIST_ENTRY (connections->pending.next, struct CfConnection, link);
+
+      if (connection->due_at > now)
+        break;
+      handle_overdue (balance, connection, now);
+    }
+  while (!cf_list_empty (&connections->open))
+    {
+      struct CfConnection *connection
+          = CF_LIST_ENTRY (connections->open.next, struct CfConnection, link);
+
+      if (now - connection->seen_at < idle)
+        break;
+      cf_connections_remove (connections, connection);
+    }
+  if (now - balance->pruned_at >= PRUNE_MS)
+    {
+      cf_directory_prune (balance->directory, now, balance->options.flow_lifetime_ms);
+      balance->pruned_at = now;
+    }
+  if (cf_list_empty (&connections->pending))
+    return now + CF_MS_PER_S;
+  return MIN (CF_LIST_ENTRY (connections->pending.next, struct CfConnection, link)->due_at,
+              now + CF_MS_PER_S);
+}
+
+bool
+cf_balance_manifest (struct CfBalance *balance, const struct CfManifest *manifest)
+{
+  return cf_routes_apply (balance->routes, manifest);
+}
+
+/* Upstreams of DOMAIN get flows again, and may have become cold in the meantime. */
+static void
+treat_as_cold (struct CfBalance *balance, GQuark domain, CfMillis now)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, cf_directory_all (balance->directory));
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct CfTarget *target = value;
+      const struct CfServiceTraits *traits = cf_routes_service (balance->routes, target->service);
+
+      if (target->domain != domain || !traits || traits->cold_per_s <= 0)
+        continue;
+      target->cold_until = MAX (target->cold_until, now + traits->cold_ms + ANNOUNCE_MS);
+    }
+}
+
+void
+cf_balance_evacuate (struct CfBalance *balance, const char *domain, bool on, CfMillis now)
+{
+  GQuark quark = g_quark_from_string (domain);
+
+  if (on)
+    g_hash_table_add (balance->evacuated, GUINT_TO_POINTER (quark));
+  else if (g_hash_table_remove (balance->evacuated, GUINT_TO_POINTER (quark)))
+    treat_as_cold (balance, quark, now);
+}
+
+void
+cf_balance_news (struct CfBalance *balance, CfMillis now)
+{
+  balance->news_at = now;
+}
+
+void
+cf_balance_fleet (struct CfBalance *balance, uint32_t count)
+{
+  balance->fleet = count;
+}
+
+struct CfDirectory *
+cf_balance_directory (struct CfBalance *balance)
+{
+  return balance->directory;
+}
+
+const struct CfRoutes *
+cf_balance_routes (const struct CfBalance *balance)
+{
+  return balance->routes;
+}
+
+static bool
+any_upstream (const struct CfBalance *balance)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, cf_directory_all (balance->directory));
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (((struct CfTarget *) value)->state == CF_TARGET_READY)
+      return true;
+  return false;
+}
+
+bool
+cf_balance_ready (const struct CfBalance *balance)
+{
+  return cf_routes_version (balance->routes) > 0 && any_upstream (balance);
+}
+
+uint32_t
+cf_balance_flows (const struct CfBalance *balance)
+{
+  return balance->connections.count;
+}
--- /dev/null
+++ b/src/balance/balance.h
@@ -0,0 +1,110 @@
+#ifndef CF_BALANCE_H
+#define CF_BALANCE_H
+
+#include "directory.h"
+#include "place.h"
+#include "routes.h"
+#include "segment.h"
+
+/* The decisions of an entry VM whose packets carry flow cookies.
+ *
+ * It performs no I/O, reads no clock and starts no thread.  Each input is one call with
+ * its time; each output is a call of a function in struct CfBalanceOutputs, made before
+ * the input call returns.  Used from one thread at a time. */
+
+struct CfBalance;
+
+/* What became of a packet. */
+enum CfFate
+{
+  CF_FATE_PLACED,        /* first packet, sent to a chosen upstream */
+  CF_FATE_PASSED,        /* sent to the upstream that its cookie names */
+  CF_FATE_MOVED,         /* first packet, sent to another upstream without being repeated */
+  CF_FATE_REPEATED,      /* first packet that its caller repeated, sent to another upstream */
+  CF_FATE_RESET_ROUTE,   /* refused: no route at its address */
+  CF_FATE_RESET_SERVICE, /* refused: no upstream may take it */
+  CF_FATE_RESET_REMOVED, /* flow ended: its route was removed */
+  CF_FATE_SILENT_ROUTE,  /* dropped: no route known, and the manifest may be old */
+  CF_FATE_SILENT_COOKIE, /* dropped: its cookie names no known upstream */
+  CF_FATE_SILENT_OTHER,  /* dropped: its cookie names an upstream of another service */
+  CF_FATE_SILENT_FULL,   /* dropped: no upstream may take it now, but one may soon */
+  CF_FATE_COUNT,
+};
+
+const char *cf_fate_name (enum CfFate fate);
+
+/* A decision for the log, with what decided it. */
+struct CfDecision
+{
+  enum CfFate fate;
+  struct CfEndpoint caller;
+  struct CfEndpoint service;
+  const struct CfTarget *target; /* NULL: none */
+  enum CfPlaceReason reason;
+  uint32_t tries;            /* upstreams that the first packet went to before */
+  uint64_t manifest_version; /* in force */
+  CfMillis known_for;        /* how long the upstream has been in its state */
+  CfMillis news_age;         /* since the store last answered, directly or through a peer */
+};
+
+struct CfBalanceOutputs
+{
+  /* Sends BYTES of SIZE, a packet, to TARGET with its cookie. */
+  void (*forward) (void *context,
+                   const uint8_t *bytes,
+                   size_t size,
+                   const struct CfTarget *target);
+  /* Resets the flow of SEGMENT towards its caller. */
+  void (*reset) (void *context, const struct CfSegment *segment);
+  /* A decision was made that a log may tell.  Not called for CF_FATE_PASSED. */
+  void (*decided) (void *context, const struct CfDecision *decision);
+  /* The first packet of a flow to SERVICE was followed by another after WAIT. */
+  void (*opened) (void *context, GQuark service, CfMillis wait);
+  /* The reachability of TARGET has changed. */
+  void (*reach_changed) (void *context, const struct CfTarget *target);
+};
+
+struct CfBalanceOptions
+{
+  const char *domain; /* failure domain of this VM */
+  uint32_t seed;      /* of random choices */
+  CfMillis flow_lifetime_ms;
+  double cold_factor; /* what a cold upstream bears is its rate times this */
+  double cold_extra;  /* and this many requests more in any second */
+};
+
+struct CfBalance *cf_balance_new (const struct CfBalanceOptions *options,
+                                  const struct CfBalanceOutputs *outputs,
+                                  void *context);
+void cf_balance_free (struct CfBalance *balance);
+
+/* SEGMENT came from the fabric. */
+enum CfFate cf_balance_segment (struct CfBalance *balance,
+                                const struct CfSegment *segment,
+                                CfMillis now);
+
+/* Time passes.  Returns when to call again at the latest. */
+CfMillis cf_balance_tick (struct CfBalance *balance, CfMillis now);
+
+/* MANIFEST was read.  Returns true if it came into force. */
+bool cf_balance_manifest (struct CfBalance *balance, const struct CfManifest *manifest);
+
+/* The failure domain DOMAIN is to get no new flows, or may get them again. */
+void cf_balance_evacuate (struct CfBalance *balance, const char *domain, bool on, CfMillis now);
+
+/* What is known is as of NOW: the store answered, or a peer whom it answered. */
+void cf_balance_news (struct CfBalance *balance, CfMillis now);
+
+/* COUNT VMs share what a cold upstream bears. */
+void cf_balance_fleet (struct CfBalance *balance, uint32_t count);
+
+struct CfDirectory *cf_balance_directory (struct CfBalance *balance);
+const struct CfRoutes *cf_balance_routes (const struct CfBalance *balance);
+
+/* Returns true if new flows can be served: there is a manifest and an upstream. */
+bool cf_balance_ready (const struct CfBalance *balance);
+
+/* Returns the number of flows that this VM has a record of. */
+uint32_t cf_balance_flows (const struct CfBalance *balance);
+
+#endif
--- /dev/null
+++ b/src/balance/directory.c
@@ -0,0 +1,284 @@
+#include "directory.h"
+
+#include <sodium.h>
+#include <string.h>
+
+struct CfDirectory
+{
+  GHashTable *by_id;      /* id to struct CfTarget, owned */
+  GHashTable *by_cookie;  /* cookie to struct CfTarget */
+  GHashTable *by_service; /* GQuark to GPtrArray of struct CfTarget */
+  uint32_t list;          /* number of the last full list */
+};
+
+static void
+free_target (gpointer data)
+{
+  struct CfTarget *target = data;
+
+  g_free (target->id);
+  g_free (target);
+}
+
+static void
+free_array (gpointer data)
+{
+  g_ptr_array_unref (data);
+}
+
+struct CfDirectory *
+cf_directory_new (void)
+{
+  struct CfDirectory *directory = g_new0 (struct CfDirectory, 1);
+
+  directory->by_id = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_target);
+  directory->by_cookie = g_hash_table_new (NULL, NULL);
+  directory->by_service = g_hash_table_new_full (NULL, NULL, NULL, free_array);
+  return directory;
+}
+
+void
+cf_directory_free (struct CfDirectory *directory)
+{
+  g_hash_table_unref (directory->by_service);
+  g_hash_table_unref (directory->by_cookie);
+  g_hash_table_unref (directory->by_id);
+  g_free (directory);
+}
+
+uint32_t
+cf_cookie (const char *id)
+{
+  static const uint8_t key[crypto_shorthash_KEYBYTES];
+  uint8_t hash[crypto_shorthash_BYTES];
+  uint32_t cookie;
+
+  crypto_shorthash (hash, (const uint8_t *) id, strlen (id), key);
+  memcpy (&cookie, hash, sizeof cookie);
+  cookie = GUINT32_FROM_LE (cookie);
+  return cookie ? cookie : 1;
+}
+
+const char *
+cf_target_state_name (enum CfTargetState state)
+{
+  static const char *const names[] = {
+    [CF_TARGET_READY] = "ready",
+    [CF_TARGET_LEAVING] = "leaving",
+    [CF_TARGET_LAPSED] = "lapsed",
+    [CF_TARGET_GONE] = "gone",
+  };
+
+  return names[state];
+}
+
+static void
+set_state (struct CfTarget *target, enum CfTargetState state, CfMillis now)
+{
+  if (target->state == state)
+    return;
+  target->state = state;
+  target->state_since = now;
+}
+
+static void
+file_under_service (struct CfDirectory *directory, struct CfTarget *target, GQuark service)
+{
+  GPtrArray *list;
+
+  if (target->service == service)
+    return;
+  if (target->service)
+    g_ptr_array_remove_fast (cf_directory_service (directory, target->service), target);
+  target->service = service;
+  list = cf_directory_service (directory, service);
+  if (!list)
+    {
+      list = g_ptr_array_new ();
+      g_hash_table_insert (directory->by_service, GUINT_TO_POINTER (service), list);
+    }
+  g_ptr_array_add (list, target);
+}
+
+/* Of two upstreams with one cookie the later gets no new flows: flows of the earlier
+ * may be open, and their packets would reach it. */
+static void
+file_under_cookie (struct CfDirectory *directory, struct CfTarget *target)
+{
+  struct CfTarget *other = cf_directory_by_cookie (directory, target->cookie);
+
+  target->collides = other && other != target;
+  if (!target->collides)
+    g_hash_table_insert (directory->by_cookie, GUINT_TO_POINTER (target->cookie), target);
+}
+
+static struct CfTarget *
+add_target (struct CfDirectory *directory, const struct CfAnnouncement *announcement, CfMillis now)
+{
+  struct CfTarget *target = g_new0 (struct CfTarget, 1);
+
+  target->id = g_strdup (announcement->id);
+  target->cookie = cf_cookie (announcement->id);
+  target->state_since = now;
+  target->reach.confirmed_at = -1;
+  g_hash_table_insert (directory->by_id, target->id, target);
+  file_under_cookie (directory, target);
+  return target;
+}
+
+struct CfTarget *
+cf_directory_announce (struct CfDirectory *directory,
+                       const struct CfAnnouncement *announcement,
+                       CfMillis now)
+{
+  struct CfTarget *target = cf_directory_by_id (directory, announcement->id);
+
+  if (!target)
+    target = add_target (directory, announcement, now);
+  target->marks = directory->list;
+  if (announcement->revision < target->revision || announcement->started < target->started)
+    return target;
+  if (announcement->started != target->started)
+    {
+      target->reach = (struct CfReach){ .confirmed_at = -1 };
+      target->cold_until = 0;
+    }
+  if (announcement->revision != target->revision)
+    target->cold_until = announcement->cold_ms > 0 ? now + announcement->cold_ms : 0;
+  target->started = announcement->started;
+  target->revision = announcement->revision;
+  target->tag = announcement->tag;
+  target->domain = g_quark_from_string (announcement->domain);
+  target->address = announcement->address;
+  target->slots = announcement->slots;
+  file_under_service (directory, target, g_quark_from_string (announcement->service));
+  set_state (target, announcement->draining ? CF_TARGET_LEAVING : CF_TARGET_READY, now);
+  return target;
+}
+
+static void
+withdraw (struct CfTarget *target, bool trusted, CfMillis now)
+{
+  /* A draining upstream that is no longer announced has left as it said. */
+  if (trusted || target->state == CF_TARGET_LEAVING)
+    set_state (target, CF_TARGET_GONE, now);
+  else if (target->state == CF_TARGET_READY)
+    set_state (target, CF_TARGET_LAPSED, now);
+}
+
+void
+cf_directory_withdraw (struct CfDirectory *directory, const char *id, bool trusted, CfMillis now)
+{
+  struct CfTarget *target = cf_directory_by_id (directory, id);
+
+  if (target)
+    withdraw (target, trusted, now);
+}
+
+void
+cf_directory_begin_list (struct CfDirectory *directory)
+{
+  directory->list++;
+}
+
+void
+cf_directory_end_list (struct CfDirectory *directory, bool trusted, CfMillis now)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, directory->by_id);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct CfTarget *target = value;
+
+      if (target->marks != directory->list)
+        withdraw (target, trusted, now);
+    }
+}
+
+void
+cf_directory_settle (struct CfDirectory *directory, CfMillis now)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, directory->by_id);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (((struct CfTarget *) value)->state == CF_TARGET_LAPSED)
+      set_state (value, CF_TARGET_GONE, now);
+}
+
+/* Gives the cookie that was TARGET's to an upstream that shared it. */
+static void
+pass_cookie (struct CfDirectory *directory, const struct CfTarget *target)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  if (cf_directory_by_cookie (directory, target->cookie) != target)
+    return;
+  g_hash_table_remove (directory->by_cookie, GUINT_TO_POINTER (target->cookie));
+  g_hash_table_iter_init (&iter, directory->by_id);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct CfTarget *other = value;
+
+      if (other != target && other->cookie == target->cookie)
+        {
+          file_under_cookie (directory, other);
+          return;
+        }
+    }
+}
+
+void
+cf_directory_prune (struct CfDirectory *directory, CfMillis now, CfMillis flow_lifetime_ms)
+{
+  GHashTableIter iter;
+  gpointer value;
+  GPtrArray *old = g_ptr_array_new ();
+
+  g_hash_table_iter_init (&iter, directory->by_id);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct CfTarget *target = value;
+
+      if (target->state == CF_TARGET_GONE && target->open == 0
+          && now - target->state_since > flow_lifetime_ms)
+        g_ptr_array_add (old, target);
+    }
+  for (guint i = 0; i < old->len; i++)
+    {
+      struct CfTarget *target = old->pdata[i];
+
+      pass_cookie (directory, target);
+      g_ptr_array_remove_fast (cf_directory_service (directory, target->service), target);
+      g_hash_table_remove (directory->by_id, target->id);
+    }
+  g_ptr_array_unref (old);
+}
+
+struct CfTarget *
+cf_directory_by_id (const struct CfDirectory *directory, const char *id)
+{
+  return g_hash_table_lookup (directory->by_id, id);
+}
+
+struct CfTarget *
+cf_directory_by_cookie (const struct CfDirectory *directory, uint32_t cookie)
+{
+  return g_hash_table_lookup (directory->by_cookie, GUINT_TO_POINTER (cookie));
+}
+
+GPtrArray *
+cf_directory_service (const struct CfDirectory *directory, GQuark service)
+{
+  return g_hash_table_lookup (directory->by_service, GUINT_TO_POINTER (service));
+}
+
+GHashTable *
+cf_directory_all (const struct CfDirectory *directory)
+{
+  return directory->by_id;
+}
--- /dev/null
+++ b/src/balance/place.c
@@ -0,0 +1,115 @@
+#include "place.h"
+#include "reach.h"
+
+const char *
+cf_place_reason_name (enum CfPlaceReason reason)
+{
+  static const char *const names[] = {
+    [CF_PLACE_NEAR] = "near",       [CF_PLACE_FAR] = "far",   [CF_PLACE_TRY] = "try",
+    [CF_PLACE_SUSPECT] = "suspect", [CF_PLACE_COLD] = "cold", [CF_PLACE_NONE] = "none",
+  };
+
+  return names[reason];
+}
+
+static bool
+eligible (const struct CfPlacement *placement, const struct CfTarget *target)
+{
+  if (target->state != CF_TARGET_READY && target->state != CF_TARGET_LAPSED)
+    return false;
+  if (target->collides)
+    return false;
+  return !g_hash_table_contains (placement->evacuated, GUINT_TO_POINTER (target->domain));
+}
+
+static bool
+is_tried (const struct CfTarget *target, struct CfTarget *const *tried, uint32_t count)
+{
+  for (uint32_t i = 0; i < count; i++)
+    if (tried[i] == target)
+      return true;
+  return false;
+}
+
+/* The step of the ladder that TARGET is on. */
+static enum CfPlaceReason
+step (const struct CfPlacement *placement, const struct CfTarget *target, CfMillis now)
+{
+  if (now < target->cold_until)
+    return now >= target->cold_next ? CF_PLACE_COLD : CF_PLACE_NONE;
+  if (cf_reach_good (&target->reach))
+    return target->domain == placement->domain ? CF_PLACE_NEAR : CF_PLACE_FAR;
+  return cf_reach_may_try (&target->reach, now) ? CF_PLACE_TRY : CF_PLACE_SUSPECT;
+}
+
+/* Lower is better.  Upstreams in good standing compete by load; an upstream that is due
+ * for a trial goes before them, since otherwise it would never be found to be back. */
+static double
+cost (const struct CfPlacement *placement, const struct CfTarget *target, enum CfPlaceReason reason)
+{
+  double load = (double) target->open / MAX (target->slots, 1);
+  double tie = g_rand_double_range (placement->random, 0, 0.01);
+
+  switch (reason)
+    {
+    case CF_PLACE_TRY:
+      return -1 + tie;
+    case CF_PLACE_NEAR:
+      return load + tie;
+    case CF_PLACE_FAR:
+      return load + CF_PLACE_FAR_COST + tie;
+    case CF_PLACE_SUSPECT:
+      return 1e6 + (double) target->reach.struck_at + tie;
+    case CF_PLACE_COLD:
+    case CF_PLACE_NONE:
+      break;
+    }
+  return 1e18 + load + tie;
+}
+
+struct CfTarget *
+cf_place_flow (const struct CfPlacement *placement,
+               GQuark service,
+               struct CfTarget *const *tried,
+               uint32_t count,
+               CfMillis now,
+               enum CfPlaceReason *reason)
+{
+  GPtrArray *targets = cf_directory_service (placement->directory, service);
+  struct CfTarget *best = NULL;
+  double best_cost = 0;
+
+  *reason = CF_PLACE_NONE;
+  for (guint i = 0; targets && i < targets->len; i++)
+    {
+      struct CfTarget *target = targets->pdata[i];
+      enum CfPlaceReason on;
+      double at;
+
+      if (!eligible (placement, target) || is_tried (target, tried, count))
+        continue;
+      on = step (placement, target, now);
+      if (on == CF_PLACE_NONE)
+        continue;
+      at = cost (placement, target, on);
+      if (best && at >= best_cost)
+        continue;
+      best = target;
+      best_cost = at;
+      *reason = on;
+    }
+  if (best && *reason == CF_PLACE_COLD)
+    best->cold_next = now + (CfMillis) (CF_MS_PER_S / MAX (placement->cold_share, 0.01));
+  return best;
+}
+
+bool
+cf_place_possible (const struct CfPlacement *placement, GQuark service)
+{
+  GPtrArray *targets = cf_directory_service (placement->directory, service);
+
+  for (guint i = 0; targets && i < targets->len; i++)
+    if (eligible (placement, targets->pdata[i]))
+      return true;
+  return false;
+}
--- /dev/null
+++ b/src/balance/place.h
@@ -0,0 +1,50 @@
+#ifndef CF_BALANCE_PLACE_H
+#define CF_BALANCE_PLACE_H
+
+#include "directory.h"
+
+/* Chooses the upstream for a new flow.
+ *
+ * Loads that this answers: the daily swing, bursts beyond one failure domain's slots,
+ * a service with one upstream in a failure domain, upstreams that turn dark or start
+ * cold, and failure domains that are cut off or evacuated. */
+
+/* What a flow to another failure domain costs, in requests that wait at an upstream for
+ * each of its slots: the near upstreams are filled up to this first. */
+#define CF_PLACE_FAR_COST 1.0
+
+struct CfPlacement
+{
+  const struct CfDirectory *directory;
+  GQuark domain;         /* of this VM */
+  GHashTable *evacuated; /* set of GQuark: domains that get no new flows */
+  double cold_share;     /* flows a second that this VM may open at a cold upstream */
+  GRand *random;
+};
+
+/* Why an upstream was chosen, from the best to the last resort. */
+enum CfPlaceReason
+{
+  CF_PLACE_NEAR,    /* in this VM's failure domain */
+  CF_PLACE_FAR,     /* near ones are loaded, missing or unfit */
+  CF_PLACE_TRY,     /* suspected, and due for one flow */
+  CF_PLACE_SUSPECT, /* none but suspected ones are left */
+  CF_PLACE_COLD,    /* none but cold ones are left */
+  CF_PLACE_NONE,
+};
+
+const char *cf_place_reason_name (enum CfPlaceReason reason);
+
+/* Returns an upstream of SERVICE that is not among the COUNT upstreams TRIED, or NULL;
+ * says in REASON why. */
+struct CfTarget *cf_place_flow (const struct CfPlacement *placement,
+                                GQuark service,
+                                struct CfTarget *const *tried,
+                                uint32_t count,
+                                CfMillis now,
+                                enum CfPlaceReason *reason);
+
+/* Returns true if SERVICE has an upstream that could take a new flow now or soon. */
+bool cf_place_possible (const struct CfPlacement *placement, GQuark service);
+
+#endif
--- /dev/null
+++ b/src/balance/reach.c
@@ -0,0 +1,45 @@
+#include "reach.h"
+
+bool
+cf_reach_good (const struct CfReach *reach)
+{
+  return reach->strikes == 0;
+}
+
+bool
+cf_reach_may_try (const struct CfReach *reach, CfMillis now)
+{
+  return reach->strikes > 0 && !reach->trying && now >= reach->retry_at;
+}
+
+void
+cf_reach_begin (struct CfReach *reach)
+{
+  if (reach->strikes > 0)
+    reach->trying = true;
+}
+
+void
+cf_reach_confirm (struct CfReach *reach, CfMillis now)
+{
+  reach->strikes = 0;
+  reach->trying = false;
+  reach->confirmed_at = now;
+}
+
+void
+cf_reach_strike (struct CfReach *reach, CfMillis begun, CfMillis now)
+{
+  CfMillis delay;
+
+  if (reach->confirmed_at >= begun)
+    return;
+  reach->trying = false;
+  /* Flows that began together fail together: they count once. */
+  if (reach->strikes > 0 && begun <= reach->struck_at)
+    return;
+  reach->strikes++;
+  reach->struck_at = now;
+  delay = (CfMillis) CF_REACH_RETRY_MIN_MS << MIN (reach->strikes - 1, 8);
+  reach->retry_at = now + MIN (delay, CF_REACH_RETRY_MAX_MS);
+}
--- /dev/null
+++ b/src/balance/segment.h
@@ -0,0 +1,68 @@
+#ifndef CF_BALANCE_SEGMENT_H
+#define CF_BALANCE_SEGMENT_H
+
+#include "cf_types.h"
+
+/* A packet of a flow between a caller and an upstream, as the balancer sees it.
+ *
+ * Both ends repeat the cookie that they last received on the flow, so every packet
+ * but the first says which upstream its flow is at. */
+
+#define CF_SEGMENT_MAX 1280 /* bytes of the longest packet that is handed on */
+
+enum CfSegmentFlag
+{
+  CF_SEGMENT_SYN = 1 << 0,
+  CF_SEGMENT_ACK = 1 << 1,
+  CF_SEGMENT_FIN = 1 << 2,
+  CF_SEGMENT_RST = 1 << 3,
+};
+
+/* An IPv4 address and port, both in host byte order. */
+struct CfEndpoint
+{
+  uint32_t ip;
+  uint16_t port;
+};
+
+struct CfSegment
+{
+  struct CfEndpoint caller;
+  struct CfEndpoint service; /* address that the caller connects to */
+  unsigned flags;            /* of enum CfSegmentFlag */
+  uint32_t seq;
+  uint32_t ack;
+  uint32_t cookie;      /* 0: the sender has received none yet */
+  uint16_t copy;        /* of a first packet: how often the caller sent it before */
+  const uint8_t *bytes; /* the whole packet; only valid while it is handled */
+  size_t size;
+};
+
+/* How packets look on the wire. */
+struct CfSegmentForm
+{
+  /* Reads the packet DATA of LEN bytes into SEGMENT, which refers to DATA.  Returns
+   * false if it is truncated or contradicts itself. */
+  bool (*parse) (const uint8_t *data, size_t len, struct CfSegment *segment);
+  /* Writes to OUT (CF_SEGMENT_MAX bytes) the datagram that carries the packet BYTES of
+   * SIZE bytes to the upstream whose wire id is TAG, with COOKIE in it.  Returns its
+   * length. */
+  size_t (*wrap) (const uint8_t *bytes, size_t size, uint64_t tag, uint32_t cookie, uint8_t *out);
+  /* Writes to OUT the packet that resets the flow of SEGMENT towards its caller.
+   * Returns its length. */
+  size_t (*reset) (const struct CfSegment *segment, uint8_t *out);
+};
+
+static inline bool
+cf_endpoint_equal (struct CfEndpoint a, struct CfEndpoint b)
+{
+  return a.ip == b.ip && a.port == b.port;
+}
+
+static inline uint32_t
+cf_endpoint_hash (struct CfEndpoint endpoint)
+{
+  return (endpoint.ip * 2654435761U) ^ (endpoint.port * 40503U);
+}
+
+#endif
--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -14,6 +14,7 @@
 };
 
 int cf_command_serve (int argc, char **argv);
+int cf_command_balance (int argc, char **argv);
 int cf_command_check (int argc, char **argv);
 int cf_command_apply (int argc, char **argv);
 int cf_command_domain (int argc, char **argv);
--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -18,6 +18,7 @@
 
 static const struct Command commands[] = {
   { "serve", cf_command_serve, "run the load balancer on an entry VM" },
+  { "balance", cf_command_balance, "run the load balancer behind a fabric with flow cookies" },
   { "check", cf_command_check, "check a folder of configuration files" },
   { "apply", cf_command_apply, "put a folder in force through the platform" },
   { "domain", cf_command_domain, "take a failure domain out of service, or back in" },
--- /dev/null
+++ b/src/feed/reader.c
@@ -0,0 +1,122 @@
+#include "reader.h"
+
+const char *
+cf_read_outcome_name (enum CfReadOutcome outcome)
+{
+  static const char *const names[] = {
+    [CF_READ_ANSWERED] = "answered", [CF_READ_HISTORY_GONE] = "history-gone",
+    [CF_READ_REJECTED] = "rejected", [CF_READ_UNREADABLE] = "unreadable",
+    [CF_READ_SILENT] = "no-answer",
+  };
+
+  return names[outcome];
+}
+
+void
+cf_reader_init (struct CfReader *reader, enum CfFeedKind kind, CfMillis now)
+{
+  *reader = (struct CfReader){
+    .kind = kind,
+    .next_at = now,
+    .failed_at = -1,
+    .answered_at = -1,
+  };
+}
+
+void
+cf_reader_clear (struct CfReader *reader)
+{
+  g_clear_pointer (&reader->after, g_free);
+}
+
+static void
+list_again (struct CfReader *reader)
+{
+  reader->listed = false;
+  g_clear_pointer (&reader->after, g_free);
+}
+
+bool
+cf_reader_due (struct CfReader *reader, CfMillis now)
+{
+  if (reader->calling || now < reader->next_at)
+    return false;
+  reader->calling = true;
+  return true;
+}
+
+static CfMillis
+retry_delay (const struct CfReader *reader, GRand *random)
+{
+  CfMillis delay = (CfMillis) CF_READER_RETRY_MIN_MS << MIN (reader->failures - 1, 8);
+
+  delay = MIN (delay, CF_READER_RETRY_MAX_MS);
+  return delay / 2 + g_rand_int_range (random, 0, (gint32) delay / 2 + 1);
+}
+
+static bool
+take_list_part (struct CfReader *reader, const struct CfFeedAnswer *answer, CfMillis now)
+{
+  const struct CfRecord *last;
+
+  /* Changes during a list of several parts are read again from its beginning. */
+  if (!reader->after)
+    reader->revision = answer->revision;
+  g_clear_pointer (&reader->after, g_free);
+  reader->next_at = now;
+  if (answer->truncated && answer->records->len > 0)
+    {
+      last = answer->records->pdata[answer->records->len - 1];
+      reader->after = g_strdup (last->name);
+      return false;
+    }
+  reader->listed = true;
+  return true;
+}
+
+bool
+cf_reader_outcome (struct CfReader *reader,
+                   enum CfReadOutcome outcome,
+                   const struct CfFeedAnswer *answer,
+                   CfMillis now,
+                   GRand *random)
+{
+  reader->calling = false;
+  if (outcome == CF_READ_ANSWERED)
+    {
+      reader->failures = 0;
+      reader->answered_at = now;
+      if (!reader->listed)
+        return take_list_part (reader, answer, now);
+      reader->revision = MAX (reader->revision, answer->revision);
+      reader->next_at = answer->records->len > 0 ? now + CF_READER_GATHER_MS : now;
+      return false;
+    }
+  if (outcome == CF_READ_HISTORY_GONE)
+    {
+      list_again (reader);
+      reader->next_at = now;
+      return false;
+    }
+  reader->failures++;
+  reader->failed_at = now;
+  reader->next_at = now + retry_delay (reader, random);
+  return false;
+}
+
+void
+cf_reader_skip_to (struct CfReader *reader, uint64_t revision)
+{
+  if (revision <= reader->revision)
+    return;
+  reader->revision = revision;
+  reader->listed = true;
+  g_clear_pointer (&reader->after, g_free);
+}
+
+bool
+cf_reader_trusted (const struct CfReader *reader, CfMillis now)
+{
+  return reader->answered_at >= 0
+         && (reader->failed_at < 0 || now - reader->failed_at > CF_READER_SETTLE_MS);
+}
--- /dev/null
+++ b/src/feed/record.c
@@ -0,0 +1,42 @@
+#include "record.h"
+
+const char *
+cf_feed_kind_name (enum CfFeedKind kind)
+{
+  static const char *const names[CF_FEED_KINDS] = {
+    [CF_FEED_MANIFEST] = "manifest",
+    [CF_FEED_UPSTREAMS] = "upstreams",
+    [CF_FEED_EVACUATIONS] = "evacuations",
+    [CF_FEED_VMS] = "vms",
+  };
+
+  return names[kind];
+}
+
+struct CfRecord *
+cf_record_new (const char *name, uint64_t revision, bool deleted, const char *text)
+{
+  struct CfRecord *record = g_new0 (struct CfRecord, 1);
+
+  record->name = g_strdup (name);
+  record->revision = revision;
+  record->deleted = deleted;
+  record->text = g_strdup (text);
+  return record;
+}
+
+void
+cf_record_free (gpointer data)
+{
+  struct CfRecord *record = data;
+
+  g_free (record->name);
+  g_free (record->text);
+  g_free (record);
+}
+
+void
+cf_feed_answer_clear (struct CfFeedAnswer *answer)
+{
+  g_clear_pointer (&answer->records, g_ptr_array_unref);
+}
--- /dev/null
+++ b/src/feed/replica.c
@@ -0,0 +1,118 @@
+#include "replica.h"
+
+void
+cf_replica_init (struct CfReplica *replica)
+{
+  for (int kind = 0; kind < CF_FEED_KINDS; kind++)
+    {
+      replica->records[kind]
+          = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, cf_record_free);
+      replica->revision[kind] = 0;
+    }
+}
+
+void
+cf_replica_clear (struct CfReplica *replica)
+{
+  for (int kind = 0; kind < CF_FEED_KINDS; kind++)
+    g_clear_pointer (&replica->records[kind], g_hash_table_unref);
+}
+
+/* Keeps a copy of RECORD if it is news, and adds the copy to NEWS. */
+static void
+take (GHashTable *records, const struct CfRecord *record, GPtrArray *news)
+{
+  const struct CfRecord *known = g_hash_table_lookup (records, record->name);
+  struct CfRecord *copy;
+
+  if (known && (record->revision < known->revision
+                || (record->revision == known->revision && record->deleted == known->deleted)))
+    return;
+  if (!known && record->deleted)
+    return;
+  copy = cf_record_new (record->name, record->revision, record->deleted, record->text);
+  g_hash_table_replace (records, copy->name, copy);
+  g_ptr_array_add (news, copy);
+}
+
+/* Deletes the records that LISTED does not have and that are older than REVISION. */
+static void
+delete_others (GHashTable *records, GPtrArray *listed, uint64_t revision, GPtrArray *news)
+{
+  GHashTable *names = g_hash_table_new (g_str_hash, g_str_equal);
+  GHashTableIter iter;
+  gpointer value;
+
+  for (guint i = 0; i < listed->len; i++)
+    g_hash_table_add (names, ((struct CfRecord *) listed->pdata[i])->name);
+  g_hash_table_iter_init (&iter, records);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct CfRecord *record = value;
+
+      if (record->deleted || record->revision > revision
+          || g_hash_table_contains (names, record->name))
+        continue;
+      record->deleted = true;
+      record->revision = revision;
+      g_clear_pointer (&record->text, g_free);
+      g_ptr_array_add (news, record);
+    }
+  g_hash_table_unref (names);
+}
+
+GPtrArray *
+cf_replica_apply (struct CfReplica *replica,
+                  enum CfFeedKind kind,
+                  GPtrArray *records,
+                  uint64_t revision,
+                  bool whole)
+{
+  GPtrArray *news = g_ptr_array_new ();
+
+  if (whole && revision < replica->revision[kind])
+    return news;
+  for (guint i = 0; i < records->len; i++)
+    take (replica->records[kind], records->pdata[i], news);
+  if (whole)
+    delete_others (replica->records[kind], records, revision, news);
+  replica->revision[kind] = MAX (replica->revision[kind], revision);
+  return news;
+}
+
+static gint
+by_revision (gconstpointer a, gconstpointer b)
+{
+  const struct CfRecord *x = *(struct CfRecord *const *) a;
+  const struct CfRecord *y = *(struct CfRecord *const *) b;
+
+  return x->revision < y->revision ? -1 : x->revision > y->revision;
+}
+
+GPtrArray *
+cf_replica_since (const struct CfReplica *replica, enum CfFeedKind kind, uint64_t revision)
+{
+  GPtrArray *changed = g_ptr_array_new ();
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, replica->records[kind]);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (((struct CfRecord *) value)->revision > revision)
+      g_ptr_array_add (changed, value);
+  g_ptr_array_sort (changed, by_revision);
+  return changed;
+}
+
+uint32_t
+cf_replica_count (const struct CfReplica *replica, enum CfFeedKind kind)
+{
+  GHashTableIter iter;
+  gpointer value;
+  uint32_t count = 0;
+
+  g_hash_table_iter_init (&iter, replica->records[kind]);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    count += !((struct CfRecord *) value)->deleted;
+  return count;
+}
--- /dev/null
+++ b/src/feed/replica.h
@@ -0,0 +1,35 @@
+#ifndef CF_FEED_REPLICA_H
+#define CF_FEED_REPLICA_H
+
+#include "record.h"
+
+/* This VM's copy of the store's records of each kind.  A record never goes back to an
+ * earlier revision, whoever tells of it. */
+
+struct CfReplica
+{
+  GHashTable *records[CF_FEED_KINDS]; /* name to struct CfRecord, deleted ones included */
+  uint64_t revision[CF_FEED_KINDS];   /* all changes up to it are in the copy */
+};
+
+void cf_replica_init (struct CfReplica *replica);
+void cf_replica_clear (struct CfReplica *replica);
+
+/* Takes RECORDS of KIND, all changes up to REVISION; with WHOLE they are all records that
+ * there are.  Returns those that are news, an array of struct CfRecord that belong to the
+ * replica. */
+GPtrArray *cf_replica_apply (struct CfReplica *replica,
+                             enum CfFeedKind kind,
+                             GPtrArray *records,
+                             uint64_t revision,
+                             bool whole);
+
+/* Returns the records of KIND that changed after REVISION, oldest change first, an array
+ * of struct CfRecord that belong to the replica. */
+GPtrArray *
+cf_replica_since (const struct CfReplica *replica, enum CfFeedKind kind, uint64_t revision);
+
+/* Returns the number of records of KIND that are not deleted. */
+uint32_t cf_replica_count (const struct CfReplica *replica, enum CfFeedKind kind);
+
+#endif
--- /dev/null
+++ b/src/serve/balance_settings.c
@@ -0,0 +1,144 @@
+#include "balance_settings.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+struct Reader
+{
+  GKeyFile *file;
+  const char *path;
+  struct CfError *error;
+  bool failed;
+};
+
+static void
+fail (struct Reader *reader, const char *group, const char *key, const char *reason)
+{
+  if (!reader->failed)
+    cf_error_set (reader->error, CF_ERROR_INPUT, "%s: [%s] %s: %s", reader->path, group, key,
+                  reason);
+  reader->failed = true;
+}
+
+static char *
+text (struct Reader *reader, const char *group, const char *key)
+{
+  char *value = g_key_file_get_string (reader->file, group, key, NULL);
+
+  if (!value || !*value)
+    fail (reader, group, key, "is missing");
+  return value;
+}
+
+static double
+number (struct Reader *reader, const char *group, const char *key, double min, double max)
+{
+  char *value = text (reader, group, key);
+  char *end = value;
+  double result = value ? g_ascii_strtod (value, &end) : 0;
+
+  if (value && (*end || end == value || !(result >= min && result <= max)))
+    fail (reader, group, key, "is not a number in its range");
+  g_free (value);
+  return result;
+}
+
+static bool
+parse_ip_port (const char *value, struct CfAddress *address)
+{
+  const char *colon = strrchr (value, ':');
+  char *ip;
+  char *end;
+  long port;
+  bool ok;
+
+  if (!colon)
+    return false;
+  port = strtol (colon + 1, &end, 10);
+  ip = g_strndup (value, (gsize) (colon - value));
+  ok = *end == 0 && port > 0 && port <= UINT16_MAX
+       && cf_address_parse (ip, (uint16_t) port, address);
+  g_free (ip);
+  return ok;
+}
+
+static struct CfAddress
+address (struct Reader *reader, const char *group, const char *key)
+{
+  struct CfAddress result = { 0 };
+  char *value = text (reader, group, key);
+
+  if (value && *value && !parse_ip_port (value, &result))
+    fail (reader, group, key, "is not IP:port");
+  g_free (value);
+  return result;
+}
+
+static char **
+list (struct Reader *reader, const char *group, const char *key)
+{
+  char *value = g_key_file_get_string (reader->file, group, key, NULL);
+  char **result = g_strsplit (value ? value : "", ",", -1);
+
+  g_free (value);
+  return result;
+}
+
+static void
+read_values (struct Reader *reader, struct CfBalanceSettings *settings)
+{
+  struct CfAddress store;
+
+  settings->name = text (reader, "vm", "name");
+  settings->ip = text (reader, "vm", "address");
+  settings->failure_domain = text (reader, "vm", "failure-domain");
+  settings->fabric = address (reader, "vm", "fabric-address");
+  settings->ready = address (reader, "vm", "ready-address");
+  settings->metrics_port = (uint16_t) number (reader, "vm", "metrics-port", 0, UINT16_MAX);
+  settings->peer_port = (uint16_t) number (reader, "vm", "peer-port", 1, UINT16_MAX);
+  settings->link_mbps = number (reader, "vm", "link-mbps", 0, 1e9);
+  settings->seeds = list (reader, "fleet", "seeds");
+  settings->store = text (reader, "store", "address");
+  if (settings->store && *settings->store && !parse_ip_port (settings->store, &store))
+    fail (reader, "store", "address", "is not IP:port");
+  settings->flow_life_ms
+      = (CfMillis) (number (reader, "limits", "flow-lifetime-s", 0, 1e6) * CF_MS_PER_S);
+  settings->grace_ms = (CfMillis) (number (reader, "limits", "grace-s", 0, 1e6) * CF_MS_PER_S);
+  settings->cold_factor = number (reader, "limits", "cold-factor", 0, 1e6);
+  settings->cold_extra = number (reader, "limits", "cold-extra", 0, 1e6);
+}
+
+bool
+cf_balance_settings_read (struct CfBalanceSettings *settings,
+                          const char *path,
+                          struct CfError *error)
+{
+  struct Reader reader = { .file = g_key_file_new (), .path = path, .error = error };
+  GError *fault = NULL;
+
+  *settings = (struct CfBalanceSettings){ .path = g_strdup (path) };
+  if (!g_key_file_load_from_file (reader.file, path, G_KEY_FILE_NONE, &fault))
+    {
+      cf_error_set (error, CF_ERROR_INPUT, "%s: %s", path, fault->message);
+      g_error_free (fault);
+      reader.failed = true;
+    }
+  else
+    read_values (&reader, settings);
+  g_key_file_unref (reader.file);
+  if (reader.failed)
+    cf_balance_settings_clear (settings);
+  return !reader.failed;
+}
+
+void
+cf_balance_settings_clear (struct CfBalanceSettings *settings)
+{
+  g_free (settings->path);
+  g_free (settings->name);
+  g_free (settings->ip);
+  g_free (settings->failure_domain);
+  g_strfreev (settings->seeds);
+  g_free (settings->store);
+  *settings = (struct CfBalanceSettings){ 0 };
+}
--- /dev/null
+++ b/src/serve/balance_settings.h
@@ -0,0 +1,36 @@
+#ifndef CF_SERVE_BALANCE_SETTINGS_H
+#define CF_SERVE_BALANCE_SETTINGS_H
+
+#include "cf_types.h"
+
+#include <glib.h>
+
+/* Settings of "cyclamenferry balance", read from a key file whose path comes from the flag
+ * --boot or the variable CYCLAMENFERRY_BOOT. */
+struct CfBalanceSettings
+{
+  char *path; /* of the file */
+  char *name;
+  char *ip;
+  char *failure_domain;
+  struct CfAddress fabric; /* UDP, packets from the fabric */
+  struct CfAddress ready;  /* TCP, asked by the fabric whether this VM takes flows */
+  uint16_t metrics_port;   /* TCP at the VM's address, 0: none */
+  uint16_t peer_port;      /* TCP and UDP, the same on all VMs */
+  double link_mbps;
+  char **seeds;         /* IP:port of VMs that may know the fleet; the port is not used */
+  char *store;          /* IP:port */
+  CfMillis flow_life_ms; /* no flow lives longer */
+  CfMillis grace_ms;     /* from SIGTERM until the process is killed */
+  double cold_factor;    /* a cold upstream bears its rate times this */
+  double cold_extra;     /* and this many requests in any second */
+};
+
+/* Reads the file PATH into SETTINGS.  Returns false with ERROR, which names the file and
+ * the key, if a value is missing or not valid. */
+bool cf_balance_settings_read (struct CfBalanceSettings *settings,
+                               const char *path,
+                               struct CfError *error);
+void cf_balance_settings_clear (struct CfBalanceSettings *settings);
+
+#endif
--- /dev/null
+++ b/src/serve/balancer.c
@@ -0,0 +1,165 @@
+#include "balancer.h"
+#include "log.h"
+
+#include <glib-unix.h>
+#include <json-glib/json-glib.h>
+#include <libsoup/soup.h>
+#include <sys/stat.h>
+
+/* The supervisor of an entry VM behind a fabric with flow cookies: starts the tasks,
+ * turns signals and a changed settings file into messages, and stops the tasks in reverse
+ * order. */
+
+/* From SIGTERM until the process ends: the fabric asks twice a second and takes two
+ * refusals; then packets that are on their way must still be passed on. */
+#define LINGER_MS 2000
+/* The settings file may change without a signal. */
+#define SETTINGS_CHECK_S 2
+
+struct Child
+{
+  const struct CfTaskClass *class;
+  struct CfTask *task;
+  void *(*new) (struct CfBalancer *balancer);
+  void (*free) (void *data);
+};
+
+struct Supervisor
+{
+  struct CfBalancer balancer;
+  gint64 settings_mtime;
+};
+
+static void
+log_event (struct CfBalancer *balancer, const char *event, const char *detail)
+{
+  cf_event_log_write (balancer->log, event,
+                      (struct CfField[]){
+                          { .key = "detail", .text = detail },
+                          { 0 },
+                      });
+}
+
+static gboolean
+quit (gpointer data)
+{
+  struct Supervisor *supervisor = data;
+
+  g_main_loop_quit (supervisor->balancer.main_loop);
+  return G_SOURCE_REMOVE;
+}
+
+static gboolean
+on_stop (gpointer data)
+{
+  struct Supervisor *supervisor = data;
+  struct CfBalancer *balancer = &supervisor->balancer;
+  CfMillis linger = MIN (LINGER_MS, balancer->settings.grace_ms / 2);
+
+  if (atomic_exchange (&balancer->leaving, true))
+    return G_SOURCE_CONTINUE;
+  log_event (balancer, "stopping", "SIGTERM; packets are passed on until the fabric has noticed");
+  g_timeout_add ((guint) linger, quit, supervisor);
+  return G_SOURCE_CONTINUE;
+}
+
+static gint64
+file_mtime (const char *path)
+{
+  struct stat info;
+
+  if (stat (path, &info) != 0)
+    return 0;
+  return (gint64) info.st_mtim.tv_sec * G_TIME_SPAN_SECOND + info.st_mtim.tv_nsec / 1000;
+}
+
+/* Addresses and names of a running process cannot change; a file that says otherwise is
+ * reported and takes effect at the next start. */
+static void
+reload (struct Supervisor *supervisor, const char *why)
+{
+  struct CfBalancer *balancer = &supervisor->balancer;
+  struct CfBalanceSettings fresh;
+  struct CfError error = { 0 };
+
+  supervisor->settings_mtime = file_mtime (balancer->settings.path);
+  if (!cf_balance_settings_read (&fresh, balancer->settings.path, &error))
+    {
+      log_event (balancer, "reload-failed", error.text);
+      return;
+    }
+  log_event (balancer, "reloaded", why);
+  cf_balance_settings_clear (&fresh);
+}
+
+static gboolean
+on_reload (gpointer data)
+{
+  reload (data, "SIGHUP");
+  return G_SOURCE_CONTINUE;
+}
+
+static gboolean
+check_settings (gpointer data)
+{
+  struct Supervisor *supervisor = data;
+
+  if (file_mtime (supervisor->balancer.settings.path) != supervisor->settings_mtime)
+    reload (supervisor, "the file changed");
+  return G_SOURCE_CONTINUE;
+}
+
+static void
+run_children (struct CfBalancer *balancer, struct Child *children, size_t count)
+{
+  for (size_t i = 0; i < count; i++)
+    cf_task_prepare (children[i].task, children[i].class, children[i].new(balancer));
+  for (size_t i = 0; i < count; i++)
+    cf_task_start (children[i].task);
+  g_main_loop_run (balancer->main_loop);
+  for (size_t i = count; i > 0; i--)
+    cf_task_stop (children[i - 1].task);
+  for (size_t i = count; i > 0; i--)
+    {
+      cf_task_finish (children[i - 1].task);
+      children[i - 1].free (children[i - 1].task->data);
+    }
+}
+
+bool
+cf_balancer_run (const char *path, struct CfError *error)
+{
+  struct Supervisor *supervisor = g_new0 (struct Supervisor, 1);
+  struct CfBalancer *balancer = &supervisor->balancer;
+  struct Child children[] = {
+    { &cf_datapath_task, &balancer->datapath, cf_datapath_task_new, cf_datapath_task_free },
+    { &cf_feed_task, &balancer->feed, cf_feed_task_new, cf_feed_task_free },
+    { &cf_balancer_admin_task, &balancer->admin, cf_balancer_admin_task_new,
+      cf_balancer_admin_task_free },
+  };
+
+  if (!cf_balance_settings_read (&balancer->settings, path, error))
+    {
+      g_free (supervisor);
+      return false;
+    }
+  cf_task_register_types ();
+  supervisor->settings_mtime = file_mtime (path);
+  balancer->log = cf_event_log_new (balancer->settings.name);
+  cf_event_log_adopt_glib (balancer->log);
+  balancer->main_loop = g_main_loop_new (NULL, FALSE);
+  log_event (balancer, "started", path);
+  g_unix_signal_add (SIGTERM, on_stop, supervisor);
+  g_unix_signal_add (SIGINT, on_stop, supervisor);
+  g_unix_signal_add (SIGHUP, on_reload, supervisor);
+  g_timeout_add_seconds (SETTINGS_CHECK_S, check_settings, supervisor);
+  run_children (balancer, children, G_N_ELEMENTS (children));
+  log_event (balancer, "stopped", "");
+  g_main_loop_unref (balancer->main_loop);
+  /* GLib's writer stays in place and must not find a log that has ended. */
+  g_log_set_default_handler (g_log_default_handler, NULL);
+  cf_event_log_free (balancer->log);
+  cf_balance_settings_clear (&balancer->settings);
+  g_free (supervisor);
+  return true;
+}
--- /dev/null
+++ b/src/serve/balancer_admin_task.c
@@ -0,0 +1,171 @@
+#include "balancer.h"
+#include "platform/calls.h"
+#include "server.h"
+
+#include <string.h>
+
+/* The admin task answers the fabric's question whether this VM takes flows, and serves
+ * /metrics. */
+
+struct AdminTask
+{
+  struct CfBalancer *balancer;
+  SoupServer *ready;
+  SoupServer *metrics;
+};
+
+static void
+respond (SoupServerMessage *message, guint status, const char *text, gsize len)
+{
+  soup_server_message_set_status (message, status, NULL);
+  soup_server_message_set_response (message, "text/plain; version=0.0.4", SOUP_MEMORY_COPY, text,
+                                    len);
+}
+
+static void
+answer_ready (SoupServer *soup,
+              SoupServerMessage *message,
+              const char *path,
+              GHashTable *query,
+              gpointer data)
+{
+  struct AdminTask *task = data;
+  bool ready
+      = atomic_load (&task->balancer->serving) && !atomic_load (&task->balancer->leaving);
+
+  (void) soup;
+  (void) query;
+  if (strcmp (path, cf_platform_ready_path) != 0)
+    respond (message, SOUP_STATUS_NOT_FOUND, "", 0);
+  else
+    respond (message, ready ? SOUP_STATUS_OK : SOUP_STATUS_SERVICE_UNAVAILABLE, "", 0);
+}
+
+static void
+answer_metrics (SoupServer *soup,
+                SoupServerMessage *message,
+                const char *path,
+                GHashTable *query,
+                gpointer data)
+{
+  struct AdminTask *task = data;
+  struct CfMetricsRequest *request;
+
+  (void) soup;
+  (void) query;
+  if (strcmp (path, "/metrics") != 0)
+    {
+      respond (message, SOUP_STATUS_NOT_FOUND, "there is /metrics\n", 18);
+      return;
+    }
+  request = g_new0 (struct CfMetricsRequest, 1);
+  request->text = g_string_new (NULL);
+  request->message = g_object_ref (message);
+  soup_server_message_pause (message);
+  cf_send_metrics_request (task->balancer, request);
+}
+
+static void
+take_metrics (void *data, void *message)
+{
+  struct AdminTask *task = data;
+  struct CfMetricsRequest *request = message;
+
+  if (!task->metrics)
+    return;
+  respond (request->message, SOUP_STATUS_OK, request->text->str, request->text->len);
+  soup_server_message_unpause (request->message);
+}
+
+static void
+free_request (gpointer data)
+{
+  struct CfMetricsRequest *request = data;
+
+  g_object_unref (request->message);
+  g_string_free (request->text, TRUE);
+  g_free (request);
+}
+
+void
+cf_send_metrics (struct CfBalancer *balancer, struct CfMetricsRequest *request)
+{
+  cf_task_post (&balancer->admin, take_metrics, request, free_request);
+}
+
+static SoupServer *
+listen_at (const struct CfAddress *address,
+           SoupServerCallback answer,
+           struct AdminTask *task,
+           struct CfError *error)
+{
+  SoupServer *soup = soup_server_new ("server-header", "cyclamenferry ", NULL);
+  GSocketAddress *local = cf_socket_address (address);
+  GError *fault = NULL;
+
+  soup_server_add_handler (soup, NULL, answer, task, NULL);
+  if (!soup_server_listen (soup, local, 0, &fault))
+    {
+      char text[CF_ADDRESS_TEXT_MAX];
+
+      cf_address_format (address, text, sizeof text);
+      cf_error_set (error, CF_ERROR_IO, "TCP %s: %s", text, fault->message);
+      g_error_free (fault);
+      g_clear_object (&soup);
+    }
+  g_object_unref (local);
+  return soup;
+}
+
+static bool
+start (struct CfTask *base, void *data, struct CfError *error)
+{
+  struct AdminTask *task = data;
+  const struct CfBalanceSettings *settings = &task->balancer->settings;
+  struct CfAddress metrics = settings->ready;
+
+  (void) base;
+  task->ready = listen_at (&settings->ready, answer_ready, task, error);
+  if (!task->ready)
+    return false;
+  if (settings->metrics_port == 0)
+    return true;
+  metrics.port = settings->metrics_port;
+  task->metrics = listen_at (&metrics, answer_metrics, task, error);
+  return task->metrics != NULL;
+}
+
+static void
+close_server (SoupServer **soup)
+{
+  if (*soup)
+    soup_server_disconnect (*soup);
+  g_clear_object (soup);
+}
+
+static void
+stop (struct CfTask *base, void *data)
+{
+  struct AdminTask *task = data;
+
+  (void) base;
+  close_server (&task->ready);
+  close_server (&task->metrics);
+}
+
+const struct CfTaskClass cf_balancer_admin_task = { .name = "admin", .start = start, .stop = stop };
+
+void *
+cf_balancer_admin_task_new (struct CfBalancer *balancer)
+{
+  struct AdminTask *task = g_new0 (struct AdminTask, 1);
+
+  task->balancer = balancer;
+  return task;
+}
+
+void
+cf_balancer_admin_task_free (void *data)
+{
+  g_free (data);
+}
--- a/src/serve/metrics.c
+++ b/src/serve/metrics.c
@@ -34,11 +34,12 @@
     write_value (text, "dropped_total", "reason", cf_drop_name ((enum CfDrop) i), stats->drop[i]);
 }
 
-static void
-write_histogram (GString *text,
-                 const char *name,
-                 const struct CfServiceStats *service,
-                 const struct CfHistogram *histogram)
+void
+cf_metrics_histogram (GString *text,
+                      const char *name,
+                      const char *tenant,
+                      const char *service,
+                      const struct CfHistogram *histogram)
 {
   uint64_t sum = 0;
 
@@ -51,7 +52,7 @@
           text,
           PREFIX "%s_bucket{tenant=\"%s\",service=\"%s\",le=\"%" G_GUINT64_FORMAT
                  "\"} %" G_GUINT64_FORMAT "\n",
-          name, service->tenant, service->name, i ? (G_GUINT64_CONSTANT (1) << i) - 1 : 0, sum);
+          name, tenant, service, i ? (G_GUINT64_CONSTANT (1) << i) - 1 : 0, sum);
     }
   g_string_append_printf (
       text,
@@ -59,8 +60,8 @@
              "%" G_GUINT64_FORMAT "\n" PREFIX
              "%s_sum{tenant=\"%s\",service=\"%s\"} %" G_GUINT64_FORMAT "\n" PREFIX
              "%s_count{tenant=\"%s\",service=\"%s\"} %" G_GUINT64_FORMAT "\n",
-      name, service->tenant, service->name, histogram->total, name, service->tenant, service->name,
-      histogram->sum, name, service->tenant, service->name, histogram->total);
+      name, tenant, service, histogram->total, name, tenant, service, histogram->sum, name, tenant,
+      service, histogram->total);
 }
 
 static void
@@ -88,10 +89,10 @@
       write_service_counter (text, "service_bytes_total", service, service->bytes);
       write_service_counter (text, "service_new_flows_total", service, service->new_flows);
       write_service_counter (text, "service_refused_total", service, service->refused);
-      write_histogram (text, "packet_bytes", service, &service->packet_bytes);
-      write_histogram (text, "handshake_ms", service, &service->handshake_ms);
+      cf_metrics_histogram (text, "packet_bytes", service->tenant, service->name, &service->packet_bytes);
+      cf_metrics_histogram (text, "handshake_ms", service->tenant, service->name, &service->handshake_ms);
       if (decision)
-        write_histogram (text, "decision_ns", service, decision);
+        cf_metrics_histogram (text, "decision_ns", service->tenant, service->name, decision);
     }
 }
 
--- a/src/serve/server.c
+++ b/src/serve/server.c
@@ -2,8 +2,6 @@
 #include "log.h"
 
 #include <glib-unix.h>
-#include <json-glib/json-glib.h>
-#include <libsoup/soup.h>
 #include <sodium.h>
 
 /* The supervisor: starts the tasks, turns signals into messages, and stops the tasks
@@ -50,20 +48,6 @@
     }
 }
 
-/* Registers the types that several tasks use, before there are threads: GIO 2.74 can
- * deadlock when two threads register a type and its parent at the same time. */
-static void
-register_types (void)
-{
-  const GType types[] = {
-    G_TYPE_INET_ADDRESS, G_TYPE_INET_SOCKET_ADDRESS, G_TYPE_SOCKET,    G_TYPE_CANCELLABLE,
-    SOUP_TYPE_SESSION,   SOUP_TYPE_MESSAGE,          SOUP_TYPE_SERVER, JSON_TYPE_PARSER,
-  };
-
-  for (size_t i = 0; i < G_N_ELEMENTS (types); i++)
-    g_type_class_unref (g_type_class_ref (types[i]));
-}
-
 void
 cf_server_run (const struct CfSettings *settings)
 {
@@ -80,7 +64,7 @@
   };
   size_t count = G_N_ELEMENTS (children) - (settings->admin_port == 0);
 
-  register_types ();
+  cf_task_register_types ();
   server->settings = *settings;
   cf_peer_keys (settings->fleet_key, &server->keys);
   server->main_loop = g_main_loop_new (NULL, FALSE);
--- a/src/serve/server.h
+++ b/src/serve/server.h
@@ -112,6 +112,13 @@
 /* Opens a non-blocking UDP socket at IP and PORT, or returns NULL with ERROR. */
 GSocket *cf_udp_open (const char *ip, uint16_t port, struct CfError *error);
 
+/* Appends HISTOGRAM of SERVICE, called NAME, in Prometheus text format to TEXT. */
+void cf_metrics_histogram (GString *text,
+                           const char *name,
+                           const char *tenant,
+                           const char *service,
+                           const struct CfHistogram *histogram);
+
 /* Appends all metrics in Prometheus text format to TEXT. */
 struct CfMetricsInput
 {
--- a/src/serve/task.c
+++ b/src/serve/task.c
@@ -1,6 +1,8 @@
 #include "task.h"
 #include "log.h"
 
+#include <json-glib/json-glib.h>
+#include <libsoup/soup.h>
 #include <string.h>
 
 #define RESTART_MIN_MS 100
@@ -56,6 +58,18 @@
   return NULL;
 }
 
+void
+cf_task_register_types (void)
+{
+  const GType types[] = {
+    G_TYPE_INET_ADDRESS, G_TYPE_INET_SOCKET_ADDRESS, G_TYPE_SOCKET,    G_TYPE_CANCELLABLE,
+    SOUP_TYPE_SESSION,   SOUP_TYPE_MESSAGE,          SOUP_TYPE_SERVER, JSON_TYPE_PARSER,
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (types); i++)
+    g_type_class_unref (g_type_class_ref (types[i]));
+}
+
 void
 cf_task_prepare (struct CfTask *task, const struct CfTaskClass *class, void *data)
 {
--- a/src/serve/task.h
+++ b/src/serve/task.h
@@ -34,6 +34,10 @@
 
 typedef void CfTaskFunc (void *data, void *message);
 
+/* Registers the types that several tasks use, before there are threads: GIO 2.74 can
+ * deadlock when two threads register a type and its parent at the same time. */
+void cf_task_register_types (void);
+
 /* Prepares TASK of CLASS, whose functions get DATA.  From now on messages can be
  * posted to it. */
 void cf_task_prepare (struct CfTask *task, const struct CfTaskClass *class, void *data);
