A record told twice in one answer of the store no longer crashes the feed

Cause: VMs ended with a fault right after a store outage. A backtrace from a trial on a scratch copy led to the name of a record that was news: an answer with two changes of one upstream replaced the first copy while it still stood in the list of news.

Ruled out: cancelled HTTP calls (a store that hangs, resets and refuses at random under AddressSanitizer: no fault), the way a VM stops.

Change: records are updated in place and listed once. test_feed plays it (failed first), with the reader, the replica and the reading of objects.

Conclusion: cause found and tested.

--- a/src/feed/replica.c
+++ b/src/feed/replica.c
@@ -18,21 +18,46 @@
     g_clear_pointer (&replica->records[kind], g_hash_table_unref);
 }
 
-/* Keeps a copy of RECORD if it is news, and adds the copy to NEWS. */
-static void
-take (GHashTable *records, const struct CfRecord *record, GPtrArray *news)
+/* Keeps what RECORD says if it is news.  Returns the copy then, else NULL. */
+static struct CfRecord *
+take (GHashTable *records, const struct CfRecord *record)
 {
-  const struct CfRecord *known = g_hash_table_lookup (records, record->name);
-  struct CfRecord *copy;
+  struct CfRecord *known = g_hash_table_lookup (records, record->name);
 
-  if (known && (record->revision < known->revision
-                || (record->revision == known->revision && record->deleted == known->deleted)))
-    return;
   if (!known && record->deleted)
-    return;
-  copy = cf_record_new (record->name, record->revision, record->deleted, record->text);
-  g_hash_table_replace (records, copy->name, copy);
-  g_ptr_array_add (news, copy);
+    return NULL;
+  if (!known)
+    {
+      known = cf_record_new (record->name, 0, true, NULL);
+      g_hash_table_insert (records, known->name, known);
+    }
+  else if (record->revision < known->revision
+           || (record->revision == known->revision && record->deleted == known->deleted))
+    return NULL;
+  /* In place: an answer may tell of one record several times, and all that was said to be
+   * news stays valid. */
+  known->revision = record->revision;
+  known->deleted = record->deleted;
+  g_free (known->text);
+  known->text = g_strdup (record->text);
+  return known;
+}
+
+static GPtrArray *
+take_all (GHashTable *records, GPtrArray *told)
+{
+  GPtrArray *news = g_ptr_array_new ();
+  GHashTable *seen = g_hash_table_new (NULL, NULL);
+
+  for (guint i = 0; i < told->len; i++)
+    {
+      struct CfRecord *record = take (records, told->pdata[i]);
+
+      if (record && g_hash_table_add (seen, record))
+        g_ptr_array_add (news, record);
+    }
+  g_hash_table_unref (seen);
+  return news;
 }
 
 /* Deletes the records that LISTED does not have and that are older than REVISION. */
@@ -68,12 +93,11 @@
                   uint64_t revision,
                   bool whole)
 {
-  GPtrArray *news = g_ptr_array_new ();
+  GPtrArray *news;
 
   if (whole && revision < replica->revision[kind])
-    return news;
-  for (guint i = 0; i < records->len; i++)
-    take (replica->records[kind], records->pdata[i], news);
+    return g_ptr_array_new ();
+  news = take_all (replica->records[kind], records);
   if (whole)
     delete_others (replica->records[kind], records, revision, news);
   replica->revision[kind] = MAX (replica->revision[kind], revision);
--- /dev/null
+++ b/tests/test_feed.c
@@ -0,0 +1,302 @@
+#include "feed/reader.h"
+#include "feed/replica.h"
+#include "platform/calls.h"
+#include "platform/objects.h"
+#include "suite.h"
+
+#include <string.h>
+
+/* The copy of the store's records, the order of calls to the store, and the reading of
+ * its answers. */
+
+static GPtrArray *
+records_new (void)
+{
+  return g_ptr_array_new_with_free_func (cf_record_free);
+}
+
+static GPtrArray *
+one_record (const char *name, uint64_t revision, bool deleted, const char *text)
+{
+  GPtrArray *records = records_new ();
+
+  g_ptr_array_add (records, cf_record_new (name, revision, deleted, text));
+  return records;
+}
+
+static uint32_t
+apply (struct CfReplica *replica, GPtrArray *records, uint64_t revision, bool whole)
+{
+  GPtrArray *news = cf_replica_apply (replica, CF_FEED_UPSTREAMS, records, revision, whole);
+  uint32_t count = news->len;
+
+  g_ptr_array_unref (news);
+  g_ptr_array_unref (records);
+  return count;
+}
+
+/* An upstream that changes twice between two reads stands twice in one answer. */
+START_TEST (test_replica_repeated_record)
+{
+  struct CfReplica replica;
+  GPtrArray *records = records_new ();
+  GPtrArray *news;
+
+  cf_replica_init (&replica);
+  g_ptr_array_add (records, cf_record_new ("i-1", 5, false, "{\"a\":1}"));
+  g_ptr_array_add (records, cf_record_new ("i-1", 7, false, "{\"a\":2}"));
+  news = cf_replica_apply (&replica, CF_FEED_UPSTREAMS, records, 7, false);
+  ck_assert_uint_eq (news->len, 1);
+  ck_assert_str_eq (((struct CfRecord *) news->pdata[0])->name, "i-1");
+  ck_assert_str_eq (((struct CfRecord *) news->pdata[0])->text, "{\"a\":2}");
+  g_ptr_array_unref (news);
+  g_ptr_array_unref (records);
+  cf_replica_clear (&replica);
+}
+END_TEST
+
+START_TEST (test_replica_never_goes_back)
+{
+  struct CfReplica replica;
+
+  cf_replica_init (&replica);
+  ck_assert_uint_eq (apply (&replica, one_record ("i-1", 9, false, "{}"), 9, true), 1);
+  ck_assert_uint_eq (apply (&replica, one_record ("i-1", 8, false, "{}"), 8, false), 0);
+  /* A list that is older than what is known deletes nothing. */
+  ck_assert_uint_eq (apply (&replica, records_new (), 8, true), 0);
+  ck_assert_uint_eq (cf_replica_count (&replica, CF_FEED_UPSTREAMS), 1);
+  ck_assert_uint_eq (apply (&replica, one_record ("i-1", 10, true, NULL), 10, false), 1);
+  ck_assert_uint_eq (apply (&replica, one_record ("i-1", 9, false, "{}"), 9, false), 0);
+  ck_assert_uint_eq (cf_replica_count (&replica, CF_FEED_UPSTREAMS), 0);
+  ck_assert_uint_eq (apply (&replica, one_record ("i-1", 12, false, "{}"), 12, false), 1);
+  cf_replica_clear (&replica);
+}
+END_TEST
+
+START_TEST (test_replica_list_deletes_the_rest)
+{
+  struct CfReplica replica;
+  GPtrArray *changed;
+
+  cf_replica_init (&replica);
+  apply (&replica, one_record ("i-1", 3, false, "{}"), 3, true);
+  apply (&replica, one_record ("i-2", 4, false, "{}"), 4, false);
+  ck_assert_uint_eq (apply (&replica, one_record ("i-2", 4, false, "{}"), 9, true), 1);
+  ck_assert_uint_eq (cf_replica_count (&replica, CF_FEED_UPSTREAMS), 1);
+  changed = cf_replica_since (&replica, CF_FEED_UPSTREAMS, 4);
+  ck_assert_uint_eq (changed->len, 1);
+  ck_assert (((struct CfRecord *) changed->pdata[0])->deleted);
+  g_ptr_array_unref (changed);
+  cf_replica_clear (&replica);
+}
+END_TEST
+
+static struct CfFeedAnswer
+answer_of (const char *text, guint status, enum CfReadOutcome expected)
+{
+  struct CfFeedAnswer answer = { 0 };
+
+  ck_assert_int_eq (cf_platform_answer_text (status, text, strlen (text), &answer), expected);
+  return answer;
+}
+
+START_TEST (test_reader_lists_then_waits)
+{
+  struct CfReader reader;
+  GRand *random = g_rand_new_with_seed (1);
+  struct CfFeedAnswer part = answer_of (
+      "{\"items\":[{\"meta\":{\"name\":\"i-1\",\"revision\":3},\"spec\":{}}],\"truncated\":true,"
+      "\"store-revision\":20}",
+      200, CF_READ_ANSWERED);
+  struct CfFeedAnswer rest = answer_of (
+      "{\"items\":[],\"truncated\":false,\"store-revision\":25}", 200, CF_READ_ANSWERED);
+  struct CfFeedAnswer events
+      = answer_of ("{\"events\":[],\"store-revision\":30}", 200, CF_READ_ANSWERED);
+
+  cf_reader_init (&reader, CF_FEED_UPSTREAMS, 0);
+  ck_assert (cf_reader_due (&reader, 0));
+  ck_assert (!cf_reader_due (&reader, 0));
+  ck_assert (!cf_reader_outcome (&reader, CF_READ_ANSWERED, &part, 5, random));
+  ck_assert_str_eq (reader.after, "i-1");
+  ck_assert (cf_reader_due (&reader, 5));
+  ck_assert (cf_reader_outcome (&reader, CF_READ_ANSWERED, &rest, 9, random));
+  /* What changed while the parts were read is in the changes since the first. */
+  ck_assert_uint_eq (reader.revision, 20);
+  ck_assert (cf_reader_due (&reader, 9));
+  cf_reader_outcome (&reader, CF_READ_ANSWERED, &events, 1500, random);
+  ck_assert_uint_eq (reader.revision, 30);
+  ck_assert (cf_reader_due (&reader, 1500));
+  cf_reader_outcome (&reader, CF_READ_HISTORY_GONE, NULL, 1600, random);
+  ck_assert (!reader.listed);
+  ck_assert (cf_reader_due (&reader, 1600));
+  cf_reader_clear (&reader);
+  cf_feed_answer_clear (&part);
+  cf_feed_answer_clear (&rest);
+  cf_feed_answer_clear (&events);
+  g_rand_free (random);
+}
+END_TEST
+
+START_TEST (test_reader_backs_off)
+{
+  struct CfReader reader;
+  GRand *random = g_rand_new_with_seed (1);
+  struct CfFeedAnswer whole = answer_of (
+      "{\"items\":[],\"truncated\":false,\"store-revision\":25}", 200, CF_READ_ANSWERED);
+  CfMillis now = 0;
+  uint32_t calls = 0;
+
+  cf_reader_init (&reader, CF_FEED_UPSTREAMS, 0);
+  for (now = 0; now < 20000; now += 10)
+    if (cf_reader_due (&reader, now))
+      {
+        calls++;
+        cf_reader_outcome (&reader, now % 20 ? CF_READ_SILENT : CF_READ_REJECTED, NULL, now,
+                           random);
+      }
+  ck_assert_uint_ge (calls, 20);
+  ck_assert_uint_le (calls, 50);
+  ck_assert (!cf_reader_trusted (&reader, now));
+  reader.next_at = now;
+  ck_assert (cf_reader_due (&reader, now));
+  cf_reader_outcome (&reader, CF_READ_ANSWERED, &whole, now, random);
+  ck_assert (!cf_reader_trusted (&reader, now + 1000));
+  ck_assert (cf_reader_trusted (&reader, now + CF_READER_SETTLE_MS + 1000));
+  cf_reader_clear (&reader);
+  cf_feed_answer_clear (&whole);
+  g_rand_free (random);
+}
+END_TEST
+
+START_TEST (test_answers)
+{
+  struct CfFeedAnswer answer;
+
+  answer = answer_of ("", 410, CF_READ_HISTORY_GONE);
+  answer = answer_of ("", 429, CF_READ_REJECTED);
+  answer = answer_of ("", 503, CF_READ_REJECTED);
+  answer = answer_of ("{\"items\":", 200, CF_READ_UNREADABLE);
+  cf_feed_answer_clear (&answer);
+  answer = answer_of ("{\"items\":[]}", 200, CF_READ_UNREADABLE);
+  cf_feed_answer_clear (&answer);
+  /* One writer's stray bytes, and something that is no object, hide nothing else. */
+  answer = answer_of ("{\"items\":[7,{\"meta\":{\"name\":\"x\",\"revision\":1},\"spec\":\"\xff\xfe\"},"
+                      "{\"meta\":{\"name\":\"i-2\",\"revision\":2},\"spec\":{\"a\":1}}],"
+                      "\"store-revision\":2}",
+                      200, CF_READ_ANSWERED);
+  ck_assert_uint_eq (answer.records->len, 2);
+  cf_feed_answer_clear (&answer);
+  answer = answer_of ("{\"events\":[{\"deleted\":true,\"object\":{\"meta\":{\"name\":\"i-2\","
+                      "\"revision\":3},\"spec\":{}}},{\"deleted\":false,\"object\":{\"meta\":{"
+                      "\"name\":\"i-3\",\"revision\":4,\"deleting\":true},\"spec\":{}}}],"
+                      "\"store-revision\":4}",
+                      200, CF_READ_ANSWERED);
+  ck_assert (((struct CfRecord *) answer.records->pdata[0])->deleted);
+  ck_assert (((struct CfRecord *) answer.records->pdata[1])->deleted);
+  cf_feed_answer_clear (&answer);
+}
+END_TEST
+
+#define GOOD_ANNOUNCEMENT                                                                          \
+  "{\"service\":\"s\",\"address\":\"10.128.0.9:8080\",\"zone\":\"a\",\"version\":\"v1\","         \
+  "\"slots\":2,\"state\":\"ready\",\"warmup-remaining-ms\":1500,\"sequence\":4,"                  \
+  "\"born\":1791912288048}"
+
+START_TEST (test_announcement)
+{
+  struct CfRecord *record = cf_record_new ("i-78ef942547", 9, false, GOOD_ANNOUNCEMENT);
+  struct CfAnnouncement announcement;
+  struct CfError error = { 0 };
+
+  ck_assert (cf_platform_read_announcement (record, &announcement, &error));
+  ck_assert_uint_eq (announcement.tag, 0x78ef942547);
+  ck_assert_uint_eq (announcement.address.ip, 0x0a800009);
+  ck_assert_uint_eq (announcement.address.port, 8080);
+  ck_assert_int_eq (announcement.cold_ms, 1500);
+  ck_assert_int_eq (announcement.started, 1791912288048);
+  ck_assert (!announcement.draining);
+  cf_platform_announcement_clear (&announcement);
+  cf_record_free (record);
+}
+END_TEST
+
+/* Entries of other writers: the message names the record and the field. */
+static const struct
+{
+  const char *text;
+  const char *fault;
+} foreign[] = {
+  { "null", "not a JSON object" },
+  { "[1", "not JSON" },
+  { "{}", "service" },
+  { "{\"service\":7,\"zone\":\"a\"}", "service" },
+  { "{\"service\":\"s\",\"zone\":\"a\",\"state\":\"ready\"}", "address" },
+  { "{\"service\":\"s\",\"zone\":\"a\",\"state\":\"ready\",\"address\":\"10.0.0.1\"}", "address" },
+  { "{\"service\":\"s\",\"zone\":\"a\",\"state\":\"ready\",\"address\":\"10.0.0.1:99999\"}",
+    "address" },
+  { "{\"service\":\"s\",\"zone\":\"a\",\"state\":\"paused\",\"address\":\"10.0.0.1:9\","
+    "\"slots\":2}",
+    "state" },
+  { "{\"service\":\"s\",\"zone\":\"a\",\"state\":\"ready\",\"address\":\"10.0.0.1:9\","
+    "\"slots\":\"2\"}",
+    "slots" },
+  { "{\"service\":\"s\",\"zone\":\"a\",\"state\":\"ready\",\"address\":\"10.0.0.1:9\","
+    "\"slots\":2,\"warmup-remaining-ms\":\"soon\"}",
+    "warmup-remaining-ms" },
+};
+
+START_TEST (test_foreign_announcement)
+{
+  struct CfRecord *record = cf_record_new ("i-1", 9, false, foreign[_i].text);
+  struct CfAnnouncement announcement;
+  struct CfError error = { 0 };
+
+  ck_assert (!cf_platform_read_announcement (record, &announcement, &error));
+  ck_assert_msg (strstr (error.text, foreign[_i].fault) && strstr (error.text, "i-1"), "%s",
+                 error.text);
+  cf_record_free (record);
+}
+END_TEST
+
+START_TEST (test_manifest)
+{
+  struct CfRecord *record = cf_record_new (
+      "main", 9, false,
+      "{\"version\":7,\"routes\":[{\"host\":\"198.18.0.1\",\"path-prefix\":\"/8080/\","
+      "\"priority\":1,\"service\":\"s\"},{\"host\":\"198.18.0.2\",\"path-prefix\":\"/8443/\","
+      "\"weighted-services\":[{\"service\":\"s\",\"weight\":90},{\"service\":\"t\",\"weight\":"
+      "10}]}],\"services\":[{\"name\":\"s\",\"warmup-s\":2.0,\"warmup-per-s\":12.5}],"
+      "\"limits\":{\"idle-timeout-ms\":15000}}");
+  struct CfError error = { 0 };
+  struct CfManifest *manifest = cf_platform_read_manifest (record, &error);
+  const struct CfRouteEntry *route;
+
+  ck_assert_msg (manifest != NULL, "%s", error.text);
+  ck_assert_uint_eq (manifest->version, 7);
+  ck_assert_uint_eq (manifest->routes->len, 2);
+  route = &g_array_index (manifest->routes, struct CfRouteEntry, 1);
+  ck_assert_uint_eq (route->address.port, 8443);
+  ck_assert_uint_eq (route->split_count, 2);
+  ck_assert_int_eq (manifest->flow_idle_ms, 15000);
+  ck_assert (g_array_index (manifest->services, struct CfServiceTraits, 0).cold_per_s == 12.5);
+  cf_manifest_free (manifest);
+  cf_record_free (record);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("feed");
+
+  suite_add_loop (suite, test_replica_repeated_record, 1);
+  suite_add_loop (suite, test_replica_never_goes_back, 1);
+  suite_add_loop (suite, test_replica_list_deletes_the_rest, 1);
+  suite_add_loop (suite, test_reader_lists_then_waits, 1);
+  suite_add_loop (suite, test_reader_backs_off, 1);
+  suite_add_loop (suite, test_answers, 1);
+  suite_add_loop (suite, test_announcement, 1);
+  suite_add_loop (suite, test_foreign_announcement, G_N_ELEMENTS (foreign));
+  suite_add_loop (suite, test_manifest, 1);
+  return suite_run (suite);
+}
