One VM of a failure domain reads the store, the others follow it

Cause: every VM made some 2 calls a second to the store, each with a price, and a VM that the store turned away had no news at all.

Ruled out: gossip of datagrams (a manifest of 115 routes is 20 KB: it would need fragments, repeats and its own windows; a long poll over HTTP has them).

Change: feed/sources.c chooses between the store and other VMs in a fixed order; feed/relay.c carries records between VMs in XDR, with revisions, so that news never go backwards; each VM keeps its own record in the store. Announcements that end are told with the revision of the answer.

--- a/Makefile
+++ b/Makefile
@@ -39,7 +39,7 @@
 	$(CC) $(ALL_CFLAGS) -c $< -o $@
 
 # Generated code declares variables that it does not use.
-$(BUILD)/src/peer/peer_xdr.o: WARNINGS = -std=gnu11
+$(BUILD)/src/peer/peer_xdr.o $(BUILD)/src/feed/feed_xdr.o: WARNINGS = -std=gnu11
 
 $(BUILD)/cyclamenferry: $(LIB_OBJ) $(APP_OBJ)
 	$(CC) $^ $(LIBS) -o $@
@@ -65,9 +65,11 @@
 generate:
 	cd src/peer && rm -f peer.h peer_xdr.c && rpcgen -N -M -h -o peer.h peer.x \
 	  && rpcgen -N -M -c -o peer_xdr.c peer.x
+	cd src/feed && rm -f feed.h feed_xdr.c && rpcgen -N -M -h -o feed.h feed.x \
+	  && rpcgen -N -M -c -o feed_xdr.c feed.x
 
-SOURCES := $(filter-out src/peer/peer_xdr.c,$(wildcard platform/*.c src/*/*.c tests/*.c bench/*.c))
-HEADERS := $(filter-out src/peer/peer.h,$(wildcard include/*.h platform/*.h src/*/*.h tests/*.h bench/*.h))
+SOURCES := $(filter-out src/peer/peer_xdr.c src/feed/feed_xdr.c,$(wildcard platform/*.c src/*/*.c tests/*.c bench/*.c))
+HEADERS := $(filter-out src/peer/peer.h src/feed/feed.h,$(wildcard include/*.h platform/*.h src/*/*.h tests/*.h bench/*.h))
 
 format:
 	clang-format -i $(SOURCES) $(HEADERS)
--- a/src/balance/directory.c
+++ b/src/balance/directory.c
@@ -8,7 +8,6 @@
   GHashTable *by_id;      /* id to struct CfTarget, owned */
   GHashTable *by_cookie;  /* cookie to struct CfTarget */
   GHashTable *by_service; /* GQuark to GPtrArray of struct CfTarget */
-  uint32_t list;          /* number of the last full list */
 };
 
 static void
@@ -135,7 +134,6 @@
 
   if (!target)
     target = add_target (directory, announcement, now);
-  target->marks = directory->list;
   if (announcement->revision < target->revision || announcement->started < target->started)
     return target;
   if (announcement->started != target->started)
@@ -175,28 +173,6 @@
     withdraw (target, trusted, now);
 }
 
-void
-cf_directory_begin_list (struct CfDirectory *directory)
-{
-  directory->list++;
-}
-
-void
-cf_directory_end_list (struct CfDirectory *directory, bool trusted, CfMillis now)
-{
-  GHashTableIter iter;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, directory->by_id);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      struct CfTarget *target = value;
-
-      if (target->marks != directory->list)
-        withdraw (target, trusted, now);
-    }
-}
-
 void
 cf_directory_settle (struct CfDirectory *directory, CfMillis now)
 {
--- a/src/balance/directory.h
+++ b/src/balance/directory.h
@@ -62,7 +62,6 @@
   uint64_t revision;
   uint32_t open;  /* flows that this VM sees at it or is opening there */
   bool collides;  /* an older upstream has the same cookie: gets no new flows */
-  uint32_t marks; /* revision counter of full lists, see cf_directory_sweep */
   struct CfReach reach;
 };
 
@@ -81,11 +80,6 @@
  * just been away, and announcements end then without their upstreams. */
 void cf_directory_withdraw (struct CfDirectory *directory, const char *id, bool trusted, CfMillis now);
 
-/* A full list of announcements is about to be given; cf_directory_end_list withdraws
- * all upstreams that were not announced since. */
-void cf_directory_begin_list (struct CfDirectory *directory);
-void cf_directory_end_list (struct CfDirectory *directory, bool trusted, CfMillis now);
-
 /* The store has been reachable long enough: what lapsed and did not return is gone. */
 void cf_directory_settle (struct CfDirectory *directory, CfMillis now);
 
--- /dev/null
+++ b/src/feed/feed.x
@@ -0,0 +1,22 @@
+/* What an entry VM that reads the store tells those that follow it: the answer to
+ * "GET /feed", whose query holds the revision that the follower has of each kind. */
+
+struct feed_record {
+  string name<>;
+  unsigned hyper revision;
+  bool deleted;
+  string text<>;  /* empty if deleted */
+};
+
+/* News of one kind of records, in the order of enum CfFeedKind. */
+struct feed_part {
+  unsigned hyper revision;  /* all changes up to it are told */
+  bool whole;               /* these are all records, not only what has changed */
+  feed_record records<>;
+};
+
+struct feed_news {
+  unsigned hyper age_ms;  /* since the store said so, directly or through others */
+  bool settled;           /* announcements that lapsed with the store would be back */
+  feed_part parts<8>;
+};
--- a/src/feed/record.h
+++ b/src/feed/record.h
@@ -22,7 +22,8 @@
 struct CfRecord
 {
   char *name;
-  uint64_t revision; /* of its last change */
+  uint64_t revision; /* of its last change; of a deletion that of the change before, or its own */
+  uint64_t told_at;  /* in a replica: revision of the answer that told it */
   bool deleted;
   char *text; /* its content as the store's writers wrote it; NULL if deleted */
 };
--- a/src/feed/replica.c
+++ b/src/feed/replica.c
@@ -8,6 +8,8 @@
       replica->records[kind]
           = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, cf_record_free);
       replica->revision[kind] = 0;
+      replica->changed[kind] = 0;
+      replica->complete[kind] = 0;
     }
 }
 
@@ -100,19 +102,16 @@
   news = take_all (replica->records[kind], records);
   if (whole)
     delete_others (replica->records[kind], records, revision, news);
+  if (whole && replica->complete[kind] == 0)
+    replica->complete[kind] = revision;
   replica->revision[kind] = MAX (replica->revision[kind], revision);
+  for (guint i = 0; i < news->len; i++)
+    ((struct CfRecord *) news->pdata[i])->told_at = replica->revision[kind];
+  if (news->len > 0)
+    replica->changed[kind] = replica->revision[kind];
   return news;
 }
 
-static gint
-by_revision (gconstpointer a, gconstpointer b)
-{
-  const struct CfRecord *x = *(struct CfRecord *const *) a;
-  const struct CfRecord *y = *(struct CfRecord *const *) b;
-
-  return x->revision < y->revision ? -1 : x->revision > y->revision;
-}
-
 GPtrArray *
 cf_replica_since (const struct CfReplica *replica, enum CfFeedKind kind, uint64_t revision)
 {
@@ -122,9 +121,8 @@
 
   g_hash_table_iter_init (&iter, replica->records[kind]);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (((struct CfRecord *) value)->revision > revision)
+    if (((struct CfRecord *) value)->told_at > revision)
       g_ptr_array_add (changed, value);
-  g_ptr_array_sort (changed, by_revision);
   return changed;
 }
 
--- a/src/feed/replica.h
+++ b/src/feed/replica.h
@@ -10,6 +10,8 @@
 {
   GHashTable *records[CF_FEED_KINDS]; /* name to struct CfRecord, deleted ones included */
   uint64_t revision[CF_FEED_KINDS];   /* all changes up to it are in the copy */
+  uint64_t changed[CF_FEED_KINDS];    /* of the last answer with news */
+  uint64_t complete[CF_FEED_KINDS];   /* deletions after it are in the copy */
 };
 
 void cf_replica_init (struct CfReplica *replica);
@@ -24,8 +26,8 @@
                              uint64_t revision,
                              bool whole);
 
-/* Returns the records of KIND that changed after REVISION, oldest change first, an array
- * of struct CfRecord that belong to the replica. */
+/* Returns the records of KIND that changed after REVISION, and perhaps some that changed
+ * before, an array of struct CfRecord that belong to the replica. */
 GPtrArray *
 cf_replica_since (const struct CfReplica *replica, enum CfFeedKind kind, uint64_t revision);
 
--- /dev/null
+++ b/src/feed/sources.c
@@ -0,0 +1,213 @@
+#include "sources.h"
+
+#include <string.h>
+
+/* VMs of each other failure domain that are asked when this one's are of no help. */
+#define HELPERS_PER_DOMAIN 2
+
+struct CfSources
+{
+  char *name;
+  char *domain;
+  GPtrArray *vms; /* of struct CfSource, in the order in which they read the store */
+  struct CfSource store;
+};
+
+static void
+free_source (gpointer data)
+{
+  struct CfSource *source = data;
+
+  g_free (source->name);
+  g_free (source->domain);
+  g_free (source->ip);
+  g_free (source);
+}
+
+struct CfSources *
+cf_sources_new (const char *name, const char *domain)
+{
+  struct CfSources *sources = g_new0 (struct CfSources, 1);
+
+  sources->name = g_strdup (name);
+  sources->domain = g_strdup (domain);
+  sources->vms = g_ptr_array_new_with_free_func (free_source);
+  return sources;
+}
+
+void
+cf_sources_free (struct CfSources *sources)
+{
+  g_ptr_array_unref (sources->vms);
+  g_free (sources->name);
+  g_free (sources->domain);
+  g_free (sources);
+}
+
+/* VMs with a wide link first: they carry the news of a whole group. */
+static gint
+by_order (gconstpointer a, gconstpointer b)
+{
+  const struct CfSource *x = *(struct CfSource *const *) a;
+  const struct CfSource *y = *(struct CfSource *const *) b;
+
+  if (x->link_mbps != y->link_mbps)
+    return x->link_mbps > y->link_mbps ? -1 : 1;
+  return strcmp (x->name, y->name);
+}
+
+static struct CfSource *
+find (struct CfSources *sources, const char *name, guint *index)
+{
+  for (guint i = 0; i < sources->vms->len; i++)
+    {
+      struct CfSource *source = sources->vms->pdata[i];
+
+      if (strcmp (source->name, name) == 0)
+        {
+          *index = i;
+          return source;
+        }
+    }
+  return NULL;
+}
+
+void
+cf_sources_set (struct CfSources *sources,
+                const char *name,
+                const char *domain,
+                const char *ip,
+                double link_mbps)
+{
+  guint index;
+  struct CfSource *source = find (sources, name, &index);
+
+  if (!ip)
+    {
+      if (source)
+        g_ptr_array_remove_index (sources->vms, index);
+      return;
+    }
+  if (!source)
+    {
+      source = g_new0 (struct CfSource, 1);
+      source->name = g_strdup (name);
+      g_ptr_array_add (sources->vms, source);
+    }
+  g_free (source->domain);
+  g_free (source->ip);
+  source->domain = g_strdup (domain);
+  source->ip = g_strdup (ip);
+  source->link_mbps = link_mbps;
+  source->down_until = 0;
+  source->failures = 0;
+  g_ptr_array_sort (sources->vms, by_order);
+}
+
+/* The group of a VM among the COUNT VMs of its failure domain. */
+static guint
+group (const char *name, guint count)
+{
+  guint groups = (count + CF_SOURCES_GROUP_MAX - 1) / CF_SOURCES_GROUP_MAX;
+
+  return groups > 1 ? g_str_hash (name) % groups : 0;
+}
+
+static guint
+domain_size (const struct CfSources *sources)
+{
+  guint count = 0;
+
+  for (guint i = 0; i < sources->vms->len; i++)
+    count += strcmp (((struct CfSource *) sources->vms->pdata[i])->domain, sources->domain) == 0;
+  return count;
+}
+
+/* Keeps in BEST the source that may be asked soonest, the first of those that may be asked
+ * now. */
+static void
+consider (struct CfSource **best, struct CfSource *source, CfMillis now)
+{
+  CfMillis at = MAX (source->down_until, now);
+
+  if (!*best || at < MAX ((*best)->down_until, now))
+    *best = source;
+}
+
+/* The group's VMs before this one in the order, or those after it. */
+static void
+consider_group (struct CfSources *sources, struct CfSource **best, bool before, CfMillis now)
+{
+  guint size = domain_size (sources);
+  guint mine = group (sources->name, size);
+  bool passed = false;
+
+  for (guint i = 0; i < sources->vms->len; i++)
+    {
+      struct CfSource *source = sources->vms->pdata[i];
+
+      if (strcmp (source->name, sources->name) == 0)
+        passed = true;
+      else if (passed != before && strcmp (source->domain, sources->domain) == 0
+               && group (source->name, size) == mine)
+        consider (best, source, now);
+    }
+}
+
+static void
+consider_helpers (struct CfSources *sources, struct CfSource **best, CfMillis now)
+{
+  GHashTable *counts = g_hash_table_new (g_str_hash, g_str_equal);
+
+  for (guint i = 0; i < sources->vms->len; i++)
+    {
+      struct CfSource *source = sources->vms->pdata[i];
+      guint count = GPOINTER_TO_UINT (g_hash_table_lookup (counts, source->domain));
+
+      if (strcmp (source->domain, sources->domain) == 0 || count == HELPERS_PER_DOMAIN)
+        continue;
+      g_hash_table_insert (counts, source->domain, GUINT_TO_POINTER (count + 1));
+      consider (best, source, now);
+    }
+  g_hash_table_unref (counts);
+}
+
+struct CfSource *
+cf_sources_choose (struct CfSources *sources, CfMillis now)
+{
+  struct CfSource *best = NULL;
+  guint index;
+
+  /* A VM that is not listed yet cannot be followed, so it has no place in the order. */
+  if (find (sources, sources->name, &index))
+    consider_group (sources, &best, true, now);
+  consider (&best, &sources->store, now);
+  consider_helpers (sources, &best, now);
+  consider_group (sources, &best, false, now);
+  return best;
+}
+
+struct CfSource *
+cf_sources_store (struct CfSources *sources)
+{
+  return &sources->store;
+}
+
+void
+cf_source_failed (struct CfSource *source, CfMillis now)
+{
+  CfMillis delay = (CfMillis) CF_SOURCES_RETRY_MIN_MS << MIN (source->failures, 8);
+
+  /* Calls that were under way together fail together. */
+  if (now < source->down_until)
+    return;
+  source->failures++;
+  source->down_until = now + MIN (delay, CF_SOURCES_RETRY_MAX_MS);
+}
+
+void
+cf_source_answered (struct CfSource *source)
+{
+  source->failures = 0;
+  source->down_until = 0;
+}
--- a/src/serve/admin_task.c
+++ b/src/serve/admin_task.c
@@ -1,4 +1,5 @@
 #include "server.h"
+#include "http_listen.h"
 #include "log.h"
 
 #include <libsoup/soup.h>
@@ -125,24 +126,11 @@
   struct AdminTask *task = data;
   const struct CfSettings *settings = &task->server->settings;
   struct CfAddress address;
-  GSocketAddress *local;
-  GError *fault = NULL;
-  bool ok;
 
   (void) base;
   cf_address_parse (settings->admin_ip, settings->admin_port, &address);
-  local = cf_socket_address (&address);
-  task->soup = soup_server_new ("server-header", "cyclamenferry ", NULL);
-  soup_server_add_handler (task->soup, NULL, handle, task, NULL);
-  ok = soup_server_listen (task->soup, local, 0, &fault);
-  if (!ok)
-    {
-      cf_error_set (error, CF_ERROR_IO, "TCP %s port %u: %s", settings->admin_ip,
-                    settings->admin_port, fault->message);
-      g_error_free (fault);
-    }
-  g_object_unref (local);
-  return ok;
+  task->soup = cf_http_listen (&address, handle, task, error);
+  return task->soup != NULL;
 }
 
 static void
@@ -151,8 +139,7 @@
   struct AdminTask *task = data;
 
   (void) base;
-  soup_server_disconnect (task->soup);
-  g_clear_object (&task->soup);
+  cf_http_unlisten (&task->soup);
 }
 
 const struct CfTaskClass cf_admin_task = { .name = "admin", .start = start, .stop = stop };
--- a/src/serve/balancer.h
+++ b/src/serve/balancer.h
@@ -55,9 +55,9 @@
 /* Message to the datapath task, which frees UPDATE. */
 void cf_send_update (struct CfBalancer *balancer, struct CfUpdate *update);
 
-/* Message to the datapath task: what is known is as of now; with SETTLED announcements
- * that lapsed would have been back. */
-void cf_send_fresh (struct CfBalancer *balancer, bool settled);
+/* Message to the datapath task: what is known is as of KNOWN_AT; with SETTLED,
+ * announcements that lapsed would have been back. */
+void cf_send_fresh (struct CfBalancer *balancer, CfMillis known_at, bool settled);
 
 /* Message to the datapath task: appends its metrics to TEXT and calls DONE with DATA on
  * the admin task. */
--- a/src/serve/balancer_admin_task.c
+++ b/src/serve/balancer_admin_task.c
@@ -1,4 +1,5 @@
 #include "balancer.h"
+#include "http_listen.h"
 #include "platform/calls.h"
 #include "server.h"
 
@@ -93,30 +94,6 @@
   cf_task_post (&balancer->admin, take_metrics, request, free_request);
 }
 
-static SoupServer *
-listen_at (const struct CfAddress *address,
-           SoupServerCallback answer,
-           struct AdminTask *task,
-           struct CfError *error)
-{
-  SoupServer *soup = soup_server_new ("server-header", "cyclamenferry ", NULL);
-  GSocketAddress *local = cf_socket_address (address);
-  GError *fault = NULL;
-
-  soup_server_add_handler (soup, NULL, answer, task, NULL);
-  if (!soup_server_listen (soup, local, 0, &fault))
-    {
-      char text[CF_ADDRESS_TEXT_MAX];
-
-      cf_address_format (address, text, sizeof text);
-      cf_error_set (error, CF_ERROR_IO, "TCP %s: %s", text, fault->message);
-      g_error_free (fault);
-      g_clear_object (&soup);
-    }
-  g_object_unref (local);
-  return soup;
-}
-
 static bool
 start (struct CfTask *base, void *data, struct CfError *error)
 {
@@ -125,32 +102,24 @@
   struct CfAddress metrics = settings->ready;
 
   (void) base;
-  task->ready = listen_at (&settings->ready, answer_ready, task, error);
+  task->ready = cf_http_listen (&settings->ready, answer_ready, task, error);
   if (!task->ready)
     return false;
   if (settings->metrics_port == 0)
     return true;
   metrics.port = settings->metrics_port;
-  task->metrics = listen_at (&metrics, answer_metrics, task, error);
+  task->metrics = cf_http_listen (&metrics, answer_metrics, task, error);
   return task->metrics != NULL;
 }
 
-static void
-close_server (SoupServer **soup)
-{
-  if (*soup)
-    soup_server_disconnect (*soup);
-  g_clear_object (soup);
-}
-
 static void
 stop (struct CfTask *base, void *data)
 {
   struct AdminTask *task = data;
 
   (void) base;
-  close_server (&task->ready);
-  close_server (&task->metrics);
+  cf_http_unlisten (&task->ready);
+  cf_http_unlisten (&task->metrics);
 }
 
 const struct CfTaskClass cf_balancer_admin_task = { .name = "admin", .start = start, .stop = stop };
--- a/src/serve/datapath_task.c
+++ b/src/serve/datapath_task.c
@@ -414,21 +414,30 @@
   cf_task_post (&balancer->datapath, take_update, update, cf_update_free);
 }
 
+struct Fresh
+{
+  CfMillis known_at;
+  bool settled;
+};
+
 static void
 take_fresh (void *data, void *message)
 {
   struct DatapathTask *task = data;
-  CfMillis now = cf_now ();
+  const struct Fresh *fresh = message;
 
-  cf_balance_news (task->balance, now);
-  if (message)
-    cf_directory_settle (cf_balance_directory (task->balance), now);
+  cf_balance_news (task->balance, fresh->known_at);
+  if (fresh->settled)
+    cf_directory_settle (cf_balance_directory (task->balance), cf_now ());
 }
 
 void
-cf_send_fresh (struct CfBalancer *balancer, bool settled)
+cf_send_fresh (struct CfBalancer *balancer, CfMillis known_at, bool settled)
 {
-  cf_task_post (&balancer->datapath, take_fresh, settled ? balancer : NULL, NULL);
+  struct Fresh *fresh = g_new (struct Fresh, 1);
+
+  *fresh = (struct Fresh){ .known_at = known_at, .settled = settled };
+  cf_task_post (&balancer->datapath, take_fresh, fresh, g_free);
 }
 
 static void
--- /dev/null
+++ b/src/serve/feed_enroll.c
@@ -0,0 +1,144 @@
+#include "feed_internal.h"
+#include "platform/calls.h"
+#include "server.h"
+
+#include <json-glib/json-glib.h>
+#include <string.h>
+
+/* This VM's record in the store tells the others its address and failure domain, so that
+ * they can follow it and know how many VMs share what a cold upstream bears. */
+
+#define DEADLINE_MS 2000   /* of a write */
+#define FIRST_MS 500       /* the record that an earlier start wrote may be on its way */
+#define RETRY_MIN_MS 500   /* after a failure, doubled each time */
+#define RETRY_MAX_MS 10000
+
+static char *
+own_content (const struct CfBalanceSettings *settings)
+{
+  return g_strdup_printf ("{\"address\":\"%s\",\"domain\":\"%s\",\"link_mbps\":%d}", settings->ip,
+                          settings->failure_domain, (int) settings->link_mbps);
+}
+
+static const char *
+member_text (JsonObject *object, const char *name)
+{
+  JsonNode *node = json_object_get_member (object, name);
+
+  return node && JSON_NODE_HOLDS_VALUE (node) && json_node_get_value_type (node) == G_TYPE_STRING
+             ? json_node_get_string (node)
+             : NULL;
+}
+
+void
+cf_feed_enroll_read (struct FeedTask *task, const struct CfRecord *record)
+{
+  JsonParser *parser = json_parser_new ();
+  JsonNode *root = NULL;
+  JsonObject *object;
+  const char *ip = NULL;
+  const char *domain = NULL;
+  double link_mbps = 0;
+
+  if (!record->deleted && json_parser_load_from_data (parser, record->text, -1, NULL))
+    root = json_parser_get_root (parser);
+  if (root && JSON_NODE_HOLDS_OBJECT (root))
+    {
+      object = json_node_get_object (root);
+      ip = member_text (object, "address");
+      domain = member_text (object, "domain");
+      link_mbps = (double) json_object_get_int_member_with_default (object, "link_mbps", 0);
+    }
+  if (!record->deleted && (!ip || !domain))
+    cf_event_log_write (task->balancer->log, "vm-unreadable",
+                        (struct CfField[]){ { .key = "name", .text = record->name }, { 0 } });
+  cf_sources_set (task->sources, record->name, domain, domain ? ip : NULL, link_mbps);
+  g_object_unref (parser);
+}
+
+static bool
+same_content (const char *a, const char *b)
+{
+  JsonNode *x = json_from_string (a, NULL);
+  JsonNode *y = json_from_string (b, NULL);
+  bool same = x && y && json_node_equal (x, y);
+
+  g_clear_pointer (&x, json_node_unref);
+  g_clear_pointer (&y, json_node_unref);
+  return same;
+}
+
+/* Returns true if the store holds this VM's record as it is to be. */
+static bool
+is_enrolled (struct FeedTask *task)
+{
+  const struct CfRecord *record = g_hash_table_lookup (task->replica.records[CF_FEED_VMS],
+                                                       task->balancer->settings.name);
+
+  task->enroll.replace = record && !record->deleted;
+  return task->enroll.replace && same_content (record->text, task->enroll.content);
+}
+
+static void
+written (void *data, SoupMessage *message, GBytes *body)
+{
+  struct FeedTask *task = data;
+  struct FeedEnroll *enroll = &task->enroll;
+  guint status = body ? soup_message_get_status (message) : 0;
+  CfMillis delay = (CfMillis) RETRY_MIN_MS << MIN (enroll->failures, 8);
+
+  enroll->call = NULL;
+  if (status >= 200 && status < 300)
+    {
+      enroll->failures = 0;
+      /* The record comes back with the news; until then it is not written again. */
+      enroll->next_at = cf_now () + RETRY_MAX_MS;
+      return;
+    }
+  /* A write without an answer may have taken effect; writing the same again does no harm. */
+  enroll->failures++;
+  enroll->next_at = cf_now () + MIN (delay, RETRY_MAX_MS);
+  cf_event_log_write (task->balancer->log, "enroll-failed",
+                      (struct CfField[]){
+                          { .key = "status", .number = status },
+                          { .key = "replace", .number = enroll->replace },
+                          { .key = "failures", .number = enroll->failures },
+                          { 0 },
+                      });
+  cf_feed_pump (task);
+}
+
+CfMillis
+cf_feed_enroll_pump (struct FeedTask *task, CfMillis now)
+{
+  struct FeedEnroll *enroll = &task->enroll;
+  const struct CfBalanceSettings *settings = &task->balancer->settings;
+
+  if (enroll->call || task->replica.revision[CF_FEED_VMS] == 0 || is_enrolled (task))
+    return now + RETRY_MAX_MS;
+  if (now < enroll->next_at)
+    return enroll->next_at;
+  enroll->call = cf_http_call_begin (task->session,
+                                     cf_platform_write (settings->store, CF_FEED_VMS,
+                                                        settings->name, enroll->content,
+                                                        enroll->replace),
+                                     DEADLINE_MS, enroll->failures > 0, written, task);
+  return now + RETRY_MAX_MS;
+}
+
+void
+cf_feed_enroll_start (struct FeedTask *task)
+{
+  task->enroll = (struct FeedEnroll){
+    .content = own_content (&task->balancer->settings),
+    .next_at = cf_now () + FIRST_MS,
+  };
+}
+
+void
+cf_feed_enroll_stop (struct FeedTask *task)
+{
+  if (task->enroll.call)
+    cf_http_call_abandon (task->enroll.call);
+  g_clear_pointer (&task->enroll.content, g_free);
+}
--- /dev/null
+++ b/src/serve/feed_follow.c
@@ -0,0 +1,105 @@
+#include "feed_internal.h"
+#include "server.h"
+
+/* How long a question waits for news at the VM that is asked.  A VM that has lost power is
+ * noticed this much later, and the bounds on changes of upstreams are 3 s. */
+#define WAIT_MS 1500
+#define DEADLINE_MS 500 /* for the answer, beyond the wait */
+#define RETRY_MS 100    /* to the next source, after one has failed */
+#define PAUSE_MS 50     /* after an answer, so that changes that come together cost one */
+
+static struct CfSource *
+asked_source (struct FeedTask *task, CfMillis now)
+{
+  struct CfSource *source = cf_sources_choose (task->sources, now);
+
+  return source->name && g_strcmp0 (source->name, task->follow.name) == 0 ? source : NULL;
+}
+
+static bool
+take_news (struct FeedTask *task, GBytes *body, CfMillis now)
+{
+  struct feed_news news;
+  gsize len;
+  const void *data = g_bytes_get_data (body, &len);
+
+  if (!cf_relay_decode (data, len, &news))
+    return false;
+  for (int kind = 0; kind < CF_FEED_KINDS; kind++)
+    {
+      const struct feed_part *part = &news.parts.parts_val[kind];
+      GPtrArray *records;
+
+      if (part->revision == 0)
+        continue;
+      records = cf_relay_records (part);
+      cf_feed_take (task, (enum CfFeedKind) kind, records, part->revision, part->whole,
+                    news.settled);
+      g_ptr_array_unref (records);
+    }
+  cf_feed_known (task, now - (CfMillis) news.age_ms, news.settled);
+  cf_relay_clear (&news);
+  return task->known_at >= 0 && now - task->known_at < CF_SOURCES_STALE_MS;
+}
+
+static void
+answered (void *data, SoupMessage *message, GBytes *body)
+{
+  struct FeedTask *task = data;
+  struct FeedFollow *follow = &task->follow;
+  CfMillis now = cf_now ();
+  struct CfSource *source = asked_source (task, now);
+  bool answer = body && soup_message_get_status (message) == SOUP_STATUS_OK;
+  bool good = answer && take_news (task, body, now);
+
+  follow->call = NULL;
+  follow->next_at = now + (good ? PAUSE_MS : RETRY_MS);
+  if (!good)
+    cf_event_log_write (task->balancer->log, "source-failed",
+                        (struct CfField[]){
+                            { .key = "source", .text = follow->name },
+                            { .key = "outcome", .text = answer ? "stale" : "no-answer" },
+                            { .key = "news_age_ms", .number = now - task->known_at },
+                            { 0 },
+                        });
+  if (source && good)
+    cf_source_answered (source);
+  else if (source)
+    cf_source_failed (source, now);
+  cf_feed_pump (task);
+}
+
+CfMillis
+cf_feed_follow_pump (struct FeedTask *task, struct CfSource *source, CfMillis now)
+{
+  struct FeedFollow *follow = &task->follow;
+  struct CfFeedPosition position;
+  char *query;
+  char *url;
+
+  if (follow->call)
+    return now + CF_MS_PER_S;
+  if (now < follow->next_at)
+    return follow->next_at;
+  for (int kind = 0; kind < CF_FEED_KINDS; kind++)
+    position.revision[kind] = task->replica.revision[kind];
+  query = cf_feed_position_format (&position);
+  url = g_strdup_printf ("http://%s:%u/feed?%s&wait-ms=%d", source->ip,
+                         task->balancer->settings.peer_port, query, WAIT_MS);
+  g_free (follow->name);
+  follow->name = g_strdup (source->name);
+  follow->call = cf_http_call_begin (task->session, soup_message_new ("GET", url),
+                                     WAIT_MS + DEADLINE_MS, source->failures > 0, answered, task);
+  g_free (url);
+  g_free (query);
+  return now + CF_MS_PER_S;
+}
+
+void
+cf_feed_follow_stop (struct FeedTask *task)
+{
+  if (task->follow.call)
+    cf_http_call_abandon (task->follow.call);
+  task->follow.call = NULL;
+  g_clear_pointer (&task->follow.name, g_free);
+}
--- /dev/null
+++ b/src/serve/feed_relay.c
@@ -0,0 +1,151 @@
+#include "feed_internal.h"
+#include "http_listen.h"
+#include "server.h"
+
+#include <string.h>
+
+#define WAIT_MAX_MS 30000  /* a follower waits no longer, whatever it asks for */
+#define WAITING_MAX 256    /* followers; a group has CF_SOURCES_GROUP_MAX */
+
+/* A follower that waits for news. */
+struct RelayRequest
+{
+  GList link; /* in the task's waiting */
+  struct FeedTask *task;
+  SoupServerMessage *message;
+  gulong finished; /* signal handler */
+  struct CfFeedPosition position;
+  CfMillis until;
+};
+
+static void
+respond (struct FeedTask *task,
+         SoupServerMessage *message,
+         const struct CfFeedPosition *position,
+         CfMillis now)
+{
+  CfMillis age = task->known_at >= 0 ? now - task->known_at : CF_SOURCES_STALE_MS;
+  GBytes *body = cf_relay_encode (&task->replica, position, age, task->settled);
+  gsize len;
+  const char *data = g_bytes_get_data (body, &len);
+
+  soup_server_message_set_status (message, SOUP_STATUS_OK, NULL);
+  soup_server_message_set_response (message, "application/octet-stream", SOUP_MEMORY_COPY, data,
+                                    len);
+  g_bytes_unref (body);
+}
+
+static void
+release (struct RelayRequest *request)
+{
+  g_signal_handler_disconnect (request->message, request->finished);
+  g_queue_unlink (&request->task->waiting, &request->link);
+  g_object_unref (request->message);
+  g_free (request);
+}
+
+static void
+on_finished (SoupServerMessage *message, gpointer data)
+{
+  (void) message;
+  release (data);
+}
+
+static void
+hold (struct FeedTask *task,
+      SoupServerMessage *message,
+      const struct CfFeedPosition *position,
+      CfMillis until)
+{
+  struct RelayRequest *request = g_new0 (struct RelayRequest, 1);
+
+  request->link.data = request;
+  request->task = task;
+  request->message = g_object_ref (message);
+  request->position = *position;
+  request->until = until;
+  request->finished = g_signal_connect (message, "finished", G_CALLBACK (on_finished), request);
+  g_queue_push_tail_link (&task->waiting, &request->link);
+  soup_server_message_pause (message);
+}
+
+static void
+handle (SoupServer *soup,
+        SoupServerMessage *message,
+        const char *path,
+        GHashTable *query,
+        gpointer data)
+{
+  struct FeedTask *task = data;
+  const char *text = query ? g_hash_table_lookup (query, "wait-ms") : NULL;
+  struct CfFeedPosition position;
+  guint64 wait = 0;
+  CfMillis now = cf_now ();
+
+  (void) soup;
+  if (strcmp (path, "/feed") != 0)
+    {
+      soup_server_message_set_status (message, SOUP_STATUS_NOT_FOUND, NULL);
+      return;
+    }
+  if (!cf_feed_position_parse (query, &position)
+      || (text && !g_ascii_string_to_unsigned (text, 10, 0, WAIT_MAX_MS, &wait, NULL)))
+    {
+      soup_server_message_set_status (message, SOUP_STATUS_BAD_REQUEST, NULL);
+      return;
+    }
+  if (wait == 0 || cf_relay_has_news (&task->replica, &position)
+      || task->waiting.length >= WAITING_MAX)
+    respond (task, message, &position, now);
+  else
+    {
+      hold (task, message, &position, now + (CfMillis) wait);
+      cf_feed_pump (task);
+    }
+}
+
+CfMillis
+cf_feed_relay_pump (struct FeedTask *task, CfMillis now)
+{
+  CfMillis due = now + WAIT_MAX_MS;
+  GList *next;
+
+  for (GList *link = task->waiting.head; link; link = next)
+    {
+      struct RelayRequest *request = link->data;
+      SoupServerMessage *message = request->message;
+
+      next = link->next;
+      if (now < request->until && !cf_relay_has_news (&task->replica, &request->position))
+        {
+          due = MIN (due, request->until);
+          continue;
+        }
+      respond (task, message, &request->position, now);
+      g_object_ref (message);
+      release (request);
+      soup_server_message_unpause (message);
+      g_object_unref (message);
+    }
+  return due;
+}
+
+bool
+cf_feed_relay_start (struct FeedTask *task, struct CfError *error)
+{
+  const struct CfBalanceSettings *settings = &task->balancer->settings;
+  struct CfAddress address = settings->ready;
+
+  g_queue_init (&task->waiting);
+  address.port = settings->peer_port;
+  task->relay = cf_http_listen (&address, handle, task, error);
+  return task->relay != NULL;
+}
+
+void
+cf_feed_relay_stop (struct FeedTask *task)
+{
+  while (task->waiting.head)
+    release (task->waiting.head->data);
+  cf_http_unlisten (&task->relay);
+}
--- /dev/null
+++ b/src/serve/feed_store.c
@@ -0,0 +1,152 @@
+#include "feed_internal.h"
+#include "platform/calls.h"
+#include "server.h"
+
+/* The list of VMs changes with deploys only, and is no part of any promise. */
+#define VMS_WAIT_MS 20000
+
+/* Calls in a row that fail before another source is asked. */
+#define FAILURES_MAX 2
+
+static void
+note_path (struct FeedChannel *channel, enum CfReadOutcome outcome, CfMillis now)
+{
+  bool lost = outcome != CF_READ_ANSWERED && outcome != CF_READ_HISTORY_GONE;
+
+  if (lost != channel->lost)
+    cf_event_log_write (
+        channel->task->balancer->log, lost ? "store-lost" : "store-regained",
+        (struct CfField[]){
+            { .key = "kind", .text = cf_feed_kind_name (channel->reader.kind) },
+            { .key = "outcome", .text = cf_read_outcome_name (outcome) },
+            { .key = "revision", .number = (int64_t) channel->reader.revision },
+            { .key = "answered_ago_ms", .number = now - channel->reader.answered_at },
+            { 0 },
+        });
+  channel->lost = lost;
+}
+
+/* When the store last said what it holds of every kind that promises depend on, -1:
+ * never. */
+static CfMillis
+answered_at (const struct FeedTask *task)
+{
+  CfMillis oldest = task->channels[CF_FEED_MANIFEST].reader.answered_at;
+
+  for (int kind = 0; kind < CF_FEED_VMS; kind++)
+    oldest = MIN (oldest, task->channels[kind].reader.answered_at);
+  return oldest;
+}
+
+static bool
+all_trusted (const struct FeedTask *task, CfMillis now)
+{
+  for (int kind = 0; kind < CF_FEED_VMS; kind++)
+    if (!cf_reader_trusted (&task->channels[kind].reader, now))
+      return false;
+  return true;
+}
+
+static void
+answered (void *data, SoupMessage *message, GBytes *body)
+{
+  struct FeedChannel *channel = data;
+  struct FeedTask *task = channel->task;
+  struct CfReader *reader = &channel->reader;
+  struct CfFeedAnswer answer;
+  enum CfReadOutcome outcome = cf_platform_answer (message, body, &answer);
+  bool listing = !reader->listed;
+  CfMillis now = cf_now ();
+  bool whole;
+
+  channel->call = NULL;
+  note_path (channel, outcome, now);
+  if (listing && !reader->after)
+    g_ptr_array_set_size (channel->list, 0);
+  whole = cf_reader_outcome (reader, outcome, &answer, now, task->random);
+  if (outcome == CF_READ_ANSWERED)
+    {
+      cf_source_answered (cf_sources_store (task->sources));
+      if (listing)
+        g_ptr_array_extend_and_steal (channel->list, g_steal_pointer (&answer.records));
+      if (whole || !listing)
+        cf_feed_take (task, reader->kind, whole ? channel->list : answer.records,
+                      reader->revision, whole, cf_reader_trusted (reader, now));
+      cf_feed_known (task, answered_at (task), all_trusted (task, now));
+    }
+  else if (reader->failures >= FAILURES_MAX)
+    cf_source_failed (cf_sources_store (task->sources), now);
+  cf_feed_answer_clear (&answer);
+  cf_feed_pump (task);
+}
+
+static CfMillis
+wait_of (const struct CfReader *reader)
+{
+  if (!reader->listed)
+    return 0;
+  return reader->kind == CF_FEED_VMS ? VMS_WAIT_MS : CF_READER_WAIT_MS;
+}
+
+static void
+begin_call (struct FeedTask *task, struct FeedChannel *channel)
+{
+  const struct CfReader *reader = &channel->reader;
+  const char *store = task->balancer->settings.store;
+  CfMillis wait = wait_of (reader);
+  SoupMessage *message = reader->listed
+                             ? cf_platform_watch (store, reader->kind, reader->revision, wait)
+                             : cf_platform_list (store, reader->kind, reader->after);
+
+  channel->call = cf_http_call_begin (task->session, message,
+                                      (guint) (wait + CF_READER_DEADLINE_MS), reader->failures > 0,
+                                      answered, channel);
+}
+
+CfMillis
+cf_feed_store_pump (struct FeedTask *task, bool active, CfMillis now)
+{
+  CfMillis next = now + CF_MS_PER_S;
+
+  for (int kind = 0; kind < CF_FEED_KINDS; kind++)
+    {
+      struct FeedChannel *channel = &task->channels[kind];
+
+      cf_reader_skip_to (&channel->reader, task->replica.revision[kind]);
+      if (!active && task->replica.revision[kind] > 0)
+        continue;
+      if (cf_reader_due (&channel->reader, now))
+        begin_call (task, channel);
+      else if (!channel->reader.calling)
+        next = MIN (next, channel->reader.next_at);
+    }
+  return next;
+}
+
+void
+cf_feed_store_start (struct FeedTask *task)
+{
+  for (int kind = 0; kind < CF_FEED_KINDS; kind++)
+    {
+      struct FeedChannel *channel = &task->channels[kind];
+
+      channel->task = task;
+      channel->list = g_ptr_array_new_with_free_func (cf_record_free);
+      cf_reader_init (&channel->reader, (enum CfFeedKind) kind, cf_now ());
+    }
+}
+
+void
+cf_feed_store_stop (struct FeedTask *task)
+{
+  for (int kind = 0; kind < CF_FEED_KINDS; kind++)
+    {
+      struct FeedChannel *channel = &task->channels[kind];
+
+      if (channel->call)
+        cf_http_call_abandon (channel->call);
+      channel->call = NULL;
+      g_clear_pointer (&channel->list, g_ptr_array_unref);
+      cf_reader_clear (&channel->reader);
+    }
+}
