VMs without news ask seeds and hand packets on; VMs of a domain stop one by one

Ruled out: lingering longer (more VMs out of rotation at once).

Change: a VM that knows nothing asks the seeds' VMs; packets that it cannot understand go to another VM, marked so that they are handed on once only; a VM told to stop goes on serving while another of its domain is away, as far as its grace period allows, and passes packets on for 1.4 s (2 s before).

--- a/src/balance/balance.c
+++ b/src/balance/balance.c
@@ -31,6 +31,9 @@
  * its next announcement comes within about this time. */
 #define ANNOUNCE_MS 1500
 
+/* Entry VMs that packets are handed on to by turns: more than one, since some may be down. */
+#define HELPERS_MAX 3
+
 #define PRUNE_MS 10000 /* between two looks for upstreams to forget */
 
 struct CfBalance
@@ -47,6 +50,8 @@
   double wait_near; /* smoothed ms from a first packet to its successor */
   double wait_far;
   uint32_t fleet;
+  GArray *helpers; /* of uint32_t: IPs of other entry VMs */
+  uint32_t next_helper;
   CfMillis news_at;
   CfMillis pruned_at;
 };
@@ -59,13 +64,13 @@
     [CF_FATE_PASSED] = "passed",
     [CF_FATE_MOVED] = "moved",
     [CF_FATE_REPEATED] = "repeated",
+    [CF_FATE_HANDED_ON] = "handed-on",
     [CF_FATE_RESET_ROUTE] = "reset-no-route",
     [CF_FATE_RESET_SERVICE] = "reset-no-upstream",
     [CF_FATE_RESET_REMOVED] = "reset-route-removed",
     [CF_FATE_SILENT_ROUTE] = "dropped-no-route",
     [CF_FATE_SILENT_COOKIE] = "dropped-unknown-cookie",
     [CF_FATE_SILENT_OTHER] = "dropped-other-service",
-    [CF_FATE_SILENT_FULL] = "dropped-no-room",
   };
 
   return names[fate];
@@ -90,6 +95,7 @@
   balance->wait_near = WAIT_START_MS / WAIT_FACTOR;
   balance->wait_far = WAIT_START_MS / WAIT_FACTOR;
   balance->fleet = 1;
+  balance->helpers = g_array_new (FALSE, FALSE, sizeof (uint32_t));
   balance->news_at = -NEWS_FRESH_MS;
   cf_connections_init (&balance->connections);
   return balance;
@@ -99,6 +105,7 @@
 cf_balance_free (struct CfBalance *balance)
 {
   cf_connections_clear (&balance->connections);
+  g_array_unref (balance->helpers);
   g_rand_free (balance->random);
   g_hash_table_unref (balance->evacuated);
   cf_routes_free (balance->routes);
@@ -135,6 +142,22 @@
   return fate;
 }
 
+/* SEGMENT cannot be understood here: another VM may know more, since this one has just
+ * started or has been cut off.  FATE is what becomes of it otherwise. */
+static enum CfFate
+hand_on (struct CfBalance *balance,
+         const struct CfSegment *segment,
+         enum CfFate fate,
+         CfMillis now)
+{
+  if (segment->flags & CF_SEGMENT_HANDED || balance->helpers->len == 0)
+    return end (balance, segment, NULL, fate, now);
+  balance->next_helper = (balance->next_helper + 1) % MIN (balance->helpers->len, HELPERS_MAX);
+  balance->out->hand_on (balance->context, segment,
+                         g_array_index (balance->helpers, uint32_t, balance->next_helper));
+  return end (balance, segment, NULL, CF_FATE_HANDED_ON, now);
+}
+
 static double
 cold_share (const struct CfBalance *balance, GQuark service)
 {
@@ -242,7 +265,7 @@
   enum CfFate fate = segment->copy > 0 ? CF_FATE_REPEATED : CF_FATE_PLACED;
 
   if (!route && now - balance->news_at > NEWS_FRESH_MS)
-    return end (balance, segment, NULL, CF_FATE_SILENT_ROUTE, now);
+    return hand_on (balance, segment, CF_FATE_SILENT_ROUTE, now);
   if (!route || route->removed)
     return end (balance, segment, NULL, CF_FATE_RESET_ROUTE, now);
   if (connection && !connection->pending && segment->copy > 0 && connection->target)
@@ -322,7 +345,7 @@
       return end (balance, segment, target, CF_FATE_RESET_REMOVED, now);
     }
   if (!target)
-    return end (balance, segment, NULL, CF_FATE_SILENT_COOKIE, now);
+    return hand_on (balance, segment, CF_FATE_SILENT_COOKIE, now);
   if (route && !route_leads_to (route, target->service))
     return end (balance, segment, target, CF_FATE_SILENT_OTHER, now);
   balance->out->forward (balance->context, segment->bytes, segment->size, target);
@@ -452,6 +475,13 @@
   balance->news_at = now;
 }
 
+void
+cf_balance_helpers (struct CfBalance *balance, const uint32_t *ips, uint32_t count)
+{
+  g_array_set_size (balance->helpers, 0);
+  g_array_append_vals (balance->helpers, ips, count);
+}
+
 void
 cf_balance_fleet (struct CfBalance *balance, uint32_t count)
 {
--- a/src/balance/balance.h
+++ b/src/balance/balance.h
@@ -21,13 +21,13 @@
   CF_FATE_PASSED,        /* sent to the upstream that its cookie names */
   CF_FATE_MOVED,         /* first packet, sent to another upstream without being repeated */
   CF_FATE_REPEATED,      /* first packet that its caller repeated, sent to another upstream */
+  CF_FATE_HANDED_ON,     /* sent to another entry VM, which may know more */
   CF_FATE_RESET_ROUTE,   /* refused: no route at its address */
   CF_FATE_RESET_SERVICE, /* refused: no upstream may take it */
   CF_FATE_RESET_REMOVED, /* flow ended: its route was removed */
   CF_FATE_SILENT_ROUTE,  /* dropped: no route known, and the manifest may be old */
   CF_FATE_SILENT_COOKIE, /* dropped: its cookie names no known upstream */
   CF_FATE_SILENT_OTHER,  /* dropped: its cookie names an upstream of another service */
-  CF_FATE_SILENT_FULL,   /* dropped: no upstream may take it now, but one may soon */
   CF_FATE_COUNT,
 };
 
@@ -54,6 +54,8 @@
                    const uint8_t *bytes,
                    size_t size,
                    const struct CfTarget *target);
+  /* Sends SEGMENT to the entry VM at IP. */
+  void (*hand_on) (void *context, const struct CfSegment *segment, uint32_t ip);
   /* Resets the flow of SEGMENT towards its caller. */
   void (*reset) (void *context, const struct CfSegment *segment);
   /* A decision was made that a log may tell.  Not called for CF_FATE_PASSED. */
@@ -95,6 +97,10 @@
 /* What is known is as of NOW: the store answered, or a peer whom it answered. */
 void cf_balance_news (struct CfBalance *balance, CfMillis now);
 
+/* The COUNT entry VMs at IPS may know what this one does not: others of its failure domain
+ * first. */
+void cf_balance_helpers (struct CfBalance *balance, const uint32_t *ips, uint32_t count);
+
 /* COUNT VMs share what a cold upstream bears. */
 void cf_balance_fleet (struct CfBalance *balance, uint32_t count);
 
--- a/src/balance/segment.h
+++ b/src/balance/segment.h
@@ -16,6 +16,7 @@
   CF_SEGMENT_ACK = 1 << 1,
   CF_SEGMENT_FIN = 1 << 2,
   CF_SEGMENT_RST = 1 << 3,
+  CF_SEGMENT_HANDED = 1 << 4, /* another entry VM handed it on to this one */
 };
 
 /* An IPv4 address and port, both in host byte order. */
@@ -48,6 +49,9 @@
    * SIZE bytes to the upstream whose wire id is TAG, with COOKIE in it.  Returns its
    * length. */
   size_t (*wrap) (const uint8_t *bytes, size_t size, uint64_t tag, uint32_t cookie, uint8_t *out);
+  /* Writes to OUT the datagram that hands the packet BYTES of SIZE on to another entry VM,
+   * which sees CF_SEGMENT_HANDED.  Returns its length. */
+  size_t (*hand_on) (const uint8_t *bytes, size_t size, uint8_t *out);
   /* Writes to OUT the packet that resets the flow of SEGMENT towards its caller.
    * Returns its length. */
   size_t (*reset) (const struct CfSegment *segment, uint8_t *out);
--- a/src/feed/feed.h
+++ b/src/feed/feed.h
@@ -43,17 +43,26 @@
 };
 typedef struct feed_news feed_news;
 
+struct feed_hello {
+	char *name;
+	char *domain;
+	bool_t leaving;
+};
+typedef struct feed_hello feed_hello;
+
 /* the xdr functions */
 
 #if defined(__STDC__) || defined(__cplusplus)
 extern  bool_t xdr_feed_record (XDR *, feed_record*);
 extern  bool_t xdr_feed_part (XDR *, feed_part*);
 extern  bool_t xdr_feed_news (XDR *, feed_news*);
+extern  bool_t xdr_feed_hello (XDR *, feed_hello*);
 
 #else /* K&R C */
 extern bool_t xdr_feed_record ();
 extern bool_t xdr_feed_part ();
 extern bool_t xdr_feed_news ();
+extern bool_t xdr_feed_hello ();
 
 #endif /* K&R C */
 
--- a/src/feed/feed.x
+++ b/src/feed/feed.x
@@ -20,3 +20,11 @@
   bool settled;           /* announcements that lapsed with the store would be back */
   feed_part parts<8>;
 };
+
+/* A VM tells the others of its failure domain that it leaves the fabric's rotation, or
+ * that it has returned.  Sent as a datagram, several times. */
+struct feed_hello {
+  string name<255>;
+  string domain<255>;
+  bool leaving;
+};
--- a/src/feed/feed_xdr.c
+++ b/src/feed/feed_xdr.c
@@ -50,3 +50,17 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_feed_hello (XDR *xdrs, feed_hello *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->name, 255))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->domain, 255))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->leaving))
+		 return FALSE;
+	return TRUE;
+}
--- /dev/null
+++ b/src/feed/rotation.c
@@ -0,0 +1,55 @@
+#include "rotation.h"
+
+struct CfAway
+{
+  CfMillis until; /* from then on it is in use again */
+};
+
+void
+cf_rotation_init (struct CfRotation *rotation)
+{
+  rotation->away = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+}
+
+void
+cf_rotation_clear (struct CfRotation *rotation)
+{
+  g_clear_pointer (&rotation->away, g_hash_table_unref);
+}
+
+void
+cf_rotation_hear (struct CfRotation *rotation, const char *name, bool leaving, CfMillis now)
+{
+  struct CfAway *away = g_hash_table_lookup (rotation->away, name);
+
+  if (!away)
+    {
+      away = g_new0 (struct CfAway, 1);
+      g_hash_table_insert (rotation->away, g_strdup (name), away);
+    }
+  away->until = now + (leaving ? CF_ROTATION_AWAY_MS : CF_ROTATION_RETURN_MS);
+}
+
+uint32_t
+cf_rotation_away (const struct CfRotation *rotation, CfMillis now)
+{
+  GHashTableIter iter;
+  gpointer value;
+  uint32_t count = 0;
+
+  g_hash_table_iter_init (&iter, rotation->away);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    count += now < ((struct CfAway *) value)->until;
+  return count;
+}
+
+bool
+cf_rotation_may_leave (const struct CfRotation *rotation, uint32_t size, CfMillis now)
+{
+  uint32_t out = cf_rotation_away (rotation, now) + 1;
+
+  /* The only VM of a failure domain has nobody to wait for. */
+  if (size <= 1)
+    return true;
+  return out < size && (size - out) * 2 >= size;
+}
--- /dev/null
+++ b/src/feed/rotation.h
@@ -0,0 +1,37 @@
+#ifndef CF_FEED_ROTATION_H
+#define CF_FEED_ROTATION_H
+
+#include "cf_types.h"
+
+#include <glib.h>
+
+/* Decides when a VM that is to stop leaves the fabric's rotation.
+ *
+ * With fewer than half of a failure domain's VMs in rotation the fabric uses all of them,
+ * those included that are stopped.  So a VM that is to stop goes on serving until another
+ * that was stopped before it is back, as long as it has time. */
+
+/* A VM that left is back within this time, or is not expected back: its packets are passed
+ * on for 1.4 s, it is started again after a moment, and the fabric asks twice a second. */
+#define CF_ROTATION_AWAY_MS 5000
+/* From a VM's return until the fabric uses it again. */
+#define CF_ROTATION_RETURN_MS 700
+
+struct CfRotation
+{
+  GHashTable *away; /* name to struct CfAway */
+};
+
+void cf_rotation_init (struct CfRotation *rotation);
+void cf_rotation_clear (struct CfRotation *rotation);
+
+/* The VM called NAME of the same failure domain says that it leaves, or has returned. */
+void cf_rotation_hear (struct CfRotation *rotation, const char *name, bool leaving, CfMillis now);
+
+/* Returns the number of VMs that have left and are not in use again. */
+uint32_t cf_rotation_away (const struct CfRotation *rotation, CfMillis now);
+
+/* Returns true if one of SIZE VMs may leave while half stay in use. */
+bool cf_rotation_may_leave (const struct CfRotation *rotation, uint32_t size, CfMillis now);
+
+#endif
--- a/src/feed/sources.c
+++ b/src/feed/sources.c
@@ -9,7 +9,8 @@
 {
   char *name;
   char *domain;
-  GPtrArray *vms; /* of struct CfSource, in the order in which they read the store */
+  GPtrArray *vms;   /* of struct CfSource, in the order in which they read the store */
+  GPtrArray *seeds; /* of struct CfSource */
   struct CfSource store;
 };
 
@@ -32,6 +33,7 @@
   sources->name = g_strdup (name);
   sources->domain = g_strdup (domain);
   sources->vms = g_ptr_array_new_with_free_func (free_source);
+  sources->seeds = g_ptr_array_new_with_free_func (free_source);
   return sources;
 }
 
@@ -39,6 +41,7 @@
 cf_sources_free (struct CfSources *sources)
 {
   g_ptr_array_unref (sources->vms);
+  g_ptr_array_unref (sources->seeds);
   g_free (sources->name);
   g_free (sources->domain);
   g_free (sources);
@@ -113,16 +116,79 @@
   return groups > 1 ? g_str_hash (name) % groups : 0;
 }
 
-static guint
-domain_size (const struct CfSources *sources)
+uint32_t
+cf_sources_domain_size (const struct CfSources *sources)
 {
-  guint count = 0;
+  uint32_t count = 0;
 
   for (guint i = 0; i < sources->vms->len; i++)
     count += strcmp (((struct CfSource *) sources->vms->pdata[i])->domain, sources->domain) == 0;
   return count;
 }
 
+void
+cf_sources_seed (struct CfSources *sources, char *const *ips)
+{
+  g_ptr_array_set_size (sources->seeds, 0);
+  for (; *ips; ips++)
+    {
+      struct CfSource *seed = g_new0 (struct CfSource, 1);
+
+      seed->name = g_strconcat ("seed ", *ips, NULL);
+      seed->domain = g_strdup ("");
+      seed->ip = g_strdup (*ips);
+      g_ptr_array_add (sources->seeds, seed);
+    }
+}
+
+static bool
+is_listed (const struct CfSources *sources, const char *ip)
+{
+  for (guint i = 0; i < sources->vms->len; i++)
+    if (strcmp (((struct CfSource *) sources->vms->pdata[i])->ip, ip) == 0)
+      return true;
+  return false;
+}
+
+static void
+add_ips (const struct CfSources *sources, GPtrArray *ips, bool near)
+{
+  for (guint i = 0; i < sources->vms->len; i++)
+    {
+      struct CfSource *source = sources->vms->pdata[i];
+
+      if (strcmp (source->name, sources->name) != 0
+          && (strcmp (source->domain, sources->domain) == 0) == near)
+        g_ptr_array_add (ips, source->ip);
+    }
+}
+
+GPtrArray *
+cf_sources_near_ips (const struct CfSources *sources)
+{
+  GPtrArray *ips = g_ptr_array_new ();
+
+  add_ips (sources, ips, true);
+  return ips;
+}
+
+GPtrArray *
+cf_sources_ips (const struct CfSources *sources)
+{
+  GPtrArray *ips = g_ptr_array_new ();
+
+  add_ips (sources, ips, true);
+  add_ips (sources, ips, false);
+  for (guint i = 0; i < sources->seeds->len; i++)
+    {
+      struct CfSource *seed = sources->seeds->pdata[i];
+
+      if (!is_listed (sources, seed->ip))
+        g_ptr_array_add (ips, seed->ip);
+    }
+  return ips;
+}
+
 /* Keeps in BEST the source that may be asked soonest, the first of those that may be asked
  * now. */
 static void
@@ -138,7 +204,7 @@
 static void
 consider_group (struct CfSources *sources, struct CfSource **best, bool before, CfMillis now)
 {
-  guint size = domain_size (sources);
+  guint size = cf_sources_domain_size (sources);
   guint mine = group (sources->name, size);
   bool passed = false;
 
@@ -187,6 +253,16 @@
   return best;
 }
 
+struct CfSource *
+cf_sources_choose_seed (struct CfSources *sources, CfMillis now)
+{
+  struct CfSource *best = NULL;
+
+  for (guint i = 0; i < sources->seeds->len; i++)
+    consider (&best, sources->seeds->pdata[i], now);
+  return best;
+}
+
 struct CfSource *
 cf_sources_store (struct CfSources *sources)
 {
--- a/src/feed/sources.h
+++ b/src/feed/sources.h
@@ -49,6 +49,22 @@
  * cf_sources_set. */
 struct CfSource *cf_sources_choose (struct CfSources *sources, CfMillis now);
 
+/* Says that VMs may run at the IPS, whose names are not known. */
+void cf_sources_seed (struct CfSources *sources, char *const *ips);
+
+/* Returns the VM at a seed's address that is to be asked first by one that knows nothing
+ * yet, or NULL. */
+struct CfSource *cf_sources_choose_seed (struct CfSources *sources, CfMillis now);
+
+/* Returns the IPs (text, not owned) of other VMs, those of this failure domain first. */
+GPtrArray *cf_sources_ips (const struct CfSources *sources);
+
+/* The same, of this failure domain only. */
+GPtrArray *cf_sources_near_ips (const struct CfSources *sources);
+
+/* Returns the number of VMs in this failure domain. */
+uint32_t cf_sources_domain_size (const struct CfSources *sources);
+
 /* Returns the store as a source. */
 struct CfSource *cf_sources_store (struct CfSources *sources);
 
--- a/src/serve/balance_settings.c
+++ b/src/serve/balance_settings.c
@@ -74,14 +74,28 @@
   return result;
 }
 
+/* Reads a list of IP:port and returns the IPs other than OWN: all VMs use one port. */
 static char **
-list (struct Reader *reader, const char *group, const char *key)
+ips (struct Reader *reader, const char *group, const char *key, const char *own)
 {
   char *value = g_key_file_get_string (reader->file, group, key, NULL);
-  char **result = g_strsplit (value ? value : "", ",", -1);
+  char **items = g_strsplit (value ? value : "", ",", -1);
+  GPtrArray *result = g_ptr_array_new ();
 
+  for (char **item = items; *item; item++)
+    {
+      struct CfAddress parsed;
+
+      if (**item && !parse_ip_port (*item, &parsed))
+        fail (reader, group, key, "is not a list of IP:port");
+      *strchrnul (*item, ':') = 0;
+      if (**item && g_strcmp0 (*item, own) != 0)
+        g_ptr_array_add (result, g_strdup (*item));
+    }
+  g_ptr_array_add (result, NULL);
+  g_strfreev (items);
   g_free (value);
-  return result;
+  return (char **) g_ptr_array_free (result, FALSE);
 }
 
 static void
@@ -97,7 +111,7 @@
   settings->metrics_port = (uint16_t) number (reader, "vm", "metrics-port", 0, UINT16_MAX);
   settings->peer_port = (uint16_t) number (reader, "vm", "peer-port", 1, UINT16_MAX);
   settings->link_mbps = number (reader, "vm", "link-mbps", 0, 1e9);
-  settings->seeds = list (reader, "fleet", "seeds");
+  settings->seeds = ips (reader, "fleet", "seeds", settings->ip);
   settings->store = text (reader, "store", "address");
   if (settings->store && *settings->store && !parse_ip_port (settings->store, &store))
     fail (reader, "store", "address", "is not IP:port");
--- a/src/serve/balancer.c
+++ b/src/serve/balancer.c
@@ -10,9 +10,10 @@
  * turns signals and a changed settings file into messages, and stops the tasks in reverse
  * order. */
 
-/* From SIGTERM until the process ends: the fabric asks twice a second and takes two
- * refusals; then packets that are on their way must still be passed on. */
-#define LINGER_MS 2000
+/* From leaving the rotation until the process ends: the fabric asks twice a second and takes
+ * two refusals; then packets that are on their way must still be passed on. */
+#define LINGER_MS 1400
+#define LEAVE_CHECK_MS 50
 /* The settings file may change without a signal. */
 #define SETTINGS_CHECK_S 2
 
@@ -28,6 +29,7 @@
 {
   struct CfBalancer balancer;
   gint64 settings_mtime;
+  bool stopping;
 };
 
 static void
@@ -49,17 +51,29 @@
   return G_SOURCE_REMOVE;
 }
 
+static gboolean
+wait_for_leave (gpointer data)
+{
+  struct Supervisor *supervisor = data;
+
+  if (!atomic_load (&supervisor->balancer.leaving))
+    return G_SOURCE_CONTINUE;
+  g_timeout_add (LINGER_MS, quit, supervisor);
+  return G_SOURCE_REMOVE;
+}
+
 static gboolean
 on_stop (gpointer data)
 {
   struct Supervisor *supervisor = data;
   struct CfBalancer *balancer = &supervisor->balancer;
-  CfMillis linger = MIN (LINGER_MS, balancer->settings.grace_ms / 2);
 
-  if (atomic_exchange (&balancer->leaving, true))
+  if (supervisor->stopping)
     return G_SOURCE_CONTINUE;
-  log_event (balancer, "stopping", "SIGTERM; packets are passed on until the fabric has noticed");
-  g_timeout_add ((guint) linger, quit, supervisor);
+  supervisor->stopping = true;
+  log_event (balancer, "stopping", "SIGTERM");
+  cf_send_stop (balancer);
+  g_timeout_add (LEAVE_CHECK_MS, wait_for_leave, supervisor);
   return G_SOURCE_CONTINUE;
 }
 
--- a/src/serve/balancer.h
+++ b/src/serve/balancer.h
@@ -21,7 +21,7 @@
   struct CfTask admin;    /* readiness and metrics over HTTP */
   GMainLoop *main_loop;
   atomic_bool serving; /* there is something to serve with */
-  atomic_bool leaving; /* SIGTERM came */
+  atomic_bool leaving; /* SIGTERM came, and the fabric is to send nothing more */
 };
 
 extern const struct CfTaskClass cf_datapath_task;
@@ -47,6 +47,7 @@
   GPtrArray *evacuated;        /* names of failure domains that get no new flows */
   GPtrArray *returned;         /* names of those that may get them again */
   uint32_t vms;                /* in the fleet, 0: no news */
+  GArray *helpers;             /* of uint32_t: IPs of VMs that may know more; NULL: no news */
 };
 
 struct CfUpdate *cf_update_new (enum CfFeedKind kind, bool trusted);
@@ -59,6 +60,10 @@
  * announcements that lapsed would have been back. */
 void cf_send_fresh (struct CfBalancer *balancer, CfMillis known_at, bool settled);
 
+/* Message to the feed task: this VM is to stop, and leaves the rotation when the others of
+ * its failure domain can do without it. */
+void cf_send_stop (struct CfBalancer *balancer);
+
 /* Message to the datapath task: appends its metrics to TEXT and calls DONE with DATA on
  * the admin task. */
 struct CfMetricsRequest
--- a/src/serve/datapath_task.c
+++ b/src/serve/datapath_task.c
@@ -104,6 +104,17 @@
                 target->address.ip, target->address.port);
 }
 
+static void
+hand_on (void *context, const struct CfSegment *segment, uint32_t ip)
+{
+  struct DatapathTask *task = context;
+  uint8_t *out = next_datagram (task);
+
+  /* All VMs take packets at the same port. */
+  add_datagram (task, cf_platform_form.hand_on (segment->bytes, segment->size, out), ip,
+                task->balancer->settings.fabric.port);
+}
+
 static void
 reset (void *context, const struct CfSegment *segment)
 {
@@ -188,6 +199,7 @@
 
 static const struct CfBalanceOutputs outputs = {
   .forward = forward,
+  .hand_on = hand_on,
   .reset = reset,
   .decided = decided,
   .opened = opened,
@@ -405,6 +417,9 @@
     take_evacuation (task, update->returned->pdata[i], false, now);
   if (update->vms > 0)
     cf_balance_fleet (task->balance, update->vms);
+  if (update->helpers)
+    cf_balance_helpers (task->balance, (const uint32_t *) update->helpers->data,
+                        update->helpers->len);
   update_serving (task);
 }
 
--- a/src/serve/feed_follow.c
+++ b/src/serve/feed_follow.c
@@ -6,14 +6,18 @@
 #define WAIT_MS 1500
 #define DEADLINE_MS 500 /* for the answer, beyond the wait */
 #define RETRY_MS 100    /* to the next source, after one has failed */
+#define SEED_WAIT_MS 300 /* a VM that starts has no time for a seed that knows nothing */
 #define PAUSE_MS 50     /* after an answer, so that changes that come together cost one */
 
 static struct CfSource *
 asked_source (struct FeedTask *task, CfMillis now)
 {
   struct CfSource *source = cf_sources_choose (task->sources, now);
+  struct CfSource *seed = cf_sources_choose_seed (task->sources, now);
 
-  return source->name && g_strcmp0 (source->name, task->follow.name) == 0 ? source : NULL;
+  if (source->name && g_strcmp0 (source->name, task->follow.name) == 0)
+    return source;
+  return seed && g_strcmp0 (seed->name, task->follow.name) == 0 ? seed : NULL;
 }
 
 static bool
@@ -74,6 +78,7 @@
 {
   struct FeedFollow *follow = &task->follow;
   struct CfFeedPosition position;
+  int wait = task->replica.revision[CF_FEED_MANIFEST] > 0 ? WAIT_MS : SEED_WAIT_MS;
   char *query;
   char *url;
 
@@ -85,11 +90,11 @@
     position.revision[kind] = task->replica.revision[kind];
   query = cf_feed_position_format (&position);
   url = g_strdup_printf ("http://%s:%u/feed?%s&wait-ms=%d", source->ip,
-                         task->balancer->settings.peer_port, query, WAIT_MS);
+                         task->balancer->settings.peer_port, query, wait);
   g_free (follow->name);
   follow->name = g_strdup (source->name);
   follow->call = cf_http_call_begin (task->session, soup_message_new ("GET", url),
-                                     WAIT_MS + DEADLINE_MS, source->failures > 0, answered, task);
+                                     (guint) wait + DEADLINE_MS, source->failures > 0, answered, task);
   g_free (url);
   g_free (query);
   return now + CF_MS_PER_S;
--- a/src/serve/feed_internal.h
+++ b/src/serve/feed_internal.h
@@ -5,6 +5,7 @@
 #include "feed/reader.h"
 #include "feed/relay.h"
 #include "feed/replica.h"
+#include "feed/rotation.h"
 #include "feed/sources.h"
 #include "http_call.h"
 
@@ -14,7 +15,8 @@
  *   feed_store.c   reads the store
  *   feed_follow.c  follows another entry VM
  *   feed_relay.c   serves the VMs that follow this one
- *   feed_enroll.c  keeps this VM's record in the store */
+ *   feed_enroll.c  keeps this VM's record in the store
+ *   feed_rotation.c  agrees with the VMs of its failure domain on who may stop when */
 
 struct FeedTask;
 
@@ -58,6 +60,12 @@
   struct FeedChannel channels[CF_FEED_KINDS];
   struct FeedFollow follow;
   struct FeedEnroll enroll;
+  struct CfRotation rotation;
+  GSocket *hello;          /* UDP: says to the failure domain that this VM leaves or returns */
+  GSource *hello_source;
+  CfMillis hello_next;     /* when the next is due */
+  uint32_t hellos;         /* left to be sent after a start */
+  CfMillis stop_at;        /* when this VM was told to stop, -1: it was not */
   SoupServer *relay;
   GQueue waiting; /* of struct RelayRequest: followers that wait for news */
 };
@@ -94,6 +102,10 @@
  * Returns when the next wait is over. */
 CfMillis cf_feed_relay_pump (struct FeedTask *task, CfMillis now);
 
+bool cf_feed_rotation_start (struct FeedTask *task, struct CfError *error);
+void cf_feed_rotation_stop (struct FeedTask *task);
+CfMillis cf_feed_rotation_pump (struct FeedTask *task, CfMillis now);
+
 void cf_feed_enroll_start (struct FeedTask *task);
 void cf_feed_enroll_stop (struct FeedTask *task);
 CfMillis cf_feed_enroll_pump (struct FeedTask *task, CfMillis now);
--- /dev/null
+++ b/src/serve/feed_rotation.c
@@ -0,0 +1,147 @@
+#include "feed_internal.h"
+#include "feed/hello.h"
+#include "server.h"
+
+#include <string.h>
+
+#define HELLO_EVERY_MS 300 /* a datagram may be lost */
+#define HELLOS_ON_START 4
+#define HELLO_MAX 512 /* bytes */
+/* The last moment to leave: the process must still pass packets on for a while before the
+ * platform kills it. */
+#define LEAVE_RESERVE_MS 2200
+
+static void
+take_hello (struct FeedTask *task, const uint8_t *data, size_t len, CfMillis now)
+{
+  struct feed_hello hello;
+
+  if (!cf_hello_decode (data, len, &hello))
+    {
+      g_message ("a hello of %zu bytes cannot be read; ignored", len);
+      return;
+    }
+  if (strcmp (hello.name, task->balancer->settings.name) != 0
+      && strcmp (hello.domain, task->balancer->settings.failure_domain) == 0)
+    cf_rotation_hear (&task->rotation, hello.name, hello.leaving, now);
+  cf_hello_clear (&hello);
+}
+
+static gboolean
+on_hello (GSocket *socket, GIOCondition condition, gpointer data)
+{
+  struct FeedTask *task = data;
+  uint8_t buffer[HELLO_MAX];
+  gssize len;
+
+  (void) condition;
+  while ((len = g_socket_receive (socket, (char *) buffer, sizeof buffer, NULL, NULL)) > 0)
+    take_hello (task, buffer, (size_t) len, cf_now ());
+  cf_feed_pump (task);
+  return G_SOURCE_CONTINUE;
+}
+
+static void
+send_hello (struct FeedTask *task, bool leaving)
+{
+  const struct CfBalanceSettings *settings = &task->balancer->settings;
+  GPtrArray *ips = cf_sources_near_ips (task->sources);
+  uint8_t buffer[HELLO_MAX];
+  size_t len = cf_hello_encode (settings->name, settings->failure_domain, leaving, buffer,
+                                sizeof buffer);
+
+  for (guint i = 0; i < ips->len && len > 0; i++)
+    {
+      GSocketAddress *to
+          = g_inet_socket_address_new_from_string (ips->pdata[i], settings->peer_port);
+
+      /* A lost hello costs no more than a lost datagram: it is sent several times. */
+      if (to)
+        g_socket_send_to (task->hello, to, (const char *) buffer, len, NULL, NULL);
+      g_clear_object (&to);
+    }
+  g_ptr_array_unref (ips);
+}
+
+static void
+try_to_leave (struct FeedTask *task, CfMillis now)
+{
+  struct CfBalancer *balancer = task->balancer;
+  uint32_t size = cf_sources_domain_size (task->sources);
+  bool last_moment = now - task->stop_at >= balancer->settings.grace_ms - LEAVE_RESERVE_MS;
+
+  if (!last_moment && !cf_rotation_may_leave (&task->rotation, size, now))
+    return;
+  atomic_store (&balancer->leaving, true);
+  cf_event_log_write (balancer->log, "leaving",
+                      (struct CfField[]){
+                          { .key = "waited_ms", .number = now - task->stop_at },
+                          { .key = "vms", .number = size },
+                          { .key = "away", .number = cf_rotation_away (&task->rotation, now) },
+                          { 0 },
+                      });
+}
+
+CfMillis
+cf_feed_rotation_pump (struct FeedTask *task, CfMillis now)
+{
+  bool stopping = task->stop_at >= 0;
+
+  if (stopping && !atomic_load (&task->balancer->leaving))
+    try_to_leave (task, now);
+  if (now < task->hello_next)
+    return task->hello_next;
+  if (stopping && !atomic_load (&task->balancer->leaving))
+    return now + HELLO_EVERY_MS / 3;
+  if (!stopping && (task->hellos == 0 || !atomic_load (&task->balancer->serving)))
+    return now + (task->hellos ? HELLO_EVERY_MS : CF_MS_PER_S);
+  send_hello (task, stopping);
+  task->hellos -= task->hellos > 0;
+  task->hello_next = now + HELLO_EVERY_MS;
+  return task->hello_next;
+}
+
+static void
+take_stop (void *data, void *message)
+{
+  struct FeedTask *task = data;
+
+  (void) message;
+  if (task->stop_at >= 0)
+    return;
+  task->stop_at = cf_now ();
+  task->hello_next = 0;
+  cf_feed_pump (task);
+}
+
+void
+cf_send_stop (struct CfBalancer *balancer)
+{
+  cf_task_post (&balancer->feed, take_stop, NULL, NULL);
+}
+
+bool
+cf_feed_rotation_start (struct FeedTask *task, struct CfError *error)
+{
+  const struct CfBalanceSettings *settings = &task->balancer->settings;
+
+  task->hello = cf_udp_open (settings->ip, settings->peer_port, error);
+  if (!task->hello)
+    return false;
+  task->hellos = HELLOS_ON_START;
+  task->hello_source = g_socket_create_source (task->hello, G_IO_IN, NULL);
+  g_source_set_callback (task->hello_source, G_SOURCE_FUNC (on_hello), task, NULL);
+  g_source_attach (task->hello_source, g_main_context_get_thread_default ());
+  return true;
+}
+
+void
+cf_feed_rotation_stop (struct FeedTask *task)
+{
+  if (task->hello_source)
+    {
+      g_source_destroy (task->hello_source);
+      g_clear_pointer (&task->hello_source, g_source_unref);
+    }
+  g_clear_object (&task->hello);
+}
--- a/src/serve/feed_task.c
+++ b/src/serve/feed_task.c
@@ -2,6 +2,8 @@
 #include "platform/objects.h"
 #include "server.h"
 
+#include <arpa/inet.h>
+
 /* The feed task keeps a copy of the store's records up to date and tells the datapath task
  * what is new. */
 
@@ -49,6 +51,27 @@
                         });
 }
 
+/* Returns the IPs of other VMs, an array of uint32_t. */
+static GArray *
+helpers (struct FeedTask *task)
+{
+  GArray *numbers = g_array_new (FALSE, FALSE, sizeof (uint32_t));
+  GPtrArray *ips = cf_sources_ips (task->sources);
+
+  for (guint i = 0; i < ips->len; i++)
+    {
+      struct in_addr address;
+      uint32_t number;
+
+      if (inet_pton (AF_INET, ips->pdata[i], &address) != 1)
+        continue;
+      number = ntohl (address.s_addr);
+      g_array_append_val (numbers, number);
+    }
+  g_ptr_array_unref (ips);
+  return numbers;
+}
+
 /* Tells the datapath task of NEWS, an array of struct CfRecord. */
 static void
 pass_on (struct FeedTask *task, enum CfFeedKind kind, GPtrArray *news, bool trusted)
@@ -79,7 +102,10 @@
         }
     }
   if (kind == CF_FEED_VMS)
-    update->vms = cf_replica_count (&task->replica, kind);
+    {
+      update->vms = cf_replica_count (&task->replica, kind);
+      update->helpers = helpers (task);
+    }
   cf_send_update (task->balancer, update);
 }
 
@@ -135,8 +161,11 @@
   note_source (task, source, now);
   /* A VM that starts asks both the store and its source: whichever is there. */
   next = MIN (next, cf_feed_store_pump (task, !source->name, now));
-  if (source->name)
+  if (!source->name && task->replica.revision[CF_FEED_MANIFEST] == 0)
+    source = cf_sources_choose_seed (task->sources, now);
+  if (source && source->name)
     next = MIN (next, cf_feed_follow_pump (task, source, now));
+  next = MIN (next, cf_feed_rotation_pump (task, now));
   next = MIN (next, cf_feed_relay_pump (task, now));
   g_source_set_ready_time (task->timer, next * G_TIME_SPAN_MILLISECOND);
 }
@@ -157,6 +186,17 @@
 
 static GSourceFuncs timer_funcs = { .dispatch = dispatch_timer };
 
+/* Until the list of VMs is known the seeds are all the help there is. */
+static void
+start_with_seeds (struct FeedTask *task)
+{
+  struct CfUpdate *update = cf_update_new (CF_FEED_VMS, false);
+
+  cf_sources_seed (task->sources, task->balancer->settings.seeds);
+  update->helpers = helpers (task);
+  cf_send_update (task->balancer, update);
+}
+
 static bool
 start (struct CfTask *base, void *data, struct CfError *error)
 {
@@ -166,6 +206,9 @@
                                                  "max-conns-per-host", 16, NULL);
   cf_feed_store_start (task);
   cf_feed_enroll_start (task);
+  if (!cf_feed_rotation_start (task, error))
+    return false;
+  start_with_seeds (task);
   task->timer = g_source_new (&timer_funcs, sizeof (GSource));
   g_source_set_callback (task->timer, on_timer, task, NULL);
   g_source_set_ready_time (task->timer, 0);
@@ -180,6 +223,7 @@
 
   (void) base;
   cf_feed_relay_stop (task);
+  cf_feed_rotation_stop (task);
   cf_feed_enroll_stop (task);
   cf_feed_follow_stop (task);
   cf_feed_store_stop (task);
@@ -198,8 +242,10 @@
   task->balancer = balancer;
   task->random = g_rand_new ();
   task->known_at = -1;
+  task->stop_at = -1;
   task->sources = cf_sources_new (balancer->settings.name, balancer->settings.failure_domain);
   cf_replica_init (&task->replica);
+  cf_rotation_init (&task->rotation);
   return task;
 }
 
@@ -208,6 +254,7 @@
 {
   struct FeedTask *task = data;
 
+  cf_rotation_clear (&task->rotation);
   cf_sources_free (task->sources);
   cf_replica_clear (&task->replica);
   g_rand_free (task->random);
