With old news a VM asks the store itself, whatever its place in the order

Ruled out: longer lists of sources asked at the same time (calls), and a watch a domain only (calls, and the same cascade inside a domain).

Change: news older than 2.3 s (first of a group) or 2.6 s (others) send a VM to the store; a reader confirms that nothing changed as soon as it knows; a source with old news says so at once; while the store is away one short call at a time asks whether it is back; first packets are not refused before the upstreams are known.

--- a/src/balance/balance.c
+++ b/src/balance/balance.c
@@ -69,6 +69,7 @@
     [CF_FATE_RESET_SERVICE] = "reset-no-upstream",
     [CF_FATE_RESET_REMOVED] = "reset-route-removed",
     [CF_FATE_SILENT_ROUTE] = "dropped-no-route",
+    [CF_FATE_SILENT_SERVICE] = "dropped-no-upstream",
     [CF_FATE_SILENT_COOKIE] = "dropped-unknown-cookie",
     [CF_FATE_SILENT_OTHER] = "dropped-other-service",
   };
@@ -245,7 +246,7 @@
   return connection;
 }
 
-/* No upstream may take the flow of SEGMENT.  Refuses it, unless one may soon. */
+/* No upstream may take the flow of SEGMENT.  Refuses it, unless another VM may know one. */
 static enum CfFate
 unplaced (struct CfBalance *balance,
           const struct CfSegment *segment,
@@ -253,6 +254,8 @@
           CfMillis now)
 {
   cf_connections_remove (&balance->connections, connection);
+  if (now - balance->news_at > NEWS_FRESH_MS)
+    return hand_on (balance, segment, CF_FATE_SILENT_SERVICE, now);
   return end (balance, segment, NULL, CF_FATE_RESET_SERVICE, now);
 }
 
--- a/src/balance/balance.h
+++ b/src/balance/balance.h
@@ -26,6 +26,7 @@
   CF_FATE_RESET_SERVICE, /* refused: no upstream may take it */
   CF_FATE_RESET_REMOVED, /* flow ended: its route was removed */
   CF_FATE_SILENT_ROUTE,  /* dropped: no route known, and the manifest may be old */
+  CF_FATE_SILENT_SERVICE, /* dropped: no upstream known, and what is known may be old */
   CF_FATE_SILENT_COOKIE, /* dropped: its cookie names no known upstream */
   CF_FATE_SILENT_OTHER,  /* dropped: its cookie names an upstream of another service */
   CF_FATE_COUNT,
--- a/src/feed/sources.c
+++ b/src/feed/sources.c
@@ -2,13 +2,14 @@
 
 #include <string.h>
 
-/* VMs of each other failure domain that are asked when this one's are of no help. */
-#define HELPERS_PER_DOMAIN 2
+/* VMs of each other failure domain that are asked. */
+#define LEADERS_PER_DOMAIN 2
 
 struct CfSources
 {
   char *name;
   char *domain;
+  char *region;
   GPtrArray *vms;   /* of struct CfSource, in the order in which they read the store */
   GPtrArray *seeds; /* of struct CfSource */
   struct CfSource store;
@@ -21,17 +22,19 @@
 
   g_free (source->name);
   g_free (source->domain);
+  g_free (source->region);
   g_free (source->ip);
   g_free (source);
 }
 
 struct CfSources *
-cf_sources_new (const char *name, const char *domain)
+cf_sources_new (const char *name, const char *domain, const char *region)
 {
   struct CfSources *sources = g_new0 (struct CfSources, 1);
 
   sources->name = g_strdup (name);
   sources->domain = g_strdup (domain);
+  sources->region = g_strdup (region);
   sources->vms = g_ptr_array_new_with_free_func (free_source);
   sources->seeds = g_ptr_array_new_with_free_func (free_source);
   return sources;
@@ -44,6 +47,7 @@
   g_ptr_array_unref (sources->seeds);
   g_free (sources->name);
   g_free (sources->domain);
+  g_free (sources->region);
   g_free (sources);
 }
 
@@ -60,11 +64,11 @@
 }
 
 static struct CfSource *
-find (struct CfSources *sources, const char *name, guint *index)
+find (GPtrArray *list, const char *name, guint *index)
 {
-  for (guint i = 0; i < sources->vms->len; i++)
+  for (guint i = 0; i < list->len; i++)
     {
-      struct CfSource *source = sources->vms->pdata[i];
+      struct CfSource *source = list->pdata[i];
 
       if (strcmp (source->name, name) == 0)
         {
@@ -75,17 +79,22 @@
   return NULL;
 }
 
+struct CfSource *
+cf_sources_find (struct CfSources *sources, const char *name)
+{
+  guint index;
+  struct CfSource *source = find (sources->vms, name, &index);
+
+  return source ? source : find (sources->seeds, name, &index);
+}
+
 void
-cf_sources_set (struct CfSources *sources,
-                const char *name,
-                const char *domain,
-                const char *ip,
-                double link_mbps)
+cf_sources_set (struct CfSources *sources, const char *name, const struct CfVmRecord *vm)
 {
   guint index;
-  struct CfSource *source = find (sources, name, &index);
+  struct CfSource *source = find (sources->vms, name, &index);
 
-  if (!ip)
+  if (!vm)
     {
       if (source)
         g_ptr_array_remove_index (sources->vms, index);
@@ -98,10 +107,12 @@
       g_ptr_array_add (sources->vms, source);
     }
   g_free (source->domain);
+  g_free (source->region);
   g_free (source->ip);
-  source->domain = g_strdup (domain);
-  source->ip = g_strdup (ip);
-  source->link_mbps = link_mbps;
+  source->domain = g_strdup (vm->domain);
+  source->region = g_strdup (vm->region);
+  source->ip = g_strdup (vm->ip);
+  source->link_mbps = vm->link_mbps;
   source->down_until = 0;
   source->failures = 0;
   g_ptr_array_sort (sources->vms, by_order);
@@ -136,6 +147,7 @@
 
       seed->name = g_strconcat ("seed ", *ips, NULL);
       seed->domain = g_strdup ("");
+      seed->region = g_strdup ("");
       seed->ip = g_strdup (*ips);
       g_ptr_array_add (sources->seeds, seed);
     }
@@ -220,8 +232,10 @@
     }
 }
 
+/* Considers the first VMs of each other failure domain of this region: of those whose names
+ * go before this one's, or of all. */
 static void
-consider_helpers (struct CfSources *sources, struct CfSource **best, CfMillis now)
+consider_domains (struct CfSources *sources, struct CfSource **best, bool before, CfMillis now)
 {
   GHashTable *counts = g_hash_table_new (g_str_hash, g_str_equal);
 
@@ -229,8 +243,10 @@
     {
       struct CfSource *source = sources->vms->pdata[i];
       guint count = GPOINTER_TO_UINT (g_hash_table_lookup (counts, source->domain));
+      int order = strcmp (source->domain, sources->domain);
 
-      if (strcmp (source->domain, sources->domain) == 0 || count == HELPERS_PER_DOMAIN)
+      if (order == 0 || (before && order > 0) || strcmp (source->region, sources->region) != 0
+          || count == LEADERS_PER_DOMAIN)
         continue;
       g_hash_table_insert (counts, source->domain, GUINT_TO_POINTER (count + 1));
       consider (best, source, now);
@@ -238,17 +254,31 @@
   g_hash_table_unref (counts);
 }
 
+CfMillis
+cf_sources_stale_ms (struct CfSources *sources)
+{
+  struct CfSource *before = NULL;
+
+  consider_group (sources, &before, true, 0);
+  return before ? CF_SOURCES_STALE_MS : CF_SOURCES_STALE_FIRST_MS;
+}
+
 struct CfSource *
-cf_sources_choose (struct CfSources *sources, CfMillis now)
+cf_sources_choose (struct CfSources *sources, CfMillis known_at, CfMillis now)
 {
   struct CfSource *best = NULL;
   guint index;
 
+  if (known_at < 0 || now - known_at >= cf_sources_stale_ms (sources))
+    consider (&best, &sources->store, now);
   /* A VM that is not listed yet cannot be followed, so it has no place in the order. */
-  if (find (sources, sources->name, &index))
-    consider_group (sources, &best, true, now);
+  if (find (sources->vms, sources->name, &index))
+    {
+      consider_group (sources, &best, true, now);
+      consider_domains (sources, &best, true, now);
+    }
   consider (&best, &sources->store, now);
-  consider_helpers (sources, &best, now);
+  consider_domains (sources, &best, false, now);
   consider_group (sources, &best, false, now);
   return best;
 }
--- a/src/feed/sources.h
+++ b/src/feed/sources.h
@@ -8,24 +8,37 @@
 /* Decides where a VM gets the store's news from: the store itself, or another entry VM.
  *
  * Each call to the store has a price, and its rates grow more slowly than the fleet.  So
- * one VM of a group reads the store and the others of its failure domain follow it; the
- * next in a fixed order takes over when it fails.  A VM that the store does not serve
- * follows whoever has news. */
+ * in a region one VM reads the store.  The first VM of each other failure domain follows
+ * it, and the others of a domain follow their first.  The next in a fixed order takes over
+ * when one fails.  A VM that the store does not serve follows whoever has news. */
 
 /* VMs that follow one reader: what the smallest VM can answer beside its packets. */
 #define CF_SOURCES_GROUP_MAX 32
 /* A source that failed is left alone for this long, doubled with each failure. */
 #define CF_SOURCES_RETRY_MIN_MS 1000
 #define CF_SOURCES_RETRY_MAX_MS 8000
-/* News older than this are worse than asking elsewhere: the store's reader hears from it
- * every 2 s. */
-#define CF_SOURCES_STALE_MS 3500
+/* With news older than this a VM asks the store itself, whatever its place in the order.
+ * The store's reader hears from it every 1.5 s and tells its followers at once; changes of
+ * upstreams have to be in force within 3 s.  The first of a group asks before the others,
+ * which then need not. */
+#define CF_SOURCES_STALE_FIRST_MS 2300
+#define CF_SOURCES_STALE_MS 2600
+
+/* What a VM says of itself.  Strings are copied where they are kept. */
+struct CfVmRecord
+{
+  const char *ip;
+  const char *domain;
+  const char *region;
+  double link_mbps;
+};
 
-/* An entry VM of the fleet. */
+/* An entry VM of the fleet, or the store. */
 struct CfSource
 {
-  char *name; /* NULL: the store itself */
+  char *name; /* NULL: the store */
   char *domain;
+  char *region;
   char *ip;
   double link_mbps;
   CfMillis down_until; /* not asked before */
@@ -34,20 +47,23 @@
 
 struct CfSources;
 
-/* For the VM called NAME in the failure domain DOMAIN. */
-struct CfSources *cf_sources_new (const char *name, const char *domain);
+/* For the VM called NAME in the failure domain DOMAIN of REGION. */
+struct CfSources *cf_sources_new (const char *name, const char *domain, const char *region);
 void cf_sources_free (struct CfSources *sources);
 
-/* Says that there is a VM called NAME, or no longer is (IP is NULL). */
-void cf_sources_set (struct CfSources *sources,
-                     const char *name,
-                     const char *domain,
-                     const char *ip,
-                     double link_mbps);
+/* Says that there is a VM called NAME, or no longer is (VM is NULL). */
+void cf_sources_set (struct CfSources *sources, const char *name, const struct CfVmRecord *vm);
+
+/* Returns the source to use at NOW by a VM whose news are of KNOWN_AT (-1: it has none).
+ * The result is valid until the next call of cf_sources_set. */
+struct CfSource *
+cf_sources_choose (struct CfSources *sources, CfMillis known_at, CfMillis now);
+
+/* Returns the VM or seed called NAME, or NULL. */
+struct CfSource *cf_sources_find (struct CfSources *sources, const char *name);
 
-/* Returns the source to use at NOW.  The result is valid until the next call of
- * cf_sources_set. */
-struct CfSource *cf_sources_choose (struct CfSources *sources, CfMillis now);
+/* Returns the age of news from which on this VM asks the store itself. */
+CfMillis cf_sources_stale_ms (struct CfSources *sources);
 
 /* Says that VMs may run at the IPS, whose names are not known. */
 void cf_sources_seed (struct CfSources *sources, char *const *ips);
--- a/src/serve/balance_settings.c
+++ b/src/serve/balance_settings.c
@@ -106,6 +106,7 @@
   settings->name = text (reader, "vm", "name");
   settings->ip = text (reader, "vm", "address");
   settings->failure_domain = text (reader, "vm", "failure-domain");
+  settings->region = text (reader, "vm", "region");
   settings->fabric = address (reader, "vm", "fabric-address");
   settings->ready = address (reader, "vm", "ready-address");
   settings->metrics_port = (uint16_t) number (reader, "vm", "metrics-port", 0, UINT16_MAX);
@@ -152,6 +153,7 @@
   g_free (settings->name);
   g_free (settings->ip);
   g_free (settings->failure_domain);
+  g_free (settings->region);
   g_strfreev (settings->seeds);
   g_free (settings->store);
   *settings = (struct CfBalanceSettings){ 0 };
--- a/src/serve/balance_settings.h
+++ b/src/serve/balance_settings.h
@@ -13,6 +13,7 @@
   char *name;
   char *ip;
   char *failure_domain;
+  char *region;            /* of the failure domain */
   struct CfAddress fabric; /* UDP, packets from the fabric */
   struct CfAddress ready;  /* TCP, asked by the fabric whether this VM takes flows */
   uint16_t metrics_port;   /* TCP at the VM's address, 0: none */
--- a/src/serve/feed_enroll.c
+++ b/src/serve/feed_enroll.c
@@ -16,8 +16,10 @@
 static char *
 own_content (const struct CfBalanceSettings *settings)
 {
-  return g_strdup_printf ("{\"address\":\"%s\",\"domain\":\"%s\",\"link_mbps\":%d}", settings->ip,
-                          settings->failure_domain, (int) settings->link_mbps);
+  return g_strdup_printf ("{\"address\":\"%s\",\"domain\":\"%s\",\"region\":\"%s\","
+                          "\"link_mbps\":%d}",
+                          settings->ip, settings->failure_domain, settings->region,
+                          (int) settings->link_mbps);
 }
 
 static const char *
@@ -36,23 +38,24 @@
   JsonParser *parser = json_parser_new ();
   JsonNode *root = NULL;
   JsonObject *object;
-  const char *ip = NULL;
-  const char *domain = NULL;
-  double link_mbps = 0;
+  struct CfVmRecord vm = { 0 };
+  bool whole;
 
   if (!record->deleted && json_parser_load_from_data (parser, record->text, -1, NULL))
     root = json_parser_get_root (parser);
   if (root && JSON_NODE_HOLDS_OBJECT (root))
     {
       object = json_node_get_object (root);
-      ip = member_text (object, "address");
-      domain = member_text (object, "domain");
-      link_mbps = (double) json_object_get_int_member_with_default (object, "link_mbps", 0);
+      vm.ip = member_text (object, "address");
+      vm.domain = member_text (object, "domain");
+      vm.region = member_text (object, "region");
+      vm.link_mbps = (double) json_object_get_int_member_with_default (object, "link_mbps", 0);
     }
-  if (!record->deleted && (!ip || !domain))
+  whole = vm.ip && vm.domain && vm.region;
+  if (!record->deleted && !whole)
     cf_event_log_write (task->balancer->log, "vm-unreadable",
                         (struct CfField[]){ { .key = "name", .text = record->name }, { 0 } });
-  cf_sources_set (task->sources, record->name, domain, domain ? ip : NULL, link_mbps);
+  cf_sources_set (task->sources, record->name, whole ? &vm : NULL);
   g_object_unref (parser);
 }
 
--- a/src/serve/feed_follow.c
+++ b/src/serve/feed_follow.c
@@ -3,23 +3,12 @@
 
 /* How long a question waits for news at the VM that is asked.  A VM that has lost power is
  * noticed this much later, and the bounds on changes of upstreams are 3 s. */
-#define WAIT_MS 1500
+#define WAIT_MS 1000
 #define DEADLINE_MS 500 /* for the answer, beyond the wait */
 #define RETRY_MS 100    /* to the next source, after one has failed */
 #define SEED_WAIT_MS 300 /* a VM that starts has no time for a seed that knows nothing */
 #define PAUSE_MS 50     /* after an answer, so that changes that come together cost one */
 
-static struct CfSource *
-asked_source (struct FeedTask *task, CfMillis now)
-{
-  struct CfSource *source = cf_sources_choose (task->sources, now);
-  struct CfSource *seed = cf_sources_choose_seed (task->sources, now);
-
-  if (source->name && g_strcmp0 (source->name, task->follow.name) == 0)
-    return source;
-  return seed && g_strcmp0 (seed->name, task->follow.name) == 0 ? seed : NULL;
-}
-
 static bool
 take_news (struct FeedTask *task, GBytes *body, CfMillis now)
 {
@@ -43,7 +32,7 @@
     }
   cf_feed_known (task, now - (CfMillis) news.age_ms, news.settled);
   cf_relay_clear (&news);
-  return task->known_at >= 0 && now - task->known_at < CF_SOURCES_STALE_MS;
+  return task->known_at >= 0 && now - task->known_at < CF_SOURCES_STALE_FIRST_MS;
 }
 
 static void
@@ -52,7 +41,7 @@
   struct FeedTask *task = data;
   struct FeedFollow *follow = &task->follow;
   CfMillis now = cf_now ();
-  struct CfSource *source = asked_source (task, now);
+  struct CfSource *source = cf_sources_find (task->sources, task->follow.name);
   bool answer = body && soup_message_get_status (message) == SOUP_STATUS_OK;
   bool good = answer && take_news (task, body, now);
 
--- a/src/serve/feed_internal.h
+++ b/src/serve/feed_internal.h
@@ -86,6 +86,9 @@
 /* The replica holds what the store held at KNOWN_AT. */
 void cf_feed_known (struct FeedTask *task, CfMillis known_at, bool settled);
 
+/* Returns how old the news are, a very long time if there are none. */
+CfMillis cf_feed_age (const struct FeedTask *task, CfMillis now);
+
 void cf_feed_store_start (struct FeedTask *task);
 void cf_feed_store_stop (struct FeedTask *task);
 /* Begins the reads that are due and returns when the next is.  With ACTIVE this VM reads
--- a/src/serve/feed_relay.c
+++ b/src/serve/feed_relay.c
@@ -6,6 +6,7 @@
 
 #define WAIT_MAX_MS 30000  /* a follower waits no longer, whatever it asks for */
 #define WAITING_MAX 256    /* followers; a group has CF_SOURCES_GROUP_MAX */
+#define CONFIRM_MS 400     /* a follower is told that nothing has changed this often */
 
 /* A follower that waits for news. */
 struct RelayRequest
@@ -15,6 +16,7 @@
   SoupServerMessage *message;
   gulong finished; /* signal handler */
   struct CfFeedPosition position;
+  CfMillis known_at; /* what the follower knows is as of then */
   CfMillis until;
 };
 
@@ -24,8 +26,8 @@
          const struct CfFeedPosition *position,
          CfMillis now)
 {
-  CfMillis age = task->known_at >= 0 ? now - task->known_at : CF_SOURCES_STALE_MS;
-  GBytes *body = cf_relay_encode (&task->replica, position, age, task->settled);
+  GBytes *body = cf_relay_encode (&task->replica, position, cf_feed_age (task, now),
+                                  task->settled);
   gsize len;
   const char *data = g_bytes_get_data (body, &len);
 
@@ -63,6 +65,7 @@
   request->task = task;
   request->message = g_object_ref (message);
   request->position = *position;
+  request->known_at = task->known_at;
   request->until = until;
   request->finished = g_signal_connect (message, "finished", G_CALLBACK (on_finished), request);
   g_queue_push_tail_link (&task->waiting, &request->link);
@@ -95,6 +98,7 @@
       return;
     }
   if (wait == 0 || cf_relay_has_news (&task->replica, &position)
+      || cf_feed_age (task, now) >= CF_SOURCES_STALE_FIRST_MS
       || task->waiting.length >= WAITING_MAX)
     respond (task, message, &position, now);
   else
@@ -104,6 +108,14 @@
     }
 }
 
+/* Returns true if the follower of REQUEST would hear something new. */
+static bool
+is_news (const struct FeedTask *task, const struct RelayRequest *request)
+{
+  return cf_relay_has_news (&task->replica, &request->position)
+         || task->known_at - request->known_at >= CONFIRM_MS;
+}
+
 CfMillis
 cf_feed_relay_pump (struct FeedTask *task, CfMillis now)
 {
@@ -116,7 +128,7 @@
       SoupServerMessage *message = request->message;
 
       next = link->next;
-      if (now < request->until && !cf_relay_has_news (&task->replica, &request->position))
+      if (now < request->until && !is_news (task, request))
         {
           due = MIN (due, request->until);
           continue;
--- a/src/serve/feed_store.c
+++ b/src/serve/feed_store.c
@@ -5,6 +5,9 @@
 /* The list of VMs changes with deploys only, and is no part of any promise. */
 #define VMS_WAIT_MS 20000
 
+/* The shortest list, to ask whether the store is back. */
+#define PROBE_KIND CF_FEED_EVACUATIONS
+
 /* Calls in a row that fail before another source is asked. */
 #define FAILURES_MAX 2
 
@@ -47,6 +50,21 @@
   return true;
 }
 
+/* The store answers again: every kind is read at once. */
+static void
+regain (struct FeedTask *task, CfMillis now)
+{
+  for (int kind = 0; kind < CF_FEED_KINDS; kind++)
+    {
+      struct FeedChannel *channel = &task->channels[kind];
+
+      if (!channel->lost)
+        continue;
+      channel->reader.next_at = now;
+      note_path (channel, CF_READ_ANSWERED, now);
+    }
+}
+
 static void
 answered (void *data, SoupMessage *message, GBytes *body)
 {
@@ -67,6 +85,7 @@
   if (outcome == CF_READ_ANSWERED)
     {
       cf_source_answered (cf_sources_store (task->sources));
+      regain (task, now);
       if (listing)
         g_ptr_array_extend_and_steal (channel->list, g_steal_pointer (&answer.records));
       if (whole || !listing)
@@ -80,10 +99,20 @@
   cf_feed_pump (task);
 }
 
+/* Returns true if the store has not answered the last call of some kind. */
+static bool
+is_lost (const struct FeedTask *task)
+{
+  for (int kind = 0; kind < CF_FEED_KINDS; kind++)
+    if (task->channels[kind].lost)
+      return true;
+  return false;
+}
+
 static CfMillis
-wait_of (const struct CfReader *reader)
+wait_of (const struct FeedTask *task, const struct CfReader *reader)
 {
-  if (!reader->listed)
+  if (!reader->listed || is_lost (task))
     return 0;
   return reader->kind == CF_FEED_VMS ? VMS_WAIT_MS : CF_READER_WAIT_MS;
 }
@@ -93,7 +122,7 @@
 {
   const struct CfReader *reader = &channel->reader;
   const char *store = task->balancer->settings.store;
-  CfMillis wait = wait_of (reader);
+  CfMillis wait = wait_of (task, reader);
   SoupMessage *message = reader->listed
                              ? cf_platform_watch (store, reader->kind, reader->revision, wait)
                              : cf_platform_list (store, reader->kind, reader->after);
@@ -107,11 +136,15 @@
 cf_feed_store_pump (struct FeedTask *task, bool active, CfMillis now)
 {
   CfMillis next = now + CF_MS_PER_S;
+  bool lost = is_lost (task);
 
   for (int kind = 0; kind < CF_FEED_KINDS; kind++)
     {
       struct FeedChannel *channel = &task->channels[kind];
 
+      /* While the store is away one short call at a time asks whether it is back. */
+      if (lost && kind != PROBE_KIND)
+        continue;
       cf_reader_skip_to (&channel->reader, task->replica.revision[kind]);
       if (!active && task->replica.revision[kind] > 0)
         continue;
--- a/src/serve/feed_task.c
+++ b/src/serve/feed_task.c
@@ -134,6 +134,12 @@
   cf_send_fresh (task->balancer, known_at, settled);
 }
 
+CfMillis
+cf_feed_age (const struct FeedTask *task, CfMillis now)
+{
+  return task->known_at >= 0 ? now - task->known_at : G_MAXINT32;
+}
+
 static void
 note_source (struct FeedTask *task, const struct CfSource *source, CfMillis now)
 {
@@ -155,7 +161,7 @@
 cf_feed_pump (struct FeedTask *task)
 {
   CfMillis now = cf_now ();
-  struct CfSource *source = cf_sources_choose (task->sources, now);
+  struct CfSource *source = cf_sources_choose (task->sources, task->known_at, now);
   CfMillis next = cf_feed_enroll_pump (task, now);
 
   note_source (task, source, now);
@@ -167,6 +173,8 @@
     next = MIN (next, cf_feed_follow_pump (task, source, now));
   next = MIN (next, cf_feed_rotation_pump (task, now));
   next = MIN (next, cf_feed_relay_pump (task, now));
+  if (cf_feed_age (task, now) < cf_sources_stale_ms (task->sources))
+    next = MIN (next, task->known_at + cf_sources_stale_ms (task->sources));
   g_source_set_ready_time (task->timer, next * G_TIME_SPAN_MILLISECOND);
 }
 
@@ -243,7 +251,8 @@
   task->random = g_rand_new ();
   task->known_at = -1;
   task->stop_at = -1;
-  task->sources = cf_sources_new (balancer->settings.name, balancer->settings.failure_domain);
+  task->sources = cf_sources_new (balancer->settings.name, balancer->settings.failure_domain,
+                                  balancer->settings.region);
   cf_replica_init (&task->replica);
   cf_rotation_init (&task->rotation);
   return task;
