--- a/src/balance/balance.c
+++ b/src/balance/balance.c
@@ -457,7 +457,7 @@
 
       if (target->domain != domain || !traits || traits->cold_per_s <= 0)
         continue;
-      target->cold_until = MAX (target->cold_until, now + traits->cold_ms + ANNOUNCE_MS);
+      cf_target_suppose_cold (target, now + traits->cold_ms + ANNOUNCE_MS, now);
     }
 }
 
--- a/src/balance/directory.c
+++ b/src/balance/directory.c
@@ -125,6 +125,21 @@
   return target;
 }
 
+static void
+set_cold (struct CfTarget *target, CfMillis until, CfMillis now)
+{
+  if (now >= target->cold_until)
+    target->cold_next = 0;
+  target->cold_until = until;
+}
+
+void
+cf_target_suppose_cold (struct CfTarget *target, CfMillis until, CfMillis now)
+{
+  if (until > target->cold_until)
+    set_cold (target, until, now);
+}
+
 struct CfTarget *
 cf_directory_announce (struct CfDirectory *directory,
                        const struct CfAnnouncement *announcement,
@@ -142,7 +157,7 @@
       target->cold_until = 0;
     }
   if (announcement->revision != target->revision)
-    target->cold_until = announcement->cold_ms > 0 ? now + announcement->cold_ms : 0;
+    set_cold (target, announcement->cold_ms > 0 ? now + announcement->cold_ms : 0, now);
   target->started = announcement->started;
   target->revision = announcement->revision;
   target->tag = announcement->tag;
--- a/src/balance/directory.h
+++ b/src/balance/directory.h
@@ -99,6 +99,9 @@
  * same, so that any of them can pass on any packet of a flow. */
 uint32_t cf_cookie (const char *id);
 
+/* TARGET may be cold until UNTIL, whatever it announced. */
+void cf_target_suppose_cold (struct CfTarget *target, CfMillis until, CfMillis now);
+
 const char *cf_target_state_name (enum CfTargetState state);
 
 #endif
--- a/src/balance/place.c
+++ b/src/balance/place.c
@@ -1,6 +1,13 @@
 #include "place.h"
 #include "reach.h"
 
+/* Part of what a cold upstream bears that the VMs use together.  They open flows there
+ * independently, so a second may see twice their mean. */
+#define COLD_USED 0.5
+#define COST_COLD 1e6       /* above any load */
+#define COST_SUSPECT 1e9    /* above that: a cold upstream answers */
+#define COLD_SHARE_MIN 0.01 /* flows a second, where a manifest gives no rate */
+
 const char *
 cf_place_reason_name (enum CfPlaceReason reason)
 {
@@ -22,6 +29,26 @@
   return !g_hash_table_contains (placement->evacuated, GUINT_TO_POINTER (target->domain));
 }
 
+/* How long this VM waits between two flows to a cold upstream. */
+static CfMillis
+cold_interval (const struct CfPlacement *placement)
+{
+  double share = MAX (placement->cold_share * COLD_USED, COLD_SHARE_MIN);
+
+  return (CfMillis) (CF_MS_PER_S / share);
+}
+
+/* Returns true if a cold upstream may get this VM's next flow.  The VMs' first flows are
+ * spread over an interval: all VMs learn that an upstream is cold at the same time. */
+static bool
+cold_due (const struct CfPlacement *placement, struct CfTarget *target, CfMillis now)
+{
+  if (target->cold_next == 0)
+    target->cold_next
+        = now + g_rand_int_range (placement->random, 0, (gint32) cold_interval (placement));
+  return now >= target->cold_next;
+}
+
 static bool
 is_tried (const struct CfTarget *target, struct CfTarget *const *tried, uint32_t count)
 {
@@ -33,10 +60,10 @@
 
 /* The step of the ladder that TARGET is on. */
 static enum CfPlaceReason
-step (const struct CfPlacement *placement, const struct CfTarget *target, CfMillis now)
+step (const struct CfPlacement *placement, struct CfTarget *target, CfMillis now)
 {
   if (now < target->cold_until)
-    return now >= target->cold_next ? CF_PLACE_COLD : CF_PLACE_NONE;
+    return cold_due (placement, target, now) ? CF_PLACE_COLD : CF_PLACE_NONE;
   if (cf_reach_good (&target->reach))
     return target->domain == placement->domain ? CF_PLACE_NEAR : CF_PLACE_FAR;
   return cf_reach_may_try (&target->reach, now) ? CF_PLACE_TRY : CF_PLACE_SUSPECT;
@@ -58,13 +85,14 @@
       return load + tie;
     case CF_PLACE_FAR:
       return load + CF_PLACE_FAR_COST + tie;
-    case CF_PLACE_SUSPECT:
-      return 1e6 + (double) target->reach.struck_at + tie;
     case CF_PLACE_COLD:
+      return COST_COLD + load + tie;
+    case CF_PLACE_SUSPECT:
+      return COST_SUSPECT + (double) target->reach.struck_at + tie;
     case CF_PLACE_NONE:
       break;
     }
-  return 1e18 + load + tie;
+  return G_MAXDOUBLE;
 }
 
 struct CfTarget *
@@ -99,7 +127,7 @@
       *reason = on;
     }
   if (best && *reason == CF_PLACE_COLD)
-    best->cold_next = now + (CfMillis) (CF_MS_PER_S / MAX (placement->cold_share, 0.01));
+    best->cold_next = now + cold_interval (placement);
   return best;
 }
 
--- a/src/balance/place.h
+++ b/src/balance/place.h
@@ -28,8 +28,8 @@
   CF_PLACE_NEAR,    /* in this VM's failure domain */
   CF_PLACE_FAR,     /* near ones are loaded, missing or unfit */
   CF_PLACE_TRY,     /* suspected, and due for one flow */
+  CF_PLACE_COLD,    /* none is warm and in good standing */
   CF_PLACE_SUSPECT, /* none but suspected ones are left */
-  CF_PLACE_COLD,    /* none but cold ones are left */
   CF_PLACE_NONE,
 };
 
--- /dev/null
+++ b/tests/balancers.c
@@ -0,0 +1,362 @@
+#include "balancers.h"
+
+#include <string.h>
+
+enum TestEventKind
+{
+  EVENT_REPEAT,   /* a caller repeats its first packet */
+  EVENT_FOLLOW,   /* a caller follows its first packet up */
+};
+
+struct TestEvent
+{
+  CfMillis at;
+  enum TestEventKind kind;
+  struct TestFlow *flow;
+  uint32_t cookie;
+  uint16_t copy;
+};
+
+static void
+add_event (struct TestWorld *world, const struct TestEvent *event)
+{
+  guint i = world->events->len;
+
+  while (i > 0 && g_array_index (world->events, struct TestEvent, i - 1).at > event->at)
+    i--;
+  g_array_insert_vals (world->events, i, event, 1);
+}
+
+/* The tests' packets: the caller's address and port, then padding as in a real one. */
+static void
+pack (const struct TestFlow *flow, uint8_t bytes[32])
+{
+  memset (bytes, 0, 32);
+  memcpy (bytes, &flow->caller, sizeof flow->caller);
+}
+
+static struct TestFlow *
+flow_of (struct TestWorld *world, const uint8_t *bytes)
+{
+  struct CfEndpoint caller;
+
+  memcpy (&caller, bytes, sizeof caller);
+  for (guint i = world->flows->len; i > 0; i--)
+    {
+      struct TestFlow *flow = world->flows->pdata[i - 1];
+
+      if (cf_endpoint_equal (flow->caller, caller))
+        return flow;
+    }
+  return NULL;
+}
+
+static void
+note_first (struct TestWorld *world, const char *id)
+{
+  GArray *times = g_hash_table_lookup (world->firsts, id);
+
+  if (!times)
+    {
+      times = g_array_new (FALSE, FALSE, sizeof (CfMillis));
+      g_hash_table_insert (world->firsts, g_strdup (id), times);
+    }
+  g_array_append_val (times, world->now);
+}
+
+static void
+forward (void *context, const uint8_t *bytes, size_t size, const struct CfTarget *target)
+{
+  struct TestWorld *world = context;
+  struct TestFlow *flow = flow_of (world, bytes);
+
+  (void) size;
+  world->forwarded++;
+  world->last = target;
+  if (!flow || flow->opened_at >= 0)
+    return;
+  note_first (world, target->id);
+  if (!g_hash_table_contains (world->dark, target->id))
+    add_event (world, &(struct TestEvent){ .at = world->now + world->round_trip,
+                                           .kind = EVENT_FOLLOW,
+                                           .flow = flow,
+                                           .cookie = target->cookie });
+}
+
+static void
+hand_on (void *context, const struct CfSegment *segment, uint32_t ip)
+{
+  struct TestWorld *world = context;
+
+  (void) segment;
+  (void) ip;
+  world->handed_on++;
+}
+
+static void
+reset (void *context, const struct CfSegment *segment)
+{
+  struct TestWorld *world = context;
+  struct TestFlow *flow = flow_of (world, segment->bytes);
+
+  world->resets++;
+  if (flow)
+    flow->reset = true;
+}
+
+static void
+decided (void *context, const struct CfDecision *decision)
+{
+  (void) context;
+  (void) decision;
+}
+
+static void
+opened (void *context, GQuark service, CfMillis wait)
+{
+  (void) context;
+  (void) service;
+  (void) wait;
+}
+
+static void
+reach_changed (void *context, const struct CfTarget *target)
+{
+  (void) context;
+  (void) target;
+}
+
+static const struct CfBalanceOutputs outputs = {
+  .forward = forward,
+  .hand_on = hand_on,
+  .reset = reset,
+  .decided = decided,
+  .opened = opened,
+  .reach_changed = reach_changed,
+};
+
+static void
+free_times (gpointer times)
+{
+  g_array_unref (times);
+}
+
+struct TestWorld *
+test_world_new (void)
+{
+  struct TestWorld *world = g_new0 (struct TestWorld, 1);
+
+  world->now = 10000;
+  world->balances = g_ptr_array_new ();
+  world->dark = g_hash_table_new (g_str_hash, g_str_equal);
+  world->firsts = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_times);
+  world->flows = g_ptr_array_new_with_free_func (g_free);
+  world->events = g_array_new (FALSE, FALSE, sizeof (struct TestEvent));
+  world->next_port = 1024;
+  world->round_trip = 4;
+  return world;
+}
+
+void
+test_world_free (struct TestWorld *world)
+{
+  for (guint i = 0; i < world->balances->len; i++)
+    cf_balance_free (world->balances->pdata[i]);
+  g_ptr_array_unref (world->balances);
+  g_hash_table_unref (world->dark);
+  g_hash_table_unref (world->firsts);
+  g_ptr_array_unref (world->flows);
+  g_array_unref (world->events);
+  g_free (world);
+}
+
+static void
+add_route (struct CfManifest *manifest, uint16_t port, const char *service)
+{
+  struct CfRouteEntry route = {
+    .address = { .ip = TEST_SERVICE_IP, .port = port },
+    .splits = { { .service = g_quark_from_string (service), .weight = 1 } },
+    .split_count = 1,
+  };
+
+  g_array_append_val (manifest->routes, route);
+}
+
+static void
+add_service (struct CfManifest *manifest, const char *service, double cold_per_s)
+{
+  struct CfServiceTraits traits = {
+    .name = g_quark_from_string (service),
+    .cold_per_s = cold_per_s,
+    .cold_ms = 2000,
+  };
+
+  g_array_append_val (manifest->services, traits);
+}
+
+struct CfManifest *
+test_world_manifest (uint64_t version, double cold_per_s, bool second)
+{
+  struct CfManifest *manifest = cf_manifest_new ();
+
+  manifest->version = version;
+  manifest->flow_idle_ms = 15000;
+  add_route (manifest, 80, "s");
+  if (second)
+    add_route (manifest, 81, "t");
+  add_service (manifest, "s", cold_per_s);
+  add_service (manifest, "t", cold_per_s);
+  return manifest;
+}
+
+struct CfBalance *
+test_world_vm (struct TestWorld *world, const char *domain, double cold_per_s)
+{
+  struct CfBalance *balance = cf_balance_new (
+      &(struct CfBalanceOptions){
+          .domain = domain,
+          .seed = world->balances->len + 1,
+          .flow_lifetime_ms = 60000,
+          .cold_factor = 1.5,
+          .cold_extra = 5,
+      },
+      &outputs, world);
+  struct CfManifest *manifest = test_world_manifest (1, cold_per_s, true);
+
+  cf_balance_manifest (balance, manifest);
+  cf_manifest_free (manifest);
+  cf_balance_news (balance, world->now);
+  g_ptr_array_add (world->balances, balance);
+  return balance;
+}
+
+void
+test_world_upstream (struct TestWorld *world,
+                     struct CfBalance *balance,
+                     const char *id,
+                     const char *service,
+                     const char *domain,
+                     CfMillis cold_ms)
+{
+  struct CfAnnouncement announcement = {
+    .id = id,
+    .tag = 1,
+    .service = service,
+    .domain = domain,
+    .address = { .ip = 1, .port = 1 },
+    .slots = 2,
+    .cold_ms = cold_ms,
+    .started = world->now,
+    .revision = (uint64_t) world->now,
+  };
+
+  for (guint i = 0; i < world->balances->len; i++)
+    if (!balance || balance == world->balances->pdata[i])
+      cf_directory_announce (cf_balance_directory (world->balances->pdata[i]), &announcement,
+                             world->now);
+}
+
+static void
+send (struct TestFlow *flow, uint16_t port, unsigned flags, uint32_t cookie, uint16_t copy)
+{
+  uint8_t bytes[32];
+  struct CfSegment segment = {
+    .caller = flow->caller,
+    .service = { .ip = TEST_SERVICE_IP, .port = port },
+    .flags = flags,
+    .cookie = cookie,
+    .copy = copy,
+    .bytes = bytes,
+    .size = sizeof bytes,
+  };
+
+  pack (flow, bytes);
+  cf_balance_segment (flow->balance, &segment, flow->world->now);
+}
+
+/* Flows to port 81 have callers with an odd address. */
+static uint16_t
+port_of (const struct TestFlow *flow)
+{
+  return (uint16_t) (80 + (flow->caller.ip & 1));
+}
+
+struct TestFlow *
+test_world_open (struct TestWorld *world, struct CfBalance *balance, uint16_t port)
+{
+  struct TestFlow *flow = g_new0 (struct TestFlow, 1);
+  const CfMillis repeats[] = { TEST_REPEAT_MS, TEST_REPEAT_LATE_MS };
+
+  flow->world = world;
+  flow->balance = balance;
+  flow->caller.ip = (0x64400000 + (world->next_port >> 15 << 1)) | (port == 81);
+  flow->caller.port = (uint16_t) (1024 + world->next_port++ % 32768);
+  flow->begun_at = world->now;
+  flow->opened_at = -1;
+  g_ptr_array_add (world->flows, flow);
+  for (uint16_t i = 0; i < 2; i++)
+    add_event (world, &(struct TestEvent){ .at = world->now + repeats[i],
+                                           .kind = EVENT_REPEAT,
+                                           .flow = flow,
+                                           .copy = (uint16_t) (i + 1) });
+  send (flow, port, CF_SEGMENT_SYN, 0, 0);
+  return flow;
+}
+
+void
+test_world_close (struct TestFlow *flow)
+{
+  if (flow->at)
+    send (flow, port_of (flow), CF_SEGMENT_FIN | CF_SEGMENT_ACK, flow->at->cookie, 0);
+}
+
+static void
+handle (struct TestWorld *world, const struct TestEvent *event)
+{
+  struct TestFlow *flow = event->flow;
+
+  if (flow->reset || flow->opened_at >= 0)
+    return;
+  if (event->kind == EVENT_REPEAT)
+    {
+      send (flow, port_of (flow), CF_SEGMENT_SYN, 0, event->copy);
+      return;
+    }
+  flow->opened_at = world->now;
+  send (flow, port_of (flow), CF_SEGMENT_ACK, event->cookie, 0);
+  flow->at = world->last;
+}
+
+void
+test_world_run (struct TestWorld *world, CfMillis until)
+{
+  while (world->now < until)
+    {
+      while (world->events->len > 0
+             && g_array_index (world->events, struct TestEvent, 0).at <= world->now)
+        {
+          struct TestEvent event = g_array_index (world->events, struct TestEvent, 0);
+
+          g_array_remove_index (world->events, 0);
+          handle (world, &event);
+        }
+      for (guint i = 0; i < world->balances->len; i++)
+        cf_balance_tick (world->balances->pdata[i], world->now);
+      world->now++;
+    }
+}
+
+uint32_t
+test_world_firsts (struct TestWorld *world, const char *id, CfMillis from, CfMillis to)
+{
+  GArray *times = g_hash_table_lookup (world->firsts, id);
+  uint32_t count = 0;
+
+  for (guint i = 0; times && i < times->len; i++)
+    {
+      CfMillis at = g_array_index (times, CfMillis, i);
+
+      count += at >= from && at < to;
+    }
+  return count;
+}
--- /dev/null
+++ b/tests/test_balance.c
@@ -0,0 +1,541 @@
+#include "balance/reach.h"
+#include "balancers.h"
+#include "suite.h"
+
+/* The decisions behind a fabric with flow cookies, on virtual time. */
+
+/* The directory of upstreams. */
+
+static struct CfAnnouncement
+announcement (const char *id, uint64_t revision)
+{
+  return (struct CfAnnouncement){
+    .id = id,
+    .tag = 7,
+    .service = "s",
+    .domain = "a",
+    .address = { .ip = 1, .port = 1 },
+    .slots = 2,
+    .started = 100,
+    .revision = revision,
+  };
+}
+
+START_TEST (test_directory_states)
+{
+  struct CfDirectory *directory = cf_directory_new ();
+  struct CfAnnouncement ready = announcement ("i-1", 5);
+  struct CfAnnouncement draining = announcement ("i-1", 8);
+  struct CfTarget *target = cf_directory_announce (directory, &ready, 0);
+
+  draining.draining = true;
+  ck_assert_int_eq (target->state, CF_TARGET_READY);
+  /* The store has been away: an ended announcement says nothing of its upstream. */
+  cf_directory_withdraw (directory, "i-1", false, 10);
+  ck_assert_int_eq (target->state, CF_TARGET_LAPSED);
+  ready.revision = 6;
+  cf_directory_announce (directory, &ready, 20);
+  ck_assert_int_eq (target->state, CF_TARGET_READY);
+  cf_directory_withdraw (directory, "i-1", false, 30);
+  cf_directory_settle (directory, 40);
+  ck_assert_int_eq (target->state, CF_TARGET_GONE);
+  ready.revision = 7;
+  cf_directory_announce (directory, &ready, 50);
+  ck_assert_int_eq (target->state, CF_TARGET_READY);
+  cf_directory_announce (directory, &draining, 60);
+  ck_assert_int_eq (target->state, CF_TARGET_LEAVING);
+  /* An older announcement that arrives late does not bring it back. */
+  cf_directory_announce (directory, &ready, 70);
+  ck_assert_int_eq (target->state, CF_TARGET_LEAVING);
+  /* It has left as it said, whatever the store's state. */
+  cf_directory_withdraw (directory, "i-1", false, 80);
+  ck_assert_int_eq (target->state, CF_TARGET_GONE);
+  cf_directory_free (directory);
+}
+END_TEST
+
+START_TEST (test_directory_reborn)
+{
+  struct CfDirectory *directory = cf_directory_new ();
+  struct CfAnnouncement first = announcement ("i-1", 5);
+  struct CfAnnouncement second = announcement ("i-1", 9);
+  struct CfTarget *target = cf_directory_announce (directory, &first, 0);
+
+  cf_reach_strike (&target->reach, 5, 10);
+  second.started = 200;
+  second.cold_ms = 2000;
+  cf_directory_announce (directory, &second, 20);
+  ck_assert (cf_reach_good (&target->reach));
+  ck_assert_int_eq (target->cold_until, 2020);
+  /* What the incarnation before said is over, whatever its revision. */
+  first.revision = 10;
+  first.draining = true;
+  cf_directory_announce (directory, &first, 30);
+  ck_assert_int_eq (target->state, CF_TARGET_READY);
+  cf_directory_free (directory);
+}
+END_TEST
+
+START_TEST (test_directory_moves_service)
+{
+  struct CfDirectory *directory = cf_directory_new ();
+  struct CfAnnouncement first = announcement ("i-1", 5);
+
+  cf_directory_announce (directory, &first, 0);
+  first.service = "t";
+  first.revision = 6;
+  first.started = 300;
+  cf_directory_announce (directory, &first, 0);
+  ck_assert_uint_eq (cf_directory_service (directory, g_quark_from_string ("s"))->len, 0);
+  ck_assert_uint_eq (cf_directory_service (directory, g_quark_from_string ("t"))->len, 1);
+  cf_directory_free (directory);
+}
+END_TEST
+
+/* Finds two ids with one cookie. */
+static void
+find_collision (char *first, char *second, size_t size)
+{
+  GHashTable *seen = g_hash_table_new (NULL, NULL);
+
+  for (guint i = 1;; i++)
+    {
+      gpointer other;
+
+      g_snprintf (second, size, "i-%x", i);
+      other = g_hash_table_lookup (seen, GUINT_TO_POINTER (cf_cookie (second)));
+      if (other)
+        {
+          g_snprintf (first, size, "i-%x", GPOINTER_TO_UINT (other));
+          break;
+        }
+      g_hash_table_insert (seen, GUINT_TO_POINTER (cf_cookie (second)), GUINT_TO_POINTER (i));
+    }
+  g_hash_table_unref (seen);
+}
+
+START_TEST (test_cookie_collision)
+{
+  struct TestWorld *world = test_world_new ();
+  struct CfBalance *balance = test_world_vm (world, "a", 0);
+  struct CfDirectory *directory = cf_balance_directory (balance);
+  char first[16];
+  char second[16];
+
+  find_collision (first, second, sizeof first);
+  test_world_upstream (world, NULL, first, "s", "a", 0);
+  test_world_upstream (world, NULL, second, "s", "a", 0);
+  for (int i = 0; i < 50; i++)
+    {
+      test_world_open (world, balance, 80);
+      test_world_run (world, world->now + 10);
+    }
+  ck_assert_uint_eq (test_world_firsts (world, first, 0, world->now), 50);
+  ck_assert_uint_eq (test_world_firsts (world, second, 0, world->now), 0);
+  /* The cookie passes to the later one when the earlier has been gone for a flow's life. */
+  for (guint i = 0; i < world->flows->len; i++)
+    test_world_close (world->flows->pdata[i]);
+  cf_directory_withdraw (directory, first, true, world->now);
+  cf_directory_prune (directory, world->now + 60001, 60000);
+  ck_assert_ptr_null (cf_directory_by_id (directory, first));
+  ck_assert_str_eq (cf_directory_by_cookie (directory, cf_cookie (second))->id, second);
+  ck_assert (!cf_directory_by_id (directory, second)->collides);
+  test_world_free (world);
+}
+END_TEST
+
+/* Reachability. */
+
+START_TEST (test_reach)
+{
+  struct CfReach reach = { .confirmed_at = -1 };
+  CfMillis now = 1000;
+
+  cf_reach_begin (&reach);
+  cf_reach_strike (&reach, now, now + 12);
+  ck_assert (!cf_reach_good (&reach));
+  /* Flows that began before the strike add nothing to it. */
+  cf_reach_strike (&reach, now + 2, now + 14);
+  ck_assert_uint_eq (reach.strikes, 1);
+  ck_assert (!cf_reach_may_try (&reach, now + 100));
+  now += 12 + CF_REACH_RETRY_MIN_MS;
+  ck_assert (cf_reach_may_try (&reach, now));
+  cf_reach_begin (&reach);
+  ck_assert (!cf_reach_may_try (&reach, now));
+  for (int i = 0; i < 10; i++)
+    {
+      cf_reach_strike (&reach, now, now + 12);
+      now = reach.retry_at;
+      cf_reach_begin (&reach);
+    }
+  ck_assert_int_eq (reach.retry_at - reach.struck_at, CF_REACH_RETRY_MAX_MS);
+  cf_reach_confirm (&reach, now + 5);
+  ck_assert (cf_reach_good (&reach));
+  /* A flow from before the confirmation proves nothing. */
+  cf_reach_strike (&reach, now, now + 12);
+  ck_assert (cf_reach_good (&reach));
+}
+END_TEST
+
+/* Placement. */
+
+static void
+add_upstreams (struct TestWorld *world, const char *service, const char *domain, int count)
+{
+  for (int i = 0; i < count; i++)
+    {
+      char id[32];
+
+      g_snprintf (id, sizeof id, "%s-%s-%d", service, domain, i);
+      test_world_upstream (world, NULL, id, service, domain, 0);
+    }
+}
+
+static uint32_t
+firsts_in (struct TestWorld *world, const char *service, const char *domain, int count)
+{
+  uint32_t sum = 0;
+
+  for (int i = 0; i < count; i++)
+    {
+      char id[32];
+
+      g_snprintf (id, sizeof id, "%s-%s-%d", service, domain, i);
+      sum += test_world_firsts (world, id, 0, G_MAXINT64);
+    }
+  return sum;
+}
+
+/* Near upstreams are filled up to one waiting request a slot, then far ones are used. */
+START_TEST (test_place_near_first)
+{
+  struct TestWorld *world = test_world_new ();
+  struct CfBalance *balance = test_world_vm (world, "a", 0);
+
+  add_upstreams (world, "s", "a", 2);
+  add_upstreams (world, "s", "b", 2);
+  for (int i = 0; i < 4; i++)
+    test_world_open (world, balance, 80);
+  ck_assert_uint_eq (firsts_in (world, "s", "a", 2), 4);
+  for (int i = 0; i < 8; i++)
+    test_world_open (world, balance, 80);
+  ck_assert_uint_ge (firsts_in (world, "s", "b", 2), 2);
+  test_world_free (world);
+}
+END_TEST
+
+START_TEST (test_place_evacuated)
+{
+  struct TestWorld *world = test_world_new ();
+  struct CfBalance *balance = test_world_vm (world, "a", 10);
+
+  add_upstreams (world, "s", "a", 2);
+  add_upstreams (world, "s", "b", 2);
+  cf_balance_evacuate (balance, "a", true, world->now);
+  for (int i = 0; i < 100; i++)
+    {
+      test_world_open (world, balance, 80);
+      test_world_run (world, world->now + 10);
+    }
+  ck_assert_uint_eq (firsts_in (world, "s", "a", 2), 0);
+  /* Taken back, its upstreams may be cold: they get flows once that would be over. */
+  cf_balance_evacuate (balance, "a", false, world->now);
+  test_world_open (world, balance, 80);
+  ck_assert_uint_eq (firsts_in (world, "s", "a", 2), 0);
+  test_world_run (world, world->now + 4000);
+  test_world_open (world, balance, 80);
+  ck_assert_uint_eq (firsts_in (world, "s", "a", 2), 1);
+  test_world_free (world);
+}
+END_TEST
+
+/* Flows. */
+
+START_TEST (test_cookie_decides)
+{
+  struct TestWorld *world = test_world_new ();
+  struct CfBalance *first = test_world_vm (world, "a", 0);
+  struct CfBalance *second = test_world_vm (world, "b", 0);
+  struct TestFlow *flow;
+
+  add_upstreams (world, "s", "a", 3);
+  add_upstreams (world, "s", "b", 3);
+  flow = test_world_open (world, first, 80);
+  test_world_run (world, world->now + 10);
+  ck_assert_int_ge (flow->opened_at, 0);
+  /* The same flow through a VM that never saw it, also when its upstream drains. */
+  flow->balance = second;
+  cf_directory_withdraw (cf_balance_directory (second), flow->at->id, true, world->now);
+  world->last = NULL;
+  test_world_close (flow);
+  ck_assert_str_eq (world->last->id, flow->at->id);
+  test_world_free (world);
+}
+END_TEST
+
+START_TEST (test_refusals)
+{
+  struct TestWorld *world = test_world_new ();
+  struct CfBalance *balance = test_world_vm (world, "a", 0);
+  struct CfManifest *without = test_world_manifest (2, 0, false);
+  struct TestFlow *flow;
+
+  add_upstreams (world, "s", "a", 1);
+  /* No upstream of the service: refused at once. */
+  flow = test_world_open (world, balance, 81);
+  ck_assert (flow->reset);
+  /* An address that no manifest ever had. */
+  flow = test_world_open (world, balance, 80);
+  test_world_run (world, world->now + 10);
+  ck_assert (!flow->reset);
+  add_upstreams (world, "t", "a", 1);
+  flow = test_world_open (world, balance, 81);
+  test_world_run (world, world->now + 10);
+  ck_assert_int_ge (flow->opened_at, 0);
+  cf_balance_manifest (balance, without);
+  test_world_close (flow);
+  ck_assert (flow->reset);
+  flow = test_world_open (world, balance, 81);
+  ck_assert (flow->reset);
+  /* What is known is too old to refuse: another VM may know more. */
+  world->resets = 0;
+  test_world_run (world, world->now + 10000);
+  cf_directory_withdraw (cf_balance_directory (balance), "s-a-0", true, world->now);
+  cf_balance_helpers (balance, (const uint32_t[]){ 1 }, 1);
+  test_world_open (world, balance, 80);
+  ck_assert_uint_eq (world->resets, 0);
+  ck_assert_uint_eq (world->handed_on, 1);
+  cf_manifest_free (without);
+  test_world_free (world);
+}
+END_TEST
+
+static enum CfFate
+send_later (struct TestWorld *world, struct CfBalance *balance, uint32_t cookie, unsigned flags)
+{
+  uint8_t bytes[32] = { 0 };
+  struct CfSegment segment = {
+    .caller = { .ip = 9, .port = 9 },
+    .service = { .ip = TEST_SERVICE_IP, .port = 80 },
+    .flags = CF_SEGMENT_ACK | flags,
+    .cookie = cookie,
+    .bytes = bytes,
+    .size = sizeof bytes,
+  };
+
+  return cf_balance_segment (balance, &segment, world->now);
+}
+
+START_TEST (test_wrong_cookies)
+{
+  struct TestWorld *world = test_world_new ();
+  struct CfBalance *balance = test_world_vm (world, "a", 0);
+
+  add_upstreams (world, "s", "a", 1);
+  add_upstreams (world, "t", "a", 1);
+  ck_assert_int_eq (send_later (world, balance, cf_cookie ("s-a-0"), 0), CF_FATE_PASSED);
+  ck_assert_int_eq (send_later (world, balance, cf_cookie ("t-a-0"), 0), CF_FATE_SILENT_OTHER);
+  ck_assert_int_eq (send_later (world, balance, 12345, 0), CF_FATE_SILENT_COOKIE);
+  cf_balance_helpers (balance, (const uint32_t[]){ 1 }, 1);
+  ck_assert_int_eq (send_later (world, balance, 12345, 0), CF_FATE_HANDED_ON);
+  /* A packet is handed on once. */
+  ck_assert_int_eq (send_later (world, balance, 12345, CF_SEGMENT_HANDED), CF_FATE_SILENT_COOKIE);
+  ck_assert_uint_eq (world->forwarded, 1);
+  test_world_free (world);
+}
+END_TEST
+
+/* Dark upstreams: a flow that is placed at one opens elsewhere within the time that its
+ * answer counts, and soon no flow is placed there.  Callers repeat after 200 ms; without
+ * a second try by the VM every flow that meets a dark upstream waits for that. */
+START_TEST (test_dark_upstreams)
+{
+  struct TestWorld *world = test_world_new ();
+  struct CfBalance *balance = test_world_vm (world, "a", 0);
+  CfMillis dark_at = 0;
+  CfMillis worst = 0;
+  uint32_t late = 0;
+
+  add_upstreams (world, "s", "a", 4);
+  add_upstreams (world, "s", "b", 4);
+  for (int i = 0; i < 400; i++)
+    {
+      struct TestFlow *flow = test_world_open (world, balance, 80);
+
+      if (i == 100)
+        {
+          g_hash_table_add (world->dark, (gpointer) "s-a-1");
+          g_hash_table_add (world->dark, (gpointer) "s-a-2");
+          dark_at = world->now;
+        }
+      test_world_run (world, world->now + 15);
+      test_world_close (flow);
+    }
+  test_world_run (world, world->now + 700);
+  for (guint i = 0; i < world->flows->len; i++)
+    {
+      struct TestFlow *flow = world->flows->pdata[i];
+
+      ck_assert_int_ge (flow->opened_at, 0);
+      worst = MAX (worst, flow->opened_at - flow->begun_at);
+      late += flow->opened_at - flow->begun_at > 30;
+    }
+  printf ("dark: slowest opening %d ms, %u of 300 flows over 30 ms; %u first packets to the dark\n",
+          (int) worst, late,
+          test_world_firsts (world, "s-a-1", dark_at, G_MAXINT64)
+              + test_world_firsts (world, "s-a-2", dark_at, G_MAXINT64));
+  ck_assert_int_lt (worst, TEST_REPEAT_MS / 2);
+  /* From the first lost packet on: two in the first second, then trials only. */
+  ck_assert_uint_le (test_world_firsts (world, "s-a-1", dark_at + 1000, G_MAXINT64), 4);
+  /* Back again, they are found within the longest delay and used like the others. */
+  g_hash_table_remove_all (world->dark);
+  for (int i = 0; i < 400; i++)
+    {
+      struct TestFlow *flow = test_world_open (world, balance, 80);
+
+      test_world_run (world, world->now + 15);
+      test_world_close (flow);
+    }
+  ck_assert_uint_ge (
+      test_world_firsts (world, "s-a-1", world->now - 400 * 15 + CF_REACH_RETRY_MAX_MS, world->now),
+      40);
+  test_world_free (world);
+}
+END_TEST
+
+/* All near upstreams of a service are dark, and most far ones: what is left is found. */
+START_TEST (test_dark_domain)
+{
+  struct TestWorld *world = test_world_new ();
+  struct CfBalance *balance = test_world_vm (world, "a", 0);
+  uint32_t slow = 0;
+
+  add_upstreams (world, "s", "a", 2);
+  add_upstreams (world, "s", "b", 4);
+  g_hash_table_add (world->dark, (gpointer) "s-a-0");
+  g_hash_table_add (world->dark, (gpointer) "s-a-1");
+  g_hash_table_add (world->dark, (gpointer) "s-b-0");
+  for (int i = 0; i < 200; i++)
+    {
+      struct TestFlow *flow = test_world_open (world, balance, 80);
+
+      test_world_run (world, world->now + 15);
+      test_world_close (flow);
+    }
+  test_world_run (world, world->now + 700);
+  for (guint i = 0; i < world->flows->len; i++)
+    {
+      struct TestFlow *flow = world->flows->pdata[i];
+
+      ck_assert_int_ge (flow->opened_at, 0);
+      slow += flow->opened_at - flow->begun_at > TEST_REPEAT_MS / 2;
+    }
+  ck_assert_uint_le (slow, 2);
+  test_world_free (world);
+}
+END_TEST
+
+/* This VM stood still: what it missed speaks against no upstream. */
+START_TEST (test_pause_is_no_evidence)
+{
+  struct TestWorld *world = test_world_new ();
+  struct CfBalance *balance = test_world_vm (world, "a", 0);
+  GHashTableIter iter;
+  gpointer value;
+
+  add_upstreams (world, "s", "a", 4);
+  for (int i = 0; i < 8; i++)
+    test_world_open (world, balance, 80);
+  world->now += 3000;
+  cf_balance_tick (balance, world->now);
+  g_hash_table_iter_init (&iter, cf_directory_all (cf_balance_directory (balance)));
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    ck_assert (cf_reach_good (&((struct CfTarget *) value)->reach));
+  test_world_free (world);
+}
+END_TEST
+
+/* Cold limits: VMs that differ in what they know of a cold upstream, and of the size of
+ * the fleet, together never send it more than it bears in any second.  With no warm
+ * upstream it is all that there is. */
+#define COLD_PER_S 10.0
+#define COLD_FOR_MS 8000
+#define COLD_SEEDS 100 /* for each size of the fleet */
+
+static const int cold_vms[] = { 6, 75 };
+
+START_TEST (test_cold_limit)
+{
+  struct TestWorld *world = test_world_new ();
+  GRand *random = g_rand_new_with_seed ((guint32) _i + 1);
+  const int vms = cold_vms[_i % 2];
+  const double bears = COLD_PER_S * 1.5 + 5;
+  CfMillis began = world->now;
+
+  for (int i = 0; i < vms; i++)
+    cf_balance_fleet (test_world_vm (world, i % 2 ? "a" : "b", COLD_PER_S), (uint32_t) vms);
+  for (int i = 0; i < vms; i++)
+    {
+      /* Some hear of it later; to them it looks cold for longer. */
+      if (g_rand_boolean (random))
+        test_world_run (world, world->now + g_rand_int_range (random, 0, 1000 / vms));
+      test_world_upstream (world, world->balances->pdata[i], "cold", "s", "a", COLD_FOR_MS);
+    }
+  while (world->now < began + COLD_FOR_MS)
+    {
+      test_world_open (world, world->balances->pdata[g_rand_int_range (random, 0, vms)], 80);
+      test_world_run (world, world->now + g_rand_int_range (random, 1, 4));
+    }
+  for (CfMillis at = began; at < began + COLD_FOR_MS - 1000; at += 10)
+    ck_assert_uint_le (test_world_firsts (world, "cold", at, at + 1000), (uint32_t) bears);
+  /* It is not left idle either. */
+  ck_assert_uint_ge (test_world_firsts (world, "cold", began, began + COLD_FOR_MS),
+                     (uint32_t) (COLD_PER_S * COLD_FOR_MS / CF_MS_PER_S / 4));
+  g_rand_free (random);
+  test_world_free (world);
+}
+END_TEST
+
+/* A cold upstream gets nothing while warm ones are there, however loaded. */
+START_TEST (test_cold_spared)
+{
+  struct TestWorld *world = test_world_new ();
+  struct CfBalance *balance = test_world_vm (world, "a", COLD_PER_S);
+
+  add_upstreams (world, "s", "b", 2);
+  test_world_upstream (world, NULL, "cold", "s", "a", 2000);
+  for (int i = 0; i < 100; i++)
+    {
+      test_world_open (world, balance, 80);
+      test_world_run (world, world->now + 10);
+    }
+  ck_assert_uint_eq (test_world_firsts (world, "cold", 0, world->now), 0);
+  test_world_run (world, world->now + 2000);
+  test_world_open (world, balance, 80);
+  ck_assert_uint_eq (test_world_firsts (world, "cold", 0, world->now + 1), 1);
+  test_world_free (world);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("balance");
+
+  suite_add_loop (suite, test_directory_states, 1);
+  suite_add_loop (suite, test_directory_reborn, 1);
+  suite_add_loop (suite, test_directory_moves_service, 1);
+  suite_add_loop (suite, test_cookie_collision, 1);
+  suite_add_loop (suite, test_reach, 1);
+  suite_add_loop (suite, test_place_near_first, 1);
+  suite_add_loop (suite, test_place_evacuated, 1);
+  suite_add_loop (suite, test_cookie_decides, 1);
+  suite_add_loop (suite, test_refusals, 1);
+  suite_add_loop (suite, test_wrong_cookies, 1);
+  suite_add_loop (suite, test_dark_upstreams, 1);
+  suite_add_loop (suite, test_dark_domain, 1);
+  suite_add_loop (suite, test_pause_is_no_evidence, 1);
+  suite_add_loop (suite, test_cold_limit, 2 * COLD_SEEDS);
+  suite_add_loop (suite, test_cold_spared, 1);
+  return suite_run (suite);
+}
--- /dev/null
+++ b/tests/test_fuzz.c
@@ -0,0 +1,319 @@
+#include "balancers.h"
+#include "feed/hello.h"
+#include "feed/relay.h"
+#include "platform/calls.h"
+#include "platform/datagram.h"
+#include "platform/objects.h"
+#include "serve/balance_settings.h"
+#include "suite.h"
+
+#include <glib/gstdio.h>
+#include <string.h>
+#include <unistd.h>
+
+/* Mutated input of every kind that comes from outside: nothing crashes, nothing is read
+ * beyond its end, and no packet reaches another service.  FUZZ_ROUNDS sets the number of
+ * mutations of each kind. */
+
+#define ROUNDS_DEFAULT 3000
+
+static int
+rounds (void)
+{
+  const char *text = getenv ("FUZZ_ROUNDS");
+
+  return text ? atoi (text) : ROUNDS_DEFAULT;
+}
+
+/* Changes some bytes of the SIZE bytes at DATA and returns a shorter or equal length. */
+static size_t
+mutate (GRand *random, uint8_t *data, size_t size)
+{
+  int changes = g_rand_int_range (random, 0, 6);
+
+  for (int i = 0; i < changes && size > 0; i++)
+    data[g_rand_int_range (random, 0, (gint32) size)] = (uint8_t) g_rand_int (random);
+  if (g_rand_int_range (random, 0, 4) == 0)
+    return (size_t) g_rand_int_range (random, 0, (gint32) size + 1);
+  return size;
+}
+
+/* A packet as a caller sends it, from 100.64.0.7:40001 to 198.18.0.1:80. */
+static const uint8_t sample[64]
+    = { 0, 32, 64, 0, 0xc6, 18, 0, 1, 0x9c, 0x41, 100, 64, 0, 7, 0, 80, 0xa1, 0xb2, 0xc3, 0xd5 };
+
+START_TEST (test_fuzz_packets)
+{
+  struct TestWorld *world = test_world_new ();
+  struct CfBalance *balance = test_world_vm (world, "a", 10);
+  GRand *random = g_rand_new_with_seed (1);
+  uint32_t cookie = cf_cookie ("up-s");
+
+  test_world_upstream (world, NULL, "up-s", "s", "a", 0);
+  test_world_upstream (world, NULL, "up-t", "t", "a", 0);
+  for (int i = 0; i < rounds (); i++)
+    {
+      uint8_t *data = g_memdup2 (sample, sizeof sample);
+      struct CfSegment segment;
+      size_t len;
+
+      if (i % 2)
+        {
+          data[2] = 2;
+          data[28] = (uint8_t) (cookie >> 24);
+          data[29] = (uint8_t) (cookie >> 16);
+          data[30] = (uint8_t) (cookie >> 8);
+          data[31] = (uint8_t) cookie;
+        }
+      len = mutate (random, data, sizeof sample);
+      data = g_realloc (data, MAX (len, 1));
+      world->last = NULL;
+      if (cf_platform_form.parse (data, len, &segment))
+        {
+          uint8_t out[CF_SEGMENT_MAX + 8];
+
+          cf_balance_segment (balance, &segment, world->now);
+          if (world->last)
+            {
+              ck_assert_str_eq (g_quark_to_string (world->last->service),
+                                segment.service.port == 81 ? "t" : "s");
+              ck_assert_uint_eq (cf_platform_form.wrap (data, len, 7, 9, out), len + 8);
+            }
+          ck_assert_uint_eq (cf_platform_form.reset (&segment, out), 32);
+        }
+      g_free (data);
+      if (i % 16 == 0)
+        cf_balance_tick (balance, ++world->now);
+    }
+  g_rand_free (random);
+  test_world_free (world);
+}
+END_TEST
+
+START_TEST (test_fuzz_answers)
+{
+  static const char *const answers[] = {
+    "{\"items\":[{\"meta\":{\"name\":\"i-1a\",\"revision\":3,\"deleting\":false},\"spec\":{"
+    "\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"a\",\"slots\":2,\"state\":\"ready\","
+    "\"born\":5}}],\"truncated\":false,\"store-revision\":9}",
+    "{\"events\":[{\"deleted\":false,\"object\":{\"meta\":{\"name\":\"main\",\"revision\":4},"
+    "\"spec\":{\"version\":7,\"routes\":[{\"host\":\"198.18.0.1\",\"path-prefix\":\"/80/\","
+    "\"service\":\"s\",\"priority\":1}],\"services\":[{\"name\":\"s\",\"warmup-s\":2.0}],"
+    "\"limits\":{\"idle-timeout-ms\":9}}}}],\"store-revision\":9}",
+  };
+  GRand *random = g_rand_new_with_seed (2);
+
+  for (int i = 0; i < rounds (); i++)
+    {
+      char *text = g_strdup (answers[i % 2]);
+      size_t len = mutate (random, (uint8_t *) text, strlen (text));
+      char *exact = g_memdup2 (text, MAX (len, 1));
+      struct CfFeedAnswer answer = { 0 };
+
+      cf_platform_answer_text (200, exact, len, &answer);
+      for (guint j = 0; answer.records && j < answer.records->len; j++)
+        {
+          const struct CfRecord *record = answer.records->pdata[j];
+          struct CfAnnouncement announcement;
+          struct CfError error;
+
+          if (cf_platform_read_announcement (record, &announcement, &error))
+            cf_platform_announcement_clear (&announcement);
+          cf_manifest_free (cf_platform_read_manifest (record, &error));
+        }
+      cf_feed_answer_clear (&answer);
+      g_free (exact);
+      g_free (text);
+    }
+  g_rand_free (random);
+}
+END_TEST
+
+START_TEST (test_fuzz_peers)
+{
+  struct CfReplica replica;
+  struct CfFeedPosition position = { 0 };
+  GPtrArray *records = g_ptr_array_new_with_free_func (cf_record_free);
+  GRand *random = g_rand_new_with_seed (3);
+  uint8_t hello[512];
+  size_t hello_len = cf_hello_encode ("vm-1", "a", true, hello, sizeof hello);
+  GBytes *news;
+  gsize news_len;
+  const void *news_data;
+
+  cf_replica_init (&replica);
+  g_ptr_array_add (records, cf_record_new ("i-1", 5, false, "{\"service\":\"s\"}"));
+  g_ptr_array_unref (cf_replica_apply (&replica, CF_FEED_UPSTREAMS, records, 5, true));
+  news = cf_relay_encode (&replica, &position, 1, true);
+  news_data = g_bytes_get_data (news, &news_len);
+  for (int i = 0; i < rounds (); i++)
+    {
+      uint8_t *data = g_memdup2 (i % 2 ? news_data : (const void *) hello,
+                                 i % 2 ? news_len : hello_len);
+      size_t len = mutate (random, data, i % 2 ? news_len : hello_len);
+      struct feed_news decoded;
+      struct feed_hello heard;
+
+      data = g_realloc (data, MAX (len, 1));
+      if (i % 2 && cf_relay_decode (data, len, &decoded))
+        {
+          for (u_int part = 0; part < decoded.parts.parts_len; part++)
+            g_ptr_array_unref (cf_relay_records (&decoded.parts.parts_val[part]));
+          cf_relay_clear (&decoded);
+        }
+      if (i % 2 == 0 && cf_hello_decode (data, len, &heard))
+        cf_hello_clear (&heard);
+      g_free (data);
+    }
+  g_bytes_unref (news);
+  g_ptr_array_unref (records);
+  cf_replica_clear (&replica);
+  g_rand_free (random);
+}
+END_TEST
+
+#define SETTINGS                                                                                   \
+  "[vm]\nname=vm-1\naddress=10.0.0.1\nfailure-domain=a\nregion=r\n"                                \
+  "fabric-address=10.0.0.1:8172\nready-address=10.0.0.1:8167\nmetrics-port=9464\n"                 \
+  "peer-port=7720\nlink-mbps=1000.0\n\n[fleet]\nseeds=10.0.0.1:1,10.0.0.2:1\n\n"                   \
+  "[store]\naddress=10.2.0.1:8169\n\n"                                                             \
+  "[limits]\nflow-lifetime-s=60\ngrace-s=6\ncold-factor=1.5\ncold-extra=5\n"
+
+static bool
+read_text (const char *text, gssize len, struct CfBalanceSettings *settings, struct CfError *error)
+{
+  char *path = g_build_filename (g_get_tmp_dir (), "cf-settings-XXXXXX", NULL);
+  int fd = g_mkstemp (path);
+  bool ok;
+
+  ck_assert_int_ge (fd, 0);
+  close (fd);
+  ck_assert (g_file_set_contents (path, text, len, NULL));
+  ok = cf_balance_settings_read (settings, path, error);
+  g_remove (path);
+  g_free (path);
+  return ok;
+}
+
+START_TEST (test_fuzz_settings)
+{
+  GRand *random = g_rand_new_with_seed (4);
+
+  for (int i = 0; i < rounds () / 10; i++)
+    {
+      char *text = g_strdup (SETTINGS);
+      size_t len = mutate (random, (uint8_t *) text, strlen (text));
+      struct CfBalanceSettings settings;
+      struct CfError error = { 0 };
+
+      if (read_text (text, (gssize) len, &settings, &error))
+        cf_balance_settings_clear (&settings);
+      else
+        ck_assert_str_ne (error.text, "");
+      g_free (text);
+    }
+  g_rand_free (random);
+}
+END_TEST
+
+/* A fault in the settings names the file and the key. */
+static const struct
+{
+  const char *line;
+  const char *replacement;
+  const char *fault;
+} bad_settings[] = {
+  { "name=vm-1\n", "", "[vm] name: is missing" },
+  { "region=r\n", "region=\n", "[vm] region: is missing" },
+  { "fabric-address=10.0.0.1:8172", "fabric-address=10.0.0.1", "[vm] fabric-address: is not" },
+  { "peer-port=7720", "peer-port=70000", "[vm] peer-port: is not a number" },
+  { "link-mbps=1000.0", "link-mbps=fast", "[vm] link-mbps: is not a number" },
+  { "seeds=10.0.0.1:1", "seeds=here", "[fleet] seeds: is not a list" },
+  { "address=10.2.0.1:8169", "address=store", "[store] address: is not IP:port" },
+  { "cold-factor=1.5\n", "", "[limits] cold-factor: is missing" },
+};
+
+START_TEST (test_bad_settings)
+{
+  char **parts = g_strsplit (SETTINGS, bad_settings[_i].line, 2);
+  char *text = g_strconcat (parts[0], bad_settings[_i].replacement, parts[1], NULL);
+  struct CfBalanceSettings settings;
+  struct CfError error = { 0 };
+
+  ck_assert (!read_text (text, -1, &settings, &error));
+  ck_assert_msg (strstr (error.text, bad_settings[_i].fault)
+                     && strstr (error.text, "cf-settings-"),
+                 "%s", error.text);
+  g_free (text);
+  g_strfreev (parts);
+}
+END_TEST
+
+START_TEST (test_good_settings)
+{
+  struct CfBalanceSettings settings;
+  struct CfError error = { 0 };
+
+  ck_assert_msg (read_text (SETTINGS, -1, &settings, &error), "%s", error.text);
+  ck_assert_uint_eq (settings.fabric.port, 8172);
+  /* A VM is no seed of its own. */
+  ck_assert_uint_eq (g_strv_length (settings.seeds), 1);
+  ck_assert_str_eq (settings.seeds[0], "10.0.0.2");
+  ck_assert_int_eq (settings.grace_ms, 6000);
+  cf_balance_settings_clear (&settings);
+}
+END_TEST
+
+/* The packet form. */
+
+START_TEST (test_form)
+{
+  uint8_t wire[] = { 0, 0, 0x40, 0,    0xc6, 0x12, 0,    1,    0x9c, 0x41, 0x64, 0x40, 0,    7, 1, 0xbb,
+                     0xa1, 0xb2, 0xc3, 0xd5, 0x11, 0x22, 0x33, 0x44, 0, 0, 0, 2, 0, 0, 0, 0 };
+  const uint8_t expected[32] = { 0,    0,    8, 0, 0x64, 0x40, 0, 7, 1, 0xbb, 0xc6, 0x12, 0, 1, 0x9c,
+                                 0x41 };
+  uint8_t out[CF_SEGMENT_MAX];
+  struct CfSegment segment;
+
+  ck_assert (cf_platform_form.parse (wire, sizeof wire, &segment));
+  ck_assert_uint_eq (segment.flags, CF_SEGMENT_SYN);
+  ck_assert_uint_eq (segment.caller.ip, 0x64400007);
+  ck_assert_uint_eq (segment.caller.port, 40001);
+  ck_assert_uint_eq (segment.service.ip, 0xc6120001);
+  ck_assert_uint_eq (segment.service.port, 443);
+  ck_assert_uint_eq (segment.copy, 2);
+  ck_assert_uint_eq (cf_platform_form.reset (&segment, out), 32);
+  ck_assert (memcmp (out, expected, sizeof expected) == 0);
+  /* Handed on between VMs it carries a mark, which an upstream never sees. */
+  cf_platform_form.hand_on (wire, sizeof wire, out);
+  ck_assert (cf_platform_form.parse (out, sizeof wire, &segment));
+  ck_assert_uint_eq (segment.flags, CF_SEGMENT_SYN | CF_SEGMENT_HANDED);
+  memcpy (wire, out, sizeof wire);
+  ck_assert_uint_eq (cf_platform_form.wrap (wire, sizeof wire, 0x0102030405060708, 0x0a0b0c0d, out),
+                     40);
+  ck_assert_uint_eq (out[0], 1);
+  ck_assert_uint_eq (out[7], 8);
+  ck_assert_uint_eq (out[8 + 2], 0x40);
+  ck_assert_uint_eq (out[8 + 28], 0x0a);
+  ck_assert_uint_eq (out[8 + 31], 0x0d);
+  /* Truncated, and longer than it says. */
+  ck_assert (!cf_platform_form.parse (wire, 31, &segment));
+  wire[1] = 1;
+  ck_assert (!cf_platform_form.parse (wire, sizeof wire, &segment));
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("fuzz");
+
+  suite_add_loop (suite, test_form, 1);
+  suite_add_loop (suite, test_fuzz_packets, 1);
+  suite_add_loop (suite, test_fuzz_answers, 1);
+  suite_add_loop (suite, test_fuzz_peers, 1);
+  suite_add_loop (suite, test_fuzz_settings, 1);
+  suite_add_loop (suite, test_good_settings, 1);
+  suite_add_loop (suite, test_bad_settings, G_N_ELEMENTS (bad_settings));
+  return suite_run (suite);
+}
--- /dev/null
+++ b/tests/test_sources.c
@@ -0,0 +1,335 @@
+#include "feed/hello.h"
+#include "feed/relay.h"
+#include "feed/rotation.h"
+#include "feed/sources.h"
+#include "suite.h"
+
+#include <string.h>
+
+/* Where news of the store come from, how they travel between VMs, and when a VM may leave
+ * the rotation. */
+
+static void
+add_vm (struct CfSources *sources, const char *name, const char *domain, double link_mbps)
+{
+  struct CfVmRecord vm = {
+    .ip = name, /* any text will do here */
+    .domain = domain,
+    .region = "r",
+    .link_mbps = link_mbps,
+  };
+
+  cf_sources_set (sources, name, &vm);
+}
+
+static struct CfSources *
+fleet (const char *name, const char *domain)
+{
+  struct CfSources *sources = cf_sources_new (name, domain, "r");
+
+  add_vm (sources, "a1", "a", 10);
+  add_vm (sources, "a2", "a", 200);
+  add_vm (sources, "a3", "a", 10);
+  add_vm (sources, "b1", "b", 10);
+  add_vm (sources, "b2", "b", 10);
+  return sources;
+}
+
+static const char *
+chosen (struct CfSources *sources, CfMillis known_at, CfMillis now)
+{
+  struct CfSource *source = cf_sources_choose (sources, known_at, now);
+
+  return source->name ? source->name : "store";
+}
+
+/* One VM of the region reads the store: the first domain's with the widest link. */
+START_TEST (test_order)
+{
+  static const char *const expected[][3] = {
+    { "a2", "a", "store" }, { "a1", "a", "a2" }, { "a3", "a", "a2" },
+    { "b1", "b", "a2" },    { "b2", "b", "b1" },
+  };
+
+  for (guint i = 0; i < G_N_ELEMENTS (expected); i++)
+    {
+      struct CfSources *sources = fleet (expected[i][0], expected[i][1]);
+
+      ck_assert_str_eq (chosen (sources, 1000, 1000), expected[i][2]);
+      cf_sources_free (sources);
+    }
+}
+END_TEST
+
+START_TEST (test_takeover)
+{
+  struct CfSources *sources = fleet ("b1", "b");
+  CfMillis now = 10000;
+
+  ck_assert_str_eq (chosen (sources, now, now), "a2");
+  cf_source_failed (cf_sources_find (sources, "a2"), now);
+  ck_assert_str_eq (chosen (sources, now, now), "a1");
+  cf_source_failed (cf_sources_find (sources, "a1"), now);
+  ck_assert_str_eq (chosen (sources, now, now), "store");
+  /* The store does not serve this VM: whoever else has news. */
+  cf_source_failed (cf_sources_store (sources), now);
+  ck_assert_str_eq (chosen (sources, now, now), "b2");
+  /* After a while the order holds again. */
+  ck_assert_str_eq (chosen (sources, now + CF_SOURCES_RETRY_MIN_MS,
+                            now + CF_SOURCES_RETRY_MIN_MS), "a2");
+  cf_sources_free (sources);
+}
+END_TEST
+
+/* Found by a hunt: the store turned the first VMs away, and the others went through one
+ * stale source after the other, a second each. */
+START_TEST (test_stale_goes_to_store)
+{
+  struct CfSources *sources = fleet ("b2", "b");
+  CfMillis now = 10000;
+
+  ck_assert_str_eq (chosen (sources, now - CF_SOURCES_STALE_MS + 1, now), "b1");
+  ck_assert_str_eq (chosen (sources, now - CF_SOURCES_STALE_MS, now), "store");
+  ck_assert_str_eq (chosen (sources, -1, now), "store");
+  cf_sources_free (sources);
+  /* The first of a domain asks before those that follow it. */
+  sources = fleet ("b1", "b");
+  ck_assert_str_eq (chosen (sources, now - CF_SOURCES_STALE_FIRST_MS, now), "store");
+  cf_sources_free (sources);
+}
+END_TEST
+
+START_TEST (test_failures_together)
+{
+  struct CfSources *sources = fleet ("a2", "a");
+  struct CfSource *store = cf_sources_store (sources);
+
+  for (int i = 0; i < 4; i++)
+    cf_source_failed (store, 1000);
+  ck_assert_int_eq (store->down_until, 1000 + CF_SOURCES_RETRY_MIN_MS);
+  cf_source_failed (store, 3000);
+  ck_assert_int_eq (store->down_until, 3000 + 2 * CF_SOURCES_RETRY_MIN_MS);
+  cf_source_answered (store);
+  ck_assert_int_eq (store->down_until, 0);
+  cf_sources_free (sources);
+}
+END_TEST
+
+START_TEST (test_seeds)
+{
+  struct CfSources *sources = cf_sources_new ("a1", "a", "r");
+  char *seeds[] = { (char *) "10.0.0.1", (char *) "10.0.0.2", NULL };
+  struct CfSource *seed;
+  GPtrArray *ips;
+
+  ck_assert_ptr_null (cf_sources_choose_seed (sources, 0));
+  cf_sources_seed (sources, seeds);
+  seed = cf_sources_choose_seed (sources, 0);
+  ck_assert_str_eq (seed->ip, "10.0.0.1");
+  cf_source_failed (seed, 0);
+  ck_assert_str_eq (cf_sources_choose_seed (sources, 0)->ip, "10.0.0.2");
+  ips = cf_sources_ips (sources);
+  ck_assert_uint_eq (ips->len, 2);
+  g_ptr_array_unref (ips);
+  cf_sources_free (sources);
+}
+END_TEST
+
+/* No VM is followed by more than a group, however many there are. */
+START_TEST (test_groups)
+{
+  GHashTable *followers = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  const int vms = 400;
+  GHashTableIter iter;
+  gpointer value;
+  uint32_t most = 0;
+
+  for (int self = 0; self < vms; self++)
+    {
+      struct CfSources *sources;
+      char name[16];
+      gpointer count;
+      char *source;
+
+      g_snprintf (name, sizeof name, "vm-%d", self);
+      sources = cf_sources_new (name, "a", "r");
+      for (int i = 0; i < vms; i++)
+        {
+          char other[16];
+
+          g_snprintf (other, sizeof other, "vm-%d", i);
+          add_vm (sources, other, "a", 10);
+        }
+      source = g_strdup (chosen (sources, 0, 0));
+      count = g_hash_table_lookup (followers, source);
+      g_hash_table_replace (followers, source, GUINT_TO_POINTER (GPOINTER_TO_UINT (count) + 1));
+      cf_sources_free (sources);
+    }
+  g_hash_table_iter_init (&iter, followers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    most = MAX (most, GPOINTER_TO_UINT (value));
+  /* Groups are drawn by hash, so they differ in size. */
+  ck_assert_uint_le (most, 2 * CF_SOURCES_GROUP_MAX);
+  g_hash_table_unref (followers);
+}
+END_TEST
+
+/* News on their way. */
+
+static void
+tell (struct CfReplica *replica, const char *name, uint64_t revision, bool deleted, bool whole)
+{
+  GPtrArray *records = g_ptr_array_new_with_free_func (cf_record_free);
+
+  g_ptr_array_add (records, cf_record_new (name, revision, deleted, deleted ? NULL : "{}"));
+  g_ptr_array_unref (cf_replica_apply (replica, CF_FEED_UPSTREAMS, records, revision, whole));
+  g_ptr_array_unref (records);
+}
+
+/* Carries what FROM has beyond TO; returns the number of upstream records sent. */
+static uint32_t
+carry (const struct CfReplica *from, struct CfReplica *to)
+{
+  struct CfFeedPosition position;
+  struct feed_news news;
+  GBytes *bytes;
+  gsize len;
+  const void *data;
+  const struct feed_part *part;
+  GPtrArray *records;
+  uint32_t count;
+
+  for (int kind = 0; kind < CF_FEED_KINDS; kind++)
+    position.revision[kind] = to->revision[kind];
+  bytes = cf_relay_encode (from, &position, 123, true);
+  data = g_bytes_get_data (bytes, &len);
+  ck_assert (cf_relay_decode (data, len, &news));
+  ck_assert_uint_eq (news.age_ms, 123);
+  part = &news.parts.parts_val[CF_FEED_UPSTREAMS];
+  records = cf_relay_records (part);
+  count = records->len;
+  g_ptr_array_unref (
+      cf_replica_apply (to, CF_FEED_UPSTREAMS, records, part->revision, part->whole));
+  g_ptr_array_unref (records);
+  cf_relay_clear (&news);
+  g_bytes_unref (bytes);
+  return count;
+}
+
+START_TEST (test_relay)
+{
+  struct CfReplica from;
+  struct CfReplica to;
+
+  cf_replica_init (&from);
+  cf_replica_init (&to);
+  tell (&from, "i-1", 5, false, true);
+  tell (&from, "i-2", 7, false, false);
+  ck_assert_uint_eq (carry (&from, &to), 2);
+  ck_assert_uint_eq (carry (&from, &to), 0);
+  /* The store may give a deletion the revision of the change before. */
+  tell (&from, "i-3", 9, false, false);
+  tell (&from, "i-1", 5, true, false);
+  ck_assert_uint_ge (carry (&from, &to), 1);
+  ck_assert_uint_eq (cf_replica_count (&to, CF_FEED_UPSTREAMS), 2);
+  cf_replica_clear (&from);
+  cf_replica_clear (&to);
+}
+END_TEST
+
+/* A follower knows an upstream whose end its new source has never heard of. */
+START_TEST (test_relay_unknown_deletion)
+{
+  struct CfReplica from;
+  struct CfReplica to;
+
+  cf_replica_init (&from);
+  cf_replica_init (&to);
+  tell (&to, "i-old", 3, false, true);
+  tell (&from, "i-new", 8, false, true);
+  carry (&from, &to);
+  ck_assert_uint_eq (cf_replica_count (&to, CF_FEED_UPSTREAMS), 1);
+  cf_replica_clear (&from);
+  cf_replica_clear (&to);
+}
+END_TEST
+
+START_TEST (test_position)
+{
+  struct CfFeedPosition position = { .revision = { 1, 2, 3, 18446744073709551615ULL } };
+  struct CfFeedPosition copy;
+  char *query = cf_feed_position_format (&position);
+  GHashTable *parsed = g_uri_parse_params (query, -1, "&", G_URI_PARAMS_NONE, NULL);
+
+  ck_assert (cf_feed_position_parse (parsed, &copy));
+  ck_assert (memcmp (&position, &copy, sizeof copy) == 0);
+  g_hash_table_remove (parsed, "upstreams");
+  ck_assert (!cf_feed_position_parse (parsed, &copy));
+  ck_assert (!cf_feed_position_parse (NULL, &copy));
+  g_hash_table_unref (parsed);
+  g_free (query);
+}
+END_TEST
+
+/* Leaving the rotation. */
+
+START_TEST (test_rotation)
+{
+  struct CfRotation rotation;
+  CfMillis now = 1000;
+
+  cf_rotation_init (&rotation);
+  ck_assert (cf_rotation_may_leave (&rotation, 1, now));
+  ck_assert (cf_rotation_may_leave (&rotation, 2, now));
+  ck_assert (cf_rotation_may_leave (&rotation, 3, now));
+  cf_rotation_hear (&rotation, "vm-1", true, now);
+  /* Of three VMs one may be away, of five two. */
+  ck_assert (!cf_rotation_may_leave (&rotation, 2, now));
+  ck_assert (!cf_rotation_may_leave (&rotation, 3, now));
+  ck_assert (cf_rotation_may_leave (&rotation, 5, now));
+  cf_rotation_hear (&rotation, "vm-2", true, now);
+  ck_assert (!cf_rotation_may_leave (&rotation, 5, now));
+  /* A VM that is back is in use a moment later. */
+  cf_rotation_hear (&rotation, "vm-1", false, now);
+  ck_assert (!cf_rotation_may_leave (&rotation, 5, now));
+  ck_assert (cf_rotation_may_leave (&rotation, 5, now + CF_ROTATION_RETURN_MS));
+  /* One that never returns is not waited for. */
+  ck_assert (cf_rotation_may_leave (&rotation, 3, now + CF_ROTATION_AWAY_MS));
+  cf_rotation_clear (&rotation);
+}
+END_TEST
+
+START_TEST (test_hello)
+{
+  uint8_t buffer[512];
+  size_t len = cf_hello_encode ("vm-1", "a", true, buffer, sizeof buffer);
+  struct feed_hello hello;
+
+  ck_assert_uint_gt (len, 0);
+  ck_assert (cf_hello_decode (buffer, len, &hello));
+  ck_assert_str_eq (hello.name, "vm-1");
+  ck_assert (hello.leaving);
+  cf_hello_clear (&hello);
+  ck_assert (!cf_hello_decode (buffer, len - 4, &hello));
+  ck_assert_uint_eq (cf_hello_encode ("vm-1", "a", true, buffer, 8), 0);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("sources");
+
+  suite_add_loop (suite, test_order, 1);
+  suite_add_loop (suite, test_takeover, 1);
+  suite_add_loop (suite, test_stale_goes_to_store, 1);
+  suite_add_loop (suite, test_failures_together, 1);
+  suite_add_loop (suite, test_seeds, 1);
+  suite_add_loop (suite, test_groups, 1);
+  suite_add_loop (suite, test_relay, 1);
+  suite_add_loop (suite, test_relay_unknown_deletion, 1);
+  suite_add_loop (suite, test_position, 1);
+  suite_add_loop (suite, test_rotation, 1);
+  suite_add_loop (suite, test_hello, 1);
+  return suite_run (suite);
+}
