--- a/Makefile
+++ b/Makefile
@@ -23,6 +23,7 @@
 TEST_LIB_SRC := $(filter-out tests/test_%.c tests/live.c tests/platform.c,$(wildcard tests/*.c))
 TEST_SRC := $(wildcard tests/test_*.c)
 STANDIN_SRC := tests/live.c tests/platform.c
+SOAK_SRC := $(wildcard tests/soak/*.c)
 BENCH_SRC := $(wildcard bench/*.c)
 
 LIB_OBJ = $(LIB_SRC:%.c=$(BUILD)/%.o)
@@ -54,7 +55,10 @@
 $(BUILD)/measure: $(BENCH_SRC:%.c=$(BUILD)/%.o) $(TEST_LIB_OBJ) $(LIB_OBJ)
 	$(CC) $^ $(LIBS) -o $@
 
-check: $(BUILD)/cyclamenferry $(TESTS) $(STANDINS)
+$(BUILD)/soak: $(SOAK_SRC:%.c=$(BUILD)/%.o) $(PLATFORM_OBJ) $(LIB_OBJ)
+	$(CC) $^ $(LIBS) -o $@
+
+check: $(BUILD)/cyclamenferry $(TESTS) $(STANDINS) $(BUILD)/soak
 	tests/run $(BUILD)
 
 demo: $(BUILD)/cyclamenferry $(STANDINS)
@@ -69,8 +73,8 @@
 	cd src/feed && rm -f feed.h feed_xdr.c && rpcgen -N -M -h -o feed.h feed.x \
 	  && rpcgen -N -M -c -o feed_xdr.c feed.x
 
-SOURCES := $(filter-out src/peer/peer_xdr.c src/feed/feed_xdr.c,$(wildcard platform/*.c src/*/*.c tests/*.c bench/*.c))
-HEADERS := $(filter-out src/peer/peer.h src/feed/feed.h,$(wildcard include/*.h platform/*.h src/*/*.h tests/*.h bench/*.h))
+SOURCES := $(filter-out src/peer/peer_xdr.c src/feed/feed_xdr.c,$(wildcard platform/*.c src/*/*.c tests/*.c tests/soak/*.c bench/*.c))
+HEADERS := $(filter-out src/peer/peer.h src/feed/feed.h,$(wildcard include/*.h platform/*.h src/*/*.h tests/*.h tests/soak/*.h bench/*.h))
 
 format:
 	clang-format -i $(SOURCES) $(HEADERS)
--- a/src/feed/sources.c
+++ b/src/feed/sources.c
@@ -263,14 +263,29 @@
   return before ? CF_SOURCES_STALE_MS : CF_SOURCES_STALE_FIRST_MS;
 }
 
+enum CfStoreUse
+cf_sources_store_use (struct CfSources *sources, const struct CfStoreNeed *need, CfMillis now)
+{
+  if (need->empty)
+    return need->seeds && now - need->started_at < CF_SOURCES_SEED_MS ? CF_STORE_NOTHING
+                                                                       : CF_STORE_READ;
+  if (need->reader)
+    return CF_STORE_READ;
+  if (now - need->known_at < cf_sources_stale_ms (sources))
+    return CF_STORE_NOTHING;
+  /* An answer that came after the news had become old. */
+  if (need->probed_at < need->known_at + cf_sources_stale_ms (sources)
+      || now - need->probed_at >= CF_MS_PER_S)
+    return CF_STORE_PROBE;
+  return now - need->probed_at < CF_SOURCES_CATCH_UP_MS ? CF_STORE_NOTHING : CF_STORE_READ;
+}
+
 struct CfSource *
-cf_sources_choose (struct CfSources *sources, CfMillis known_at, CfMillis now)
+cf_sources_choose (struct CfSources *sources, CfMillis now)
 {
   struct CfSource *best = NULL;
   guint index;
 
-  if (known_at < 0 || now - known_at >= cf_sources_stale_ms (sources))
-    consider (&best, &sources->store, now);
   /* A VM that is not listed yet cannot be followed, so it has no place in the order. */
   if (find (sources->vms, sources->name, &index))
     {
--- a/src/feed/sources.h
+++ b/src/feed/sources.h
@@ -21,8 +21,12 @@
  * The store's reader hears from it every 1.5 s and tells its followers at once; changes of
  * upstreams have to be in force within 3 s.  The first of a group asks before the others,
  * which then need not. */
-#define CF_SOURCES_STALE_FIRST_MS 2300
-#define CF_SOURCES_STALE_MS 2600
+#define CF_SOURCES_STALE_FIRST_MS 2100
+#define CF_SOURCES_STALE_MS 2300
+/* The store has answered a VM with old news: its source has this long to catch up, too. */
+#define CF_SOURCES_CATCH_UP_MS 200
+/* A VM that starts asks a seed before the store for this long. */
+#define CF_SOURCES_SEED_MS 150
 
 /* What a VM says of itself.  Strings are copied where they are kept. */
 struct CfVmRecord
@@ -54,10 +58,32 @@
 /* Says that there is a VM called NAME, or no longer is (VM is NULL). */
 void cf_sources_set (struct CfSources *sources, const char *name, const struct CfVmRecord *vm);
 
-/* Returns the source to use at NOW by a VM whose news are of KNOWN_AT (-1: it has none).
- * The result is valid until the next call of cf_sources_set. */
-struct CfSource *
-cf_sources_choose (struct CfSources *sources, CfMillis known_at, CfMillis now);
+/* Returns the source to use at NOW.  The result is valid until the next call of
+ * cf_sources_set. */
+struct CfSource *cf_sources_choose (struct CfSources *sources, CfMillis now);
+
+/* What a VM asks the store. */
+enum CfStoreUse
+{
+  CF_STORE_NOTHING,
+  CF_STORE_PROBE, /* one short call: does it answer? */
+  CF_STORE_READ,  /* everything */
+};
+
+/* What a VM knows when it decides that. */
+struct CfStoreNeed
+{
+  bool reader;         /* the store is its source */
+  bool empty;          /* it has never had news */
+  CfMillis started_at; /* when it started to ask for news */
+  bool seeds;          /* there are seeds, and none has failed yet */
+  CfMillis known_at;   /* its news are of then */
+  CfMillis probed_at;  /* when the store last answered it, -1: never */
+};
+
+/* Returns what to ask the store at NOW. */
+enum CfStoreUse
+cf_sources_store_use (struct CfSources *sources, const struct CfStoreNeed *need, CfMillis now);
 
 /* Returns the VM or seed called NAME, or NULL. */
 struct CfSource *cf_sources_find (struct CfSources *sources, const char *name);
--- a/src/serve/feed_internal.h
+++ b/src/serve/feed_internal.h
@@ -57,6 +57,9 @@
   char *source;      /* name of the VM that is followed, "" for the store, NULL: none yet */
   CfMillis known_at; /* the replica holds what the store held then, -1: never */
   bool settled;      /* the store has been there all the while */
+  CfMillis started_at;
+  CfMillis probed_at; /* when the store last answered this VM, -1: never */
+  bool seed_failed;   /* since the start, while nothing was known */
   struct FeedChannel channels[CF_FEED_KINDS];
   struct FeedFollow follow;
   struct FeedEnroll enroll;
@@ -91,9 +94,8 @@
 
 void cf_feed_store_start (struct FeedTask *task);
 void cf_feed_store_stop (struct FeedTask *task);
-/* Begins the reads that are due and returns when the next is.  With ACTIVE this VM reads
- * the store; without, only what it has never read. */
-CfMillis cf_feed_store_pump (struct FeedTask *task, bool active, CfMillis now);
+/* Begins the reads of USE that are due and returns when to look again. */
+CfMillis cf_feed_store_pump (struct FeedTask *task, enum CfStoreUse use, CfMillis now);
 
 void cf_feed_follow_stop (struct FeedTask *task);
 /* Asks SOURCE for news unless a question is under way; returns when the next is due. */
--- a/src/serve/feed_store.c
+++ b/src/serve/feed_store.c
@@ -8,6 +8,8 @@
 /* The shortest list, to ask whether the store is back. */
 #define PROBE_KIND CF_FEED_EVACUATIONS
 
+#define LOOK_EVERY_MS 50 /* with old news, what to ask the store changes with time */
+
 /* Calls in a row that fail before another source is asked. */
 #define FAILURES_MAX 2
 
@@ -85,6 +87,7 @@
   if (outcome == CF_READ_ANSWERED)
     {
       cf_source_answered (cf_sources_store (task->sources));
+      task->probed_at = now;
       regain (task, now);
       if (listing)
         g_ptr_array_extend_and_steal (channel->list, g_steal_pointer (&answer.records));
@@ -109,10 +112,12 @@
   return false;
 }
 
+/* A VM with old news wants an answer at once, also if nothing has changed. */
 static CfMillis
-wait_of (const struct FeedTask *task, const struct CfReader *reader)
+wait_of (struct FeedTask *task, const struct CfReader *reader, CfMillis now)
 {
-  if (!reader->listed || is_lost (task))
+  if (!reader->listed || is_lost (task)
+      || cf_feed_age (task, now) >= cf_sources_stale_ms (task->sources))
     return 0;
   return reader->kind == CF_FEED_VMS ? VMS_WAIT_MS : CF_READER_WAIT_MS;
 }
@@ -122,7 +127,7 @@
 {
   const struct CfReader *reader = &channel->reader;
   const char *store = task->balancer->settings.store;
-  CfMillis wait = wait_of (task, reader);
+  CfMillis wait = wait_of (task, reader, cf_now ());
   SoupMessage *message = reader->listed
                              ? cf_platform_watch (store, reader->kind, reader->revision, wait)
                              : cf_platform_list (store, reader->kind, reader->after);
@@ -132,22 +137,31 @@
                                       answered, channel);
 }
 
+/* Returns true if KIND is to be read: while the store is away one short call at a time asks
+ * whether it is back, and a VM with old news does not need the list of VMs. */
+static bool
+is_wanted (const struct FeedTask *task, enum CfStoreUse use, int kind)
+{
+  if (use == CF_STORE_NOTHING)
+    return false;
+  if (use == CF_STORE_PROBE || is_lost (task))
+    return kind == PROBE_KIND;
+  return kind != CF_FEED_VMS || task->replica.revision[kind] == 0 || task->source[0] == 0;
+}
+
 CfMillis
-cf_feed_store_pump (struct FeedTask *task, bool active, CfMillis now)
+cf_feed_store_pump (struct FeedTask *task, enum CfStoreUse use, CfMillis now)
 {
-  CfMillis next = now + CF_MS_PER_S;
-  bool lost = is_lost (task);
+  bool stale = cf_feed_age (task, now) >= CF_SOURCES_STALE_FIRST_MS;
+  CfMillis next = now + (stale ? LOOK_EVERY_MS : CF_MS_PER_S);
 
   for (int kind = 0; kind < CF_FEED_KINDS; kind++)
     {
       struct FeedChannel *channel = &task->channels[kind];
 
-      /* While the store is away one short call at a time asks whether it is back. */
-      if (lost && kind != PROBE_KIND)
+      if (!is_wanted (task, use, kind))
         continue;
       cf_reader_skip_to (&channel->reader, task->replica.revision[kind]);
-      if (!active && task->replica.revision[kind] > 0)
-        continue;
       if (cf_reader_due (&channel->reader, now))
         begin_call (task, channel);
       else if (!channel->reader.calling)
--- a/src/serve/feed_task.c
+++ b/src/serve/feed_task.c
@@ -157,24 +157,45 @@
                       });
 }
 
+static enum CfStoreUse
+store_use (struct FeedTask *task, const struct CfSource *source, CfMillis now)
+{
+  struct CfStoreNeed need = {
+    .reader = !source->name,
+    .empty = task->replica.revision[CF_FEED_MANIFEST] == 0,
+    .started_at = task->started_at,
+    .seeds = task->balancer->settings.seeds[0] && !task->seed_failed,
+    .known_at = task->known_at,
+    .probed_at = task->probed_at,
+  };
+
+  return cf_sources_store_use (task->sources, &need, now);
+}
+
+/* Returns when the news become old, or a long time if they are. */
+static CfMillis
+stale_at (struct FeedTask *task, CfMillis now)
+{
+  CfMillis stale = cf_sources_stale_ms (task->sources);
+
+  return cf_feed_age (task, now) < stale ? task->known_at + stale : G_MAXINT64;
+}
+
 void
 cf_feed_pump (struct FeedTask *task)
 {
   CfMillis now = cf_now ();
-  struct CfSource *source = cf_sources_choose (task->sources, task->known_at, now);
-  CfMillis next = cf_feed_enroll_pump (task, now);
+  struct CfSource *source = cf_sources_choose (task->sources, now);
+  CfMillis next = MIN (cf_feed_enroll_pump (task, now), stale_at (task, now));
 
   note_source (task, source, now);
-  /* A VM that starts asks both the store and its source: whichever is there. */
-  next = MIN (next, cf_feed_store_pump (task, !source->name, now));
+  next = MIN (next, cf_feed_store_pump (task, store_use (task, source, now), now));
   if (!source->name && task->replica.revision[CF_FEED_MANIFEST] == 0)
     source = cf_sources_choose_seed (task->sources, now);
   if (source && source->name)
     next = MIN (next, cf_feed_follow_pump (task, source, now));
   next = MIN (next, cf_feed_rotation_pump (task, now));
   next = MIN (next, cf_feed_relay_pump (task, now));
-  if (cf_feed_age (task, now) < cf_sources_stale_ms (task->sources))
-    next = MIN (next, task->known_at + cf_sources_stale_ms (task->sources));
   g_source_set_ready_time (task->timer, next * G_TIME_SPAN_MILLISECOND);
 }
 
@@ -212,6 +233,7 @@
 
   task->session = soup_session_new_with_options ("proxy-resolver", NULL, "max-conns", 16,
                                                  "max-conns-per-host", 16, NULL);
+  task->started_at = cf_now ();
   cf_feed_store_start (task);
   cf_feed_enroll_start (task);
   if (!cf_feed_rotation_start (task, error))
@@ -250,6 +272,7 @@
   task->balancer = balancer;
   task->random = g_rand_new ();
   task->known_at = -1;
+  task->probed_at = -1;
   task->stop_at = -1;
   task->sources = cf_sources_new (balancer->settings.name, balancer->settings.failure_domain,
                                   balancer->settings.region);
--- /dev/null
+++ b/tests/soak/main.c
@@ -0,0 +1,426 @@
+#include "soak.h"
+
+#include <fcntl.h>
+#include <glib/gstdio.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+/* soak PROGRAM SECONDS SEED: runs faults for SECONDS, then lets the world become calm and
+ * checks that it serves.  The exit status is 1 if a promise was broken. */
+
+#define SETTLE_MS 9000      /* after the last fault, before the end */
+#define RESTART_MS 300      /* from a VM's end until it is started again */
+#define READY_EVERY_MS 500  /* the fabric asks twice a second */
+#define READY_DEADLINE_MS 400
+#define CALM_SERVED 0.99    /* of what is asked long after the last fault */
+
+static const char *const domains[SOAK_DOMAINS] = { "a", "b" };
+
+int64_t
+soak_now (void)
+{
+  return g_get_monotonic_time () / G_TIME_SPAN_MILLISECOND;
+}
+
+void
+soak_violation (struct Soak *soak, const char *format, ...)
+{
+  va_list args;
+
+  va_start (args, format);
+  printf ("  violation: ");
+  vprintf (format, args);
+  printf ("\n");
+  va_end (args);
+  soak->violations++;
+}
+
+bool
+soak_is_calm (const struct Soak *soak, const struct SoakVm *vm)
+{
+  int64_t since = vm ? vm->disturbed_at : soak->faulted_at;
+
+  return soak_now () - since > SOAK_CALM_MS;
+}
+
+/* Entry VMs. */
+
+static gboolean
+start_again (gpointer data)
+{
+  struct SoakVm *vm = data;
+
+  if (vm->soak->loop)
+    soak_vm_start (vm);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+on_vm_end (GPid pid, gint status, gpointer data)
+{
+  struct SoakVm *vm = data;
+
+  g_spawn_close_pid (pid);
+  vm->pid = 0;
+  vm->disturbed_at = soak_now ();
+  if (WIFSIGNALED (status) && WTERMSIG (status) != SIGKILL && WTERMSIG (status) != SIGTERM)
+    soak_violation (vm->soak, "vm-%d ended with signal %d", vm->index, WTERMSIG (status));
+  else if (WIFEXITED (status) && WEXITSTATUS (status) != 0)
+    soak_violation (vm->soak, "vm-%d ended with status %d", vm->index, WEXITSTATUS (status));
+  if (vm->soak->loop)
+    g_timeout_add (RESTART_MS, start_again, vm);
+}
+
+void
+soak_vm_start (struct SoakVm *vm)
+{
+  char *argv[] = { vm->soak->program, (char *) "balance", (char *) "--boot", vm->settings, NULL };
+  char *out = g_strdup_printf ("%s/vm-%d.log", vm->soak->folder, vm->index);
+  int fd = g_open (out, O_WRONLY | O_CREAT | O_APPEND, 0600);
+  GError *fault = NULL;
+
+  if (!g_spawn_async_with_fds (NULL, argv, NULL, G_SPAWN_DO_NOT_REAP_CHILD, NULL, NULL, &vm->pid,
+                               -1, fd, fd, &fault))
+    g_error ("%s: %s", vm->soak->program, fault->message);
+  close (fd);
+  g_child_watch_add (vm->pid, on_vm_end, vm);
+  g_free (out);
+}
+
+void
+soak_vm_signal (struct SoakVm *vm, int signal)
+{
+  if (vm->pid)
+    kill (vm->pid, signal);
+  vm->disturbed_at = soak_now ();
+}
+
+static gboolean
+thaw (gpointer data)
+{
+  struct SoakVm *vm = data;
+
+  vm->frozen = false;
+  soak_vm_signal (vm, SIGCONT);
+  return G_SOURCE_REMOVE;
+}
+
+void
+soak_vm_freeze (struct SoakVm *vm, int ms)
+{
+  if (vm->frozen || !vm->pid)
+    return;
+  vm->frozen = true;
+  soak_vm_signal (vm, SIGSTOP);
+  g_timeout_add ((guint) ms, thaw, vm);
+}
+
+static void
+on_ready (GObject *source, GAsyncResult *result, gpointer data)
+{
+  struct SoakVm *vm = data;
+  SoupMessage *message = soup_session_get_async_result_message (SOUP_SESSION (source), result);
+  GBytes *body = soup_session_send_and_read_finish (SOUP_SESSION (source), result, NULL);
+  bool ready = body && soup_message_get_status (message) == SOUP_STATUS_OK;
+
+  vm->misses = ready ? 0 : vm->misses + 1;
+  if (ready)
+    vm->in_rotation = true;
+  else if (vm->misses >= 2)
+    vm->in_rotation = false;
+  g_clear_pointer (&body, g_bytes_unref);
+}
+
+static gboolean
+cancel (gpointer data)
+{
+  g_cancellable_cancel (data);
+  return G_SOURCE_REMOVE;
+}
+
+static gboolean
+ask_ready (gpointer data)
+{
+  struct Soak *soak = data;
+
+  for (int i = 0; i < SOAK_VMS; i++)
+    {
+      char *url = g_strdup_printf ("http://%s:%u/-/readiness", soak->vms[i].ip,
+                                   SOAK_READY_PORT (soak));
+      SoupMessage *message = soup_message_new ("GET", url);
+      GCancellable *cancellable = g_cancellable_new ();
+
+      soup_message_add_flags (message, SOUP_MESSAGE_NEW_CONNECTION);
+      soup_session_send_and_read_async (soak->session, message, G_PRIORITY_DEFAULT, cancellable,
+                                        on_ready, &soak->vms[i]);
+      g_timeout_add_full (G_PRIORITY_DEFAULT, READY_DEADLINE_MS, cancel, cancellable,
+                          g_object_unref);
+      g_object_unref (message);
+      g_free (url);
+    }
+  return G_SOURCE_CONTINUE;
+}
+
+static void
+write_settings (struct SoakVm *vm)
+{
+  struct Soak *soak = vm->soak;
+  char *text = g_strdup_printf (
+      "[vm]\nname=vm-%d\naddress=%s\nfailure-domain=%s\nregion=r\nfabric-address=%s:%u\n"
+      "ready-address=%s:%u\nmetrics-port=0\npeer-port=%u\nlink-mbps=%d\n[fleet]\n"
+      "seeds=%s:1,%s:1\n[store]\naddress=127.4.0.%d:%u\n[limits]\nflow-lifetime-s=60\n"
+      "grace-s=%d\ncold-factor=1.5\ncold-extra=5\n",
+      vm->index, vm->ip, vm->domain, vm->ip, SOAK_FABRIC_PORT (soak), vm->ip,
+      SOAK_READY_PORT (soak), SOAK_PEER_PORT (soak), 1000 - vm->index, soak->vms[0].ip,
+      soak->vms[1].ip, 10 + vm->index, SOAK_STORE_PORT (soak), SOAK_GRACE_MS / 1000);
+
+  vm->settings = g_strdup_printf ("%s/vm-%d.conf", soak->folder, vm->index);
+  if (!g_file_set_contents (vm->settings, text, -1, NULL))
+    g_error ("%s: cannot be written", vm->settings);
+  g_free (text);
+}
+
+/* The operator. */
+
+static void
+put_manifest (struct Soak *soak)
+{
+  char *text = g_strdup_printf (
+      "{\"version\":%" G_GUINT64_FORMAT
+      ",\"routes\":[{\"host\":\"198.18.0.1\",\"path-prefix\":\"/80/\",\"service\":\"s\"},"
+      "{\"host\":\"198.18.0.1\",\"path-prefix\":\"/81/\",\"service\":\"t\"}%s],\"services\":["
+      "{\"name\":\"s\",\"warmup-s\":0.5,\"warmup-per-s\":20},{\"name\":\"t\",\"warmup-s\":0.5,"
+      "\"warmup-per-s\":20}],\"limits\":{\"idle-timeout-ms\":15000}}",
+      ++soak->version,
+      soak->second_route
+          ? ",{\"host\":\"198.18.0.1\",\"path-prefix\":\"/82/\",\"service\":\"t\"}"
+          : "");
+
+  soak_store_put (soak->store, CF_FEED_MANIFEST, "main", text);
+  soak->route_changed_at = soak_now ();
+  g_free (text);
+}
+
+/* Faults. */
+
+static struct SoakVm *
+any_vm (struct Soak *soak)
+{
+  return &soak->vms[g_rand_int_range (soak->random, 0, SOAK_VMS)];
+}
+
+static struct SoakUpstream *
+any_upstream (struct Soak *soak)
+{
+  return &soak->upstreams[g_rand_int_range (soak->random, 0, SOAK_UPSTREAMS)];
+}
+
+static gboolean
+open_path (gpointer data)
+{
+  struct SoakVm *vm = data;
+
+  soak_proxy_set (vm->proxy, SOAK_PATH_OPEN);
+  vm->disturbed_at = soak_now ();
+  return G_SOURCE_REMOVE;
+}
+
+static void
+harm_path (struct SoakVm *vm, enum SoakPath path, int ms)
+{
+  soak_proxy_set (vm->proxy, path);
+  vm->disturbed_at = soak_now () + ms;
+  g_timeout_add ((guint) ms, open_path, vm);
+}
+
+static gboolean
+restart_upstream (gpointer data)
+{
+  struct SoakUpstream *upstream = data;
+
+  soak_upstream_restart (upstream, !upstream->draining);
+  return G_SOURCE_REMOVE;
+}
+
+static gboolean
+end_evacuation (gpointer data)
+{
+  struct Soak *soak = data;
+
+  soak_store_put (soak->store, CF_FEED_EVACUATIONS, soak->evacuated, NULL);
+  soak->evacuated = NULL;
+  return G_SOURCE_REMOVE;
+}
+
+static void
+fault (struct Soak *soak)
+{
+  struct SoakUpstream *upstream = any_upstream (soak);
+  enum SoakPath path = (enum SoakPath) g_rand_int_range (soak->random, 1, SOAK_PATHS);
+  int ms = g_rand_int_range (soak->random, 500, 5000);
+
+  switch (g_rand_int_range (soak->random, 0, 12))
+    {
+    case 0:
+      soak_vm_signal (any_vm (soak), SIGKILL);
+      break;
+    case 1:
+      soak_vm_signal (any_vm (soak), SIGTERM);
+      break;
+    case 2:
+      soak_vm_signal (any_vm (soak), SIGHUP);
+      break;
+    case 3:
+      soak_vm_freeze (any_vm (soak), ms);
+      break;
+    case 4:
+      harm_path (any_vm (soak), path, ms);
+      break;
+    case 5:
+      for (int i = 0; i < SOAK_VMS; i++)
+        harm_path (&soak->vms[i], path, ms);
+      break;
+    case 6:
+      upstream->dark = true;
+      g_timeout_add ((guint) ms, restart_upstream, upstream);
+      break;
+    case 7:
+      soak_upstream_restart (upstream, true);
+      break;
+    case 8:
+      if (upstream->draining || upstream->dark)
+        break;
+      upstream->draining = true;
+      upstream->drained_at = soak_now ();
+      soak_upstream_announce (upstream);
+      g_timeout_add (SOAK_DRAIN_MS + (guint) ms, restart_upstream, upstream);
+      break;
+    case 9:
+      soak->second_route = !soak->second_route;
+      put_manifest (soak);
+      break;
+    case 10:
+      soak_store_compact (soak->store);
+      put_manifest (soak);
+      break;
+    default:
+      if (soak->evacuated)
+        break;
+      soak->evacuated = domains[g_rand_int_range (soak->random, 0, SOAK_DOMAINS)];
+      soak->evacuated_at = soak_now ();
+      soak_store_put (soak->store, CF_FEED_EVACUATIONS, soak->evacuated, "{}");
+      g_timeout_add (SOAK_DRAIN_MS + (guint) ms, end_evacuation, soak);
+      break;
+    }
+  soak->faulted_at = soak_now () + ms + SOAK_DRAIN_MS;
+}
+
+static gboolean
+next_fault (gpointer data)
+{
+  struct Soak *soak = data;
+
+  if (soak->ending)
+    return G_SOURCE_REMOVE;
+  fault (soak);
+  g_timeout_add ((guint) g_rand_int_range (soak->random, 100, 1500), next_fault, soak);
+  return G_SOURCE_REMOVE;
+}
+
+static gboolean
+finish (gpointer data)
+{
+  g_main_loop_quit (((struct Soak *) data)->loop);
+  return G_SOURCE_REMOVE;
+}
+
+static gboolean
+calm_down (gpointer data)
+{
+  struct Soak *soak = data;
+
+  soak->ending = true;
+  g_timeout_add (SETTLE_MS + SOAK_DRAIN_MS + 5000, finish, soak);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+start (struct Soak *soak)
+{
+  soak->store = soak_store_new (soak);
+  soak->session = soup_session_new_with_options ("proxy-resolver", NULL, "max-conns", 64, NULL);
+  for (int i = 0; i < SOAK_VMS; i++)
+    {
+      struct SoakVm *vm = &soak->vms[i];
+
+      vm->soak = soak;
+      vm->index = i;
+      vm->domain = domains[i % SOAK_DOMAINS];
+      g_snprintf (vm->ip, sizeof vm->ip, "127.1.0.%d", 10 + i);
+    }
+  soak->second_route = true;
+  put_manifest (soak);
+  soak_upstreams_start (soak);
+  for (int i = 0; i < SOAK_VMS; i++)
+    {
+      char *ip = g_strdup_printf ("127.4.0.%d", 10 + i);
+
+      soak->vms[i].proxy
+          = soak_proxy_new (ip, SOAK_STORE_PORT (soak), SOAK_STORE_PORT (soak));
+      g_free (ip);
+      write_settings (&soak->vms[i]);
+      soak_vm_start (&soak->vms[i]);
+    }
+  soak->faulted_at = soak_now ();
+  soak_callers_start (soak);
+  g_timeout_add (READY_EVERY_MS, ask_ready, soak);
+}
+
+static void
+stop (struct Soak *soak)
+{
+  g_clear_pointer (&soak->loop, g_main_loop_unref);
+  for (int i = 0; i < SOAK_VMS; i++)
+    if (soak->vms[i].pid)
+      {
+        kill (soak->vms[i].pid, SIGKILL);
+        waitpid (soak->vms[i].pid, NULL, 0);
+      }
+  soak_callers_stop (soak);
+  soak_upstreams_stop (soak);
+}
+
+int
+main (int argc, char **argv)
+{
+  struct Soak *soak = g_new0 (struct Soak, 1);
+  double served;
+
+  if (argc != 4)
+    {
+      fprintf (stderr, "usage: soak PROGRAM SECONDS SEED\n");
+      return 2;
+    }
+  setvbuf (stdout, NULL, _IOLBF, 0);
+  soak->program = argv[1];
+  soak->random = g_rand_new_with_seed ((guint32) atoi (argv[3]));
+  soak->folder = g_dir_make_tmp ("cf-soak-XXXXXX", NULL);
+  soak->port = (uint16_t) (20000 + getpid () % 4000 * 10);
+  soak->loop = g_main_loop_new (NULL, FALSE);
+  start (soak);
+  g_timeout_add (3000, next_fault, soak);
+  g_timeout_add ((guint) atoi (argv[2]) * 1000 + 3000, calm_down, soak);
+  g_main_loop_run (soak->loop);
+  stop (soak);
+  served = soak->calm_asked ? (double) soak->calm_served / soak->calm_asked : 0;
+  if (served < CALM_SERVED)
+    soak_violation (soak, "RECOVER: %.3f served of what was asked in calm times", served);
+  printf ("seed %s: %u asked, %u served; calm %u asked, %u served; %u violations; logs in %s\n",
+          argv[3], soak->asked, soak->served, soak->calm_asked, soak->calm_served,
+          soak->violations, soak->folder);
+  return soak->violations > 0;
+}
--- /dev/null
+++ b/tests/soak/proxy.c
@@ -0,0 +1,218 @@
+#include "soak.h"
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+/* A TCP proxy whose connections can be delayed, silenced, cut one way or reset. */
+
+#define SLOW_MS 300
+#define PAUSE_MS 20 /* between two looks at a silenced connection */
+#define CHUNK 65536
+
+struct Pipe;
+
+struct Half
+{
+  struct Pipe *pipe;
+  GSocket *from;
+  GSocket *to;
+  GSource *source; /* waits for data, or until the path may be open again */
+  bool answers;    /* from the store to the VM */
+};
+
+struct Pipe
+{
+  struct SoakProxy *proxy;
+  GSocket *ends[2];
+  struct Half halves[2];
+};
+
+struct SoakProxy
+{
+  GSocketService *service;
+  uint16_t store_port;
+  enum SoakPath path;
+  GPtrArray *pipes;
+};
+
+static void wait_for_data (struct Half *half);
+
+static void
+drop_source (struct Half *half)
+{
+  if (half->source)
+    g_source_destroy (half->source);
+  g_clear_pointer (&half->source, g_source_unref);
+}
+
+static void
+free_pipe (struct Pipe *pipe, bool reset)
+{
+  g_ptr_array_remove_fast (pipe->proxy->pipes, pipe);
+  for (int i = 0; i < 2; i++)
+    {
+      struct linger linger = { .l_onoff = 1 };
+
+      drop_source (&pipe->halves[i]);
+      if (reset)
+        setsockopt (g_socket_get_fd (pipe->ends[i]), SOL_SOCKET, SO_LINGER, &linger,
+                    sizeof linger);
+      g_socket_close (pipe->ends[i], NULL);
+      g_object_unref (pipe->ends[i]);
+    }
+  g_free (pipe);
+}
+
+static gboolean
+look_again (gpointer data)
+{
+  struct Half *half = data;
+
+  drop_source (half);
+  wait_for_data (half);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+pause_half (struct Half *half, guint ms)
+{
+  drop_source (half);
+  half->source = g_timeout_source_new (ms);
+  g_source_set_callback (half->source, look_again, half, NULL);
+  g_source_attach (half->source, NULL);
+}
+
+/* Passes on what has come.  Returns false if the connection has ended. */
+static bool
+pass (struct Half *half)
+{
+  char buffer[CHUNK];
+  gssize len = g_socket_receive (half->from, buffer, sizeof buffer, NULL, NULL);
+  gssize sent = 0;
+
+  if (len <= 0)
+    return false;
+  while (sent < len)
+    {
+      gssize n = g_socket_send (half->to, buffer + sent, (gsize) (len - sent), NULL, NULL);
+
+      if (n <= 0)
+        return false;
+      sent += n;
+    }
+  return true;
+}
+
+static gboolean
+on_data (GSocket *socket, GIOCondition condition, gpointer data)
+{
+  struct Half *half = data;
+  struct SoakProxy *proxy = half->pipe->proxy;
+
+  (void) socket;
+  (void) condition;
+  if (proxy->path == SOAK_PATH_RESET)
+    {
+      free_pipe (half->pipe, true);
+      return G_SOURCE_REMOVE;
+    }
+  if (proxy->path == SOAK_PATH_SILENT || (proxy->path == SOAK_PATH_ONE_WAY && half->answers))
+    {
+      pause_half (half, PAUSE_MS);
+      return G_SOURCE_REMOVE;
+    }
+  if (!pass (half))
+    {
+      free_pipe (half->pipe, false);
+      return G_SOURCE_REMOVE;
+    }
+  if (proxy->path != SOAK_PATH_SLOW)
+    return G_SOURCE_CONTINUE;
+  pause_half (half, SLOW_MS);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+wait_for_data (struct Half *half)
+{
+  half->source = g_socket_create_source (half->from, G_IO_IN, NULL);
+  g_source_set_callback (half->source, G_SOURCE_FUNC (on_data), half, NULL);
+  g_source_attach (half->source, NULL);
+}
+
+static gboolean
+incoming (GSocketService *service,
+          GSocketConnection *connection,
+          GObject *source_object,
+          gpointer data)
+{
+  struct SoakProxy *proxy = data;
+  GSocket *store = g_socket_new (G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
+                                 G_SOCKET_PROTOCOL_TCP, NULL);
+  GSocketAddress *address = g_inet_socket_address_new_from_string ("127.0.0.1", proxy->store_port);
+  struct Pipe *pipe;
+
+  (void) service;
+  (void) source_object;
+  if (proxy->path == SOAK_PATH_RESET || !g_socket_connect (store, address, NULL, NULL))
+    {
+      g_object_unref (store);
+      g_object_unref (address);
+      return TRUE;
+    }
+  g_object_unref (address);
+  pipe = g_new0 (struct Pipe, 1);
+  pipe->proxy = proxy;
+  pipe->ends[0] = g_object_ref (g_socket_connection_get_socket (connection));
+  pipe->ends[1] = store;
+  for (int i = 0; i < 2; i++)
+    {
+      pipe->halves[i] = (struct Half){
+        .pipe = pipe,
+        .from = pipe->ends[i],
+        .to = pipe->ends[1 - i],
+        .answers = i == 1,
+      };
+      wait_for_data (&pipe->halves[i]);
+    }
+  g_ptr_array_add (proxy->pipes, pipe);
+  return TRUE;
+}
+
+struct SoakProxy *
+soak_proxy_new (const char *ip, uint16_t port, uint16_t store_port)
+{
+  struct SoakProxy *proxy = g_new0 (struct SoakProxy, 1);
+  GSocketAddress *address = g_inet_socket_address_new_from_string (ip, port);
+  GError *fault = NULL;
+
+  proxy->store_port = store_port;
+  proxy->pipes = g_ptr_array_new ();
+  proxy->service = g_socket_service_new ();
+  if (!g_socket_listener_add_address (G_SOCKET_LISTENER (proxy->service), address,
+                                      G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, NULL, NULL,
+                                      &fault))
+    g_error ("proxy %s: %s", ip, fault->message);
+  g_signal_connect (proxy->service, "incoming", G_CALLBACK (incoming), proxy);
+  g_object_unref (address);
+  return proxy;
+}
+
+void
+soak_proxy_set (struct SoakProxy *proxy, enum SoakPath path)
+{
+  proxy->path = path;
+  while (path == SOAK_PATH_RESET && proxy->pipes->len > 0)
+    free_pipe (proxy->pipes->pdata[0], true);
+}
+
+void
+soak_proxy_free (struct SoakProxy *proxy)
+{
+  g_socket_service_stop (proxy->service);
+  g_object_unref (proxy->service);
+  while (proxy->pipes->len > 0)
+    free_pipe (proxy->pipes->pdata[0], false);
+  g_ptr_array_unref (proxy->pipes);
+  g_free (proxy);
+}
--- /dev/null
+++ b/tests/soak/traffic.c
@@ -0,0 +1,469 @@
+#include "platform/datagram.h"
+#include "soak.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Callers that open a flow for each request, upstreams that run it, and the checks on what
+ * both see. */
+
+#define CALLER_IP 0x7f020001u /* 127.2.0.1 */
+#define SERVICE_IP 0xc6120001u
+#define OPEN_EVERY_MS 5
+#define WORK_MS 5
+#define REPEAT_MS 200
+#define REPEAT_LATE_MS 600
+#define GIVE_UP_MS 1500
+#define HEADER 32
+
+enum
+{
+  WIRE_SYN = 64,
+  WIRE_ACK = 2,
+  WIRE_FIN = 16,
+  WIRE_RST = 8,
+};
+
+struct SoakFlow
+{
+  struct Soak *soak;
+  uint16_t port;         /* of the caller */
+  uint16_t service_port; /* 80: "s", 81 and 82: "t" */
+  const struct SoakVm *vm;
+  struct SoakUpstream *upstream; /* where it opened, NULL: not yet */
+  int64_t opened_born;           /* incarnation of the upstream then */
+  uint32_t cookie;
+  int64_t begun_at;
+  int64_t opened_at;
+  int runs;
+  int astray; /* packets that reached other upstreams while it was open */
+  bool calm;  /* it began long after the last fault */
+  guint timer;
+};
+
+static void
+put16 (uint8_t *at, unsigned value)
+{
+  at[0] = (uint8_t) (value >> 8);
+  at[1] = (uint8_t) value;
+}
+
+static void
+put32 (uint8_t *at, uint32_t value)
+{
+  put16 (at, value >> 16);
+  put16 (at + 2, value & 0xffff);
+}
+
+static void
+build (uint8_t *out,
+       unsigned flags,
+       struct CfEndpoint from,
+       struct CfEndpoint to,
+       uint32_t ack,
+       uint32_t echo,
+       unsigned len)
+{
+  memset (out, 0, HEADER + len);
+  put16 (out, len);
+  out[2] = (uint8_t) flags;
+  put32 (out + 4, to.ip);
+  put16 (out + 8, from.port);
+  put32 (out + 10, from.ip);
+  put16 (out + 14, to.port);
+  put32 (out + 24, ack);
+  put32 (out + 28, echo);
+}
+
+static void
+send_to (GSocket *socket, const char *ip, uint16_t port, const uint8_t *data, size_t len)
+{
+  GSocketAddress *address = g_inet_socket_address_new_from_string (ip, port);
+
+  g_socket_send_to (socket, address, (const char *) data, len, NULL, NULL);
+  g_object_unref (address);
+}
+
+/* As the fabric does: VMs of the caller's failure domain that are in rotation, all of them
+ * if fewer than half are. */
+static struct SoakVm *
+pick_vm (struct Soak *soak, uint16_t port)
+{
+  const char *domain = soak->vms[port % SOAK_DOMAINS].domain;
+  struct SoakVm *all[SOAK_VMS];
+  struct SoakVm *in[SOAK_VMS];
+  int all_count = 0;
+  int in_count = 0;
+
+  for (int i = 0; i < SOAK_VMS; i++)
+    {
+      if (soak->vms[i].domain != domain)
+        continue;
+      all[all_count++] = &soak->vms[i];
+      if (soak->vms[i].in_rotation)
+        in[in_count++] = &soak->vms[i];
+    }
+  return in_count * 2 >= all_count && in_count > 0 ? in[port / SOAK_DOMAINS % in_count]
+                                                   : all[port / SOAK_DOMAINS % all_count];
+}
+
+static void
+send_as_caller (struct SoakFlow *flow, unsigned flags, uint32_t ack, unsigned len)
+{
+  struct CfEndpoint from = { .ip = CALLER_IP, .port = flow->port };
+  struct CfEndpoint to = { .ip = SERVICE_IP, .port = flow->service_port };
+  uint8_t packet[HEADER + 64];
+  struct SoakVm *vm = pick_vm (flow->soak, flow->port);
+
+  flow->vm = vm;
+  build (packet, flags, from, to, ack, flow->cookie, len);
+  send_to (flow->soak->callers, vm->ip, SOAK_FABRIC_PORT (flow->soak), packet, HEADER + len);
+}
+
+static void
+end_flow (struct SoakFlow *flow, bool served)
+{
+  struct Soak *soak = flow->soak;
+
+  soak->served += served && flow->service_port != 82;
+  soak->calm_served += served && flow->calm;
+  if (flow->upstream)
+    g_hash_table_remove (flow->upstream->flows, flow);
+  for (int i = 0; i < SOAK_UPSTREAMS; i++)
+    g_hash_table_remove (soak->upstreams[i].flows, flow);
+  if (flow->timer)
+    g_source_remove (flow->timer);
+  g_hash_table_remove (soak->flows, GUINT_TO_POINTER (flow->port));
+  g_free (flow);
+}
+
+static gboolean
+on_timer (gpointer data)
+{
+  struct SoakFlow *flow = data;
+  int64_t age = soak_now () - flow->begun_at;
+
+  flow->timer = 0;
+  if (age >= GIVE_UP_MS)
+    {
+      if (flow->calm)
+        printf ("  not served in a calm time: port %u, service port %u, %s\n", flow->port,
+                flow->service_port, flow->upstream ? "open" : "never opened");
+      end_flow (flow, false);
+      return G_SOURCE_REMOVE;
+    }
+  if (flow->upstream)
+    send_as_caller (flow, WIRE_ACK, 1, 8);
+  else
+    send_as_caller (flow, WIRE_SYN, age < REPEAT_LATE_MS ? 1 : 2, 0);
+  flow->timer = g_timeout_add (age < REPEAT_LATE_MS - 10 ? REPEAT_LATE_MS - REPEAT_MS
+                                                         : GIVE_UP_MS - REPEAT_LATE_MS,
+                               on_timer, flow);
+  return G_SOURCE_REMOVE;
+}
+
+static gboolean
+open_flow (gpointer data)
+{
+  struct Soak *soak = data;
+  struct SoakFlow *flow;
+  int service = g_rand_int_range (soak->random, 0, 3);
+
+  if (soak->next_port < 1024)
+    soak->next_port = 1024;
+  if (g_hash_table_contains (soak->flows, GUINT_TO_POINTER (soak->next_port)))
+    return G_SOURCE_CONTINUE;
+  flow = g_new0 (struct SoakFlow, 1);
+  flow->soak = soak;
+  flow->port = soak->next_port++;
+  flow->service_port = (uint16_t) (80 + service);
+  flow->begun_at = soak_now ();
+  flow->calm = soak_is_calm (soak, NULL) && service != 2;
+  g_hash_table_insert (soak->flows, GUINT_TO_POINTER (flow->port), flow);
+  if (service != 2)
+    soak->asked++;
+  soak->calm_asked += flow->calm;
+  flow->timer = g_timeout_add (REPEAT_MS, on_timer, flow);
+  send_as_caller (flow, WIRE_SYN, 0, 0);
+  return G_SOURCE_CONTINUE;
+}
+
+/* A reset with an empty checksum is the balancer's own. */
+static void
+caller_reset (struct SoakFlow *flow, bool own)
+{
+  struct SoakUpstream *upstream = flow->upstream;
+  struct Soak *soak = flow->soak;
+
+  if (own && upstream && !upstream->dark && upstream->born == flow->opened_born
+      && flow->service_port != 82)
+    soak_violation (soak, "FLOW: open flow %u at %s was reset by the balancer", flow->port,
+                    upstream->id);
+  if (own && !upstream && flow->calm)
+    soak_violation (soak, "CONFIG: flow %u to port %u refused in a calm time", flow->port,
+                    flow->service_port);
+  if (own && flow->service_port == 82 && soak->second_route && soak_is_calm (soak, flow->vm)
+      && soak_now () - soak->route_changed_at > SOAK_DRAIN_MS)
+    soak_violation (soak, "CONFIG: flow %u refused though its route is there", flow->port);
+  end_flow (flow, false);
+}
+
+static struct SoakUpstream *
+upstream_of (struct Soak *soak, GSocketAddress *address)
+{
+  GInetAddress *ip = g_inet_socket_address_get_address (G_INET_SOCKET_ADDRESS (address));
+  char *text = g_inet_address_to_string (ip);
+  struct SoakUpstream *found = NULL;
+
+  for (int i = 0; i < SOAK_UPSTREAMS; i++)
+    if (strcmp (soak->upstreams[i].ip, text) == 0)
+      found = &soak->upstreams[i];
+  g_free (text);
+  return found;
+}
+
+static void
+caller_packet (struct Soak *soak, const struct CfSegment *segment, GSocketAddress *from)
+{
+  struct SoakFlow *flow
+      = g_hash_table_lookup (soak->flows, GUINT_TO_POINTER (segment->service.port));
+  struct SoakUpstream *upstream = upstream_of (soak, from);
+
+  if (!flow)
+    return;
+  if (segment->flags & CF_SEGMENT_RST)
+    caller_reset (flow, !upstream);
+  else if (segment->flags & CF_SEGMENT_SYN)
+    {
+      if (flow->upstream)
+        return;
+      flow->upstream = upstream;
+      flow->opened_born = upstream->born;
+      flow->opened_at = soak_now ();
+      flow->cookie = segment->cookie;
+      g_hash_table_add (upstream->flows, flow);
+      send_as_caller (flow, WIRE_ACK, 1, 8);
+    }
+  else if (segment->flags & CF_SEGMENT_FIN)
+    {
+      send_as_caller (flow, WIRE_FIN | WIRE_ACK, 2, 0);
+      end_flow (flow, true);
+    }
+}
+
+static gboolean
+on_caller_data (GSocket *socket, GIOCondition condition, gpointer data)
+{
+  uint8_t buffer[2048];
+  GSocketAddress *from = NULL;
+  struct CfSegment segment;
+  gssize len;
+
+  (void) condition;
+  while ((len = g_socket_receive_from (socket, &from, (char *) buffer, sizeof buffer, NULL, NULL))
+         > 0)
+    {
+      if (cf_platform_form.parse (buffer, (size_t) len, &segment))
+        caller_packet (data, &segment, from);
+      g_clear_object (&from);
+    }
+  return G_SOURCE_CONTINUE;
+}
+
+void
+soak_callers_start (struct Soak *soak)
+{
+  soak->flows = g_hash_table_new (NULL, NULL);
+  soak->callers = g_socket_new (G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_DATAGRAM,
+                                G_SOCKET_PROTOCOL_UDP, NULL);
+  GSocketAddress *address
+      = g_inet_socket_address_new_from_string ("127.2.0.1", SOAK_FABRIC_PORT (soak));
+
+  if (!g_socket_bind (soak->callers, address, FALSE, NULL))
+    g_error ("callers: cannot bind");
+  g_object_unref (address);
+  g_socket_set_blocking (soak->callers, FALSE);
+  soak->callers_source = g_socket_create_source (soak->callers, G_IO_IN, NULL);
+  g_source_set_callback (soak->callers_source, G_SOURCE_FUNC (on_caller_data), soak, NULL);
+  g_source_attach (soak->callers_source, NULL);
+  g_timeout_add (OPEN_EVERY_MS, open_flow, soak);
+}
+
+void
+soak_callers_stop (struct Soak *soak)
+{
+  g_source_destroy (soak->callers_source);
+  g_source_unref (soak->callers_source);
+  g_object_unref (soak->callers);
+}
+
+static void
+send_as_upstream (struct SoakUpstream *upstream,
+                  const struct CfSegment *segment,
+                  unsigned flags,
+                  unsigned len)
+{
+  uint8_t packet[HEADER + 64];
+
+  build (packet, flags, segment->service, segment->caller, 1, segment->cookie, len);
+  put32 (packet + 16, 1); /* a checksum: not the balancer's */
+  send_to (upstream->socket, "127.2.0.1", SOAK_FABRIC_PORT (upstream->soak), packet,
+           HEADER + len);
+}
+
+static void
+check_first (struct SoakUpstream *upstream, const struct SoakFlow *flow)
+{
+  struct Soak *soak = upstream->soak;
+  int64_t now = soak_now ();
+
+  if ((flow->service_port == 80) != (strcmp (upstream->service, "s") == 0))
+    soak_violation (soak, "ROUTE: flow %u to port %u reached %s of %s", flow->port,
+                    flow->service_port, upstream->id, upstream->service);
+  if (!soak_is_calm (soak, flow->vm))
+    return;
+  if (upstream->draining && now - upstream->drained_at > SOAK_DRAIN_MS)
+    soak_violation (soak, "DRAIN: flow %u reached %s, which drains since %d ms", flow->port,
+                    upstream->id, (int) (now - upstream->drained_at));
+  if (soak->evacuated == upstream->domain && now - soak->evacuated_at > SOAK_DRAIN_MS)
+    soak_violation (soak, "EVAC: flow %u reached %s in an evacuated domain", flow->port,
+                    upstream->id);
+  if (flow->service_port == 82 && !soak->second_route
+      && now - soak->route_changed_at > SOAK_DRAIN_MS)
+    soak_violation (soak, "CONFIG: flow %u on a removed route reached %s", flow->port,
+                    upstream->id);
+}
+
+static void
+check_astray (struct SoakUpstream *upstream, struct SoakFlow *flow)
+{
+  if (!flow->upstream || flow->upstream->dark || flow->upstream->born != flow->opened_born)
+    return;
+  if (++flow->astray == 3)
+    soak_violation (upstream->soak, "FLOW: packets of flow %u at %s reach %s", flow->port,
+                    flow->upstream->id, upstream->id);
+}
+
+static void
+upstream_packet (struct SoakUpstream *upstream, const struct CfSegment *segment)
+{
+  struct SoakFlow *flow = g_hash_table_lookup (upstream->soak->flows,
+                                               GUINT_TO_POINTER (segment->caller.port));
+
+  if (!flow)
+    return;
+  if (segment->flags & CF_SEGMENT_SYN)
+    {
+      check_first (upstream, flow);
+      send_as_upstream (upstream, segment, WIRE_SYN | WIRE_ACK, 0);
+    }
+  else if (!g_hash_table_contains (upstream->flows, flow))
+    {
+      check_astray (upstream, flow);
+      send_as_upstream (upstream, segment, WIRE_RST, 0);
+    }
+  else if (segment->size > HEADER)
+    {
+      if (flow->runs++ == 0)
+        g_usleep (100);
+      send_as_upstream (upstream, segment, WIRE_FIN | WIRE_ACK, 32);
+    }
+}
+
+static gboolean
+on_upstream_data (GSocket *socket, GIOCondition condition, gpointer data)
+{
+  struct SoakUpstream *upstream = data;
+  uint8_t buffer[2048];
+  struct CfSegment segment;
+  gssize len;
+
+  (void) condition;
+  while ((len = g_socket_receive (socket, (char *) buffer, sizeof buffer, NULL, NULL)) > 0)
+    {
+      uint64_t tag = 0;
+
+      for (int i = 0; i < 8; i++)
+        tag = tag << 8 | buffer[i];
+      if (upstream->dark || (tag != 0 && tag != upstream->tag))
+        continue;
+      if (cf_platform_form.parse (buffer + 8, (size_t) len - 8, &segment))
+        upstream_packet (upstream, &segment);
+    }
+  return G_SOURCE_CONTINUE;
+}
+
+void
+soak_upstream_announce (struct SoakUpstream *upstream)
+{
+  char *content = g_strdup_printf (
+      "{\"service\":\"%s\",\"address\":\"%s:%u\",\"zone\":\"%s\",\"version\":\"v1\",\"slots\":2,"
+      "\"state\":\"%s\",\"warmup-remaining-ms\":0,\"sequence\":1,\"born\":%" G_GINT64_FORMAT "}",
+      upstream->service, upstream->ip, SOAK_UPSTREAM_PORT (upstream->soak), upstream->domain,
+      upstream->draining ? "draining" : "ready", upstream->born);
+
+  soak_store_put (upstream->soak->store, CF_FEED_UPSTREAMS, upstream->id, content);
+  g_free (content);
+}
+
+void
+soak_upstream_restart (struct SoakUpstream *upstream, bool same_id)
+{
+  if (!same_id)
+    {
+      soak_store_put (upstream->soak->store, CF_FEED_UPSTREAMS, upstream->id, NULL);
+      upstream->tag = (uint64_t) g_rand_int (upstream->soak->random) << 8 | 1;
+      g_snprintf (upstream->id, sizeof upstream->id, "i-%010" G_GINT64_MODIFIER "x",
+                  upstream->tag);
+    }
+  upstream->born = soak_now ();
+  upstream->draining = false;
+  upstream->dark = false;
+  g_hash_table_remove_all (upstream->flows);
+  soak_upstream_announce (upstream);
+}
+
+void
+soak_upstreams_start (struct Soak *soak)
+{
+  for (int i = 0; i < SOAK_UPSTREAMS; i++)
+    {
+      struct SoakUpstream *upstream = &soak->upstreams[i];
+      GSocketAddress *address;
+
+      upstream->soak = soak;
+      upstream->index = i;
+      upstream->domain = soak->vms[i % SOAK_DOMAINS].domain;
+      upstream->service = i < SOAK_UPSTREAMS - 4 ? "s" : "t";
+      upstream->flows = g_hash_table_new (NULL, NULL);
+      upstream->tag = (uint64_t) g_rand_int (soak->random) << 8 | 1;
+      g_snprintf (upstream->id, sizeof upstream->id, "i-%010" G_GINT64_MODIFIER "x",
+                  upstream->tag);
+      g_snprintf (upstream->ip, sizeof upstream->ip, "127.3.0.%d", 10 + i);
+      address = g_inet_socket_address_new_from_string (upstream->ip, SOAK_UPSTREAM_PORT (soak));
+      upstream->socket = g_socket_new (G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_DATAGRAM,
+                                       G_SOCKET_PROTOCOL_UDP, NULL);
+      if (!g_socket_bind (upstream->socket, address, FALSE, NULL))
+        g_error ("upstream %s: cannot bind", upstream->ip);
+      g_object_unref (address);
+      g_socket_set_blocking (upstream->socket, FALSE);
+      upstream->source = g_socket_create_source (upstream->socket, G_IO_IN, NULL);
+      g_source_set_callback (upstream->source, G_SOURCE_FUNC (on_upstream_data), upstream, NULL);
+      g_source_attach (upstream->source, NULL);
+      upstream->born = soak_now ();
+      soak_upstream_announce (upstream);
+    }
+}
+
+void
+soak_upstreams_stop (struct Soak *soak)
+{
+  for (int i = 0; i < SOAK_UPSTREAMS; i++)
+    {
+      g_source_destroy (soak->upstreams[i].source);
+      g_source_unref (soak->upstreams[i].source);
+      g_object_unref (soak->upstreams[i].socket);
+      g_hash_table_unref (soak->upstreams[i].flows);
+    }
+}
--- a/tests/test_sources.c
+++ b/tests/test_sources.c
@@ -36,9 +36,9 @@
 }
 
 static const char *
-chosen (struct CfSources *sources, CfMillis known_at, CfMillis now)
+chosen (struct CfSources *sources, CfMillis now)
 {
-  struct CfSource *source = cf_sources_choose (sources, known_at, now);
+  struct CfSource *source = cf_sources_choose (sources, now);
 
   return source->name ? source->name : "store";
 }
@@ -55,7 +55,7 @@
     {
       struct CfSources *sources = fleet (expected[i][0], expected[i][1]);
 
-      ck_assert_str_eq (chosen (sources, 1000, 1000), expected[i][2]);
+      ck_assert_str_eq (chosen (sources, 1000), expected[i][2]);
       cf_sources_free (sources);
     }
 }
@@ -66,35 +66,70 @@
   struct CfSources *sources = fleet ("b1", "b");
   CfMillis now = 10000;
 
-  ck_assert_str_eq (chosen (sources, now, now), "a2");
+  ck_assert_str_eq (chosen (sources, now), "a2");
   cf_source_failed (cf_sources_find (sources, "a2"), now);
-  ck_assert_str_eq (chosen (sources, now, now), "a1");
+  ck_assert_str_eq (chosen (sources, now), "a1");
   cf_source_failed (cf_sources_find (sources, "a1"), now);
-  ck_assert_str_eq (chosen (sources, now, now), "store");
+  ck_assert_str_eq (chosen (sources, now), "store");
   /* The store does not serve this VM: whoever else has news. */
   cf_source_failed (cf_sources_store (sources), now);
-  ck_assert_str_eq (chosen (sources, now, now), "b2");
+  ck_assert_str_eq (chosen (sources, now), "b2");
   /* After a while the order holds again. */
-  ck_assert_str_eq (chosen (sources, now + CF_SOURCES_RETRY_MIN_MS,
-                            now + CF_SOURCES_RETRY_MIN_MS), "a2");
+  ck_assert_str_eq (chosen (sources, now + CF_SOURCES_RETRY_MIN_MS), "a2");
   cf_sources_free (sources);
 }
 END_TEST
 
-/* Found by a hunt: the store turned the first VMs away, and the others went through one
- * stale source after the other, a second each. */
-START_TEST (test_stale_goes_to_store)
+/* Found on a standard day: the store turned the first VMs away, and the others went through
+ * one stale source after the other, a second each. */
+START_TEST (test_stale_asks_store)
 {
   struct CfSources *sources = fleet ("b2", "b");
+  struct CfSources *first = fleet ("b1", "b");
   CfMillis now = 10000;
+  struct CfStoreNeed need = { .known_at = now, .probed_at = -1 };
 
-  ck_assert_str_eq (chosen (sources, now - CF_SOURCES_STALE_MS + 1, now), "b1");
-  ck_assert_str_eq (chosen (sources, now - CF_SOURCES_STALE_MS, now), "store");
-  ck_assert_str_eq (chosen (sources, -1, now), "store");
-  cf_sources_free (sources);
+  ck_assert_int_eq (cf_sources_store_use (sources, &need, now), CF_STORE_NOTHING);
+  now += CF_SOURCES_STALE_FIRST_MS;
   /* The first of a domain asks before those that follow it. */
-  sources = fleet ("b1", "b");
-  ck_assert_str_eq (chosen (sources, now - CF_SOURCES_STALE_FIRST_MS, now), "store");
+  ck_assert_int_eq (cf_sources_store_use (first, &need, now), CF_STORE_PROBE);
+  ck_assert_int_eq (cf_sources_store_use (sources, &need, now), CF_STORE_NOTHING);
+  now = 10000 + CF_SOURCES_STALE_MS;
+  ck_assert_int_eq (cf_sources_store_use (sources, &need, now), CF_STORE_PROBE);
+  /* The store is there: the source may be about to catch up, else this VM reads. */
+  need.probed_at = now;
+  ck_assert_int_eq (cf_sources_store_use (sources, &need, now), CF_STORE_NOTHING);
+  now += CF_SOURCES_CATCH_UP_MS;
+  ck_assert_int_eq (cf_sources_store_use (sources, &need, now), CF_STORE_READ);
+  /* All of it within the 3 s that a change may take. */
+  ck_assert_int_lt (now - 10000, 2800);
+  need.known_at = now;
+  ck_assert_int_eq (cf_sources_store_use (sources, &need, now), CF_STORE_NOTHING);
+  need.reader = true;
+  ck_assert_int_eq (cf_sources_store_use (sources, &need, now), CF_STORE_READ);
+  cf_sources_free (first);
+  cf_sources_free (sources);
+}
+END_TEST
+
+/* A VM that starts asks a seed first, and the store when that does not help at once. */
+START_TEST (test_start_asks_seed)
+{
+  struct CfSources *sources = fleet ("b2", "b");
+  struct CfStoreNeed need = {
+    .reader = true,
+    .empty = true,
+    .started_at = 500,
+    .seeds = true,
+    .known_at = -1,
+    .probed_at = -1,
+  };
+
+  ck_assert_int_eq (cf_sources_store_use (sources, &need, 500), CF_STORE_NOTHING);
+  ck_assert_int_eq (cf_sources_store_use (sources, &need, 500 + CF_SOURCES_SEED_MS),
+                    CF_STORE_READ);
+  need.seeds = false;
+  ck_assert_int_eq (cf_sources_store_use (sources, &need, 500), CF_STORE_READ);
   cf_sources_free (sources);
 }
 END_TEST
@@ -160,7 +195,7 @@
           g_snprintf (other, sizeof other, "vm-%d", i);
           add_vm (sources, other, "a", 10);
         }
-      source = g_strdup (chosen (sources, 0, 0));
+      source = g_strdup (chosen (sources, 0));
       count = g_hash_table_lookup (followers, source);
       g_hash_table_replace (followers, source, GUINT_TO_POINTER (GPOINTER_TO_UINT (count) + 1));
       cf_sources_free (sources);
@@ -322,7 +357,8 @@
 
   suite_add_loop (suite, test_order, 1);
   suite_add_loop (suite, test_takeover, 1);
-  suite_add_loop (suite, test_stale_goes_to_store, 1);
+  suite_add_loop (suite, test_stale_asks_store, 1);
+  suite_add_loop (suite, test_start_asks_seed, 1);
   suite_add_loop (suite, test_failures_together, 1);
   suite_add_loop (suite, test_seeds, 1);
   suite_add_loop (suite, test_groups, 1);
