--- a/src/feed/sources.c
+++ b/src/feed/sources.c
@@ -266,10 +266,7 @@
 enum CfStoreUse
 cf_sources_store_use (struct CfSources *sources, const struct CfStoreNeed *need, CfMillis now)
 {
-  if (need->empty)
-    return need->seeds && now - need->started_at < CF_SOURCES_SEED_MS ? CF_STORE_NOTHING
-                                                                       : CF_STORE_READ;
-  if (need->reader)
+  if (need->empty || need->reader)
     return CF_STORE_READ;
   if (now - need->known_at < cf_sources_stale_ms (sources))
     return CF_STORE_NOTHING;
--- a/src/feed/sources.h
+++ b/src/feed/sources.h
@@ -25,9 +25,6 @@
 #define CF_SOURCES_STALE_MS 2300
 /* The store has answered a VM with old news: its source has this long to catch up, too. */
 #define CF_SOURCES_CATCH_UP_MS 200
-/* A VM that starts asks a seed before the store for this long. */
-#define CF_SOURCES_SEED_MS 150
-
 /* What a VM says of itself.  Strings are copied where they are kept. */
 struct CfVmRecord
 {
@@ -75,8 +72,6 @@
 {
   bool reader;         /* the store is its source */
   bool empty;          /* it has never had news */
-  CfMillis started_at; /* when it started to ask for news */
-  bool seeds;          /* there are seeds, and none has failed yet */
   CfMillis known_at;   /* its news are of then */
   CfMillis probed_at;  /* when the store last answered it, -1: never */
 };
--- a/src/serve/feed_follow.c
+++ b/src/serve/feed_follow.c
@@ -55,8 +55,6 @@
                             { .key = "news_age_ms", .number = now - task->known_at },
                             { 0 },
                         });
-  if (!good && task->known_at < 0)
-    task->seed_failed = true;
   if (source && good)
     cf_source_answered (source);
   else if (source)
--- a/src/serve/feed_internal.h
+++ b/src/serve/feed_internal.h
@@ -57,9 +57,7 @@
   char *source;      /* name of the VM that is followed, "" for the store, NULL: none yet */
   CfMillis known_at; /* the replica holds what the store held then, -1: never */
   bool settled;      /* the store has been there all the while */
-  CfMillis started_at;
   CfMillis probed_at; /* when the store last answered this VM, -1: never */
-  bool seed_failed;   /* since the start, while nothing was known */
   struct FeedChannel channels[CF_FEED_KINDS];
   struct FeedFollow follow;
   struct FeedEnroll enroll;
--- a/src/serve/feed_task.c
+++ b/src/serve/feed_task.c
@@ -163,8 +163,6 @@
   struct CfStoreNeed need = {
     .reader = !source->name,
     .empty = task->replica.revision[CF_FEED_MANIFEST] == 0,
-    .started_at = task->started_at,
-    .seeds = task->balancer->settings.seeds[0] && !task->seed_failed,
     .known_at = task->known_at,
     .probed_at = task->probed_at,
   };
@@ -233,7 +231,6 @@
 
   task->session = soup_session_new_with_options ("proxy-resolver", NULL, "max-conns", 16,
                                                  "max-conns-per-host", 16, NULL);
-  task->started_at = cf_now ();
   cf_feed_store_start (task);
   cf_feed_enroll_start (task);
   if (!cf_feed_rotation_start (task, error))
