--- a/src/balance/balance.c
+++ b/src/balance/balance.c
@@ -127,8 +127,7 @@
      enum CfFate fate,
      CfMillis now)
 {
-  if (fate == CF_FATE_RESET_ROUTE || fate == CF_FATE_RESET_SERVICE
-      || fate == CF_FATE_RESET_REMOVED)
+  if (fate == CF_FATE_RESET_ROUTE || fate == CF_FATE_RESET_SERVICE || fate == CF_FATE_RESET_REMOVED)
     balance->out->reset (balance->context, segment);
   decide (balance, &(struct CfDecision){
                        .fate = fate,
@@ -146,10 +145,7 @@
 /* SEGMENT cannot be understood here: another VM may know more, since this one has just
  * started or has been cut off.  FATE is what becomes of it otherwise. */
 static enum CfFate
-hand_on (struct CfBalance *balance,
-         const struct CfSegment *segment,
-         enum CfFate fate,
-         CfMillis now)
+hand_on (struct CfBalance *balance, const struct CfSegment *segment, enum CfFate fate, CfMillis now)
 {
   if (segment->flags & CF_SEGMENT_HANDED || balance->helpers->len == 0)
     return end (balance, segment, NULL, fate, now);
--- a/src/balance/balance.h
+++ b/src/balance/balance.h
@@ -17,18 +17,18 @@
 /* What became of a packet. */
 enum CfFate
 {
-  CF_FATE_PLACED,        /* first packet, sent to a chosen upstream */
-  CF_FATE_PASSED,        /* sent to the upstream that its cookie names */
-  CF_FATE_MOVED,         /* first packet, sent to another upstream without being repeated */
-  CF_FATE_REPEATED,      /* first packet that its caller repeated, sent to another upstream */
-  CF_FATE_HANDED_ON,     /* sent to another entry VM, which may know more */
-  CF_FATE_RESET_ROUTE,   /* refused: no route at its address */
-  CF_FATE_RESET_SERVICE, /* refused: no upstream may take it */
-  CF_FATE_RESET_REMOVED, /* flow ended: its route was removed */
-  CF_FATE_SILENT_ROUTE,  /* dropped: no route known, and the manifest may be old */
+  CF_FATE_PLACED,         /* first packet, sent to a chosen upstream */
+  CF_FATE_PASSED,         /* sent to the upstream that its cookie names */
+  CF_FATE_MOVED,          /* first packet, sent to another upstream without being repeated */
+  CF_FATE_REPEATED,       /* first packet that its caller repeated, sent to another upstream */
+  CF_FATE_HANDED_ON,      /* sent to another entry VM, which may know more */
+  CF_FATE_RESET_ROUTE,    /* refused: no route at its address */
+  CF_FATE_RESET_SERVICE,  /* refused: no upstream may take it */
+  CF_FATE_RESET_REMOVED,  /* flow ended: its route was removed */
+  CF_FATE_SILENT_ROUTE,   /* dropped: no route known, and the manifest may be old */
   CF_FATE_SILENT_SERVICE, /* dropped: no upstream known, and what is known may be old */
-  CF_FATE_SILENT_COOKIE, /* dropped: its cookie names no known upstream */
-  CF_FATE_SILENT_OTHER,  /* dropped: its cookie names an upstream of another service */
+  CF_FATE_SILENT_COOKIE,  /* dropped: its cookie names no known upstream */
+  CF_FATE_SILENT_OTHER,   /* dropped: its cookie names an upstream of another service */
   CF_FATE_COUNT,
 };
 
@@ -51,10 +51,7 @@
 struct CfBalanceOutputs
 {
   /* Sends BYTES of SIZE, a packet, to TARGET with its cookie. */
-  void (*forward) (void *context,
-                   const uint8_t *bytes,
-                   size_t size,
-                   const struct CfTarget *target);
+  void (*forward) (void *context, const uint8_t *bytes, size_t size, const struct CfTarget *target);
   /* Sends SEGMENT to the entry VM at IP. */
   void (*hand_on) (void *context, const struct CfSegment *segment, uint32_t ip);
   /* Resets the flow of SEGMENT towards its caller. */
@@ -82,9 +79,8 @@
 void cf_balance_free (struct CfBalance *balance);
 
 /* SEGMENT came from the fabric. */
-enum CfFate cf_balance_segment (struct CfBalance *balance,
-                                const struct CfSegment *segment,
-                                CfMillis now);
+enum CfFate
+cf_balance_segment (struct CfBalance *balance, const struct CfSegment *segment, CfMillis now);
 
 /* Time passes.  Returns when to call again at the latest. */
 CfMillis cf_balance_tick (struct CfBalance *balance, CfMillis now);
--- a/src/balance/directory.h
+++ b/src/balance/directory.h
@@ -60,8 +60,8 @@
   CfMillis cold_next; /* while cold: when this VM may open its next flow */
   int64_t started;
   uint64_t revision;
-  uint32_t open;  /* flows that this VM sees at it or is opening there */
-  bool collides;  /* an older upstream has the same cookie: gets no new flows */
+  uint32_t open; /* flows that this VM sees at it or is opening there */
+  bool collides; /* an older upstream has the same cookie: gets no new flows */
   struct CfReach reach;
 };
 
@@ -78,7 +78,8 @@
 
 /* The announcement of ID has ended, or cannot be read.  Without TRUSTED the store has
  * just been away, and announcements end then without their upstreams. */
-void cf_directory_withdraw (struct CfDirectory *directory, const char *id, bool trusted, CfMillis now);
+void
+cf_directory_withdraw (struct CfDirectory *directory, const char *id, bool trusted, CfMillis now);
 
 /* The store has been reachable long enough: what lapsed and did not return is gone. */
 void cf_directory_settle (struct CfDirectory *directory, CfMillis now);
--- a/src/balance/routes.h
+++ b/src/balance/routes.h
@@ -59,7 +59,8 @@
 CfMillis cf_routes_flow_idle (const struct CfRoutes *routes);
 
 /* Returns the route at ADDRESS, removed ones included, or NULL if there never was one. */
-const struct CfRouteEntry *cf_routes_find (const struct CfRoutes *routes, struct CfEndpoint address);
+const struct CfRouteEntry *cf_routes_find (const struct CfRoutes *routes,
+                                           struct CfEndpoint address);
 
 /* Returns the traits of SERVICE, or NULL if the manifest does not list it. */
 const struct CfServiceTraits *cf_routes_service (const struct CfRoutes *routes, GQuark service);
--- a/src/feed/hello.h
+++ b/src/feed/hello.h
@@ -10,8 +10,8 @@
 /* Datagrams by which a VM tells its failure domain that it leaves or has returned. */
 
 /* Encodes a hello into OUT of SIZE bytes and returns its length, 0 if it does not fit. */
-size_t cf_hello_encode (
-    const char *name, const char *domain, bool leaving, uint8_t *out, size_t size);
+size_t
+cf_hello_encode (const char *name, const char *domain, bool leaving, uint8_t *out, size_t size);
 
 /* Decodes DATA of LEN bytes into HELLO, to be released with cf_hello_clear.  Returns false
  * if it is not valid. */
--- a/src/feed/reader.h
+++ b/src/feed/reader.h
@@ -36,11 +36,11 @@
 struct CfReader
 {
   enum CfFeedKind kind;
-  bool listed;       /* a whole list has been read, and reads wait from revision on */
-  char *after;       /* while listing: last name of the part before, NULL at the start */
-  uint64_t revision; /* of the first part of the list, or of the last answer */
-  uint32_t failures; /* in a row */
-  CfMillis next_at;  /* when the next call is due */
+  bool listed;          /* a whole list has been read, and reads wait from revision on */
+  char *after;          /* while listing: last name of the part before, NULL at the start */
+  uint64_t revision;    /* of the first part of the list, or of the last answer */
+  uint32_t failures;    /* in a row */
+  CfMillis next_at;     /* when the next call is due */
   CfMillis failed_at;   /* -1: never */
   CfMillis answered_at; /* -1: never */
   bool calling;
--- a/src/feed/relay.c
+++ b/src/feed/relay.c
@@ -11,7 +11,8 @@
           = query ? g_hash_table_lookup (query, cf_feed_kind_name ((enum CfFeedKind) kind)) : NULL;
 
       if (!text
-          || !g_ascii_string_to_unsigned (text, 10, 0, G_MAXUINT64, &position->revision[kind], NULL))
+          || !g_ascii_string_to_unsigned (text, 10, 0, G_MAXUINT64, &position->revision[kind],
+                                          NULL))
         return false;
     }
   return true;
@@ -130,9 +131,8 @@
     {
       const struct feed_record *record = &part->records.records_val[i];
 
-      g_ptr_array_add (records,
-                       cf_record_new (record->name, record->revision, record->deleted,
-                                      record->deleted ? NULL : record->text));
+      g_ptr_array_add (records, cf_record_new (record->name, record->revision, record->deleted,
+                                               record->deleted ? NULL : record->text));
     }
   return records;
 }
--- a/src/feed/sources.h
+++ b/src/feed/sources.h
@@ -70,10 +70,10 @@
 /* What a VM knows when it decides that. */
 struct CfStoreNeed
 {
-  bool reader;         /* the store is its source */
-  bool empty;          /* it has never had news */
-  CfMillis known_at;   /* its news are of then */
-  CfMillis probed_at;  /* when the store last answered it, -1: never */
+  bool reader;        /* the store is its source */
+  bool empty;         /* it has never had news */
+  CfMillis known_at;  /* its news are of then */
+  CfMillis probed_at; /* when the store last answered it, -1: never */
 };
 
 /* Returns what to ask the store at NOW. */
--- a/src/serve/balance_settings.h
+++ b/src/serve/balance_settings.h
@@ -20,7 +20,7 @@
   uint16_t peer_port;      /* TCP and UDP, the same on all VMs */
   double link_mbps;
   char **seeds;          /* IPs of VMs that may know the fleet */
-  char *store;          /* IP:port */
+  char *store;           /* IP:port */
   CfMillis flow_life_ms; /* no flow lives longer */
   CfMillis grace_ms;     /* from SIGTERM until the process is killed */
   double cold_factor;    /* a cold upstream bears its rate times this */
--- a/src/serve/balancer_admin_task.c
+++ b/src/serve/balancer_admin_task.c
@@ -31,8 +31,7 @@
               gpointer data)
 {
   struct AdminTask *task = data;
-  bool ready
-      = atomic_load (&task->balancer->serving) && !atomic_load (&task->balancer->leaving);
+  bool ready = atomic_load (&task->balancer->serving) && !atomic_load (&task->balancer->leaving);
 
   (void) soup;
   (void) query;
--- a/src/serve/datapath_task.c
+++ b/src/serve/datapath_task.c
@@ -11,10 +11,10 @@
 /* The datapath task receives packets from the fabric, has the balancer decide, and sends
  * them on.  It owns the balancer. */
 
-#define BATCH 32            /* packets that one call to the kernel takes or gives */
-#define DATAGRAM_MAX 2048   /* bytes; the longest packet in use has 1,232 */
-#define PLACED_PER_S 2.0    /* log lines about ordinary decisions */
-#define NOTABLE_PER_S 10.0  /* log lines about resets, drops and changes of mind */
+#define BATCH 32           /* packets that one call to the kernel takes or gives */
+#define DATAGRAM_MAX 2048  /* bytes; the longest packet in use has 1,232 */
+#define PLACED_PER_S 2.0   /* log lines about ordinary decisions */
+#define NOTABLE_PER_S 10.0 /* log lines about resets, drops and changes of mind */
 #define NOTABLE_BURST 50.0
 
 struct DatapathTask
@@ -121,8 +121,7 @@
   struct DatapathTask *task = context;
   uint8_t *out = next_datagram (task);
 
-  add_datagram (task, cf_platform_form.reset (segment, out), segment->caller.ip,
-                task->caller_port);
+  add_datagram (task, cf_platform_form.reset (segment, out), segment->caller.ip, task->caller_port);
 }
 
 static void
@@ -137,8 +136,7 @@
 {
   struct DatapathTask *task = context;
   const struct CfTarget *target = decision->target;
-  struct CfEventRate *rate
-      = decision->fate == CF_FATE_PLACED ? &task->placed : &task->notable;
+  struct CfEventRate *rate = decision->fate == CF_FATE_PLACED ? &task->placed : &task->notable;
   char flow[CF_ADDRESS_TEXT_MAX];
   char service[CF_ADDRESS_TEXT_MAX];
 
@@ -229,8 +227,7 @@
       for (int i = 0; i < BATCH; i++)
         {
           iov[i] = (struct iovec){ .iov_base = task->in[i], .iov_len = DATAGRAM_MAX };
-          messages[i]
-              = (struct mmsghdr){ .msg_hdr = { .msg_iov = &iov[i], .msg_iovlen = 1 } };
+          messages[i] = (struct mmsghdr){ .msg_hdr = { .msg_iov = &iov[i], .msg_iovlen = 1 } };
         }
       n = recvmmsg (task->fd, messages, BATCH, MSG_DONTWAIT, NULL);
       for (int i = 0; i < n; i++)
--- a/src/serve/event_log.c
+++ b/src/serve/event_log.c
@@ -145,6 +145,8 @@
                      const struct CfField *fields,
                      CfMillis now)
 {
+  if (rate->at == 0)
+    rate->tokens = rate->burst;
   rate->tokens += (double) (now - rate->at) * rate->per_s / CF_MS_PER_S;
   rate->tokens = MIN (rate->tokens, rate->burst);
   rate->at = now;
--- a/src/serve/feed_enroll.c
+++ b/src/serve/feed_enroll.c
@@ -8,9 +8,9 @@
 /* This VM's record in the store tells the others its address and failure domain, so that
  * they can follow it and know how many VMs share what a cold upstream bears. */
 
-#define DEADLINE_MS 2000   /* of a write */
-#define FIRST_MS 500       /* the record that an earlier start wrote may be on its way */
-#define RETRY_MIN_MS 500   /* after a failure, doubled each time */
+#define DEADLINE_MS 2000 /* of a write */
+#define FIRST_MS 500     /* the record that an earlier start wrote may be on its way */
+#define RETRY_MIN_MS 500 /* after a failure, doubled each time */
 #define RETRY_MAX_MS 10000
 
 static char *
@@ -75,8 +75,8 @@
 static bool
 is_enrolled (struct FeedTask *task)
 {
-  const struct CfRecord *record = g_hash_table_lookup (task->replica.records[CF_FEED_VMS],
-                                                       task->balancer->settings.name);
+  const struct CfRecord *record
+      = g_hash_table_lookup (task->replica.records[CF_FEED_VMS], task->balancer->settings.name);
 
   task->enroll.replace = record && !record->deleted;
   return task->enroll.replace && same_content (record->text, task->enroll.content);
@@ -121,11 +121,11 @@
     return now + RETRY_MAX_MS;
   if (now < enroll->next_at)
     return enroll->next_at;
-  enroll->call = cf_http_call_begin (task->session,
-                                     cf_platform_write (settings->store, CF_FEED_VMS,
-                                                        settings->name, enroll->content,
-                                                        enroll->replace),
-                                     DEADLINE_MS, enroll->failures > 0, written, task);
+  enroll->call
+      = cf_http_call_begin (task->session,
+                            cf_platform_write (settings->store, CF_FEED_VMS, settings->name,
+                                               enroll->content, enroll->replace),
+                            DEADLINE_MS, enroll->failures > 0, written, task);
   return now + RETRY_MAX_MS;
 }
 
--- a/src/serve/feed_follow.c
+++ b/src/serve/feed_follow.c
@@ -4,10 +4,10 @@
 /* How long a question waits for news at the VM that is asked.  A VM that has lost power is
  * noticed this much later, and the bounds on changes of upstreams are 3 s. */
 #define WAIT_MS 1000
-#define DEADLINE_MS 500 /* for the answer, beyond the wait */
-#define RETRY_MS 100    /* to the next source, after one has failed */
+#define DEADLINE_MS 500  /* for the answer, beyond the wait */
+#define RETRY_MS 250     /* to the next source, after one has failed */
 #define SEED_WAIT_MS 300 /* a VM that starts has no time for a seed that knows nothing */
-#define PAUSE_MS 50     /* after an answer, so that changes that come together cost one */
+#define PAUSE_MS 50      /* after an answer, so that changes that come together cost one */
 
 static bool
 take_news (struct FeedTask *task, GBytes *body, CfMillis now)
@@ -48,13 +48,14 @@
   follow->call = NULL;
   follow->next_at = now + (good ? PAUSE_MS : RETRY_MS);
   if (!good)
-    cf_event_log_write (task->balancer->log, "source-failed",
-                        (struct CfField[]){
-                            { .key = "source", .text = follow->name },
-                            { .key = "outcome", .text = answer ? "stale" : "no-answer" },
-                            { .key = "news_age_ms", .number = now - task->known_at },
-                            { 0 },
-                        });
+    cf_event_log_sample (task->balancer->log, &task->source_rate, "source-failed",
+                         (struct CfField[]){
+                             { .key = "source", .text = follow->name },
+                             { .key = "outcome", .text = answer ? "stale" : "no-answer" },
+                             { .key = "news_age_ms", .number = cf_feed_age (task, now) },
+                             { 0 },
+                         },
+                         now);
   if (source && good)
     cf_source_answered (source);
   else if (source)
@@ -82,8 +83,9 @@
                          task->balancer->settings.peer_port, query, wait);
   g_free (follow->name);
   follow->name = g_strdup (source->name);
-  follow->call = cf_http_call_begin (task->session, soup_message_new ("GET", url),
-                                     (guint) wait + DEADLINE_MS, source->failures > 0, answered, task);
+  follow->call
+      = cf_http_call_begin (task->session, soup_message_new ("GET", url),
+                            (guint) wait + DEADLINE_MS, source->failures > 0, answered, task);
   g_free (url);
   g_free (query);
   return now + CF_MS_PER_S;
--- a/src/serve/feed_internal.h
+++ b/src/serve/feed_internal.h
@@ -54,19 +54,20 @@
   GRand *random;
   struct CfReplica replica;
   struct CfSources *sources;
-  char *source;      /* name of the VM that is followed, "" for the store, NULL: none yet */
-  CfMillis known_at; /* the replica holds what the store held then, -1: never */
-  bool settled;      /* the store has been there all the while */
+  char *source;       /* name of the VM that is followed, "" for the store, NULL: none yet */
+  CfMillis known_at;  /* the replica holds what the store held then, -1: never */
+  bool settled;       /* the store has been there all the while */
   CfMillis probed_at; /* when the store last answered this VM, -1: never */
+  struct CfEventRate source_rate;
   struct FeedChannel channels[CF_FEED_KINDS];
   struct FeedFollow follow;
   struct FeedEnroll enroll;
   struct CfRotation rotation;
-  GSocket *hello;          /* UDP: says to the failure domain that this VM leaves or returns */
+  GSocket *hello; /* UDP: says to the failure domain that this VM leaves or returns */
   GSource *hello_source;
-  CfMillis hello_next;     /* when the next is due */
-  uint32_t hellos;         /* left to be sent after a start */
-  CfMillis stop_at;        /* when this VM was told to stop, -1: it was not */
+  CfMillis hello_next; /* when the next is due */
+  uint32_t hellos;     /* left to be sent after a start */
+  CfMillis stop_at;    /* when this VM was told to stop, -1: it was not */
   SoupServer *relay;
   GQueue waiting; /* of struct RelayRequest: followers that wait for news */
 };
--- a/src/serve/feed_relay.c
+++ b/src/serve/feed_relay.c
@@ -4,9 +4,9 @@
 
 #include <string.h>
 
-#define WAIT_MAX_MS 30000  /* a follower waits no longer, whatever it asks for */
-#define WAITING_MAX 256    /* followers; a group has CF_SOURCES_GROUP_MAX */
-#define CONFIRM_MS 400     /* a follower is told that nothing has changed this often */
+#define WAIT_MAX_MS 30000 /* a follower waits no longer, whatever it asks for */
+#define WAITING_MAX 256   /* followers; a group has CF_SOURCES_GROUP_MAX */
+#define CONFIRM_MS 400    /* a follower is told that nothing has changed this often */
 
 /* A follower that waits for news. */
 struct RelayRequest
@@ -26,8 +26,7 @@
          const struct CfFeedPosition *position,
          CfMillis now)
 {
-  GBytes *body = cf_relay_encode (&task->replica, position, cf_feed_age (task, now),
-                                  task->settled);
+  GBytes *body = cf_relay_encode (&task->replica, position, cf_feed_age (task, now), task->settled);
   gsize len;
   const char *data = g_bytes_get_data (body, &len);
 
--- a/src/serve/feed_rotation.c
+++ b/src/serve/feed_rotation.c
@@ -47,8 +47,8 @@
   const struct CfBalanceSettings *settings = &task->balancer->settings;
   GPtrArray *ips = cf_sources_near_ips (task->sources);
   uint8_t buffer[HELLO_MAX];
-  size_t len = cf_hello_encode (settings->name, settings->failure_domain, leaving, buffer,
-                                sizeof buffer);
+  size_t len
+      = cf_hello_encode (settings->name, settings->failure_domain, leaving, buffer, sizeof buffer);
 
   for (guint i = 0; i < ips->len && len > 0; i++)
     {
--- a/src/serve/feed_store.c
+++ b/src/serve/feed_store.c
@@ -92,8 +92,8 @@
       if (listing)
         g_ptr_array_extend_and_steal (channel->list, g_steal_pointer (&answer.records));
       if (whole || !listing)
-        cf_feed_take (task, reader->kind, whole ? channel->list : answer.records,
-                      reader->revision, whole, cf_reader_trusted (reader, now));
+        cf_feed_take (task, reader->kind, whole ? channel->list : answer.records, reader->revision,
+                      whole, cf_reader_trusted (reader, now));
       cf_feed_known (task, answered_at (task), all_trusted (task, now));
     }
   else if (reader->failures >= FAILURES_MAX)
@@ -132,9 +132,9 @@
                              ? cf_platform_watch (store, reader->kind, reader->revision, wait)
                              : cf_platform_list (store, reader->kind, reader->after);
 
-  channel->call = cf_http_call_begin (task->session, message,
-                                      (guint) (wait + CF_READER_DEADLINE_MS), reader->failures > 0,
-                                      answered, channel);
+  channel->call
+      = cf_http_call_begin (task->session, message, (guint) (wait + CF_READER_DEADLINE_MS),
+                            reader->failures > 0, answered, channel);
 }
 
 /* Returns true if KIND is to be read: while the store is away one short call at a time asks
--- a/src/serve/feed_task.c
+++ b/src/serve/feed_task.c
@@ -7,6 +7,10 @@
 /* The feed task keeps a copy of the store's records up to date and tells the datapath task
  * what is new. */
 
+/* Log lines about changes of source: in an outage a VM tries several a second. */
+#define SOURCE_LINES_PER_S 1
+#define SOURCE_LINES_BURST 10
+
 static void
 add_upstream (struct FeedTask *task, struct CfUpdate *update, const struct CfRecord *record)
 {
@@ -149,12 +153,13 @@
     return;
   g_free (task->source);
   task->source = g_strdup (name);
-  cf_event_log_write (task->balancer->log, "source",
-                      (struct CfField[]){
-                          { .key = "source", .text = source->name ? source->name : "store" },
-                          { .key = "news_age_ms", .number = now - task->known_at },
-                          { 0 },
-                      });
+  cf_event_log_sample (task->balancer->log, &task->source_rate, "source",
+                       (struct CfField[]){
+                           { .key = "source", .text = source->name ? source->name : "store" },
+                           { .key = "news_age_ms", .number = cf_feed_age (task, now) },
+                           { 0 },
+                       },
+                       now);
 }
 
 static enum CfStoreUse
@@ -270,6 +275,8 @@
   task->random = g_rand_new ();
   task->known_at = -1;
   task->probed_at = -1;
+  task->source_rate
+      = (struct CfEventRate){ .per_s = SOURCE_LINES_PER_S, .burst = SOURCE_LINES_BURST };
   task->stop_at = -1;
   task->sources = cf_sources_new (balancer->settings.name, balancer->settings.failure_domain,
                                   balancer->settings.region);
--- a/src/serve/metrics.c
+++ b/src/serve/metrics.c
@@ -54,14 +54,14 @@
                  "\"} %" G_GUINT64_FORMAT "\n",
           name, tenant, service, i ? (G_GUINT64_CONSTANT (1) << i) - 1 : 0, sum);
     }
-  g_string_append_printf (
-      text,
-      PREFIX "%s_bucket{tenant=\"%s\",service=\"%s\",le=\"+Inf\"} "
-             "%" G_GUINT64_FORMAT "\n" PREFIX
-             "%s_sum{tenant=\"%s\",service=\"%s\"} %" G_GUINT64_FORMAT "\n" PREFIX
-             "%s_count{tenant=\"%s\",service=\"%s\"} %" G_GUINT64_FORMAT "\n",
-      name, tenant, service, histogram->total, name, tenant, service, histogram->sum, name, tenant,
-      service, histogram->total);
+  g_string_append_printf (text,
+                          PREFIX "%s_bucket{tenant=\"%s\",service=\"%s\",le=\"+Inf\"} "
+                                 "%" G_GUINT64_FORMAT "\n" PREFIX
+                                 "%s_sum{tenant=\"%s\",service=\"%s\"} %" G_GUINT64_FORMAT
+                                 "\n" PREFIX
+                                 "%s_count{tenant=\"%s\",service=\"%s\"} %" G_GUINT64_FORMAT "\n",
+                          name, tenant, service, histogram->total, name, tenant, service,
+                          histogram->sum, name, tenant, service, histogram->total);
 }
 
 static void
@@ -89,8 +89,10 @@
       write_service_counter (text, "service_bytes_total", service, service->bytes);
       write_service_counter (text, "service_new_flows_total", service, service->new_flows);
       write_service_counter (text, "service_refused_total", service, service->refused);
-      cf_metrics_histogram (text, "packet_bytes", service->tenant, service->name, &service->packet_bytes);
-      cf_metrics_histogram (text, "handshake_ms", service->tenant, service->name, &service->handshake_ms);
+      cf_metrics_histogram (text, "packet_bytes", service->tenant, service->name,
+                            &service->packet_bytes);
+      cf_metrics_histogram (text, "handshake_ms", service->tenant, service->name,
+                            &service->handshake_ms);
       if (decision)
         cf_metrics_histogram (text, "decision_ns", service->tenant, service->name, decision);
     }
--- a/tests/balancers.c
+++ b/tests/balancers.c
@@ -4,8 +4,8 @@
 
 enum TestEventKind
 {
-  EVENT_REPEAT,   /* a caller repeats its first packet */
-  EVENT_FOLLOW,   /* a caller follows its first packet up */
+  EVENT_REPEAT, /* a caller repeats its first packet */
+  EVENT_FOLLOW, /* a caller follows its first packet up */
 };
 
 struct TestEvent
--- a/tests/balancers.h
+++ b/tests/balancers.h
@@ -37,7 +37,7 @@
   uint32_t handed_on;
   uint32_t forwarded;
   const struct CfTarget *last; /* target of the last packet that was sent on */
-  CfMillis round_trip; /* from a first packet at a VM to its successor */
+  CfMillis round_trip;         /* from a first packet at a VM to its successor */
 };
 
 struct TestWorld *test_world_new (void);
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -12,11 +12,11 @@
 /* soak PROGRAM SECONDS SEED: runs faults for SECONDS, then lets the world become calm and
  * checks that it serves.  The exit status is 1 if a promise was broken. */
 
-#define SETTLE_MS 9000      /* after the last fault, before the end */
-#define RESTART_MS 300      /* from a VM's end until it is started again */
-#define READY_EVERY_MS 500  /* the fabric asks twice a second */
+#define SETTLE_MS 9000     /* after the last fault, before the end */
+#define RESTART_MS 300     /* from a VM's end until it is started again */
+#define READY_EVERY_MS 500 /* the fabric asks twice a second */
 #define READY_DEADLINE_MS 400
-#define CALM_SERVED 0.99    /* of what is asked long after the last fault */
+#define CALM_SERVED 0.99 /* of what is asked long after the last fault */
 
 static const char *const domains[SOAK_DOMAINS] = { "a", "b" };
 
@@ -149,8 +149,8 @@
 
   for (int i = 0; i < SOAK_VMS; i++)
     {
-      char *url = g_strdup_printf ("http://%s:%u/-/readiness", soak->vms[i].ip,
-                                   SOAK_READY_PORT (soak));
+      char *url
+          = g_strdup_printf ("http://%s:%u/-/readiness", soak->vms[i].ip, SOAK_READY_PORT (soak));
       SoupMessage *message = soup_message_new ("GET", url);
       GCancellable *cancellable = g_cancellable_new ();
 
@@ -196,9 +196,8 @@
       "{\"name\":\"s\",\"warmup-s\":0.5,\"warmup-per-s\":20},{\"name\":\"t\",\"warmup-s\":0.5,"
       "\"warmup-per-s\":20}],\"limits\":{\"idle-timeout-ms\":15000}}",
       ++soak->version,
-      soak->second_route
-          ? ",{\"host\":\"198.18.0.1\",\"path-prefix\":\"/82/\",\"service\":\"t\"}"
-          : "");
+      soak->second_route ? ",{\"host\":\"198.18.0.1\",\"path-prefix\":\"/82/\",\"service\":\"t\"}"
+                         : "");
 
   soak_store_put (soak->store, CF_FEED_MANIFEST, "main", text);
   soak->route_changed_at = soak_now ();
@@ -369,8 +368,7 @@
     {
       char *ip = g_strdup_printf ("127.4.0.%d", 10 + i);
 
-      soak->vms[i].proxy
-          = soak_proxy_new (ip, SOAK_STORE_PORT (soak), SOAK_STORE_PORT (soak));
+      soak->vms[i].proxy = soak_proxy_new (ip, SOAK_STORE_PORT (soak), SOAK_STORE_PORT (soak));
       g_free (ip);
       write_settings (&soak->vms[i]);
       soak_vm_start (&soak->vms[i]);
@@ -420,7 +418,7 @@
   if (served < CALM_SERVED)
     soak_violation (soak, "RECOVER: %.3f served of what was asked in calm times", served);
   printf ("seed %s: %u asked, %u served; calm %u asked, %u served; %u violations; logs in %s\n",
-          argv[3], soak->asked, soak->served, soak->calm_asked, soak->calm_served,
-          soak->violations, soak->folder);
+          argv[3], soak->asked, soak->served, soak->calm_asked, soak->calm_served, soak->violations,
+          soak->folder);
   return soak->violations > 0;
 }
--- a/tests/soak/proxy.c
+++ b/tests/soak/proxy.c
@@ -55,8 +55,7 @@
 
       drop_source (&pipe->halves[i]);
       if (reset)
-        setsockopt (g_socket_get_fd (pipe->ends[i]), SOL_SOCKET, SO_LINGER, &linger,
-                    sizeof linger);
+        setsockopt (g_socket_get_fd (pipe->ends[i]), SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
       g_socket_close (pipe->ends[i], NULL);
       g_object_unref (pipe->ends[i]);
     }
@@ -147,8 +146,8 @@
           gpointer data)
 {
   struct SoakProxy *proxy = data;
-  GSocket *store = g_socket_new (G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
-                                 G_SOCKET_PROTOCOL_TCP, NULL);
+  GSocket *store
+      = g_socket_new (G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, NULL);
   GSocketAddress *address = g_inet_socket_address_new_from_string ("127.0.0.1", proxy->store_port);
   struct Pipe *pipe;
 
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -15,9 +15,9 @@
 #define SOAK_UPSTREAMS 10
 #define SOAK_DOMAINS 2
 
-#define SOAK_DRAIN_MS 3000  /* from an announcement until new flows keep away */
-#define SOAK_CALM_MS 4000   /* a VM is held to a bound after this time without a fault */
-#define SOAK_GRACE_MS 6000  /* from SIGTERM until SIGKILL */
+#define SOAK_DRAIN_MS 3000 /* from an announcement until new flows keep away */
+#define SOAK_CALM_MS 4000  /* a VM is held to a bound after this time without a fault */
+#define SOAK_GRACE_MS 6000 /* from SIGTERM until SIGKILL */
 
 struct Soak;
 
@@ -87,10 +87,10 @@
   const char *service;
   uint64_t tag;
   int64_t born;
-  bool dark;              /* does not answer */
+  bool dark; /* does not answer */
   bool draining;
-  int64_t drained_at;     /* when the store accepted that it drains */
-  int64_t dark_until;     /* also: last moment at which it did not answer */
+  int64_t drained_at; /* when the store accepted that it drains */
+  int64_t dark_until; /* also: last moment at which it did not answer */
   GSocket *socket;
   GSource *source;
   GHashTable *flows; /* of struct SoakFlow that are open here */
@@ -121,9 +121,9 @@
   GHashTable *flows; /* port to struct SoakFlow */
   uint16_t next_port;
   uint64_t version;
-  bool second_route;      /* the manifest in force has the route to "t" at port 82 */
+  bool second_route; /* the manifest in force has the route to "t" at port 82 */
   int64_t route_changed_at;
-  const char *evacuated;  /* domain, or NULL */
+  const char *evacuated; /* domain, or NULL */
   int64_t evacuated_at;
   int64_t faulted_at; /* last fault of any kind */
   bool ending;        /* no more faults and no restarts */
--- a/tests/soak/store.c
+++ b/tests/soak/store.c
@@ -26,14 +26,14 @@
 struct SoakStore
 {
   SoupServer *server;
-  GPtrArray *log;     /* of struct Object: every change in order */
+  GPtrArray *log; /* of struct Object: every change in order */
   uint64_t revision;
   uint64_t forgotten; /* changes up to it are no longer known */
   GPtrArray *waiting; /* of struct Waiting */
 };
 
-static const char *const kinds[CF_FEED_KINDS] = { "config", "servers", "evacuations",
-                                                  "cyclamenferry-vms" };
+static const char *const kinds[CF_FEED_KINDS]
+    = { "config", "servers", "evacuations", "cyclamenferry-vms" };
 
 static void
 append_object (GString *text, const struct Object *object)
@@ -220,8 +220,7 @@
       *quote = 0;
       soak_store_put (store, kind, name + 8, spec + 7);
     }
-  respond (message, spec && name ? SOUP_STATUS_OK : SOUP_STATUS_BAD_REQUEST,
-           g_string_new ("{}"));
+  respond (message, spec && name ? SOUP_STATUS_OK : SOUP_STATUS_BAD_REQUEST, g_string_new ("{}"));
   (void) path;
   g_free (text);
   g_bytes_unref (bytes);
--- a/tests/soak/traffic.c
+++ b/tests/soak/traffic.c
@@ -275,8 +275,8 @@
 soak_callers_start (struct Soak *soak)
 {
   soak->flows = g_hash_table_new (NULL, NULL);
-  soak->callers = g_socket_new (G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_DATAGRAM,
-                                G_SOCKET_PROTOCOL_UDP, NULL);
+  soak->callers
+      = g_socket_new (G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_DATAGRAM, G_SOCKET_PROTOCOL_UDP, NULL);
   GSocketAddress *address
       = g_inet_socket_address_new_from_string ("127.2.0.1", SOAK_FABRIC_PORT (soak));
 
@@ -308,8 +308,7 @@
 
   build (packet, flags, segment->service, segment->caller, 1, segment->cookie, len);
   put32 (packet + 16, 1); /* a checksum: not the balancer's */
-  send_to (upstream->socket, "127.2.0.1", SOAK_FABRIC_PORT (upstream->soak), packet,
-           HEADER + len);
+  send_to (upstream->socket, "127.2.0.1", SOAK_FABRIC_PORT (upstream->soak), packet, HEADER + len);
 }
 
 static void
@@ -348,8 +347,8 @@
 static void
 upstream_packet (struct SoakUpstream *upstream, const struct CfSegment *segment)
 {
-  struct SoakFlow *flow = g_hash_table_lookup (upstream->soak->flows,
-                                               GUINT_TO_POINTER (segment->caller.port));
+  struct SoakFlow *flow
+      = g_hash_table_lookup (upstream->soak->flows, GUINT_TO_POINTER (segment->caller.port));
 
   if (!flow)
     return;
@@ -414,8 +413,7 @@
     {
       soak_store_put (upstream->soak->store, CF_FEED_UPSTREAMS, upstream->id, NULL);
       upstream->tag = (uint64_t) g_rand_int (upstream->soak->random) << 8 | 1;
-      g_snprintf (upstream->id, sizeof upstream->id, "i-%010" G_GINT64_MODIFIER "x",
-                  upstream->tag);
+      g_snprintf (upstream->id, sizeof upstream->id, "i-%010" G_GINT64_MODIFIER "x", upstream->tag);
     }
   upstream->born = soak_now ();
   upstream->draining = false;
@@ -438,8 +436,7 @@
       upstream->service = i < SOAK_UPSTREAMS - 4 ? "s" : "t";
       upstream->flows = g_hash_table_new (NULL, NULL);
       upstream->tag = (uint64_t) g_rand_int (soak->random) << 8 | 1;
-      g_snprintf (upstream->id, sizeof upstream->id, "i-%010" G_GINT64_MODIFIER "x",
-                  upstream->tag);
+      g_snprintf (upstream->id, sizeof upstream->id, "i-%010" G_GINT64_MODIFIER "x", upstream->tag);
       g_snprintf (upstream->ip, sizeof upstream->ip, "127.3.0.%d", 10 + i);
       address = g_inet_socket_address_new_from_string (upstream->ip, SOAK_UPSTREAM_PORT (soak));
       upstream->socket = g_socket_new (G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_DATAGRAM,
--- a/tests/test_feed.c
+++ b/tests/test_feed.c
@@ -108,8 +108,8 @@
       "{\"items\":[{\"meta\":{\"name\":\"i-1\",\"revision\":3},\"spec\":{}}],\"truncated\":true,"
       "\"store-revision\":20}",
       200, CF_READ_ANSWERED);
-  struct CfFeedAnswer rest = answer_of (
-      "{\"items\":[],\"truncated\":false,\"store-revision\":25}", 200, CF_READ_ANSWERED);
+  struct CfFeedAnswer rest = answer_of ("{\"items\":[],\"truncated\":false,\"store-revision\":25}",
+                                        200, CF_READ_ANSWERED);
   struct CfFeedAnswer events
       = answer_of ("{\"events\":[],\"store-revision\":30}", 200, CF_READ_ANSWERED);
 
@@ -141,8 +141,8 @@
 {
   struct CfReader reader;
   GRand *random = g_rand_new_with_seed (1);
-  struct CfFeedAnswer whole = answer_of (
-      "{\"items\":[],\"truncated\":false,\"store-revision\":25}", 200, CF_READ_ANSWERED);
+  struct CfFeedAnswer whole = answer_of ("{\"items\":[],\"truncated\":false,\"store-revision\":25}",
+                                         200, CF_READ_ANSWERED);
   CfMillis now = 0;
   uint32_t calls = 0;
 
@@ -180,10 +180,11 @@
   answer = answer_of ("{\"items\":[]}", 200, CF_READ_UNREADABLE);
   cf_feed_answer_clear (&answer);
   /* One writer's stray bytes, and something that is no object, hide nothing else. */
-  answer = answer_of ("{\"items\":[7,{\"meta\":{\"name\":\"x\",\"revision\":1},\"spec\":\"\xff\xfe\"},"
-                      "{\"meta\":{\"name\":\"i-2\",\"revision\":2},\"spec\":{\"a\":1}}],"
-                      "\"store-revision\":2}",
-                      200, CF_READ_ANSWERED);
+  answer
+      = answer_of ("{\"items\":[7,{\"meta\":{\"name\":\"x\",\"revision\":1},\"spec\":\"\xff\xfe\"},"
+                   "{\"meta\":{\"name\":\"i-2\",\"revision\":2},\"spec\":{\"a\":1}}],"
+                   "\"store-revision\":2}",
+                   200, CF_READ_ANSWERED);
   ck_assert_uint_eq (answer.records->len, 2);
   cf_feed_answer_clear (&answer);
   answer = answer_of ("{\"events\":[{\"deleted\":true,\"object\":{\"meta\":{\"name\":\"i-2\","
@@ -198,8 +199,8 @@
 END_TEST
 
 #define GOOD_ANNOUNCEMENT                                                                          \
-  "{\"service\":\"s\",\"address\":\"10.128.0.9:8080\",\"zone\":\"a\",\"version\":\"v1\","         \
-  "\"slots\":2,\"state\":\"ready\",\"warmup-remaining-ms\":1500,\"sequence\":4,"                  \
+  "{\"service\":\"s\",\"address\":\"10.128.0.9:8080\",\"zone\":\"a\",\"version\":\"v1\","          \
+  "\"slots\":2,\"state\":\"ready\",\"warmup-remaining-ms\":1500,\"sequence\":4,"                   \
   "\"born\":1791912288048}"
 
 START_TEST (test_announcement)
--- a/tests/test_fuzz.c
+++ b/tests/test_fuzz.c
@@ -148,8 +148,8 @@
   news_data = g_bytes_get_data (news, &news_len);
   for (int i = 0; i < rounds (); i++)
     {
-      uint8_t *data = g_memdup2 (i % 2 ? news_data : (const void *) hello,
-                                 i % 2 ? news_len : hello_len);
+      uint8_t *data
+          = g_memdup2 (i % 2 ? news_data : (const void *) hello, i % 2 ? news_len : hello_len);
       size_t len = mutate (random, data, i % 2 ? news_len : hello_len);
       struct feed_news decoded;
       struct feed_hello heard;
@@ -241,8 +241,7 @@
   struct CfError error = { 0 };
 
   ck_assert (!read_text (text, -1, &settings, &error));
-  ck_assert_msg (strstr (error.text, bad_settings[_i].fault)
-                     && strstr (error.text, "cf-settings-"),
+  ck_assert_msg (strstr (error.text, bad_settings[_i].fault) && strstr (error.text, "cf-settings-"),
                  "%s", error.text);
   g_free (text);
   g_strfreev (parts);
@@ -268,10 +267,11 @@
 
 START_TEST (test_form)
 {
-  uint8_t wire[] = { 0, 0, 0x40, 0,    0xc6, 0x12, 0,    1,    0x9c, 0x41, 0x64, 0x40, 0,    7, 1, 0xbb,
-                     0xa1, 0xb2, 0xc3, 0xd5, 0x11, 0x22, 0x33, 0x44, 0, 0, 0, 2, 0, 0, 0, 0 };
-  const uint8_t expected[32] = { 0,    0,    8, 0, 0x64, 0x40, 0, 7, 1, 0xbb, 0xc6, 0x12, 0, 1, 0x9c,
-                                 0x41 };
+  uint8_t wire[]
+      = { 0,    0,    0x40, 0,    0xc6, 0x12, 0,    1,    0x9c, 0x41, 0x64, 0x40, 0, 7, 1, 0xbb,
+          0xa1, 0xb2, 0xc3, 0xd5, 0x11, 0x22, 0x33, 0x44, 0,    0,    0,    2,    0, 0, 0, 0 };
+  const uint8_t expected[32]
+      = { 0, 0, 8, 0, 0x64, 0x40, 0, 7, 1, 0xbb, 0xc6, 0x12, 0, 1, 0x9c, 0x41 };
   uint8_t out[CF_SEGMENT_MAX];
   struct CfSegment segment;
 
