--- a/src/balance/balance.c
+++ b/src/balance/balance.c
@@ -9,7 +9,7 @@
  * queued would be doubled; above, a caller waits in vain. */
 #define WAIT_MIN_MS 12
 #define WAIT_MAX_MS 100
-#define WAIT_START_MS 30 /* before the first flow has opened */
+#define WAIT_START_MS 30.0 /* before the first flow has opened */
 #define WAIT_FACTOR 4
 #define WAIT_WEIGHT 0.1 /* of one flow in the smoothed wait */
 
--- a/src/serve/feed_relay.c
+++ b/src/serve/feed_relay.c
@@ -37,14 +37,20 @@
 }
 
 static void
-release (struct RelayRequest *request)
+free_request (struct RelayRequest *request)
 {
   g_signal_handler_disconnect (request->message, request->finished);
-  g_queue_unlink (&request->task->waiting, &request->link);
   g_object_unref (request->message);
   g_free (request);
 }
 
+static void
+release (struct RelayRequest *request)
+{
+  g_queue_unlink (&request->task->waiting, &request->link);
+  free_request (request);
+}
+
 static void
 on_finished (SoupServerMessage *message, gpointer data)
 {
@@ -156,7 +162,9 @@
 void
 cf_feed_relay_stop (struct FeedTask *task)
 {
-  while (task->waiting.head)
-    release (task->waiting.head->data);
+  GList *link;
+
+  while ((link = g_queue_pop_head_link (&task->waiting)))
+    free_request (link->data);
   cf_http_unlisten (&task->relay);
 }
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -395,7 +395,8 @@
 int
 main (int argc, char **argv)
 {
-  struct Soak *soak = g_new0 (struct Soak, 1);
+  static struct Soak state;
+  struct Soak *soak = &state;
   double served;
 
   if (argc != 4)
--- a/tests/soak/proxy.c
+++ b/tests/soak/proxy.c
@@ -46,9 +46,8 @@
 }
 
 static void
-free_pipe (struct Pipe *pipe, bool reset)
+close_pipe (struct Pipe *pipe, bool reset)
 {
-  g_ptr_array_remove_fast (pipe->proxy->pipes, pipe);
   for (int i = 0; i < 2; i++)
     {
       struct linger linger = { .l_onoff = 1 };
@@ -62,6 +61,21 @@
   g_free (pipe);
 }
 
+static void
+free_pipe (struct Pipe *pipe, bool reset)
+{
+  g_ptr_array_remove_fast (pipe->proxy->pipes, pipe);
+  close_pipe (pipe, reset);
+}
+
+static void
+close_all (struct SoakProxy *proxy, bool reset)
+{
+  for (guint i = 0; i < proxy->pipes->len; i++)
+    close_pipe (proxy->pipes->pdata[i], reset);
+  g_ptr_array_set_size (proxy->pipes, 0);
+}
+
 static gboolean
 look_again (gpointer data)
 {
@@ -201,8 +215,8 @@
 soak_proxy_set (struct SoakProxy *proxy, enum SoakPath path)
 {
   proxy->path = path;
-  while (path == SOAK_PATH_RESET && proxy->pipes->len > 0)
-    free_pipe (proxy->pipes->pdata[0], true);
+  if (path == SOAK_PATH_RESET)
+    close_all (proxy, true);
 }
 
 void
@@ -210,8 +224,7 @@
 {
   g_socket_service_stop (proxy->service);
   g_object_unref (proxy->service);
-  while (proxy->pipes->len > 0)
-    free_pipe (proxy->pipes->pdata[0], false);
+  close_all (proxy, false);
   g_ptr_array_unref (proxy->pipes);
   g_free (proxy);
 }
--- a/tests/soak/store.c
+++ b/tests/soak/store.c
@@ -121,16 +121,22 @@
 }
 
 static void
-release (struct Waiting *waiting)
+free_waiting (struct Waiting *waiting)
 {
   g_signal_handler_disconnect (waiting->message, waiting->finished);
   if (waiting->timer)
     g_source_remove (waiting->timer);
-  g_ptr_array_remove_fast (waiting->store->waiting, waiting);
   g_object_unref (waiting->message);
   g_free (waiting);
 }
 
+static void
+release (struct Waiting *waiting)
+{
+  g_ptr_array_remove_fast (waiting->store->waiting, waiting);
+  free_waiting (waiting);
+}
+
 static void
 answer (struct Waiting *waiting, guint status)
 {
@@ -286,8 +292,8 @@
 void
 soak_store_free (struct SoakStore *store)
 {
-  while (store->waiting->len > 0)
-    release (store->waiting->pdata[0]);
+  for (guint i = 0; i < store->waiting->len; i++)
+    free_waiting (store->waiting->pdata[i]);
   soup_server_disconnect (store->server);
   g_object_unref (store->server);
   g_ptr_array_unref (store->waiting);
@@ -322,6 +328,6 @@
 soak_store_compact (struct SoakStore *store)
 {
   store->forgotten = store->revision;
-  while (store->waiting->len > 0)
-    answer (store->waiting->pdata[0], 410);
+  for (guint i = store->waiting->len; i > 0; i--)
+    answer (store->waiting->pdata[i - 1], 410);
 }
--- a/tests/test_balance.c
+++ b/tests/test_balance.c
@@ -268,7 +268,8 @@
   cf_directory_withdraw (cf_balance_directory (second), flow->at->id, true, world->now);
   world->last = NULL;
   test_world_close (flow);
-  ck_assert_str_eq (world->last->id, flow->at->id);
+  ck_assert_ptr_nonnull (world->last);
+  ck_assert_ptr_eq (world->last, cf_directory_by_id (cf_balance_directory (second), flow->at->id));
   test_world_free (world);
 }
 END_TEST
