The GUE form's core and the object store client have folders that say so; one HTTP call

Cause: src/core held only what flows without a cookie need, and src/platform the client of the product's own object API, beside the new platform/.

Change: src/core -> src/gue, src/platform -> src/objectstore, the stand-in tests/platform.c -> tests/objectstore.c (its binary had the name of a folder); platform_task.c uses cf_http_call; the soak's proxy never waits, and its VMs end with it.

--- a/Makefile
+++ b/Makefile
@@ -17,18 +17,18 @@
 ALL_CFLAGS = $(WARNINGS) $(CFLAGS) $(SANITIZE) $(CPPFLAGS) $(PKG_CFLAGS) -MMD -MP
 LIBS = $(SANITIZE) $(PKG_LIBS) -lm
 
-LIB_SRC := $(wildcard src/base/*.c src/config/*.c src/core/*.c src/packet/*.c src/peer/*.c \
+LIB_SRC := $(wildcard src/base/*.c src/config/*.c src/gue/*.c src/packet/*.c src/peer/*.c \
   src/balance/*.c src/feed/*.c)
-APP_SRC := $(wildcard platform/*.c src/platform/*.c src/serve/*.c src/cli/*.c)
-TEST_LIB_SRC := $(filter-out tests/test_%.c tests/live.c tests/platform.c,$(wildcard tests/*.c))
+APP_SRC := $(wildcard platform/*.c src/objectstore/*.c src/serve/*.c src/cli/*.c)
+TEST_LIB_SRC := $(filter-out tests/test_%.c tests/live.c tests/objectstore.c,$(wildcard tests/*.c))
 TEST_SRC := $(wildcard tests/test_*.c)
-STANDIN_SRC := tests/live.c tests/platform.c
+STANDIN_SRC := tests/live.c tests/objectstore.c
 SOAK_SRC := $(wildcard tests/soak/*.c)
 BENCH_SRC := $(wildcard bench/*.c)
 
 LIB_OBJ = $(LIB_SRC:%.c=$(BUILD)/%.o)
 APP_OBJ = $(APP_SRC:%.c=$(BUILD)/%.o)
-PLATFORM_OBJ = $(filter $(BUILD)/src/platform/% $(BUILD)/platform/%,$(APP_OBJ))
+PLATFORM_OBJ = $(filter $(BUILD)/src/objectstore/% $(BUILD)/platform/%,$(APP_OBJ))
 SETTINGS_OBJ = $(BUILD)/src/serve/balance_settings.o
 TEST_LIB_OBJ = $(TEST_LIB_SRC:%.c=$(BUILD)/%.o)
 TESTS = $(TEST_SRC:tests/%.c=$(BUILD)/%)
--- a/src/cli/change.c
+++ b/src/cli/change.c
@@ -1,5 +1,5 @@
 #include "commands.h"
-#include "platform/store.h"
+#include "objectstore/store.h"
 
 #include <argp.h>
 #include <inttypes.h>
--- a/src/core/internal.h
+++ b/src/gue/internal.h
@@ -1,5 +1,5 @@
-#ifndef CF_CORE_INTERNAL_H
-#define CF_CORE_INTERNAL_H
+#ifndef CF_GUE_INTERNAL_H
+#define CF_GUE_INTERNAL_H
 
 #include "cf_core.h"
 #include "flow_table.h"
--- a/src/serve/platform_task.c
+++ b/src/serve/platform_task.c
@@ -1,6 +1,7 @@
 #include "server.h"
 #include "log.h"
-#include "platform/http.h"
+#include "http_call.h"
+#include "objectstore/http.h"
 
 #include <json-glib/json-glib.h>
 #include <string.h>
@@ -18,24 +19,14 @@
 #define LIST_SKIP 12 /* intervals between two reads of a VM that does not watch */
 #define STATUS_OBJECT_PREFIX "status-"
 
-/* One outstanding call. */
-struct Call
-{
-  struct PlatformTask *task;
-  SoupMessage *message;
-  GCancellable *cancellable;
-  GSource *deadline;
-  void (*finish) (struct PlatformTask *task, SoupMessage *message, GBytes *body);
-};
-
 struct PlatformTask
 {
   struct CfServer *server;
   GMainContext *context;
   SoupSession *session;
-  struct Call *watch;
-  struct Call *list;
-  struct Call *status;
+  struct CfHttpCall *watch; /* NULL: none is under way; likewise the next */
+  struct CfHttpCall *list;
+  struct CfHttpCall *status;
   GSource *list_timer;
   GSource *retry;
   guint retry_ms;
@@ -47,23 +38,6 @@
 
 static void begin_watch (struct PlatformTask *task);
 
-static gboolean
-past_deadline (gpointer data)
-{
-  g_cancellable_cancel (((struct Call *) data)->cancellable);
-  return G_SOURCE_REMOVE;
-}
-
-static void
-free_call (struct Call *call)
-{
-  g_source_destroy (call->deadline);
-  g_source_unref (call->deadline);
-  g_object_unref (call->cancellable);
-  g_object_unref (call->message);
-  g_free (call);
-}
-
 static void
 note_reached (struct PlatformTask *task, bool reached)
 {
@@ -73,47 +47,13 @@
   task->reached = reached;
 }
 
-static void
-call_done (GObject *source, GAsyncResult *result, gpointer data)
+/* Begins a call over a connection of its own: one that has gone silent does not delay it.
+ * MESSAGE is NULL if the name of an object made no URL. */
+static struct CfHttpCall *
+begin_call (struct PlatformTask *task, SoupMessage *message, guint deadline_ms, CfHttpDone *done)
 {
-  struct Call *call = data;
-  struct PlatformTask *task = call->task;
-  GBytes *body = soup_session_send_and_read_finish (SOUP_SESSION (source), result, NULL);
-
-  if (call == task->watch)
-    task->watch = NULL;
-  if (call == task->list)
-    task->list = NULL;
-  if (call == task->status)
-    task->status = NULL;
-  if (task->session)
-    call->finish (task, call->message, body);
-  g_clear_pointer (&body, g_bytes_unref);
-  free_call (call);
-}
-
-static struct Call *
-begin_call (struct PlatformTask *task,
-            SoupMessage *message,
-            guint deadline_ms,
-            void (*finish) (struct PlatformTask *task, SoupMessage *message, GBytes *body))
-{
-  struct Call *call;
-
-  if (!message)
-    return NULL;
-  call = g_new0 (struct Call, 1);
-  call->task = task;
-  call->message = message;
-  call->finish = finish;
-  call->cancellable = g_cancellable_new ();
-  call->deadline = g_timeout_source_new (deadline_ms);
-  g_source_set_callback (call->deadline, past_deadline, call, NULL);
-  g_source_attach (call->deadline, task->context);
-  soup_message_add_flags (message, SOUP_MESSAGE_NEW_CONNECTION);
-  soup_session_send_and_read_async (task->session, message, G_PRIORITY_DEFAULT, call->cancellable,
-                                    call_done, call);
-  return call;
+  return message ? cf_http_call_begin (task->session, message, deadline_ms, true, done, task)
+                 : NULL;
 }
 
 static gboolean
@@ -152,11 +92,13 @@
 }
 
 static void
-finish_watch (struct PlatformTask *task, SoupMessage *message, GBytes *body)
+finish_watch (void *data, SoupMessage *message, GBytes *body)
 {
+  struct PlatformTask *task = data;
   struct CfObject object = { 0 };
   enum CfStoreResult result = cf_http_read_result (message, body, &object);
 
+  task->watch = NULL;
   note_reached (task, result != CF_STORE_UNKNOWN);
   if (result == CF_STORE_OK)
     take_object (task, &object);
@@ -208,13 +150,15 @@
 }
 
 static void
-finish_list (struct PlatformTask *task, SoupMessage *message, GBytes *body)
+finish_list (void *data, SoupMessage *message, GBytes *body)
 {
+  struct PlatformTask *task = data;
   JsonParser *parser = json_parser_new ();
   JsonNode *root = NULL;
   const char *text;
   gsize len;
 
+  task->list = NULL;
   if (body && soup_message_get_status (message) == SOUP_STATUS_OK)
     {
       text = g_bytes_get_data (body, &len);
@@ -281,22 +225,26 @@
   return true;
 }
 
+static void
+abandon (struct CfHttpCall **call)
+{
+  if (*call)
+    cf_http_call_abandon (*call);
+  *call = NULL;
+}
+
 static void
 stop (struct CfTask *base, void *data)
 {
   struct PlatformTask *task = data;
   SoupSession *session = g_steal_pointer (&task->session);
 
+  (void) base;
   if (!session)
     return;
-  if (task->watch)
-    g_cancellable_cancel (task->watch->cancellable);
-  if (task->list)
-    g_cancellable_cancel (task->list->cancellable);
-  if (task->status)
-    g_cancellable_cancel (task->status->cancellable);
-  while (task->watch || task->list || task->status)
-    g_main_context_iteration (base->context, TRUE);
+  abandon (&task->watch);
+  abandon (&task->list);
+  abandon (&task->status);
   if (task->retry)
     g_source_destroy (task->retry);
   g_clear_pointer (&task->retry, g_source_unref);
@@ -343,10 +291,11 @@
 }
 
 static void
-finish_status (struct PlatformTask *task, SoupMessage *message, GBytes *body)
+finish_status (void *data, SoupMessage *message, GBytes *body)
 {
+  struct PlatformTask *task = data;
   /* Nothing depends on the object; the next change writes it again. */
-  (void) task;
+  task->status = NULL;
   (void) message;
   (void) body;
 }
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -6,6 +6,7 @@
 #include <stdarg.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -75,6 +76,14 @@
     g_timeout_add (RESTART_MS, start_again, vm);
 }
 
+/* In the child: a soak that is ended takes its VMs with it. */
+static void
+end_with_parent (gpointer data)
+{
+  (void) data;
+  prctl (PR_SET_PDEATHSIG, SIGKILL);
+}
+
 void
 soak_vm_start (struct SoakVm *vm)
 {
@@ -83,8 +92,8 @@
   int fd = g_open (out, O_WRONLY | O_CREAT | O_APPEND, 0600);
   GError *fault = NULL;
 
-  if (!g_spawn_async_with_fds (NULL, argv, NULL, G_SPAWN_DO_NOT_REAP_CHILD, NULL, NULL, &vm->pid,
-                               -1, fd, fd, &fault))
+  if (!g_spawn_async_with_fds (NULL, argv, NULL, G_SPAWN_DO_NOT_REAP_CHILD, end_with_parent, NULL,
+                               &vm->pid, -1, fd, fd, &fault))
     g_error ("%s: %s", vm->soak->program, fault->message);
   close (fd);
   g_child_watch_add (vm->pid, on_vm_end, vm);
--- a/tests/soak/proxy.c
+++ b/tests/soak/proxy.c
@@ -16,8 +16,9 @@
   struct Pipe *pipe;
   GSocket *from;
   GSocket *to;
-  GSource *source; /* waits for data, or until the path may be open again */
-  bool answers;    /* from the store to the VM */
+  GByteArray *rest; /* received and not yet passed on */
+  GSource *source;  /* waits for data, or until the path may be open again */
+  bool answers;     /* from the store to the VM */
 };
 
 struct Pipe
@@ -36,6 +37,7 @@
 };
 
 static void wait_for_data (struct Half *half);
+static gboolean on_data (GSocket *socket, GIOCondition condition, gpointer data);
 
 static void
 drop_source (struct Half *half)
@@ -53,6 +55,7 @@
       struct linger linger = { .l_onoff = 1 };
 
       drop_source (&pipe->halves[i]);
+      g_byte_array_unref (pipe->halves[i].rest);
       if (reset)
         setsockopt (g_socket_get_fd (pipe->ends[i]), SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
       g_socket_close (pipe->ends[i], NULL);
@@ -82,7 +85,13 @@
   struct Half *half = data;
 
   drop_source (half);
-  wait_for_data (half);
+  if (half->rest->len == 0)
+    {
+      wait_for_data (half);
+      return G_SOURCE_REMOVE;
+    }
+  if (on_data (half->from, G_IO_IN, half))
+    wait_for_data (half);
   return G_SOURCE_REMOVE;
 }
 
@@ -95,25 +104,41 @@
   g_source_attach (half->source, NULL);
 }
 
-/* Passes on what has come.  Returns false if the connection has ended. */
-static bool
+enum Passed
+{
+  PASSED_ALL,
+  PASSED_PART, /* the other end is not reading */
+  PASSED_END,  /* the connection has ended */
+};
+
+/* Passes on what has come.  An end may be a process that is stopped: nothing may wait for
+ * it. */
+static enum Passed
 pass (struct Half *half)
 {
-  char buffer[CHUNK];
-  gssize len = g_socket_receive (half->from, buffer, sizeof buffer, NULL, NULL);
-  gssize sent = 0;
+  GError *fault = NULL;
+
+  if (half->rest->len == 0)
+    {
+      char buffer[CHUNK];
+      gssize len = g_socket_receive (half->from, buffer, sizeof buffer, NULL, NULL);
 
-  if (len <= 0)
-    return false;
-  while (sent < len)
+      if (len <= 0)
+        return PASSED_END;
+      g_byte_array_append (half->rest, (const guint8 *) buffer, (guint) len);
+    }
+  while (half->rest->len > 0)
     {
-      gssize n = g_socket_send (half->to, buffer + sent, (gsize) (len - sent), NULL, NULL);
+      gssize sent = g_socket_send (half->to, (const char *) half->rest->data, half->rest->len, NULL,
+                                   &fault);
+      bool full = g_error_matches (fault, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK);
 
-      if (n <= 0)
-        return false;
-      sent += n;
+      g_clear_error (&fault);
+      if (sent <= 0)
+        return full ? PASSED_PART : PASSED_END;
+      g_byte_array_remove_range (half->rest, 0, (guint) sent);
     }
-  return true;
+  return PASSED_ALL;
 }
 
 static gboolean
@@ -134,10 +159,16 @@
       pause_half (half, PAUSE_MS);
       return G_SOURCE_REMOVE;
     }
-  if (!pass (half))
+  switch (pass (half))
     {
+    case PASSED_END:
       free_pipe (half->pipe, false);
       return G_SOURCE_REMOVE;
+    case PASSED_PART:
+      pause_half (half, PAUSE_MS);
+      return G_SOURCE_REMOVE;
+    case PASSED_ALL:
+      break;
     }
   if (proxy->path != SOAK_PATH_SLOW)
     return G_SOURCE_CONTINUE;
@@ -178,12 +209,15 @@
   pipe->proxy = proxy;
   pipe->ends[0] = g_object_ref (g_socket_connection_get_socket (connection));
   pipe->ends[1] = store;
+  g_socket_set_blocking (pipe->ends[0], FALSE);
+  g_socket_set_blocking (pipe->ends[1], FALSE);
   for (int i = 0; i < 2; i++)
     {
       pipe->halves[i] = (struct Half){
         .pipe = pipe,
         .from = pipe->ends[i],
         .to = pipe->ends[1 - i],
+        .rest = g_byte_array_new (),
         .answers = i == 1,
       };
       wait_for_data (&pipe->halves[i]);
--- a/tests/sockets/platform.sh
+++ b/tests/sockets/platform.sh
@@ -43,7 +43,7 @@
 }
 
 mkfifo "$work/commands"
-"$1/platform" 6190 < "$work/commands" > "$work/objects" &
+"$1/objectstore" 6190 < "$work/commands" > "$work/objects" &
 pids="$pids $!"
 exec 3> "$work/commands"
 echo "show status-ingresso-1" >&3
--- a/tests/test_change.c
+++ b/tests/test_change.c
@@ -1,4 +1,4 @@
-#include "platform/store.h"
+#include "objectstore/store.h"
 #include "suite.h"
 
 #include <stdlib.h>
