--- a/src/serve/feed_store.c
+++ b/src/serve/feed_store.c
@@ -132,6 +132,7 @@
                              ? cf_platform_watch (store, reader->kind, reader->revision, wait)
                              : cf_platform_list (store, reader->kind, reader->after);
 
+  task->store_calls++;
   channel->call
       = cf_http_call_begin (task->session, message, (guint) (wait + CF_READER_DEADLINE_MS),
                             reader->failures > 0, answered, channel);
--- a/src/serve/feed_task.c
+++ b/src/serve/feed_task.c
@@ -10,6 +10,7 @@
 /* Log lines about changes of source: in an outage a VM tries several a second. */
 #define SOURCE_LINES_PER_S 1
 #define SOURCE_LINES_BURST 10
+#define SUMMARY_EVERY_MS 10000 /* a line about the state of the feed */
 
 static void
 add_upstream (struct FeedTask *task, struct CfUpdate *update, const struct CfRecord *record)
@@ -144,6 +145,22 @@
   return task->known_at >= 0 ? now - task->known_at : G_MAXINT32;
 }
 
+static void
+summarize (struct FeedTask *task, CfMillis now)
+{
+  if (now < task->summary_at)
+    return;
+  task->summary_at = now + SUMMARY_EVERY_MS;
+  cf_event_log_write (task->balancer->log, "feed",
+                      (struct CfField[]){
+                          { .key = "source", .text = task->source },
+                          { .key = "news_age_ms", .number = cf_feed_age (task, now) },
+                          { .key = "store_calls", .number = (int64_t) task->store_calls },
+                          { .key = "followers", .number = task->waiting.length },
+                          { 0 },
+                      });
+}
+
 static void
 note_source (struct FeedTask *task, const struct CfSource *source, CfMillis now)
 {
@@ -192,6 +209,7 @@
   CfMillis next = MIN (cf_feed_enroll_pump (task, now), stale_at (task, now));
 
   note_source (task, source, now);
+  summarize (task, now);
   next = MIN (next, cf_feed_store_pump (task, store_use (task, source, now), now));
   if (!source->name && task->replica.revision[CF_FEED_MANIFEST] == 0)
     source = cf_sources_choose_seed (task->sources, now);
