A start makes fewer calls to the store: VMs follow others before they are listed

Change: a VM that is not listed comes last in the order instead of reading the store; its record is written at once; a read waits 100 ms after a list, and 500 ms after news of VMs.

--- a/src/feed/reader.c
+++ b/src/feed/reader.c
@@ -54,6 +54,12 @@
   return delay / 2 + g_rand_int_range (random, 0, (gint32) delay / 2 + 1);
 }
 
+static CfMillis
+gather (const struct CfReader *reader)
+{
+  return reader->kind == CF_FEED_VMS ? CF_READER_GATHER_VMS_MS : CF_READER_GATHER_MS;
+}
+
 static bool
 take_list_part (struct CfReader *reader, const struct CfFeedAnswer *answer, CfMillis now)
 {
@@ -71,6 +77,7 @@
       return false;
     }
   reader->listed = true;
+  reader->next_at = now + CF_READER_GATHER_MS;
   return true;
 }
 
@@ -89,7 +96,7 @@
       if (!reader->listed)
         return take_list_part (reader, answer, now);
       reader->revision = MAX (reader->revision, answer->revision);
-      reader->next_at = answer->records->len > 0 ? now + CF_READER_GATHER_MS : now;
+      reader->next_at = answer->records->len > 0 ? now + gather (reader) : now;
       return false;
     }
   if (outcome == CF_READ_HISTORY_GONE)
--- a/src/feed/reader.h
+++ b/src/feed/reader.h
@@ -16,6 +16,7 @@
 /* Changes that come together cost one call: between an answer with changes and the next
  * read. */
 #define CF_READER_GATHER_MS 100
+#define CF_READER_GATHER_VMS_MS 500 /* many VMs start together, and nothing waits for them */
 /* After a failure, doubled each time, with jitter. */
 #define CF_READER_RETRY_MIN_MS 100
 #define CF_READER_RETRY_MAX_MS 1000
--- a/src/feed/sources.c
+++ b/src/feed/sources.c
@@ -281,14 +281,10 @@
 cf_sources_choose (struct CfSources *sources, CfMillis now)
 {
   struct CfSource *best = NULL;
-  guint index;
 
-  /* A VM that is not listed yet cannot be followed, so it has no place in the order. */
-  if (find (sources->vms, sources->name, &index))
-    {
-      consider_group (sources, &best, true, now);
-      consider_domains (sources, &best, true, now);
-    }
+  /* A VM that is not listed yet comes after all others: nobody follows it. */
+  consider_group (sources, &best, true, now);
+  consider_domains (sources, &best, true, now);
   consider (&best, &sources->store, now);
   consider_domains (sources, &best, false, now);
   consider_group (sources, &best, false, now);
--- a/src/serve/feed_enroll.c
+++ b/src/serve/feed_enroll.c
@@ -135,7 +135,7 @@
 {
   task->enroll = (struct FeedEnroll){
     .content = own_content (&task->balancer->settings),
-    .next_at = cf_now () + FIRST_MS,
+    .next_at = cf_now (),
   };
 }
 
