--- a/src/balance/balance.c
+++ b/src/balance/balance.c
@@ -97,7 +97,7 @@
   balance->wait_far = WAIT_START_MS / WAIT_FACTOR;
   balance->fleet = 1;
   balance->helpers = g_array_new (FALSE, FALSE, sizeof (uint32_t));
-  balance->news_at = -NEWS_FRESH_MS;
+  balance->news_at = -1;
   cf_connections_init (&balance->connections);
   return balance;
 }
@@ -114,6 +114,18 @@
   g_free (balance);
 }
 
+static CfMillis
+news_age (const struct CfBalance *balance, CfMillis now)
+{
+  return balance->news_at >= 0 ? now - balance->news_at : -1;
+}
+
+static bool
+news_are_fresh (const struct CfBalance *balance, CfMillis now)
+{
+  return balance->news_at >= 0 && now - balance->news_at <= NEWS_FRESH_MS;
+}
+
 static void
 decide (struct CfBalance *balance, const struct CfDecision *decision)
 {
@@ -137,7 +149,7 @@
                        .reason = CF_PLACE_NONE,
                        .manifest_version = cf_routes_version (balance->routes),
                        .known_for = target ? now - target->state_since : 0,
-                       .news_age = now - balance->news_at,
+                       .news_age = news_age (balance, now),
                    });
   return fate;
 }
@@ -203,17 +215,19 @@
 
   if (!target)
     return false;
-  decide (balance, &(struct CfDecision){
-                       .fate = fate,
-                       .caller = connection->caller,
-                       .service = connection->service,
-                       .target = target,
-                       .reason = reason,
-                       .tries = connection->tries,
-                       .manifest_version = cf_routes_version (balance->routes),
-                       .known_for = now - target->state_since,
-                       .news_age = now - balance->news_at,
-                   });
+  decide (balance,
+          &(struct CfDecision){
+              .fate = fate,
+              .caller = connection->caller,
+              .service = connection->service,
+              .target = target,
+              .silent = connection->tries > 0 ? connection->tried[connection->tries - 1] : NULL,
+              .reason = reason,
+              .tries = connection->tries,
+              .manifest_version = cf_routes_version (balance->routes),
+              .known_for = now - target->state_since,
+              .news_age = news_age (balance, now),
+          });
   connection->tried[connection->tries] = target;
   connection->tried_at[connection->tries] = now;
   connection->tries++;
@@ -250,7 +264,7 @@
           CfMillis now)
 {
   cf_connections_remove (&balance->connections, connection);
-  if (now - balance->news_at > NEWS_FRESH_MS)
+  if (!news_are_fresh (balance, now))
     return hand_on (balance, segment, CF_FATE_SILENT_SERVICE, now);
   return end (balance, segment, NULL, CF_FATE_RESET_SERVICE, now);
 }
@@ -263,7 +277,7 @@
       = cf_connections_find (&balance->connections, segment->caller, segment->service);
   enum CfFate fate = segment->copy > 0 ? CF_FATE_REPEATED : CF_FATE_PLACED;
 
-  if (!route && now - balance->news_at > NEWS_FRESH_MS)
+  if (!route && !news_are_fresh (balance, now))
     return hand_on (balance, segment, CF_FATE_SILENT_ROUTE, now);
   if (!route || route->removed)
     return end (balance, segment, NULL, CF_FATE_RESET_ROUTE, now);
--- a/src/balance/balance.h
+++ b/src/balance/balance.h
@@ -41,11 +41,13 @@
   struct CfEndpoint caller;
   struct CfEndpoint service;
   const struct CfTarget *target; /* NULL: none */
+  const struct CfTarget *silent; /* the upstream that did not react before; NULL: none */
   enum CfPlaceReason reason;
   uint32_t tries;            /* upstreams that the first packet went to before */
   uint64_t manifest_version; /* in force */
   CfMillis known_for;        /* how long the upstream has been in its state */
-  CfMillis news_age;         /* since the store last answered, directly or through a peer */
+  CfMillis news_age;         /* since the store last answered, directly or through another VM;
+                                -1: it never has */
 };
 
 struct CfBalanceOutputs
--- a/src/serve/datapath_task.c
+++ b/src/serve/datapath_task.c
@@ -150,6 +150,7 @@
           { .key = "flow", .text = flow },
           { .key = "to", .text = service },
           { .key = "upstream", .text = target ? target->id : "" },
+          { .key = "silent", .text = decision->silent ? decision->silent->id : "" },
           { .key = "state", .text = target ? cf_target_state_name (target->state) : "" },
           { .key = "state_age_ms", .number = decision->known_for },
           { .key = "strikes", .number = target ? target->reach.strikes : 0 },
