A placement draws one random number; the bench times packets with cookies

Ruled out: the first of equals from a random place on (upstreams behind a run of others would get more; test_place_even holds that).

Change: equals are drawn with a generator of three shifts; make bench prints the platform's form beside the GUE form, with a bound of 1 on later packets.

--- a/Makefile
+++ b/Makefile
@@ -52,7 +52,7 @@
 $(STANDINS): $(BUILD)/%: $(BUILD)/tests/%.o $(TEST_LIB_OBJ) $(BUILD)/src/serve/udp.o $(LIB_OBJ)
 	$(CC) $^ $(LIBS) -o $@
 
-$(BUILD)/measure: $(BENCH_SRC:%.c=$(BUILD)/%.o) $(TEST_LIB_OBJ) $(LIB_OBJ)
+$(BUILD)/measure: $(BENCH_SRC:%.c=$(BUILD)/%.o) $(TEST_LIB_OBJ) $(PLATFORM_OBJ) $(LIB_OBJ)
 	$(CC) $^ $(LIBS) -o $@
 
 $(BUILD)/soak: $(SOAK_SRC:%.c=$(BUILD)/%.o) $(PLATFORM_OBJ) $(LIB_OBJ)
--- a/bench/bench.h
+++ b/bench/bench.h
@@ -21,6 +21,9 @@
 /* Time of a packet's decision, as a ratio to a bare look-up. */
 void bench_packets (void);
 
+/* The same behind a fabric with flow cookies, beside the times of the GUE form in ns. */
+void bench_cookies (double gue_later, double gue_first);
+
 /* Slopes against the number of members and of upstreams. */
 void bench_slopes (void);
 
--- /dev/null
+++ b/bench/cookies.c
@@ -0,0 +1,192 @@
+#include "bench.h"
+#include "balance/balance.h"
+#include "platform/datagram.h"
+
+#include <stdio.h>
+#include <string.h>
+#include <time.h>
+
+/* Time of a packet's decision behind a fabric with flow cookies. */
+
+#define PACKETS 200000
+#define CALLERS 30000 /* flows that are begun and ended by turns */
+
+static double
+nanoseconds (void)
+{
+  struct timespec now;
+
+  clock_gettime (CLOCK_MONOTONIC, &now);
+  return (double) now.tv_sec * 1e9 + (double) now.tv_nsec;
+}
+
+static uint8_t out[CF_SEGMENT_MAX + 8];
+
+static void
+forward (void *context, const uint8_t *bytes, size_t size, const struct CfTarget *target)
+{
+  (void) context;
+  cf_platform_form.wrap (bytes, size, target->tag, target->cookie, out);
+}
+
+static void
+hand_on (void *context, const struct CfSegment *segment, uint32_t ip)
+{
+  (void) context;
+  (void) segment;
+  (void) ip;
+}
+
+static void
+reset (void *context, const struct CfSegment *segment)
+{
+  (void) context;
+  (void) segment;
+}
+
+static void
+decided (void *context, const struct CfDecision *decision)
+{
+  (void) context;
+  (void) decision;
+}
+
+static void
+opened (void *context, GQuark service, CfMillis wait)
+{
+  (void) context;
+  (void) service;
+  (void) wait;
+}
+
+static void
+reach_changed (void *context, const struct CfTarget *target)
+{
+  (void) context;
+  (void) target;
+}
+
+static const struct CfBalanceOutputs outputs = {
+  .forward = forward,
+  .hand_on = hand_on,
+  .reset = reset,
+  .decided = decided,
+  .opened = opened,
+  .reach_changed = reach_changed,
+};
+
+static struct CfBalance *
+balance_of (uint32_t upstreams)
+{
+  struct CfBalance *balance
+      = cf_balance_new (&(struct CfBalanceOptions){ .domain = "a", .seed = 1 }, &outputs, NULL);
+  struct CfManifest *manifest = cf_manifest_new ();
+  struct CfRouteEntry route = {
+    .address = { .ip = 0xc6120001, .port = 80 },
+    .splits = { { .service = g_quark_from_string ("s"), .weight = 1 } },
+    .split_count = 1,
+  };
+
+  manifest->version = 1;
+  g_array_append_val (manifest->routes, route);
+  cf_balance_manifest (balance, manifest);
+  cf_manifest_free (manifest);
+  cf_balance_news (balance, 1);
+  for (uint32_t i = 0; i < upstreams; i++)
+    {
+      char id[16];
+      struct CfAnnouncement announcement = {
+        .id = id,
+        .tag = i,
+        .service = "s",
+        .domain = i % 2 ? "a" : "b",
+        .slots = 2,
+        .revision = 1,
+      };
+
+      g_snprintf (id, sizeof id, "i-%x", i);
+      cf_directory_announce (cf_balance_directory (balance), &announcement, 1);
+    }
+  return balance;
+}
+
+static void
+build (uint8_t *packet, uint32_t caller, uint8_t flags, uint32_t cookie)
+{
+  memset (packet, 0, 32);
+  packet[2] = flags;
+  packet[4] = 0xc6;
+  packet[5] = 0x12;
+  packet[7] = 1;
+  packet[8] = (uint8_t) (caller >> 8);
+  packet[9] = (uint8_t) caller;
+  packet[10] = 100;
+  packet[15] = 80;
+  for (int i = 0; i < 4; i++)
+    packet[28 + i] = (uint8_t) (cookie >> (24 - 8 * i));
+}
+
+static void
+take (struct CfBalance *balance, uint32_t caller, uint8_t flags, uint32_t cookie)
+{
+  uint8_t packet[32];
+  struct CfSegment segment;
+
+  build (packet, caller, flags, cookie);
+  if (cf_platform_form.parse (packet, sizeof packet, &segment))
+    cf_balance_segment (balance, &segment, 1);
+}
+
+/* A later packet of a flow, built, parsed, decided and written for its upstream. */
+static double
+later_time (uint32_t upstreams)
+{
+  struct CfBalance *balance = balance_of (upstreams);
+  uint32_t cookie = cf_cookie ("i-1");
+  double began = nanoseconds ();
+
+  for (uint32_t i = 0; i < PACKETS; i++)
+    take (balance, i % CALLERS, 2, cookie);
+  began = nanoseconds () - began;
+  cf_balance_free (balance);
+  return began / PACKETS;
+}
+
+/* A first packet, with the packet that ends its flow. */
+static double
+first_time (uint32_t upstreams)
+{
+  struct CfBalance *balance = balance_of (upstreams);
+  uint32_t cookie = cf_cookie ("i-1");
+  double began = nanoseconds ();
+
+  for (uint32_t i = 0; i < PACKETS; i++)
+    {
+      take (balance, i % CALLERS, 64, 0);
+      take (balance, i % CALLERS, 16, cookie);
+    }
+  began = nanoseconds () - began;
+  cf_balance_free (balance);
+  return began / PACKETS;
+}
+
+void
+bench_cookies (double gue_later, double gue_first)
+{
+  static const uint32_t sizes[] = { 15, 150, 1500 };
+  double later = later_time (15);
+
+  printf ("with a flow cookie: later packet %.0f ns (x%.2f of the GUE form's %.0f ns)\n", later,
+          later / gue_later, gue_later);
+  for (size_t i = 0; i < sizeof sizes / sizeof *sizes; i++)
+    {
+      double first = first_time (sizes[i]);
+
+      printf ("  first packet and end of its flow, %u upstreams of the service: %.0f ns", sizes[i],
+              first);
+      if (i == 0)
+        printf (" (x%.2f of the GUE form's first packet)", first / gue_first);
+      printf ("\n");
+    }
+  bench_bound ("later packet with a cookie, ratio to the GUE form", later / gue_later, 1);
+}
--- a/bench/slopes.c
+++ b/bench/slopes.c
@@ -182,6 +182,7 @@
   cf_core_free (marked);
   cf_config_unref (config);
   cf_config_unref (draining);
+  bench_cookies (hit, first);
 }
 
 static void
--- a/src/balance/place.c
+++ b/src/balance/place.c
@@ -72,29 +72,38 @@
 /* Lower is better.  Upstreams in good standing compete by load; an upstream that is due
  * for a trial goes before them, since otherwise it would never be found to be back. */
 static double
-cost (const struct CfPlacement *placement, const struct CfTarget *target, enum CfPlaceReason reason)
+cost (const struct CfTarget *target, enum CfPlaceReason reason)
 {
   double load = (double) target->open / MAX (target->slots, 1);
-  double tie = g_rand_double_range (placement->random, 0, 0.01);
 
   switch (reason)
     {
     case CF_PLACE_TRY:
-      return -1 + tie;
+      return -1;
     case CF_PLACE_NEAR:
-      return load + tie;
+      return load;
     case CF_PLACE_FAR:
-      return load + CF_PLACE_FAR_COST + tie;
+      return load + CF_PLACE_FAR_COST;
     case CF_PLACE_COLD:
-      return COST_COLD + load + tie;
+      return COST_COLD + load;
     case CF_PLACE_SUSPECT:
-      return COST_SUSPECT + (double) target->reach.struck_at + tie;
+      return COST_SUSPECT + (double) target->reach.struck_at;
     case CF_PLACE_NONE:
       break;
     }
   return G_MAXDOUBLE;
 }
 
+/* Returns the number after DRAW of a xorshift generator: one for each candidate, where a
+ * better one would cost more than the rest of the choice. */
+static uint32_t
+next_draw (uint32_t draw)
+{
+  draw ^= draw << 13;
+  draw ^= draw >> 17;
+  return draw ^ draw << 5;
+}
+
 struct CfTarget *
 cf_place_flow (const struct CfPlacement *placement,
                GQuark service,
@@ -106,6 +115,8 @@
   GPtrArray *targets = cf_directory_service (placement->directory, service);
   struct CfTarget *best = NULL;
   double best_cost = 0;
+  uint32_t draw = g_rand_int (placement->random) | 1;
+  uint32_t equals = 0;
 
   *reason = CF_PLACE_NONE;
   for (guint i = 0; targets && i < targets->len; i++)
@@ -119,8 +130,13 @@
       on = step (placement, target, now);
       if (on == CF_PLACE_NONE)
         continue;
-      at = cost (placement, target, on);
-      if (best && at >= best_cost)
+      at = cost (target, on);
+      if (best && at > best_cost)
+        continue;
+      /* Of equal upstreams each is taken with the same probability. */
+      equals = best && at == best_cost ? equals + 1 : 1;
+      draw = next_draw (draw);
+      if (equals > 1 && draw % equals != 0)
         continue;
       best = target;
       best_cost = at;
@@ -130,14 +146,3 @@
     best->cold_next = now + cold_interval (placement);
   return best;
 }
-
-bool
-cf_place_possible (const struct CfPlacement *placement, GQuark service)
-{
-  GPtrArray *targets = cf_directory_service (placement->directory, service);
-
-  for (guint i = 0; targets && i < targets->len; i++)
-    if (eligible (placement, targets->pdata[i]))
-      return true;
-  return false;
-}
--- a/src/balance/place.h
+++ b/src/balance/place.h
@@ -44,7 +44,4 @@
                                 CfMillis now,
                                 enum CfPlaceReason *reason);
 
-/* Returns true if SERVICE has an upstream that could take a new flow now or soon. */
-bool cf_place_possible (const struct CfPlacement *placement, GQuark service);
-
 #endif
--- a/tests/test_balance.c
+++ b/tests/test_balance.c
@@ -224,6 +224,33 @@
 }
 END_TEST
 
+/* Equal upstreams get equal shares, wherever they stand in the list. */
+START_TEST (test_place_even)
+{
+  struct TestWorld *world = test_world_new ();
+  struct CfBalance *balance = test_world_vm (world, "a", 0);
+
+  add_upstreams (world, "s", "b", 6);
+  add_upstreams (world, "s", "a", 6);
+  for (int i = 0; i < 3000; i++)
+    {
+      struct TestFlow *flow = test_world_open (world, balance, 80);
+
+      test_world_run (world, world->now + 6);
+      test_world_close (flow);
+    }
+  for (int i = 0; i < 6; i++)
+    {
+      char id[32];
+
+      g_snprintf (id, sizeof id, "s-a-%d", i);
+      ck_assert_uint_ge (test_world_firsts (world, id, 0, G_MAXINT64), 400);
+      ck_assert_uint_le (test_world_firsts (world, id, 0, G_MAXINT64), 600);
+    }
+  test_world_free (world);
+}
+END_TEST
+
 START_TEST (test_place_evacuated)
 {
   struct TestWorld *world = test_world_new ();
@@ -529,6 +556,7 @@
   suite_add_loop (suite, test_cookie_collision, 1);
   suite_add_loop (suite, test_reach, 1);
   suite_add_loop (suite, test_place_near_first, 1);
+  suite_add_loop (suite, test_place_even, 1);
   suite_add_loop (suite, test_place_evacuated, 1);
   suite_add_loop (suite, test_cookie_decides, 1);
   suite_add_loop (suite, test_refusals, 1);
