--- a/src/serve/balancer.h
+++ b/src/serve/balancer.h
@@ -20,8 +20,9 @@
   struct CfTask feed;     /* news of the store */
   struct CfTask admin;    /* readiness and metrics over HTTP */
   GMainLoop *main_loop;
-  atomic_bool serving; /* there is something to serve with */
-  atomic_bool leaving; /* SIGTERM came, and the fabric is to send nothing more */
+  atomic_uint_fast64_t store_calls; /* made so far, for metrics */
+  atomic_bool serving;              /* there is something to serve with */
+  atomic_bool leaving;              /* SIGTERM came, and the fabric is to send nothing more */
 };
 
 extern const struct CfTaskClass cf_datapath_task;
--- a/src/serve/feed_enroll.c
+++ b/src/serve/feed_enroll.c
@@ -121,7 +121,7 @@
     return now + RETRY_MAX_MS;
   if (now < enroll->next_at)
     return enroll->next_at;
-  task->store_calls++;
+  atomic_fetch_add (&task->balancer->store_calls, 1);
   enroll->call
       = cf_http_call_begin (task->session,
                             cf_platform_write (settings->store, CF_FEED_VMS, settings->name,
--- a/src/serve/feed_internal.h
+++ b/src/serve/feed_internal.h
@@ -59,7 +59,6 @@
   bool settled;       /* the store has been there all the while */
   CfMillis probed_at; /* when the store last answered this VM, -1: never */
   struct CfEventRate source_rate;
-  uint64_t store_calls;
   CfMillis summary_at; /* when the next summary is due */
   struct FeedChannel channels[CF_FEED_KINDS];
   struct FeedFollow follow;
--- a/src/serve/feed_store.c
+++ b/src/serve/feed_store.c
@@ -132,7 +132,7 @@
                              ? cf_platform_watch (store, reader->kind, reader->revision, wait)
                              : cf_platform_list (store, reader->kind, reader->after);
 
-  task->store_calls++;
+  atomic_fetch_add (&task->balancer->store_calls, 1);
   channel->call
       = cf_http_call_begin (task->session, message, (guint) (wait + CF_READER_DEADLINE_MS),
                             reader->failures > 0, answered, channel);
--- a/src/serve/feed_task.c
+++ b/src/serve/feed_task.c
@@ -151,14 +151,15 @@
   if (now < task->summary_at)
     return;
   task->summary_at = now + SUMMARY_EVERY_MS;
-  cf_event_log_write (task->balancer->log, "feed",
-                      (struct CfField[]){
-                          { .key = "source", .text = task->source },
-                          { .key = "news_age_ms", .number = cf_feed_age (task, now) },
-                          { .key = "store_calls", .number = (int64_t) task->store_calls },
-                          { .key = "followers", .number = task->waiting.length },
-                          { 0 },
-                      });
+  cf_event_log_write (
+      task->balancer->log, "feed",
+      (struct CfField[]){
+          { .key = "source", .text = task->source },
+          { .key = "news_age_ms", .number = cf_feed_age (task, now) },
+          { .key = "store_calls", .number = (int64_t) atomic_load (&task->balancer->store_calls) },
+          { .key = "followers", .number = task->waiting.length },
+          { 0 },
+      });
 }
 
 static void
