A VM that is to stop waits for others for 2 s at most

VMs waited up to 3.8 s for VMs of their domain that never returned.

Change: cf_rotation_leaves, with the longest wait of 2 s; a test of it.

Conclusion: mended by the bound, not by chance: no VM waits longer.

--- a/src/feed/rotation.c
+++ b/src/feed/rotation.c
@@ -53,3 +53,12 @@
     return true;
   return out < size && (size - out) * 2 >= size;
 }
+
+bool
+cf_rotation_leaves (
+    const struct CfRotation *rotation, uint32_t size, CfMillis waited, CfMillis grace, CfMillis now)
+{
+  CfMillis longest = MIN (grace - CF_ROTATION_RESERVE_MS, CF_ROTATION_WAIT_MAX_MS);
+
+  return waited >= longest || cf_rotation_may_leave (rotation, size, now);
+}
--- a/src/feed/rotation.h
+++ b/src/feed/rotation.h
@@ -17,6 +17,12 @@
 /* From a VM's return until the fabric uses it again. */
 #define CF_ROTATION_RETURN_MS 700
 
+/* The platform expects a VM to be out of rotation 4 s after it was told to stop, and notices
+ * within some 1.2 s that it has left. */
+#define CF_ROTATION_WAIT_MAX_MS 2000
+/* A VM still passes packets on after it has left, and then ends. */
+#define CF_ROTATION_RESERVE_MS 2200
+
 struct CfRotation
 {
   GHashTable *away; /* name to struct CfAway */
@@ -34,4 +40,12 @@
 /* Returns true if one of SIZE VMs may leave while half stay in use. */
 bool cf_rotation_may_leave (const struct CfRotation *rotation, uint32_t size, CfMillis now);
 
+/* Returns true if a VM that was told to stop WAITED ago, and that is killed GRACE after that,
+ * leaves at NOW: when it may, or at the last moment. */
+bool cf_rotation_leaves (const struct CfRotation *rotation,
+                         uint32_t size,
+                         CfMillis waited,
+                         CfMillis grace,
+                         CfMillis now);
+
 #endif
--- a/src/serve/feed_rotation.c
+++ b/src/serve/feed_rotation.c
@@ -7,10 +7,6 @@
 #define HELLO_EVERY_MS 300 /* a datagram may be lost */
 #define HELLOS_ON_START 4
 #define HELLO_MAX 512 /* bytes */
-/* The last moment to leave: the process must still pass packets on for a while before the
- * platform kills it. */
-#define LEAVE_RESERVE_MS 2200
-
 static void
 take_hello (struct FeedTask *task, const uint8_t *data, size_t len, CfMillis now)
 {
@@ -68,9 +64,9 @@
 {
   struct CfBalancer *balancer = task->balancer;
   uint32_t size = cf_sources_domain_size (task->sources);
-  bool last_moment = now - task->stop_at >= balancer->settings.grace_ms - LEAVE_RESERVE_MS;
 
-  if (!last_moment && !cf_rotation_may_leave (&task->rotation, size, now))
+  if (!cf_rotation_leaves (&task->rotation, size, now - task->stop_at, balancer->settings.grace_ms,
+                           now))
     return;
   atomic_store (&balancer->leaving, true);
   cf_event_log_write (balancer->log, "leaving",
--- a/tests/test_sources.c
+++ b/tests/test_sources.c
@@ -323,6 +323,25 @@
 }
 END_TEST
 
+/* Found by a hunt (deploy/days/vms-removed.toml --vary --seed 137312619284, scordato-noli):
+ * with VMs that never returned, others waited for them until they were expected to be out. */
+START_TEST (test_rotation_wait_ends)
+{
+  struct CfRotation rotation;
+  CfMillis now = 1000;
+
+  cf_rotation_init (&rotation);
+  cf_rotation_hear (&rotation, "vm-1", true, now);
+  ck_assert (!cf_rotation_leaves (&rotation, 2, 0, 6000, now));
+  ck_assert (!cf_rotation_leaves (&rotation, 2, 1900, 6000, now + 1900));
+  /* Out of rotation 4 s after the order, with two questions of the fabric in between. */
+  ck_assert (cf_rotation_leaves (&rotation, 2, 2700, 6000, now + 2700));
+  /* A short grace period leaves less time. */
+  ck_assert (cf_rotation_leaves (&rotation, 2, 800, 3000, now + 800));
+  cf_rotation_clear (&rotation);
+}
+END_TEST
+
 START_TEST (test_hello)
 {
   uint8_t buffer[512];
@@ -355,6 +374,7 @@
   suite_add_loop (suite, test_relay_unknown_deletion, 1);
   suite_add_loop (suite, test_position, 1);
   suite_add_loop (suite, test_rotation, 1);
+  suite_add_loop (suite, test_rotation_wait_ends, 1);
   suite_add_loop (suite, test_hello, 1);
   return suite_run (suite);
 }
