Records of VMs that are no more are deleted; seeds of a new settings file are used

Change: VMs write their record anew each hour, at different moments, and the reader deletes one that is over four hours old every 10 s, with its revision as a condition; a VM that was deleted wrongly writes again. Seeds on SIGHUP. The settings cold-factor and cold-extra are gone. What is no record is counted in the answer.

--- a/src/balance/balance.h
+++ b/src/balance/balance.h
@@ -71,8 +71,6 @@
   const char *domain; /* failure domain of this VM */
   uint32_t seed;      /* of random choices */
   CfMillis flow_lifetime_ms;
-  double cold_factor; /* what a cold upstream bears is its rate times this */
-  double cold_extra;  /* and this many requests more in any second */
 };
 
 struct CfBalance *cf_balance_new (const struct CfBalanceOptions *options,
--- a/src/feed/record.h
+++ b/src/feed/record.h
@@ -40,6 +40,7 @@
   GPtrArray *records; /* of struct CfRecord, owned */
   uint64_t revision;  /* of the store when it answered */
   bool truncated;     /* of a list: more follow after the last record */
+  uint32_t skipped;   /* parts of the answer that are no records */
 };
 
 void cf_feed_answer_clear (struct CfFeedAnswer *answer);
--- a/src/feed/sources.c
+++ b/src/feed/sources.c
@@ -5,6 +5,8 @@
 /* VMs of each other failure domain that are asked. */
 #define LEADERS_PER_DOMAIN 2
 
+#define SECONDS_PER_HOUR 3600
+
 struct CfSources
 {
   char *name;
@@ -113,6 +115,7 @@
   source->region = g_strdup (vm->region);
   source->ip = g_strdup (vm->ip);
   source->link_mbps = vm->link_mbps;
+  source->hour = vm->hour;
   source->down_until = 0;
   source->failures = 0;
   g_ptr_array_sort (sources->vms, by_order);
@@ -301,6 +304,26 @@
   return best;
 }
 
+int64_t
+cf_sources_hour (const char *name, int64_t now_s)
+{
+  return (now_s + g_str_hash (name) % SECONDS_PER_HOUR) / SECONDS_PER_HOUR;
+}
+
+const struct CfSource *
+cf_sources_expired (const struct CfSources *sources, int64_t now_s)
+{
+  for (guint i = 0; i < sources->vms->len; i++)
+    {
+      const struct CfSource *source = sources->vms->pdata[i];
+
+      if (strcmp (source->name, sources->name) != 0
+          && cf_sources_hour (source->name, now_s) - source->hour > CF_SOURCES_EXPIRE_HOURS)
+        return source;
+    }
+  return NULL;
+}
+
 struct CfSource *
 cf_sources_store (struct CfSources *sources)
 {
--- a/src/feed/sources.h
+++ b/src/feed/sources.h
@@ -32,6 +32,7 @@
   const char *domain;
   const char *region;
   double link_mbps;
+  int64_t hour; /* of its last writing, in the VM's own count */
 };
 
 /* An entry VM of the fleet, or the store. */
@@ -42,6 +43,7 @@
   char *region;
   char *ip;
   double link_mbps;
+  int64_t hour;
   CfMillis down_until; /* not asked before */
   uint32_t failures;   /* in a row */
 };
@@ -102,6 +104,17 @@
 /* Returns the number of VMs in this failure domain. */
 uint32_t cf_sources_domain_size (const struct CfSources *sources);
 
+/* A VM writes its record anew each hour; one that has not for this many is no more.  The time
+ * of day of a VM may be off by an hour or so. */
+#define CF_SOURCES_EXPIRE_HOURS 4
+
+/* Returns the hour that the VM called NAME writes at NOW_S, seconds of the time of day.  VMs
+ * change to the next one at different moments. */
+int64_t cf_sources_hour (const char *name, int64_t now_s);
+
+/* Returns a VM whose record is to be deleted, or NULL. */
+const struct CfSource *cf_sources_expired (const struct CfSources *sources, int64_t now_s);
+
 /* Returns the store as a source. */
 struct CfSource *cf_sources_store (struct CfSources *sources);
 
--- a/src/serve/balance_settings.c
+++ b/src/serve/balance_settings.c
@@ -119,8 +119,6 @@
   settings->flow_life_ms
       = (CfMillis) (number (reader, "limits", "flow-lifetime-s", 0, 1e6) * CF_MS_PER_S);
   settings->grace_ms = (CfMillis) (number (reader, "limits", "grace-s", 0, 1e6) * CF_MS_PER_S);
-  settings->cold_factor = number (reader, "limits", "cold-factor", 0, 1e6);
-  settings->cold_extra = number (reader, "limits", "cold-extra", 0, 1e6);
 }
 
 bool
--- a/src/serve/balance_settings.h
+++ b/src/serve/balance_settings.h
@@ -23,8 +23,6 @@
   char *store;           /* IP:port */
   CfMillis flow_life_ms; /* no flow lives longer */
   CfMillis grace_ms;     /* from SIGTERM until the process is killed */
-  double cold_factor;    /* a cold upstream bears its rate times this */
-  double cold_extra;     /* and this many requests in any second */
 };
 
 /* Reads the file PATH into SETTINGS.  Returns false with ERROR, which names the file and
--- a/src/serve/balancer.c
+++ b/src/serve/balancer.c
@@ -87,8 +87,8 @@
   return (gint64) info.st_mtim.tv_sec * G_TIME_SPAN_SECOND + info.st_mtim.tv_nsec / 1000;
 }
 
-/* Addresses and names of a running process cannot change; a file that says otherwise is
- * reported and takes effect at the next start. */
+/* Addresses and names of a running process cannot change: of a new file the seeds are used,
+ * the rest at the next start. */
 static void
 reload (struct Supervisor *supervisor, const char *why)
 {
@@ -103,6 +103,7 @@
       return;
     }
   log_event (balancer, "reloaded", why);
+  cf_send_seeds (balancer, g_steal_pointer (&fresh.seeds));
   cf_balance_settings_clear (&fresh);
 }
 
--- a/src/serve/balancer.h
+++ b/src/serve/balancer.h
@@ -61,6 +61,9 @@
  * announcements that lapsed would have been back. */
 void cf_send_fresh (struct CfBalancer *balancer, CfMillis known_at, bool settled);
 
+/* Message to the feed task, which frees SEEDS with g_strfreev: VMs that may know the fleet. */
+void cf_send_seeds (struct CfBalancer *balancer, char **seeds);
+
 /* Message to the feed task: this VM is to stop, and leaves the rotation when the others of
  * its failure domain can do without it. */
 void cf_send_stop (struct CfBalancer *balancer);
--- a/src/serve/datapath_task.c
+++ b/src/serve/datapath_task.c
@@ -312,8 +312,6 @@
           .domain = settings->failure_domain,
           .seed = g_random_int (),
           .flow_lifetime_ms = settings->flow_life_ms,
-          .cold_factor = settings->cold_factor,
-          .cold_extra = settings->cold_extra,
       },
       &outputs, task);
   return task;
--- a/src/serve/feed_enroll.c
+++ b/src/serve/feed_enroll.c
@@ -12,14 +12,22 @@
 #define FIRST_MS 500     /* the record that an earlier start wrote may be on its way */
 #define RETRY_MIN_MS 500 /* after a failure, doubled each time */
 #define RETRY_MAX_MS 10000
+#define CHECK_EVERY_MS 5000   /* of a record that is as it is to be */
+#define DELETE_EVERY_MS 10000 /* 8,640 a day; 6,700 VMs are restarted or replaced */
+
+static int64_t
+now_s (void)
+{
+  return g_get_real_time () / G_TIME_SPAN_SECOND;
+}
 
 static char *
 own_content (const struct CfBalanceSettings *settings)
 {
   return g_strdup_printf ("{\"address\":\"%s\",\"domain\":\"%s\",\"region\":\"%s\","
-                          "\"link_mbps\":%d}",
+                          "\"link_mbps\":%d,\"hour\":%" G_GINT64_FORMAT "}",
                           settings->ip, settings->failure_domain, settings->region,
-                          (int) settings->link_mbps);
+                          (int) settings->link_mbps, cf_sources_hour (settings->name, now_s ()));
 }
 
 static const char *
@@ -111,14 +119,71 @@
   cf_feed_pump (task);
 }
 
+static void
+deleted (void *data, SoupMessage *message, GBytes *body)
+{
+  struct FeedTask *task = data;
+
+  /* A delete that failed is tried again with the next look; one that was wrong makes its VM
+   * write its record again. */
+  (void) message;
+  (void) body;
+  task->enroll.delete = NULL;
+}
+
+/* The VM that reads the store deletes records of VMs that are no more. */
+static void
+delete_expired (struct FeedTask *task, CfMillis now)
+{
+  struct FeedEnroll *enroll = &task->enroll;
+  const struct CfSource *vm = cf_sources_expired (task->sources, now_s ());
+  const struct CfRecord *record
+      = vm ? g_hash_table_lookup (task->replica.records[CF_FEED_VMS], vm->name) : NULL;
+
+  if (enroll->delete || !record || now < enroll->delete_next)
+    return;
+  enroll->delete_next = now + DELETE_EVERY_MS;
+  cf_event_log_write (task->balancer->log, "vm-expired",
+                      (struct CfField[]){
+                          { .key = "name", .text = vm->name },
+                          { .key = "hour", .number = vm->hour },
+                          { .key = "revision", .number = (int64_t) record->revision },
+                          { 0 },
+                      });
+  atomic_fetch_add (&task->balancer->store_calls, 1);
+  enroll->delete = cf_http_call_begin (
+      task->session,
+      cf_platform_delete (task->balancer->settings.store, CF_FEED_VMS, vm->name, record->revision),
+      DEADLINE_MS, false, deleted, task);
+}
+
+static void
+renew_content (struct FeedTask *task)
+{
+  char *content = own_content (&task->balancer->settings);
+
+  g_free (task->enroll.content);
+  task->enroll.content = content;
+}
+
 CfMillis
 cf_feed_enroll_pump (struct FeedTask *task, CfMillis now)
 {
   struct FeedEnroll *enroll = &task->enroll;
   const struct CfBalanceSettings *settings = &task->balancer->settings;
 
-  if (enroll->call || task->replica.revision[CF_FEED_VMS] == 0 || is_enrolled (task))
+  if (task->source && !*task->source)
+    delete_expired (task, now);
+  if (enroll->call || task->replica.revision[CF_FEED_VMS] == 0)
     return now + RETRY_MAX_MS;
+  if (now < enroll->check_at)
+    return enroll->check_at;
+  renew_content (task);
+  if (is_enrolled (task))
+    {
+      enroll->check_at = now + CHECK_EVERY_MS;
+      return enroll->check_at;
+    }
   if (now < enroll->next_at)
     return enroll->next_at;
   atomic_fetch_add (&task->balancer->store_calls, 1);
@@ -144,5 +209,7 @@
 {
   if (task->enroll.call)
     cf_http_call_abandon (task->enroll.call);
+  if (task->enroll.delete)
+    cf_http_call_abandon (task->enroll.delete);
   g_clear_pointer (&task->enroll.content, g_free);
 }
--- a/src/serve/feed_internal.h
+++ b/src/serve/feed_internal.h
@@ -39,10 +39,13 @@
 
 struct FeedEnroll
 {
+  struct CfHttpCall *delete; /* of another VM's record; NULL: none is under way */
+  CfMillis delete_next;
   struct CfHttpCall *call; /* NULL: none is under way */
   char *content;           /* what the record is to say */
   bool replace;            /* a record exists */
-  CfMillis next_at;
+  CfMillis next_at;        /* of a write */
+  CfMillis check_at;       /* whether the record needs one */
   uint32_t failures;
 };
 
--- a/src/serve/feed_store.c
+++ b/src/serve/feed_store.c
@@ -80,6 +80,14 @@
   bool whole;
 
   channel->call = NULL;
+  if (answer.skipped > 0)
+    cf_event_log_sample (task->balancer->log, &task->source_rate, "answer-partly-unreadable",
+                         (struct CfField[]){
+                             { .key = "kind", .text = cf_feed_kind_name (reader->kind) },
+                             { .key = "skipped", .number = answer.skipped },
+                             { 0 },
+                         },
+                         now);
   note_path (channel, outcome, now);
   if (listing && !reader->after)
     g_ptr_array_set_size (channel->list, 0);
--- a/src/serve/feed_task.c
+++ b/src/serve/feed_task.c
@@ -237,17 +237,34 @@
 
 static GSourceFuncs timer_funcs = { .dispatch = dispatch_timer };
 
-/* Until the list of VMs is known the seeds are all the help there is. */
 static void
-start_with_seeds (struct FeedTask *task)
+use_seeds (struct FeedTask *task, char *const *seeds)
 {
   struct CfUpdate *update = cf_update_new (CF_FEED_VMS, false);
 
-  cf_sources_seed (task->sources, task->balancer->settings.seeds);
+  cf_sources_seed (task->sources, seeds);
   update->helpers = helpers (task);
   cf_send_update (task->balancer, update);
 }
 
+static void
+take_seeds (void *data, void *message)
+{
+  use_seeds (data, message);
+}
+
+static void
+free_seeds (void *seeds)
+{
+  g_strfreev (seeds);
+}
+
+void
+cf_send_seeds (struct CfBalancer *balancer, char **seeds)
+{
+  cf_task_post (&balancer->feed, take_seeds, seeds, free_seeds);
+}
+
 static bool
 start (struct CfTask *base, void *data, struct CfError *error)
 {
@@ -259,7 +276,7 @@
   cf_feed_enroll_start (task);
   if (!cf_feed_rotation_start (task, error))
     return false;
-  start_with_seeds (task);
+  use_seeds (task, task->balancer->settings.seeds);
   task->timer = g_source_new (&timer_funcs, sizeof (GSource));
   g_source_set_callback (task->timer, on_timer, task, NULL);
   g_source_set_ready_time (task->timer, 0);
--- a/tests/balancers.c
+++ b/tests/balancers.c
@@ -217,8 +217,6 @@
           .domain = domain,
           .seed = world->balances->len + 1,
           .flow_lifetime_ms = 60000,
-          .cold_factor = 1.5,
-          .cold_extra = 5,
       },
       &outputs, world);
   struct CfManifest *manifest = test_world_manifest (1, cold_per_s, true);
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -182,7 +182,7 @@
       "[vm]\nname=vm-%d\naddress=%s\nfailure-domain=%s\nregion=r\nfabric-address=%s:%u\n"
       "ready-address=%s:%u\nmetrics-port=0\npeer-port=%u\nlink-mbps=%d\n[fleet]\n"
       "seeds=%s:1,%s:1\n[store]\naddress=127.4.0.%d:%u\n[limits]\nflow-lifetime-s=60\n"
-      "grace-s=%d\ncold-factor=1.5\ncold-extra=5\n",
+      "grace-s=%d\n",
       vm->index, vm->ip, vm->domain, vm->ip, SOAK_FABRIC_PORT (soak), vm->ip,
       SOAK_READY_PORT (soak), SOAK_PEER_PORT (soak), 1000 - vm->index, soak->vms[0].ip,
       soak->vms[1].ip, 10 + vm->index, SOAK_STORE_PORT (soak), SOAK_GRACE_MS / 1000);
--- a/tests/test_feed.c
+++ b/tests/test_feed.c
@@ -187,6 +187,7 @@
                    "\"store-revision\":2}",
                    200, CF_READ_ANSWERED);
   ck_assert_uint_eq (answer.records->len, 2);
+  ck_assert_uint_eq (answer.skipped, 1);
   cf_feed_answer_clear (&answer);
   answer = answer_of ("{\"events\":[{\"deleted\":true,\"object\":{\"meta\":{\"name\":\"i-2\","
                       "\"revision\":3},\"spec\":{}}},{\"deleted\":false,\"object\":{\"meta\":{"
--- a/tests/test_fuzz.c
+++ b/tests/test_fuzz.c
@@ -177,7 +177,7 @@
   "fabric-address=10.0.0.1:8172\nready-address=10.0.0.1:8167\nmetrics-port=9464\n"                 \
   "peer-port=7720\nlink-mbps=1000.0\n\n[fleet]\nseeds=10.0.0.1:1,10.0.0.2:1\n\n"                   \
   "[store]\naddress=10.2.0.1:8169\n\n"                                                             \
-  "[limits]\nflow-lifetime-s=60\ngrace-s=6\ncold-factor=1.5\ncold-extra=5\n"
+  "[limits]\nflow-lifetime-s=60\ngrace-s=6\n"
 
 static bool
 read_text (const char *text, gssize len, struct CfBalanceSettings *settings, struct CfError *error)
@@ -230,7 +230,7 @@
   { "link-mbps=1000.0", "link-mbps=fast", "[vm] link-mbps: is not a number" },
   { "seeds=10.0.0.1:1", "seeds=here", "[fleet] seeds: is not a list" },
   { "address=10.2.0.1:8169", "address=store", "[store] address: is not IP:port" },
-  { "cold-factor=1.5\n", "", "[limits] cold-factor: is missing" },
+  { "grace-s=6\n", "", "[limits] grace-s: is missing" },
 };
 
 START_TEST (test_bad_settings)
--- a/tests/test_sources.c
+++ b/tests/test_sources.c
@@ -198,6 +198,32 @@
 }
 END_TEST
 
+/* Records of VMs that were replaced under new names would pile up in the store. */
+START_TEST (test_expired)
+{
+  struct CfSources *sources = cf_sources_new ("a1", "a", "r");
+  const int64_t now_s = 1800000000;
+  struct CfVmRecord vm = {
+    .ip = "10.0.0.1",
+    .domain = "a",
+    .region = "r",
+    .hour = cf_sources_hour ("a1", now_s) - 100,
+  };
+
+  /* A VM never deletes its own record. */
+  cf_sources_set (sources, "a1", &vm);
+  ck_assert_ptr_null (cf_sources_expired (sources, now_s));
+  vm.hour = cf_sources_hour ("a2", now_s);
+  cf_sources_set (sources, "a2", &vm);
+  ck_assert_ptr_null (cf_sources_expired (sources, now_s));
+  /* Another VM's time of day may be off, as this one's. */
+  ck_assert_ptr_null (cf_sources_expired (sources, now_s + 4 * 3600));
+  ck_assert_ptr_null (cf_sources_expired (sources, now_s - 10 * 3600));
+  ck_assert_str_eq (cf_sources_expired (sources, now_s + 6 * 3600)->name, "a2");
+  cf_sources_free (sources);
+}
+END_TEST
+
 /* News on their way. */
 
 static void
@@ -370,6 +396,7 @@
   suite_add_loop (suite, test_failures_together, 1);
   suite_add_loop (suite, test_seeds, 1);
   suite_add_loop (suite, test_groups, 1);
+  suite_add_loop (suite, test_expired, 1);
   suite_add_loop (suite, test_relay, 1);
   suite_add_loop (suite, test_relay_unknown_deletion, 1);
   suite_add_loop (suite, test_position, 1);
