A VM that reaches no upstream takes itself out of rotation until news come

Ruled out: using evacuated upstreams then (the promise says no packets).

Change: eight first packets lost in a row over 0.4 s without a flow that opened make a VM isolated; newer news of the store end that. test_isolated.

--- a/src/balance/balance.c
+++ b/src/balance/balance.c
@@ -23,6 +23,11 @@
  * speaks against an upstream. */
 #define PAUSE_MS 60
 
+/* First packets lost in a row, over this time, that say that no upstream can be reached: in a
+ * failure domain with an upstream in reach one in some tries opens within 100 ms. */
+#define ISOLATED_LOST 8
+#define ISOLATED_MS 400
+
 /* An address without a route is refused while the manifest is known to be this fresh:
  * the store's answers and those of peers come at least every second or two. */
 #define NEWS_FRESH_MS 3000
@@ -53,6 +58,9 @@
   GArray *helpers; /* of uint32_t: IPs of other entry VMs */
   uint32_t next_helper;
   CfMillis news_at;
+  uint32_t lost;        /* first packets that no packet followed, since a flow last opened */
+  CfMillis lost_since;  /* when the first of them was given up */
+  CfMillis isolated_at; /* -1: this VM is not isolated */
   CfMillis pruned_at;
 };
 
@@ -98,6 +106,7 @@
   balance->fleet = 1;
   balance->helpers = g_array_new (FALSE, FALSE, sizeof (uint32_t));
   balance->news_at = -1;
+  balance->isolated_at = -1;
   cf_connections_init (&balance->connections);
   return balance;
 }
@@ -323,6 +332,8 @@
 {
   bool suspected = !cf_reach_good (&target->reach);
 
+  balance->lost = 0;
+  balance->isolated_at = -1;
   for (uint32_t i = 0; i < connection->tries; i++)
     if (connection->tried[i] == target && i + 1 == connection->tries)
       smooth (target->domain == balance->domain ? &balance->wait_near : &balance->wait_far,
@@ -398,6 +409,8 @@
       struct CfTarget *last = connection->tried[connection->tries - 1];
       bool good = cf_reach_good (&last->reach);
 
+      if (balance->lost++ == 0)
+        balance->lost_since = now;
       cf_reach_strike (&last->reach, connection->tried_at[connection->tries - 1], now);
       if (good && !cf_reach_good (&last->reach))
         balance->out->reach_changed (balance->context, last);
@@ -513,6 +526,20 @@
   return balance->routes;
 }
 
+bool
+cf_balance_isolated (struct CfBalance *balance, CfMillis now)
+{
+  if (balance->isolated_at >= 0 && balance->news_at > balance->isolated_at)
+    {
+      balance->isolated_at = -1;
+      balance->lost = 0;
+    }
+  if (balance->isolated_at < 0 && balance->lost >= ISOLATED_LOST
+      && now - balance->lost_since >= ISOLATED_MS)
+    balance->isolated_at = now;
+  return balance->isolated_at >= 0;
+}
+
 static bool
 any_upstream (const struct CfBalance *balance)
 {
@@ -529,7 +556,8 @@
 bool
 cf_balance_ready (const struct CfBalance *balance)
 {
-  return cf_routes_version (balance->routes) > 0 && any_upstream (balance);
+  return balance->isolated_at < 0 && cf_routes_version (balance->routes) > 0
+         && any_upstream (balance);
 }
 
 uint32_t
--- a/src/balance/balance.h
+++ b/src/balance/balance.h
@@ -104,7 +104,13 @@
 struct CfDirectory *cf_balance_directory (struct CfBalance *balance);
 const struct CfRoutes *cf_balance_routes (const struct CfBalance *balance);
 
-/* Returns true if new flows can be served: there is a manifest and an upstream. */
+/* Returns true if this VM seems to be cut off from all upstreams: first packets to several
+ * were lost, none was followed up, and no news have come since.  The fabric should use others;
+ * news say that the cut is over. */
+bool cf_balance_isolated (struct CfBalance *balance, CfMillis now);
+
+/* Returns true if new flows can be served: there is a manifest and an upstream, and this VM
+ * was not found to be isolated. */
 bool cf_balance_ready (const struct CfBalance *balance);
 
 /* Returns the number of flows that this VM has a record of. */
--- a/src/serve/datapath_task.c
+++ b/src/serve/datapath_task.c
@@ -29,6 +29,7 @@
   struct CfEventRate placed;
   struct CfEventRate notable;
   uint64_t fates[CF_FATE_COUNT];
+  bool isolated;
   uint64_t malformed;
   uint64_t send_failures;
   GHashTable *opened; /* GQuark to struct CfHistogram: first packet to its successor, ms */
@@ -238,6 +239,33 @@
   while (n == BATCH);
 }
 
+static void
+update_serving (struct DatapathTask *task)
+{
+  bool serving = cf_balance_ready (task->balance);
+
+  if (atomic_exchange (&task->balancer->serving, serving) != serving)
+    cf_event_log_write (task->balancer->log, serving ? "serving" : "not-serving",
+                        (struct CfField[]){ { 0 } });
+}
+
+/* Tells the fabric when this VM is cut off from all upstreams, and when no longer. */
+static void
+note_isolation (struct DatapathTask *task, CfMillis now)
+{
+  bool isolated = cf_balance_isolated (task->balance, now);
+
+  if (isolated == task->isolated)
+    return;
+  task->isolated = isolated;
+  cf_event_log_write (task->balancer->log, isolated ? "isolated" : "reconnected",
+                      (struct CfField[]){
+                          { .key = "flows", .number = cf_balance_flows (task->balance) },
+                          { 0 },
+                      });
+  update_serving (task);
+}
+
 static gboolean
 dispatch (GSource *source, GSourceFunc callback, gpointer data)
 {
@@ -247,6 +275,7 @@
   (void) callback;
   receive_all (task);
   next = cf_balance_tick (task->balance, cf_now ());
+  note_isolation (task, cf_now ());
   flush (task);
   g_source_set_ready_time (source, next * G_TIME_SPAN_MILLISECOND);
   return G_SOURCE_CONTINUE;
@@ -387,16 +416,6 @@
                       (struct CfField[]){ { .key = "domain", .text = domain }, { 0 } });
 }
 
-static void
-update_serving (struct DatapathTask *task)
-{
-  bool serving = cf_balance_ready (task->balance);
-
-  if (atomic_exchange (&task->balancer->serving, serving) != serving)
-    cf_event_log_write (task->balancer->log, serving ? "serving" : "not-serving",
-                        (struct CfField[]){ { 0 } });
-}
-
 static void
 take_update (void *data, void *message)
 {
@@ -438,6 +457,7 @@
   const struct Fresh *fresh = message;
 
   cf_balance_news (task->balance, fresh->known_at);
+  note_isolation (task, cf_now ());
   if (fresh->settled)
     cf_directory_settle (cf_balance_directory (task->balance), cf_now ());
 }
--- a/tests/test_balance.c
+++ b/tests/test_balance.c
@@ -463,6 +463,42 @@
 }
 END_TEST
 
+/* A VM that reaches no upstream says so, and is back with the next news.  One that reaches a
+ * single upstream of many is not isolated. */
+START_TEST (test_isolated)
+{
+  struct TestWorld *world = test_world_new ();
+  struct CfBalance *balance = test_world_vm (world, "a", 0);
+  static const char *const ids[] = { "s-a-0", "s-a-1", "s-b-0", "s-b-1" };
+  CfMillis cut_at;
+
+  add_upstreams (world, "s", "a", 2);
+  add_upstreams (world, "s", "b", 2);
+  for (int i = 0; i < 3; i++)
+    g_hash_table_add (world->dark, (gpointer) ids[i]);
+  for (int i = 0; i < 100; i++)
+    {
+      test_world_open (world, balance, 80);
+      test_world_run (world, world->now + 20);
+      ck_assert (!cf_balance_isolated (balance, world->now));
+    }
+  g_hash_table_add (world->dark, (gpointer) ids[3]);
+  cut_at = world->now;
+  while (!cf_balance_isolated (balance, world->now))
+    {
+      test_world_open (world, balance, 80);
+      test_world_run (world, world->now + 20);
+      ck_assert_int_lt (world->now, cut_at + 1000);
+    }
+  ck_assert (!cf_balance_ready (balance));
+  g_hash_table_remove_all (world->dark);
+  cf_balance_news (balance, world->now + 1);
+  ck_assert (!cf_balance_isolated (balance, world->now + 1));
+  ck_assert (cf_balance_ready (balance));
+  test_world_free (world);
+}
+END_TEST
+
 /* This VM stood still: what it missed speaks against no upstream. */
 START_TEST (test_pause_is_no_evidence)
 {
@@ -563,6 +599,7 @@
   suite_add_loop (suite, test_wrong_cookies, 1);
   suite_add_loop (suite, test_dark_upstreams, 1);
   suite_add_loop (suite, test_dark_domain, 1);
+  suite_add_loop (suite, test_isolated, 1);
   suite_add_loop (suite, test_pause_is_no_evidence, 1);
   suite_add_loop (suite, test_cold_limit, 2 * COLD_SEEDS);
   suite_add_loop (suite, test_cold_spared, 1);
