VM records are read whole; a read waits by its own kind's age

And a reader whose kinds had old news asked 37 times a second: each answer, with no wait, was followed by the next question while another kind's call was under way.

Ruled out: the time of day (all VMs had the same hour).

Change: feed/vm_record.c writes and reads the record, and misses no field; cf_reader_wait decides by the reader's own last answer. test_vm_record, test_reader_wait.

--- a/src/feed/sources.h
+++ b/src/feed/sources.h
@@ -2,6 +2,7 @@
 #define CF_FEED_SOURCES_H
 
 #include "cf_types.h"
+#include "vm_record.h"
 
 #include <glib.h>
 
@@ -25,16 +26,6 @@
 #define CF_SOURCES_STALE_MS 2300
 /* The store has answered a VM with old news: its source has this long to catch up, too. */
 #define CF_SOURCES_CATCH_UP_MS 200
-/* What a VM says of itself.  Strings are copied where they are kept. */
-struct CfVmRecord
-{
-  const char *ip;
-  const char *domain;
-  const char *region;
-  double link_mbps;
-  int64_t hour; /* of its last writing, in the VM's own count */
-};
-
 /* An entry VM of the fleet, or the store. */
 struct CfSource
 {
@@ -54,7 +45,7 @@
 struct CfSources *cf_sources_new (const char *name, const char *domain, const char *region);
 void cf_sources_free (struct CfSources *sources);
 
-/* Says that there is a VM called NAME, or no longer is (VM is NULL). */
+/* Says that there is a VM called NAME, or no longer is (VM is NULL).  Strings are copied. */
 void cf_sources_set (struct CfSources *sources, const char *name, const struct CfVmRecord *vm);
 
 /* Returns the source to use at NOW.  The result is valid until the next call of
--- a/src/serve/feed_enroll.c
+++ b/src/serve/feed_enroll.c
@@ -2,14 +2,10 @@
 #include "platform/calls.h"
 #include "server.h"
 
-#include <json-glib/json-glib.h>
-#include <string.h>
-
 /* This VM's record in the store tells the others its address and failure domain, so that
  * they can follow it and know how many VMs share what a cold upstream bears. */
 
 #define DEADLINE_MS 2000 /* of a write */
-#define FIRST_MS 500     /* the record that an earlier start wrote may be on its way */
 #define RETRY_MIN_MS 500 /* after a failure, doubled each time */
 #define RETRY_MAX_MS 10000
 #define CHECK_EVERY_MS 5000   /* of a record that is as it is to be */
@@ -24,59 +20,26 @@
 static char *
 own_content (const struct CfBalanceSettings *settings)
 {
-  return g_strdup_printf ("{\"address\":\"%s\",\"domain\":\"%s\",\"region\":\"%s\","
-                          "\"link_mbps\":%d,\"hour\":%" G_GINT64_FORMAT "}",
-                          settings->ip, settings->failure_domain, settings->region,
-                          (int) settings->link_mbps, cf_sources_hour (settings->name, now_s ()));
-}
-
-static const char *
-member_text (JsonObject *object, const char *name)
-{
-  JsonNode *node = json_object_get_member (object, name);
-
-  return node && JSON_NODE_HOLDS_VALUE (node) && json_node_get_value_type (node) == G_TYPE_STRING
-             ? json_node_get_string (node)
-             : NULL;
+  return cf_vm_record_format (&(struct CfVmRecord){
+      .ip = settings->ip,
+      .domain = settings->failure_domain,
+      .region = settings->region,
+      .link_mbps = settings->link_mbps,
+      .hour = cf_sources_hour (settings->name, now_s ()),
+  });
 }
 
 void
 cf_feed_enroll_read (struct FeedTask *task, const struct CfRecord *record)
 {
-  JsonParser *parser = json_parser_new ();
-  JsonNode *root = NULL;
-  JsonObject *object;
-  struct CfVmRecord vm = { 0 };
-  bool whole;
-
-  if (!record->deleted && json_parser_load_from_data (parser, record->text, -1, NULL))
-    root = json_parser_get_root (parser);
-  if (root && JSON_NODE_HOLDS_OBJECT (root))
-    {
-      object = json_node_get_object (root);
-      vm.ip = member_text (object, "address");
-      vm.domain = member_text (object, "domain");
-      vm.region = member_text (object, "region");
-      vm.link_mbps = (double) json_object_get_int_member_with_default (object, "link_mbps", 0);
-    }
-  whole = vm.ip && vm.domain && vm.region;
-  if (!record->deleted && !whole)
+  struct CfVmRecord vm;
+  struct CfVmRecordHolder *holder = cf_vm_record_read (record->text, &vm);
+
+  if (!record->deleted && !holder)
     cf_event_log_write (task->balancer->log, "vm-unreadable",
                         (struct CfField[]){ { .key = "name", .text = record->name }, { 0 } });
-  cf_sources_set (task->sources, record->name, whole ? &vm : NULL);
-  g_object_unref (parser);
-}
-
-static bool
-same_content (const char *a, const char *b)
-{
-  JsonNode *x = json_from_string (a, NULL);
-  JsonNode *y = json_from_string (b, NULL);
-  bool same = x && y && json_node_equal (x, y);
-
-  g_clear_pointer (&x, json_node_unref);
-  g_clear_pointer (&y, json_node_unref);
-  return same;
+  cf_sources_set (task->sources, record->name, holder ? &vm : NULL);
+  cf_vm_record_release (holder);
 }
 
 /* Returns true if the store holds this VM's record as it is to be. */
@@ -87,7 +50,7 @@
       = g_hash_table_lookup (task->replica.records[CF_FEED_VMS], task->balancer->settings.name);
 
   task->enroll.replace = record && !record->deleted;
-  return task->enroll.replace && same_content (record->text, task->enroll.content);
+  return task->enroll.replace && cf_vm_record_same (record->text, task->enroll.content);
 }
 
 static void
--- a/src/serve/feed_store.c
+++ b/src/serve/feed_store.c
@@ -120,22 +120,14 @@
   return false;
 }
 
-/* A VM with old news wants an answer at once, also if nothing has changed. */
-static CfMillis
-wait_of (struct FeedTask *task, const struct CfReader *reader, CfMillis now)
-{
-  if (!reader->listed || is_lost (task)
-      || cf_feed_age (task, now) >= cf_sources_stale_ms (task->sources))
-    return 0;
-  return reader->kind == CF_FEED_VMS ? VMS_WAIT_MS : CF_READER_WAIT_MS;
-}
-
 static void
 begin_call (struct FeedTask *task, struct FeedChannel *channel)
 {
   const struct CfReader *reader = &channel->reader;
   const char *store = task->balancer->settings.store;
-  CfMillis wait = wait_of (task, reader, cf_now ());
+  CfMillis usual = reader->kind == CF_FEED_VMS ? VMS_WAIT_MS : CF_READER_WAIT_MS;
+  CfMillis wait = cf_reader_wait (reader, usual, cf_sources_stale_ms (task->sources),
+                                  is_lost (task), cf_now ());
   SoupMessage *message = reader->listed
                              ? cf_platform_watch (store, reader->kind, reader->revision, wait)
                              : cf_platform_list (store, reader->kind, reader->after);
--- a/tests/test_feed.c
+++ b/tests/test_feed.c
@@ -138,6 +138,42 @@
 }
 END_TEST
 
+/* Found in a play (vuoka-ferry trouble-1): a VM whose kinds had old news asked 37 times a
+ * second, since each answer was followed by the next question at once. */
+START_TEST (test_reader_wait)
+{
+  struct CfReader reader;
+  GRand *random = g_rand_new_with_seed (1);
+  struct CfFeedAnswer whole = answer_of ("{\"items\":[],\"truncated\":false,\"store-revision\":25}",
+                                         200, CF_READ_ANSWERED);
+  struct CfFeedAnswer none
+      = answer_of ("{\"events\":[],\"store-revision\":25}", 200, CF_READ_ANSWERED);
+  const CfMillis stale_ms = 2300;
+  CfMillis now = 10000;
+  uint32_t calls = 0;
+
+  cf_reader_init (&reader, CF_FEED_UPSTREAMS, now);
+  ck_assert_int_eq (cf_reader_wait (&reader, 1500, stale_ms, false, now), 0);
+  cf_reader_due (&reader, now);
+  cf_reader_outcome (&reader, CF_READ_ANSWERED, &whole, now, random);
+  ck_assert_int_eq (cf_reader_wait (&reader, 1500, stale_ms, true, now), 0);
+  now += stale_ms;
+  ck_assert_int_eq (cf_reader_wait (&reader, 1500, stale_ms, false, now), 0);
+  for (CfMillis end = now + 3000; now < end; now++)
+    if (cf_reader_due (&reader, now))
+      {
+        now += MAX (cf_reader_wait (&reader, 1500, stale_ms, false, now), 4);
+        cf_reader_outcome (&reader, CF_READ_ANSWERED, &none, now, random);
+        calls++;
+      }
+  ck_assert_uint_le (calls, 4);
+  cf_reader_clear (&reader);
+  cf_feed_answer_clear (&whole);
+  cf_feed_answer_clear (&none);
+  g_rand_free (random);
+}
+END_TEST
+
 START_TEST (test_reader_backs_off)
 {
   struct CfReader reader;
@@ -296,6 +332,7 @@
   suite_add_loop (suite, test_replica_never_goes_back, 1);
   suite_add_loop (suite, test_replica_list_deletes_the_rest, 1);
   suite_add_loop (suite, test_reader_lists_then_waits, 1);
+  suite_add_loop (suite, test_reader_wait, 1);
   suite_add_loop (suite, test_reader_backs_off, 1);
   suite_add_loop (suite, test_answers, 1);
   suite_add_loop (suite, test_announcement, 1);
--- a/tests/test_sources.c
+++ b/tests/test_sources.c
@@ -224,6 +224,37 @@
 }
 END_TEST
 
+/* What one VM writes another reads; the trace of a play showed a reader that took each record
+ * for one without an hour, and deleted it. */
+START_TEST (test_vm_record)
+{
+  struct CfVmRecord vm = {
+    .ip = "10.0.0.1",
+    .domain = "a",
+    .region = "r",
+    .link_mbps = 200,
+    .hour = cf_sources_hour ("a2", 1800000000),
+  };
+  struct CfSources *sources = cf_sources_new ("a1", "a", "r");
+  char *content = cf_vm_record_format (&vm);
+  struct CfVmRecord copy;
+  struct CfVmRecordHolder *holder = cf_vm_record_read (content, &copy);
+
+  ck_assert_ptr_nonnull (holder);
+  cf_sources_set (sources, "a2", &copy);
+  ck_assert_ptr_null (cf_sources_expired (sources, 1800000000));
+  ck_assert_str_eq (cf_sources_find (sources, "a2")->ip, "10.0.0.1");
+  ck_assert (cf_vm_record_same (content, content));
+  cf_vm_record_release (holder);
+  g_free (content);
+  ck_assert_ptr_null (cf_vm_record_read (NULL, &copy));
+  ck_assert_ptr_null (cf_vm_record_read ("null", &copy));
+  ck_assert_ptr_null (cf_vm_record_read (
+      "{\"address\":\"10.0.0.1\",\"domain\":\"a\",\"region\":\"r\",\"link_mbps\":1}", &copy));
+  cf_sources_free (sources);
+}
+END_TEST
+
 /* News on their way. */
 
 static void
@@ -397,6 +428,7 @@
   suite_add_loop (suite, test_seeds, 1);
   suite_add_loop (suite, test_groups, 1);
   suite_add_loop (suite, test_expired, 1);
+  suite_add_loop (suite, test_vm_record, 1);
   suite_add_loop (suite, test_relay, 1);
   suite_add_loop (suite, test_relay_unknown_deletion, 1);
   suite_add_loop (suite, test_position, 1);
