--- a/bench/cookies.c
+++ b/bench/cookies.c
@@ -44,35 +44,10 @@
   (void) segment;
 }
 
-static void
-decided (void *context, const struct CfDecision *decision)
-{
-  (void) context;
-  (void) decision;
-}
-
-static void
-opened (void *context, GQuark service, CfMillis wait)
-{
-  (void) context;
-  (void) service;
-  (void) wait;
-}
-
-static void
-reach_changed (void *context, const struct CfTarget *target)
-{
-  (void) context;
-  (void) target;
-}
-
 static const struct CfBalanceOutputs outputs = {
   .forward = forward,
   .hand_on = hand_on,
   .reset = reset,
-  .decided = decided,
-  .opened = opened,
-  .reach_changed = reach_changed,
 };
 
 static struct CfBalance *
--- a/src/balance/balance.c
+++ b/src/balance/balance.c
@@ -138,7 +138,8 @@
 static void
 decide (struct CfBalance *balance, const struct CfDecision *decision)
 {
-  balance->out->decided (balance->context, decision);
+  if (balance->out->decided)
+    balance->out->decided (balance->context, decision);
 }
 
 static enum CfFate
@@ -176,6 +177,13 @@
   return end (balance, segment, NULL, CF_FATE_HANDED_ON, now);
 }
 
+static void
+tell_reach (struct CfBalance *balance, const struct CfTarget *target)
+{
+  if (balance->out->reach_changed)
+    balance->out->reach_changed (balance->context, target);
+}
+
 static double
 cold_share (const struct CfBalance *balance, GQuark service)
 {
@@ -340,9 +348,10 @@
               now - connection->tried_at[i]);
   cf_reach_confirm (&target->reach, now);
   if (suspected)
-    balance->out->reach_changed (balance->context, target);
+    tell_reach (balance, target);
   cf_connection_move (connection, target);
-  balance->out->opened (balance->context, target->service, now - connection->begun_at);
+  if (balance->out->opened)
+    balance->out->opened (balance->context, target->service, now - connection->begun_at);
 }
 
 static bool
@@ -413,7 +422,7 @@
         balance->lost_since = now;
       cf_reach_strike (&last->reach, connection->tried_at[connection->tries - 1], now);
       if (good && !cf_reach_good (&last->reach))
-        balance->out->reach_changed (balance->context, last);
+        tell_reach (balance, last);
     }
   if (connection->first_size > 0 && connection->tries < CF_TRIES_MAX
       && now - connection->begun_at < CALLER_REPEATS_MS
--- a/src/balance/balance.h
+++ b/src/balance/balance.h
@@ -58,6 +58,8 @@
   void (*hand_on) (void *context, const struct CfSegment *segment, uint32_t ip);
   /* Resets the flow of SEGMENT towards its caller. */
   void (*reset) (void *context, const struct CfSegment *segment);
+  /* The rest only tells what happens, and may be NULL. */
+
   /* A decision was made that a log may tell.  Not called for CF_FATE_PASSED. */
   void (*decided) (void *context, const struct CfDecision *decision);
   /* The first packet of a flow to SERVICE was followed by another after WAIT. */
