--- a/src/balance/balance.c
+++ b/src/balance/balance.c
@@ -1,18 +1,11 @@
 #include "balance.h"
 #include "connections.h"
+#include "isolation.h"
+#include "patience.h"
 #include "reach.h"
 
 #include <string.h>
 
-/* How long a first packet waits for its successor before it goes to another upstream
- * too: four times the usual wait, within these bounds.  Below, a datagram that is merely
- * queued would be doubled; above, a caller waits in vain. */
-#define WAIT_MIN_MS 12
-#define WAIT_MAX_MS 100
-#define WAIT_START_MS 30.0 /* before the first flow has opened */
-#define WAIT_FACTOR 4
-#define WAIT_WEIGHT 0.1 /* of one flow in the smoothed wait */
-
 /* A caller sends its first packet again 200 ms after the first time, so no further
  * upstream is tried on its behalf from then on. */
 #define CALLER_REPEATS_MS 190
@@ -23,11 +16,6 @@
  * speaks against an upstream. */
 #define PAUSE_MS 60
 
-/* First packets lost in a row, over this time, that say that no upstream can be reached: in a
- * failure domain with an upstream in reach one in some tries opens within 100 ms. */
-#define ISOLATED_LOST 8
-#define ISOLATED_MS 400
-
 /* An address without a route is refused while the manifest is known to be this fresh:
  * the store's answers and those of peers come at least every second or two. */
 #define NEWS_FRESH_MS 3000
@@ -52,39 +40,16 @@
   GHashTable *evacuated; /* set of GQuark */
   GRand *random;
   GQuark domain;
-  double wait_near; /* smoothed ms from a first packet to its successor */
-  double wait_far;
+  struct CfPatience near; /* with upstreams of this failure domain */
+  struct CfPatience far;  /* with all others */
   uint32_t fleet;
   GArray *helpers; /* of uint32_t: IPs of other entry VMs */
   uint32_t next_helper;
   CfMillis news_at;
-  uint32_t lost;        /* first packets that no packet followed, since a flow last opened */
-  CfMillis lost_since;  /* when the first of them was given up */
-  CfMillis isolated_at; /* -1: this VM is not isolated */
+  struct CfIsolation isolation;
   CfMillis pruned_at;
 };
 
-const char *
-cf_fate_name (enum CfFate fate)
-{
-  static const char *const names[CF_FATE_COUNT] = {
-    [CF_FATE_PLACED] = "placed",
-    [CF_FATE_PASSED] = "passed",
-    [CF_FATE_MOVED] = "moved",
-    [CF_FATE_REPEATED] = "repeated",
-    [CF_FATE_HANDED_ON] = "handed-on",
-    [CF_FATE_RESET_ROUTE] = "reset-no-route",
-    [CF_FATE_RESET_SERVICE] = "reset-no-upstream",
-    [CF_FATE_RESET_REMOVED] = "reset-route-removed",
-    [CF_FATE_SILENT_ROUTE] = "dropped-no-route",
-    [CF_FATE_SILENT_SERVICE] = "dropped-no-upstream",
-    [CF_FATE_SILENT_COOKIE] = "dropped-unknown-cookie",
-    [CF_FATE_SILENT_OTHER] = "dropped-other-service",
-  };
-
-  return names[fate];
-}
-
 struct CfBalance *
 cf_balance_new (const struct CfBalanceOptions *options,
                 const struct CfBalanceOutputs *outputs,
@@ -101,12 +66,12 @@
   balance->routes = cf_routes_new ();
   balance->evacuated = g_hash_table_new (NULL, NULL);
   balance->random = g_rand_new_with_seed (options->seed);
-  balance->wait_near = WAIT_START_MS / WAIT_FACTOR;
-  balance->wait_far = WAIT_START_MS / WAIT_FACTOR;
+  cf_patience_init (&balance->near);
+  cf_patience_init (&balance->far);
+  cf_isolation_init (&balance->isolation);
   balance->fleet = 1;
   balance->helpers = g_array_new (FALSE, FALSE, sizeof (uint32_t));
   balance->news_at = -1;
-  balance->isolated_at = -1;
   cf_connections_init (&balance->connections);
   return balance;
 }
@@ -210,12 +175,10 @@
                         now, reason);
 }
 
-static CfMillis
-wait_for (const struct CfBalance *balance, const struct CfTarget *target)
+static struct CfPatience *
+patience_with (struct CfBalance *balance, const struct CfTarget *target)
 {
-  double usual = target->domain == balance->domain ? balance->wait_near : balance->wait_far;
-
-  return CLAMP ((CfMillis) (WAIT_FACTOR * usual), WAIT_MIN_MS, WAIT_MAX_MS);
+  return target->domain == balance->domain ? &balance->near : &balance->far;
 }
 
 /* Sends the first packet BYTES of CONNECTION to the next upstream. */
@@ -250,7 +213,8 @@
   connection->tries++;
   cf_connection_move (connection, target);
   cf_reach_begin (&target->reach);
-  cf_connections_schedule (&balance->connections, connection, now + wait_for (balance, target));
+  cf_connections_schedule (&balance->connections, connection,
+                           now + cf_patience_ms (patience_with (balance, target)));
   balance->out->forward (balance->context, bytes, size, target);
   return true;
 }
@@ -325,12 +289,6 @@
   return unplaced (balance, segment, connection, now);
 }
 
-static void
-smooth (double *usual, CfMillis wait)
-{
-  *usual += WAIT_WEIGHT * ((double) wait - *usual);
-}
-
 /* A packet with the cookie of TARGET followed the first packet of CONNECTION. */
 static void
 opened (struct CfBalance *balance,
@@ -340,12 +298,10 @@
 {
   bool suspected = !cf_reach_good (&target->reach);
 
-  balance->lost = 0;
-  balance->isolated_at = -1;
+  cf_isolation_opened (&balance->isolation);
   for (uint32_t i = 0; i < connection->tries; i++)
     if (connection->tried[i] == target && i + 1 == connection->tries)
-      smooth (target->domain == balance->domain ? &balance->wait_near : &balance->wait_far,
-              now - connection->tried_at[i]);
+      cf_patience_learn (patience_with (balance, target), now - connection->tried_at[i]);
   cf_reach_confirm (&target->reach, now);
   if (suspected)
     tell_reach (balance, target);
@@ -418,8 +374,7 @@
       struct CfTarget *last = connection->tried[connection->tries - 1];
       bool good = cf_reach_good (&last->reach);
 
-      if (balance->lost++ == 0)
-        balance->lost_since = now;
+      cf_isolation_lost (&balance->isolation, now);
       cf_reach_strike (&last->reach, connection->tried_at[connection->tries - 1], now);
       if (good && !cf_reach_good (&last->reach))
         tell_reach (balance, last);
@@ -538,15 +493,7 @@
 bool
 cf_balance_isolated (struct CfBalance *balance, CfMillis now)
 {
-  if (balance->isolated_at >= 0 && balance->news_at > balance->isolated_at)
-    {
-      balance->isolated_at = -1;
-      balance->lost = 0;
-    }
-  if (balance->isolated_at < 0 && balance->lost >= ISOLATED_LOST
-      && now - balance->lost_since >= ISOLATED_MS)
-    balance->isolated_at = now;
-  return balance->isolated_at >= 0;
+  return cf_isolation_check (&balance->isolation, balance->news_at, now);
 }
 
 static bool
@@ -565,7 +512,7 @@
 bool
 cf_balance_ready (const struct CfBalance *balance)
 {
-  return balance->isolated_at < 0 && cf_routes_version (balance->routes) > 0
+  return balance->isolation.found_at < 0 && cf_routes_version (balance->routes) > 0
          && any_upstream (balance);
 }
 
--- /dev/null
+++ b/src/balance/patience.c
@@ -0,0 +1,24 @@
+#include "patience.h"
+
+#include <glib.h>
+
+#define FACTOR 4
+#define WEIGHT 0.1 /* of one flow */
+
+void
+cf_patience_init (struct CfPatience *patience)
+{
+  patience->usual_ms = CF_PATIENCE_START_MS / FACTOR;
+}
+
+void
+cf_patience_learn (struct CfPatience *patience, CfMillis wait)
+{
+  patience->usual_ms += WEIGHT * ((double) wait - patience->usual_ms);
+}
+
+CfMillis
+cf_patience_ms (const struct CfPatience *patience)
+{
+  return CLAMP ((CfMillis) (FACTOR * patience->usual_ms), CF_PATIENCE_MIN_MS, CF_PATIENCE_MAX_MS);
+}
--- /dev/null
+++ b/src/serve/datapath_news.c
@@ -0,0 +1,178 @@
+#include "datapath_internal.h"
+
+#include <inttypes.h>
+
+void
+cf_datapath_update_serving (struct DatapathTask *task)
+{
+  bool serving = cf_balance_ready (task->balance);
+
+  if (atomic_exchange (&task->balancer->serving, serving) != serving)
+    cf_event_log_write (task->balancer->log, serving ? "serving" : "not-serving",
+                        (struct CfField[]){ { 0 } });
+}
+
+void
+cf_datapath_note_isolation (struct DatapathTask *task, CfMillis now)
+{
+  bool isolated = cf_balance_isolated (task->balance, now);
+
+  if (isolated == task->isolated)
+    return;
+  task->isolated = isolated;
+  cf_event_log_write (task->balancer->log, isolated ? "isolated" : "reconnected",
+                      (struct CfField[]){
+                          { .key = "flows", .number = cf_balance_flows (task->balance) },
+                          { 0 },
+                      });
+  cf_datapath_update_serving (task);
+}
+
+static void
+log_upstream (struct DatapathTask *task, const struct CfTarget *target)
+{
+  cf_event_log_sample (task->balancer->log, &task->notable, "upstream",
+                       (struct CfField[]){
+                           { .key = "upstream", .text = target->id },
+                           { .key = "service", .text = g_quark_to_string (target->service) },
+                           { .key = "domain", .text = g_quark_to_string (target->domain) },
+                           { .key = "state", .text = cf_target_state_name (target->state) },
+                           { .key = "revision", .number = (int64_t) target->revision },
+                           { .key = "cold_ms", .number = MAX (target->cold_until - cf_now (), 0) },
+                           { 0 },
+                       },
+                       cf_now ());
+}
+
+static void
+take_upstreams (struct DatapathTask *task, const struct CfUpdate *update, CfMillis now)
+{
+  struct CfDirectory *directory = cf_balance_directory (task->balance);
+
+  for (guint i = 0; i < update->announcements->len; i++)
+    {
+      const struct CfAnnouncement *announcement
+          = &g_array_index (update->announcements, struct CfAnnouncement, i);
+
+      log_upstream (task, cf_directory_announce (directory, announcement, now));
+    }
+  for (guint i = 0; i < update->withdrawn->len; i++)
+    {
+      const char *id = update->withdrawn->pdata[i];
+      const struct CfTarget *target = cf_directory_by_id (directory, id);
+
+      cf_directory_withdraw (directory, id, update->trusted, now);
+      if (target)
+        log_upstream (task, target);
+    }
+}
+
+static void
+take_manifest (struct DatapathTask *task, const struct CfManifest *manifest)
+{
+  bool applied = cf_balance_manifest (task->balance, manifest);
+
+  cf_event_log_write (task->balancer->log, applied ? "manifest-applied" : "manifest-ignored",
+                      (struct CfField[]){
+                          { .key = "version", .number = (int64_t) manifest->version },
+                          { .key = "routes", .number = manifest->routes->len },
+                          { 0 },
+                      });
+}
+
+static void
+take_evacuation (struct DatapathTask *task, const char *domain, bool on, CfMillis now)
+{
+  cf_balance_evacuate (task->balance, domain, on, now);
+  cf_event_log_write (task->balancer->log, on ? "domain-evacuated" : "domain-returned",
+                      (struct CfField[]){ { .key = "domain", .text = domain }, { 0 } });
+}
+
+static void
+take_update (void *data, void *message)
+{
+  struct DatapathTask *task = data;
+  const struct CfUpdate *update = message;
+  CfMillis now = cf_now ();
+
+  take_upstreams (task, update, now);
+  if (update->manifest)
+    take_manifest (task, update->manifest);
+  for (guint i = 0; i < update->evacuated->len; i++)
+    take_evacuation (task, update->evacuated->pdata[i], true, now);
+  for (guint i = 0; i < update->returned->len; i++)
+    take_evacuation (task, update->returned->pdata[i], false, now);
+  if (update->vms > 0)
+    cf_balance_fleet (task->balance, update->vms);
+  if (update->helpers)
+    cf_balance_helpers (task->balance, (const uint32_t *) update->helpers->data,
+                        update->helpers->len);
+  cf_datapath_update_serving (task);
+}
+
+void
+cf_send_update (struct CfBalancer *balancer, struct CfUpdate *update)
+{
+  cf_task_post (&balancer->datapath, take_update, update, cf_update_free);
+}
+
+struct Fresh
+{
+  CfMillis known_at;
+  bool settled;
+};
+
+static void
+take_fresh (void *data, void *message)
+{
+  struct DatapathTask *task = data;
+  const struct Fresh *fresh = message;
+
+  cf_balance_news (task->balance, fresh->known_at);
+  cf_datapath_note_isolation (task, cf_now ());
+  if (fresh->settled)
+    cf_directory_settle (cf_balance_directory (task->balance), cf_now ());
+}
+
+void
+cf_send_fresh (struct CfBalancer *balancer, CfMillis known_at, bool settled)
+{
+  struct Fresh *fresh = g_new (struct Fresh, 1);
+
+  *fresh = (struct Fresh){ .known_at = known_at, .settled = settled };
+  cf_task_post (&balancer->datapath, take_fresh, fresh, g_free);
+}
+
+static void
+write_metrics (void *data, void *message)
+{
+  struct DatapathTask *task = data;
+  struct CfMetricsRequest *request = message;
+  GHashTableIter iter;
+  gpointer key;
+  gpointer value;
+
+  for (int fate = 0; fate < CF_FATE_COUNT; fate++)
+    g_string_append_printf (request->text, "cyclamenferry_packets_total{fate=\"%s\"} %" PRIu64 "\n",
+                            cf_fate_name ((enum CfFate) fate), task->fates[fate]);
+  g_string_append_printf (request->text,
+                          "cyclamenferry_packets_malformed_total %" PRIu64 "\n"
+                          "cyclamenferry_send_failures_total %" PRIu64 "\n"
+                          "cyclamenferry_flows %u\n"
+                          "cyclamenferry_manifest_version %" PRIu64 "\n"
+                          "cyclamenferry_store_calls_total %" PRIu64 "\n",
+                          task->malformed, task->send_failures, cf_balance_flows (task->balance),
+                          cf_routes_version (cf_balance_routes (task->balance)),
+                          (uint64_t) atomic_load (&task->balancer->store_calls));
+  g_hash_table_iter_init (&iter, task->opened);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    cf_metrics_histogram (request->text, "flow_open_ms", "",
+                          g_quark_to_string (GPOINTER_TO_UINT (key)), value);
+  cf_send_metrics (task->balancer, request);
+}
+
+void
+cf_send_metrics_request (struct CfBalancer *balancer, struct CfMetricsRequest *request)
+{
+  cf_task_post (&balancer->datapath, write_metrics, request, NULL);
+}
--- a/src/serve/datapath_task.c
+++ b/src/serve/datapath_task.c
@@ -1,47 +1,15 @@
-#include "balancer.h"
-#include "platform/datagram.h"
-#include "server.h"
+#include "datapath_internal.h"
 
 #include <errno.h>
-#include <inttypes.h>
-#include <netinet/in.h>
 #include <string.h>
-#include <sys/socket.h>
 
 /* The datapath task receives packets from the fabric, has the balancer decide, and sends
  * them on.  It owns the balancer. */
 
-#define BATCH 32           /* packets that one call to the kernel takes or gives */
-#define DATAGRAM_MAX 2048  /* bytes; the longest packet in use has 1,232 */
 #define PLACED_PER_S 2.0   /* log lines about ordinary decisions */
 #define NOTABLE_PER_S 10.0 /* log lines about resets, drops and changes of mind */
 #define NOTABLE_BURST 50.0
 
-struct DatapathTask
-{
-  struct CfBalancer *balancer;
-  struct CfTask *task;
-  struct CfBalance *balance;
-  GSocket *socket;
-  GSource *source;
-  int fd;
-  uint16_t caller_port; /* callers take packets at their address and this port */
-  struct CfEventRate placed;
-  struct CfEventRate notable;
-  uint64_t fates[CF_FATE_COUNT];
-  bool isolated;
-  uint64_t malformed;
-  uint64_t send_failures;
-  GHashTable *opened; /* GQuark to struct CfHistogram: first packet to its successor, ms */
-
-  uint8_t in[BATCH][DATAGRAM_MAX];
-  uint8_t out[BATCH][CF_SEGMENT_MAX + 8];
-  struct sockaddr_in to[BATCH];
-  struct iovec out_iov[BATCH];
-  struct mmsghdr out_messages[BATCH];
-  unsigned out_count;
-};
-
 static void
 flush (struct DatapathTask *task)
 {
@@ -239,33 +207,6 @@
   while (n == BATCH);
 }
 
-static void
-update_serving (struct DatapathTask *task)
-{
-  bool serving = cf_balance_ready (task->balance);
-
-  if (atomic_exchange (&task->balancer->serving, serving) != serving)
-    cf_event_log_write (task->balancer->log, serving ? "serving" : "not-serving",
-                        (struct CfField[]){ { 0 } });
-}
-
-/* Tells the fabric when this VM is cut off from all upstreams, and when no longer. */
-static void
-note_isolation (struct DatapathTask *task, CfMillis now)
-{
-  bool isolated = cf_balance_isolated (task->balance, now);
-
-  if (isolated == task->isolated)
-    return;
-  task->isolated = isolated;
-  cf_event_log_write (task->balancer->log, isolated ? "isolated" : "reconnected",
-                      (struct CfField[]){
-                          { .key = "flows", .number = cf_balance_flows (task->balance) },
-                          { 0 },
-                      });
-  update_serving (task);
-}
-
 static gboolean
 dispatch (GSource *source, GSourceFunc callback, gpointer data)
 {
@@ -275,7 +216,7 @@
   (void) callback;
   receive_all (task);
   next = cf_balance_tick (task->balance, cf_now ());
-  note_isolation (task, cf_now ());
+  cf_datapath_note_isolation (task, cf_now ());
   flush (task);
   g_source_set_ready_time (source, next * G_TIME_SPAN_MILLISECOND);
   return G_SOURCE_CONTINUE;
@@ -355,152 +296,3 @@
   g_hash_table_unref (task->opened);
   g_free (task);
 }
-
-static void
-log_upstream (struct DatapathTask *task, const struct CfTarget *target)
-{
-  cf_event_log_sample (task->balancer->log, &task->notable, "upstream",
-                       (struct CfField[]){
-                           { .key = "upstream", .text = target->id },
-                           { .key = "service", .text = g_quark_to_string (target->service) },
-                           { .key = "domain", .text = g_quark_to_string (target->domain) },
-                           { .key = "state", .text = cf_target_state_name (target->state) },
-                           { .key = "revision", .number = (int64_t) target->revision },
-                           { .key = "cold_ms", .number = MAX (target->cold_until - cf_now (), 0) },
-                           { 0 },
-                       },
-                       cf_now ());
-}
-
-static void
-take_upstreams (struct DatapathTask *task, const struct CfUpdate *update, CfMillis now)
-{
-  struct CfDirectory *directory = cf_balance_directory (task->balance);
-
-  for (guint i = 0; i < update->announcements->len; i++)
-    {
-      const struct CfAnnouncement *announcement
-          = &g_array_index (update->announcements, struct CfAnnouncement, i);
-
-      log_upstream (task, cf_directory_announce (directory, announcement, now));
-    }
-  for (guint i = 0; i < update->withdrawn->len; i++)
-    {
-      const char *id = update->withdrawn->pdata[i];
-      const struct CfTarget *target = cf_directory_by_id (directory, id);
-
-      cf_directory_withdraw (directory, id, update->trusted, now);
-      if (target)
-        log_upstream (task, target);
-    }
-}
-
-static void
-take_manifest (struct DatapathTask *task, const struct CfManifest *manifest)
-{
-  bool applied = cf_balance_manifest (task->balance, manifest);
-
-  cf_event_log_write (task->balancer->log, applied ? "manifest-applied" : "manifest-ignored",
-                      (struct CfField[]){
-                          { .key = "version", .number = (int64_t) manifest->version },
-                          { .key = "routes", .number = manifest->routes->len },
-                          { 0 },
-                      });
-}
-
-static void
-take_evacuation (struct DatapathTask *task, const char *domain, bool on, CfMillis now)
-{
-  cf_balance_evacuate (task->balance, domain, on, now);
-  cf_event_log_write (task->balancer->log, on ? "domain-evacuated" : "domain-returned",
-                      (struct CfField[]){ { .key = "domain", .text = domain }, { 0 } });
-}
-
-static void
-take_update (void *data, void *message)
-{
-  struct DatapathTask *task = data;
-  const struct CfUpdate *update = message;
-  CfMillis now = cf_now ();
-
-  take_upstreams (task, update, now);
-  if (update->manifest)
-    take_manifest (task, update->manifest);
-  for (guint i = 0; i < update->evacuated->len; i++)
-    take_evacuation (task, update->evacuated->pdata[i], true, now);
-  for (guint i = 0; i < update->returned->len; i++)
-    take_evacuation (task, update->returned->pdata[i], false, now);
-  if (update->vms > 0)
-    cf_balance_fleet (task->balance, update->vms);
-  if (update->helpers)
-    cf_balance_helpers (task->balance, (const uint32_t *) update->helpers->data,
-                        update->helpers->len);
-  update_serving (task);
-}
-
-void
-cf_send_update (struct CfBalancer *balancer, struct CfUpdate *update)
-{
-  cf_task_post (&balancer->datapath, take_update, update, cf_update_free);
-}
-
-struct Fresh
-{
-  CfMillis known_at;
-  bool settled;
-};
-
-static void
-take_fresh (void *data, void *message)
-{
-  struct DatapathTask *task = data;
-  const struct Fresh *fresh = message;
-
-  cf_balance_news (task->balance, fresh->known_at);
-  note_isolation (task, cf_now ());
-  if (fresh->settled)
-    cf_directory_settle (cf_balance_directory (task->balance), cf_now ());
-}
-
-void
-cf_send_fresh (struct CfBalancer *balancer, CfMillis known_at, bool settled)
-{
-  struct Fresh *fresh = g_new (struct Fresh, 1);
-
-  *fresh = (struct Fresh){ .known_at = known_at, .settled = settled };
-  cf_task_post (&balancer->datapath, take_fresh, fresh, g_free);
-}
-
-static void
-write_metrics (void *data, void *message)
-{
-  struct DatapathTask *task = data;
-  struct CfMetricsRequest *request = message;
-  GHashTableIter iter;
-  gpointer key;
-  gpointer value;
-
-  for (int fate = 0; fate < CF_FATE_COUNT; fate++)
-    g_string_append_printf (request->text, "cyclamenferry_packets_total{fate=\"%s\"} %" PRIu64 "\n",
-                            cf_fate_name ((enum CfFate) fate), task->fates[fate]);
-  g_string_append_printf (request->text,
-                          "cyclamenferry_packets_malformed_total %" PRIu64 "\n"
-                          "cyclamenferry_send_failures_total %" PRIu64 "\n"
-                          "cyclamenferry_flows %u\n"
-                          "cyclamenferry_manifest_version %" PRIu64 "\n"
-                          "cyclamenferry_store_calls_total %" PRIu64 "\n",
-                          task->malformed, task->send_failures, cf_balance_flows (task->balance),
-                          cf_routes_version (cf_balance_routes (task->balance)),
-                          (uint64_t) atomic_load (&task->balancer->store_calls));
-  g_hash_table_iter_init (&iter, task->opened);
-  while (g_hash_table_iter_next (&iter, &key, &value))
-    cf_metrics_histogram (request->text, "flow_open_ms", "",
-                          g_quark_to_string (GPOINTER_TO_UINT (key)), value);
-  cf_send_metrics (task->balancer, request);
-}
-
-void
-cf_send_metrics_request (struct CfBalancer *balancer, struct CfMetricsRequest *request)
-{
-  cf_task_post (&balancer->datapath, write_metrics, request, NULL);
-}
