An upstream that is gone outlives the flows that are being opened

Cause: read of the change: a pending flow refers to upstreams that it was tried at, and a flow-lifetime-s of 0 would free one within a second.

Change: at least the longest time that a flow may take to open. test_prune_spares_pending fails without it.

--- a/src/balance/balance.c
+++ b/src/balance/balance.c
@@ -414,7 +414,8 @@
     }
   if (now - balance->pruned_at >= PRUNE_MS)
     {
-      cf_directory_prune (balance->directory, now, balance->options.flow_lifetime_ms);
+      cf_directory_prune (balance->directory, now,
+                          MAX (balance->options.flow_lifetime_ms, PENDING_MAX_MS));
       balance->pruned_at = now;
     }
   if (cf_list_empty (&connections->pending))
--- a/tests/balancers.c
+++ b/tests/balancers.c
@@ -186,12 +186,21 @@
 
 struct CfBalance *
 test_world_vm (struct TestWorld *world, const char *domain, double cold_per_s)
+{
+  return test_world_vm_living (world, domain, cold_per_s, 60000);
+}
+
+struct CfBalance *
+test_world_vm_living (struct TestWorld *world,
+                      const char *domain,
+                      double cold_per_s,
+                      CfMillis life_ms)
 {
   struct CfBalance *balance = cf_balance_new (
       &(struct CfBalanceOptions){
           .domain = domain,
           .seed = world->balances->len + 1,
-          .flow_lifetime_ms = 60000,
+          .flow_lifetime_ms = life_ms,
       },
       &outputs, world);
   struct CfManifest *manifest = test_world_manifest (1, cold_per_s, true);
--- a/tests/balancers.h
+++ b/tests/balancers.h
@@ -47,6 +47,12 @@
  * a cold upstream bears COLD_PER_S requests a second. */
 struct CfBalance *test_world_vm (struct TestWorld *world, const char *domain, double cold_per_s);
 
+/* The same, for flows that live for LIFE_MS at most. */
+struct CfBalance *test_world_vm_living (struct TestWorld *world,
+                                        const char *domain,
+                                        double cold_per_s,
+                                        CfMillis life_ms);
+
 /* Announces the upstream ID of SERVICE in DOMAIN to BALANCE (NULL: to all VMs). */
 void test_world_upstream (struct TestWorld *world,
                           struct CfBalance *balance,
--- a/tests/test_balance.c
+++ b/tests/test_balance.c
@@ -499,6 +499,29 @@
 }
 END_TEST
 
+/* An upstream that is gone is kept while a flow that is being opened may refer to it, however
+ * short the longest life of a flow is said to be. */
+START_TEST (test_prune_spares_pending)
+{
+  struct TestWorld *world = test_world_new ();
+  struct CfBalance *balance = test_world_vm_living (world, "a", 0, 0);
+
+  add_upstreams (world, "s", "a", 1);
+  add_upstreams (world, "s", "b", 1);
+  g_hash_table_add (world->dark, (gpointer) "s-a-0");
+  g_hash_table_add (world->dark, (gpointer) "s-b-0");
+  test_world_run (world, 19500);
+  test_world_open (world, balance, 80);
+  cf_directory_withdraw (cf_balance_directory (balance), "s-a-0", true, world->now);
+  cf_directory_withdraw (cf_balance_directory (balance), "s-b-0", true, world->now);
+  test_world_run (world, 20600);
+  ck_assert_ptr_nonnull (cf_directory_by_id (cf_balance_directory (balance), "s-a-0"));
+  test_world_run (world, 40000);
+  ck_assert_ptr_null (cf_directory_by_id (cf_balance_directory (balance), "s-a-0"));
+  test_world_free (world);
+}
+END_TEST
+
 /* This VM stood still: what it missed speaks against no upstream. */
 START_TEST (test_pause_is_no_evidence)
 {
@@ -600,6 +623,7 @@
   suite_add_loop (suite, test_dark_upstreams, 1);
   suite_add_loop (suite, test_dark_domain, 1);
   suite_add_loop (suite, test_isolated, 1);
+  suite_add_loop (suite, test_prune_spares_pending, 1);
   suite_add_loop (suite, test_pause_is_no_evidence, 1);
   suite_add_loop (suite, test_cold_limit, 2 * COLD_SEEDS);
   suite_add_loop (suite, test_cold_spared, 1);
