Messages between VMs are bounded; a replica forgets deleted records

Cause: 100,000 mutated peer messages under AddressSanitizer did not end in 300 s: a message that claims millions of records made its reader allocate for them. And each upstream that ended stayed in every replica for good.

Change: bounds in feed.x; a relay that cannot encode answers 500 with a line; over 2,048 deleted records are forgotten at the next answer, and followers that are behind get all records. test_relay_bounded and test_replica_forgets_deleted.

--- a/src/feed/feed.h
+++ b/src/feed/feed.h
@@ -14,6 +14,9 @@
 extern "C" {
 #endif
 
+#define FEED_NAME_MAX 1024
+#define FEED_TEXT_MAX 1048576
+#define FEED_RECORDS_MAX 65536
 
 struct feed_record {
 	char *name;
--- a/src/feed/feed.x
+++ b/src/feed/feed.x
@@ -1,18 +1,24 @@
 /* What an entry VM that reads the store tells those that follow it: the answer to
  * "GET /feed", whose query holds the revision that the follower has of each kind. */
 
+/* Bounds: a value of the store has a megabyte at most, and 16,000 upstreams are the size
+ * that decides.  They also bound what a reader allocates for a message that lies. */
+const FEED_NAME_MAX = 1024;
+const FEED_TEXT_MAX = 1048576;
+const FEED_RECORDS_MAX = 65536;
+
 struct feed_record {
-  string name<>;
+  string name<FEED_NAME_MAX>;
   unsigned hyper revision;
   bool deleted;
-  string text<>;  /* empty if deleted */
+  string text<FEED_TEXT_MAX>;  /* empty if deleted */
 };
 
 /* News of one kind of records, in the order of enum CfFeedKind. */
 struct feed_part {
   unsigned hyper revision;  /* all changes up to it are told */
   bool whole;               /* these are all records, not only what has changed */
-  feed_record records<>;
+  feed_record records<FEED_RECORDS_MAX>;
 };
 
 struct feed_news {
--- a/src/feed/feed_xdr.c
+++ b/src/feed/feed_xdr.c
@@ -10,13 +10,13 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_string (xdrs, &objp->name, ~0))
+	 if (!xdr_string (xdrs, &objp->name, FEED_NAME_MAX))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->revision))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->deleted))
 		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->text, ~0))
+	 if (!xdr_string (xdrs, &objp->text, FEED_TEXT_MAX))
 		 return FALSE;
 	return TRUE;
 }
@@ -30,7 +30,7 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->whole))
 		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->records.records_val, (u_int *) &objp->records.records_len, ~0,
+	 if (!xdr_array (xdrs, (char **)&objp->records.records_val, (u_int *) &objp->records.records_len, FEED_RECORDS_MAX,
 		sizeof (feed_record), (xdrproc_t) xdr_feed_record))
 		 return FALSE;
 	return TRUE;
--- a/src/feed/replica.c
+++ b/src/feed/replica.c
@@ -88,6 +88,24 @@
   g_hash_table_unref (names);
 }
 
+/* Forgets the deleted records of KIND if there are too many: followers that have not heard of them
+ * are told all records from then on. */
+static void
+limit_deleted (struct CfReplica *replica, enum CfFeedKind kind)
+{
+  GHashTable *records = replica->records[kind];
+  GHashTableIter iter;
+  gpointer value;
+
+  if (g_hash_table_size (records) - cf_replica_count (replica, kind) <= CF_REPLICA_DELETED_MAX)
+    return;
+  g_hash_table_iter_init (&iter, records);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (((struct CfRecord *) value)->deleted)
+      g_hash_table_iter_remove (&iter);
+  replica->complete[kind] = replica->revision[kind];
+}
+
 GPtrArray *
 cf_replica_apply (struct CfReplica *replica,
                   enum CfFeedKind kind,
@@ -99,6 +117,7 @@
 
   if (whole && revision < replica->revision[kind])
     return g_ptr_array_new ();
+  limit_deleted (replica, kind);
   news = take_all (replica->records[kind], records);
   if (whole)
     delete_others (replica->records[kind], records, revision, news);
--- a/src/feed/replica.h
+++ b/src/feed/replica.h
@@ -6,6 +6,9 @@
 /* This VM's copy of the store's records of each kind.  A record never goes back to an
  * earlier revision, whoever tells of it. */
 
+/* Deleted records that are kept for followers that are behind; one is about 100 bytes. */
+#define CF_REPLICA_DELETED_MAX 2048
+
 struct CfReplica
 {
   GHashTable *records[CF_FEED_KINDS]; /* name to struct CfRecord, deleted ones included */
--- a/src/serve/feed_relay.c
+++ b/src/serve/feed_relay.c
@@ -28,8 +28,19 @@
 {
   GBytes *body = cf_relay_encode (&task->replica, position, cf_feed_age (task, now), task->settled);
   gsize len;
-  const char *data = g_bytes_get_data (body, &len);
+  const char *data;
 
+  if (!body)
+    {
+      cf_event_log_write (task->balancer->log, "relay-failed",
+                          (struct CfField[]){
+                              { .key = "fault", .text = "the records exceed the format's bounds" },
+                              { 0 },
+                          });
+      soup_server_message_set_status (message, SOUP_STATUS_INTERNAL_SERVER_ERROR, NULL);
+      return;
+    }
+  data = g_bytes_get_data (body, &len);
   soup_server_message_set_status (message, SOUP_STATUS_OK, NULL);
   soup_server_message_set_response (message, "application/octet-stream", SOUP_MEMORY_COPY, data,
                                     len);
--- a/tests/test_sources.c
+++ b/tests/test_sources.c
@@ -335,6 +335,58 @@
 }
 END_TEST
 
+/* Found by fuzzing under AddressSanitizer: a message that says that it holds millions of
+ * records made its reader allocate room for them first.  More than any fleet has are refused,
+ * also where they are there. */
+START_TEST (test_relay_bounded)
+{
+  const size_t count = 65536 + 1;
+  const size_t record_size = 20; /* of one with an empty name and text */
+  const size_t head = 8 + 4 + 4;
+  const size_t part = 8 + 4 + 4;
+  size_t len = head + CF_FEED_KINDS * part + count * record_size;
+  uint8_t *data = g_malloc0 (len);
+  struct feed_news news;
+
+  data[head - 1] = CF_FEED_KINDS;
+  data[head + part - 4 + 1] = 1;
+  data[head + part - 1] = 1;
+  ck_assert (!cf_relay_decode (data, len, &news));
+  g_free (data);
+}
+END_TEST
+
+/* Upstreams that are no more do not pile up, and a follower that has not heard of their end
+ * hears of it all the same. */
+START_TEST (test_replica_forgets_deleted)
+{
+  struct CfReplica from;
+  struct CfReplica to;
+  uint64_t revision = 10;
+
+  cf_replica_init (&from);
+  cf_replica_init (&to);
+  tell (&from, "i-first", revision, false, true);
+  carry (&from, &to);
+  for (int i = 0; i < 3 * CF_REPLICA_DELETED_MAX; i++)
+    {
+      char name[32];
+
+      g_snprintf (name, sizeof name, "i-%d", i);
+      tell (&from, name, ++revision, false, false);
+      tell (&from, name, ++revision, true, false);
+    }
+  tell (&from, "i-first", ++revision, true, false);
+  tell (&from, "i-last", ++revision, false, false);
+  ck_assert_uint_le (g_hash_table_size (from.records[CF_FEED_UPSTREAMS]),
+                     CF_REPLICA_DELETED_MAX + 2);
+  carry (&from, &to);
+  ck_assert_uint_eq (cf_replica_count (&to, CF_FEED_UPSTREAMS), 1);
+  cf_replica_clear (&from);
+  cf_replica_clear (&to);
+}
+END_TEST
+
 START_TEST (test_position)
 {
   struct CfFeedPosition position = { .revision = { 1, 2, 3, 18446744073709551615ULL } };
@@ -431,6 +483,8 @@
   suite_add_loop (suite, test_vm_record, 1);
   suite_add_loop (suite, test_relay, 1);
   suite_add_loop (suite, test_relay_unknown_deletion, 1);
+  suite_add_loop (suite, test_relay_bounded, 1);
+  suite_add_loop (suite, test_replica_forgets_deleted, 1);
   suite_add_loop (suite, test_position, 1);
   suite_add_loop (suite, test_rotation, 1);
   suite_add_loop (suite, test_rotation_wait_ends, 1);
