--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -261,6 +261,7 @@
 
   soak_store_put (soak->store, CF_FEED_EVACUATIONS, soak->evacuated, NULL);
   soak->evacuated = NULL;
+  soak->returned_at = soak_now ();
   return G_SOURCE_REMOVE;
 }
 
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -16,6 +16,7 @@
 #define SOAK_DOMAINS 2
 
 #define SOAK_DRAIN_MS 3000 /* from an announcement until new flows keep away */
+#define SOAK_COLD_MS 2500  /* upstreams of a domain that is taken back count as cold */
 #define SOAK_CALM_MS 4000  /* a VM is held to a bound after this time without a fault */
 #define SOAK_GRACE_MS 6000 /* from SIGTERM until SIGKILL */
 
@@ -125,8 +126,9 @@
   int64_t route_changed_at;
   const char *evacuated; /* domain, or NULL */
   int64_t evacuated_at;
-  int64_t faulted_at; /* last fault of any kind */
-  bool ending;        /* no more faults and no restarts */
+  int64_t returned_at; /* when a domain was last taken back */
+  int64_t faulted_at;  /* last fault of any kind */
+  bool ending;         /* no more faults and no restarts */
   uint32_t asked;
   uint32_t served;
   uint32_t calm_asked; /* long after the last fault */
