A VM that had to read the store goes on reading it for 8 s

Ruled out: one slow call (no store-lost line of the VM that sent the request).

Change: CF_SOURCES_HOLD_MS; a check in test_stale_asks_store.

--- a/src/feed/sources.c
+++ b/src/feed/sources.c
@@ -269,7 +269,7 @@
 enum CfStoreUse
 cf_sources_store_use (struct CfSources *sources, const struct CfStoreNeed *need, CfMillis now)
 {
-  if (need->empty || need->reader)
+  if (need->empty || need->reader || now < need->read_until)
     return CF_STORE_READ;
   if (now - need->known_at < cf_sources_stale_ms (sources))
     return CF_STORE_NOTHING;
--- a/src/feed/sources.h
+++ b/src/feed/sources.h
@@ -26,6 +26,9 @@
 #define CF_SOURCES_STALE_MS 2300
 /* The store has answered a VM with old news: its source has this long to catch up, too. */
 #define CF_SOURCES_CATCH_UP_MS 200
+/* A VM that had to read the store goes on for this long: its sources may follow each other
+ * without a reader among them, and each round of that would let news grow old again. */
+#define CF_SOURCES_HOLD_MS 8000
 /* An entry VM of the fleet, or the store. */
 struct CfSource
 {
@@ -63,10 +66,11 @@
 /* What a VM knows when it decides that. */
 struct CfStoreNeed
 {
-  bool reader;        /* the store is its source */
-  bool empty;         /* it has never had news */
-  CfMillis known_at;  /* its news are of then */
-  CfMillis probed_at; /* when the store last answered it, -1: never */
+  bool reader;         /* the store is its source */
+  bool empty;          /* it has never had news */
+  CfMillis read_until; /* it goes on reading until then, see CF_SOURCES_HOLD_MS */
+  CfMillis known_at;   /* its news are of then */
+  CfMillis probed_at;  /* when the store last answered it, -1: never */
 };
 
 /* Returns what to ask the store at NOW. */
--- a/src/serve/feed_internal.h
+++ b/src/serve/feed_internal.h
@@ -57,10 +57,11 @@
   GRand *random;
   struct CfReplica replica;
   struct CfSources *sources;
-  char *source;       /* name of the VM that is followed, "" for the store, NULL: none yet */
-  CfMillis known_at;  /* the replica holds what the store held then, -1: never */
-  bool settled;       /* the store has been there all the while */
-  CfMillis probed_at; /* when the store last answered this VM, -1: never */
+  char *source;        /* name of the VM that is followed, "" for the store, NULL: none yet */
+  CfMillis known_at;   /* the replica holds what the store held then, -1: never */
+  bool settled;        /* the store has been there all the while */
+  CfMillis read_until; /* this VM reads the store until then, whatever its source */
+  CfMillis probed_at;  /* when the store last answered this VM, -1: never */
   struct CfEventRate source_rate;
   CfMillis summary_at; /* when the next summary is due */
   struct FeedChannel channels[CF_FEED_KINDS];
--- a/src/serve/feed_task.c
+++ b/src/serve/feed_task.c
@@ -187,10 +187,14 @@
     .reader = !source->name,
     .empty = task->replica.revision[CF_FEED_MANIFEST] == 0,
     .known_at = task->known_at,
+    .read_until = task->read_until,
     .probed_at = task->probed_at,
   };
+  enum CfStoreUse use = cf_sources_store_use (task->sources, &need, now);
 
-  return cf_sources_store_use (task->sources, &need, now);
+  if (use == CF_STORE_READ && !need.reader && !need.empty && now >= task->read_until)
+    task->read_until = now + CF_SOURCES_HOLD_MS;
+  return use;
 }
 
 /* Returns when the news become old, or a long time if they are. */
--- a/tests/test_sources.c
+++ b/tests/test_sources.c
@@ -105,6 +105,13 @@
   ck_assert_int_lt (now - 10000, 2800);
   need.known_at = now;
   ck_assert_int_eq (cf_sources_store_use (sources, &need, now), CF_STORE_NOTHING);
+  /* Found by a hunt (scordato-noli, DRAIN 43 ms late): the store turned the first VMs away
+   * without an answer, and no other went on reading after it had caught up. */
+  need.read_until = now + CF_SOURCES_HOLD_MS;
+  ck_assert_int_eq (cf_sources_store_use (sources, &need, now + 100), CF_STORE_READ);
+  ck_assert_int_eq (cf_sources_store_use (sources, &need, now + CF_SOURCES_STALE_MS - 1),
+                    CF_STORE_READ);
+  need.read_until = 0;
   need.reader = true;
   ck_assert_int_eq (cf_sources_store_use (sources, &need, now), CF_STORE_READ);
   cf_sources_free (first);
