A probe of the store never waits, and one within a second is enough

With a line for each call: a VM probed at 2.3 s and was answered; its source then told something 0.2 s newer, so the probe counted as too early and was made again, with a wait of 1.5 s since that kind's own answer was fresh.

Change: a probe asks without a wait; a probe of the last second counts, however the news have moved. test_stale_asks_store fails without it.

--- a/src/feed/reader.c
+++ b/src/feed/reader.c
@@ -47,11 +47,11 @@
 
 CfMillis
 cf_reader_wait (
-    const struct CfReader *reader, CfMillis wait_ms, CfMillis stale_ms, bool lost, CfMillis now)
+    const struct CfReader *reader, CfMillis wait_ms, CfMillis stale_ms, bool probe, CfMillis now)
 {
   /* Its own answers count, not those of other kinds: else it would ask again and again
    * while another kind's call is under way. */
-  if (!reader->listed || lost || reader->answered_at < 0 || now - reader->answered_at >= stale_ms)
+  if (!reader->listed || probe || reader->answered_at < 0 || now - reader->answered_at >= stale_ms)
     return 0;
   return wait_ms;
 }
--- a/src/feed/reader.h
+++ b/src/feed/reader.h
@@ -55,9 +55,9 @@
 
 /* Returns how long the call that is due waits for changes, WAIT_MS as a rule.  A reader whose
  * last answer is older than STALE_MS wants one at once, also if nothing has changed; so does
- * one that asks whether the store is back (LOST). */
+ * one that asks whether the store is there (PROBE). */
 CfMillis cf_reader_wait (
-    const struct CfReader *reader, CfMillis wait_ms, CfMillis stale_ms, bool lost, CfMillis now);
+    const struct CfReader *reader, CfMillis wait_ms, CfMillis stale_ms, bool probe, CfMillis now);
 
 /* The call that was due had OUTCOME; ANSWER is its answer if there was one.  RANDOM
  * spreads the retries of many VMs.  Returns true if ANSWER ends a list. */
--- a/src/feed/sources.c
+++ b/src/feed/sources.c
@@ -273,9 +273,7 @@
     return CF_STORE_READ;
   if (now - need->known_at < cf_sources_stale_ms (sources))
     return CF_STORE_NOTHING;
-  /* An answer that came after the news had become old. */
-  if (need->probed_at < need->known_at + cf_sources_stale_ms (sources)
-      || now - need->probed_at >= CF_MS_PER_S)
+  if (need->probed_at < 0 || now - need->probed_at >= CF_MS_PER_S)
     return CF_STORE_PROBE;
   return now - need->probed_at < CF_SOURCES_CATCH_UP_MS ? CF_STORE_NOTHING : CF_STORE_READ;
 }
--- a/src/serve/feed_store.c
+++ b/src/serve/feed_store.c
@@ -121,13 +121,13 @@
 }
 
 static void
-begin_call (struct FeedTask *task, struct FeedChannel *channel)
+begin_call (struct FeedTask *task, struct FeedChannel *channel, bool probe)
 {
   const struct CfReader *reader = &channel->reader;
   const char *store = task->balancer->settings.store;
   CfMillis usual = reader->kind == CF_FEED_VMS ? VMS_WAIT_MS : CF_READER_WAIT_MS;
-  CfMillis wait = cf_reader_wait (reader, usual, cf_sources_stale_ms (task->sources),
-                                  is_lost (task), cf_now ());
+  CfMillis wait
+      = cf_reader_wait (reader, usual, cf_sources_stale_ms (task->sources), probe, cf_now ());
   SoupMessage *message = reader->listed
                              ? cf_platform_watch (store, reader->kind, reader->revision, wait)
                              : cf_platform_list (store, reader->kind, reader->after);
@@ -164,7 +164,7 @@
         continue;
       cf_reader_skip_to (&channel->reader, task->replica.revision[kind]);
       if (cf_reader_due (&channel->reader, now))
-        begin_call (task, channel);
+        begin_call (task, channel, use == CF_STORE_PROBE || is_lost (task));
       else if (!channel->reader.calling)
         next = MIN (next, channel->reader.next_at);
     }
--- a/tests/test_sources.c
+++ b/tests/test_sources.c
@@ -101,6 +101,13 @@
   ck_assert_int_eq (cf_sources_store_use (sources, &need, now), CF_STORE_NOTHING);
   now += CF_SOURCES_CATCH_UP_MS;
   ck_assert_int_eq (cf_sources_store_use (sources, &need, now), CF_STORE_READ);
+  /* News from a source that are a little newer and old all the same change nothing: the store
+   * is known to be there. */
+  need.known_at += 100;
+  now += 100;
+  ck_assert_int_eq (cf_sources_store_use (sources, &need, now), CF_STORE_READ);
+  need.known_at -= 100;
+  now -= 100;
   /* All of it within the 3 s that a change may take. */
   ck_assert_int_lt (now - 10000, 2800);
   need.known_at = now;
