--- a/src/feed/sources.c
+++ b/src/feed/sources.c
@@ -292,6 +292,18 @@
   return best;
 }
 
+struct CfSource *
+cf_sources_choose_vm (struct CfSources *sources, CfMillis now)
+{
+  struct CfSource *best = NULL;
+
+  consider_group (sources, &best, true, now);
+  consider_domains (sources, &best, true, now);
+  consider_domains (sources, &best, false, now);
+  consider_group (sources, &best, false, now);
+  return best;
+}
+
 struct CfSource *
 cf_sources_choose_seed (struct CfSources *sources, CfMillis now)
 {
--- a/src/feed/sources.h
+++ b/src/feed/sources.h
@@ -83,6 +83,10 @@
 /* Returns the age of news from which on this VM asks the store itself. */
 CfMillis cf_sources_stale_ms (struct CfSources *sources);
 
+/* Returns the VM to ask at NOW by one that the store should tell the news and does not, or
+ * NULL. */
+struct CfSource *cf_sources_choose_vm (struct CfSources *sources, CfMillis now);
+
 /* Says that VMs may run at the IPS, whose names are not known. */
 void cf_sources_seed (struct CfSources *sources, char *const *ips);
 
--- a/src/serve/feed_task.c
+++ b/src/serve/feed_task.c
@@ -218,6 +218,8 @@
   next = MIN (next, cf_feed_store_pump (task, store_use (task, source, now), now));
   if (!source->name && task->replica.revision[CF_FEED_MANIFEST] == 0)
     source = cf_sources_choose_seed (task->sources, now);
+  else if (!source->name && cf_feed_age (task, now) >= cf_sources_stale_ms (task->sources))
+    source = cf_sources_choose_vm (task->sources, now);
   if (source && source->name)
     next = MIN (next, cf_feed_follow_pump (task, source, now));
   next = MIN (next, cf_feed_rotation_pump (task, now));
--- a/tests/test_sources.c
+++ b/tests/test_sources.c
@@ -137,6 +137,23 @@
 }
 END_TEST
 
+/* The reader that the store does not answer asks other VMs meanwhile. */
+START_TEST (test_reader_asks_vms)
+{
+  struct CfSources *sources = fleet ("a2", "a");
+  struct CfSources *alone = cf_sources_new ("a1", "a", "r");
+  CfMillis now = 10000;
+
+  ck_assert_str_eq (chosen (sources, now), "store");
+  ck_assert_str_eq (cf_sources_choose_vm (sources, now)->name, "b1");
+  cf_source_failed (cf_sources_find (sources, "b1"), now);
+  ck_assert_str_eq (cf_sources_choose_vm (sources, now)->name, "b2");
+  ck_assert_ptr_null (cf_sources_choose_vm (alone, now));
+  cf_sources_free (alone);
+  cf_sources_free (sources);
+}
+END_TEST
+
 START_TEST (test_failures_together)
 {
   struct CfSources *sources = fleet ("a2", "a");
@@ -490,6 +507,7 @@
   suite_add_loop (suite, test_takeover, 1);
   suite_add_loop (suite, test_stale_asks_store, 1);
   suite_add_loop (suite, test_start_asks_store, 1);
+  suite_add_loop (suite, test_reader_asks_vms, 1);
   suite_add_loop (suite, test_failures_together, 1);
   suite_add_loop (suite, test_seeds, 1);
   suite_add_loop (suite, test_groups, 1);
