Fuzzing of packets checks by the whole address, and first packets beside it

A trace shows an address that no manifest ever had, and a later packet with a valid cookie: a VM that has not heard of a route yet passes such packets on.

Change: packets to known addresses are judged by address and port, as before for the port; all others must be later packets at the upstream that their cookie names, which the check did not look at.

--- a/tests/test_fuzz.c
+++ b/tests/test_fuzz.c
@@ -42,6 +42,24 @@
 static const uint8_t sample[64]
     = { 0, 32, 64, 0, 0xc6, 18, 0, 1, 0x9c, 0x41, 100, 64, 0, 7, 0, 80, 0xa1, 0xb2, 0xc3, 0xd5 };
 
+/* SEGMENT was sent on: to its route's service, or, where no manifest ever had its address, to
+ * the upstream that its cookie names; then it opens nothing. */
+static void
+check_target (const struct TestWorld *world, const struct CfSegment *segment)
+{
+  const char *service = g_quark_to_string (world->last->service);
+
+  if (segment->service.ip == TEST_SERVICE_IP && segment->service.port == 80)
+    ck_assert_str_eq (service, "s");
+  else if (segment->service.ip == TEST_SERVICE_IP && segment->service.port == 81)
+    ck_assert_str_eq (service, "t");
+  else
+    {
+      ck_assert (!(segment->flags & CF_SEGMENT_SYN));
+      ck_assert_uint_eq (segment->cookie, world->last->cookie);
+    }
+}
+
 START_TEST (test_fuzz_packets)
 {
   struct TestWorld *world = test_world_new ();
@@ -75,8 +93,7 @@
           cf_balance_segment (balance, &segment, world->now);
           if (world->last)
             {
-              ck_assert_str_eq (g_quark_to_string (world->last->service),
-                                segment.service.port == 81 ? "t" : "s");
+              check_target (world, &segment);
               ck_assert_uint_eq (cf_platform_form.wrap (data, len, 7, 9, out), len + 8);
             }
           ck_assert_uint_eq (cf_platform_form.reset (&segment, out), 32);
