--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -91,7 +91,6 @@
   bool dark; /* does not answer */
   bool draining;
   int64_t drained_at; /* when the store accepted that it drains */
-  int64_t dark_until; /* also: last moment at which it did not answer */
   GSocket *socket;
   GSource *source;
   GHashTable *flows; /* of struct SoakFlow that are open here */
--- a/tests/soak/traffic.c
+++ b/tests/soak/traffic.c
@@ -11,7 +11,6 @@
 #define CALLER_IP 0x7f020001u /* 127.2.0.1 */
 #define SERVICE_IP 0xc6120001u
 #define OPEN_EVERY_MS 5
-#define WORK_MS 5
 #define REPEAT_MS 200
 #define REPEAT_LATE_MS 600
 #define GIVE_UP_MS 1500
