src/gue is cut into layers: no file calls one above it

Only nine calls went back up.

No behaviour changes.

Ruled out: callbacks for the calls back up (more code, and hides who calls whom).

--- a/src/gue/arrive.c
+++ b/src/gue/arrive.c
@@ -2,9 +2,7 @@
 
 #include <string.h>
 
-/* Packets as they arrive, and first packets that wait for a moment. */
-
-#define PARK_LIMIT_MS 600 /* below the time after which callers send again */
+/* Packets as they arrive, and as they are tried again after a wait. */
 
 void
 cf_notice_pause (struct CfCore *core, CfMillis now)
@@ -107,39 +105,6 @@
   return drop == CF_DROP_NONE ? count_and_run (core, &route) : cf_route_drop (core, drop);
 }
 
-static struct CfParked *
-free_place (struct CfCore *core)
-{
-  for (uint32_t i = 0; i < CF_PARKED_MAX; i++)
-    if (!core->parked[i].used)
-      return &core->parked[i];
-  return NULL;
-}
-
-enum CfVerdict
-cf_park (struct CfCore *core, const struct CfRoute *route, enum CfDrop drop)
-{
-  struct CfParked *parked = core->retrying;
-
-  if (parked && route->now - parked->since < PARK_LIMIT_MS)
-    {
-      parked->used = true;
-      return CF_VERDICT_DELAYED;
-    }
-  if (parked || route->packet->len > sizeof parked->data || !(parked = free_place (core)))
-    return cf_route_drop (core, drop);
-  memcpy (parked->data, route->packet->data, route->packet->len);
-  parked->len = route->packet->len;
-  parked->reply = route->packet->reply;
-  parked->hops = route->hops;
-  parked->decide = route->decide;
-  parked->since = route->now;
-  parked->used = true;
-  core->parked_count++;
-  core->stats.counter[CF_COUNT_PARKED]++;
-  return CF_VERDICT_DELAYED;
-}
-
 static void
 retry (struct CfCore *core, struct CfParked *parked, CfMillis now)
 {
--- a/src/gue/core.c
+++ b/src/gue/core.c
@@ -77,7 +77,7 @@
   g_array_unref (core->tenants);
   cf_services_clear (core);
   cf_spread_clear (core);
-  cf_config_unref (core->config);
+  cf_config_clear (core);
   cf_flow_table_clear (&core->table);
   g_free (core->parked);
   g_free (core->before_pause);
@@ -92,56 +92,6 @@
   g_free (core);
 }
 
-static void
-remember_config (struct CfCore *core)
-{
-  if (!core->config)
-    return;
-  cf_config_unref (core->history[CF_HISTORY - 1]);
-  for (int i = CF_HISTORY - 1; i > 0; i--)
-    core->history[i] = core->history[i - 1];
-  core->history[0] = core->config;
-}
-
-static void
-find_region (struct CfCore *core)
-{
-  core->region = 0;
-  for (uint32_t i = 0; i < core->config->domain_count; i++)
-    if (core->config->domains[i].id == core->options.domain)
-      core->region = cf_name_id (core->config->domains[i].region);
-}
-
-bool
-cf_core_set_config (struct CfCore *core, struct CfConfig *config, CfMillis now)
-{
-  bool initial = core->config == NULL;
-
-  if (!initial
-      && (config->version < core->config->version
-          || (config->version == core->config->version && config->digest <= core->config->digest)))
-    {
-      core->stats.counter[CF_COUNT_CONFIG_IGNORED]++;
-      return false;
-    }
-  cf_spread_forget_changes (core);
-  remember_config (core);
-  core->config = cf_config_ref (config);
-  core->stats.counter[CF_COUNT_CONFIG_APPLIED]++;
-  core->heartbeat_urgent = true;
-  find_region (core);
-  cf_slots_bind (core, initial, now);
-  cf_services_compile (core);
-  cf_flows_rebind (core);
-  cf_members_list_config (core);
-  /* Every other VM is unsure until this one has told it of the new version. */
-  core->unsure = true;
-  cf_view_update (core, now);
-  cf_gatekeepers_update (core, now);
-  cf_marks_update (core, now);
-  return true;
-}
-
 /* Another process runs under this VM's name.  The younger one stays. */
 static void
 meet_namesake (struct CfCore *core, uint64_t incarnation, CfMillis now)
--- a/src/gue/flows.c
+++ b/src/gue/flows.c
@@ -1,7 +1,5 @@
 #include "internal.h"
 
-#define UDP_RECENT_S 60
-
 uint32_t
 cf_core_seconds (const struct CfCore *core, CfMillis now)
 {
@@ -79,61 +77,6 @@
     }
 }
 
-static uint32_t
-lifetime (const struct CfCore *core, const struct CfFlow *flow, bool owner)
-{
-  uint32_t idle_s = (uint32_t) (core->config->limits.flow_idle_ms / CF_MS_PER_S);
-
-  if (flow->flags & CF_FLOW_CLOSING)
-    return CF_CLOSING_S;
-  if ((flow->flags & CF_FLOW_HALF_OPEN) && flow->kind == CF_FLOW_RECENT)
-    return CF_HALF_OPEN_S;
-  if ((flow->flags & CF_FLOW_HALF_OPEN) && owner)
-    return CF_HALF_OPEN_ENTRY_S;
-  if (core->policy->local_table || flow->kind == CF_FLOW_ENTRY)
-    return idle_s + CF_TOUCH_S;
-  return flow->flags & CF_FLOW_UDP ? UDP_RECENT_S : CF_RECENT_S;
-}
-
-/* Removes or refreshes FLOW as its age demands.  Returns true if it was removed. */
-static bool
-sweep_flow (struct CfCore *core, struct CfFlow *flow, CfMillis now)
-{
-  bool owner = core->current.holders[CF_BUCKET (flow->key)][0].member == 0;
-  uint32_t now_s = cf_core_seconds (core, now);
-  uint32_t age_s = now_s - flow->seen_s;
-
-  if (age_s > lifetime (core, flow, owner))
-    {
-      if (owner && flow->kind == CF_FLOW_ENTRY)
-        cf_replicate_removal (core, flow);
-      /* A UDP flow has no other end than its silence. */
-      if ((flow->flags & CF_FLOW_UDP) && (flow->flags & CF_FLOW_COUNTED))
-        cf_slot (core, flow->slot)->load.closed++;
-      if (!(flow->flags & (CF_FLOW_CLOSING | CF_FLOW_HALF_OPEN)))
-        core->stats.counter[CF_COUNT_FLOWS_EXPIRED]++;
-      cf_flows_drop (core, flow);
-      return true;
-    }
-  if (owner && flow->kind == CF_FLOW_ENTRY && flow->seen_s > flow->sent_s + CF_TOUCH_S)
-    cf_replicate (core, flow, false, now);
-  return false;
-}
-
-void
-cf_flows_sweep (struct CfCore *core, uint32_t slots, CfMillis now)
-{
-  for (uint32_t n = 0; n < slots; n++)
-    {
-      uint32_t i = core->sweep & (core->table.capacity - 1);
-
-      /* After a removal another record may stand in the same place. */
-      if (core->table.flows[i].key && sweep_flow (core, &core->table.flows[i], now))
-        continue;
-      core->sweep = i + 1;
-    }
-}
-
 void
 cf_flows_rebind (struct CfCore *core)
 {
--- a/src/gue/heartbeat.c
+++ b/src/gue/heartbeat.c
@@ -21,12 +21,6 @@
   GArray *suspects;
 };
 
-void
-cf_send (struct CfCore *core, const struct CfMember *member, struct peer_message *message)
-{
-  core->out->send_peer (core->context, &member->address, message);
-}
-
 static void
 add_load (const struct CfCore *core, GArray *loads, uint32_t number)
 {
--- a/src/gue/internal.h
+++ b/src/gue/internal.h
@@ -299,18 +299,15 @@
   CfMillis now;
 };
 
-/* slots.c */
-struct CfSlot *cf_slot (const struct CfCore *core, uint32_t slot);
-uint32_t cf_slot_for_id (struct CfCore *core, uint32_t id);
-void cf_slots_bind (struct CfCore *core, bool initial, CfMillis now);
-bool cf_slot_usable (const struct CfSlot *slot);
-bool cf_slot_takes_new (const struct CfSlot *slot);
+/* Layers: a file calls only those that stand before it in this list.  core.c, the entry of
+ * all events, is above them all; explain.c and status.c only read. */
 
-/* services.c */
-void cf_services_compile (struct CfCore *core);
-void cf_services_clear (struct CfCore *core);
-struct CfServiceState *cf_service_state (const struct CfCore *core,
-                                         const struct CfService *service);
+/* stream.c */
+void cf_stream_init (struct CfStream *stream);
+void cf_stream_clear (struct CfStream *stream);
+void cf_stream_reset (struct CfStream *stream);
+bool cf_stream_idle (const struct CfStream *stream);
+void cf_stream_ack (struct CfStream *stream, const peer_entries_ack *ack);
 
 /* choose.c */
 uint64_t cf_flow_key (const struct CfCore *core,
@@ -329,17 +326,52 @@
                           bool (*admit) (struct CfCore *core, uint32_t slot, void *data),
                           void *data);
 
+/* slots.c */
+struct CfSlot *cf_slot (const struct CfCore *core, uint32_t slot);
+uint32_t cf_slot_for_id (struct CfCore *core, uint32_t id);
+bool cf_slot_usable (const struct CfSlot *slot);
+bool cf_slot_takes_new (const struct CfSlot *slot);
+
+/* members.c */
+struct CfMember *cf_member (const struct CfCore *core, uint32_t index);
+struct CfMember *cf_member_by_id (const struct CfCore *core, uint32_t id);
+struct CfMember *cf_member_add (struct CfCore *core, uint32_t id);
+void cf_member_free (gpointer member);
+void cf_members_list_config (struct CfCore *core);
+bool cf_member_serves (const struct CfCore *core, const struct CfMember *member);
+void cf_member_forget_marks (struct CfCore *core, struct CfMember *member);
+void cf_member_tell_load (struct CfCore *core,
+                          struct CfMember *member,
+                          uint32_t slot,
+                          struct CfLoad load);
+void cf_member_reunited (struct CfMember *member, CfMillis now);
+void cf_member_restarted (struct CfCore *core, struct CfMember *member);
+
 /* flows.c */
 struct CfFlow *
 cf_flows_record (struct CfCore *core, const struct CfRoute *route, uint32_t slot, uint8_t kind);
 void cf_flows_move (struct CfCore *core, struct CfFlow *flow, uint32_t slot, uint8_t kind);
 void cf_flows_drop (struct CfCore *core, struct CfFlow *flow);
 void cf_flows_seen (struct CfCore *core, struct CfFlow *flow, const struct CfRoute *route);
-void cf_flows_sweep (struct CfCore *core, uint32_t slots, CfMillis now);
 void cf_flows_rebind (struct CfCore *core);
 void cf_flows_count_away (struct CfCore *core, const struct CfFlow *flow, int step);
 uint32_t cf_core_seconds (const struct CfCore *core, CfMillis now);
 
+/* gatekeeper.c */
+#define CF_NO_GRANT UINT32_MAX /* the heartbeat says nothing about grants */
+bool cf_grant_available (const struct CfSlot *slot, CfMillis now);
+void cf_gate_window (struct CfCore *core, CfMillis now);
+uint32_t cf_gate_grant_for (const struct CfCore *core,
+                            const struct CfSlot *slot,
+                            const struct CfMember *member);
+void cf_gate_tick (struct CfCore *core, CfMillis now);
+void cf_gatekeepers_update (struct CfCore *core, CfMillis now);
+void cf_set_health (struct CfCore *core, uint32_t slot, enum peer_health health, CfMillis now);
+void cf_health_receive (struct CfCore *core,
+                        struct CfMember *member,
+                        const peer_heartbeat *heartbeat,
+                        CfMillis now);
+
 /* replicate.c */
 /* Tells the holders of FLOW.  URGENT entries leave at once, others as the byte budget
  * allows. */
@@ -358,98 +390,59 @@
                          const peer_entries *entries,
                          CfMillis now);
 
-/* stream.c */
-void cf_stream_init (struct CfStream *stream);
-void cf_stream_clear (struct CfStream *stream);
-void cf_stream_reset (struct CfStream *stream);
-bool cf_stream_idle (const struct CfStream *stream);
-void cf_stream_ack (struct CfStream *stream, const peer_entries_ack *ack);
-void cf_streams_flush (struct CfCore *core, CfMillis now);
-
-/* members.c */
-struct CfMember *cf_member (const struct CfCore *core, uint32_t index);
-struct CfMember *cf_member_by_id (const struct CfCore *core, uint32_t id);
-struct CfMember *cf_member_add (struct CfCore *core, uint32_t id);
-void cf_member_free (gpointer member);
-void cf_members_list_config (struct CfCore *core);
-void cf_members_check (struct CfCore *core, CfMillis now);
-bool cf_member_serves (const struct CfCore *core, const struct CfMember *member);
-void cf_member_forget_marks (struct CfCore *core, struct CfMember *member);
-void cf_member_tell_load (struct CfCore *core,
-                          struct CfMember *member,
-                          uint32_t slot,
-                          struct CfLoad load);
-void cf_member_reunited (struct CfMember *member, CfMillis now);
-void cf_member_restarted (struct CfCore *core, struct CfMember *member);
-void cf_members_pause (struct CfCore *core, CfMillis now);
-void cf_members_join (struct CfCore *core, CfMillis now);
-void cf_enter_state (struct CfCore *core, enum peer_state state, CfMillis now);
-
 /* view.c */
 void cf_view_update (struct CfCore *core, CfMillis now);
 void cf_view_settle (struct CfCore *core, CfMillis now);
 void cf_view_end_fallbacks (struct CfCore *core, CfMillis now);
 
-/* marks.c */
-bool cf_marked (const struct CfCore *core, uint32_t slot);
-bool cf_marked_by_config (const struct CfSlot *slot);
-bool cf_may_divert (struct CfCore *core, uint32_t slot, CfMillis now);
-void cf_marks_update (struct CfCore *core, CfMillis now);
-void cf_marks_receive (struct CfCore *core,
-                       struct CfMember *member,
-                       const peer_heartbeat *heartbeat,
-                       CfMillis now);
+/* bind.c */
+void cf_slots_bind (struct CfCore *core, bool initial, CfMillis now);
 
-/* heartbeat.c */
-void cf_heartbeats_send (struct CfCore *core, CfMillis now);
-void cf_heartbeat_receive (struct CfCore *core, const struct peer_envelope *envelope, CfMillis now);
+/* send.c */
 void cf_send (struct CfCore *core, const struct CfMember *member, struct peer_message *message);
 
-/* arrive.c */
-void cf_notice_pause (struct CfCore *core, CfMillis now);
+/* sweep.c */
+/* Looks at the next SLOTS places of the table. */
+void cf_flows_sweep (struct CfCore *core, uint32_t slots, CfMillis now);
 
-/* Lets the first packet of ROUTE wait, or drops it for the reason DROP. */
-enum CfVerdict cf_park (struct CfCore *core, const struct CfRoute *route, enum CfDrop drop);
-void cf_park_retry (struct CfCore *core, CfMillis now);
+/* services.c */
+void cf_services_compile (struct CfCore *core);
+void cf_services_clear (struct CfCore *core);
+struct CfServiceState *cf_service_state (const struct CfCore *core,
+                                         const struct CfService *service);
 
-/* route.c */
-enum CfVerdict cf_route (struct CfCore *core, struct CfRoute *route);
+/* evidence.c */
+void cf_evidence_tick (struct CfCore *core, CfMillis now);
+
+/* deliver.c */
 enum CfVerdict cf_route_to (struct CfCore *core, const struct CfRoute *route, uint32_t slot);
 enum CfVerdict cf_route_drop (struct CfCore *core, enum CfDrop drop);
 enum CfVerdict
 cf_route_refuse (struct CfCore *core, const struct CfRoute *route, enum CfVerdict verdict);
 
-/* place.c */
-enum CfVerdict cf_place (struct CfCore *core, struct CfRoute *route, struct CfFlow *flow);
-
 /* baseline.c */
 enum CfVerdict cf_route_baseline (struct CfCore *core, struct CfRoute *route);
 
-/* limits.c */
-bool cf_limit_tenant (struct CfCore *core, struct CfServiceState *service, CfMillis now);
-uint32_t cf_limit_open (const struct CfSlot *slot);
-bool cf_limit_full (const struct CfCore *core, const struct CfSlot *slot);
-bool
-cf_limit_unfair (const struct CfCore *core, const struct CfServiceState *service, uint32_t slot);
-void cf_limits_sum (struct CfCore *core);
+/* park.c */
+/* Lets the first packet of ROUTE wait, or drops it for the reason DROP. */
+enum CfVerdict cf_park (struct CfCore *core, const struct CfRoute *route, enum CfDrop drop);
 
-/* gatekeeper.c */
-#define CF_NO_GRANT UINT32_MAX /* the heartbeat says nothing about grants */
-bool cf_grant_available (const struct CfSlot *slot, CfMillis now);
-void cf_gate_window (struct CfCore *core, CfMillis now);
-uint32_t cf_gate_grant_for (const struct CfCore *core,
-                            const struct CfSlot *slot,
-                            const struct CfMember *member);
-void cf_gate_tick (struct CfCore *core, CfMillis now);
-void cf_gatekeepers_update (struct CfCore *core, CfMillis now);
-void cf_set_health (struct CfCore *core, uint32_t slot, enum peer_health health, CfMillis now);
-void cf_health_receive (struct CfCore *core,
-                        struct CfMember *member,
-                        const peer_heartbeat *heartbeat,
-                        CfMillis now);
+/* batches.c */
+void cf_streams_flush (struct CfCore *core, CfMillis now);
 
-/* evidence.c */
-void cf_evidence_tick (struct CfCore *core, CfMillis now);
+/* marks.c */
+bool cf_marked (const struct CfCore *core, uint32_t slot);
+bool cf_marked_by_config (const struct CfSlot *slot);
+bool cf_may_divert (struct CfCore *core, uint32_t slot, CfMillis now);
+void cf_marks_update (struct CfCore *core, CfMillis now);
+void cf_marks_receive (struct CfCore *core,
+                       struct CfMember *member,
+                       const peer_heartbeat *heartbeat,
+                       CfMillis now);
+
+/* apply.c */
+/* cf_core_set_config is public. */
+void cf_config_clear (struct CfCore *core);
 
 /* spread.c */
 void cf_spread_check (struct CfCore *core, struct CfMember *member, CfMillis now);
@@ -461,8 +454,34 @@
                       const peer_config_chunk *chunk,
                       CfMillis now);
 void cf_spread_tick (struct CfCore *core, CfMillis now);
-/* To be called when another configuration comes into force. */
-void cf_spread_forget_changes (struct CfCore *core);
 void cf_spread_clear (struct CfCore *core);
 
+/* lifecycle.c */
+void cf_members_check (struct CfCore *core, CfMillis now);
+void cf_members_pause (struct CfCore *core, CfMillis now);
+void cf_members_join (struct CfCore *core, CfMillis now);
+void cf_enter_state (struct CfCore *core, enum peer_state state, CfMillis now);
+
+/* limits.c */
+bool cf_limit_tenant (struct CfCore *core, struct CfServiceState *service, CfMillis now);
+uint32_t cf_limit_open (const struct CfSlot *slot);
+bool cf_limit_full (const struct CfCore *core, const struct CfSlot *slot);
+bool
+cf_limit_unfair (const struct CfCore *core, const struct CfServiceState *service, uint32_t slot);
+void cf_limits_sum (struct CfCore *core);
+
+/* place.c */
+enum CfVerdict cf_place (struct CfCore *core, struct CfRoute *route, struct CfFlow *flow);
+
+/* route.c */
+enum CfVerdict cf_route (struct CfCore *core, struct CfRoute *route);
+
+/* arrive.c */
+void cf_notice_pause (struct CfCore *core, CfMillis now);
+void cf_park_retry (struct CfCore *core, CfMillis now);
+
+/* heartbeat.c */
+void cf_heartbeats_send (struct CfCore *core, CfMillis now);
+void cf_heartbeat_receive (struct CfCore *core, const struct peer_envelope *envelope, CfMillis now);
+
 #endif
--- /dev/null
+++ b/src/gue/lifecycle.c
@@ -0,0 +1,176 @@
+#include "internal.h"
+
+/* Members that die, and this VM's own way from joining to serving, through pauses. */
+
+static void
+declare_dead (struct CfCore *core, struct CfMember *member)
+{
+  member->alive = false;
+  member->left = member->state == PEER_LEAVING;
+  member->sees_me = false;
+  member->ack_count = 0;
+  member->pushed = 0;
+  cf_stream_reset (&member->stream);
+  /* A member that left has handed its entries over.  The marks of one that fell
+   * silent stay: it may be cut off and go on serving. */
+  if (member->left)
+    cf_member_forget_marks (core, member);
+}
+
+/* VMs come and go under new names.  One that is gone keeps only what a late message
+ * of it is recognised by. */
+static void
+retire (struct CfCore *core, struct CfMember *member)
+{
+  cf_member_restarted (core, member);
+  g_array_unref (member->loads);
+  member->loads = g_array_new (FALSE, TRUE, sizeof (struct CfLoad));
+}
+
+void
+cf_members_check (struct CfCore *core, CfMillis now)
+{
+  bool changed = false;
+
+  for (guint i = 1; i < core->members->len; i++)
+    {
+      struct CfMember *member = cf_member (core, i);
+
+      if (member->alive && now - member->heard_at > CF_MEMBER_DEAD_MS)
+        {
+          declare_dead (core, member);
+          changed = true;
+        }
+      if (!member->alive && (member->marks->len || member->all_marked) && core->config
+          && (!member->listed || now - member->heard_at > core->config->limits.flow_idle_ms))
+        cf_member_forget_marks (core, member);
+      if (!member->alive && !member->listed && member->loads->len
+          && now - member->heard_at > CF_RETIRE_MS)
+        retire (core, member);
+    }
+  if (changed)
+    {
+      core->death_at = now;
+      cf_view_update (core, now);
+    }
+}
+
+void
+cf_enter_state (struct CfCore *core, enum peer_state state, CfMillis now)
+{
+  core->state = state;
+  core->state_since = now;
+  core->heartbeat_urgent = true;
+  core->stop_announced = false;
+  cf_member (core, 0)->state = state;
+  cf_member (core, 0)->alive = true;
+  cf_view_update (core, now);
+  core->out->state_changed (core->context, state, false);
+}
+
+/* After a pause nothing that was believed before counts: other members may have
+ * taken over this VM's buckets.  The entries are kept as a last resort, in case
+ * the whole fleet was paused. */
+void
+cf_members_pause (struct CfCore *core, CfMillis now)
+{
+  core->stats.counter[CF_COUNT_PAUSES]++;
+  core->incarnation++;
+  g_free (core->before_pause);
+  core->before_pause = g_memdup2 (core->current.holders, sizeof core->current.holders);
+  for (uint32_t i = 0; i < core->table.capacity; i++)
+    if (core->table.flows[i].key)
+      core->table.flows[i].flags |= CF_FLOW_STALE;
+  for (guint i = 1; i < core->members->len; i++)
+    {
+      struct CfMember *member = cf_member (core, i);
+
+      member->incarnation_before = member->alive ? member->incarnation : 0;
+      member->alive = false;
+      member->reunited_at = -1;
+      member->done = 0;
+      member->sees_me = false;
+      member->acked_marks = 0;
+      member->pushed = 0;
+      member->ack_count = 0;
+      cf_stream_reset (&member->stream);
+    }
+  for (uint32_t i = 0; i < core->slots->len; i++)
+    cf_slot (core, i)->grant = 0;
+  cf_member (core, 0)->incarnation = core->incarnation;
+  cf_enter_state (core, PEER_JOINING, now);
+}
+
+/* Returns true if a holder of BUCKET from before the pause went on serving meanwhile,
+ * so that its entries go before this VM's. */
+static bool
+holder_went_on (const struct CfCore *core, uint32_t bucket)
+{
+  for (int i = 0; i < CF_HOLDERS; i++)
+    {
+      uint32_t index = core->before_pause[bucket][i].member;
+      const struct CfMember *member;
+
+      if (index == CF_NO_MEMBER || index == 0)
+        continue;
+      member = cf_member (core, index);
+      if (member->alive && member->state == PEER_SERVING
+          && member->incarnation == member->incarnation_before)
+        return true;
+    }
+  return false;
+}
+
+static void
+settle_stale (struct CfCore *core)
+{
+  for (uint32_t i = 0; i < core->table.capacity;)
+    {
+      struct CfFlow *flow = &core->table.flows[i];
+
+      if (flow->key && (flow->flags & CF_FLOW_STALE)
+          && holder_went_on (core, CF_BUCKET (flow->key)))
+        {
+          cf_flows_drop (core, flow);
+          continue;
+        }
+      flow->flags &= ~CF_FLOW_STALE;
+      i++;
+    }
+  g_clear_pointer (&core->before_pause, g_free);
+}
+
+void
+cf_members_join (struct CfCore *core, CfMillis now)
+{
+  CfMillis waited = now - core->state_since;
+  bool complete = true;
+  bool any = false;
+  bool alone = true;
+
+  if (core->state != PEER_JOINING || !core->config || core->superseded)
+    return;
+  for (guint i = 1; i < core->members->len; i++)
+    {
+      const struct CfMember *member = cf_member (core, i);
+
+      alone &= !member->alive;
+      if (!member->alive || member->state != PEER_SERVING)
+        continue;
+      any = true;
+      complete
+          &= member->done == core->incarnation && member->config_version <= core->config->version;
+    }
+  if (waited < CF_JOIN_WAIT_MS || (any && !complete && waited < CF_JOIN_LIMIT_MS))
+    return;
+  if (core->before_pause)
+    settle_stale (core);
+  for (uint32_t b = 0; b < CF_BUCKETS; b++)
+    {
+      /* Others that join at the same time may know flows that this VM does not. */
+      core->gained_at[b] = any || alone ? -1 : now;
+      core->owned_since[b] = now;
+      core->decides_since[b] = now - CF_IN_FLIGHT_MS;
+    }
+  cf_enter_state (core, PEER_SERVING, now);
+}
--- a/src/gue/spread.c
+++ b/src/gue/spread.c
@@ -105,13 +105,6 @@
     }
 }
 
-void
-cf_spread_forget_changes (struct CfCore *core)
-{
-  for (int i = 0; i < CF_HISTORY; i++)
-    g_clear_pointer (&core->changes[i], g_free);
-}
-
 /* Returns the configuration that was fetched, or NULL if it is not the one that was
  * announced. */
 static struct CfConfig *
@@ -188,9 +181,6 @@
 void
 cf_spread_clear (struct CfCore *core)
 {
-  cf_spread_forget_changes (core);
-  for (int i = 0; i < CF_HISTORY; i++)
-    cf_config_unref (core->history[i]);
   if (core->pull.data)
     g_string_free (core->pull.data, TRUE);
 }
--- /dev/null
+++ b/tests/layers.sh
@@ -0,0 +1,27 @@
+#!/bin/sh
+# Checks that each file of src/gue calls only files that stand before it in the list of
+# src/gue/internal.h.  The argument is the build folder.
+set -eu
+
+objects=$1/src/gue
+layers=$(sed -n 's|^/\* \([a-z_]*\)\.c \*/$|\1|p' src/gue/internal.h)
+layers="flow_table owners $layers explain core status"
+count=$(ls src/gue/*.c | wc -l)
+if [ "$(echo $layers | wc -w)" -ne "$count" ]; then
+  echo "src/gue has $count files, its list of layers has others"
+  exit 1
+fi
+above=$(mktemp)
+trap 'rm -f "$above"' EXIT
+status=0
+for layer in $(echo "$layers" | tr ' ' '\n' | tac); do
+  # Public functions of core.c are called by nobody here.
+  for symbol in $(nm -u "$objects/$layer.o" | awk '{ print $2 }' | grep '^cf_' || true); do
+    if grep -q "^$symbol " "$above"; then
+      echo "$layer.c calls $(grep "^$symbol " "$above"), a layer above it"
+      status=1
+    fi
+  done
+  nm --defined-only -g "$objects/$layer.o" | awk -v file="$layer.c" '{ print $3, "of", file }' >> "$above"
+done
+exit $status
