--- a/src/balance/balance.c
+++ b/src/balance/balance.c
@@ -3,6 +3,7 @@
 #include "isolation.h"
 #include "patience.h"
 #include "reach.h"
+#include "waiting.h"
 
 #include <string.h>
 
@@ -37,7 +38,8 @@
   struct CfDirectory *directory;
   struct CfRoutes *routes;
   struct CfConnections connections;
-  GHashTable *evacuated; /* set of GQuark */
+  struct CfWaiting waiting; /* first packets, until there are news */
+  GHashTable *evacuated;    /* set of GQuark */
   GRand *random;
   GQuark domain;
   struct CfPatience near; /* with upstreams of this failure domain */
@@ -73,6 +75,7 @@
   balance->helpers = g_array_new (FALSE, FALSE, sizeof (uint32_t));
   balance->news_at = -1;
   cf_connections_init (&balance->connections);
+  cf_waiting_init (&balance->waiting);
   return balance;
 }
 
@@ -80,6 +83,7 @@
 cf_balance_free (struct CfBalance *balance)
 {
   cf_connections_clear (&balance->connections);
+  cf_waiting_clear (&balance->waiting);
   g_array_unref (balance->helpers);
   g_rand_free (balance->random);
   g_hash_table_unref (balance->evacuated);
@@ -129,17 +133,43 @@
   return fate;
 }
 
-/* SEGMENT cannot be understood here: another VM may know more, since this one has just
- * started or has been cut off.  FATE is what becomes of it otherwise. */
-static enum CfFate
-hand_on (struct CfBalance *balance, const struct CfSegment *segment, enum CfFate fate, CfMillis now)
+/* Hands SEGMENT on to another VM, unless it was handed on before.  Returns true if it did. */
+static bool
+ask_helper (struct CfBalance *balance, const struct CfSegment *segment)
 {
   if (segment->flags & CF_SEGMENT_HANDED || balance->helpers->len == 0)
-    return end (balance, segment, NULL, fate, now);
+    return false;
   balance->next_helper = (balance->next_helper + 1) % MIN (balance->helpers->len, HELPERS_MAX);
   balance->out->hand_on (balance->context, segment,
                          g_array_index (balance->helpers, uint32_t, balance->next_helper));
-  return end (balance, segment, NULL, CF_FATE_HANDED_ON, now);
+  return true;
+}
+
+/* SEGMENT cannot be understood here: another VM may know more, since this one has been cut
+ * off.  FATE is what becomes of it otherwise. */
+static enum CfFate
+hand_on (struct CfBalance *balance, const struct CfSegment *segment, enum CfFate fate, CfMillis now)
+{
+  return end (balance, segment, NULL, ask_helper (balance, segment) ? CF_FATE_HANDED_ON : fate,
+              now);
+}
+
+/* Returns true if this VM has had news of every kind since its start. */
+static bool
+has_started (const struct CfBalance *balance)
+{
+  return balance->news_at >= 0 && cf_routes_version (balance->routes) > 0;
+}
+
+/* The first packet SEGMENT came before the first news.  Another VM may know more already;
+ * if not, the news come sooner than the caller's repetition. */
+static enum CfFate
+await_news (struct CfBalance *balance, const struct CfSegment *segment, CfMillis now)
+{
+  if (segment->flags & CF_SEGMENT_HANDED || !cf_waiting_keep (&balance->waiting, segment, now))
+    return hand_on (balance, segment, CF_FATE_SILENT_ROUTE, now);
+  ask_helper (balance, segment);
+  return end (balance, segment, NULL, CF_FATE_WAITING, now);
 }
 
 static void
@@ -258,6 +288,8 @@
       = cf_connections_find (&balance->connections, segment->caller, segment->service);
   enum CfFate fate = segment->copy > 0 ? CF_FATE_REPEATED : CF_FATE_PLACED;
 
+  if (!has_started (balance))
+    return await_news (balance, segment, now);
   if (!route && !news_are_fresh (balance, now))
     return hand_on (balance, segment, CF_FATE_SILENT_ROUTE, now);
   if (!route || route->removed)
@@ -354,6 +386,9 @@
 {
   if (segment->flags & CF_SEGMENT_SYN)
     return handle_first (balance, segment, now);
+  /* Another VM had an upstream for it. */
+  if (!cf_waiting_empty (&balance->waiting))
+    cf_waiting_forget (&balance->waiting, segment->caller, segment->service);
   return handle_later (balance, segment, now);
 }
 
@@ -388,12 +423,24 @@
   cf_connections_schedule (&balance->connections, connection, give_up);
 }
 
+/* The first news are there: the first packets that waited for them go on. */
+static void
+resume (struct CfBalance *balance, CfMillis now)
+{
+  struct CfWaitingFirst first;
+
+  while (cf_waiting_take (&balance->waiting, &first, now))
+    handle_first (balance, &first.segment, now);
+}
+
 CfMillis
 cf_balance_tick (struct CfBalance *balance, CfMillis now)
 {
   struct CfConnections *connections = &balance->connections;
   CfMillis idle = cf_routes_flow_idle (balance->routes);
 
+  if (has_started (balance) && !cf_waiting_empty (&balance->waiting))
+    resume (balance, now);
   while (!cf_list_empty (&connections->pending))
     {
       struct CfConnection *connection
--- a/src/balance/balance.h
+++ b/src/balance/balance.h
@@ -22,6 +22,7 @@
   CF_FATE_MOVED,          /* first packet, sent to another upstream without being repeated */
   CF_FATE_REPEATED,       /* first packet that its caller repeated, sent to another upstream */
   CF_FATE_HANDED_ON,      /* sent to another entry VM, which may know more */
+  CF_FATE_WAITING,        /* first packet, kept until this VM has the first news */
   CF_FATE_RESET_ROUTE,    /* refused: no route at its address */
   CF_FATE_RESET_SERVICE,  /* refused: no upstream may take it */
   CF_FATE_RESET_REMOVED,  /* flow ended: its route was removed */
@@ -93,7 +94,8 @@
 /* The failure domain DOMAIN is to get no new flows, or may get them again. */
 void cf_balance_evacuate (struct CfBalance *balance, const char *domain, bool on, CfMillis now);
 
-/* What is known is as of NOW: the store answered, or a peer whom it answered. */
+/* What is known is as of NOW: the store answered, or a peer whom it answered.  First packets
+ * that waited for the first news go on with the next tick. */
 void cf_balance_news (struct CfBalance *balance, CfMillis now);
 
 /* The COUNT entry VMs at IPS may know what this one does not: others of its failure domain
--- a/src/balance/fate.c
+++ b/src/balance/fate.c
@@ -9,6 +9,7 @@
     [CF_FATE_MOVED] = "moved",
     [CF_FATE_REPEATED] = "repeated",
     [CF_FATE_HANDED_ON] = "handed-on",
+    [CF_FATE_WAITING] = "waiting",
     [CF_FATE_RESET_ROUTE] = "reset-no-route",
     [CF_FATE_RESET_SERVICE] = "reset-no-upstream",
     [CF_FATE_RESET_REMOVED] = "reset-route-removed",
--- a/src/serve/datapath_news.c
+++ b/src/serve/datapath_news.c
@@ -129,6 +129,8 @@
   const struct Fresh *fresh = message;
 
   cf_balance_news (task->balance, fresh->known_at);
+  /* First packets may have waited for this. */
+  g_source_set_ready_time (task->source, 0);
   cf_datapath_note_isolation (task, cf_now ());
   if (fresh->settled)
     cf_directory_settle (cf_balance_directory (task->balance), cf_now ());
--- a/tests/balancers.c
+++ b/tests/balancers.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#define FLOW_LIFE_MS 60000
+
 enum TestEventKind
 {
   EVENT_REPEAT, /* a caller repeats its first packet */
@@ -187,14 +189,11 @@
 struct CfBalance *
 test_world_vm (struct TestWorld *world, const char *domain, double cold_per_s)
 {
-  return test_world_vm_living (world, domain, cold_per_s, 60000);
+  return test_world_vm_living (world, domain, cold_per_s, FLOW_LIFE_MS);
 }
 
-struct CfBalance *
-test_world_vm_living (struct TestWorld *world,
-                      const char *domain,
-                      double cold_per_s,
-                      CfMillis life_ms)
+static struct CfBalance *
+add_vm (struct TestWorld *world, const char *domain, CfMillis life_ms)
 {
   struct CfBalance *balance = cf_balance_new (
       &(struct CfBalanceOptions){
@@ -203,12 +202,29 @@
           .flow_lifetime_ms = life_ms,
       },
       &outputs, world);
+
+  g_ptr_array_add (world->balances, balance);
+  return balance;
+}
+
+struct CfBalance *
+test_world_started (struct TestWorld *world, const char *domain)
+{
+  return add_vm (world, domain, FLOW_LIFE_MS);
+}
+
+struct CfBalance *
+test_world_vm_living (struct TestWorld *world,
+                      const char *domain,
+                      double cold_per_s,
+                      CfMillis life_ms)
+{
+  struct CfBalance *balance = add_vm (world, domain, life_ms);
   struct CfManifest *manifest = test_world_manifest (1, cold_per_s, true);
 
   cf_balance_manifest (balance, manifest);
   cf_manifest_free (manifest);
   cf_balance_news (balance, world->now);
-  g_ptr_array_add (world->balances, balance);
   return balance;
 }
 
--- a/tests/balancers.h
+++ b/tests/balancers.h
@@ -53,6 +53,9 @@
                                         double cold_per_s,
                                         CfMillis life_ms);
 
+/* Adds a VM of DOMAIN that has just started and knows nothing. */
+struct CfBalance *test_world_started (struct TestWorld *world, const char *domain);
+
 /* Announces the upstream ID of SERVICE in DOMAIN to BALANCE (NULL: to all VMs). */
 void test_world_upstream (struct TestWorld *world,
                           struct CfBalance *balance,
