A failure domain whose upstreams go away together is avoided as a whole

Cause: judged one by one, each of a domain's upstreams costs a first packet on each VM, then trials that double up to one in 2 s.

Ruled out: sharing suspicions between VMs.

Change: src/balance/outage.c counts upstreams of a domain that were lost one after the other; from the third on the others of the domain come after all that are not in doubt. The first that answers ends that for all. One flow in eight, or each 500 ms, may try a suspected upstream, and never one that an upstream has lost already.

--- a/src/balance/balance.c
+++ b/src/balance/balance.c
@@ -49,6 +49,9 @@
   uint32_t next_helper;
   CfMillis news_at;
   struct CfIsolation isolation;
+  struct CfOutages *outages;
+  uint32_t flows_since_try; /* flows that were placed since one last tried a suspected upstream */
+  CfMillis tried_at;        /* when one last did */
   CfMillis pruned_at;
 };
 
@@ -71,6 +74,7 @@
   cf_patience_init (&balance->near);
   cf_patience_init (&balance->far);
   cf_isolation_init (&balance->isolation);
+  balance->outages = cf_outages_new ();
   balance->fleet = 1;
   balance->helpers = g_array_new (FALSE, FALSE, sizeof (uint32_t));
   balance->news_at = -1;
@@ -84,6 +88,7 @@
 {
   cf_connections_clear (&balance->connections);
   cf_waiting_clear (&balance->waiting);
+  cf_outages_free (balance->outages);
   g_array_unref (balance->helpers);
   g_rand_free (balance->random);
   g_hash_table_unref (balance->evacuated);
@@ -179,6 +184,13 @@
     balance->out->reach_changed (balance->context, target);
 }
 
+static void
+tell_outage (struct CfBalance *balance, GQuark domain, bool begins)
+{
+  if (balance->out->outage_changed)
+    balance->out->outage_changed (balance->context, domain, begins);
+}
+
 static double
 cold_share (const struct CfBalance *balance, GQuark service)
 {
@@ -187,6 +199,16 @@
   return traits ? traits->cold_per_s / MAX (balance->fleet, 1) : 0;
 }
 
+/* Returns true if a flow that is placed at NOW may try a suspected upstream.  A first packet
+ * that one upstream has lost already goes to the best. */
+static bool
+may_try (const struct CfBalance *balance, const struct CfConnection *connection, CfMillis now)
+{
+  return connection->tries == 0
+         && (balance->flows_since_try >= CF_PLACE_TRY_EACH
+             || now - balance->tried_at >= CF_PLACE_TRY_MS);
+}
+
 static struct CfTarget *
 choose (struct CfBalance *balance,
         const struct CfConnection *connection,
@@ -198,6 +220,8 @@
     .domain = balance->domain,
     .evacuated = balance->evacuated,
     .cold_share = cold_share (balance, connection->service_name),
+    .outages = balance->outages,
+    .may_try = may_try (balance, connection, now),
     .random = balance->random,
   };
 
@@ -225,6 +249,12 @@
 
   if (!target)
     return false;
+  balance->flows_since_try++;
+  if (reason == CF_PLACE_TRY)
+    {
+      balance->flows_since_try = 0;
+      balance->tried_at = now;
+    }
   decide (balance,
           &(struct CfDecision){
               .fate = fate,
@@ -321,6 +351,21 @@
   return unplaced (balance, segment, connection, now);
 }
 
+/* Upstreams of DOMAIN can be reached again: those that were found out of reach may be tried
+ * at once. */
+static void
+end_outage (struct CfBalance *balance, GQuark domain, CfMillis now)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, cf_directory_all (balance->directory));
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (((struct CfTarget *) value)->domain == domain)
+      cf_reach_forgive (&((struct CfTarget *) value)->reach, now);
+  tell_outage (balance, domain, false);
+}
+
 /* A packet with the cookie of TARGET followed the first packet of CONNECTION. */
 static void
 opened (struct CfBalance *balance,
@@ -337,6 +382,8 @@
   cf_reach_confirm (&target->reach, now);
   if (suspected)
     tell_reach (balance, target);
+  if (cf_outages_answered (balance->outages, target->domain))
+    end_outage (balance, target->domain, now);
   cf_connection_move (connection, target);
   if (balance->out->opened)
     balance->out->opened (balance->context, target->service, now - connection->begun_at);
@@ -412,7 +459,11 @@
       cf_isolation_lost (&balance->isolation, now);
       cf_reach_strike (&last->reach, connection->tried_at[connection->tries - 1], now);
       if (good && !cf_reach_good (&last->reach))
-        tell_reach (balance, last);
+        {
+          tell_reach (balance, last);
+          if (cf_outages_lost (balance->outages, last->domain))
+            tell_outage (balance, last->domain, true);
+        }
     }
   if (connection->first_size > 0 && connection->tries < CF_TRIES_MAX
       && now - connection->begun_at < CALLER_REPEATS_MS
--- a/src/balance/balance.h
+++ b/src/balance/balance.h
@@ -67,6 +67,9 @@
   void (*opened) (void *context, GQuark service, CfMillis wait);
   /* The reachability of TARGET has changed. */
   void (*reach_changed) (void *context, const struct CfTarget *target);
+  /* The upstreams of DOMAIN are avoided since they seem to be out of reach together, or no
+   * longer are. */
+  void (*outage_changed) (void *context, GQuark domain, bool begins);
 };
 
 struct CfBalanceOptions
--- /dev/null
+++ b/src/balance/outage.c
@@ -0,0 +1,52 @@
+#include "outage.h"
+
+struct CfOutages
+{
+  GHashTable *lost; /* GQuark of a failure domain to how many upstreams in a row were lost */
+};
+
+struct CfOutages *
+cf_outages_new (void)
+{
+  struct CfOutages *outages = g_new0 (struct CfOutages, 1);
+
+  outages->lost = g_hash_table_new (NULL, NULL);
+  return outages;
+}
+
+void
+cf_outages_free (struct CfOutages *outages)
+{
+  g_hash_table_unref (outages->lost);
+  g_free (outages);
+}
+
+static guint
+lost_at (const struct CfOutages *outages, GQuark domain)
+{
+  return GPOINTER_TO_UINT (g_hash_table_lookup (outages->lost, GUINT_TO_POINTER (domain)));
+}
+
+bool
+cf_outages_lost (struct CfOutages *outages, GQuark domain)
+{
+  guint lost = lost_at (outages, domain) + 1;
+
+  g_hash_table_insert (outages->lost, GUINT_TO_POINTER (domain), GUINT_TO_POINTER (lost));
+  return lost == CF_OUTAGE_LOST;
+}
+
+bool
+cf_outages_answered (struct CfOutages *outages, GQuark domain)
+{
+  bool suspected = cf_outages_suspects (outages, domain);
+
+  g_hash_table_remove (outages->lost, GUINT_TO_POINTER (domain));
+  return suspected;
+}
+
+bool
+cf_outages_suspects (const struct CfOutages *outages, GQuark domain)
+{
+  return lost_at (outages, domain) >= CF_OUTAGE_LOST;
+}
--- a/src/balance/place.c
+++ b/src/balance/place.c
@@ -4,7 +4,8 @@
 /* Part of what a cold upstream bears that the VMs use together.  They open flows there
  * independently, so a second may see twice their mean. */
 #define COLD_USED 0.5
-#define COST_COLD 1e6       /* above any load */
+#define COST_OUTAGE 1e5     /* above any load */
+#define COST_COLD 1e6       /* above that: a cold upstream bears little */
 #define COST_SUSPECT 1e9    /* above that: a cold upstream answers */
 #define COLD_SHARE_MIN 0.01 /* flows a second, where a manifest gives no rate */
 
@@ -12,8 +13,9 @@
 cf_place_reason_name (enum CfPlaceReason reason)
 {
   static const char *const names[] = {
-    [CF_PLACE_NEAR] = "near",       [CF_PLACE_FAR] = "far",   [CF_PLACE_TRY] = "try",
-    [CF_PLACE_SUSPECT] = "suspect", [CF_PLACE_COLD] = "cold", [CF_PLACE_NONE] = "none",
+    [CF_PLACE_NEAR] = "near",     [CF_PLACE_FAR] = "far",   [CF_PLACE_TRY] = "try",
+    [CF_PLACE_OUTAGE] = "outage", [CF_PLACE_COLD] = "cold", [CF_PLACE_SUSPECT] = "suspect",
+    [CF_PLACE_NONE] = "none",
   };
 
   return names[reason];
@@ -64,9 +66,12 @@
 {
   if (now < target->cold_until)
     return cold_due (placement, target, now) ? CF_PLACE_COLD : CF_PLACE_NONE;
-  if (cf_reach_good (&target->reach))
-    return target->domain == placement->domain ? CF_PLACE_NEAR : CF_PLACE_FAR;
-  return cf_reach_may_try (&target->reach, now) ? CF_PLACE_TRY : CF_PLACE_SUSPECT;
+  if (!cf_reach_good (&target->reach))
+    return placement->may_try && cf_reach_may_try (&target->reach, now) ? CF_PLACE_TRY
+                                                                        : CF_PLACE_SUSPECT;
+  if (cf_outages_suspects (placement->outages, target->domain))
+    return placement->may_try ? CF_PLACE_TRY : CF_PLACE_OUTAGE;
+  return target->domain == placement->domain ? CF_PLACE_NEAR : CF_PLACE_FAR;
 }
 
 /* Lower is better.  Upstreams in good standing compete by load; an upstream that is due
@@ -84,6 +89,8 @@
       return load;
     case CF_PLACE_FAR:
       return load + CF_PLACE_FAR_COST;
+    case CF_PLACE_OUTAGE:
+      return COST_OUTAGE + load;
     case CF_PLACE_COLD:
       return COST_COLD + load;
     case CF_PLACE_SUSPECT:
--- a/src/balance/place.h
+++ b/src/balance/place.h
@@ -2,6 +2,7 @@
 #define CF_BALANCE_PLACE_H
 
 #include "directory.h"
+#include "outage.h"
 
 /* Chooses the upstream for a new flow.
  *
@@ -19,15 +20,24 @@
   GQuark domain;         /* of this VM */
   GHashTable *evacuated; /* set of GQuark: domains that get no new flows */
   double cold_share;     /* flows a second that this VM may open at a cold upstream */
+  const struct CfOutages *outages;
+  bool may_try; /* this flow may try a suspected upstream */
   GRand *random;
 };
 
+/* Of so many flows one may try a suspected upstream: where many are suspected, trials would
+ * else be most of what callers get. */
+#define CF_PLACE_TRY_EACH 8
+/* A VM with few flows tries one this often all the same. */
+#define CF_PLACE_TRY_MS 500
+
 /* Why an upstream was chosen, from the best to the last resort. */
 enum CfPlaceReason
 {
   CF_PLACE_NEAR,    /* in this VM's failure domain */
   CF_PLACE_FAR,     /* near ones are loaded, missing or unfit */
   CF_PLACE_TRY,     /* suspected, and due for one flow */
+  CF_PLACE_OUTAGE,  /* its failure domain seems to be out of reach, and no other is left */
   CF_PLACE_COLD,    /* none is warm and in good standing */
   CF_PLACE_SUSPECT, /* none but suspected ones are left */
   CF_PLACE_NONE,
--- a/src/balance/reach.c
+++ b/src/balance/reach.c
@@ -27,6 +27,17 @@
   reach->confirmed_at = now;
 }
 
+void
+cf_reach_forgive (struct CfReach *reach, CfMillis now)
+{
+  if (reach->strikes == 0)
+    return;
+  reach->strikes = 0;
+  reach->trying = false;
+  /* Flows that are being opened there began before. */
+  reach->confirmed_at = now;
+}
+
 void
 cf_reach_strike (struct CfReach *reach, CfMillis begun, CfMillis now)
 {
--- a/src/balance/reach.h
+++ b/src/balance/reach.h
@@ -28,6 +28,9 @@
 /* A flow that began there has opened. */
 void cf_reach_confirm (struct CfReach *reach, CfMillis now);
 
+/* What kept the upstream out of reach seems to be over: a strike counts no longer. */
+void cf_reach_forgive (struct CfReach *reach, CfMillis now);
+
 /* A flow that began there at BEGUN has not opened.  A flow that began before the last
  * confirmation of the upstream says nothing new. */
 void cf_reach_strike (struct CfReach *reach, CfMillis begun, CfMillis now);
--- a/src/serve/datapath_task.c
+++ b/src/serve/datapath_task.c
@@ -165,6 +165,20 @@
                        cf_now ());
 }
 
+static void
+outage_changed (void *context, GQuark domain, bool begins)
+{
+  struct DatapathTask *task = context;
+
+  cf_event_log_sample (task->balancer->log, &task->notable,
+                       begins ? "domain-unreachable" : "domain-reachable",
+                       (struct CfField[]){
+                           { .key = "domain", .text = g_quark_to_string (domain) },
+                           { 0 },
+                       },
+                       cf_now ());
+}
+
 static const struct CfBalanceOutputs outputs = {
   .forward = forward,
   .hand_on = hand_on,
@@ -172,6 +186,7 @@
   .decided = decided,
   .opened = opened,
   .reach_changed = reach_changed,
+  .outage_changed = outage_changed,
 };
 
 static void
--- a/tests/test_evidence.c
+++ b/tests/test_evidence.c
@@ -1,6 +1,8 @@
 #include "balancers.h"
 #include "suite.h"
 
+#include <stdio.h>
+
 /* What a VM does with first packets that it cannot place yet, and what lost ones tell it. */
 
 /* Every VM has lost power: what comes before the store's answer is not lost. */
@@ -60,6 +62,105 @@
 }
 END_TEST
 
+#define NEAR 40
+#define FLOWS 200
+#define BETWEEN_MS 60 /* flows: what one of 20 VMs of a failure domain gets */
+
+/* Opens COUNT flows, and returns how many of them the first upstream lost. */
+static uint32_t
+open_flows (struct TestWorld *world, struct CfBalance *balance, int count)
+{
+  const CfMillis slow_ms = 2 * world->round_trip;
+  guint before = world->flows->len;
+  uint32_t slow = 0;
+
+  for (int i = 0; i < count; i++)
+    {
+      struct TestFlow *flow = test_world_open (world, balance, 80);
+
+      test_world_run (world, world->now + BETWEEN_MS);
+      test_world_close (flow);
+    }
+  test_world_run (world, world->now + 1000);
+  for (guint i = before; i < world->flows->len; i++)
+    {
+      const struct TestFlow *flow = world->flows->pdata[i];
+
+      ck_assert_int_ge (flow->opened_at, 0);
+      slow += flow->opened_at - flow->begun_at > slow_ms;
+    }
+  return slow;
+}
+
+/* All upstreams of a failure domain go away together and come back together.  Callers whose
+ * first packet meets a host without its process get a reset at once and have two more tries
+ * (scordato-noli-grown, trouble-1: 309 requests failed in the 2 s after such a loss). */
+START_TEST (test_domain_goes_away)
+{
+  struct TestWorld *world = test_world_new ();
+  struct CfBalance *balance = test_world_vm (world, "a", 0);
+  char ids[NEAR][16];
+  uint32_t near = 0;
+  uint32_t slow;
+
+  for (int i = 0; i < NEAR; i++)
+    {
+      char far[16];
+
+      g_snprintf (ids[i], sizeof ids[i], "near-%d", i);
+      g_snprintf (far, sizeof far, "far-%d", i);
+      test_world_upstream (world, NULL, ids[i], "s", "a", 0);
+      test_world_upstream (world, NULL, far, "s", "b", 0);
+    }
+  ck_assert_uint_eq (open_flows (world, balance, FLOWS), 0);
+  for (int i = 0; i < NEAR; i++)
+    g_hash_table_add (world->dark, ids[i]);
+  slow = open_flows (world, balance, FLOWS);
+  printf ("domain away: %u of %d flows met a dark upstream first\n", slow, FLOWS);
+  ck_assert_uint_le (slow, CF_OUTAGE_LOST + FLOWS / CF_PLACE_TRY_EACH + 1);
+  g_hash_table_remove_all (world->dark);
+  ck_assert_uint_eq (open_flows (world, balance, 2 * CF_PLACE_TRY_EACH), 0);
+  world->resets = 0;
+  for (int i = 0; i < NEAR; i++)
+    near -= test_world_firsts (world, ids[i], 0, world->now);
+  open_flows (world, balance, FLOWS);
+  for (int i = 0; i < NEAR; i++)
+    near += test_world_firsts (world, ids[i], 0, world->now);
+  /* Near upstreams are used as before. */
+  ck_assert_uint_eq (near, FLOWS);
+  test_world_free (world);
+}
+END_TEST
+
+/* A quarter of the upstreams are dark, those of no failure domain more than others: near ones
+ * are used all the same. */
+START_TEST (test_some_dark_no_outage)
+{
+  struct TestWorld *world = test_world_new ();
+  struct CfBalance *balance = test_world_vm (world, "a", 0);
+  char ids[NEAR][16];
+  uint32_t near = 0;
+
+  for (int i = 0; i < NEAR; i++)
+    {
+      char far[16];
+
+      g_snprintf (ids[i], sizeof ids[i], "near-%d", i);
+      g_snprintf (far, sizeof far, "far-%d", i);
+      test_world_upstream (world, NULL, ids[i], "s", "a", 0);
+      test_world_upstream (world, NULL, far, "s", "b", 0);
+      if (i % 4 == 0)
+        g_hash_table_add (world->dark, ids[i]);
+    }
+  open_flows (world, balance, 2 * FLOWS);
+  for (int i = 0; i < NEAR; i++)
+    if (i % 4 != 0)
+      near += test_world_firsts (world, ids[i], 0, world->now);
+  ck_assert_uint_ge (near, 2 * FLOWS * 9 / 10);
+  test_world_free (world);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -67,5 +168,7 @@
 
   suite_add_loop (suite, test_start_waits_for_news, 1);
   suite_add_loop (suite, test_start_late_news, 1);
+  suite_add_loop (suite, test_domain_goes_away, 1);
+  suite_add_loop (suite, test_some_dark_no_outage, 1);
   return suite_run (suite);
 }
