A VM is found isolated after 250 ms without an answer instead of 400

Change: CF_ISOLATION_MS 250. Eight lost first packets in a row are still needed, and an upstream in reach answers one in some tries within 100 ms.

--- a/src/balance/isolation.h
+++ b/src/balance/isolation.h
@@ -8,7 +8,7 @@
 /* First packets lost in a row, over this time: where an upstream is in reach, one in some tries
  * opens within 100 ms. */
 #define CF_ISOLATION_LOST 8
-#define CF_ISOLATION_MS 400
+#define CF_ISOLATION_MS 250
 
 struct CfIsolation
 {
