Upstreams that fail requests are avoided, by what callers acknowledge

Cause: users of the grown sites complain that upstreams which report good health fail bookings. Answers do not pass through a VM, so it noticed only upstreams that lose first packets. Worse, one that fails quickly has few open flows and is preferred.

Ruled out: health probes (they succeed there, and each occupies a slot); reading answers (they go straight to the caller).

Change: the caller's packets tell what it got: src/balance/exchange.c follows requests by the data that a caller sends and the bytes that it acknowledges, also on flows that are kept open; src/balance/answers.c counts answers that never come (1 s) or are under a third of the usual at that address. An upstream that fails a quarter of its requests and four times as often as the others of its service is avoided for 2 s, doubled to 16 s; never more than a third of a service, and what all do is usual.

--- a/src/balance/balance.c
+++ b/src/balance/balance.c
@@ -1,5 +1,7 @@
 #include "balance.h"
+#include "answers.h"
 #include "connections.h"
+#include "exchange.h"
 #include "isolation.h"
 #include "patience.h"
 #include "reach.h"
@@ -50,6 +52,7 @@
   CfMillis news_at;
   struct CfIsolation isolation;
   struct CfOutages *outages;
+  struct CfAnswers *answers;
   uint32_t flows_since_try; /* flows that were placed since one last tried a suspected upstream */
   CfMillis tried_at;        /* when one last did */
   CfMillis pruned_at;
@@ -75,6 +78,7 @@
   cf_patience_init (&balance->far);
   cf_isolation_init (&balance->isolation);
   balance->outages = cf_outages_new ();
+  balance->answers = cf_answers_new ();
   balance->fleet = 1;
   balance->helpers = g_array_new (FALSE, FALSE, sizeof (uint32_t));
   balance->news_at = -1;
@@ -88,6 +92,7 @@
 {
   cf_connections_clear (&balance->connections);
   cf_waiting_clear (&balance->waiting);
+  cf_answers_free (balance->answers);
   cf_outages_free (balance->outages);
   g_array_unref (balance->helpers);
   g_rand_free (balance->random);
@@ -398,6 +403,43 @@
   return false;
 }
 
+/* A request of CONNECTION to TARGET has ended, or waits for long, with BYTES of an answer. */
+static void
+judge (struct CfBalance *balance,
+       const struct CfConnection *connection,
+       struct CfTarget *target,
+       uint32_t bytes,
+       CfMillis now)
+{
+  GPtrArray *siblings = cf_directory_service (balance->directory, target->service);
+
+  if (cf_answers_note (balance->answers, target, siblings, connection->service, bytes, now)
+      && balance->out->failing)
+    balance->out->failing (balance->context, target);
+}
+
+/* SEGMENT of the open CONNECTION went to TARGET. */
+static void
+follow (struct CfBalance *balance,
+        struct CfConnection *connection,
+        const struct CfSegment *segment,
+        struct CfTarget *target,
+        CfMillis now)
+{
+  uint32_t bytes;
+
+  if (cf_exchange_follow (&balance->connections, connection, segment, now, &bytes))
+    judge (balance, connection, target, bytes, now);
+  if (!(segment->flags & (CF_SEGMENT_FIN | CF_SEGMENT_RST)))
+    {
+      cf_connections_touch (&balance->connections, connection, now);
+      return;
+    }
+  if (cf_exchange_end (connection, &bytes))
+    judge (balance, connection, target, bytes, now);
+  cf_connections_remove (&balance->connections, connection);
+}
+
 static enum CfFate
 handle_later (struct CfBalance *balance, const struct CfSegment *segment, CfMillis now)
 {
@@ -421,10 +463,7 @@
     return CF_FATE_PASSED;
   if (connection->pending)
     opened (balance, connection, target, now);
-  if (segment->flags & (CF_SEGMENT_FIN | CF_SEGMENT_RST))
-    cf_connections_remove (&balance->connections, connection);
-  else
-    cf_connections_touch (&balance->connections, connection, now);
+  follow (balance, connection, segment, target, now);
   return CF_FATE_PASSED;
 }
 
@@ -484,6 +523,16 @@
     handle_first (balance, &first.segment, now);
 }
 
+static void
+judge_stalled (struct CfBalance *balance, CfMillis now)
+{
+  struct CfConnection *connection;
+
+  while ((connection = cf_exchange_stalled (&balance->connections, CF_ANSWERS_STALL_MS, now)))
+    if (connection->target)
+      judge (balance, connection, connection->target, 0, now);
+}
+
 CfMillis
 cf_balance_tick (struct CfBalance *balance, CfMillis now)
 {
@@ -501,6 +550,7 @@
         break;
       handle_overdue (balance, connection, now);
     }
+  judge_stalled (balance, now);
   while (!cf_list_empty (&connections->open))
     {
       struct CfConnection *connection
--- a/src/balance/balance.h
+++ b/src/balance/balance.h
@@ -67,6 +67,8 @@
   void (*opened) (void *context, GQuark service, CfMillis wait);
   /* The reachability of TARGET has changed. */
   void (*reach_changed) (void *context, const struct CfTarget *target);
+  /* TARGET is avoided for a while, since it fails requests. */
+  void (*failing) (void *context, const struct CfTarget *target);
   /* The upstreams of DOMAIN are avoided since they seem to be out of reach together, or no
    * longer are. */
   void (*outage_changed) (void *context, GQuark domain, bool begins);
--- a/src/balance/connections.h
+++ b/src/balance/connections.h
@@ -12,9 +12,21 @@
 #define CF_TRIES_MAX 4
 #define CF_FIRST_BYTES_MAX 64 /* a longer first packet is not kept for a second try */
 
+/* The request that a flow is at, as far as the caller's packets tell. */
+struct CfExchange
+{
+  bool asked;   /* data of a request went to the upstream */
+  bool stalled; /* counted as failed, since no answer came for long */
+  CfMillis asked_at;
+  uint32_t ack_before; /* the caller's acknowledgement then */
+  uint32_t answered;   /* bytes that it has acknowledged since */
+};
+
 struct CfConnection
 {
-  struct CfLink link; /* in pending or in open */
+  struct CfLink link;   /* in pending or in open */
+  struct CfLink asking; /* in asking, while no byte of an answer has come */
+  struct CfExchange exchange;
   struct CfEndpoint caller;
   struct CfEndpoint service;
   struct CfTarget *target;              /* counted in its open flows; NULL: none */
@@ -35,6 +47,7 @@
   GHashTable *table;
   struct CfLink pending; /* by due_at, soonest first */
   struct CfLink open;    /* by seen_at, oldest first */
+  struct CfLink asking;  /* by exchange.asked_at, oldest first */
   uint32_t count;
 };
 
--- a/src/balance/directory.c
+++ b/src/balance/directory.c
@@ -154,6 +154,7 @@
   if (announcement->started != target->started)
     {
       target->reach = (struct CfReach){ .confirmed_at = -1 };
+      target->quality = (struct CfQuality){ 0 };
       target->cold_until = 0;
     }
   if (announcement->revision != target->revision)
--- a/src/balance/directory.h
+++ b/src/balance/directory.h
@@ -44,6 +44,22 @@
   bool trying;           /* a flow is being tried since retry_at */
 };
 
+/* Answers of late, the older ones counting less. */
+struct CfTally
+{
+  double answers;
+  double failed; /* of these */
+  CfMillis at;   /* of the last answer */
+};
+
+/* Whether an upstream that can be reached answers requests, see answers.h. */
+struct CfQuality
+{
+  struct CfTally tally;
+  CfMillis avoided_until;
+  uint32_t avoided_times; /* in a row */
+};
+
 /* An upstream as this VM knows it.  It keeps its place in memory until it is pruned. */
 struct CfTarget
 {
@@ -63,6 +79,7 @@
   uint32_t open; /* flows that this VM sees at it or is opening there */
   bool collides; /* an older upstream has the same cookie: gets no new flows */
   struct CfReach reach;
+  struct CfQuality quality;
 };
 
 struct CfDirectory;
--- a/src/balance/place.c
+++ b/src/balance/place.c
@@ -1,10 +1,12 @@
 #include "place.h"
+#include "answers.h"
 #include "reach.h"
 
 /* Part of what a cold upstream bears that the VMs use together.  They open flows there
  * independently, so a second may see twice their mean. */
 #define COLD_USED 0.5
-#define COST_OUTAGE 1e5     /* above any load */
+#define COST_FAILING 1e4    /* above any load: some of its requests fail */
+#define COST_OUTAGE 1e5     /* above that */
 #define COST_COLD 1e6       /* above that: a cold upstream bears little */
 #define COST_SUSPECT 1e9    /* above that: a cold upstream answers */
 #define COLD_SHARE_MIN 0.01 /* flows a second, where a manifest gives no rate */
@@ -13,9 +15,9 @@
 cf_place_reason_name (enum CfPlaceReason reason)
 {
   static const char *const names[] = {
-    [CF_PLACE_NEAR] = "near",     [CF_PLACE_FAR] = "far",   [CF_PLACE_TRY] = "try",
-    [CF_PLACE_OUTAGE] = "outage", [CF_PLACE_COLD] = "cold", [CF_PLACE_SUSPECT] = "suspect",
-    [CF_PLACE_NONE] = "none",
+    [CF_PLACE_NEAR] = "near",       [CF_PLACE_FAR] = "far",       [CF_PLACE_TRY] = "try",
+    [CF_PLACE_FAILING] = "failing", [CF_PLACE_OUTAGE] = "outage", [CF_PLACE_COLD] = "cold",
+    [CF_PLACE_SUSPECT] = "suspect", [CF_PLACE_NONE] = "none",
   };
 
   return names[reason];
@@ -71,6 +73,8 @@
                                                                         : CF_PLACE_SUSPECT;
   if (cf_outages_suspects (placement->outages, target->domain))
     return placement->may_try ? CF_PLACE_TRY : CF_PLACE_OUTAGE;
+  if (cf_answers_avoids (target, now))
+    return CF_PLACE_FAILING;
   return target->domain == placement->domain ? CF_PLACE_NEAR : CF_PLACE_FAR;
 }
 
@@ -89,6 +93,8 @@
       return load;
     case CF_PLACE_FAR:
       return load + CF_PLACE_FAR_COST;
+    case CF_PLACE_FAILING:
+      return COST_FAILING + load;
     case CF_PLACE_OUTAGE:
       return COST_OUTAGE + load;
     case CF_PLACE_COLD:
--- a/src/balance/place.h
+++ b/src/balance/place.h
@@ -37,6 +37,7 @@
   CF_PLACE_NEAR,    /* in this VM's failure domain */
   CF_PLACE_FAR,     /* near ones are loaded, missing or unfit */
   CF_PLACE_TRY,     /* suspected, and due for one flow */
+  CF_PLACE_FAILING, /* it fails requests, and no better one is left */
   CF_PLACE_OUTAGE,  /* its failure domain seems to be out of reach, and no other is left */
   CF_PLACE_COLD,    /* none is warm and in good standing */
   CF_PLACE_SUSPECT, /* none but suspected ones are left */
--- a/src/balance/segment.h
+++ b/src/balance/segment.h
@@ -34,6 +34,7 @@
   uint32_t seq;
   uint32_t ack;
   uint32_t cookie;      /* 0: the sender has received none yet */
+  uint32_t data;        /* bytes of the caller's data in it */
   uint16_t copy;        /* of a first packet: how often the caller sent it before */
   const uint8_t *bytes; /* the whole packet; only valid while it is handled */
   size_t size;
--- a/src/serve/datapath_task.c
+++ b/src/serve/datapath_task.c
@@ -179,6 +179,24 @@
                        cf_now ());
 }
 
+static void
+failing (void *context, const struct CfTarget *target)
+{
+  struct DatapathTask *task = context;
+
+  cf_event_log_sample (
+      task->balancer->log, &task->notable, "upstream-failing",
+      (struct CfField[]){
+          { .key = "upstream", .text = target->id },
+          { .key = "domain", .text = g_quark_to_string (target->domain) },
+          { .key = "times", .number = target->quality.avoided_times },
+          { .key = "avoided_ms", .number = target->quality.avoided_until - cf_now () },
+          { .key = "open", .number = target->open },
+          { 0 },
+      },
+      cf_now ());
+}
+
 static const struct CfBalanceOutputs outputs = {
   .forward = forward,
   .hand_on = hand_on,
@@ -187,6 +205,7 @@
   .opened = opened,
   .reach_changed = reach_changed,
   .outage_changed = outage_changed,
+  .failing = failing,
 };
 
 static void
--- a/tests/balancers.c
+++ b/tests/balancers.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #define FLOW_LIFE_MS 60000
+#define FIRST_ACK 0xfffffff0 /* sequence numbers wrap around */
 
 enum TestEventKind
 {
@@ -263,6 +264,7 @@
     .service = { .ip = TEST_SERVICE_IP, .port = port },
     .flags = flags,
     .cookie = cookie,
+    .ack = flags & CF_SEGMENT_ACK ? FIRST_ACK + flow->acknowledged : 0,
     .copy = copy,
     .bytes = bytes,
     .size = sizeof bytes,
@@ -279,6 +281,38 @@
   return (uint16_t) (80 + (flow->caller.ip & 1));
 }
 
+static void
+send_data (struct TestFlow *flow, uint32_t data)
+{
+  uint8_t bytes[32];
+  struct CfSegment segment = {
+    .caller = flow->caller,
+    .service = { .ip = TEST_SERVICE_IP, .port = port_of (flow) },
+    .flags = CF_SEGMENT_ACK,
+    .cookie = flow->at->cookie,
+    .ack = FIRST_ACK + flow->acknowledged,
+    .data = data,
+    .bytes = bytes,
+    .size = sizeof bytes,
+  };
+
+  pack (flow, bytes);
+  cf_balance_segment (flow->balance, &segment, flow->world->now);
+}
+
+void
+test_world_ask (struct TestFlow *flow)
+{
+  send_data (flow, 100);
+}
+
+void
+test_world_answer (struct TestFlow *flow, uint32_t bytes)
+{
+  flow->acknowledged += bytes;
+  send_data (flow, 0);
+}
+
 struct TestFlow *
 test_world_open (struct TestWorld *world, struct CfBalance *balance, uint16_t port)
 {
--- a/tests/balancers.h
+++ b/tests/balancers.h
@@ -22,6 +22,7 @@
   CfMillis opened_at; /* -1: not */
   bool reset;
   const struct CfTarget *at; /* where it opened */
+  uint32_t acknowledged;     /* bytes that the caller has got */
 };
 
 struct TestWorld
@@ -68,6 +69,10 @@
 struct TestFlow *
 test_world_open (struct TestWorld *world, struct CfBalance *balance, uint16_t port);
 
+/* The caller of FLOW sends a request, or acknowledges BYTES of its answer. */
+void test_world_ask (struct TestFlow *flow);
+void test_world_answer (struct TestFlow *flow, uint32_t bytes);
+
 /* The caller of FLOW ends it. */
 void test_world_close (struct TestFlow *flow);
 
--- /dev/null
+++ b/tests/test_answers.c
@@ -0,0 +1,206 @@
+#include "balance/answers.h"
+#include "balancers.h"
+#include "suite.h"
+
+#include <stdio.h>
+#include <string.h>
+
+/* Upstreams at which flows open and requests fail, on virtual time. */
+
+#define UPSTREAMS 12
+#define GOOD_BYTES 750 /* of an answer */
+#define BAD_BYTES 120
+#define SILENT UINT32_MAX
+#define BETWEEN_MS 20
+
+struct Failures
+{
+  int upstreams;   /* the first ones fail */
+  double share;    /* of their requests */
+  uint32_t answer; /* bytes of a failed answer, SILENT: none comes */
+};
+
+static bool
+fails (const struct TestFlow *flow, const struct Failures *failures, GRand *random)
+{
+  return atoi (strchr (flow->at->id, '-') + 1) < failures->upstreams
+         && g_rand_double (random) < failures->share;
+}
+
+/* A caller's request of 10 ms on a flow of its own, or on FLOW if that is open. */
+static struct TestFlow *
+exchange (struct TestWorld *world,
+          struct CfBalance *balance,
+          struct TestFlow *flow,
+          const struct Failures *failures,
+          GRand *random)
+{
+  bool failed;
+
+  if (!flow)
+    {
+      flow = test_world_open (world, balance, 80);
+      test_world_run (world, world->now + world->round_trip + 2);
+    }
+  ck_assert_ptr_nonnull (flow->at);
+  failed = fails (flow, failures, random);
+  test_world_ask (flow);
+  test_world_run (world, world->now + 10);
+  if (!failed)
+    test_world_answer (flow, GOOD_BYTES);
+  else if (failures->answer != SILENT)
+    test_world_answer (flow, failures->answer);
+  return flow;
+}
+
+struct Play
+{
+  struct TestWorld *world;
+  struct CfBalance *balance;
+  GRand *random;
+  uint32_t failed;
+};
+
+static struct Play
+begin (uint32_t seed)
+{
+  struct Play play = { .world = test_world_new (), .random = g_rand_new_with_seed (seed) };
+
+  play.balance = test_world_vm (play.world, "a", 0);
+  for (int i = 0; i < UPSTREAMS; i++)
+    {
+      char id[16];
+
+      g_snprintf (id, sizeof id, "i-%d", i);
+      test_world_upstream (play.world, NULL, id, "s", "a", 0);
+    }
+  return play;
+}
+
+static void
+finish (struct Play *play)
+{
+  g_rand_free (play->random);
+  test_world_free (play->world);
+}
+
+/* COUNT requests on a flow each; returns how many of them went to upstreams that fail. */
+static uint32_t
+requests (struct Play *play, int count, const struct Failures *failures)
+{
+  uint32_t to_failing = 0;
+
+  for (int i = 0; i < count; i++)
+    {
+      struct TestFlow *flow = exchange (play->world, play->balance, NULL, failures, play->random);
+
+      to_failing += atoi (strchr (flow->at->id, '-') + 1) < failures->upstreams;
+      if (failures->answer != SILENT || flow->acknowledged > 0)
+        test_world_close (flow);
+      test_world_run (play->world, play->world->now + BETWEEN_MS - 16);
+    }
+  return to_failing;
+}
+
+static uint32_t
+avoided (const struct Play *play)
+{
+  GPtrArray *all
+      = cf_directory_service (cf_balance_directory (play->balance), g_quark_from_string ("s"));
+  uint32_t count = 0;
+
+  for (guint i = 0; i < all->len; i++)
+    count += cf_answers_avoids (all->pdata[i], play->world->now);
+  return count;
+}
+
+/* One upstream fails four in ten requests and its health probe is good: users saw reservations
+ * fail at upstreams that reported themselves healthy. */
+START_TEST (test_one_fails)
+{
+  const struct Failures none = { 0 };
+  const struct Failures some = { .upstreams = 1, .share = 0.4, .answer = BAD_BYTES };
+  struct Play play = begin ((uint32_t) _i + 1);
+  uint32_t hit;
+
+  requests (&play, 200, &none);
+  ck_assert_uint_eq (avoided (&play), 0);
+  hit = requests (&play, 1200, &some);
+  printf ("one of %d fails 40%%: %u of 1,200 requests went there, 100 without a judgement\n",
+          UPSTREAMS, hit);
+  ck_assert_uint_le (hit, 50);
+  /* It is back in use soon after it works again. */
+  requests (&play, 1000, &none);
+  ck_assert_uint_ge (requests (&play, 240, &(struct Failures){ .upstreams = 1 }), 10);
+  finish (&play);
+}
+END_TEST
+
+/* One takes requests and never answers. */
+START_TEST (test_one_silent)
+{
+  const struct Failures silent = { .upstreams = 1, .share = 1, .answer = SILENT };
+  struct Play play = begin (7);
+  uint32_t hit;
+
+  requests (&play, 200, &(struct Failures){ 0 });
+  hit = requests (&play, 600, &silent);
+  printf ("one of %d is silent: %u of 600 requests went there, 50 without a judgement\n", UPSTREAMS,
+          hit);
+  ck_assert_uint_le (hit, 25);
+  finish (&play);
+}
+END_TEST
+
+/* What all do is usual: a release with shorter answers, or a fault of the callers.  And never
+ * are more than a third avoided. */
+START_TEST (test_all_fail)
+{
+  struct Play play = begin (9);
+
+  requests (&play, 200, &(struct Failures){ 0 });
+  requests (&play, 600,
+            &(struct Failures){ .upstreams = UPSTREAMS, .share = 0.4, .answer = BAD_BYTES });
+  ck_assert_uint_eq (avoided (&play), 0);
+  requests (&play, 400,
+            &(struct Failures){ .upstreams = UPSTREAMS, .share = 1, .answer = BAD_BYTES });
+  ck_assert_uint_eq (avoided (&play), 0);
+  requests (&play, 600,
+            &(struct Failures){ .upstreams = UPSTREAMS / 2, .share = 1, .answer = SILENT });
+  ck_assert_uint_le (avoided (&play), UPSTREAMS / CF_ANSWERS_AVOID_ONE_OF);
+  finish (&play);
+}
+END_TEST
+
+/* A flow that is kept open for many requests, with pauses between them, counts by these. */
+START_TEST (test_kept_open)
+{
+  const struct Failures some = { .upstreams = 1, .share = 0.5, .answer = BAD_BYTES };
+  struct Play play = begin (11);
+  struct TestFlow *flows[2 * UPSTREAMS];
+
+  requests (&play, 200, &(struct Failures){ 0 });
+  for (guint i = 0; i < G_N_ELEMENTS (flows); i++)
+    flows[i] = exchange (play.world, play.balance, NULL, &some, play.random);
+  for (int round = 0; round < 20; round++)
+    for (guint i = 0; i < G_N_ELEMENTS (flows); i++)
+      exchange (play.world, play.balance, flows[i], &some, play.random);
+  ck_assert_uint_eq (avoided (&play), 1);
+  /* A pause is no failure. */
+  test_world_run (play.world, play.world->now + CF_ANSWERS_AVOID_MAX_MS);
+  ck_assert_uint_eq (avoided (&play), 0);
+  finish (&play);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("answers");
+
+  suite_add_loop (suite, test_one_fails, 20);
+  suite_add_loop (suite, test_one_silent, 1);
+  suite_add_loop (suite, test_all_fail, 1);
+  suite_add_loop (suite, test_kept_open, 1);
+  return suite_run (suite);
+}
