--- /dev/null
+++ b/src/balance/later.c
@@ -0,0 +1,127 @@
+#include "balance_internal.h"
+#include "exchange.h"
+#include "patience.h"
+#include "reach.h"
+
+/* Packets after the first: where their cookies lead, and what they say of upstreams. */
+
+/* Upstreams of DOMAIN can be reached again: those that were found out of reach may be tried
+ * at once. */
+static void
+end_outage (struct CfBalance *balance, GQuark domain, CfMillis now)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, cf_directory_all (balance->directory));
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (((struct CfTarget *) value)->domain == domain)
+      cf_reach_forgive (&((struct CfTarget *) value)->reach, now);
+  cf_balance_tell_outage (balance, domain, false);
+}
+
+/* A packet with the cookie of TARGET followed the first packet of CONNECTION. */
+static void
+opened (struct CfBalance *balance,
+        struct CfConnection *connection,
+        struct CfTarget *target,
+        CfMillis now)
+{
+  bool suspected = !cf_reach_good (&target->reach);
+
+  cf_isolation_opened (&balance->isolation);
+  for (uint32_t i = 0; i < connection->tries; i++)
+    if (connection->tried[i] == target && i + 1 == connection->tries)
+      cf_patience_learn (cf_balance_patience (balance, target), now - connection->tried_at[i]);
+  cf_reach_confirm (&target->reach, now);
+  if (suspected)
+    cf_balance_tell_reach (balance, target);
+  if (cf_outages_answered (balance->outages, target->domain))
+    end_outage (balance, target->domain, now);
+  cf_connection_move (connection, target);
+  if (balance->out->opened)
+    balance->out->opened (balance->context, target->service, now - connection->begun_at);
+}
+
+static bool
+route_leads_to (const struct CfRouteEntry *route, GQuark service)
+{
+  for (uint32_t i = 0; i < route->split_count; i++)
+    if (route->splits[i].service == service)
+      return true;
+  return false;
+}
+
+/* A request of CONNECTION to TARGET has ended, or waits for long, with BYTES of an answer. */
+static void
+judge (struct CfBalance *balance,
+       const struct CfConnection *connection,
+       struct CfTarget *target,
+       uint32_t bytes,
+       CfMillis now)
+{
+  GPtrArray *siblings = cf_directory_service (balance->directory, target->service);
+
+  if (cf_answers_note (balance->answers, target, siblings, connection->service, bytes, now)
+      && balance->out->failing)
+    balance->out->failing (balance->context, target);
+}
+
+/* SEGMENT of the open CONNECTION went to TARGET. */
+static void
+follow (struct CfBalance *balance,
+        struct CfConnection *connection,
+        const struct CfSegment *segment,
+        struct CfTarget *target,
+        CfMillis now)
+{
+  uint32_t bytes;
+
+  if (cf_exchange_follow (&balance->connections, connection, segment, now, &bytes))
+    judge (balance, connection, target, bytes, now);
+  if (!(segment->flags & (CF_SEGMENT_FIN | CF_SEGMENT_RST)))
+    {
+      cf_connections_touch (&balance->connections, connection, now);
+      return;
+    }
+  if (cf_exchange_end (connection, &bytes))
+    judge (balance, connection, target, bytes, now);
+  cf_connections_remove (&balance->connections, connection);
+}
+
+enum CfFate
+cf_balance_later (struct CfBalance *balance, const struct CfSegment *segment, CfMillis now)
+{
+  const struct CfRouteEntry *route = cf_routes_find (balance->routes, segment->service);
+  struct CfTarget *target = cf_directory_by_cookie (balance->directory, segment->cookie);
+  struct CfConnection *connection
+      = cf_connections_find (&balance->connections, segment->caller, segment->service);
+
+  if (route && route->removed)
+    {
+      if (connection)
+        cf_connections_remove (&balance->connections, connection);
+      return cf_balance_end (balance, segment, target, CF_FATE_RESET_REMOVED, now);
+    }
+  if (!target)
+    return cf_balance_hand_on (balance, segment, CF_FATE_SILENT_COOKIE, now);
+  if (route && !route_leads_to (route, target->service))
+    return cf_balance_end (balance, segment, target, CF_FATE_SILENT_OTHER, now);
+  balance->out->forward (balance->context, segment->bytes, segment->size, target);
+  if (!connection)
+    return CF_FATE_PASSED;
+  if (connection->pending)
+    opened (balance, connection, target, now);
+  follow (balance, connection, segment, target, now);
+  return CF_FATE_PASSED;
+}
+
+void
+cf_balance_judge_stalled (struct CfBalance *balance, CfMillis now)
+{
+  struct CfConnection *connection;
+
+  while ((connection = cf_exchange_stalled (&balance->connections, CF_ANSWERS_STALL_MS, now)))
+    if (connection->target)
+      judge (balance, connection, connection->target, 0, now);
+}
