News name the VM that read them, so that others stop reading sooner

Cause: a follower that had to read the store ended that when its source's news were 300 ms newer than its own last answer. Both read each 1.5 s, so this took some 3 s and 10 calls of each of 85 VMs after an outage.

Ruled out: comparing ages with less room (news that a VM told others come back to it a little younger by each step's time).

Change: an answer between VMs says which VM heard it from the store. News read by a VM before this one in the order, since this one began to read, end its reading. The order is total: of VMs that read at the same time the first goes on. The reader is in the log (feed, reading-ended), which also tells where a VM's news come from. A record of a VM that could not be deleted has a log line now (expire-failed); that error was dropped.

--- a/src/feed/feed.h
+++ b/src/feed/feed.h
@@ -46,6 +46,7 @@
 #define FEED_PARTS_MAX 67108864
 
 struct feed_news {
+	char *reader;
 	u_quad_t age_ms;
 	bool_t settled;
 	u_int size;
--- a/src/feed/feed.x
+++ b/src/feed/feed.x
@@ -29,7 +29,8 @@
 const FEED_PARTS_MAX = 67108864;  /* bytes */
 
 struct feed_news {
-  unsigned hyper age_ms;  /* since the store said so, directly or through others */
+  string reader<FEED_NAME_MAX>;  /* the VM that heard it from the store */
+  unsigned hyper age_ms;  /* since the store said so */
   bool settled;           /* announcements that lapsed with the store would be back */
   unsigned int size;      /* bytes of the parts; more than "parts" has if these are deflated */
   opaque parts<FEED_PARTS_MAX>;  /* a feed_parts */
--- a/src/feed/feed_xdr.c
+++ b/src/feed/feed_xdr.c
@@ -52,6 +52,8 @@
 {
 	register int32_t *buf;
 
+	 if (!xdr_string (xdrs, &objp->reader, FEED_NAME_MAX))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->age_ms))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->settled))
--- a/src/feed/relay.c
+++ b/src/feed/relay.c
@@ -158,11 +158,14 @@
 cf_relay_encode (struct CfRelayCache *cache,
                  const struct CfReplica *replica,
                  const struct CfFeedPosition *position,
-                 CfMillis age,
-                 bool settled)
+                 const struct CfNewsOrigin *origin)
 {
   const struct CfRelayEntry *entry = find_or_encode (cache, replica, position);
-  struct feed_news news = { .age_ms = (uint64_t) MAX (age, 0), .settled = settled };
+  struct feed_news news = {
+    .reader = origin->reader ? origin->reader : (char *) "",
+    .age_ms = (uint64_t) MAX (origin->age, 0),
+    .settled = origin->settled,
+  };
   gsize len;
 
   if (!entry)
@@ -206,8 +209,11 @@
   bool ok = decode ((xdrproc_t) xdr_feed_news, data, len, &wire);
 
   *news = (struct CfRelayNews){
-    .age = (CfMillis) MIN (wire.age_ms, (uint64_t) G_MAXINT32),
-    .settled = wire.settled,
+    .origin = {
+      .reader = g_strdup (wire.reader),
+      .age = (CfMillis) MIN (wire.age_ms, (uint64_t) G_MAXINT32),
+      .settled = wire.settled,
+    },
   };
   ok = ok && decode_parts (&wire, &news->parts) && news->parts.parts.parts_len == CF_FEED_KINDS;
   xdr_free ((xdrproc_t) xdr_feed_news, &wire);
@@ -220,6 +226,7 @@
 cf_relay_clear (struct CfRelayNews *news)
 {
   xdr_free ((xdrproc_t) xdr_feed_parts, &news->parts);
+  g_free (news->origin.reader);
   memset (news, 0, sizeof *news);
 }
 
--- a/src/feed/relay.h
+++ b/src/feed/relay.h
@@ -40,19 +40,25 @@
 
 void cf_relay_cache_clear (struct CfRelayCache *cache);
 
-/* Returns what REPLICA has after POSITION, encoded; AGE and SETTLED as in feed.x.  CACHE, zeroed
- * at first, serves one replica.  Returns NULL if the records exceed the format's bounds. */
+/* Where news come from. */
+struct CfNewsOrigin
+{
+  char *reader; /* name of the VM that the store answered, NULL: nobody yet */
+  CfMillis age; /* since then */
+  bool settled; /* announcements that lapsed with the store would be back */
+};
+
+/* Returns what REPLICA has after POSITION, encoded.  CACHE, zeroed at first, serves one replica.
+ * Returns NULL if the records exceed the format's bounds. */
 GBytes *cf_relay_encode (struct CfRelayCache *cache,
                          const struct CfReplica *replica,
                          const struct CfFeedPosition *position,
-                         CfMillis age,
-                         bool settled);
+                         const struct CfNewsOrigin *origin);
 
 /* What a VM was told. */
 struct CfRelayNews
 {
-  CfMillis age; /* since the store said so */
-  bool settled;
+  struct CfNewsOrigin origin;
   struct feed_parts parts; /* CF_FEED_KINDS of them */
 };
 
--- a/src/feed/sources.c
+++ b/src/feed/sources.c
@@ -312,21 +312,15 @@
 }
 
 bool
-cf_sources_relieves (struct CfSources *sources,
-                     const char *name,
-                     CfMillis told_at,
-                     CfMillis answered_at)
+cf_sources_precedes (struct CfSources *sources, const char *reader)
 {
   guint theirs = 0;
   guint mine = sources->vms->len;
-  struct CfSource *source = find (sources->vms, name, &theirs);
-  int domains;
+  struct CfSource *source = find (sources->vms, reader, &theirs);
+  int domains = source ? strcmp (source->domain, sources->domain) : 0;
 
-  if (!source || told_at - answered_at <= CF_SOURCES_NEWER_MS)
-    return false;
-  domains = strcmp (source->domain, sources->domain);
   find (sources->vms, sources->name, &mine);
-  return domains < 0 || (domains == 0 && theirs < mine);
+  return source && (domains < 0 || (domains == 0 && theirs < mine));
 }
 
 struct CfSource *
--- a/src/feed/sources.h
+++ b/src/feed/sources.h
@@ -31,9 +31,6 @@
 /* A VM that had to read the store goes on for this long: its sources may follow each other
  * without a reader among them, and each round of that would let news grow old again. */
 #define CF_SOURCES_HOLD_MS 8000
-/* News that are newer than this VM's own by more than this came from another reader; less may
- * be its own, told to others and back. */
-#define CF_SOURCES_NEWER_MS 300
 /* An entry VM of the fleet, or the store. */
 struct CfSource
 {
@@ -82,14 +79,9 @@
 enum CfStoreUse
 cf_sources_store_use (struct CfSources *sources, const struct CfStoreNeed *need, CfMillis now);
 
-/* Returns true if a VM that has had to read the store need not go on with it: the VM called
- * NAME told it news as of TOLD_AT, and the store itself last answered it at ANSWERED_AT.  Only
- * VMs before this one in the order count, so that of those that follow each other one goes
- * on. */
-bool cf_sources_relieves (struct CfSources *sources,
-                          const char *name,
-                          CfMillis told_at,
-                          CfMillis answered_at);
+/* Returns true if the VM called READER goes before this one in the order.  Of VMs that read the
+ * store at the same time all but the first may end that. */
+bool cf_sources_precedes (struct CfSources *sources, const char *reader);
 
 /* Returns the VM or seed called NAME, or NULL. */
 struct CfSource *cf_sources_find (struct CfSources *sources, const char *name);
--- a/src/serve/feed_enroll.c
+++ b/src/serve/feed_enroll.c
@@ -86,12 +86,14 @@
 deleted (void *data, SoupMessage *message, GBytes *body)
 {
   struct FeedTask *task = data;
+  guint status = body ? soup_message_get_status (message) : 0;
 
+  task->enroll.delete = NULL;
   /* A delete that failed is tried again with the next look; one that was wrong makes its VM
    * write its record again. */
-  (void) message;
-  (void) body;
-  task->enroll.delete = NULL;
+  if (status < 200 || status >= 300)
+    cf_event_log_write (task->balancer->log, "expire-failed",
+                        (struct CfField[]){ { .key = "status", .number = status }, { 0 } });
 }
 
 /* The VM that reads the store deletes records of VMs that are no more. */
--- a/src/serve/feed_follow.c
+++ b/src/serve/feed_follow.c
@@ -9,18 +9,18 @@
 #define SEED_WAIT_MS 300 /* a VM that starts has no time for a seed that knows nothing */
 #define PAUSE_MS 50      /* after an answer, so that changes that come together cost one */
 
-/* News as of KNOWN_AT came from the VM that is followed.  If another VM reads the store, this
- * one need not go on. */
+/* READER heard at KNOWN_AT from the store.  If that was after this VM began to read the store,
+ * too, and READER goes before it, this VM need not go on. */
 static void
-end_reading (struct FeedTask *task, CfMillis known_at, CfMillis now)
+end_reading (struct FeedTask *task, const char *reader, CfMillis known_at, CfMillis now)
 {
-  if (now >= task->read_until
-      || !cf_sources_relieves (task->sources, task->follow.name, known_at,
-                               cf_feed_store_answered (task)))
+  if (now >= task->read_until || known_at < task->read_until - CF_SOURCES_HOLD_MS
+      || !cf_sources_precedes (task->sources, reader))
     return;
   task->read_until = now;
   cf_event_log_sample (task->balancer->log, &task->source_rate, "reading-ended",
                        (struct CfField[]){
+                           { .key = "reader", .text = reader },
                            { .key = "source", .text = task->follow.name },
                            { .key = "news_age_ms", .number = now - known_at },
                            { 0 },
@@ -32,6 +32,7 @@
 take_news (struct FeedTask *task, GBytes *body, CfMillis now)
 {
   struct CfRelayNews news;
+  CfMillis known_at;
   gsize len;
   const void *data = g_bytes_get_data (body, &len);
 
@@ -46,11 +47,12 @@
         continue;
       records = cf_relay_records (part);
       cf_feed_take (task, (enum CfFeedKind) kind, records, part->revision, part->whole,
-                    news.settled);
+                    news.origin.settled);
       g_ptr_array_unref (records);
     }
-  end_reading (task, now - news.age, now);
-  cf_feed_known (task, now - news.age, news.settled);
+  known_at = now - news.origin.age;
+  end_reading (task, news.origin.reader, known_at, now);
+  cf_feed_known (task, news.origin.reader, known_at, news.origin.settled);
   cf_relay_clear (&news);
   return task->known_at >= 0 && now - task->known_at < CF_SOURCES_STALE_FIRST_MS;
 }
--- a/src/serve/feed_internal.h
+++ b/src/serve/feed_internal.h
@@ -59,6 +59,7 @@
   struct CfSources *sources;
   char *source;        /* name of the VM that is followed, "" for the store, NULL: none yet */
   CfMillis known_at;   /* the replica holds what the store held then, -1: never */
+  char *reader;        /* name of the VM that the store answered then, NULL: none */
   bool settled;        /* the store has been there all the while */
   CfMillis read_until; /* this VM reads the store until then, whatever its source */
   CfMillis probed_at;  /* when the store last answered this VM, -1: never */
@@ -91,15 +92,12 @@
                    bool whole,
                    bool trusted);
 
-/* The replica holds what the store held at KNOWN_AT. */
-void cf_feed_known (struct FeedTask *task, CfMillis known_at, bool settled);
+/* The replica holds what the store told the VM called READER at KNOWN_AT. */
+void cf_feed_known (struct FeedTask *task, const char *reader, CfMillis known_at, bool settled);
 
 /* Returns how old the news are, a very long time if there are none. */
 CfMillis cf_feed_age (const struct FeedTask *task, CfMillis now);
 
-/* Returns when the store last said what it holds of every kind that promises depend on, -1:
- * never. */
-CfMillis cf_feed_store_answered (const struct FeedTask *task);
 void cf_feed_store_start (struct FeedTask *task);
 void cf_feed_store_stop (struct FeedTask *task);
 /* Begins the reads of USE that are due and returns when to look again. */
--- a/src/serve/feed_relay.c
+++ b/src/serve/feed_relay.c
@@ -26,8 +26,12 @@
          const struct CfFeedPosition *position,
          CfMillis now)
 {
-  GBytes *body = cf_relay_encode (&task->relay_cache, &task->replica, position,
-                                  cf_feed_age (task, now), task->settled);
+  const struct CfNewsOrigin origin = {
+    .reader = task->reader,
+    .age = cf_feed_age (task, now),
+    .settled = task->settled,
+  };
+  GBytes *body = cf_relay_encode (&task->relay_cache, &task->replica, position, &origin);
   gsize len;
   const char *data;
 
--- a/src/serve/feed_store.c
+++ b/src/serve/feed_store.c
@@ -31,8 +31,10 @@
   channel->lost = lost;
 }
 
-CfMillis
-cf_feed_store_answered (const struct FeedTask *task)
+/* When the store last said what it holds of every kind that promises depend on, -1:
+ * never. */
+static CfMillis
+answered_at (const struct FeedTask *task)
 {
   CfMillis oldest = task->channels[CF_FEED_MANIFEST].reader.answered_at;
 
@@ -100,7 +102,8 @@
       if (whole || !listing)
         cf_feed_take (task, reader->kind, whole ? channel->list : answer.records, reader->revision,
                       whole, cf_reader_trusted (reader, now));
-      cf_feed_known (task, cf_feed_store_answered (task), all_trusted (task, now));
+      cf_feed_known (task, task->balancer->settings.name, answered_at (task),
+                     all_trusted (task, now));
     }
   else if (reader->failures >= FAILURES_MAX)
     cf_source_failed (cf_sources_store (task->sources), now);
--- a/src/serve/feed_task.c
+++ b/src/serve/feed_task.c
@@ -130,10 +130,12 @@
 }
 
 void
-cf_feed_known (struct FeedTask *task, CfMillis known_at, bool settled)
+cf_feed_known (struct FeedTask *task, const char *reader, CfMillis known_at, bool settled)
 {
   if (known_at <= task->known_at)
     return;
+  g_free (task->reader);
+  task->reader = g_strdup (reader);
   task->known_at = known_at;
   task->settled = settled;
   cf_send_fresh (task->balancer, known_at, settled);
@@ -155,6 +157,7 @@
       task->balancer->log, "feed",
       (struct CfField[]){
           { .key = "source", .text = task->source },
+          { .key = "reader", .text = task->reader ? task->reader : "" },
           { .key = "news_age_ms", .number = cf_feed_age (task, now) },
           { .key = "store_calls", .number = (int64_t) atomic_load (&task->balancer->store_calls) },
           { .key = "followers", .number = task->waiting.length },
@@ -335,6 +338,7 @@
   cf_rotation_clear (&task->rotation);
   cf_sources_free (task->sources);
   cf_replica_clear (&task->replica);
+  g_free (task->reader);
   g_rand_free (task->random);
   g_free (task->source);
   g_free (task);
--- a/tests/test_fuzz.c
+++ b/tests/test_fuzz.c
@@ -150,6 +150,7 @@
 {
   struct CfReplica replica;
   struct CfRelayCache cache = { 0 };
+  const struct CfNewsOrigin origin = { .reader = (char *) "vm-1", .age = 1, .settled = true };
   struct CfFeedPosition position = { 0 };
   GPtrArray *records = g_ptr_array_new_with_free_func (cf_record_free);
   GRand *random = g_rand_new_with_seed (3);
@@ -162,7 +163,7 @@
   cf_replica_init (&replica);
   g_ptr_array_add (records, cf_record_new ("i-1", 5, false, "{\"service\":\"s\"}"));
   g_ptr_array_unref (cf_replica_apply (&replica, CF_FEED_UPSTREAMS, records, 5, true));
-  news = cf_relay_encode (&cache, &replica, &position, 1, true);
+  news = cf_relay_encode (&cache, &replica, &position, &origin);
   news_data = g_bytes_get_data (news, &news_len);
   for (int i = 0; i < rounds (); i++)
     {
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -7,6 +7,9 @@
 
 /* How news of the store travel from one VM's copy to another's. */
 
+static const struct CfNewsOrigin origin
+    = { .reader = (char *) "vm-1", .age = 123, .settled = true };
+
 static void
 tell (struct CfReplica *replica, const char *name, uint64_t revision, bool deleted, bool whole)
 {
@@ -33,10 +36,12 @@
 
   for (int kind = 0; kind < CF_FEED_KINDS; kind++)
     position.revision[kind] = to->revision[kind];
-  bytes = cf_relay_encode (&cache, from, &position, 123, true);
+  bytes = cf_relay_encode (&cache, from, &position, &origin);
   data = g_bytes_get_data (bytes, &len);
   ck_assert (cf_relay_decode (data, len, &news));
-  ck_assert_int_eq (news.age, 123);
+  ck_assert_int_eq (news.origin.age, 123);
+  ck_assert_str_eq (news.origin.reader, "vm-1");
+  ck_assert (news.origin.settled);
   part = &news.parts.parts.parts_val[CF_FEED_UPSTREAMS];
   records = cf_relay_records (part);
   count = records->len;
@@ -93,6 +98,7 @@
 is_valid (const void *data, size_t len, size_t size)
 {
   struct feed_news wire = {
+    .reader = (char *) "vm-1",
     .size = (u_int) size,
     .parts = { .parts_len = (u_int) len, .parts_val = (char *) data },
   };
@@ -192,7 +198,7 @@
     }
   cf_replica_init (&replica);
   g_ptr_array_unref (cf_replica_apply (&replica, CF_FEED_UPSTREAMS, records, UPSTREAMS + 1, true));
-  bytes = cf_relay_encode (&cache, &replica, &nothing, 1, true);
+  bytes = cf_relay_encode (&cache, &replica, &nothing, &origin);
   data = g_bytes_get_data (bytes, &len);
   printf ("relay: %d upstreams in %zu bytes, %zu of text\n", UPSTREAMS, len, texts);
   ck_assert_uint_lt (len, texts / 3);
@@ -201,12 +207,12 @@
   cf_relay_clear (&news);
   /* The next follower at the same position is told the same, without its being made again,
    * and one at another position is not. */
-  again = cf_relay_encode (&cache, &replica, &nothing, 1, true);
+  again = cf_relay_encode (&cache, &replica, &nothing, &origin);
   ck_assert (g_bytes_equal (bytes, again));
   ck_assert_ptr_null (cache.entries[1].parts);
   g_bytes_unref (again);
   tell (&replica, "i-new", UPSTREAMS + 2, false, false);
-  again = cf_relay_encode (&cache, &replica, &nothing, 1, true);
+  again = cf_relay_encode (&cache, &replica, &nothing, &origin);
   ck_assert (!g_bytes_equal (bytes, again));
   g_bytes_unref (again);
   g_bytes_unref (bytes);
--- a/tests/test_sources.c
+++ b/tests/test_sources.c
@@ -131,17 +131,20 @@
 {
   struct CfSources *sources = fleet ("a1", "a");
 
-  ck_assert (cf_sources_relieves (sources, "a2", 2000, 1000));
-  /* What this VM told others may come back to it, a little later each time. */
-  ck_assert (!cf_sources_relieves (sources, "a2", 1000 + CF_SOURCES_NEWER_MS, 1000));
-  /* VMs that follow each other do not all end together. */
-  ck_assert (!cf_sources_relieves (sources, "a3", 2000, 1000));
-  ck_assert (!cf_sources_relieves (sources, "b1", 2000, 1000));
-  ck_assert (!cf_sources_relieves (sources, "seed 10.0.0.1", 2000, 1000));
+  ck_assert (cf_sources_precedes (sources, "a2"));
+  /* Of VMs that read at the same time not all end that. */
+  ck_assert (!cf_sources_precedes (sources, "a1"));
+  ck_assert (!cf_sources_precedes (sources, "a3"));
+  ck_assert (!cf_sources_precedes (sources, "b1"));
+  ck_assert (!cf_sources_precedes (sources, "unheard-of"));
   cf_sources_free (sources);
   sources = fleet ("b2", "b");
-  ck_assert (cf_sources_relieves (sources, "a3", 2000, 1000));
-  ck_assert (cf_sources_relieves (sources, "b1", 2000, 1000));
+  ck_assert (cf_sources_precedes (sources, "a3"));
+  ck_assert (cf_sources_precedes (sources, "b1"));
+  cf_sources_free (sources);
+  /* One that is not listed yet comes last in its domain. */
+  sources = fleet ("b0", "b");
+  ck_assert (cf_sources_precedes (sources, "b2"));
   cf_sources_free (sources);
 }
 END_TEST
