VMs of a failure domain tell each other which upstreams fail requests

Cause: on the grown sites a VM gets 0.4 answers a second of one upstream, too few to judge it within the seconds that such a fault lasts; each of 20 VMs had to see three failures of its own.

Ruled out: telling only failures (upstreams with few answers look worse than they are); telling increments (a lost datagram loses them).

Change: while somebody sees failures at an upstream, each VM tells eight others of its domain, twice a second, its own decaying counts of answers and failures there, and whether it avoids the upstream (at most 12 upstreams, 1,200 bytes, 16 KB/s). A VM judges by the sum; once another avoids the upstream, the next failure is enough. An unanswered request counts as failed after ten times the usual wait at its address (150 to 1,000 ms) instead of always 1,000. Datagrams between VMs are a union now, with the hello as one kind; test_fuzz_datagrams, and test_fuzz_peers mutates deflated news as well. A tenth of failures suffices where a quarter did, since the comparison with others bounds it, and half-lives are 2 s.

--- a/src/balance/answers.c
+++ b/src/balance/answers.c
@@ -1,6 +1,7 @@
 #include "answers.h"
 
 #include <math.h>
+#include <string.h>
 
 /* Answers at an address before its usual length is known, and the weight of one after that. */
 #define USUAL_MIN 10
@@ -11,12 +12,14 @@
   struct CfEndpoint address;
   uint32_t count;
   double bytes;
+  double wait_ms; /* until the first byte, 0: not known */
 };
 
 struct CfAnswers
 {
-  GHashTable *services; /* GQuark to struct CfTally */
-  GHashTable *usual;    /* set of struct Usual, by address */
+  GHashTable *services;      /* GQuark to struct CfTally */
+  GHashTable *usual;         /* set of struct Usual, by address */
+  CfMillis questioned_until; /* no upstream is in question after that */
 };
 
 static guint
@@ -63,32 +66,70 @@
   return tally;
 }
 
+/* Returns TALLY as it counts at NOW. */
+static struct CfTally
+at (const struct CfTally *tally, CfMillis now)
+{
+  double factor = exp2 (-(double) (now - tally->at) / CF_ANSWERS_HALF_LIFE_MS);
+
+  return (struct CfTally){
+    .answers = tally->answers * factor,
+    .failed = tally->failed * factor,
+    .at = now,
+  };
+}
+
 static void
 count (struct CfTally *tally, bool failed, CfMillis now)
 {
-  double factor = exp2 (-(double) (now - tally->at) / CF_ANSWERS_HALF_LIFE_MS);
+  *tally = at (tally, now);
+  tally->answers++;
+  tally->failed += failed;
+}
+
+static struct Usual *
+usual_of (struct CfAnswers *answers, struct CfEndpoint address)
+{
+  struct Usual key = { .address = address };
+  struct Usual *usual = g_hash_table_lookup (answers->usual, &key);
+
+  if (usual)
+    return usual;
+  usual = g_new0 (struct Usual, 1);
+  usual->address = address;
+  g_hash_table_add (answers->usual, usual);
+  return usual;
+}
+
+void
+cf_answers_began (struct CfAnswers *answers, struct CfEndpoint address, CfMillis wait)
+{
+  struct Usual *usual = usual_of (answers, address);
+
+  if (usual->wait_ms <= 0)
+    usual->wait_ms = (double) wait;
+  usual->wait_ms += USUAL_WEIGHT * ((double) wait - usual->wait_ms);
+}
 
-  tally->answers = tally->answers * factor + 1;
-  tally->failed = tally->failed * factor + failed;
-  tally->at = now;
+CfMillis
+cf_answers_stall_ms (const struct CfAnswers *answers, struct CfEndpoint address)
+{
+  struct Usual key = { .address = address };
+  const struct Usual *usual = g_hash_table_lookup (answers->usual, &key);
+
+  if (!usual || usual->wait_ms <= 0)
+    return CF_ANSWERS_STALL_MS;
+  return CLAMP ((CfMillis) (CF_ANSWERS_STALL_TIMES * usual->wait_ms), CF_ANSWERS_STALL_MIN_MS,
+                CF_ANSWERS_STALL_MS);
 }
 
 /* Learns the length of an answer at ADDRESS.  Returns true if it is far below the usual. */
 static bool
 is_short (struct CfAnswers *answers, struct CfEndpoint address, uint32_t bytes)
 {
-  struct Usual key = { .address = address };
-  struct Usual *usual = g_hash_table_lookup (answers->usual, &key);
-  bool known;
+  struct Usual *usual = usual_of (answers, address);
 
-  if (!usual)
-    {
-      usual = g_new0 (struct Usual, 1);
-      usual->address = address;
-      g_hash_table_add (answers->usual, usual);
-    }
-  known = usual->count >= USUAL_MIN;
-  if (known && bytes < usual->bytes * CF_ANSWERS_SHORT)
+  if (usual->count >= USUAL_MIN && bytes < usual->bytes * CF_ANSWERS_SHORT)
     {
       /* Answers that are short everywhere become the usual in the end. */
       usual->bytes += USUAL_WEIGHT * (bytes - usual->bytes);
@@ -115,40 +156,67 @@
   return (avoided + 1) * CF_ANSWERS_AVOID_ONE_OF <= ready;
 }
 
-/* Returns true if an upstream with the answers OWN fails much more than the others of its
- * service, whose answers and its own are ALL. */
+/* Returns what this VM and others saw of an upstream. */
+static struct CfTally
+sum (const struct CfQuality *quality, CfMillis now)
+{
+  struct CfTally sum = at (&quality->tally, now);
+
+  for (guint i = 0; quality->heard && i < quality->heard->len; i++)
+    {
+      struct CfTally heard = at (&g_array_index (quality->heard, struct CfHeard, i).tally, now);
+
+      sum.answers += heard.answers;
+      sum.failed += heard.failed;
+    }
+  return sum;
+}
+
+/* Returns true if an upstream with the answers SEEN, OWN of them by this VM, fails much more
+ * than the others of its service, whose answers and OWN are ALL. */
 static bool
-stands_out (const struct CfTally *own, const struct CfTally *all, double failed_min)
+stands_out (const struct CfTally *seen,
+            const struct CfTally *own,
+            const struct CfTally *all,
+            double failed_min)
 {
   double others = all->answers - own->answers;
   double others_failed = MAX (all->failed - own->failed, 0);
-  double share = own->failed / own->answers;
 
-  if (own->failed < failed_min || share < CF_ANSWERS_FAILED_SHARE || others < 1)
+  if (seen->failed < failed_min || seen->failed < CF_ANSWERS_FAILED_SHARE * seen->answers
+      || others < 1)
     return false;
-  return share >= CF_ANSWERS_FAILED_TIMES * others_failed / others;
+  return seen->failed / seen->answers >= CF_ANSWERS_FAILED_TIMES * others_failed / others;
 }
 
-bool
-cf_answers_note (struct CfAnswers *answers,
-                 struct CfTarget *target,
-                 GPtrArray *siblings,
-                 struct CfEndpoint address,
-                 uint32_t bytes,
-                 CfMillis now)
+/* Somebody saw a failure at TARGET. */
+static void
+question (struct CfAnswers *answers, struct CfTarget *target, CfMillis now)
+{
+  answers->questioned_until = now + CF_ANSWERS_QUESTION_MS;
+  target->quality.questioned_until = answers->questioned_until;
+}
+
+static bool
+was_avoided_lately (const struct CfQuality *quality, CfMillis now)
+{
+  return quality->avoided_times > 0 && now - quality->avoided_until <= CF_ANSWERS_AVOID_MAX_MS;
+}
+
+/* Avoids TARGET if it stands out.  Returns true if that is new. */
+static bool
+judge (struct CfAnswers *answers, struct CfTarget *target, GPtrArray *siblings, CfMillis now)
 {
-  struct CfTally *all = service_tally (answers, target->service);
-  bool failed = bytes == 0 || is_short (answers, address, bytes);
   struct CfQuality *quality = &target->quality;
+  struct CfTally own = at (&quality->tally, now);
+  struct CfTally all = at (service_tally (answers, target->service), now);
+  struct CfTally seen = sum (quality, now);
   bool lately
       = quality->avoided_times > 0 && now - quality->avoided_until <= CF_ANSWERS_AVOID_MAX_MS;
   CfMillis delay;
 
-  count (all, failed, now);
-  count (&quality->tally, failed, now);
-  if (!failed || cf_answers_avoids (target, now)
-      || !stands_out (&quality->tally, all,
-                      lately ? CF_ANSWERS_FAILED_AGAIN : CF_ANSWERS_FAILED_MIN)
+  if (cf_answers_avoids (target, now)
+      || !stands_out (&seen, &own, &all, lately ? CF_ANSWERS_FAILED_FIRST : CF_ANSWERS_FAILED_MIN)
       || !may_avoid_one_more (siblings, now))
     return false;
   /* One that answered well for long enough since starts anew. */
@@ -157,10 +225,127 @@
   delay = (CfMillis) CF_ANSWERS_AVOID_MIN_MS << MIN (quality->avoided_times, 8);
   quality->avoided_times++;
   quality->avoided_until = now + MIN (delay, CF_ANSWERS_AVOID_MAX_MS);
-  quality->tally = (struct CfTally){ .at = now };
   return true;
 }
 
+bool
+cf_answers_note (struct CfAnswers *answers,
+                 struct CfTarget *target,
+                 GPtrArray *siblings,
+                 struct CfEndpoint address,
+                 uint32_t bytes,
+                 CfMillis now)
+{
+  bool failed = bytes == 0 || is_short (answers, address, bytes);
+
+  count (service_tally (answers, target->service), failed, now);
+  count (&target->quality.tally, failed, now);
+  if (!failed)
+    return false;
+  question (answers, target, now);
+  return judge (answers, target, siblings, now);
+}
+
+/* Keeps what the VM called VM saw of an upstream.  Returns how much more it saw fail than when it
+ * last said so. */
+static double
+keep_heard (struct CfQuality *quality,
+            const char *vm,
+            const struct CfQualityLine *line,
+            CfMillis now)
+{
+  const struct CfHeard fresh = {
+    .vm = g_str_hash (vm),
+    .tally = { .answers = line->answers, .failed = line->failed, .at = now },
+  };
+
+  if (!quality->heard)
+    quality->heard = g_array_new (FALSE, FALSE, sizeof fresh);
+  for (guint i = 0; i < quality->heard->len; i++)
+    {
+      struct CfHeard *heard = &g_array_index (quality->heard, struct CfHeard, i);
+      double before = at (&heard->tally, now).failed;
+
+      if (heard->vm != fresh.vm)
+        continue;
+      *heard = fresh;
+      return line->failed - before;
+    }
+  g_array_append_val (quality->heard, fresh);
+  return line->failed;
+}
+
+bool
+cf_answers_hear (struct CfAnswers *answers,
+                 struct CfTarget *target,
+                 GPtrArray *siblings,
+                 const char *vm,
+                 const struct CfQualityLine *line,
+                 CfMillis now)
+{
+  struct CfQuality *quality = &target->quality;
+  bool worse = keep_heard (quality, vm, line, now) >= CF_ANSWERS_FAILED_FIRST;
+
+  if (!worse && !line->avoided)
+    return false;
+  if (worse)
+    question (answers, target, now);
+  /* Others were sure: for this VM the next failure is enough. */
+  if (line->avoided && !was_avoided_lately (quality, now))
+    {
+      quality->avoided_times = 1;
+      quality->avoided_until = now;
+    }
+  return worse && judge (answers, target, siblings, now);
+}
+
+/* Puts LINE in its place in REPORT, which has those that fail most, or nowhere. */
+static void
+add_line (struct CfQualityReport *report, const struct CfQualityLine *line)
+{
+  uint32_t place = report->count;
+
+  while (place > 0 && report->lines[place - 1].failed < line->failed)
+    place--;
+  if (place == CF_QUALITY_MAX)
+    return;
+  report->count = MIN (report->count + 1, CF_QUALITY_MAX);
+  memmove (&report->lines[place + 1], &report->lines[place],
+           (report->count - 1 - place) * sizeof *line);
+  report->lines[place] = *line;
+}
+
+bool
+cf_answers_report (const struct CfAnswers *answers,
+                   const struct CfDirectory *directory,
+                   struct CfQualityReport *report,
+                   CfMillis now)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  report->count = 0;
+  if (now >= answers->questioned_until)
+    return false;
+  g_hash_table_iter_init (&iter, cf_directory_all (directory));
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct CfTarget *target = value;
+      struct CfTally own = at (&target->quality.tally, now);
+      struct CfQualityLine line = {
+        .answers = own.answers,
+        .failed = own.failed,
+        .avoided = cf_answers_avoids (target, now),
+      };
+
+      if (now >= target->quality.questioned_until || own.answers < 0.5
+          || g_strlcpy (line.id, target->id, sizeof line.id) >= sizeof line.id)
+        continue;
+      add_line (report, &line);
+    }
+  return report->count > 0;
+}
+
 bool
 cf_answers_avoids (const struct CfTarget *target, CfMillis now)
 {
--- a/src/balance/answers.h
+++ b/src/balance/answers.h
@@ -2,6 +2,7 @@
 #define CF_BALANCE_ANSWERS_H
 
 #include "directory.h"
+#include "quality_report.h"
 
 /* Tells which upstreams fail requests although flows open there and their health probes
  * succeed.
@@ -16,15 +17,22 @@
  * is short, and so are some good answers. */
 #define CF_ANSWERS_SHORT 0.33
 /* A request without a byte of an answer for this long counts as a failure, until the answer
- * comes.  The users' requests take 5 to 30 ms. */
+ * comes, */
 #define CF_ANSWERS_STALL_MS 1000
+/* or, where answers come sooner, for so many times the usual wait, */
+#define CF_ANSWERS_STALL_TIMES 10
+/* but no less than this: an upstream may be busy for a moment. */
+#define CF_ANSWERS_STALL_MIN_MS 150
+/* VMs report what they see of an upstream for this long after somebody saw a failure there. */
+#define CF_ANSWERS_QUESTION_MS 4000
 /* Old answers count half after this long. */
-#define CF_ANSWERS_HALF_LIFE_MS 4000
-/* An upstream is avoided from so many failures on, from the first if it was avoided lately, */
+#define CF_ANSWERS_HALF_LIFE_MS 2000
+/* An upstream is avoided from so many failures on, or, if it was avoided lately, from the first:
+ * one that another VM saw counts a little less by the time that it is told. */
 #define CF_ANSWERS_FAILED_MIN 3.0
-#define CF_ANSWERS_FAILED_AGAIN 1.0
+#define CF_ANSWERS_FAILED_FIRST 0.5
 /* if these are this part of its answers, */
-#define CF_ANSWERS_FAILED_SHARE 0.25
+#define CF_ANSWERS_FAILED_SHARE 0.1
 /* and so many times the part that fails at others of its service. */
 #define CF_ANSWERS_FAILED_TIMES 4.0
 /* At most one upstream of so many is avoided. */
@@ -47,6 +55,27 @@
                       uint32_t bytes,
                       CfMillis now);
 
+/* The first byte of an answer came from ADDRESS after WAIT. */
+void cf_answers_began (struct CfAnswers *answers, struct CfEndpoint address, CfMillis wait);
+
+/* Returns how long a request to ADDRESS may go without a byte of an answer. */
+CfMillis cf_answers_stall_ms (const struct CfAnswers *answers, struct CfEndpoint address);
+
+/* The VM called VM told LINE of TARGET.  Returns true if TARGET is avoided from now on. */
+bool cf_answers_hear (struct CfAnswers *answers,
+                      struct CfTarget *target,
+                      GPtrArray *siblings,
+                      const char *vm,
+                      const struct CfQualityLine *line,
+                      CfMillis now);
+
+/* Writes to REPORT what this VM saw of those of DIRECTORY's upstreams that are in question.
+ * Returns false if there is nothing to tell. */
+bool cf_answers_report (const struct CfAnswers *answers,
+                        const struct CfDirectory *directory,
+                        struct CfQualityReport *report,
+                        CfMillis now);
+
 /* Returns true if TARGET is to be avoided at NOW. */
 bool cf_answers_avoids (const struct CfTarget *target, CfMillis now);
 
--- a/src/balance/balance.h
+++ b/src/balance/balance.h
@@ -3,6 +3,7 @@
 
 #include "directory.h"
 #include "place.h"
+#include "quality_report.h"
 #include "routes.h"
 #include "segment.h"
 
@@ -107,6 +108,15 @@
  * first. */
 void cf_balance_helpers (struct CfBalance *balance, const uint32_t *ips, uint32_t count);
 
+/* Another VM of this failure domain told REPORT. */
+void
+cf_balance_hear (struct CfBalance *balance, const struct CfQualityReport *report, CfMillis now);
+
+/* Writes to REPORT, but for its sender, what others of this failure domain should hear.  Returns
+ * false if there is nothing. */
+bool
+cf_balance_report (const struct CfBalance *balance, struct CfQualityReport *report, CfMillis now);
+
 /* COUNT VMs share what a cold upstream bears. */
 void cf_balance_fleet (struct CfBalance *balance, uint32_t count);
 
--- a/src/balance/connections.h
+++ b/src/balance/connections.h
@@ -18,6 +18,7 @@
   bool asked;   /* data of a request went to the upstream */
   bool stalled; /* counted as failed, since no answer came for long */
   CfMillis asked_at;
+  CfMillis stalls_at;
   uint32_t ack_before; /* the caller's acknowledgement then */
   uint32_t answered;   /* bytes that it has acknowledged since */
 };
@@ -47,7 +48,7 @@
   GHashTable *table;
   struct CfLink pending; /* by due_at, soonest first */
   struct CfLink open;    /* by seen_at, oldest first */
-  struct CfLink asking;  /* by exchange.asked_at, oldest first */
+  struct CfLink asking;  /* by exchange.stalls_at, soonest first */
   uint32_t count;
 };
 
--- a/src/balance/directory.h
+++ b/src/balance/directory.h
@@ -52,10 +52,19 @@
   CfMillis at;   /* of the last answer */
 };
 
+/* The same of another VM. */
+struct CfHeard
+{
+  uint32_t vm; /* hash of its name */
+  struct CfTally tally;
+};
+
 /* Whether an upstream that can be reached answers requests, see answers.h. */
 struct CfQuality
 {
-  struct CfTally tally;
+  struct CfTally tally;      /* what this VM saw */
+  GArray *heard;             /* of struct CfHeard: what others saw; NULL: nothing */
+  CfMillis questioned_until; /* this VM reports what it sees, since somebody saw a failure */
   CfMillis avoided_until;
   uint32_t avoided_times; /* in a row */
 };
--- a/src/balance/exchange.c
+++ b/src/balance/exchange.c
@@ -4,41 +4,52 @@
 begin (struct CfConnections *connections,
        struct CfConnection *connection,
        const struct CfSegment *segment,
+       CfMillis stall_ms,
        CfMillis now)
 {
+  struct CfLink *position = &connections->asking;
+
   connection->exchange = (struct CfExchange){
     .asked = true,
     .asked_at = now,
+    .stalls_at = now + stall_ms,
     .ack_before = segment->ack,
   };
   cf_list_remove (&connection->asking);
-  cf_list_insert (&connections->asking, &connection->asking);
+  /* Times differ little, so the place is near the end. */
+  while (position->prev != &connections->asking
+         && CF_LIST_ENTRY (position->prev, struct CfConnection, asking)->exchange.stalls_at
+                > now + stall_ms)
+    position = position->prev;
+  cf_list_insert (position, &connection->asking);
 }
 
-bool
+struct CfExchangeNews
 cf_exchange_follow (struct CfConnections *connections,
                     struct CfConnection *connection,
                     const struct CfSegment *segment,
-                    CfMillis now,
-                    uint32_t *bytes)
+                    CfMillis stall_ms,
+                    CfMillis now)
 {
   struct CfExchange *exchange = &connection->exchange;
   uint32_t answered = segment->ack - exchange->ack_before;
-  bool ended;
+  struct CfExchangeNews news = { 0 };
 
   /* A packet that was overtaken acknowledges less. */
   if (exchange->asked && answered <= INT32_MAX && answered > exchange->answered)
     {
+      news.began = exchange->answered == 0;
+      news.wait = now - exchange->asked_at;
       exchange->answered = answered;
       cf_list_remove (&connection->asking);
     }
   if (segment->data == 0 || (exchange->asked && exchange->answered == 0))
-    return false;
+    return news;
   /* Data after an answer is the next request. */
-  ended = exchange->asked;
-  *bytes = exchange->answered;
-  begin (connections, connection, segment, now);
-  return ended;
+  news.ended = exchange->asked;
+  news.bytes = exchange->answered;
+  begin (connections, connection, segment, stall_ms, now);
+  return news;
 }
 
 bool
@@ -51,14 +62,14 @@
 }
 
 struct CfConnection *
-cf_exchange_stalled (struct CfConnections *connections, CfMillis stall_ms, CfMillis now)
+cf_exchange_stalled (struct CfConnections *connections, CfMillis now)
 {
   struct CfConnection *connection;
 
   if (cf_list_empty (&connections->asking))
     return NULL;
   connection = CF_LIST_ENTRY (connections->asking.next, struct CfConnection, asking);
-  if (now - connection->exchange.asked_at < stall_ms)
+  if (now < connection->exchange.stalls_at)
     return NULL;
   connection->exchange.stalled = true;
   cf_list_remove (&connection->asking);
--- a/src/balance/exchange.h
+++ b/src/balance/exchange.h
@@ -6,20 +6,27 @@
 /* Follows the requests of a flow by the caller's packets: data that it sends, and answers that
  * it acknowledges. */
 
-/* SEGMENT of CONNECTION came.  Returns true if a request has ended by it, whose answer had
- * *BYTES. */
-bool cf_exchange_follow (struct CfConnections *connections,
-                         struct CfConnection *connection,
-                         const struct CfSegment *segment,
-                         CfMillis now,
-                         uint32_t *bytes);
+/* What a packet tells. */
+struct CfExchangeNews
+{
+  bool began; /* the first byte of an answer came WAIT after its request */
+  CfMillis wait;
+  bool ended; /* a request has ended, whose answer had BYTES */
+  uint32_t bytes;
+};
+
+/* SEGMENT of CONNECTION came.  A request that begins with it stalls after STALL_MS. */
+struct CfExchangeNews cf_exchange_follow (struct CfConnections *connections,
+                                          struct CfConnection *connection,
+                                          const struct CfSegment *segment,
+                                          CfMillis stall_ms,
+                                          CfMillis now);
 
-/* The caller ends CONNECTION.  Returns the same. */
+/* The caller ends CONNECTION.  Returns true if a request ends by that, whose answer had
+ * *BYTES. */
 bool cf_exchange_end (const struct CfConnection *connection, uint32_t *bytes);
 
-/* Returns the next connection whose request has waited for STALL_MS without a byte of an answer,
- * once for each, or NULL. */
-struct CfConnection *
-cf_exchange_stalled (struct CfConnections *connections, CfMillis stall_ms, CfMillis now);
+/* Returns the next connection whose request has stalled, once for each, or NULL. */
+struct CfConnection *cf_exchange_stalled (struct CfConnections *connections, CfMillis now);
 
 #endif
--- a/src/balance/later.c
+++ b/src/balance/later.c
@@ -52,6 +52,13 @@
   return false;
 }
 
+static void
+tell_failing (struct CfBalance *balance, const struct CfTarget *target)
+{
+  if (balance->out->failing)
+    balance->out->failing (balance->context, target);
+}
+
 /* A request of CONNECTION to TARGET has ended, or waits for long, with BYTES of an answer. */
 static void
 judge (struct CfBalance *balance,
@@ -62,9 +69,30 @@
 {
   GPtrArray *siblings = cf_directory_service (balance->directory, target->service);
 
-  if (cf_answers_note (balance->answers, target, siblings, connection->service, bytes, now)
-      && balance->out->failing)
-    balance->out->failing (balance->context, target);
+  if (cf_answers_note (balance->answers, target, siblings, connection->service, bytes, now))
+    tell_failing (balance, target);
+}
+
+void
+cf_balance_hear (struct CfBalance *balance, const struct CfQualityReport *report, CfMillis now)
+{
+  for (uint32_t i = 0; i < report->count; i++)
+    {
+      const struct CfQualityLine *line = &report->lines[i];
+      struct CfTarget *target = cf_directory_by_id (balance->directory, line->id);
+
+      if (target
+          && cf_answers_hear (balance->answers, target,
+                              cf_directory_service (balance->directory, target->service),
+                              report->vm, line, now))
+        tell_failing (balance, target);
+    }
+}
+
+bool
+cf_balance_report (const struct CfBalance *balance, struct CfQualityReport *report, CfMillis now)
+{
+  return cf_answers_report (balance->answers, balance->directory, report, now);
 }
 
 /* SEGMENT of the open CONNECTION went to TARGET. */
@@ -75,10 +103,15 @@
         struct CfTarget *target,
         CfMillis now)
 {
+  CfMillis stall_ms = cf_answers_stall_ms (balance->answers, connection->service);
+  struct CfExchangeNews news
+      = cf_exchange_follow (&balance->connections, connection, segment, stall_ms, now);
   uint32_t bytes;
 
-  if (cf_exchange_follow (&balance->connections, connection, segment, now, &bytes))
-    judge (balance, connection, target, bytes, now);
+  if (news.began)
+    cf_answers_began (balance->answers, connection->service, news.wait);
+  if (news.ended)
+    judge (balance, connection, target, news.bytes, now);
   if (!(segment->flags & (CF_SEGMENT_FIN | CF_SEGMENT_RST)))
     {
       cf_connections_touch (&balance->connections, connection, now);
@@ -121,7 +154,7 @@
 {
   struct CfConnection *connection;
 
-  while ((connection = cf_exchange_stalled (&balance->connections, CF_ANSWERS_STALL_MS, now)))
+  while ((connection = cf_exchange_stalled (&balance->connections, now)))
     if (connection->target)
       judge (balance, connection, connection->target, 0, now);
 }
--- a/src/feed/feed.h
+++ b/src/feed/feed.h
@@ -64,6 +64,40 @@
 };
 typedef struct feed_hello feed_hello;
 
+struct feed_quality {
+	char *upstream;
+	u_int answers;
+	u_int failed;
+	bool_t avoided;
+};
+typedef struct feed_quality feed_quality;
+#define FEED_QUALITIES_MAX 12
+
+struct feed_qualities {
+	char *name;
+	char *domain;
+	struct {
+		u_int upstreams_len;
+		feed_quality *upstreams_val;
+	} upstreams;
+};
+typedef struct feed_qualities feed_qualities;
+
+enum feed_datagram_kind {
+	FEED_HELLO = 1,
+	FEED_QUALITIES = 2,
+};
+typedef enum feed_datagram_kind feed_datagram_kind;
+
+struct feed_datagram {
+	feed_datagram_kind kind;
+	union {
+		feed_hello hello;
+		feed_qualities qualities;
+	} feed_datagram_u;
+};
+typedef struct feed_datagram feed_datagram;
+
 /* the xdr functions */
 
 #if defined(__STDC__) || defined(__cplusplus)
@@ -72,6 +106,10 @@
 extern  bool_t xdr_feed_parts (XDR *, feed_parts*);
 extern  bool_t xdr_feed_news (XDR *, feed_news*);
 extern  bool_t xdr_feed_hello (XDR *, feed_hello*);
+extern  bool_t xdr_feed_quality (XDR *, feed_quality*);
+extern  bool_t xdr_feed_qualities (XDR *, feed_qualities*);
+extern  bool_t xdr_feed_datagram_kind (XDR *, feed_datagram_kind*);
+extern  bool_t xdr_feed_datagram (XDR *, feed_datagram*);
 
 #else /* K&R C */
 extern bool_t xdr_feed_record ();
@@ -79,6 +117,10 @@
 extern bool_t xdr_feed_parts ();
 extern bool_t xdr_feed_news ();
 extern bool_t xdr_feed_hello ();
+extern bool_t xdr_feed_quality ();
+extern bool_t xdr_feed_qualities ();
+extern bool_t xdr_feed_datagram_kind ();
+extern bool_t xdr_feed_datagram ();
 
 #endif /* K&R C */
 
--- a/src/feed/feed.x
+++ b/src/feed/feed.x
@@ -43,3 +43,30 @@
   string domain<255>;
   bool leaving;
 };
+
+/* What a VM saw of one upstream's answers of late, in thousandths. */
+struct feed_quality {
+  string upstream<255>;
+  unsigned int answers;
+  unsigned int failed;  /* of these */
+  bool avoided;         /* the VM avoids it */
+};
+
+const FEED_QUALITIES_MAX = 12;
+
+/* A VM tells others of its failure domain of upstreams whose requests fail. */
+struct feed_qualities {
+  string name<255>;  /* of the VM */
+  string domain<255>;
+  feed_quality upstreams<FEED_QUALITIES_MAX>;
+};
+
+enum feed_datagram_kind { FEED_HELLO = 1, FEED_QUALITIES = 2 };
+
+/* All that VMs send each other as datagrams. */
+union feed_datagram switch (feed_datagram_kind kind) {
+case FEED_HELLO:
+  feed_hello hello;
+case FEED_QUALITIES:
+  feed_qualities qualities;
+};
--- a/src/feed/feed_xdr.c
+++ b/src/feed/feed_xdr.c
@@ -78,3 +78,66 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_feed_quality (XDR *xdrs, feed_quality *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->upstream, 255))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->answers))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->failed))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->avoided))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_feed_qualities (XDR *xdrs, feed_qualities *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->name, 255))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->domain, 255))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->upstreams.upstreams_val, (u_int *) &objp->upstreams.upstreams_len, FEED_QUALITIES_MAX,
+		sizeof (feed_quality), (xdrproc_t) xdr_feed_quality))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_feed_datagram_kind (XDR *xdrs, feed_datagram_kind *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_feed_datagram (XDR *xdrs, feed_datagram *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_feed_datagram_kind (xdrs, &objp->kind))
+		 return FALSE;
+	switch (objp->kind) {
+	case FEED_HELLO:
+		 if (!xdr_feed_hello (xdrs, &objp->feed_datagram_u.hello))
+			 return FALSE;
+		break;
+	case FEED_QUALITIES:
+		 if (!xdr_feed_qualities (xdrs, &objp->feed_datagram_u.qualities))
+			 return FALSE;
+		break;
+	default:
+		return FALSE;
+	}
+	return TRUE;
+}
--- a/src/feed/hello.c
+++ b/src/feed/hello.c
@@ -1,43 +1,104 @@
 #include "hello.h"
 
+#include <glib.h>
 #include <string.h>
 
-size_t
-cf_hello_encode (const char *name, const char *domain, bool leaving, uint8_t *out, size_t size)
+#define PER_ANSWER 1000 /* answers travel in thousandths */
+/* More answers than one VM sees of an upstream within some half-lives: who says more is wrong. */
+#define ANSWERS_MAX 100000
+
+static size_t
+encode (struct feed_datagram *datagram, uint8_t *out, size_t size)
 {
-  struct feed_hello hello = {
-    .name = (char *) name,
-    .domain = (char *) domain,
-    .leaving = leaving,
-  };
   size_t len = 0;
   XDR xdr;
 
   xdrmem_create (&xdr, (char *) out, (u_int) size, XDR_ENCODE);
-  if (xdr_feed_hello (&xdr, &hello))
+  if (xdr_feed_datagram (&xdr, datagram))
     len = xdr_getpos (&xdr);
   xdr_destroy (&xdr);
   return len;
 }
 
+size_t
+cf_hello_encode (const char *name, const char *domain, bool leaving, uint8_t *out, size_t size)
+{
+  struct feed_datagram datagram = {
+    .kind = FEED_HELLO,
+    .feed_datagram_u.hello = {
+      .name = (char *) name,
+      .domain = (char *) domain,
+      .leaving = leaving,
+    },
+  };
+
+  return encode (&datagram, out, size);
+}
+
+size_t
+cf_hello_encode_report (const struct CfQualityReport *report,
+                        const char *domain,
+                        uint8_t *out,
+                        size_t size)
+{
+  struct feed_quality upstreams[CF_QUALITY_MAX];
+  struct feed_datagram datagram = {
+    .kind = FEED_QUALITIES,
+    .feed_datagram_u.qualities = {
+      .name = (char *) report->vm,
+      .domain = (char *) domain,
+      .upstreams = { .upstreams_len = report->count, .upstreams_val = upstreams },
+    },
+  };
+
+  for (uint32_t i = 0; i < report->count; i++)
+    upstreams[i] = (struct feed_quality){
+      .upstream = (char *) report->lines[i].id,
+      .answers = (u_int) (MIN (report->lines[i].answers, ANSWERS_MAX) * PER_ANSWER),
+      .failed = (u_int) (MIN (report->lines[i].failed, ANSWERS_MAX) * PER_ANSWER),
+      .avoided = report->lines[i].avoided,
+    };
+  return encode (&datagram, out, size);
+}
+
 bool
-cf_hello_decode (const uint8_t *data, size_t len, struct feed_hello *hello)
+cf_hello_decode (const uint8_t *data, size_t len, struct feed_datagram *datagram)
 {
   XDR xdr;
   bool ok;
 
-  memset (hello, 0, sizeof *hello);
+  memset (datagram, 0, sizeof *datagram);
   xdrmem_create (&xdr, (char *) data, (u_int) len, XDR_DECODE);
-  ok = xdr_feed_hello (&xdr, hello);
+  ok = xdr_feed_datagram (&xdr, datagram);
   xdr_destroy (&xdr);
   if (!ok)
-    cf_hello_clear (hello);
+    cf_hello_clear (datagram);
   return ok;
 }
 
 void
-cf_hello_clear (struct feed_hello *hello)
+cf_hello_clear (struct feed_datagram *datagram)
 {
-  xdr_free ((xdrproc_t) xdr_feed_hello, hello);
-  memset (hello, 0, sizeof *hello);
+  xdr_free ((xdrproc_t) xdr_feed_datagram, datagram);
+  memset (datagram, 0, sizeof *datagram);
+}
+
+void
+cf_hello_read_report (const struct feed_qualities *qualities, struct CfQualityReport *report)
+{
+  report->count = 0;
+  g_strlcpy (report->vm, qualities->name, sizeof report->vm);
+  for (u_int i = 0; i < qualities->upstreams.upstreams_len; i++)
+    {
+      const struct feed_quality *quality = &qualities->upstreams.upstreams_val[i];
+      struct CfQualityLine *line = &report->lines[report->count];
+
+      if (quality->failed > quality->answers || quality->answers > ANSWERS_MAX * PER_ANSWER
+          || g_strlcpy (line->id, quality->upstream, sizeof line->id) >= sizeof line->id)
+        continue;
+      line->answers = (double) quality->answers / PER_ANSWER;
+      line->failed = (double) quality->failed / PER_ANSWER;
+      line->avoided = quality->avoided;
+      report->count++;
+    }
 }
--- a/src/serve/datapath_internal.h
+++ b/src/serve/datapath_internal.h
@@ -29,6 +29,7 @@
   struct CfEventRate notable;
   uint64_t fates[CF_FATE_COUNT];
   bool isolated;
+  CfMillis report_at; /* no report to others before */
   uint64_t malformed;
   uint64_t send_failures;
   GHashTable *opened; /* GQuark to struct CfHistogram: first packet to its successor, ms */
@@ -44,6 +45,9 @@
 /* Tells the admin task whether there is something to serve with. */
 void cf_datapath_update_serving (struct DatapathTask *task);
 
+/* Tells others what this VM saw of upstreams whose requests fail, if it is time to. */
+void cf_datapath_report (struct DatapathTask *task, CfMillis now);
+
 /* Tells the fabric when this VM is cut off from all upstreams, and when no longer. */
 void cf_datapath_note_isolation (struct DatapathTask *task, CfMillis now);
 
--- a/src/serve/datapath_news.c
+++ b/src/serve/datapath_news.c
@@ -2,6 +2,8 @@
 
 #include <inttypes.h>
 
+#define REPORT_EVERY_MS 500 /* while requests fail somewhere */
+
 void
 cf_datapath_update_serving (struct DatapathTask *task)
 {
@@ -28,6 +30,33 @@
   cf_datapath_update_serving (task);
 }
 
+void
+cf_datapath_report (struct DatapathTask *task, CfMillis now)
+{
+  struct CfQualityReport report;
+
+  if (now < task->report_at)
+    return;
+  task->report_at = now + REPORT_EVERY_MS;
+  if (cf_balance_report (task->balance, &report, now))
+    cf_send_quality (task->balancer, &report);
+}
+
+static void
+take_heard_quality (void *data, void *message)
+{
+  struct DatapathTask *task = data;
+
+  cf_balance_hear (task->balance, message, cf_now ());
+}
+
+void
+cf_send_heard_quality (struct CfBalancer *balancer, const struct CfQualityReport *report)
+{
+  cf_task_post (&balancer->datapath, take_heard_quality, g_memdup2 (report, sizeof *report),
+                g_free);
+}
+
 static void
 log_upstream (struct DatapathTask *task, const struct CfTarget *target)
 {
--- a/src/serve/datapath_task.c
+++ b/src/serve/datapath_task.c
@@ -251,6 +251,7 @@
   receive_all (task);
   next = cf_balance_tick (task->balance, cf_now ());
   cf_datapath_note_isolation (task, cf_now ());
+  cf_datapath_report (task, cf_now ());
   flush (task);
   g_source_set_ready_time (source, next * G_TIME_SPAN_MILLISECOND);
   return G_SOURCE_CONTINUE;
--- a/src/serve/feed_rotation.c
+++ b/src/serve/feed_rotation.c
@@ -6,59 +6,115 @@
 
 #define HELLO_EVERY_MS 300 /* a datagram may be lost */
 #define HELLOS_ON_START 4
-#define HELLO_MAX 512 /* bytes */
+/* VMs of the failure domain, at random, that hear what this one saw of an upstream: a report
+ * of 12 upstreams each 500 ms makes 16 KB/s. */
+#define REPORT_TO 8
+
+static void
+take_hello (struct FeedTask *task, const struct feed_hello *hello, CfMillis now)
+{
+  if (strcmp (hello->name, task->balancer->settings.name) != 0
+      && strcmp (hello->domain, task->balancer->settings.failure_domain) == 0)
+    cf_rotation_hear (&task->rotation, hello->name, hello->leaving, now);
+}
+
 static void
-take_hello (struct FeedTask *task, const uint8_t *data, size_t len, CfMillis now)
+take_qualities (struct FeedTask *task, const struct feed_qualities *qualities)
 {
-  struct feed_hello hello;
+  struct CfQualityReport report;
+
+  if (strcmp (qualities->domain, task->balancer->settings.failure_domain) != 0)
+    return;
+  cf_hello_read_report (qualities, &report);
+  cf_send_heard_quality (task->balancer, &report);
+}
 
-  if (!cf_hello_decode (data, len, &hello))
+static void
+take_datagram (struct FeedTask *task, const uint8_t *data, size_t len, CfMillis now)
+{
+  struct feed_datagram datagram;
+
+  if (!cf_hello_decode (data, len, &datagram))
     {
-      g_message ("a hello of %zu bytes cannot be read; ignored", len);
+      g_message ("a datagram of %zu bytes from another VM cannot be read; ignored", len);
       return;
     }
-  if (strcmp (hello.name, task->balancer->settings.name) != 0
-      && strcmp (hello.domain, task->balancer->settings.failure_domain) == 0)
-    cf_rotation_hear (&task->rotation, hello.name, hello.leaving, now);
-  cf_hello_clear (&hello);
+  if (datagram.kind == FEED_HELLO)
+    take_hello (task, &datagram.feed_datagram_u.hello, now);
+  else
+    take_qualities (task, &datagram.feed_datagram_u.qualities);
+  cf_hello_clear (&datagram);
 }
 
 static gboolean
 on_hello (GSocket *socket, GIOCondition condition, gpointer data)
 {
   struct FeedTask *task = data;
-  uint8_t buffer[HELLO_MAX];
+  uint8_t buffer[CF_HELLO_BYTES_MAX];
   gssize len;
 
   (void) condition;
   while ((len = g_socket_receive (socket, (char *) buffer, sizeof buffer, NULL, NULL)) > 0)
-    take_hello (task, buffer, (size_t) len, cf_now ());
+    take_datagram (task, buffer, (size_t) len, cf_now ());
   cf_feed_pump (task);
   return G_SOURCE_CONTINUE;
 }
 
+/* Sends DATA of LEN bytes to the VM at IP.  A lost datagram costs little: hellos are sent several
+ * times, reports again while there is something to report. */
+static void
+send_to (struct FeedTask *task, const char *ip, const uint8_t *data, size_t len)
+{
+  GSocketAddress *to
+      = g_inet_socket_address_new_from_string (ip, task->balancer->settings.peer_port);
+
+  if (to)
+    g_socket_send_to (task->hello, to, (const char *) data, len, NULL, NULL);
+  g_clear_object (&to);
+}
+
 static void
 send_hello (struct FeedTask *task, bool leaving)
 {
   const struct CfBalanceSettings *settings = &task->balancer->settings;
   GPtrArray *ips = cf_sources_near_ips (task->sources);
-  uint8_t buffer[HELLO_MAX];
+  uint8_t buffer[CF_HELLO_BYTES_MAX];
   size_t len
       = cf_hello_encode (settings->name, settings->failure_domain, leaving, buffer, sizeof buffer);
 
   for (guint i = 0; i < ips->len && len > 0; i++)
+    send_to (task, ips->pdata[i], buffer, len);
+  g_ptr_array_unref (ips);
+}
+
+static void
+take_quality (void *data, void *message)
+{
+  struct FeedTask *task = data;
+  struct CfQualityReport *report = message;
+  const struct CfBalanceSettings *settings = &task->balancer->settings;
+  GPtrArray *ips = cf_sources_near_ips (task->sources);
+  uint8_t buffer[CF_HELLO_BYTES_MAX];
+  size_t len;
+
+  g_strlcpy (report->vm, settings->name, sizeof report->vm);
+  len = cf_hello_encode_report (report, settings->failure_domain, buffer, sizeof buffer);
+  for (int i = 0; i < REPORT_TO && ips->len > 0 && len > 0; i++)
     {
-      GSocketAddress *to
-          = g_inet_socket_address_new_from_string (ips->pdata[i], settings->peer_port);
+      guint other = (guint) g_rand_int_range (task->random, 0, (gint32) ips->len);
 
-      /* A lost hello costs no more than a lost datagram: it is sent several times. */
-      if (to)
-        g_socket_send_to (task->hello, to, (const char *) buffer, len, NULL, NULL);
-      g_clear_object (&to);
+      send_to (task, ips->pdata[other], buffer, len);
+      g_ptr_array_remove_index_fast (ips, other);
     }
   g_ptr_array_unref (ips);
 }
 
+void
+cf_send_quality (struct CfBalancer *balancer, const struct CfQualityReport *report)
+{
+  cf_task_post (&balancer->feed, take_quality, g_memdup2 (report, sizeof *report), g_free);
+}
+
 static void
 try_to_leave (struct FeedTask *task, CfMillis now)
 {
--- a/tests/test_answers.c
+++ b/tests/test_answers.c
@@ -193,6 +193,73 @@
 }
 END_TEST
 
+#define VMS 20
+#define MANY 40
+#define ROUNDS 100 /* of a request of each VM */
+#define ROUND_MS 60
+#define REPORT_EVERY 8 /* rounds */
+
+/* Returns how many requests of VMS VMs went to the one of MANY upstreams that fails half of them;
+ * with TOLD the VMs report to each other. */
+static uint32_t
+requests_of_many (bool told)
+{
+  struct TestWorld *world = test_world_new ();
+  GRand *random = g_rand_new_with_seed (13);
+  struct Failures failures = { .share = 0.5, .answer = BAD_BYTES };
+  uint32_t to_failing = 0;
+
+  for (int i = 0; i < VMS; i++)
+    test_world_vm (world, "a", 0);
+  for (int i = 0; i < MANY; i++)
+    {
+      char id[16];
+
+      g_snprintf (id, sizeof id, "i-%d", i);
+      test_world_upstream (world, NULL, id, "s", "a", 0);
+    }
+  for (int round = 0; round < 2 * ROUNDS; round++)
+    {
+      failures.upstreams = round >= ROUNDS;
+      for (int i = 0; i < VMS; i++)
+        {
+          struct CfBalance *balance = world->balances->pdata[i];
+          struct TestFlow *flow = exchange (world, balance, NULL, &failures, random);
+
+          to_failing += failures.upstreams && strcmp (flow->at->id, "i-0") == 0;
+          test_world_close (flow);
+          world->now -= 16; /* the VMs' requests are concurrent */
+        }
+      test_world_run (world, world->now + ROUND_MS);
+      for (int from = 0; told && round % REPORT_EVERY == 0 && from < VMS; from++)
+        {
+          struct CfQualityReport report;
+
+          if (!cf_balance_report (world->balances->pdata[from], &report, world->now))
+            continue;
+          g_snprintf (report.vm, sizeof report.vm, "vm-%d", from);
+          for (int to = 0; to < VMS; to++)
+            if (to != from)
+              cf_balance_hear (world->balances->pdata[to], &report, world->now);
+        }
+    }
+  g_rand_free (random);
+  test_world_free (world);
+  return to_failing;
+}
+
+/* With 20 VMs before 40 upstreams, none sees enough answers of one to judge it alone. */
+START_TEST (test_told)
+{
+  uint32_t alone = requests_of_many (false);
+  uint32_t told = requests_of_many (true);
+
+  printf ("%d VMs, one of %d fails 50%%: %u of %d requests went there, %u when VMs report\n", VMS,
+          MANY, alone, VMS * ROUNDS, told);
+  ck_assert_uint_le (2 * told, (uint32_t) (VMS * ROUNDS / MANY));
+}
+END_TEST
+
 int
 main (void)
 {
@@ -202,5 +269,6 @@
   suite_add_loop (suite, test_one_silent, 1);
   suite_add_loop (suite, test_all_fail, 1);
   suite_add_loop (suite, test_kept_open, 1);
+  suite_add_loop (suite, test_told, 1);
   return suite_run (suite);
 }
--- a/tests/test_fuzz.c
+++ b/tests/test_fuzz.c
@@ -154,44 +154,84 @@
   struct CfFeedPosition position = { 0 };
   GPtrArray *records = g_ptr_array_new_with_free_func (cf_record_free);
   GRand *random = g_rand_new_with_seed (3);
-  uint8_t hello[512];
-  size_t hello_len = cf_hello_encode ("vm-1", "a", true, hello, sizeof hello);
   GBytes *news;
   gsize news_len;
   const void *news_data;
 
   cf_replica_init (&replica);
   g_ptr_array_add (records, cf_record_new ("i-1", 5, false, "{\"service\":\"s\"}"));
-  g_ptr_array_unref (cf_replica_apply (&replica, CF_FEED_UPSTREAMS, records, 5, true));
-  news = cf_relay_encode (&cache, &replica, &position, &origin);
-  news_data = g_bytes_get_data (news, &news_len);
-  for (int i = 0; i < rounds (); i++)
+  /* Every other message is deflated. */
+  for (int part = 0; part < 2; part++)
     {
-      uint8_t *data
-          = g_memdup2 (i % 2 ? news_data : (const void *) hello, i % 2 ? news_len : hello_len);
-      size_t len = mutate (random, data, i % 2 ? news_len : hello_len);
-      struct CfRelayNews decoded;
-      struct feed_hello heard;
+      g_ptr_array_unref (
+          cf_replica_apply (&replica, CF_FEED_UPSTREAMS, records, (uint64_t) part + 5, true));
+      news = cf_relay_encode (&cache, &replica, &position, &origin);
+      news_data = g_bytes_get_data (news, &news_len);
+      for (int i = 0; i < rounds () / 2; i++)
+        {
+          uint8_t *data = g_memdup2 (news_data, news_len);
+          size_t len = mutate (random, data, news_len);
+          struct CfRelayNews decoded;
 
-      data = g_realloc (data, MAX (len, 1));
-      if (i % 2 && cf_relay_decode (data, len, &decoded))
+          data = g_realloc (data, MAX (len, 1));
+          if (cf_relay_decode (data, len, &decoded))
+            {
+              for (u_int kind = 0; kind < decoded.parts.parts.parts_len; kind++)
+                g_ptr_array_unref (cf_relay_records (&decoded.parts.parts.parts_val[kind]));
+              cf_relay_clear (&decoded);
+            }
+          g_free (data);
+        }
+      g_bytes_unref (news);
+      for (int i = 0; i < 50; i++)
         {
-          for (u_int part = 0; part < decoded.parts.parts.parts_len; part++)
-            g_ptr_array_unref (cf_relay_records (&decoded.parts.parts.parts_val[part]));
-          cf_relay_clear (&decoded);
+          char name[16];
+
+          g_snprintf (name, sizeof name, "i-more-%d", i);
+          g_ptr_array_add (records, cf_record_new (name, 6, false, "{\"service\":\"s\"}"));
         }
-      if (i % 2 == 0 && cf_hello_decode (data, len, &heard))
-        cf_hello_clear (&heard);
-      g_free (data);
     }
   cf_relay_cache_clear (&cache);
-  g_bytes_unref (news);
   g_ptr_array_unref (records);
   cf_replica_clear (&replica);
   g_rand_free (random);
 }
 END_TEST
 
+START_TEST (test_fuzz_datagrams)
+{
+  const struct CfQualityReport report = {
+    .vm = "vm-1",
+    .count = 2,
+    .lines = { { "i-1", 3, 1 }, { "i-2", 2, 2 } },
+  };
+  GRand *random = g_rand_new_with_seed (4);
+  uint8_t valid[2][512];
+  const size_t lens[2] = {
+    cf_hello_encode ("vm-1", "a", true, valid[0], sizeof valid[0]),
+    cf_hello_encode_report (&report, "a", valid[1], sizeof valid[1]),
+  };
+
+  for (int i = 0; i < rounds (); i++)
+    {
+      uint8_t *data = g_memdup2 (valid[i % 2], lens[i % 2]);
+      size_t len = mutate (random, data, lens[i % 2]);
+      struct feed_datagram datagram;
+      struct CfQualityReport read;
+
+      data = g_realloc (data, MAX (len, 1));
+      if (cf_hello_decode (data, len, &datagram))
+        {
+          if (datagram.kind == FEED_QUALITIES)
+            cf_hello_read_report (&datagram.feed_datagram_u.qualities, &read);
+          cf_hello_clear (&datagram);
+        }
+      g_free (data);
+    }
+  g_rand_free (random);
+}
+END_TEST
+
 #define SETTINGS                                                                                   \
   "[vm]\nname=vm-1\naddress=10.0.0.1\nfailure-domain=a\nregion=r\n"                                \
   "fabric-address=10.0.0.1:8172\nready-address=10.0.0.1:8167\nmetrics-port=9464\n"                 \
@@ -332,6 +372,7 @@
   suite_add_loop (suite, test_fuzz_packets, 1);
   suite_add_loop (suite, test_fuzz_answers, 1);
   suite_add_loop (suite, test_fuzz_peers, 1);
+  suite_add_loop (suite, test_fuzz_datagrams, 1);
   suite_add_loop (suite, test_fuzz_settings, 1);
   suite_add_loop (suite, test_good_settings, 1);
   suite_add_loop (suite, test_bad_settings, G_N_ELEMENTS (bad_settings));
--- a/tests/test_sources.c
+++ b/tests/test_sources.c
@@ -370,18 +370,53 @@
 {
   uint8_t buffer[512];
   size_t len = cf_hello_encode ("vm-1", "a", true, buffer, sizeof buffer);
-  struct feed_hello hello;
+  struct feed_datagram datagram;
+  const struct feed_hello *hello = &datagram.feed_datagram_u.hello;
 
   ck_assert_uint_gt (len, 0);
-  ck_assert (cf_hello_decode (buffer, len, &hello));
-  ck_assert_str_eq (hello.name, "vm-1");
-  ck_assert (hello.leaving);
-  cf_hello_clear (&hello);
-  ck_assert (!cf_hello_decode (buffer, len - 4, &hello));
+  ck_assert (cf_hello_decode (buffer, len, &datagram));
+  ck_assert_int_eq (datagram.kind, FEED_HELLO);
+  ck_assert_str_eq (hello->name, "vm-1");
+  ck_assert (hello->leaving);
+  cf_hello_clear (&datagram);
+  ck_assert (!cf_hello_decode (buffer, len - 4, &datagram));
   ck_assert_uint_eq (cf_hello_encode ("vm-1", "a", true, buffer, 8), 0);
 }
 END_TEST
 
+START_TEST (test_quality_report)
+{
+  struct CfQualityReport report = { .vm = "vm-1", .count = CF_QUALITY_MAX };
+  struct CfQualityReport back;
+  uint8_t buffer[CF_HELLO_BYTES_MAX];
+  struct feed_datagram datagram;
+  size_t len;
+
+  for (int i = 0; i < CF_QUALITY_MAX; i++)
+    {
+      /* As long as an id may be. */
+      memset (report.lines[i].id, 'a' + i, CF_QUALITY_ID_MAX - 1);
+      report.lines[i].answers = 2.5 * i;
+      report.lines[i].failed = i;
+    }
+  len = cf_hello_encode_report (&report, "a", buffer, sizeof buffer);
+  ck_assert_uint_gt (len, 0);
+  ck_assert (cf_hello_decode (buffer, len, &datagram));
+  ck_assert_int_eq (datagram.kind, FEED_QUALITIES);
+  cf_hello_read_report (&datagram.feed_datagram_u.qualities, &back);
+  ck_assert_uint_eq (back.count, CF_QUALITY_MAX);
+  ck_assert_str_eq (back.vm, "vm-1");
+  ck_assert_str_eq (back.lines[3].id, report.lines[3].id);
+  ck_assert_double_eq_tol (back.lines[3].answers, 7.5, 0.01);
+  ck_assert_double_eq_tol (back.lines[3].failed, 3, 0.01);
+  /* What cannot be true is left out. */
+  datagram.feed_datagram_u.qualities.upstreams.upstreams_val[3].failed = 7501;
+  cf_hello_read_report (&datagram.feed_datagram_u.qualities, &back);
+  ck_assert_uint_eq (back.count, CF_QUALITY_MAX - 1);
+  cf_hello_clear (&datagram);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -401,5 +436,6 @@
   suite_add_loop (suite, test_rotation, 1);
   suite_add_loop (suite, test_rotation_wait_ends, 1);
   suite_add_loop (suite, test_hello, 1);
+  suite_add_loop (suite, test_quality_report, 1);
   return suite_run (suite);
 }
