No refusal where an upstream or another VM may have the packet already

Cause, found by reading: a reset tells the caller that nothing has run. A first packet that a starting VM had handed on was reset once its own news named no upstream, though the other VM might have sent it to one; so was a repeated first packet after its failure domain had been evacuated, though the upstream that got the first copy might be about to open the flow.

Change: a reset for lack of an upstream goes out only for a first copy that this VM has sent to no upstream and handed on to no VM; else silence. test_no_false_refusal fails without it.

--- a/src/balance/answers.c
+++ b/src/balance/answers.c
@@ -211,8 +211,7 @@
   struct CfTally own = at (&quality->tally, now);
   struct CfTally all = at (service_tally (answers, target->service), now);
   struct CfTally seen = sum (quality, now);
-  bool lately
-      = quality->avoided_times > 0 && now - quality->avoided_until <= CF_ANSWERS_AVOID_MAX_MS;
+  bool lately = was_avoided_lately (quality, now);
   CfMillis delay;
 
   if (cf_answers_avoids (target, now)
@@ -259,20 +258,22 @@
     .tally = { .answers = line->answers, .failed = line->failed, .at = now },
   };
 
+  double before = 0;
+
   if (!quality->heard)
     quality->heard = g_array_new (FALSE, FALSE, sizeof fresh);
-  for (guint i = 0; i < quality->heard->len; i++)
+  for (guint i = quality->heard->len; i > 0; i--)
     {
-      struct CfHeard *heard = &g_array_index (quality->heard, struct CfHeard, i);
-      double before = at (&heard->tally, now).failed;
+      const struct CfHeard *heard = &g_array_index (quality->heard, struct CfHeard, i - 1);
 
-      if (heard->vm != fresh.vm)
-        continue;
-      *heard = fresh;
-      return line->failed - before;
+      if (heard->vm == fresh.vm)
+        before = at (&heard->tally, now).failed;
+      /* VMs come and go under new names. */
+      if (heard->vm == fresh.vm || now - heard->tally.at > CF_ANSWERS_AVOID_MAX_MS)
+        g_array_remove_index_fast (quality->heard, i - 1);
     }
   g_array_append_val (quality->heard, fresh);
-  return line->failed;
+  return line->failed - before;
 }
 
 bool
--- a/src/balance/connections.h
+++ b/src/balance/connections.h
@@ -35,6 +35,7 @@
   CfMillis tried_at[CF_TRIES_MAX];
   uint32_t tries;
   GQuark service_name;
+  bool sent;         /* an upstream got the first packet */
   bool pending;      /* no packet has followed the first */
   CfMillis begun_at; /* when the first packet came */
   CfMillis due_at;   /* while pending: when the next upstream is tried */
--- a/src/balance/first.c
+++ b/src/balance/first.c
@@ -26,10 +26,15 @@
 static enum CfFate
 await_news (struct CfBalance *balance, const struct CfSegment *segment, CfMillis now)
 {
-  if (segment->flags & CF_SEGMENT_HANDED || !cf_waiting_keep (&balance->waiting, segment, now))
-    return cf_balance_hand_on (balance, segment, CF_FATE_SILENT_ROUTE, now);
-  cf_balance_ask_helper (balance, segment);
-  return cf_balance_end (balance, segment, NULL, CF_FATE_WAITING, now);
+  struct CfSegment kept = *segment;
+  bool asked = cf_balance_ask_helper (balance, segment);
+  enum CfFate fate = asked ? CF_FATE_HANDED_ON : CF_FATE_SILENT_ROUTE;
+
+  if (asked)
+    kept.flags |= CF_SEGMENT_ASKED;
+  if (!(segment->flags & CF_SEGMENT_HANDED) && cf_waiting_keep (&balance->waiting, &kept, now))
+    fate = CF_FATE_WAITING;
+  return cf_balance_end (balance, segment, NULL, fate, now);
 }
 
 static double
@@ -113,6 +118,7 @@
   connection->tried[connection->tries] = target;
   connection->tried_at[connection->tries] = now;
   connection->tries++;
+  connection->sent = true;
   cf_connection_move (connection, target);
   cf_reach_begin (&target->reach);
   cf_connections_schedule (&balance->connections, connection,
@@ -139,17 +145,22 @@
   return connection;
 }
 
-/* No upstream may take the flow of SEGMENT.  Refuses it, unless another VM may know one. */
+/* No upstream may take the flow of SEGMENT.  Refuses it, unless another VM may know one.  A
+ * refusal says that nothing has run, so there is none where an upstream may have got the packet
+ * and be about to open the flow. */
 static enum CfFate
 unplaced (struct CfBalance *balance,
           const struct CfSegment *segment,
           struct CfConnection *connection,
           CfMillis now)
 {
+  bool sent = connection->sent || segment->copy > 0 || segment->flags & CF_SEGMENT_ASKED;
+
   cf_connections_remove (&balance->connections, connection);
   if (!cf_balance_news_fresh (balance, now))
     return cf_balance_hand_on (balance, segment, CF_FATE_SILENT_SERVICE, now);
-  return cf_balance_end (balance, segment, NULL, CF_FATE_RESET_SERVICE, now);
+  return cf_balance_end (balance, segment, NULL,
+                         sent ? CF_FATE_SILENT_SERVICE : CF_FATE_RESET_SERVICE, now);
 }
 
 enum CfFate
--- a/src/balance/segment.h
+++ b/src/balance/segment.h
@@ -17,6 +17,7 @@
   CF_SEGMENT_FIN = 1 << 2,
   CF_SEGMENT_RST = 1 << 3,
   CF_SEGMENT_HANDED = 1 << 4, /* another entry VM handed it on to this one */
+  CF_SEGMENT_ASKED = 1 << 5,  /* not on the wire: this VM handed it on to another before */
 };
 
 /* An IPv4 address and port, both in host byte order. */
--- a/tests/test_evidence.c
+++ b/tests/test_evidence.c
@@ -62,6 +62,38 @@
 }
 END_TEST
 
+/* A refusal says that nothing has run: none goes out where another VM, or an upstream, may have
+ * the packet already. */
+START_TEST (test_no_false_refusal)
+{
+  struct TestWorld *world = test_world_new ();
+  struct CfBalance *balance = test_world_started (world, "a");
+  struct CfManifest *manifest = test_world_manifest (1, 0, true);
+  const uint32_t other_vm = 0x7f000002;
+  struct TestFlow *asked;
+  struct TestFlow *sent;
+
+  cf_balance_helpers (balance, &other_vm, 1);
+  asked = test_world_open (world, balance, 81);
+  cf_balance_manifest (balance, manifest);
+  test_world_upstream (world, balance, "i-1", "s", "a", 0);
+  cf_balance_news (balance, world->now);
+  test_world_run (world, world->now + TEST_REPEAT_MS + 10);
+  ck_assert (!asked->reset);
+  /* The upstream is slow to answer, and its failure domain is evacuated meanwhile. */
+  g_hash_table_add (world->dark, (gpointer) "i-1");
+  sent = test_world_open (world, balance, 80);
+  ck_assert_uint_eq (test_world_firsts (world, "i-1", 0, world->now + 1), 1);
+  cf_balance_evacuate (balance, "a", true, world->now);
+  test_world_run (world, world->now + TEST_REPEAT_MS + 10);
+  ck_assert (!sent->reset);
+  /* One that nobody has is refused at once. */
+  ck_assert (test_world_open (world, balance, 80)->reset);
+  cf_manifest_free (manifest);
+  test_world_free (world);
+}
+END_TEST
+
 #define NEAR 40
 #define FLOWS 200
 #define BETWEEN_MS 60 /* flows: what one of 20 VMs of a failure domain gets */
@@ -92,6 +124,21 @@
   return slow;
 }
 
+/* Announces NEAR upstreams of the failure domain "a", whose names go to IDS, and as many of "b". */
+static void
+add_upstreams (struct TestWorld *world, char ids[NEAR][16])
+{
+  for (int i = 0; i < NEAR; i++)
+    {
+      char far[16];
+
+      g_snprintf (ids[i], sizeof ids[i], "near-%d", i);
+      g_snprintf (far, sizeof far, "far-%d", i);
+      test_world_upstream (world, NULL, ids[i], "s", "a", 0);
+      test_world_upstream (world, NULL, far, "s", "b", 0);
+    }
+}
+
 /* All upstreams of a failure domain go away together and come back together.  Callers whose
  * first packet meets a host without its process get a reset at once and have two more tries
  * (scordato-noli-grown, trouble-1: 309 requests failed in the 2 s after such a loss). */
@@ -103,15 +150,7 @@
   uint32_t near = 0;
   uint32_t slow;
 
-  for (int i = 0; i < NEAR; i++)
-    {
-      char far[16];
-
-      g_snprintf (ids[i], sizeof ids[i], "near-%d", i);
-      g_snprintf (far, sizeof far, "far-%d", i);
-      test_world_upstream (world, NULL, ids[i], "s", "a", 0);
-      test_world_upstream (world, NULL, far, "s", "b", 0);
-    }
+  add_upstreams (world, ids);
   ck_assert_uint_eq (open_flows (world, balance, FLOWS), 0);
   for (int i = 0; i < NEAR; i++)
     g_hash_table_add (world->dark, ids[i]);
@@ -141,17 +180,9 @@
   char ids[NEAR][16];
   uint32_t near = 0;
 
-  for (int i = 0; i < NEAR; i++)
-    {
-      char far[16];
-
-      g_snprintf (ids[i], sizeof ids[i], "near-%d", i);
-      g_snprintf (far, sizeof far, "far-%d", i);
-      test_world_upstream (world, NULL, ids[i], "s", "a", 0);
-      test_world_upstream (world, NULL, far, "s", "b", 0);
-      if (i % 4 == 0)
-        g_hash_table_add (world->dark, ids[i]);
-    }
+  add_upstreams (world, ids);
+  for (int i = 0; i < NEAR; i += 4)
+    g_hash_table_add (world->dark, ids[i]);
   open_flows (world, balance, 2 * FLOWS);
   for (int i = 0; i < NEAR; i++)
     if (i % 4 != 0)
@@ -168,6 +199,7 @@
 
   suite_add_loop (suite, test_start_waits_for_news, 1);
   suite_add_loop (suite, test_start_late_news, 1);
+  suite_add_loop (suite, test_no_false_refusal, 1);
   suite_add_loop (suite, test_domain_goes_away, 1);
   suite_add_loop (suite, test_some_dark_no_outage, 1);
   return suite_run (suite);
