Placement asks about outages only while there is one

Change: a count of suspected domains is asked first; how long a request may stall is looked up only for packets with data.

--- a/src/balance/later.c
+++ b/src/balance/later.c
@@ -103,7 +103,9 @@
         struct CfTarget *target,
         CfMillis now)
 {
-  CfMillis stall_ms = cf_answers_stall_ms (balance->answers, connection->service);
+  /* Only data begins a request. */
+  CfMillis stall_ms
+      = segment->data > 0 ? cf_answers_stall_ms (balance->answers, connection->service) : 0;
   struct CfExchangeNews news
       = cf_exchange_follow (&balance->connections, connection, segment, stall_ms, now);
   uint32_t bytes;
--- a/src/balance/outage.c
+++ b/src/balance/outage.c
@@ -2,7 +2,8 @@
 
 struct CfOutages
 {
-  GHashTable *lost; /* GQuark of a failure domain to how many upstreams in a row were lost */
+  GHashTable *lost;   /* GQuark of a failure domain to how many upstreams in a row were lost */
+  uint32_t suspected; /* domains; asked for each candidate of each first packet, mostly 0 */
 };
 
 struct CfOutages *
@@ -33,7 +34,10 @@
   guint lost = lost_at (outages, domain) + 1;
 
   g_hash_table_insert (outages->lost, GUINT_TO_POINTER (domain), GUINT_TO_POINTER (lost));
-  return lost == CF_OUTAGE_LOST;
+  if (lost != CF_OUTAGE_LOST)
+    return false;
+  outages->suspected++;
+  return true;
 }
 
 bool
@@ -42,11 +46,12 @@
   bool suspected = cf_outages_suspects (outages, domain);
 
   g_hash_table_remove (outages->lost, GUINT_TO_POINTER (domain));
+  outages->suspected -= suspected;
   return suspected;
 }
 
 bool
 cf_outages_suspects (const struct CfOutages *outages, GQuark domain)
 {
-  return lost_at (outages, domain) >= CF_OUTAGE_LOST;
+  return outages->suspected > 0 && lost_at (outages, domain) >= CF_OUTAGE_LOST;
 }
