Soak: a fault that ends leaves those that go on

Change: a disturbance is extended, never shortened. The case is allowed by the trace; all other checks are as they were.

--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -50,6 +50,13 @@
 
 /* Entry VMs. */
 
+/* A fault on VM lasts until UNTIL.  Faults overlap: one that ends leaves those that go on. */
+static void
+disturb (struct SoakVm *vm, int64_t until)
+{
+  vm->disturbed_at = MAX (vm->disturbed_at, until);
+}
+
 static gboolean
 start_again (gpointer data)
 {
@@ -67,7 +74,7 @@
 
   g_spawn_close_pid (pid);
   vm->pid = 0;
-  vm->disturbed_at = soak_now ();
+  disturb (vm, soak_now ());
   if (WIFSIGNALED (status) && WTERMSIG (status) != SIGKILL && WTERMSIG (status) != SIGTERM)
     soak_violation (vm->soak, "vm-%d ended with signal %d", vm->index, WTERMSIG (status));
   else if (WIFEXITED (status) && WEXITSTATUS (status) != 0)
@@ -105,7 +112,7 @@
 {
   if (vm->pid)
     kill (vm->pid, signal);
-  vm->disturbed_at = soak_now ();
+  disturb (vm, soak_now ());
 }
 
 static gboolean
@@ -233,7 +240,7 @@
   struct SoakVm *vm = data;
 
   soak_proxy_set (vm->proxy, SOAK_PATH_OPEN);
-  vm->disturbed_at = soak_now ();
+  disturb (vm, soak_now ());
   return G_SOURCE_REMOVE;
 }
 
@@ -241,7 +248,7 @@
 harm_path (struct SoakVm *vm, enum SoakPath path, int ms)
 {
   soak_proxy_set (vm->proxy, path);
-  vm->disturbed_at = soak_now () + ms;
+  disturb (vm, soak_now () + ms);
   g_timeout_add ((guint) ms, open_path, vm);
 }
 
