First packets that went out together are one sign of a cut, not many

The first packets that had waited for news went out in one burst, and the VM had no time yet for what followed them: 8 or more counted as lost in a row. Strikes against an upstream already count once for flows that began together.

Change: a first packet that was sent before the first loss was noticed says nothing new about isolation. test_burst_is_no_isolation fails without it, and checks that a VM that is cut off still finds out within 500 ms.

--- a/src/balance/first.c
+++ b/src/balance/first.c
@@ -221,7 +221,7 @@
       struct CfTarget *last = connection->tried[connection->tries - 1];
       bool good = cf_reach_good (&last->reach);
 
-      cf_isolation_lost (&balance->isolation, now);
+      cf_isolation_lost (&balance->isolation, connection->tried_at[connection->tries - 1], now);
       cf_reach_strike (&last->reach, connection->tried_at[connection->tries - 1], now);
       if (good && !cf_reach_good (&last->reach))
         {
--- a/src/balance/isolation.c
+++ b/src/balance/isolation.c
@@ -7,8 +7,10 @@
 }
 
 void
-cf_isolation_lost (struct CfIsolation *isolation, CfMillis now)
+cf_isolation_lost (struct CfIsolation *isolation, CfMillis sent, CfMillis now)
 {
+  if (isolation->lost > 0 && sent < isolation->lost_since)
+    return;
   if (isolation->lost++ == 0)
     isolation->lost_since = now;
 }
--- a/src/balance/isolation.h
+++ b/src/balance/isolation.h
@@ -6,7 +6,8 @@
 /* Tells whether this VM seems to be cut off from all upstreams. */
 
 /* First packets lost in a row, over this time: where an upstream is in reach, one in some tries
- * opens within 100 ms. */
+ * opens within 100 ms.  Those sent before the first of them was given up say nothing more: they
+ * met the same moment. */
 #define CF_ISOLATION_LOST 8
 #define CF_ISOLATION_MS 250
 
@@ -19,8 +20,8 @@
 
 void cf_isolation_init (struct CfIsolation *isolation);
 
-/* A first packet was given up at one upstream. */
-void cf_isolation_lost (struct CfIsolation *isolation, CfMillis now);
+/* A first packet that was sent to an upstream at SENT was given up. */
+void cf_isolation_lost (struct CfIsolation *isolation, CfMillis sent, CfMillis now);
 
 /* A flow has opened. */
 void cf_isolation_opened (struct CfIsolation *isolation);
--- a/tests/test_evidence.c
+++ b/tests/test_evidence.c
@@ -1,3 +1,4 @@
+#include "balance/isolation.h"
 #include "balancers.h"
 #include "suite.h"
 
@@ -94,6 +95,36 @@
 }
 END_TEST
 
+/* Found in an incident (vuoka-ferry-grown, inc-a9b9): 16 VMs that had just started took themselves
+ * out of rotation, since the first packets that had waited for news went out all at once, while
+ * the VM had no time for what followed them. */
+START_TEST (test_burst_is_no_isolation)
+{
+  struct TestWorld *world = test_world_new ();
+  struct CfBalance *balance = test_world_vm (world, "a", 0);
+  CfMillis cut_at;
+
+  test_world_upstream (world, NULL, "i-1", "s", "a", 0);
+  test_world_upstream (world, NULL, "i-2", "s", "b", 0);
+  g_hash_table_add (world->dark, (gpointer) "i-1");
+  g_hash_table_add (world->dark, (gpointer) "i-2");
+  for (int i = 0; i < 2 * CF_ISOLATION_LOST; i++)
+    test_world_open (world, balance, 80);
+  /* All are given up within these 180 ms, at both upstreams. */
+  test_world_run (world, world->now + 180);
+  ck_assert (!cf_balance_isolated (balance, world->now));
+  /* One that is cut off finds out all the same. */
+  cut_at = world->now;
+  while (!cf_balance_isolated (balance, world->now) && world->now < cut_at + 2000)
+    {
+      test_world_open (world, balance, 80);
+      test_world_run (world, world->now + 60);
+    }
+  ck_assert_int_le (world->now - cut_at, 500);
+  test_world_free (world);
+}
+END_TEST
+
 #define NEAR 40
 #define FLOWS 200
 #define BETWEEN_MS 60 /* flows: what one of 20 VMs of a failure domain gets */
@@ -200,6 +231,7 @@
   suite_add_loop (suite, test_start_waits_for_news, 1);
   suite_add_loop (suite, test_start_late_news, 1);
   suite_add_loop (suite, test_no_false_refusal, 1);
+  suite_add_loop (suite, test_burst_is_no_isolation, 1);
   suite_add_loop (suite, test_domain_goes_away, 1);
   suite_add_loop (suite, test_some_dark_no_outage, 1);
   return suite_run (suite);
