A pause, or what fails everywhere from one VM, speaks against no upstream

Cause, found by reading: a VM that stood still finds all its waiting requests stalled when it goes on. It compares upstreams with each other and avoids none, but it told the others, whose own answers were good: they would have avoided up to a third of a service for seconds. The same holds for a slow VM, and for one whose callers go away.

Change: requests that are found stalled late, as after a pause, are not judged, as first packets are not; the tick wakes in time for the next that may stall; a report holds only the failures above what the VM sees at all others of the service. test_pause_no_failure fails without the first, test_report_without_common_failures checks the last.

--- a/src/balance/answers.c
+++ b/src/balance/answers.c
@@ -316,8 +316,21 @@
   report->lines[place] = *line;
 }
 
+/* Returns how many more of OWN, one upstream's answers, failed than would if it were like the
+ * others of its service, whose answers and OWN are ALL.  What fails everywhere from here, after
+ * a pause or on a slow VM, speaks against this VM. */
+static double
+excess (const struct CfTally *own, const struct CfTally *all)
+{
+  double others = all->answers - own->answers;
+
+  if (others < 1)
+    return 0;
+  return MAX (own->failed - own->answers * MAX (all->failed - own->failed, 0) / others, 0);
+}
+
 bool
-cf_answers_report (const struct CfAnswers *answers,
+cf_answers_report (struct CfAnswers *answers,
                    const struct CfDirectory *directory,
                    struct CfQualityReport *report,
                    CfMillis now)
@@ -333,9 +346,10 @@
     {
       const struct CfTarget *target = value;
       struct CfTally own = at (&target->quality.tally, now);
+      struct CfTally all = at (service_tally (answers, target->service), now);
       struct CfQualityLine line = {
         .answers = own.answers,
-        .failed = own.failed,
+        .failed = excess (&own, &all),
         .avoided = cf_answers_avoids (target, now),
       };
 
--- a/src/balance/answers.h
+++ b/src/balance/answers.h
@@ -69,9 +69,10 @@
                       const struct CfQualityLine *line,
                       CfMillis now);
 
-/* Writes to REPORT what this VM saw of those of DIRECTORY's upstreams that are in question.
+/* Writes to REPORT what this VM saw of those of DIRECTORY's upstreams that are in question, less
+ * the failures that it sees everywhere.
  * Returns false if there is nothing to tell. */
-bool cf_answers_report (const struct CfAnswers *answers,
+bool cf_answers_report (struct CfAnswers *answers,
                         const struct CfDirectory *directory,
                         struct CfQualityReport *report,
                         CfMillis now);
--- a/src/balance/balance.c
+++ b/src/balance/balance.c
@@ -1,4 +1,5 @@
 #include "balance_internal.h"
+#include "exchange.h"
 
 /* An upstream that an evacuation is taken back for may be cold without having said so:
  * its next announcement comes within about this time. */
@@ -66,6 +67,7 @@
 {
   struct CfConnections *connections = &balance->connections;
   CfMillis idle = cf_routes_flow_idle (balance->routes);
+  CfMillis next;
 
   cf_balance_resume (balance, now);
   while (!cf_list_empty (&connections->pending))
@@ -93,10 +95,10 @@
                           MAX (balance->options.flow_lifetime_ms, CF_PENDING_MAX_MS));
       balance->pruned_at = now;
     }
-  if (cf_list_empty (&connections->pending))
-    return now + CF_MS_PER_S;
-  return MIN (CF_LIST_ENTRY (connections->pending.next, struct CfConnection, link)->due_at,
-              now + CF_MS_PER_S);
+  next = MIN (now + CF_MS_PER_S, cf_exchange_next (connections));
+  if (!cf_list_empty (&connections->pending))
+    next = MIN (next, CF_LIST_ENTRY (connections->pending.next, struct CfConnection, link)->due_at);
+  return next;
 }
 
 bool
--- a/src/balance/balance.h
+++ b/src/balance/balance.h
@@ -114,8 +114,7 @@
 
 /* Writes to REPORT, but for its sender, what others of this failure domain should hear.  Returns
  * false if there is nothing. */
-bool
-cf_balance_report (const struct CfBalance *balance, struct CfQualityReport *report, CfMillis now);
+bool cf_balance_report (struct CfBalance *balance, struct CfQualityReport *report, CfMillis now);
 
 /* COUNT VMs share what a cold upstream bears. */
 void cf_balance_fleet (struct CfBalance *balance, uint32_t count);
--- a/src/balance/balance_internal.h
+++ b/src/balance/balance_internal.h
@@ -18,6 +18,10 @@
  *
  * each calling only those below it. */
 
+/* A tick that comes this late says that this VM stood still: nothing that it missed
+ * speaks against an upstream. */
+#define CF_PAUSE_MS 60
+
 /* A caller gives a flow up that has not opened after 1.4 s. */
 #define CF_PENDING_MAX_MS 1500
 
--- a/src/balance/exchange.c
+++ b/src/balance/exchange.c
@@ -61,6 +61,14 @@
   return exchange->asked && (exchange->answered > 0 || !exchange->stalled);
 }
 
+CfMillis
+cf_exchange_next (const struct CfConnections *connections)
+{
+  if (cf_list_empty (&connections->asking))
+    return G_MAXINT64;
+  return CF_LIST_ENTRY (connections->asking.next, struct CfConnection, asking)->exchange.stalls_at;
+}
+
 struct CfConnection *
 cf_exchange_stalled (struct CfConnections *connections, CfMillis now)
 {
--- a/src/balance/exchange.h
+++ b/src/balance/exchange.h
@@ -26,6 +26,9 @@
  * *BYTES. */
 bool cf_exchange_end (const struct CfConnection *connection, uint32_t *bytes);
 
+/* Returns when the next request stalls, a long time if none waits. */
+CfMillis cf_exchange_next (const struct CfConnections *connections);
+
 /* Returns the next connection whose request has stalled, once for each, or NULL. */
 struct CfConnection *cf_exchange_stalled (struct CfConnections *connections, CfMillis now);
 
--- a/src/balance/first.c
+++ b/src/balance/first.c
@@ -10,10 +10,6 @@
  * upstream is tried on its behalf from then on. */
 #define CALLER_REPEATS_MS 190
 
-/* A tick that comes this late says that this VM stood still: nothing that it missed
- * speaks against an upstream. */
-#define PAUSE_MS 60
-
 /* Returns true if this VM has had news of every kind since its start. */
 static bool
 has_started (const struct CfBalance *balance)
@@ -209,7 +205,7 @@
 cf_balance_overdue (struct CfBalance *balance, struct CfConnection *connection, CfMillis now)
 {
   CfMillis give_up = connection->begun_at + CF_PENDING_MAX_MS;
-  bool paused = now - connection->due_at > PAUSE_MS;
+  bool paused = now - connection->due_at > CF_PAUSE_MS;
 
   if (now >= give_up)
     {
--- a/src/balance/later.c
+++ b/src/balance/later.c
@@ -90,7 +90,7 @@
 }
 
 bool
-cf_balance_report (const struct CfBalance *balance, struct CfQualityReport *report, CfMillis now)
+cf_balance_report (struct CfBalance *balance, struct CfQualityReport *report, CfMillis now)
 {
   return cf_answers_report (balance->answers, balance->directory, report, now);
 }
@@ -157,6 +157,6 @@
   struct CfConnection *connection;
 
   while ((connection = cf_exchange_stalled (&balance->connections, now)))
-    if (connection->target)
+    if (connection->target && now - connection->exchange.stalls_at <= CF_PAUSE_MS)
       judge (balance, connection, connection->target, 0, now);
 }
--- a/tests/test_answers.c
+++ b/tests/test_answers.c
@@ -193,6 +193,46 @@
 }
 END_TEST
 
+/* A VM that stood still has missed the answers of all upstreams alike. */
+START_TEST (test_pause_no_failure)
+{
+  struct Play play = begin (17);
+  struct TestFlow *flows[UPSTREAMS];
+  struct CfQualityReport report;
+
+  requests (&play, 200, &(struct Failures){ 0 });
+  for (guint i = 0; i < G_N_ELEMENTS (flows); i++)
+    {
+      flows[i] = test_world_open (play.world, play.balance, 80);
+      test_world_run (play.world, play.world->now + play.world->round_trip + 2);
+      test_world_ask (flows[i]);
+    }
+  play.world->now += 3000;
+  test_world_run (play.world, play.world->now + 10);
+  ck_assert_uint_eq (avoided (&play), 0);
+  ck_assert (!cf_balance_report (play.balance, &report, play.world->now));
+  finish (&play);
+}
+END_TEST
+
+/* One that is slow, or whose callers are at fault, does not talk others into avoiding anything. */
+START_TEST (test_report_without_common_failures)
+{
+  struct Play play = begin (19);
+  struct CfQualityReport report;
+  double failed = 0;
+
+  requests (&play, 200, &(struct Failures){ 0 });
+  requests (&play, 400,
+            &(struct Failures){ .upstreams = UPSTREAMS, .share = 0.5, .answer = BAD_BYTES });
+  ck_assert (cf_balance_report (play.balance, &report, play.world->now));
+  for (uint32_t i = 0; i < report.count; i++)
+    failed += report.lines[i].failed;
+  ck_assert_double_le (failed / report.count, CF_ANSWERS_FAILED_MIN / 2);
+  finish (&play);
+}
+END_TEST
+
 #define VMS 20
 #define MANY 40
 #define ROUNDS 100 /* of a request of each VM */
@@ -269,6 +309,8 @@
   suite_add_loop (suite, test_one_silent, 1);
   suite_add_loop (suite, test_all_fail, 1);
   suite_add_loop (suite, test_kept_open, 1);
+  suite_add_loop (suite, test_pause_no_failure, 1);
+  suite_add_loop (suite, test_report_without_common_failures, 1);
   suite_add_loop (suite, test_told, 1);
   return suite_run (suite);
 }
