feed/hello is feed/gossip, since it carries more than hellos

Cause: the file, its functions and the socket were named after the first of two kinds of datagram. Change: renamed throughout; no behaviour changes.

--- a/src/feed/hello.c
+++ b/src/feed/gossip.c
@@ -1,4 +1,4 @@
-#include "hello.h"
+#include "gossip.h"
 
 #include <glib.h>
 #include <string.h>
@@ -21,7 +21,8 @@
 }
 
 size_t
-cf_hello_encode (const char *name, const char *domain, bool leaving, uint8_t *out, size_t size)
+cf_gossip_encode_hello (
+    const char *name, const char *domain, bool leaving, uint8_t *out, size_t size)
 {
   struct feed_datagram datagram = {
     .kind = FEED_HELLO,
@@ -36,10 +37,10 @@
 }
 
 size_t
-cf_hello_encode_report (const struct CfQualityReport *report,
-                        const char *domain,
-                        uint8_t *out,
-                        size_t size)
+cf_gossip_encode_quality (const struct CfQualityReport *report,
+                          const char *domain,
+                          uint8_t *out,
+                          size_t size)
 {
   struct feed_quality upstreams[CF_QUALITY_MAX];
   struct feed_datagram datagram = {
@@ -62,7 +63,7 @@
 }
 
 bool
-cf_hello_decode (const uint8_t *data, size_t len, struct feed_datagram *datagram)
+cf_gossip_decode (const uint8_t *data, size_t len, struct feed_datagram *datagram)
 {
   XDR xdr;
   bool ok;
@@ -72,19 +73,19 @@
   ok = xdr_feed_datagram (&xdr, datagram);
   xdr_destroy (&xdr);
   if (!ok)
-    cf_hello_clear (datagram);
+    cf_gossip_clear (datagram);
   return ok;
 }
 
 void
-cf_hello_clear (struct feed_datagram *datagram)
+cf_gossip_clear (struct feed_datagram *datagram)
 {
   xdr_free ((xdrproc_t) xdr_feed_datagram, datagram);
   memset (datagram, 0, sizeof *datagram);
 }
 
 void
-cf_hello_read_report (const struct feed_qualities *qualities, struct CfQualityReport *report)
+cf_gossip_read_quality (const struct feed_qualities *qualities, struct CfQualityReport *report)
 {
   report->count = 0;
   g_strlcpy (report->vm, qualities->name, sizeof report->vm);
--- /dev/null
+++ b/src/feed/gossip.h
@@ -0,0 +1,36 @@
+#ifndef CF_FEED_GOSSIP_H
+#define CF_FEED_GOSSIP_H
+
+#include "balance/quality_report.h"
+#include "feed.h"
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/* Datagrams between the VMs of a failure domain: that one leaves or has returned, and what one
+ * saw of upstreams whose requests fail. */
+
+/* No link splits a datagram of this many bytes. */
+#define CF_GOSSIP_BYTES_MAX 1200
+
+/* Encodes a hello into OUT of SIZE bytes and returns its length, 0 if it does not fit. */
+size_t cf_gossip_encode_hello (
+    const char *name, const char *domain, bool leaving, uint8_t *out, size_t size);
+
+/* Encodes REPORT of a VM in DOMAIN, the same. */
+size_t cf_gossip_encode_quality (const struct CfQualityReport *report,
+                                 const char *domain,
+                                 uint8_t *out,
+                                 size_t size);
+
+/* Decodes DATA of LEN bytes into DATAGRAM, to be released with cf_gossip_clear.  Returns false
+ * if it is not valid. */
+bool cf_gossip_decode (const uint8_t *data, size_t len, struct feed_datagram *datagram);
+void cf_gossip_clear (struct feed_datagram *datagram);
+
+/* Reads QUALITIES into REPORT.  Lines that cannot be true are left out. */
+void cf_gossip_read_quality (const struct feed_qualities *qualities,
+                             struct CfQualityReport *report);
+
+#endif
--- a/src/serve/feed_internal.h
+++ b/src/serve/feed_internal.h
@@ -16,7 +16,8 @@
  *   feed_follow.c  follows another entry VM
  *   feed_relay.c   serves the VMs that follow this one
  *   feed_enroll.c  keeps this VM's record in the store
- *   feed_rotation.c  agrees with the VMs of its failure domain on who may stop when */
+ *   feed_rotation.c  agrees with the VMs of its failure domain on who may stop when, and
+ *                  carries their reports of failing upstreams */
 
 struct FeedTask;
 
@@ -69,8 +70,8 @@
   struct FeedFollow follow;
   struct FeedEnroll enroll;
   struct CfRotation rotation;
-  GSocket *hello; /* UDP: says to the failure domain that this VM leaves or returns */
-  GSource *hello_source;
+  GSocket *gossip; /* UDP to and from the VMs of the failure domain */
+  GSource *gossip_source;
   CfMillis hello_next; /* when the next is due */
   uint32_t hellos;     /* left to be sent after a start */
   CfMillis stop_at;    /* when this VM was told to stop, -1: it was not */
--- a/src/serve/feed_rotation.c
+++ b/src/serve/feed_rotation.c
@@ -1,5 +1,5 @@
 #include "feed_internal.h"
-#include "feed/hello.h"
+#include "feed/gossip.h"
 #include "server.h"
 
 #include <string.h>
@@ -25,7 +25,7 @@
 
   if (strcmp (qualities->domain, task->balancer->settings.failure_domain) != 0)
     return;
-  cf_hello_read_report (qualities, &report);
+  cf_gossip_read_quality (qualities, &report);
   cf_send_heard_quality (task->balancer, &report);
 }
 
@@ -34,7 +34,7 @@
 {
   struct feed_datagram datagram;
 
-  if (!cf_hello_decode (data, len, &datagram))
+  if (!cf_gossip_decode (data, len, &datagram))
     {
       g_message ("a datagram of %zu bytes from another VM cannot be read; ignored", len);
       return;
@@ -43,14 +43,14 @@
     take_hello (task, &datagram.feed_datagram_u.hello, now);
   else
     take_qualities (task, &datagram.feed_datagram_u.qualities);
-  cf_hello_clear (&datagram);
+  cf_gossip_clear (&datagram);
 }
 
 static gboolean
-on_hello (GSocket *socket, GIOCondition condition, gpointer data)
+on_datagram (GSocket *socket, GIOCondition condition, gpointer data)
 {
   struct FeedTask *task = data;
-  uint8_t buffer[CF_HELLO_BYTES_MAX];
+  uint8_t buffer[CF_GOSSIP_BYTES_MAX];
   gssize len;
 
   (void) condition;
@@ -69,7 +69,7 @@
       = g_inet_socket_address_new_from_string (ip, task->balancer->settings.peer_port);
 
   if (to)
-    g_socket_send_to (task->hello, to, (const char *) data, len, NULL, NULL);
+    g_socket_send_to (task->gossip, to, (const char *) data, len, NULL, NULL);
   g_clear_object (&to);
 }
 
@@ -78,9 +78,9 @@
 {
   const struct CfBalanceSettings *settings = &task->balancer->settings;
   GPtrArray *ips = cf_sources_near_ips (task->sources);
-  uint8_t buffer[CF_HELLO_BYTES_MAX];
-  size_t len
-      = cf_hello_encode (settings->name, settings->failure_domain, leaving, buffer, sizeof buffer);
+  uint8_t buffer[CF_GOSSIP_BYTES_MAX];
+  size_t len = cf_gossip_encode_hello (settings->name, settings->failure_domain, leaving, buffer,
+                                       sizeof buffer);
 
   for (guint i = 0; i < ips->len && len > 0; i++)
     send_to (task, ips->pdata[i], buffer, len);
@@ -94,11 +94,11 @@
   struct CfQualityReport *report = message;
   const struct CfBalanceSettings *settings = &task->balancer->settings;
   GPtrArray *ips = cf_sources_near_ips (task->sources);
-  uint8_t buffer[CF_HELLO_BYTES_MAX];
+  uint8_t buffer[CF_GOSSIP_BYTES_MAX];
   size_t len;
 
   g_strlcpy (report->vm, settings->name, sizeof report->vm);
-  len = cf_hello_encode_report (report, settings->failure_domain, buffer, sizeof buffer);
+  len = cf_gossip_encode_quality (report, settings->failure_domain, buffer, sizeof buffer);
   for (int i = 0; i < REPORT_TO && ips->len > 0 && len > 0; i++)
     {
       guint other = (guint) g_rand_int_range (task->random, 0, (gint32) ips->len);
@@ -177,23 +177,23 @@
 {
   const struct CfBalanceSettings *settings = &task->balancer->settings;
 
-  task->hello = cf_udp_open (settings->ip, settings->peer_port, error);
-  if (!task->hello)
+  task->gossip = cf_udp_open (settings->ip, settings->peer_port, error);
+  if (!task->gossip)
     return false;
   task->hellos = HELLOS_ON_START;
-  task->hello_source = g_socket_create_source (task->hello, G_IO_IN, NULL);
-  g_source_set_callback (task->hello_source, G_SOURCE_FUNC (on_hello), task, NULL);
-  g_source_attach (task->hello_source, g_main_context_get_thread_default ());
+  task->gossip_source = g_socket_create_source (task->gossip, G_IO_IN, NULL);
+  g_source_set_callback (task->gossip_source, G_SOURCE_FUNC (on_datagram), task, NULL);
+  g_source_attach (task->gossip_source, g_main_context_get_thread_default ());
   return true;
 }
 
 void
 cf_feed_rotation_stop (struct FeedTask *task)
 {
-  if (task->hello_source)
+  if (task->gossip_source)
     {
-      g_source_destroy (task->hello_source);
-      g_clear_pointer (&task->hello_source, g_source_unref);
+      g_source_destroy (task->gossip_source);
+      g_clear_pointer (&task->gossip_source, g_source_unref);
     }
-  g_clear_object (&task->hello);
+  g_clear_object (&task->gossip);
 }
--- a/tests/test_fuzz.c
+++ b/tests/test_fuzz.c
@@ -1,5 +1,5 @@
 #include "balancers.h"
-#include "feed/hello.h"
+#include "feed/gossip.h"
 #include "feed/relay.h"
 #include "platform/calls.h"
 #include "platform/datagram.h"
@@ -208,8 +208,8 @@
   GRand *random = g_rand_new_with_seed (4);
   uint8_t valid[2][512];
   const size_t lens[2] = {
-    cf_hello_encode ("vm-1", "a", true, valid[0], sizeof valid[0]),
-    cf_hello_encode_report (&report, "a", valid[1], sizeof valid[1]),
+    cf_gossip_encode_hello ("vm-1", "a", true, valid[0], sizeof valid[0]),
+    cf_gossip_encode_quality (&report, "a", valid[1], sizeof valid[1]),
   };
 
   for (int i = 0; i < rounds (); i++)
@@ -220,11 +220,11 @@
       struct CfQualityReport read;
 
       data = g_realloc (data, MAX (len, 1));
-      if (cf_hello_decode (data, len, &datagram))
+      if (cf_gossip_decode (data, len, &datagram))
         {
           if (datagram.kind == FEED_QUALITIES)
-            cf_hello_read_report (&datagram.feed_datagram_u.qualities, &read);
-          cf_hello_clear (&datagram);
+            cf_gossip_read_quality (&datagram.feed_datagram_u.qualities, &read);
+          cf_gossip_clear (&datagram);
         }
       g_free (data);
     }
--- a/tests/test_sources.c
+++ b/tests/test_sources.c
@@ -1,4 +1,4 @@
-#include "feed/hello.h"
+#include "feed/gossip.h"
 #include "feed/rotation.h"
 #include "feed/sources.h"
 #include "suite.h"
@@ -369,18 +369,18 @@
 START_TEST (test_hello)
 {
   uint8_t buffer[512];
-  size_t len = cf_hello_encode ("vm-1", "a", true, buffer, sizeof buffer);
+  size_t len = cf_gossip_encode_hello ("vm-1", "a", true, buffer, sizeof buffer);
   struct feed_datagram datagram;
   const struct feed_hello *hello = &datagram.feed_datagram_u.hello;
 
   ck_assert_uint_gt (len, 0);
-  ck_assert (cf_hello_decode (buffer, len, &datagram));
+  ck_assert (cf_gossip_decode (buffer, len, &datagram));
   ck_assert_int_eq (datagram.kind, FEED_HELLO);
   ck_assert_str_eq (hello->name, "vm-1");
   ck_assert (hello->leaving);
-  cf_hello_clear (&datagram);
-  ck_assert (!cf_hello_decode (buffer, len - 4, &datagram));
-  ck_assert_uint_eq (cf_hello_encode ("vm-1", "a", true, buffer, 8), 0);
+  cf_gossip_clear (&datagram);
+  ck_assert (!cf_gossip_decode (buffer, len - 4, &datagram));
+  ck_assert_uint_eq (cf_gossip_encode_hello ("vm-1", "a", true, buffer, 8), 0);
 }
 END_TEST
 
@@ -388,7 +388,7 @@
 {
   struct CfQualityReport report = { .vm = "vm-1", .count = CF_QUALITY_MAX };
   struct CfQualityReport back;
-  uint8_t buffer[CF_HELLO_BYTES_MAX];
+  uint8_t buffer[CF_GOSSIP_BYTES_MAX];
   struct feed_datagram datagram;
   size_t len;
 
@@ -399,11 +399,11 @@
       report.lines[i].answers = 2.5 * i;
       report.lines[i].failed = i;
     }
-  len = cf_hello_encode_report (&report, "a", buffer, sizeof buffer);
+  len = cf_gossip_encode_quality (&report, "a", buffer, sizeof buffer);
   ck_assert_uint_gt (len, 0);
-  ck_assert (cf_hello_decode (buffer, len, &datagram));
+  ck_assert (cf_gossip_decode (buffer, len, &datagram));
   ck_assert_int_eq (datagram.kind, FEED_QUALITIES);
-  cf_hello_read_report (&datagram.feed_datagram_u.qualities, &back);
+  cf_gossip_read_quality (&datagram.feed_datagram_u.qualities, &back);
   ck_assert_uint_eq (back.count, CF_QUALITY_MAX);
   ck_assert_str_eq (back.vm, "vm-1");
   ck_assert_str_eq (back.lines[3].id, report.lines[3].id);
@@ -411,9 +411,9 @@
   ck_assert_double_eq_tol (back.lines[3].failed, 3, 0.01);
   /* What cannot be true is left out. */
   datagram.feed_datagram_u.qualities.upstreams.upstreams_val[3].failed = 7501;
-  cf_hello_read_report (&datagram.feed_datagram_u.qualities, &back);
+  cf_gossip_read_quality (&datagram.feed_datagram_u.qualities, &back);
   ck_assert_uint_eq (back.count, CF_QUALITY_MAX - 1);
-  cf_hello_clear (&datagram);
+  cf_gossip_clear (&datagram);
 }
 END_TEST
 
