--- /dev/null
+++ b/tests/test_directory.c
@@ -0,0 +1,155 @@
+#include "balance/reach.h"
+#include "balancers.h"
+#include "suite.h"
+
+/* The directory of upstreams. */
+
+static struct CfAnnouncement
+announcement (const char *id, uint64_t revision)
+{
+  return (struct CfAnnouncement){
+    .id = id,
+    .tag = 7,
+    .service = "s",
+    .domain = "a",
+    .address = { .ip = 1, .port = 1 },
+    .slots = 2,
+    .started = 100,
+    .revision = revision,
+  };
+}
+
+START_TEST (test_directory_states)
+{
+  struct CfDirectory *directory = cf_directory_new ();
+  struct CfAnnouncement ready = announcement ("i-1", 5);
+  struct CfAnnouncement draining = announcement ("i-1", 8);
+  struct CfTarget *target = cf_directory_announce (directory, &ready, 0);
+
+  draining.draining = true;
+  ck_assert_int_eq (target->state, CF_TARGET_READY);
+  /* The store has been away: an ended announcement says nothing of its upstream. */
+  cf_directory_withdraw (directory, "i-1", false, 10);
+  ck_assert_int_eq (target->state, CF_TARGET_LAPSED);
+  ready.revision = 6;
+  cf_directory_announce (directory, &ready, 20);
+  ck_assert_int_eq (target->state, CF_TARGET_READY);
+  cf_directory_withdraw (directory, "i-1", false, 30);
+  cf_directory_settle (directory, 40);
+  ck_assert_int_eq (target->state, CF_TARGET_GONE);
+  ready.revision = 7;
+  cf_directory_announce (directory, &ready, 50);
+  ck_assert_int_eq (target->state, CF_TARGET_READY);
+  cf_directory_announce (directory, &draining, 60);
+  ck_assert_int_eq (target->state, CF_TARGET_LEAVING);
+  /* An older announcement that arrives late does not bring it back. */
+  cf_directory_announce (directory, &ready, 70);
+  ck_assert_int_eq (target->state, CF_TARGET_LEAVING);
+  /* It has left as it said, whatever the store's state. */
+  cf_directory_withdraw (directory, "i-1", false, 80);
+  ck_assert_int_eq (target->state, CF_TARGET_GONE);
+  cf_directory_free (directory);
+}
+END_TEST
+
+START_TEST (test_directory_reborn)
+{
+  struct CfDirectory *directory = cf_directory_new ();
+  struct CfAnnouncement first = announcement ("i-1", 5);
+  struct CfAnnouncement second = announcement ("i-1", 9);
+  struct CfTarget *target = cf_directory_announce (directory, &first, 0);
+
+  cf_reach_strike (&target->reach, 5, 10);
+  second.started = 200;
+  second.cold_ms = 2000;
+  cf_directory_announce (directory, &second, 20);
+  ck_assert (cf_reach_good (&target->reach));
+  ck_assert_int_eq (target->cold_until, 2020);
+  /* What the incarnation before said is over, whatever its revision. */
+  first.revision = 10;
+  first.draining = true;
+  cf_directory_announce (directory, &first, 30);
+  ck_assert_int_eq (target->state, CF_TARGET_READY);
+  cf_directory_free (directory);
+}
+END_TEST
+
+START_TEST (test_directory_moves_service)
+{
+  struct CfDirectory *directory = cf_directory_new ();
+  struct CfAnnouncement first = announcement ("i-1", 5);
+
+  cf_directory_announce (directory, &first, 0);
+  first.service = "t";
+  first.revision = 6;
+  first.started = 300;
+  cf_directory_announce (directory, &first, 0);
+  ck_assert_uint_eq (cf_directory_service (directory, g_quark_from_string ("s"))->len, 0);
+  ck_assert_uint_eq (cf_directory_service (directory, g_quark_from_string ("t"))->len, 1);
+  cf_directory_free (directory);
+}
+END_TEST
+
+/* Finds two ids with one cookie. */
+static void
+find_collision (char *first, char *second, size_t size)
+{
+  GHashTable *seen = g_hash_table_new (NULL, NULL);
+
+  for (guint i = 1;; i++)
+    {
+      gpointer other;
+
+      g_snprintf (second, size, "i-%x", i);
+      other = g_hash_table_lookup (seen, GUINT_TO_POINTER (cf_cookie (second)));
+      if (other)
+        {
+          g_snprintf (first, size, "i-%x", GPOINTER_TO_UINT (other));
+          break;
+        }
+      g_hash_table_insert (seen, GUINT_TO_POINTER (cf_cookie (second)), GUINT_TO_POINTER (i));
+    }
+  g_hash_table_unref (seen);
+}
+
+START_TEST (test_cookie_collision)
+{
+  struct TestWorld *world = test_world_new ();
+  struct CfBalance *balance = test_world_vm (world, "a", 0);
+  struct CfDirectory *directory = cf_balance_directory (balance);
+  char first[16];
+  char second[16];
+
+  find_collision (first, second, sizeof first);
+  test_world_upstream (world, NULL, first, "s", "a", 0);
+  test_world_upstream (world, NULL, second, "s", "a", 0);
+  for (int i = 0; i < 50; i++)
+    {
+      test_world_open (world, balance, 80);
+      test_world_run (world, world->now + 10);
+    }
+  ck_assert_uint_eq (test_world_firsts (world, first, 0, world->now), 50);
+  ck_assert_uint_eq (test_world_firsts (world, second, 0, world->now), 0);
+  /* The cookie passes to the later one when the earlier has been gone for a flow's life. */
+  for (guint i = 0; i < world->flows->len; i++)
+    test_world_close (world->flows->pdata[i]);
+  cf_directory_withdraw (directory, first, true, world->now);
+  cf_directory_prune (directory, world->now + 60001, 60000);
+  ck_assert_ptr_null (cf_directory_by_id (directory, first));
+  ck_assert_str_eq (cf_directory_by_cookie (directory, cf_cookie (second))->id, second);
+  ck_assert (!cf_directory_by_id (directory, second)->collides);
+  test_world_free (world);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("directory");
+
+  suite_add_loop (suite, test_directory_states, 1);
+  suite_add_loop (suite, test_directory_reborn, 1);
+  suite_add_loop (suite, test_directory_moves_service, 1);
+  suite_add_loop (suite, test_cookie_collision, 1);
+  return suite_run (suite);
+}
