XDR is decoded from memory in one place; a stalled request is looked up once

Cause: the last read of the change. relay.c and gossip.c had the same three calls around a decoder, and cf_exchange_stalled repeated what cf_exchange_next answers.

Change: cf_xdr_decode in feed/xdr_memory.c serves both; cf_exchange_stalled asks cf_exchange_next. No behaviour changes, no test touched.

--- a/src/balance/exchange.c
+++ b/src/balance/exchange.c
@@ -74,11 +74,9 @@
 {
   struct CfConnection *connection;
 
-  if (cf_list_empty (&connections->asking))
+  if (now < cf_exchange_next (connections))
     return NULL;
   connection = CF_LIST_ENTRY (connections->asking.next, struct CfConnection, asking);
-  if (now < connection->exchange.stalls_at)
-    return NULL;
   connection->exchange.stalled = true;
   cf_list_remove (&connection->asking);
   return connection;
--- a/src/feed/gossip.c
+++ b/src/feed/gossip.c
@@ -1,4 +1,5 @@
 #include "gossip.h"
+#include "xdr_memory.h"
 
 #include <glib.h>
 #include <string.h>
@@ -65,16 +66,11 @@
 bool
 cf_gossip_decode (const uint8_t *data, size_t len, struct feed_datagram *datagram)
 {
-  XDR xdr;
-  bool ok;
-
   memset (datagram, 0, sizeof *datagram);
-  xdrmem_create (&xdr, (char *) data, (u_int) len, XDR_DECODE);
-  ok = xdr_feed_datagram (&xdr, datagram);
-  xdr_destroy (&xdr);
-  if (!ok)
-    cf_gossip_clear (datagram);
-  return ok;
+  if (cf_xdr_decode ((xdrproc_t) xdr_feed_datagram, data, len, datagram))
+    return true;
+  cf_gossip_clear (datagram);
+  return false;
 }
 
 void
--- a/src/feed/relay.c
+++ b/src/feed/relay.c
@@ -1,5 +1,6 @@
 #include "relay.h"
 #include "deflate.h"
+#include "xdr_memory.h"
 
 #include <string.h>
 
@@ -91,18 +92,6 @@
   return NULL;
 }
 
-static bool
-decode (xdrproc_t decoder, const void *data, size_t len, void *value)
-{
-  XDR xdr;
-  bool ok;
-
-  xdrmem_create (&xdr, (char *) data, (u_int) len, XDR_DECODE);
-  ok = decoder (&xdr, value);
-  xdr_destroy (&xdr);
-  return ok;
-}
-
 static GBytes *
 encode_parts (const struct CfReplica *replica, const struct CfFeedPosition *position)
 {
@@ -192,12 +181,12 @@
   bool ok;
 
   if (wire->size == wire->parts.parts_len)
-    return decode ((xdrproc_t) xdr_feed_parts, wire->parts.parts_val, wire->size, parts);
+    return cf_xdr_decode ((xdrproc_t) xdr_feed_parts, wire->parts.parts_val, wire->size, parts);
   if (wire->size > FEED_PARTS_MAX
       || !(inflated = cf_inflate (wire->parts.parts_val, wire->parts.parts_len, wire->size)))
     return false;
   data = g_bytes_get_data (inflated, &len);
-  ok = decode ((xdrproc_t) xdr_feed_parts, data, len, parts);
+  ok = cf_xdr_decode ((xdrproc_t) xdr_feed_parts, data, len, parts);
   g_bytes_unref (inflated);
   return ok;
 }
@@ -206,7 +195,7 @@
 cf_relay_decode (const void *data, size_t len, struct CfRelayNews *news)
 {
   struct feed_news wire = { 0 };
-  bool ok = decode ((xdrproc_t) xdr_feed_news, data, len, &wire);
+  bool ok = cf_xdr_decode ((xdrproc_t) xdr_feed_news, data, len, &wire);
 
   *news = (struct CfRelayNews){
     .origin = {
