--- a/tests/live_fleet.sh
+++ b/tests/live_fleet.sh
@@ -5,7 +5,7 @@
 
 start_vm() { # NUMBER DOMAIN
   "$build/cyclamenferry" serve --name "entry-$1" --failure-domain "fi-south-$2" \
-    --address "127.0.0.1$1" --admin-port "608$1" --linger 1 \
+    --address "127.$net.0.1$1" --admin-port "$((ports + $1))" --linger 1 \
     --config-dir "$work/conf" 2>>"$work/log" &
   eval "vm$1=$!"
   pids="$pids $!"
@@ -22,7 +22,7 @@
 
 # Starts three VMs and the simulator, which reads its commands from file descriptor 3.
 start_fleet() {
-  cp -r examples/vuokravuoka "$work/conf"
+  copy_conf examples/vuokravuoka "$work/conf"
   mkfifo "$work/commands"
   start_vm 1 a
   start_vm 2 b
@@ -38,6 +38,20 @@
   echo "$*" >&3
 }
 
+# Tells the simulator that the fabric uses the VMs with these numbers from now on.
+use_vms() { # NUMBER...
+  addresses=
+  for number in "$@"; do
+    addresses="$addresses 127.$net.0.1$number"
+  done
+  send_command "vms$addresses"
+}
+
+# Prints the URL of a VM's admin interface.
+admin_url() { # NUMBER
+  echo "http://127.0.0.1:$((ports + $1))"
+}
+
 # Ends the traffic and the VMs; sets status to 1 if a flow was broken.
 end_fleet() {
   send_command quit
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -425,7 +425,7 @@
   soak->program = argv[1];
   soak->random = g_rand_new_with_seed ((guint32) atoi (argv[3]));
   soak->folder = g_dir_make_tmp ("cf-soak-XXXXXX", NULL);
-  soak->port = (uint16_t) (20000 + getpid () % 4000 * 10);
+  soak_callers_bind (soak);
   soak->loop = g_main_loop_new (NULL, FALSE);
   start (soak);
   g_timeout_add (3000, next_fault, soak);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -102,6 +102,8 @@
 /* Replaces the upstream by a new incarnation, with the same id or a new one. */
 void soak_upstream_restart (struct SoakUpstream *upstream, bool same_id);
 
+/* Chooses the ports of SOAK, which no other soak test on this machine uses, and holds them. */
+void soak_callers_bind (struct Soak *soak);
 void soak_callers_start (struct Soak *soak);
 void soak_callers_stop (struct Soak *soak);
 
--- a/tests/soak/traffic.c
+++ b/tests/soak/traffic.c
@@ -4,6 +4,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 /* Callers that open a flow for each request, upstreams that run it, and the checks at both. */
 
@@ -15,6 +16,11 @@
 #define GIVE_UP_MS 1500
 #define HEADER 32
 
+/* The ports of soak tests: below the kernel's ephemeral ports and above those of tests/sockets. */
+#define FIRST_PORT 13000
+#define BLOCK_PORTS 10
+#define PORT_BLOCKS 1900
+
 enum
 {
   WIRE_SYN = 64,
@@ -278,18 +284,35 @@
   return G_SOURCE_CONTINUE;
 }
 
-void
-soak_callers_start (struct Soak *soak)
+static bool
+bind_callers (struct Soak *soak)
 {
-  soak->flows = g_hash_table_new (NULL, NULL);
-  soak->callers
-      = g_socket_new (G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_DATAGRAM, G_SOCKET_PROTOCOL_UDP, NULL);
   GSocketAddress *address
       = g_inet_socket_address_new_from_string ("127.2.0.1", SOAK_FABRIC_PORT (soak));
+  bool bound = g_socket_bind (soak->callers, address, FALSE, NULL);
 
-  if (!g_socket_bind (soak->callers, address, FALSE, NULL))
-    g_error ("callers: cannot bind");
   g_object_unref (address);
+  return bound;
+}
+
+void
+soak_callers_bind (struct Soak *soak)
+{
+  soak->callers
+      = g_socket_new (G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_DATAGRAM, G_SOCKET_PROTOCOL_UDP, NULL);
+  for (int i = 0; i < PORT_BLOCKS; i++)
+    {
+      soak->port = (uint16_t) (FIRST_PORT + (getpid () + i) % PORT_BLOCKS * BLOCK_PORTS);
+      if (bind_callers (soak))
+        return;
+    }
+  g_error ("callers: no free port");
+}
+
+void
+soak_callers_start (struct Soak *soak)
+{
+  soak->flows = g_hash_table_new (NULL, NULL);
   g_socket_set_blocking (soak->callers, FALSE);
   soak->callers_source = g_socket_create_source (soak->callers, G_IO_IN, NULL);
   g_source_set_callback (soak->callers_source, G_SOURCE_FUNC (on_caller_data), soak, NULL);
--- a/tests/sockets/health.sh
+++ b/tests/sockets/health.sh
@@ -10,12 +10,12 @@
 # Prints the number of pending probes, summed over all VMs.
 count_pending_probes() {
   for vm in 1 2 3; do
-    "$build/cyclamenferry" status --metrics --admin "http://127.0.0.1:608$vm"
+    "$build/cyclamenferry" status --metrics --admin "$(admin_url "$vm")"
   done | awk '/^cyclamenferry_health_probes_waiting/ { sum += $2 } END { print sum }'
 }
 
 start_fleet
-send_command vms 127.0.0.11 127.0.0.12 127.0.0.13
+use_vms 1 2 3
 send_command rate 100
 sleep 2
 send_command rate 0
@@ -30,7 +30,7 @@
 for _ in $(seq 300); do
   n=$(count_pending_probes)
   [ "$n" -gt "$most" ] && most=$n
-  "$build/cyclamenferry" status --admin http://127.0.0.1:6081 > "$work/status"
+  "$build/cyclamenferry" status --admin "$(admin_url 1)" > "$work/status"
   grep -q '^lainaamo-1 .*unreachable' "$work/status" && reached=yes && break
   sleep 0.1
 done
--- a/tests/sockets/kill.sh
+++ b/tests/sockets/kill.sh
@@ -7,27 +7,27 @@
 . tests/live_fleet.sh
 
 start_fleet
-send_command vms 127.0.0.11 127.0.0.12 127.0.0.13
+use_vms 1 2 3
 send_command rate 300
 sleep 2
 set_folder 2 '[upstream lainaamo-3]' 'state = draining' '[upstream tulostamo-1]' 'state = draining'
 sleep 5
 kill -9 "$vm2"
-send_command vms 127.0.0.11 127.0.0.13
+use_vms 1 3
 wait "$vm2" || true
 sleep 4
 start_vm 2 b
 sleep 4
-send_command vms 127.0.0.11 127.0.0.12 127.0.0.13
+use_vms 1 2 3
 sleep 1
 kill -STOP "$vm3"
-send_command vms 127.0.0.11 127.0.0.12
+use_vms 1 2
 sleep 4
 kill -CONT "$vm3"
 sleep 4
-send_command vms 127.0.0.11 127.0.0.12 127.0.0.13
+use_vms 1 2 3
 sleep 2
-"$build/cyclamenferry" status --json --admin http://127.0.0.1:6083 | grep -o '"pauses":[0-9]*'
+"$build/cyclamenferry" status --json --admin "$(admin_url 3)" | grep -o '"pauses":[0-9]*'
 end_fleet
 cat "$work/log"
 exit $status
--- a/tests/sockets/platform.sh
+++ b/tests/sockets/platform.sh
@@ -5,11 +5,11 @@
 . tests/processes.sh
 cf=$1/cyclamenferry
 failed=0
-export CYCLAMENFERRY_PLATFORM=http://127.0.0.1:6190
+export CYCLAMENFERRY_PLATFORM=http://127.0.0.1:$ports
 
 start_vm() { # NUMBER DOMAIN
-  "$cf" serve --name "ingresso-$1" --failure-domain "$2" --address "127.0.0.3$1" \
-    --admin-port "619$1" --linger 0 2>>"$work/log" &
+  "$cf" serve --name "ingresso-$1" --failure-domain "$2" --address "127.$net.0.3$1" \
+    --admin-port "$((ports + $1))" --linger 0 2>>"$work/log" &
   eval "vm$1=$!"
   pids="$pids $!"
 }
@@ -20,14 +20,14 @@
   shift
   for vm in "$@"; do
     for _ in $(seq 300); do
-      "$cf" status --admin "http://127.0.0.1:619$vm" 2>/dev/null \
+      "$cf" status --admin "http://127.0.0.1:$((ports + vm))" 2>/dev/null \
         | grep -q "state serving, configuration version $version," && break
       sleep 0.1
     done
-    "$cf" status --admin "http://127.0.0.1:619$vm" 2>&1 | head -1 \
+    "$cf" status --admin "http://127.0.0.1:$((ports + vm))" 2>&1 | head -1 \
       | grep -q "configuration version $version," || {
       echo "FAILED: VM $vm does not have version $version"
-      "$cf" status --admin "http://127.0.0.1:619$vm" 2>&1 | head -9
+      "$cf" status --admin "http://127.0.0.1:$((ports + vm))" 2>&1 | head -9
       failed=1
     }
   done
@@ -42,8 +42,9 @@
   [ "$got" -eq "$status" ] || { echo "FAILED: expected $status"; failed=1; }
 }
 
+copy_conf examples/scordato "$work/conf"
 mkfifo "$work/commands"
-"$1/objectstore" 6190 < "$work/commands" > "$work/objects" &
+"$1/objectstore" "$ports" < "$work/commands" > "$work/objects" &
 pids="$pids $!"
 exec 3> "$work/commands"
 echo "show status-ingresso-1" >&3
@@ -54,7 +55,7 @@
 start_vm 1 palermo
 start_vm 2 catania
 start_vm 3 trapani
-expect 0 "$cf" apply examples/scordato
+expect 0 "$cf" apply "$work/conf"
 await_version 1 1 2 3
 for _ in $(seq 300); do
   echo "show status-ingresso-1" >&3
@@ -62,7 +63,7 @@
   grep -q '"config_version":1' "$work/objects" && break
 done
 grep -q '"config_version":1' "$work/objects" || { echo "FAILED: no status object"; failed=1; }
-expect 0 "$cf" apply examples/scordato
+expect 0 "$cf" apply "$work/conf"
 expect 0 "$cf" domain out catania
 await_version 2 1 2 3
 expect 0 "$cf" upstream drain prenota-1
--- a/tests/sockets/reload.sh
+++ b/tests/sockets/reload.sh
@@ -7,7 +7,7 @@
 failed=0
 
 start_vm() { # NAME ADMIN_PORT
-  "$cf" serve --name "$1" --failure-domain palermo --address 127.0.0.41 --admin-port "$2" \
+  "$cf" serve --name "$1" --failure-domain palermo --address "127.$net.0.41" --admin-port "$2" \
     --linger 0 --config-dir "$work/conf" 2>>"$work/log" &
   started=$!
   pids="$pids $started"
@@ -32,25 +32,25 @@
   failed=1
 }
 
-cp -r examples/scordato "$work/conf"
-start_vm first 6201
+copy_conf examples/scordato "$work/conf"
+start_vm first "$((ports + 1))"
 first=$started
-await 6201 "state serving, configuration version 1"
+await "$((ports + 1))" "state serving, configuration version 1"
 printf '[upstream prenota-1]\nweight=none\n' > "$work/conf/90.conf"
 kill -HUP "$first"
 await_log "90.conf:2: \[upstream prenota-1\] weight: 'none' is not a whole number"
-await 6201 "configuration version 1"
+await "$((ports + 1))" "configuration version 1"
 printf '[upstream prenota-1]\nweight=50\n' > "$work/conf/90.conf"
 await_log "version 1 is not above the version in force"
 printf '[fleet]\nversion=2\n[upstream prenota-1]\nweight=50\n' > "$work/conf/90.conf"
 kill -HUP "$first"
-await 6201 "configuration version 2"
+await "$((ports + 1))" "configuration version 2"
 # The second process finds the ports taken until the first one has exited.
-start_vm second 6202
+start_vm second "$((ports + 2))"
 await_log "task packet did not start"
 kill -TERM "$first"
 wait "$first" || { echo "FAILED: the first VM exited with $?"; failed=1; }
-await 6202 "state serving, configuration version 2"
+await "$((ports + 2))" "state serving, configuration version 2"
 kill -TERM "$started"
 wait "$started" || { echo "FAILED: the second VM exited with $?"; failed=1; }
 [ "$failed" -eq 0 ] || cat "$work/log"
