Open flows to an upstream that cannot be reached are reset

Cause: cf_balance_later_packet forwarded the packets of an open flow whatever became of its upstream.

A reset needs a repeat and evidence beside this flow: the upstream is gone by the store, its first packets are lost, a second flow to it is silent, or three upstreams of its domain are silent, with no answer meanwhile; and an answer from elsewhere, which shows that this VM's own link works. Only routes of kind idempotent or download are reset: others may have run, and their callers do not repeat them. A VM also follows flows that another VM has opened: when a VM joins or leaves, the fabric moves nearly all of them.

Ruled out: a slow answer as evidence.

Result: tests/test_unreachable.c plays 120 callers over three domains, one cut off for 5.6 s: 45 requests lost without the change, 0 with it, 2 late at most.

What leaves the process: outcome reset-unreachable in log and metrics, and the field "evidence" in logged decisions, so that an operator sees why.

--- a/src/balance/balance.c
+++ b/src/balance/balance.c
@@ -27,6 +27,7 @@
   cf_open_timeout_init (&balance->far_timeout);
   cf_isolation_init (&balance->isolation);
   balance->outages = cf_outages_new ();
+  balance->unreachable = cf_unreachable_new ();
   balance->outlier_detector = cf_outlier_detector_new ();
   balance->fleet_size = 1;
   balance->peers = g_array_new (FALSE, FALSE, sizeof (uint32_t));
@@ -42,6 +43,7 @@
   cf_connections_clear (&balance->connections);
   cf_startup_queue_clear (&balance->startup_queue);
   cf_outlier_detector_free (balance->outlier_detector);
+  cf_unreachable_free (balance->unreachable);
   cf_outages_free (balance->outages);
   g_array_unref (balance->peers);
   g_rand_free (balance->random);
--- a/src/balance/balance.h
+++ b/src/balance/balance.h
@@ -6,6 +6,7 @@
 #include "quality_report.h"
 #include "routes.h"
 #include "segment.h"
+#include "unreachable.h"
 
 /* The forwarding decisions of an entry VM for packets that carry flow cookies.
  *
@@ -27,6 +28,7 @@
   CF_OUTCOME_RESET_NO_ROUTE, /* refused: no route at its address */
   CF_OUTCOME_RESET_NO_UPSTREAM,   /* refused: no eligible upstream */
   CF_OUTCOME_RESET_ROUTE_REMOVED, /* flow ended: its route was removed */
+  CF_OUTCOME_RESET_UNREACHABLE,   /* flow ended: its upstream cannot be reached (unreachable.h) */
   CF_OUTCOME_DROPPED_NO_ROUTE,    /* dropped: no route known, and the manifest may be stale */
   CF_OUTCOME_DROPPED_NO_UPSTREAM, /* dropped: no upstream known, and the directory may be stale */
   CF_OUTCOME_DROPPED_UNKNOWN_COOKIE, /* dropped: its cookie names no known upstream */
@@ -45,11 +47,12 @@
   const struct CfTarget *target; /* NULL: none */
   const struct CfTarget *silent; /* the previous upstream, which did not respond; NULL: none */
   enum CfPlaceReason reason;
-  uint32_t tries;            /* upstreams that got the first packet before */
-  uint64_t manifest_version; /* current version */
-  CfMillis state_age;        /* how long the upstream has been in its state */
-  CfMillis sync_age;         /* since the last sync with the store, direct or through a peer;
-                                -1: never */
+  enum CfUnreachableReason evidence; /* of CF_OUTCOME_RESET_UNREACHABLE */
+  uint32_t tries;                    /* upstreams that got the first packet before */
+  uint64_t manifest_version;         /* current version */
+  CfMillis state_age;                /* how long the upstream has been in its state */
+  CfMillis sync_age; /* since the last sync with the store, direct or through a peer;
+                        -1: never */
 };
 
 struct CfBalanceOutputs
--- a/src/balance/balance_internal.h
+++ b/src/balance/balance_internal.h
@@ -43,6 +43,7 @@
   CfMillis synced_at;
   struct CfIsolation isolation;
   struct CfOutages *outages;
+  struct CfUnreachable *unreachable;
   struct CfOutlierDetector *outlier_detector;
   uint32_t flows_since_trial; /* flows placed since the last trial of a suspected upstream */
   CfMillis tried_at;          /* when that trial was */
--- a/src/balance/connections.h
+++ b/src/balance/connections.h
@@ -2,6 +2,7 @@
 #define CF_BALANCE_CONNECTIONS_H
 
 #include "base/list.h"
+#include "delivery.h"
 #include "directory.h"
 
 /* The flows that this VM has seen open.  They give its estimate of the upstreams' load, and let it
@@ -28,6 +29,7 @@
   struct CfLink link;            /* in pending or in open */
   struct CfLink awaiting_answer; /* in that list while no byte of the answer has come */
   struct CfExchange exchange;
+  struct CfDelivery delivery;
   struct CfEndpoint caller;
   struct CfEndpoint service;
   struct CfTarget *target;              /* counted in its open flows; NULL: none */
--- /dev/null
+++ b/src/balance/delivery.h
@@ -0,0 +1,37 @@
+#ifndef CF_BALANCE_DELIVERY_H
+#define CF_BALANCE_DELIVERY_H
+
+#include "segment.h"
+
+/* Tells by a caller's packets whether its data reaches the upstream of an open flow.
+ *
+ * An upstream acknowledges data at once, also while it works on a request.  A caller that sends
+ * the same data again has got no acknowledgement. */
+
+/* Packets of one burst may be reordered; callers retransmit after 200 ms at the earliest.  Time
+ * during which this VM was paused does not count either: both packets are then read at once. */
+#define CF_DELIVERY_REPEAT_MS 150
+
+/* The last data of a flow. */
+struct CfDelivery
+{
+  bool seen;         /* the fields below are set */
+  bool silent;       /* counted as not acknowledged */
+  uint32_t end;      /* sequence number after it */
+  uint32_t answered; /* highest acknowledgement number of the caller */
+  CfMillis sent_at;  /* when it first came to this VM */
+};
+
+/* What a packet shows. */
+struct CfDeliveryUpdate
+{
+  bool answered; /* the caller has received further data */
+  bool new_data; /* it carries data that this VM has not seen */
+  bool repeated; /* it carries the last data again, and there was no answer meanwhile */
+};
+
+/* Updates DELIVERY by SEGMENT, a packet of its flow after the first. */
+struct CfDeliveryUpdate
+cf_delivery_update (struct CfDelivery *delivery, const struct CfSegment *segment, CfMillis now);
+
+#endif
--- a/src/balance/directory.h
+++ b/src/balance/directory.h
@@ -69,6 +69,13 @@
   uint32_t avoided_times; /* in a row */
 };
 
+/* Flows to an upstream whose data it does not acknowledge (unreachable.h). */
+struct CfSilence
+{
+  uint32_t flows;   /* in a row, with no answer on any flow meanwhile */
+  CfMillis last_at; /* when the last of them was counted */
+};
+
 /* An upstream.  Pointers to it stay valid until it is pruned. */
 struct CfTarget
 {
@@ -88,6 +95,7 @@
   uint32_t open; /* flows of this VM that are open or being opened there */
   bool collides; /* an older upstream has the same cookie: gets no new flows */
   struct CfReach reach;
+  struct CfSilence silence;
   struct CfQuality quality;
 };
 
--- a/src/balance/later_packet.c
+++ b/src/balance/later_packet.c
@@ -30,6 +30,7 @@
   bool suspected = !cf_reach_good (&target->reach);
 
   cf_isolation_record_open (&balance->isolation);
+  cf_unreachable_record_answer (balance->unreachable, target, now);
   for (uint32_t i = 0; i < connection->tries; i++)
     if (connection->tried[i] == target && i + 1 == connection->tries)
       cf_open_timeout_update (cf_balance_open_timeout (balance, target),
@@ -129,6 +130,67 @@
   cf_connections_remove (&balance->connections, connection);
 }
 
+/* Adds an open flow that another VM has placed: the fabric has moved it to this one. */
+static struct CfConnection *
+adopt (struct CfBalance *balance,
+       const struct CfSegment *segment,
+       struct CfTarget *target,
+       CfMillis now)
+{
+  struct CfConnection *connection
+      = cf_connections_add (&balance->connections, segment->caller, segment->service, now);
+
+  connection->service_name = target->service;
+  cf_connection_set_target (connection, target);
+  cf_connections_touch (&balance->connections, connection, now);
+  return connection;
+}
+
+/* Returns why the flow CONNECTION should be reset instead of forwarding SEGMENT to TARGET. */
+static enum CfUnreachableReason
+check_unreachable (struct CfBalance *balance,
+                   const struct CfRouteEntry *route,
+                   struct CfConnection *connection,
+                   const struct CfSegment *segment,
+                   struct CfTarget *target,
+                   CfMillis now)
+{
+  struct CfDeliveryUpdate update = cf_delivery_update (&connection->delivery, segment, now);
+
+  if (update.answered)
+    cf_unreachable_record_answer (balance->unreachable, target, now);
+  if (update.repeated)
+    cf_unreachable_record_repeat (balance->unreachable, target, &connection->delivery, now);
+  /* A request that must not run twice is not repeated after a reset; its answer may still come. */
+  if (!route || !route->idempotent)
+    return CF_UNREACHABLE_NOT;
+  return cf_unreachable_check (balance->unreachable, target, &connection->delivery, &update, now);
+}
+
+static enum CfOutcome
+reset_unreachable (struct CfBalance *balance,
+                   struct CfConnection *connection,
+                   const struct CfSegment *segment,
+                   struct CfTarget *target,
+                   enum CfUnreachableReason evidence,
+                   CfMillis now)
+{
+  balance->out->reset (balance->context, segment);
+  cf_balance_report_decision (balance, &(struct CfDecision){
+                                           .outcome = CF_OUTCOME_RESET_UNREACHABLE,
+                                           .caller = segment->caller,
+                                           .service = segment->service,
+                                           .target = target,
+                                           .reason = CF_PLACE_NONE,
+                                           .evidence = evidence,
+                                           .manifest_version = cf_routes_version (balance->routes),
+                                           .state_age = now - target->state_since,
+                                           .sync_age = cf_balance_sync_age (balance, now),
+                                       });
+  cf_connections_remove (&balance->connections, connection);
+  return CF_OUTCOME_RESET_UNREACHABLE;
+}
+
 enum CfOutcome
 cf_balance_later_packet (struct CfBalance *balance, const struct CfSegment *segment, CfMillis now)
 {
@@ -136,6 +198,7 @@
   struct CfTarget *target = cf_directory_by_cookie (balance->directory, segment->cookie);
   struct CfConnection *connection
       = cf_connections_find (&balance->connections, segment->caller, segment->service);
+  enum CfUnreachableReason evidence = CF_UNREACHABLE_NOT;
 
   if (route && route->removed)
     {
@@ -147,6 +210,12 @@
     return cf_balance_hand_on (balance, segment, CF_OUTCOME_DROPPED_UNKNOWN_COOKIE, now);
   if (route && !route_leads_to (route, target->service))
     return cf_balance_finish (balance, segment, target, CF_OUTCOME_DROPPED_OTHER_SERVICE, now);
+  if (!connection && segment->data > 0)
+    connection = adopt (balance, segment, target, now);
+  if (connection)
+    evidence = check_unreachable (balance, route, connection, segment, target, now);
+  if (evidence != CF_UNREACHABLE_NOT)
+    return reset_unreachable (balance, connection, segment, target, evidence, now);
   balance->out->forward (balance->context, segment->bytes, segment->size, target);
   if (!connection)
     return CF_OUTCOME_PASSED;
--- a/src/balance/routes.h
+++ b/src/balance/routes.h
@@ -23,6 +23,7 @@
   struct CfSplit splits[CF_SPLIT_MAX];
   uint32_t split_count;
   uint32_t priority; /* 0 is highest */
+  bool idempotent;   /* its requests may be repeated after any failure */
   bool removed;      /* not in the current manifest */
 };
 
--- a/src/serve/datapath_task.c
+++ b/src/serve/datapath_task.c
@@ -127,6 +127,7 @@
           { .key = "strikes", .number = target ? target->reach.failures : 0 },
           { .key = "open", .number = target ? target->open : 0 },
           { .key = "reason", .text = cf_place_reason_name (decision->reason) },
+          { .key = "evidence", .text = cf_unreachable_reason_name (decision->evidence) },
           { .key = "tries", .number = decision->tries },
           { .key = "manifest", .number = (int64_t) decision->manifest_version },
           { .key = "news_age_ms", .number = decision->sync_age },
--- a/tests/simulation.c
+++ b/tests/simulation.c
@@ -4,6 +4,8 @@
 
 #define FLOW_LIFETIME_MS 60000
 #define FIRST_ACK 0xfffffff0 /* sequence numbers wrap around */
+#define FIRST_SEQ 0xffffff80
+#define REQUEST_BYTES 100
 
 enum SimEventKind
 {
@@ -154,6 +156,7 @@
 {
   struct CfRouteEntry route = {
     .address = { .ip = SIM_SERVICE_IP, .port = port },
+    .idempotent = port == 80,
     .splits = { { .service = g_quark_from_string (service), .weight = 1 } },
     .split_count = 1,
   };
@@ -266,6 +269,7 @@
     .service = { .ip = SIM_SERVICE_IP, .port = port },
     .flags = flags,
     .cookie = cookie,
+    .seq = FIRST_SEQ + flow->sent,
     .ack = flags & CF_SEGMENT_ACK ? FIRST_ACK + flow->acknowledged : 0,
     .retransmit_count = retransmit_count,
     .bytes = bytes,
@@ -292,6 +296,7 @@
     .service = { .ip = SIM_SERVICE_IP, .port = port_of (flow) },
     .flags = CF_SEGMENT_ACK,
     .cookie = flow->target->cookie,
+    .seq = FIRST_SEQ + flow->sent - data,
     .ack = FIRST_ACK + flow->acknowledged,
     .data = data,
     .bytes = bytes,
@@ -305,7 +310,14 @@
 void
 sim_send_request (struct SimFlow *flow)
 {
-  send_data (flow, 100);
+  flow->sent += REQUEST_BYTES;
+  send_data (flow, REQUEST_BYTES);
+}
+
+void
+sim_repeat_request (struct SimFlow *flow)
+{
+  send_data (flow, REQUEST_BYTES);
 }
 
 void
--- a/tests/simulation.h
+++ b/tests/simulation.h
@@ -22,6 +22,7 @@
   bool reset;
   const struct CfTarget *target; /* the upstream where it opened */
   uint32_t acknowledged;         /* bytes that the caller has received */
+  uint32_t sent;                 /* bytes of its requests */
 };
 
 struct Simulation
@@ -67,8 +68,10 @@
 /* Opens a flow of a new caller to port PORT through BALANCE. */
 struct SimFlow *sim_open_flow (struct Simulation *sim, struct CfBalance *balance, uint16_t port);
 
-/* Makes the caller of FLOW send a request, or acknowledge BYTES of its answer. */
+/* Makes the caller of FLOW send a request, send its last request again, or acknowledge BYTES of
+ * its answer. */
 void sim_send_request (struct SimFlow *flow);
+void sim_repeat_request (struct SimFlow *flow);
 void sim_acknowledge (struct SimFlow *flow, uint32_t bytes);
 
 /* Makes the caller of FLOW close it. */
--- a/tests/test_feed.c
+++ b/tests/test_feed.c
@@ -306,8 +306,11 @@
       "main", 9, false,
       "{\"version\":7,\"routes\":[{\"host\":\"198.18.0.1\",\"path-prefix\":\"/8080/\","
       "\"priority\":1,\"service\":\"s\"},{\"host\":\"198.18.0.2\",\"path-prefix\":\"/8443/\","
+      "\"kind\":\"idempotent\","
       "\"weighted-services\":[{\"service\":\"s\",\"weight\":90},{\"service\":\"t\",\"weight\":"
-      "10}]}],\"services\":[{\"name\":\"s\",\"warmup-s\":2.0,\"warmup-per-s\":12.5}],"
+      "10}]},{\"host\":\"198.18.0.3\",\"path-prefix\":\"/80/\",\"kind\":\"download\","
+      "\"service\":\"t\"},{\"host\":\"198.18.0.4\",\"path-prefix\":\"/80/\",\"kind\":\"upload\","
+      "\"service\":\"t\"}],\"services\":[{\"name\":\"s\",\"warmup-s\":2.0,\"warmup-per-s\":12.5}],"
       "\"limits\":{\"idle-timeout-ms\":15000}}");
   struct CfError error = { 0 };
   struct CfManifest *manifest = cf_platform_read_manifest (record, &error);
@@ -315,7 +318,11 @@
 
   ck_assert_msg (manifest != NULL, "%s", error.text);
   ck_assert_uint_eq (manifest->version, 7);
-  ck_assert_uint_eq (manifest->routes->len, 2);
+  ck_assert_uint_eq (manifest->routes->len, 4);
+  /* A route that does not say that its requests may be repeated: they may not. */
+  for (guint i = 0; i < manifest->routes->len; i++)
+    ck_assert (g_array_index (manifest->routes, struct CfRouteEntry, i).idempotent
+               == (i == 1 || i == 2));
   route = &g_array_index (manifest->routes, struct CfRouteEntry, 1);
   ck_assert_uint_eq (route->address.port, 8443);
   ck_assert_uint_eq (route->split_count, 2);
--- /dev/null
+++ b/tests/test_unreachable.c
@@ -0,0 +1,459 @@
+#include "simulation.h"
+#include "suite.h"
+
+#include <stdio.h>
+
+/* Open flows whose upstream cannot be reached.  Their callers would wait until their deadlines, so
+ * flows of idempotent requests are reset; healthy flows must never be. */
+
+#define REPEAT_MS 200 /* the first repeat of unacknowledged data */
+#define ANSWER_BYTES 500
+
+struct Scene
+{
+  struct Simulation *sim;
+  struct CfBalance *balance; /* of domain "a" */
+  struct SimFlow *near;      /* at "near", which answers */
+};
+
+static struct SimFlow *
+open_flow (struct Scene *scene, uint16_t port)
+{
+  struct SimFlow *flow = sim_open_flow (scene->sim, scene->balance, port);
+
+  sim_run (scene->sim, scene->sim->now + scene->sim->round_trip + 2);
+  ck_assert_ptr_nonnull (flow->target);
+  return flow;
+}
+
+/* Opens flows until one is at the upstream ID, and returns it. */
+static struct SimFlow *
+open_flow_at (struct Scene *scene, const char *id)
+{
+  struct SimFlow *flow = open_flow (scene, 80);
+
+  for (int i = 0; i < 100 && !g_str_equal (flow->target->id, id); i++)
+    flow = open_flow (scene, 80);
+  ck_assert_str_eq (flow->target->id, id);
+  return flow;
+}
+
+static void
+let_answer (struct Scene *scene, struct SimFlow *flow)
+{
+  sim_send_request (flow);
+  sim_run (scene->sim, scene->sim->now + 20);
+  sim_acknowledge (flow, ANSWER_BYTES);
+}
+
+/* Sends a request on FLOW that gets no answer, and sends it again. */
+static void
+stay_silent (struct Scene *scene, struct SimFlow *flow)
+{
+  sim_send_request (flow);
+  let_answer (scene, scene->near);
+  sim_run (scene->sim, scene->sim->now + REPEAT_MS);
+  sim_repeat_request (flow);
+}
+
+/* Sets up a VM with the upstreams "far-0" to "far-3" in domain "b" and then "near" in "a". */
+static struct Scene
+set_up (struct SimFlow *far[4])
+{
+  struct Scene scene = { .sim = sim_new () };
+
+  scene.balance = sim_add_vm (scene.sim, "a", 0);
+  for (int i = 0; i < 4; i++)
+    {
+      char id[8];
+
+      g_snprintf (id, sizeof id, "far-%d", i);
+      sim_add_upstream (scene.sim, NULL, id, "s", "b", 0);
+      far[i] = open_flow_at (&scene, id);
+    }
+  sim_add_upstream (scene.sim, NULL, "near", "s", "a", 0);
+  scene.near = open_flow_at (&scene, "near");
+  return scene;
+}
+
+/* A single flow may have lost its packets: it is left to its caller, however often that repeats. */
+START_TEST (test_one_silent_flow)
+{
+  struct SimFlow *far[4];
+  struct Scene scene = set_up (far);
+
+  stay_silent (&scene, far[0]);
+  for (int i = 1; i < 5; i++)
+    {
+      let_answer (&scene, scene.near);
+      sim_run (scene.sim, scene.sim->now + REPEAT_MS * (1 << i));
+      sim_repeat_request (far[0]);
+    }
+  ck_assert (!far[0]->reset);
+  sim_free (scene.sim);
+}
+END_TEST
+
+/* A second silent flow at the same upstream confirms it: both are reset when they repeat, and a
+ * third one as soon as its next request comes.  An answer ends that. */
+START_TEST (test_two_flows_of_an_upstream)
+{
+  struct SimFlow *far[4];
+  struct Scene scene = set_up (far);
+  struct SimFlow *others[3];
+
+  cf_balance_evacuate (scene.balance, "a", true, scene.sim->now);
+  for (int i = 0; i < 3; i++)
+    others[i] = open_flow_at (&scene, "far-0");
+  stay_silent (&scene, far[0]);
+  ck_assert (!far[0]->reset);
+  stay_silent (&scene, others[0]);
+  ck_assert (others[0]->reset);
+  sim_repeat_request (far[0]);
+  ck_assert (far[0]->reset);
+  let_answer (&scene, scene.near);
+  sim_send_request (others[1]);
+  ck_assert (others[1]->reset);
+  /* It is tried again when the evidence is old, and its answer clears it. */
+  sim_run (scene.sim, scene.sim->now + 2100);
+  let_answer (&scene, others[2]);
+  let_answer (&scene, others[2]);
+  ck_assert (!others[2]->reset);
+  stay_silent (&scene, others[2]);
+  ck_assert (!others[2]->reset);
+  sim_free (scene.sim);
+}
+END_TEST
+
+/* A failure domain is cut off: three of its upstreams with a silent flow each are enough. */
+START_TEST (test_upstreams_of_a_domain)
+{
+  struct SimFlow *far[4];
+  struct Scene scene = set_up (far);
+
+  stay_silent (&scene, far[0]);
+  stay_silent (&scene, far[1]);
+  ck_assert (!far[0]->reset && !far[1]->reset);
+  stay_silent (&scene, far[2]);
+  ck_assert (far[2]->reset);
+  /* Some upstreams of the domain may still be there: a request that was not sent is sent. */
+  sim_send_request (far[3]);
+  ck_assert (!far[3]->reset);
+  sim_run (scene.sim, scene.sim->now + 20);
+  let_answer (&scene, scene.near);
+  sim_run (scene.sim, scene.sim->now + REPEAT_MS);
+  sim_repeat_request (far[3]);
+  ck_assert (far[3]->reset);
+  sim_free (scene.sim);
+}
+END_TEST
+
+/* Two of a domain's four upstreams die and the others answer: a flow at one of these that loses a
+ * packet is not reset. */
+START_TEST (test_part_of_a_domain)
+{
+  struct SimFlow *far[4];
+  struct Scene scene = set_up (far);
+
+  stay_silent (&scene, far[0]);
+  let_answer (&scene, far[3]);
+  stay_silent (&scene, far[1]);
+  let_answer (&scene, far[3]);
+  stay_silent (&scene, far[2]);
+  ck_assert (!far[2]->reset);
+  sim_free (scene.sim);
+}
+END_TEST
+
+/* Upstreams that are slow acknowledge requests and do not make their callers repeat them. */
+START_TEST (test_slow_answers)
+{
+  struct SimFlow *far[4];
+  struct Scene scene = set_up (far);
+
+  for (int i = 0; i < 4; i++)
+    sim_send_request (far[i]);
+  sim_run (scene.sim, scene.sim->now + 5000);
+  for (int i = 0; i < 4; i++)
+    {
+      sim_acknowledge (far[i], ANSWER_BYTES);
+      sim_send_request (far[i]);
+      ck_assert (!far[i]->reset);
+    }
+  sim_free (scene.sim);
+}
+END_TEST
+
+/* This VM was paused and then reads requests and their repeats at once. */
+START_TEST (test_pause)
+{
+  struct SimFlow *far[4];
+  struct Scene scene = set_up (far);
+
+  for (int i = 0; i < 4; i++)
+    {
+      sim_send_request (far[i]);
+      sim_run (scene.sim, scene.sim->now + 5);
+      let_answer (&scene, scene.near);
+      sim_repeat_request (far[i]);
+    }
+  for (int i = 0; i < 4; i++)
+    ck_assert (!far[i]->reset);
+  sim_free (scene.sim);
+}
+END_TEST
+
+/* No upstream answers: this VM's own link may be cut, and its callers reach other VMs. */
+START_TEST (test_own_link)
+{
+  struct SimFlow *far[4];
+  struct Scene scene = set_up (far);
+
+  for (int round = 0; round < 3; round++)
+    {
+      for (int i = 0; i < 4; i++)
+        round == 0 ? sim_send_request (far[i]) : sim_repeat_request (far[i]);
+      sim_run (scene.sim, scene.sim->now + REPEAT_MS * (1 << round));
+    }
+  for (int i = 0; i < 4; i++)
+    ck_assert (!far[i]->reset);
+  sim_free (scene.sim);
+}
+END_TEST
+
+/* A request that must not run twice is not repeated by its caller after a reset. */
+START_TEST (test_not_idempotent)
+{
+  struct SimFlow *far[4];
+  struct Scene scene = set_up (far);
+  struct SimFlow *flows[3];
+
+  sim_add_upstream (scene.sim, NULL, "t", "t", "b", 0);
+  for (int i = 0; i < 3; i++)
+    flows[i] = open_flow (&scene, 81);
+  for (int i = 0; i < 3; i++)
+    {
+      stay_silent (&scene, flows[i]);
+      ck_assert (!flows[i]->reset);
+    }
+  sim_free (scene.sim);
+}
+END_TEST
+
+/* An upstream that is gone by the store: a flow is reset when its caller repeats a request, since
+ * the first packet of a request may still be answered by an upstream that was only cut off from
+ * the store. */
+START_TEST (test_gone)
+{
+  struct SimFlow *far[4];
+  struct Scene scene = set_up (far);
+
+  cf_directory_withdraw (cf_balance_directory (scene.balance), "far-0", true, scene.sim->now);
+  let_answer (&scene, far[0]);
+  ck_assert (!far[0]->reset);
+  stay_silent (&scene, far[0]);
+  ck_assert (far[0]->reset);
+  sim_free (scene.sim);
+}
+END_TEST
+
+/* The fabric moves open flows to another VM when one joins: that VM follows them, too. */
+START_TEST (test_moved_flows)
+{
+  struct SimFlow *far[4];
+  struct Scene scene = set_up (far);
+  struct Scene other = { .sim = scene.sim, .near = scene.near };
+
+  other.balance = sim_add_vm (scene.sim, "a", 0);
+  for (int i = 0; i < 4; i++)
+    {
+      char id[8];
+
+      g_snprintf (id, sizeof id, "far-%d", i);
+      sim_add_upstream (scene.sim, other.balance, id, "s", "b", 0);
+      far[i]->balance = other.balance;
+    }
+  sim_add_upstream (scene.sim, other.balance, "near", "s", "a", 0);
+  scene.near->balance = other.balance;
+  let_answer (&other, scene.near);
+  for (int i = 0; i < 4; i++)
+    stay_silent (&other, far[i]);
+  ck_assert (!far[0]->reset && !far[1]->reset);
+  ck_assert (far[2]->reset && far[3]->reset);
+  ck_assert_uint_eq (cf_balance_flows (other.balance), 3);
+  sim_free (scene.sim);
+}
+END_TEST
+
+/* A caller that keeps a flow open, with pauses between its requests. */
+struct Caller
+{
+  struct SimFlow *flow;
+  CfMillis asked_at;  /* first attempt of the current request, -1: none */
+  CfMillis next_at;   /* of the next request */
+  CfMillis repeat_at; /* of the data, while it is not acknowledged */
+  CfMillis wait;      /* before that */
+};
+
+#define CALLERS 120
+#define PAUSE_MS 400
+#define WORK_MS 60
+#define AIM_MS 500
+#define DEADLINE_MS 2500
+#define CUT_FROM 20000
+#define CUT_TO 25600
+
+struct Served
+{
+  int in_aim, late, lost;
+};
+
+static bool
+is_cut (const struct Simulation *sim, const struct SimFlow *flow)
+{
+  return sim->now >= CUT_FROM && sim->now < CUT_TO
+         && g_str_equal (g_quark_to_string (flow->target->domain), "b");
+}
+
+static void
+finish_request (struct Caller *caller, CfMillis now)
+{
+  caller->asked_at = -1;
+  caller->next_at = now + PAUSE_MS;
+}
+
+static void
+send_request (struct Caller *caller, CfMillis now)
+{
+  sim_send_request (caller->flow);
+  caller->wait = REPEAT_MS;
+  caller->repeat_at = now + REPEAT_MS;
+  caller->next_at = now + WORK_MS; /* of the answer */
+}
+
+static void
+step (struct Simulation *sim, struct CfBalance *balance, struct Caller *caller, struct Served *sum)
+{
+  CfMillis now = sim->now;
+
+  if (caller->flow->reset)
+    caller->flow = sim_open_flow (sim, balance, 80);
+  if (!caller->flow->target)
+    return;
+  if (caller->asked_at < 0 && now >= caller->next_at)
+    {
+      caller->asked_at = now;
+      send_request (caller, now);
+      return;
+    }
+  if (caller->asked_at < 0)
+    return;
+  if (caller->flow->sent == 0)
+    {
+      send_request (caller, now);
+      return;
+    }
+  if (now - caller->asked_at >= DEADLINE_MS)
+    {
+      sum->lost++;
+      sim_close_flow (caller->flow);
+      caller->flow->reset = true;
+      finish_request (caller, now);
+      return;
+    }
+  if (is_cut (sim, caller->flow))
+    {
+      caller->next_at = G_MAXINT64;
+      if (now < caller->repeat_at)
+        return;
+      caller->wait *= 2;
+      caller->repeat_at = now + caller->wait;
+      sim_repeat_request (caller->flow);
+      return;
+    }
+  if (caller->next_at == G_MAXINT64 && now >= caller->repeat_at)
+    {
+      sim_repeat_request (caller->flow);
+      caller->next_at = now + WORK_MS;
+    }
+  if (now < caller->next_at)
+    return;
+  sim_acknowledge (caller->flow, ANSWER_BYTES);
+  if (now - caller->asked_at <= AIM_MS)
+    sum->in_aim++;
+  else
+    sum->late++;
+  finish_request (caller, now);
+}
+
+/* The load: 120 callers with long flows over three failure domains, one of which is cut off for
+ * 5.6 s while its upstreams' flows are open.  Their requests are to be served by the others. */
+START_TEST (test_callers_of_a_cut_domain)
+{
+  static const char *const domains[] = { "a", "b", "c" };
+  struct Simulation *sim = sim_new ();
+  struct CfBalance *balance = sim_add_vm (sim, "b", 0);
+  struct Caller callers[CALLERS];
+  struct Served sum = { 0 };
+  CfMillis end = CUT_TO + 5000;
+
+  for (int d = 2; d >= 0; d--)
+    for (int i = 0; i < 4; i++)
+      {
+        char id[16];
+
+        g_snprintf (id, sizeof id, "%s-%d", domains[d], i);
+        sim_add_upstream (sim, NULL, id, "s", domains[d], 0);
+      }
+  for (int i = 0; i < CALLERS; i++)
+    {
+      callers[i] = (struct Caller){
+        .flow = sim_open_flow (sim, balance, 80),
+        .asked_at = -1,
+        .next_at = sim->now + (_i * 7 + i * 37) % PAUSE_MS,
+      };
+      sim_run (sim, sim->now + 5);
+    }
+  while (sim->now < end)
+    {
+      for (int i = 0; i < CALLERS; i++)
+        step (sim, balance, &callers[i], &sum);
+      for (int u = 0; u < 4 && (sim->now == CUT_FROM || sim->now == CUT_TO); u++)
+        {
+          static const char *const ids[] = { "b-0", "b-1", "b-2", "b-3" };
+
+          if (sim->now == CUT_FROM)
+            g_hash_table_add (sim->unresponsive, (gpointer) ids[u]);
+          else
+            g_hash_table_remove (sim->unresponsive, ids[u]);
+        }
+      sim_run (sim, sim->now + 1);
+    }
+  printf ("a domain is cut off: %d in aim, %d late, %d lost, %u resets\n", sum.in_aim, sum.late,
+          sum.lost, sim->resets);
+  ck_assert_int_gt (sum.in_aim, 3000);
+  ck_assert_int_eq (sum.lost, 0);
+  /* Those whose repeats are the evidence wait for their second one. */
+  ck_assert_int_lt (sum.late, CF_UNREACHABLE_UPSTREAMS);
+  sim_free (sim);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("unreachable");
+
+  suite_add_loop (suite, test_one_silent_flow, 1);
+  suite_add_loop (suite, test_two_flows_of_an_upstream, 1);
+  suite_add_loop (suite, test_upstreams_of_a_domain, 1);
+  suite_add_loop (suite, test_part_of_a_domain, 1);
+  suite_add_loop (suite, test_slow_answers, 1);
+  suite_add_loop (suite, test_pause, 1);
+  suite_add_loop (suite, test_own_link, 1);
+  suite_add_loop (suite, test_not_idempotent, 1);
+  suite_add_loop (suite, test_gone, 1);
+  suite_add_loop (suite, test_moved_flows, 1);
+  suite_add_loop (suite, test_callers_of_a_cut_domain, 4);
+  return suite_run (suite);
+}
