Soak: flows that stay open for several requests, and resets checked at callers

Cause: callers of the soak opened a flow for each request, so no open flow could meet an unreachable upstream with a request to come.

Change: a third of the flows to one service carries six requests with pauses of 0.1 to 0.9 s; the route is idempotent. A reset of an open flow by a VM is a violation unless its upstream is unresponsive or has been restarted, as before.

--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -207,7 +207,8 @@
 {
   char *text = g_strdup_printf (
       "{\"version\":%" G_GUINT64_FORMAT
-      ",\"routes\":[{\"host\":\"198.18.0.1\",\"path-prefix\":\"/80/\",\"service\":\"s\"},"
+      ",\"routes\":[{\"host\":\"198.18.0.1\",\"path-prefix\":\"/80/\",\"kind\":\"idempotent\","
+      "\"service\":\"s\"},"
       "{\"host\":\"198.18.0.1\",\"path-prefix\":\"/81/\",\"service\":\"t\"}%s],\"services\":["
       "{\"name\":\"s\",\"warmup-s\":0.5,\"warmup-per-s\":20},{\"name\":\"t\",\"warmup-s\":0.5,"
       "\"warmup-per-s\":20}],\"limits\":{\"idle-timeout-ms\":15000}}",
@@ -436,8 +437,8 @@
   if (served < STABLE_SERVED_MIN)
     soak_violation (soak, "RECOVER: %.3f of the requests in stable periods were served", served);
   printf ("seed %s: %u requests, %u served; in stable periods %u requests, %u served; %u "
-          "violations; logs in %s\n",
+          "open flows reset, %u violations; logs in %s\n",
           argv[3], soak->requests, soak->served, soak->stable_requests, soak->stable_served,
-          soak->violations, soak->folder);
+          soak->resets, soak->violations, soak->folder);
   return soak->violations > 0;
 }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -134,6 +134,7 @@
   uint32_t served;
   uint32_t stable_requests; /* begun while stable */
   uint32_t stable_served;
+  uint32_t resets; /* open flows that the VMs reset */
   uint32_t violations;
 };
 
--- a/tests/soak/traffic.c
+++ b/tests/soak/traffic.c
@@ -6,7 +6,8 @@
 #include <string.h>
 #include <unistd.h>
 
-/* Callers that open a flow for each request, upstreams that run it, and the checks at both. */
+/* Callers that open a flow for each request or keep one open for several, upstreams that run it,
+ * and the checks at both. */
 
 #define CALLER_IP 0x7f020001u /* 127.2.0.1 */
 #define SERVICE_IP 0xc6120001u
@@ -15,6 +16,14 @@
 #define SECOND_RETRANSMIT_MS 600
 #define GIVE_UP_MS 1500
 #define HEADER 32
+#define REQUEST_BYTES 8
+#define ANSWER_BYTES 32
+
+/* Part of the flows to port 80 is long: further requests with pauses between them. */
+#define LONG_FLOW_ONE_IN 3
+#define LONG_FLOW_FURTHER 5
+#define PAUSE_MIN_MS 100
+#define PAUSE_MAX_MS 900
 
 /* The ports of soak tests: below the kernel's ephemeral ports and above those of tests/sockets. */
 #define FIRST_PORT 13000
@@ -38,11 +47,16 @@
   struct SoakUpstream *upstream; /* where it opened; NULL: not open */
   int64_t opened_incarnation;    /* incarnation of the upstream at that time */
   uint32_t cookie;
-  int64_t begun_at;
+  int64_t begun_at; /* of the current request, at first that of the flow */
   int64_t opened_at;
+  int further;       /* requests after the current one */
+  bool answered;     /* the current request */
+  uint32_t sent;     /* bytes by the caller */
+  uint32_t received; /* bytes by the caller */
   int request_packets;
-  int misrouted; /* packets that reached other upstreams while it was open */
-  bool stable;   /* it began while stable */
+  uint32_t repeats; /* of the current packet by the caller */
+  int misrouted;    /* packets that reached other upstreams while it was open */
+  bool stable;      /* the current request began while stable */
   guint timer;
 };
 
@@ -113,8 +127,9 @@
 }
 
 static void
-send_as_caller (struct SoakFlow *flow, unsigned flags, uint32_t ack, unsigned len)
+send_as_caller (struct SoakFlow *flow, unsigned flags, unsigned len)
 {
+  uint32_t ack = flags & WIRE_SYN ? flow->repeats : 1 + flow->received;
   struct CfEndpoint from = { .ip = CALLER_IP, .port = flow->port };
   struct CfEndpoint to = { .ip = SERVICE_IP, .port = flow->service_port };
   uint8_t packet[HEADER + 64];
@@ -122,16 +137,33 @@
 
   flow->vm = vm;
   build (packet, flags, from, to, ack, flow->cookie, len);
+  put32 (packet + 20, 1 + flow->sent - len);
   send_to (flow->soak->callers, vm->ip, SOAK_FABRIC_PORT (flow->soak), packet, HEADER + len);
 }
 
 static void
-end_flow (struct SoakFlow *flow, bool served)
+count_request (struct SoakFlow *flow)
+{
+  struct Soak *soak = flow->soak;
+
+  flow->begun_at = soak_now ();
+  flow->stable = soak_is_stable (soak, NULL) && flow->service_port != 82;
+  soak->requests += flow->service_port != 82;
+  soak->stable_requests += flow->stable;
+}
+
+static void
+count_served (struct SoakFlow *flow)
+{
+  flow->soak->served += flow->service_port != 82;
+  flow->soak->stable_served += flow->stable;
+}
+
+static void
+end_flow (struct SoakFlow *flow)
 {
   struct Soak *soak = flow->soak;
 
-  soak->served += served && flow->service_port != 82;
-  soak->stable_served += served && flow->stable;
   if (flow->upstream)
     g_hash_table_remove (flow->upstream->flows, flow);
   for (int i = 0; i < SOAK_UPSTREAMS; i++)
@@ -142,6 +174,7 @@
   g_free (flow);
 }
 
+/* Gives the current request up, or sends again what was not answered. */
 static gboolean
 on_timer (gpointer data)
 {
@@ -154,13 +187,14 @@
       if (flow->stable)
         printf ("  not served in a stable period: port %u, service port %u, %s\n", flow->port,
                 flow->service_port, flow->upstream ? "open" : "never opened");
-      end_flow (flow, false);
+      end_flow (flow);
       return G_SOURCE_REMOVE;
     }
+  flow->repeats++;
   if (flow->upstream)
-    send_as_caller (flow, WIRE_ACK, 1, 8);
+    send_as_caller (flow, WIRE_ACK, REQUEST_BYTES);
   else
-    send_as_caller (flow, WIRE_SYN, age < SECOND_RETRANSMIT_MS ? 1 : 2, 0);
+    send_as_caller (flow, WIRE_SYN, 0);
   flow->timer
       = g_timeout_add (age < SECOND_RETRANSMIT_MS - 10 ? SECOND_RETRANSMIT_MS - RETRANSMIT_MS
                                                        : GIVE_UP_MS - SECOND_RETRANSMIT_MS,
@@ -168,6 +202,28 @@
   return G_SOURCE_REMOVE;
 }
 
+static void
+send_request (struct SoakFlow *flow)
+{
+  flow->answered = false;
+  flow->sent += REQUEST_BYTES;
+  send_as_caller (flow, WIRE_ACK, REQUEST_BYTES);
+}
+
+/* The pause of a long flow is over. */
+static gboolean
+next_request (gpointer data)
+{
+  struct SoakFlow *flow = data;
+
+  flow->further--;
+  flow->repeats = 0;
+  count_request (flow);
+  send_request (flow);
+  flow->timer = g_timeout_add (RETRANSMIT_MS, on_timer, flow);
+  return G_SOURCE_REMOVE;
+}
+
 static gboolean
 open_flow (gpointer data)
 {
@@ -183,14 +239,12 @@
   flow->soak = soak;
   flow->port = soak->next_port++;
   flow->service_port = (uint16_t) (80 + service);
-  flow->begun_at = soak_now ();
-  flow->stable = soak_is_stable (soak, NULL) && service != 2;
+  if (service == 0 && flow->port % LONG_FLOW_ONE_IN == 0)
+    flow->further = LONG_FLOW_FURTHER;
+  count_request (flow);
   g_hash_table_insert (soak->flows, GUINT_TO_POINTER (flow->port), flow);
-  if (service != 2)
-    soak->requests++;
-  soak->stable_requests += flow->stable;
   flow->timer = g_timeout_add (RETRANSMIT_MS, on_timer, flow);
-  send_as_caller (flow, WIRE_SYN, 0, 0);
+  send_as_caller (flow, WIRE_SYN, 0);
   return G_SOURCE_CONTINUE;
 }
 
@@ -219,7 +273,8 @@
   if (by_balancer && flow->service_port == 82 && soak->second_route && !is_capacity_reduced (soak)
       && soak_is_stable (soak, flow->vm) && soak_now () - soak->route_changed_at > SOAK_DRAIN_MS)
     soak_violation (soak, "CONFIG: flow %u refused although its route exists", flow->port);
-  end_flow (flow, false);
+  soak->resets += by_balancer && upstream && flow->service_port != 82;
+  end_flow (flow);
 }
 
 static struct SoakUpstream *
@@ -256,12 +311,26 @@
       flow->opened_at = soak_now ();
       flow->cookie = segment->cookie;
       g_hash_table_add (upstream->flows, flow);
-      send_as_caller (flow, WIRE_ACK, 1, 8);
+      send_request (flow);
     }
+  else if (flow->answered)
+    return; /* again */
   else if (segment->flags & CF_SEGMENT_FIN)
     {
-      send_as_caller (flow, WIRE_FIN | WIRE_ACK, 2, 0);
-      end_flow (flow, true);
+      flow->received += ANSWER_BYTES + 1;
+      count_served (flow);
+      send_as_caller (flow, WIRE_FIN | WIRE_ACK, 0);
+      end_flow (flow);
+    }
+  else if (segment->data > 0)
+    {
+      flow->answered = true;
+      flow->received += ANSWER_BYTES;
+      count_served (flow);
+      send_as_caller (flow, WIRE_ACK, 0);
+      g_source_remove (flow->timer);
+      flow->timer = g_timeout_add (
+          (guint) g_rand_int_range (soak->random, PAUSE_MIN_MS, PAUSE_MAX_MS), next_request, flow);
     }
 }
 
@@ -397,7 +466,11 @@
     {
       if (flow->request_packets++ == 0)
         g_usleep (100);
-      send_as_upstream (upstream, segment, WIRE_FIN | WIRE_ACK, 32);
+      /* A draining upstream closes each flow after its next answer. */
+      if (flow->further == 0 || upstream->draining)
+        send_as_upstream (upstream, segment, WIRE_FIN | WIRE_ACK, ANSWER_BYTES);
+      else
+        send_as_upstream (upstream, segment, WIRE_ACK, ANSWER_BYTES);
     }
 }
 
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -248,6 +248,62 @@
 }
 END_TEST
 
+/* What tests/sockets/kill.sh does, on a machine where processes wait for a processor: one VM is
+ * killed, one is frozen, and the others pause for up to SPAN_MAX meanwhile. */
+static struct Fleet *
+kill_and_freeze (uint32_t seed, CfMillis span_max)
+{
+  struct FleetSpec spec = { .seed = seed, .vms = 3, .domains = 4, .upstreams = { 15, 4 } };
+  const struct FleetTraffic script
+      = { .flows_per_s = 300, .life_min = 300, .life_max = 6000, .gap = 200 };
+  struct Fleet *fleet = fleet_new (&spec);
+  GRand *random = g_rand_new_with_seed (seed);
+
+  fleet->trace = getenv ("FLEET_TRACE") != NULL;
+  fleet_start_all (fleet);
+  fleet_run (fleet, 2500);
+  fleet_set_traffic (fleet, &script);
+  fleet_run (fleet, 2000);
+  fleet_drain (fleet, 2, true, 100);
+  fleet_drain (fleet, FLEET_UPSTREAMS / 2, true, 100);
+  fleet_run (fleet, 5000);
+  fleet_kill (fleet, 1);
+  fleet->vms[1].in_fabric = false;
+  for (CfMillis left = 4000; left > 0; left -= 500)
+    {
+      if (g_rand_int_range (random, 0, 4) == 0)
+        fleet_pause (fleet, g_rand_boolean (random) ? 0 : 2,
+                     g_rand_int_range (random, 50, (gint32) span_max));
+      fleet_run (fleet, 500);
+    }
+  fleet_start (fleet, 1, false);
+  fleet->vms[1].in_fabric = false;
+  fleet_run (fleet, 4000);
+  fleet->vms[1].in_fabric = true;
+  fleet_run (fleet, 1000);
+  fleet_pause (fleet, 2, 4000);
+  fleet->vms[2].in_fabric = false;
+  for (CfMillis left = 8000; left > 0; left -= 500)
+    {
+      if (g_rand_int_range (random, 0, 4) == 0)
+        fleet_pause (fleet, g_rand_int_range (random, 0, 2),
+                     g_rand_int_range (random, 50, (gint32) span_max));
+      fleet_run (fleet, 500);
+    }
+  fleet->vms[2].in_fabric = true;
+  fleet_run (fleet, 2000);
+  fleet_set_traffic (fleet, &(struct FleetTraffic){ .gap = 200 });
+  fleet_run (fleet, 70000);
+  g_rand_free (random);
+  return fleet;
+}
+
+START_TEST (test_kill_and_freeze)
+{
+  check_no_broken_flow (kill_and_freeze ((uint32_t) _i + 1, 300), "one killed, one frozen");
+}
+END_TEST
+
 /* Packets overtake each other, and first packets are retransmitted to other VMs. */
 START_TEST (test_reordering)
 {
@@ -447,6 +503,7 @@
   suite_add_loop (suite, test_partition, SEEDS);
   suite_add_loop (suite, test_pause, SEEDS);
   suite_add_loop (suite, test_all_pause, SEEDS);
+  suite_add_loop (suite, test_kill_and_freeze, SEEDS);
   suite_add_loop (suite, test_reordering, SEEDS);
   suite_add_loop (suite, test_silent_flow, 2);
   suite_add_loop (suite, test_lost_entry, SEEDS);
