--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -298,12 +298,23 @@
   return fleet;
 }
 
+/* Pauses below CF_PAUSE_LIMIT_MS: the VMs that are left keep their entries. */
 START_TEST (test_kill_and_freeze)
 {
   check_no_broken_flow (kill_and_freeze ((uint32_t) _i + 1, 300), "one killed, one frozen");
 }
 END_TEST
 
+/* Pauses around CF_PAUSE_LIMIT_MS: a VM that is left may join again, without its entries, while the
+ * frozen one does. */
+START_TEST (test_kill_and_pause)
+{
+  static const uint32_t seeds[] = { 1, 2, 136, 150 };
+
+  check_no_broken_flow (kill_and_freeze (seeds[_i], 1000), "one killed, others pause");
+}
+END_TEST
+
 /* Packets overtake each other, and first packets are retransmitted to other VMs. */
 START_TEST (test_reordering)
 {
@@ -504,6 +515,7 @@
   suite_add_loop (suite, test_pause, SEEDS);
   suite_add_loop (suite, test_all_pause, SEEDS);
   suite_add_loop (suite, test_kill_and_freeze, SEEDS);
+  suite_add_loop (suite, test_kill_and_pause, SEEDS);
   suite_add_loop (suite, test_reordering, SEEDS);
   suite_add_loop (suite, test_silent_flow, 2);
   suite_add_loop (suite, test_lost_entry, SEEDS);
