Resets of open flows need evidence of different callers

In the soak two flows of one address counted as silent, and then each new flow to that upstream was reset: its second packet carries data, and the evidence was asked before that packet counted as the upstream's answer.

Change: the packet that opens a flow counts before the check. Silent flows count once for each caller in a row: a caller that was paused sends everything again before it reads what was answered. Lost first packets are no evidence any more: their time-outs are 12 to 100 ms, and a slow VM loses them by itself. test_flow_that_opens and test_one_caller fail without the change.

--- a/src/balance/directory.h
+++ b/src/balance/directory.h
@@ -72,8 +72,9 @@
 /* Flows to an upstream whose data it does not acknowledge (unreachable.h). */
 struct CfSilence
 {
-  uint32_t flows;   /* in a row, with no answer on any flow meanwhile */
-  CfMillis last_at; /* when the last of them was counted */
+  uint32_t flows;     /* in a row, with no answer on any flow meanwhile */
+  uint32_t caller_ip; /* of the last of them */
+  CfMillis last_at;   /* when that was counted */
 };
 
 /* An upstream.  Pointers to it stay valid until it is pruned. */
--- a/src/balance/later_packet.c
+++ b/src/balance/later_packet.c
@@ -160,7 +160,8 @@
   if (update.answered)
     cf_unreachable_record_answer (balance->unreachable, target, now);
   if (update.repeated)
-    cf_unreachable_record_repeat (balance->unreachable, target, &connection->delivery, now);
+    cf_unreachable_record_repeat (balance->unreachable, target, &connection->delivery,
+                                  segment->caller.ip, now);
   /* A request that must not run twice is not repeated after a reset; its answer may still come. */
   if (!route || !route->idempotent)
     return CF_UNREACHABLE_NOT;
@@ -212,6 +213,8 @@
     return cf_balance_finish (balance, segment, target, CF_OUTCOME_DROPPED_OTHER_SERVICE, now);
   if (!connection && segment->data > 0)
     connection = adopt (balance, segment, target, now);
+  if (connection && connection->pending)
+    opened (balance, connection, target, now);
   if (connection)
     evidence = check_unreachable (balance, route, connection, segment, target, now);
   if (evidence != CF_UNREACHABLE_NOT)
@@ -219,8 +222,6 @@
   balance->out->forward (balance->context, segment->bytes, segment->size, target);
   if (!connection)
     return CF_OUTCOME_PASSED;
-  if (connection->pending)
-    opened (balance, connection, target, now);
   track_request (balance, connection, segment, target, now);
   return CF_OUTCOME_PASSED;
 }
--- a/src/balance/unreachable.c
+++ b/src/balance/unreachable.c
@@ -1,9 +1,15 @@
 #include "unreachable.h"
-#include "reach.h"
+
+/* What is known of a failure domain since one of its upstreams last answered. */
+struct Domain
+{
+  uint32_t silent;    /* upstreams with a silent flow */
+  uint32_t caller_ip; /* of the last of these flows */
+};
 
 struct CfUnreachable
 {
-  GHashTable *domains;  /* GQuark of a failure domain to its number of silent upstreams */
+  GHashTable *domains;  /* GQuark to struct Domain, owned */
   CfMillis answered_at; /* when any upstream last answered, -1: never */
 };
 
@@ -13,7 +19,6 @@
   static const char *const names[] = {
     [CF_UNREACHABLE_NOT] = "",
     [CF_UNREACHABLE_GONE] = "upstream-gone",
-    [CF_UNREACHABLE_FIRST_PACKETS] = "first-packets-lost",
     [CF_UNREACHABLE_OTHER_FLOWS] = "other-flows-silent",
     [CF_UNREACHABLE_DOMAIN] = "domain-silent",
   };
@@ -26,7 +31,7 @@
 {
   struct CfUnreachable *unreachable = g_new0 (struct CfUnreachable, 1);
 
-  unreachable->domains = g_hash_table_new (NULL, NULL);
+  unreachable->domains = g_hash_table_new_full (NULL, NULL, NULL, g_free);
   unreachable->answered_at = -1;
   return unreachable;
 }
@@ -38,10 +43,28 @@
   g_free (unreachable);
 }
 
-static guint
-silent_upstreams (const struct CfUnreachable *unreachable, GQuark domain)
+static uint32_t
+silent_upstreams (const struct CfUnreachable *unreachable, GQuark name)
 {
-  return GPOINTER_TO_UINT (g_hash_table_lookup (unreachable->domains, GUINT_TO_POINTER (domain)));
+  const struct Domain *domain = g_hash_table_lookup (unreachable->domains, GUINT_TO_POINTER (name));
+
+  return domain ? domain->silent : 0;
+}
+
+static void
+count_silent_upstream (struct CfUnreachable *unreachable, GQuark name, uint32_t caller_ip)
+{
+  struct Domain *domain = g_hash_table_lookup (unreachable->domains, GUINT_TO_POINTER (name));
+
+  if (domain && domain->caller_ip == caller_ip)
+    return;
+  if (!domain)
+    {
+      domain = g_new0 (struct Domain, 1);
+      g_hash_table_insert (unreachable->domains, GUINT_TO_POINTER (name), domain);
+    }
+  domain->silent++;
+  domain->caller_ip = caller_ip;
 }
 
 void
@@ -58,16 +81,21 @@
 cf_unreachable_record_repeat (struct CfUnreachable *unreachable,
                               struct CfTarget *target,
                               struct CfDelivery *delivery,
+                              uint32_t caller_ip,
                               CfMillis now)
 {
+  struct CfSilence *silence = &target->silence;
+
   if (delivery->silent)
     return;
   delivery->silent = true;
-  target->silence.flows++;
-  target->silence.last_at = now;
-  if (target->silence.flows == 1)
-    g_hash_table_insert (unreachable->domains, GUINT_TO_POINTER (target->domain),
-                         GUINT_TO_POINTER (silent_upstreams (unreachable, target->domain) + 1));
+  if (silence->flows > 0 && silence->caller_ip == caller_ip)
+    return;
+  silence->flows++;
+  silence->caller_ip = caller_ip;
+  silence->last_at = now;
+  if (silence->flows == 1)
+    count_silent_upstream (unreachable, target->domain, caller_ip);
 }
 
 /* The caller repeats its request: nobody is working on it. */
@@ -76,8 +104,6 @@
 {
   if (target->state == CF_TARGET_GONE)
     return CF_UNREACHABLE_GONE;
-  if (!cf_reach_good (&target->reach))
-    return CF_UNREACHABLE_FIRST_PACKETS;
   if (target->silence.flows >= CF_UNREACHABLE_FLOWS)
     return CF_UNREACHABLE_OTHER_FLOWS;
   return domain_silent ? CF_UNREACHABLE_DOMAIN : CF_UNREACHABLE_NOT;
--- a/src/balance/unreachable.h
+++ b/src/balance/unreachable.h
@@ -8,14 +8,19 @@
  *
  * A caller whose upstream was cut off or died would wait until its deadline, while a request that
  * may be repeated can be served by another upstream.  A wrong reset ends a healthy flow.  So one
- * silent flow is never enough: its packets may have been lost.  It is designed for failure domains
+ * silent flow is never enough: its packets may have been lost.  Nor are several of one caller,
+which may have been paused and not read what was answered, nor lost first packets, whose time-outs
+are short
+ * and may expire because this VM is slow.  It is designed for failure domains
  * that are cut off, and upstreams that die without a word, under callers that keep their flows
  * open.  It does not act on slow answers, nor while no upstream answers this VM at all, since the
  * VM's own link may be at fault.  No I/O. */
 
-/* Flows to one upstream that were silent in a row, with no answer from it meanwhile. */
+/* Flows of different callers to one upstream that were silent in a row, with no answer from it
+ * meanwhile. */
 #define CF_UNREACHABLE_FLOWS 2
-/* Upstreams of one failure domain with a silent flow, with no answer from the domain meanwhile. */
+/* Upstreams of one failure domain with a silent flow, of different callers in a row, with no answer
+ * from the domain meanwhile. */
 #define CF_UNREACHABLE_UPSTREAMS 3
 /* A request that has not been sent yet is only reset on evidence of this age: afterwards one is
  * sent, and shows whether the upstream is back. */
@@ -25,9 +30,8 @@
 {
   CF_UNREACHABLE_NOT, /* the flow is left alone */
   CF_UNREACHABLE_GONE,
-  CF_UNREACHABLE_FIRST_PACKETS, /* first packets to its upstream were lost, too */
-  CF_UNREACHABLE_OTHER_FLOWS,   /* other flows to its upstream are silent, too */
-  CF_UNREACHABLE_DOMAIN,        /* other upstreams of the failure domain are silent, too */
+  CF_UNREACHABLE_OTHER_FLOWS, /* other flows to its upstream are silent, too */
+  CF_UNREACHABLE_DOMAIN,      /* other upstreams of the failure domain are silent, too */
 };
 
 const char *cf_unreachable_reason_name (enum CfUnreachableReason reason);
@@ -43,10 +47,12 @@
                                    struct CfTarget *target,
                                    CfMillis now);
 
-/* Records that the data of DELIVERY, a flow to TARGET, was repeated.  Counts once for each data. */
+/* Records that the data of DELIVERY, a flow of the caller at CALLER_IP to TARGET, was repeated.
+ * Counts once for each data. */
 void cf_unreachable_record_repeat (struct CfUnreachable *unreachable,
                                    struct CfTarget *target,
                                    struct CfDelivery *delivery,
+                                   uint32_t caller_ip,
                                    CfMillis now);
 
 /* Returns why a flow of idempotent requests to TARGET should be reset now that its packet changed
--- a/tests/simulation.c
+++ b/tests/simulation.c
@@ -335,7 +335,7 @@
 
   flow->sim = sim;
   flow->balance = balance;
-  flow->caller.ip = (0x64400000 + (sim->next_port >> 15 << 1)) | (port == 81);
+  flow->caller.ip = (0x64400000 + (sim->next_port % SIM_CALLERS << 1)) | (port == 81);
   flow->caller.port = (uint16_t) (1024 + sim->next_port++ % 32768);
   flow->begun_at = sim->now;
   flow->opened_at = -1;
@@ -369,6 +369,12 @@
       return;
     }
   flow->opened_at = sim->now;
+  if (sim->request_at_once)
+    {
+      flow->target = cf_directory_by_cookie (cf_balance_directory (flow->balance), event->cookie);
+      sim_send_request (flow);
+      return;
+    }
   send (flow, port_of (flow), CF_SEGMENT_ACK, event->cookie, 0);
   flow->target = sim->last;
 }
--- a/tests/simulation.h
+++ b/tests/simulation.h
@@ -10,6 +10,10 @@
 #define SIM_RETRANSMIT_MS 200        /* callers retransmit their first packet after this */
 #define SIM_SECOND_RETRANSMIT_MS 600 /* and again after this */
 
+/* Callers have this many addresses, used in turn: a prime number, so that no address and port come
+ * twice. */
+#define SIM_CALLERS 251
+
 struct Simulation;
 
 struct SimFlow
@@ -38,6 +42,7 @@
   uint32_t handed_on;
   uint32_t forwarded;
   const struct CfTarget *last; /* target of the last forwarded packet */
+  bool request_at_once;        /* the second packet of a flow carries its first request */
   CfMillis round_trip;         /* from the first packet of a flow to the second, at the VM */
 };
 
--- a/tests/test_unreachable.c
+++ b/tests/test_unreachable.c
@@ -125,6 +125,56 @@
 }
 END_TEST
 
+/* Several silent flows of one caller, which was paused: it sends everything again before it reads
+ * what was answered. */
+START_TEST (test_one_caller)
+{
+  struct SimFlow *far[4];
+  struct Scene scene = set_up (far);
+  struct SimFlow *flows[8];
+
+  for (int i = 0; i < 8; i++)
+    {
+      flows[i] = open_flow (&scene, 80);
+      scene.sim->next_port += SIM_CALLERS - 1;
+    }
+  for (int i = 0; i < 8; i++)
+    ck_assert_uint_eq (flows[i]->caller.ip, flows[0]->caller.ip);
+  scene.near = far[0];
+  for (int i = 0; i < 8; i++)
+    stay_silent (&scene, flows[i]);
+  for (int i = 0; i < 8; i++)
+    {
+      sim_repeat_request (flows[i]);
+      ck_assert (!flows[i]->reset);
+    }
+  sim_free (scene.sim);
+}
+END_TEST
+
+/* The second packet of a flow shows that its upstream can be reached, whatever was known of it, and
+ * often carries the first request. */
+START_TEST (test_flow_that_opens)
+{
+  struct SimFlow *far[4];
+  struct Scene scene = set_up (far);
+  struct SimFlow *others[2];
+
+  cf_balance_evacuate (scene.balance, "a", true, scene.sim->now);
+  for (int i = 0; i < 2; i++)
+    others[i] = open_flow_at (&scene, "far-0");
+  for (int i = 0; i < 2; i++)
+    stay_silent (&scene, others[i]);
+  ck_assert (others[1]->reset);
+  let_answer (&scene, scene.near);
+  scene.sim->request_at_once = true;
+  ck_assert (!open_flow_at (&scene, "far-0")->reset);
+  sim_send_request (far[0]);
+  ck_assert (!far[0]->reset);
+  sim_free (scene.sim);
+}
+END_TEST
+
 /* A failure domain is cut off: three of its upstreams with a silent flow each are enough. */
 START_TEST (test_upstreams_of_a_domain)
 {
@@ -446,6 +496,8 @@
 
   suite_add_loop (suite, test_one_silent_flow, 1);
   suite_add_loop (suite, test_two_flows_of_an_upstream, 1);
+  suite_add_loop (suite, test_one_caller, 1);
+  suite_add_loop (suite, test_flow_that_opens, 1);
   suite_add_loop (suite, test_upstreams_of_a_domain, 1);
   suite_add_loop (suite, test_part_of_a_domain, 1);
   suite_add_loop (suite, test_slow_answers, 1);
