--- a/src/balance/unreachable.h
+++ b/src/balance/unreachable.h
@@ -9,12 +9,11 @@
  * A caller whose upstream was cut off or died would wait until its deadline, while a request that
  * may be repeated can be served by another upstream.  A wrong reset ends a healthy flow.  So one
  * silent flow is never enough: its packets may have been lost.  Nor are several of one caller,
-which may have been paused and not read what was answered, nor lost first packets, whose time-outs
-are short
- * and may expire because this VM is slow.  It is designed for failure domains
- * that are cut off, and upstreams that die without a word, under callers that keep their flows
- * open.  It does not act on slow answers, nor while no upstream answers this VM at all, since the
- * VM's own link may be at fault.  No I/O. */
+ * which may have been paused and not have read what was answered, nor lost first packets, whose
+ * time-outs are short and expire when this VM is slow.  It is designed for failure domains that
+ * are cut off, and upstreams that die without a word, under callers that keep their flows open.
+ * It does not act on slow answers, nor while no upstream answers this VM at all, since the VM's
+ * own link may be at fault.  No I/O. */
 
 /* Flows of different callers to one upstream that were silent in a row, with no answer from it
  * meanwhile. */
--- a/tests/soak/traffic.c
+++ b/tests/soak/traffic.c
@@ -9,7 +9,8 @@
 /* Callers that open a flow for each request or keep one open for several, upstreams that run it,
  * and the checks at both. */
 
-#define CALLER_IP 0x7f020001u /* 127.2.0.1 */
+#define CALLER_IP 0x7f020001u /* 127.2.0.1, the first of CALLERS addresses in the packets */
+#define CALLERS 8
 #define SERVICE_IP 0xc6120001u
 #define OPEN_INTERVAL_MS 5
 #define RETRANSMIT_MS 200
@@ -130,7 +131,7 @@
 send_as_caller (struct SoakFlow *flow, unsigned flags, unsigned len)
 {
   uint32_t ack = flags & WIRE_SYN ? flow->repeats : 1 + flow->received;
-  struct CfEndpoint from = { .ip = CALLER_IP, .port = flow->port };
+  struct CfEndpoint from = { .ip = CALLER_IP + flow->port % CALLERS, .port = flow->port };
   struct CfEndpoint to = { .ip = SERVICE_IP, .port = flow->service_port };
   uint8_t packet[HEADER + 64];
   struct SoakVm *vm = pick_vm (flow->soak, flow->port);
