Lists of the store and its era are logged

Lists that the copy ignores left no trace: nothing told a refused list from a list without changes, or which history an answer belonged to. No logic changes. New: event store-listed, fields era and revision in event feed, metric cyclamenferry_store_era.

--- a/src/feed/record.h
+++ b/src/feed/record.h
@@ -39,6 +39,7 @@
 {
   GPtrArray *records; /* of struct CfRecord, owned */
   uint64_t revision;  /* of the store when it answered */
+  uint64_t era;       /* of the store's history, 0: not given; valid for every outcome */
   bool truncated;     /* of a list: more follow after the last record */
   uint32_t skipped;   /* items that are not records */
 };
--- a/src/serve/balancer.h
+++ b/src/serve/balancer.h
@@ -21,7 +21,8 @@
   struct CfTask admin;    /* readiness and metrics over HTTP */
   GMainLoop *main_loop;
   atomic_uint_fast64_t store_calls; /* calls made to the store, for metrics */
-  atomic_bool serving;              /* new flows can be served */
+  atomic_uint_fast64_t store_era; /* of the store's history as it last answered this VM, 0: none */
+  atomic_bool serving;            /* new flows can be served */
   atomic_bool leaving; /* after SIGTERM: readiness checks fail so that the fabric stops sending */
 };
 
--- a/src/serve/datapath_messages.c
+++ b/src/serve/datapath_messages.c
@@ -192,10 +192,12 @@
                           "cyclamenferry_send_failures_total %" PRIu64 "\n"
                           "cyclamenferry_flows %u\n"
                           "cyclamenferry_manifest_version %" PRIu64 "\n"
-                          "cyclamenferry_store_calls_total %" PRIu64 "\n",
+                          "cyclamenferry_store_calls_total %" PRIu64 "\n"
+                          "cyclamenferry_store_era %" PRIu64 "\n",
                           task->malformed, task->send_failures, cf_balance_flows (task->balance),
                           cf_routes_version (cf_balance_routes (task->balance)),
-                          (uint64_t) atomic_load (&task->balancer->store_calls));
+                          (uint64_t) atomic_load (&task->balancer->store_calls),
+                          (uint64_t) atomic_load (&task->balancer->store_era));
   g_hash_table_iter_init (&iter, task->opened);
   while (g_hash_table_iter_next (&iter, &key, &value))
     cf_metrics_histogram (request->text, "flow_open_ms", "",
--- a/src/serve/feed_store.c
+++ b/src/serve/feed_store.c
@@ -67,6 +67,24 @@
     }
 }
 
+static void
+log_list (const struct FeedChannel *channel, uint64_t known_revision, uint64_t era)
+{
+  const struct CfReplica *replica = &channel->task->replica;
+  enum CfFeedKind kind = channel->reader.kind;
+
+  cf_event_log_write (channel->task->balancer->log, "store-listed",
+                      (struct CfField[]){
+                          { .key = "kind", .text = cf_feed_kind_name (kind) },
+                          { .key = "records", .number = channel->list->len },
+                          { .key = "revision", .number = (int64_t) channel->reader.revision },
+                          { .key = "known_revision", .number = (int64_t) known_revision },
+                          { .key = "era", .number = (int64_t) era },
+                          { .key = "held", .number = cf_replica_count (replica, kind) },
+                          { 0 },
+                      });
+}
+
 static void
 answered (void *data, SoupMessage *message, GBytes *body)
 {
@@ -77,6 +95,7 @@
   enum CfReadOutcome outcome = cf_platform_parse_response (message, body, &response);
   bool listing = !reader->listed;
   CfMillis now = cf_now ();
+  uint64_t known_revision = task->replica.revision[reader->kind];
   bool whole;
 
   channel->call = NULL;
@@ -92,6 +111,8 @@
   if (listing && !reader->after)
     g_ptr_array_set_size (channel->list, 0);
   whole = cf_reader_handle_outcome (reader, outcome, &response, now, task->random);
+  if (response.era > 0)
+    atomic_store (&task->balancer->store_era, response.era);
   if (outcome == CF_READ_ANSWERED)
     {
       cf_source_answered (cf_sources_store (task->sources));
@@ -102,6 +123,8 @@
       if (whole || !listing)
         cf_feed_apply (task, reader->kind, whole ? channel->list : response.records,
                        reader->revision, whole, cf_reader_trusted (reader, now));
+      if (whole)
+        log_list (channel, known_revision, response.era);
       cf_feed_set_synced_at (task, task->balancer->settings.name, all_answered_at (task),
                              all_trusted (task, now));
     }
--- a/src/serve/feed_task.c
+++ b/src/serve/feed_task.c
@@ -159,6 +159,8 @@
           { .key = "source", .text = task->source },
           { .key = "reader", .text = task->reader ? task->reader : "" },
           { .key = "news_age_ms", .number = cf_feed_age (task, now) },
+          { .key = "era", .number = (int64_t) atomic_load (&task->balancer->store_era) },
+          { .key = "revision", .number = (int64_t) task->replica.revision[CF_FEED_MANIFEST] },
           { .key = "store_calls", .number = (int64_t) atomic_load (&task->balancer->store_calls) },
           { .key = "followers", .number = task->waiting.length },
           { 0 },
