Revisions count within an era of the store

Cause: a revision was taken for a time. The replica ignored whole lists and records with a lower number, a watch went on at a number that had been given out again, a reader moved to the number that another VM sent, and the directory ignored announcements with a lower number.

Change: revisions are compared within an era (Store-Era) only. A VM that sees a later era, from the store or another VM, lists everything again; what it has is carried: it stays in force until the store has it again, or its writers have had time to write it again (2.5 s for announcements, 10 s for evacuations and VMs, the next one for manifests). A content that the copy has from before the one that is carried is not taken: manifests have versions, announcements a start time and a count of writes. Between VMs the query of /feed has the follower's era, and the header Feed-Era that of the response; a carried record has revision 0. A VM of a build before eras asks and answers without them. A VM writes its own record again if the store lost it.

--- a/src/balance/directory.c
+++ b/src/balance/directory.c
@@ -141,6 +141,14 @@
     set_cold (target, until, now);
 }
 
+static bool
+is_older (const struct CfAnnouncement *announcement, const struct CfTarget *target)
+{
+  if (announcement->started < target->started || announcement->era < target->era)
+    return true;
+  return announcement->era == target->era && announcement->revision < target->revision;
+}
+
 struct CfTarget *
 cf_directory_announce (struct CfDirectory *directory,
                        const struct CfAnnouncement *announcement,
@@ -150,7 +158,7 @@
 
   if (!target)
     target = add_target (directory, announcement, now);
-  if (announcement->revision < target->revision || announcement->started < target->started)
+  if (is_older (announcement, target))
     return target;
   if (announcement->started != target->started)
     {
@@ -160,9 +168,10 @@
       target->quality = (struct CfQuality){ 0 };
       target->cold_until = 0;
     }
-  if (announcement->revision != target->revision)
+  if (announcement->era != target->era || announcement->revision != target->revision)
     set_cold (target, announcement->cold_ms > 0 ? now + announcement->cold_ms : 0, now);
   target->started = announcement->started;
+  target->era = announcement->era;
   target->revision = announcement->revision;
   target->tag = announcement->tag;
   target->domain = g_quark_from_string (announcement->domain);
--- a/src/feed/reader.c
+++ b/src/feed/reader.c
@@ -56,6 +56,35 @@
   return wait_ms;
 }
 
+bool
+cf_reader_enter_era (struct CfReader *reader, uint64_t era, CfMillis now)
+{
+  bool first = reader->era == 0 && reader->revision == 0;
+
+  if (reader->era > 0)
+    reader->failed_at = now;
+  reader->era = era;
+  if (first)
+    return false;
+  restart_list (reader);
+  reader->revision = 0;
+  reader->failures = 0;
+  reader->next_at = now;
+  reader->answered_at = -1;
+  reader->in_flight = false;
+  return true;
+}
+
+enum CfReadOutcome
+cf_reader_outcome (const struct CfReader *reader, enum CfReadOutcome outcome, uint64_t era)
+{
+  if (outcome != CF_READ_ANSWERED || era == 0 || era == reader->era)
+    return outcome;
+  if (era < reader->era)
+    return CF_READ_REJECTED;
+  return reader->listed || reader->after ? CF_READ_HISTORY_GONE : CF_READ_ANSWERED;
+}
+
 static CfMillis
 retry_delay (const struct CfReader *reader, GRand *random)
 {
--- a/src/feed/reader.h
+++ b/src/feed/reader.h
@@ -40,10 +40,11 @@
   bool listed;          /* a whole list has been read, and reads wait for changes after revision */
   char *after;          /* while listing: last name of the previous page, NULL for the first */
   uint64_t revision;    /* of the first page of the list, or of the last response */
+  uint64_t era;         /* that the revision counts in, 0: not known */
   uint32_t failures;    /* in a row */
   CfMillis next_at;     /* when the next call is due */
   CfMillis failed_at;   /* -1: never */
-  CfMillis answered_at; /* -1: never */
+  CfMillis answered_at; /* in this era, -1: never */
   bool in_flight;
 };
 
@@ -59,6 +60,15 @@
 CfMillis cf_reader_wait (
     const struct CfReader *reader, CfMillis wait_ms, CfMillis stale_ms, bool probe, CfMillis now);
 
+/* The store is in the era ERA.  Returns true if the reader starts over with a list; then the caller
+ * has to cancel a call under way. */
+bool cf_reader_enter_era (struct CfReader *reader, uint64_t era, CfMillis now);
+
+/* Returns OUTCOME, that of the call under way, or what it amounts to if the response is from
+ * another era, ERA, than the reader's position (0: the response does not tell). */
+enum CfReadOutcome
+cf_reader_outcome (const struct CfReader *reader, enum CfReadOutcome outcome, uint64_t era);
+
 /* Handles the OUTCOME of the call under way, with its RESPONSE if there was one.  RANDOM
  * spreads the retries of many VMs.  Returns true if RESPONSE is the last page of a list. */
 bool cf_reader_handle_outcome (struct CfReader *reader,
--- a/src/feed/record.c
+++ b/src/feed/record.c
@@ -13,6 +13,14 @@
   return names[kind];
 }
 
+int
+cf_record_order_compare (const struct CfRecordOrder *a, const struct CfRecordOrder *b)
+{
+  if (a->incarnation != b->incarnation)
+    return a->incarnation < b->incarnation ? -1 : 1;
+  return (a->sequence > b->sequence) - (a->sequence < b->sequence);
+}
+
 struct CfRecord *
 cf_record_new (const char *name, uint64_t revision, bool deleted, const char *text)
 {
--- a/src/feed/record.h
+++ b/src/feed/record.h
@@ -5,7 +5,11 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/* The store's records that the balancer uses, and their changes in the store's order. */
+/* The store's records that the balancer uses, and their changes in the store's order.
+ *
+ * A store that is restored from an older copy loses changes that it had confirmed, and gives their
+ * revisions out again.  Each such history of the store is an era, with a number that only rises.
+ * Revisions can be compared within an era only. */
 
 enum CfFeedKind
 {
@@ -18,12 +22,25 @@
 
 const char *cf_feed_kind_name (enum CfFeedKind kind);
 
+/* The place of a content among all that its writer wrote to a record: later incarnations of the
+ * writer come later, then higher numbers.  It holds across eras.  All 0: the content has none. */
+struct CfRecordOrder
+{
+  int64_t incarnation;
+  uint64_t sequence;
+};
+
+/* Returns a number below, equal to or above 0 if A is earlier than, the same as or later than B. */
+int cf_record_order_compare (const struct CfRecordOrder *a, const struct CfRecordOrder *b);
+
 /* One object of the store. */
 struct CfRecord
 {
   char *name;
   uint64_t revision; /* of the last change; a deletion has its own or that of the change before */
-  uint64_t learned_revision; /* in a replica: revision of the response with the last change */
+  uint64_t era;      /* of the store's history that the revision counts in */
+  uint64_t learned_revision;  /* in a replica: revision of the response with the last change */
+  struct CfRecordOrder order; /* of the content, of the last one if deleted */
   bool deleted;
   char *text; /* content as it was written to the store; NULL if deleted */
 };
--- a/src/feed/relay.c
+++ b/src/feed/relay.c
@@ -6,18 +6,27 @@
 
 /* Deflating shorter responses gains nothing. */
 #define DEFLATE_MIN_BYTES 512
+#define ERA_KEY "era" /* in the query of a request */
+
+static bool
+parse_number (const char *text, uint64_t *number)
+{
+  return text && g_ascii_string_to_unsigned (text, 10, 0, G_MAXUINT64, number, NULL);
+}
 
 bool
 cf_feed_position_parse (GHashTable *query, struct CfFeedPosition *position)
 {
+  const char *era = query ? g_hash_table_lookup (query, ERA_KEY) : NULL;
+
+  if (era && !parse_number (era, &position->era))
+    return false;
   for (int kind = 0; kind < CF_FEED_KINDS; kind++)
     {
       const char *text
           = query ? g_hash_table_lookup (query, cf_feed_kind_name ((enum CfFeedKind) kind)) : NULL;
 
-      if (!text
-          || !g_ascii_string_to_unsigned (text, 10, 0, G_MAXUINT64, &position->revision[kind],
-                                          NULL))
+      if (!parse_number (text, &position->revision[kind]))
         return false;
     }
   return true;
@@ -28,8 +37,9 @@
 {
   GString *text = g_string_new (NULL);
 
+  g_string_append_printf (text, ERA_KEY "=%" G_GUINT64_FORMAT, position->era);
   for (int kind = 0; kind < CF_FEED_KINDS; kind++)
-    g_string_append_printf (text, "%s%s=%" G_GUINT64_FORMAT, kind ? "&" : "",
+    g_string_append_printf (text, "&%s=%" G_GUINT64_FORMAT,
                             cf_feed_kind_name ((enum CfFeedKind) kind), position->revision[kind]);
   return g_string_free (text, FALSE);
 }
@@ -37,6 +47,8 @@
 bool
 cf_relay_has_changes (const struct CfReplica *replica, const struct CfFeedPosition *position)
 {
+  if (position->era != replica->era)
+    return true;
   for (int kind = 0; kind < CF_FEED_KINDS; kind++)
     if (replica->changed[kind] > position->revision[kind]
         || (position->revision[kind] == 0 && replica->revision[kind] > 0))
@@ -62,11 +74,13 @@
     {
       struct CfRecord *record = changed->pdata[i];
 
-      if (part->whole && record->deleted)
+      bool carried = cf_replica_is_carried (replica, record);
+
+      if (record->deleted && (part->whole || carried))
         continue;
       part->records.records_val[part->records.records_len++] = (feed_record){
         .name = record->name,
-        .revision = record->revision,
+        .revision = carried ? 0 : record->revision,
         .deleted = record->deleted,
         .text = record->text ? record->text : (char *) "",
       };
@@ -101,7 +115,8 @@
   GBytes *bytes;
 
   for (int kind = 0; kind < CF_FEED_KINDS; kind++)
-    fill_part (&list[kind], replica, (enum CfFeedKind) kind, position->revision[kind]);
+    fill_part (&list[kind], replica, (enum CfFeedKind) kind,
+               position->era == replica->era ? position->revision[kind] : 0);
   bytes = encode ((xdrproc_t) xdr_feed_parts, &parts);
   for (int kind = 0; kind < CF_FEED_KINDS; kind++)
     g_free (list[kind].records.records_val);
--- a/src/feed/relay.h
+++ b/src/feed/relay.h
@@ -7,14 +7,18 @@
 
 /* Sends the records of one VM's replica to another VM, the follower. */
 
-/* The follower's revision of each kind, 0 if it has no records. */
+/* Header of a response with the era of its records, which no VM of a build before eras sends. */
+#define CF_RELAY_ERA_HEADER "Feed-Era"
+
+/* The follower's era, and its revision of each kind in it, 0 if it has no records. */
 struct CfFeedPosition
 {
+  uint64_t era;
   uint64_t revision[CF_FEED_KINDS];
 };
 
-/* Reads POSITION from the query of a request.  Returns false if a kind is missing or not a
- * number. */
+/* Reads POSITION from the query of a request.  POSITION keeps its era if the query, from a build
+ * before eras, has none.  Returns false if a kind is missing or not a number. */
 bool cf_feed_position_parse (GHashTable *query, struct CfFeedPosition *position);
 
 /* Returns the query for POSITION. */
@@ -48,8 +52,9 @@
   bool settled; /* announcements that expired in an outage of the store have been renewed */
 };
 
-/* Returns the changes of REPLICA after POSITION, encoded, or NULL if they exceed the format's
- * bounds.  CACHE has to be zeroed at first and serves one replica. */
+/* Returns the changes of REPLICA after POSITION, all of its records if POSITION is of another era,
+ * encoded, or NULL if they exceed the format's bounds.  CACHE has to be zeroed at first and serves
+ * one replica. */
 GBytes *cf_relay_encode (struct CfRelayCache *cache,
                          const struct CfReplica *replica,
                          const struct CfFeedPosition *position,
--- a/src/feed/replica.c
+++ b/src/feed/replica.c
@@ -3,6 +3,8 @@
 void
 cf_replica_init (struct CfReplica *replica)
 {
+  replica->era = 0;
+  replica->carry_since = -1;
   replica->generation = 0;
   for (int kind = 0; kind < CF_FEED_KINDS; kind++)
     {
@@ -11,6 +13,7 @@
       replica->revision[kind] = 0;
       replica->changed[kind] = 0;
       replica->deletions_since[kind] = 0;
+      replica->carrying[kind] = false;
     }
 }
 
@@ -21,51 +24,179 @@
     g_clear_pointer (&replica->records[kind], g_hash_table_unref);
 }
 
-/* Returns the replica's copy of RECORD if RECORD changed it, else NULL. */
-static struct CfRecord *
-apply_record (GHashTable *records, const struct CfRecord *record)
+bool
+cf_replica_is_empty (const struct CfReplica *replica)
 {
-  struct CfRecord *known = g_hash_table_lookup (records, record->name);
+  return replica->revision[CF_FEED_MANIFEST] == 0 && replica->carry_since < 0;
+}
+
+bool
+cf_replica_is_carried (const struct CfReplica *replica, const struct CfRecord *record)
+{
+  return record->era < replica->era;
+}
+
+void
+cf_replica_enter_era (struct CfReplica *replica, uint64_t era, CfMillis now)
+{
+  GHashTableIter iter;
+  gpointer value;
 
-  if (!known && record->deleted)
-    return NULL;
-  if (!known)
+  if (!cf_replica_is_empty (replica))
+    replica->carry_since = now;
+  replica->era = era;
+  replica->generation++;
+  for (int kind = 0; kind < CF_FEED_KINDS; kind++)
     {
-      known = cf_record_new (record->name, 0, true, NULL);
-      g_hash_table_insert (records, known->name, known);
+      replica->revision[kind] = 0;
+      replica->changed[kind] = 0;
+      replica->deletions_since[kind] = 0;
+      replica->carrying[kind] = true;
+      g_hash_table_iter_init (&iter, replica->records[kind]);
+      while (g_hash_table_iter_next (&iter, NULL, &value))
+        ((struct CfRecord *) value)->learned_revision = 0;
     }
-  else if (record->revision < known->revision
-           || (record->revision == known->revision && record->deleted == known->deleted))
-    return NULL;
+}
+
+static void
+set_deleted (struct CfRecord *record)
+{
+  record->deleted = true;
+  g_clear_pointer (&record->text, g_free);
+}
+
+/* Gives RECORD the content of FROM. */
+static void
+set_content (struct CfRecord *record, const struct CfRecord *from)
+{
+  if (from->deleted)
+    {
+      set_deleted (record);
+      return;
+    }
+  record->deleted = false;
+  record->order = from->order;
+  g_free (record->text);
+  record->text = g_strdup (from->text);
+}
+
+/* What a record that was received changes in the replica. */
+enum Effect
+{
+  EFFECT_NONE,
+  EFFECT_CONFIRMED, /* the store has the content that was carried, or an older one */
+  EFFECT_CHANGED,
+};
+
+/* Returns true if RECORD has what was in KNOWN before its present content, or before it was
+ * deleted: the store was restored from a copy of that time. */
+static bool
+is_superseded (const struct CfRecord *record, const struct CfRecord *known)
+{
+  static const struct CfRecordOrder none;
+  int order = cf_record_order_compare (&record->order, &known->order);
+
+  if (record->deleted || cf_record_order_compare (&record->order, &none) == 0)
+    return false;
+  return known->deleted ? order <= 0 : order < 0;
+}
+
+/* KNOWN is carried; RECORD is what the store has in this era. */
+static enum Effect
+confirm_carried (const struct CfReplica *replica,
+                 struct CfRecord *known,
+                 const struct CfRecord *record)
+{
+  bool same = known->deleted == record->deleted && g_strcmp0 (known->text, record->text) == 0;
+
+  known->era = replica->era;
+  known->revision = record->revision;
+  if (same || is_superseded (record, known))
+    return EFFECT_CONFIRMED;
+  set_content (known, record);
+  return EFFECT_CHANGED;
+}
+
+/* KNOWN is carried, and the VM that sent RECORD carries that. */
+static enum Effect
+update_carried (struct CfRecord *known, const struct CfRecord *record)
+{
+  if (record->deleted || cf_record_order_compare (&record->order, &known->order) <= 0)
+    return EFFECT_NONE;
+  set_content (known, record);
+  return EFFECT_CHANGED;
+}
+
+/* Applies RECORD to KNOWN. */
+static enum Effect
+apply_record (const struct CfReplica *replica,
+              struct CfRecord *known,
+              const struct CfRecord *record)
+{
+  if (cf_replica_is_carried (replica, known))
+    return record->revision > 0 ? confirm_carried (replica, known, record)
+                                : update_carried (known, record);
+  if (record->revision < known->revision
+      || (record->revision == known->revision && record->deleted == known->deleted))
+    return EFFECT_NONE;
   /* Changed in place: a response may hold several changes of one record, and pointers to the
    * copy that were returned before have to stay valid. */
   known->revision = record->revision;
-  known->deleted = record->deleted;
-  g_free (known->text);
-  known->text = g_strdup (record->text);
-  return known;
+  set_content (known, record);
+  return EFFECT_CHANGED;
 }
 
-static GPtrArray *
-apply_records (GHashTable *records, GPtrArray *incoming)
+static enum Effect
+add_record (struct CfReplica *replica, enum CfFeedKind kind, const struct CfRecord *record)
+{
+  struct CfRecord *added;
+
+  if (record->deleted)
+    return EFFECT_NONE;
+  added = cf_record_new (record->name, record->revision, false, record->text);
+  added->order = record->order;
+  added->era = record->revision > 0 ? replica->era : 0;
+  if (cf_replica_is_carried (replica, added))
+    replica->carrying[kind] = true;
+  g_hash_table_insert (replica->records[kind], added->name, added);
+  return EFFECT_CHANGED;
+}
+
+/* Applies INCOMING.  Adds the records with another content to CHANGES, and those that the store
+ * turns out to have as they are to CONFIRMED. */
+static void
+apply_records (struct CfReplica *replica,
+               enum CfFeedKind kind,
+               GPtrArray *incoming,
+               GPtrArray *changes,
+               GPtrArray *confirmed)
 {
-  GPtrArray *changes = g_ptr_array_new ();
   GHashTable *seen = g_hash_table_new (NULL, NULL);
 
   for (guint i = 0; i < incoming->len; i++)
     {
-      struct CfRecord *record = apply_record (records, incoming->pdata[i]);
+      const struct CfRecord *record = incoming->pdata[i];
+      struct CfRecord *known = g_hash_table_lookup (replica->records[kind], record->name);
+      enum Effect effect
+          = known ? apply_record (replica, known, record) : add_record (replica, kind, record);
 
-      if (record && g_hash_table_add (seen, record))
-        g_ptr_array_add (changes, record);
+      if (!known)
+        known = g_hash_table_lookup (replica->records[kind], record->name);
+      if (effect == EFFECT_CHANGED && g_hash_table_add (seen, known))
+        g_ptr_array_add (changes, known);
+      else if (effect == EFFECT_CONFIRMED)
+        g_ptr_array_add (confirmed, known);
     }
   g_hash_table_unref (seen);
-  return changes;
 }
 
 /* Marks the records up to REVISION that are not in LISTED as deleted. */
 static void
-delete_unlisted (GHashTable *records, GPtrArray *listed, uint64_t revision, GPtrArray *changes)
+delete_unlisted (const struct CfReplica *replica,
+                 enum CfFeedKind kind,
+                 GPtrArray *listed,
+                 uint64_t revision,
+                 GPtrArray *changes)
 {
   GHashTable *names = g_hash_table_new (g_str_hash, g_str_equal);
   GHashTableIter iter;
@@ -73,17 +204,16 @@
 
   for (guint i = 0; i < listed->len; i++)
     g_hash_table_add (names, ((struct CfRecord *) listed->pdata[i])->name);
-  g_hash_table_iter_init (&iter, records);
+  g_hash_table_iter_init (&iter, replica->records[kind]);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       struct CfRecord *record = value;
 
-      if (record->deleted || record->revision > revision
+      if (record->deleted || record->revision > revision || cf_replica_is_carried (replica, record)
           || g_hash_table_contains (names, record->name))
         continue;
-      record->deleted = true;
       record->revision = revision;
-      g_clear_pointer (&record->text, g_free);
+      set_deleted (record);
       g_ptr_array_add (changes, record);
     }
   g_hash_table_unref (names);
@@ -107,6 +237,14 @@
   replica->deletions_since[kind] = replica->revision[kind];
 }
 
+/* Notes that followers have to learn of RECORDS. */
+static void
+set_learned (const struct CfReplica *replica, enum CfFeedKind kind, GPtrArray *records)
+{
+  for (guint i = 0; i < records->len; i++)
+    ((struct CfRecord *) records->pdata[i])->learned_revision = replica->revision[kind];
+}
+
 GPtrArray *
 cf_replica_apply (struct CfReplica *replica,
                   enum CfFeedKind kind,
@@ -114,22 +252,58 @@
                   uint64_t revision,
                   bool whole)
 {
-  GPtrArray *changes;
+  GPtrArray *changes = g_ptr_array_new ();
+  GPtrArray *confirmed;
 
   if (whole && revision < replica->revision[kind])
-    return g_ptr_array_new ();
+    return changes;
   replica->generation++;
   prune_deleted (replica, kind);
-  changes = apply_records (replica->records[kind], records);
+  confirmed = g_ptr_array_new ();
+  apply_records (replica, kind, records, changes, confirmed);
   if (whole)
-    delete_unlisted (replica->records[kind], records, revision, changes);
+    delete_unlisted (replica, kind, records, revision, changes);
   if (whole && replica->deletions_since[kind] == 0)
     replica->deletions_since[kind] = revision;
   replica->revision[kind] = MAX (replica->revision[kind], revision);
-  for (guint i = 0; i < changes->len; i++)
-    ((struct CfRecord *) changes->pdata[i])->learned_revision = replica->revision[kind];
-  if (changes->len > 0)
+  set_learned (replica, kind, changes);
+  set_learned (replica, kind, confirmed);
+  if (changes->len + confirmed->len > 0)
     replica->changed[kind] = replica->revision[kind];
+  g_ptr_array_unref (confirmed);
+  return changes;
+}
+
+GPtrArray *
+cf_replica_end_carry (struct CfReplica *replica, enum CfFeedKind kind, CfMillis now)
+{
+  CfMillis limit = kind == CF_FEED_UPSTREAMS ? CF_REPLICA_CARRY_UPSTREAMS_MS : CF_REPLICA_CARRY_MS;
+  GPtrArray *changes = g_ptr_array_new ();
+  GHashTableIter iter;
+  gpointer value;
+
+  if (kind == CF_FEED_MANIFEST || !replica->carrying[kind] || replica->revision[kind] == 0)
+    return changes;
+  if (replica->carry_since < 0)
+    replica->carry_since = now; /* another VM sent records that it carries */
+  if (now - replica->carry_since < limit)
+    return changes;
+  replica->carrying[kind] = false;
+  g_hash_table_iter_init (&iter, replica->records[kind]);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct CfRecord *record = value;
+
+      if (record->deleted || !cf_replica_is_carried (replica, record))
+        continue;
+      record->era = replica->era;
+      record->revision = replica->revision[kind];
+      set_deleted (record);
+      g_ptr_array_add (changes, record);
+    }
+  if (changes->len > 0)
+    replica->generation++;
+  set_learned (replica, kind, changes);
   return changes;
 }
 
@@ -142,8 +316,13 @@
 
   g_hash_table_iter_init (&iter, replica->records[kind]);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (((struct CfRecord *) value)->learned_revision > revision)
-      g_ptr_array_add (changed, value);
+    {
+      const struct CfRecord *record = value;
+
+      if (record->learned_revision > revision
+          || (revision == 0 && cf_replica_is_carried (replica, record)))
+        g_ptr_array_add (changed, value);
+    }
   return changed;
 }
 
--- a/src/feed/replica.h
+++ b/src/feed/replica.h
@@ -1,18 +1,30 @@
 #ifndef CF_FEED_REPLICA_H
 #define CF_FEED_REPLICA_H
 
+#include "cf_types.h"
 #include "record.h"
 
 /* This VM's copy of the store's records of each kind.  A record never goes back to an
- * earlier revision, whichever source sends it. */
+ * earlier revision, whichever source sends it.
+ *
+ * When the store begins a new era, the records are carried over: they stay as they are until the
+ * store has them again, or until their writers have had time to write them again. */
 
 /* Deleted records that are kept for followers that lag behind; one takes about 100 bytes. */
 #define CF_REPLICA_DELETED_MAX 2048
 
+/* How long records are carried after the beginning of an era.  Upstreams renew their announcements
+ * every second or two.  Operators and VMs may have to wait for the store to accept their writes. */
+#define CF_REPLICA_CARRY_UPSTREAMS_MS 2500
+#define CF_REPLICA_CARRY_MS 10000
+
 struct CfReplica
 {
+  uint64_t era;                            /* of the store, 0: not known */
+  CfMillis carry_since;                    /* when records were first carried in it, -1: none */
+  bool carrying[CF_FEED_KINDS];            /* there may be carried records */
   GHashTable *records[CF_FEED_KINDS];      /* name to struct CfRecord, deleted ones included */
-  uint64_t revision[CF_FEED_KINDS];        /* all changes up to it are in the copy */
+  uint64_t revision[CF_FEED_KINDS];        /* all changes of the era up to it are in the copy */
   uint64_t changed[CF_FEED_KINDS];         /* of the last response with a change */
   uint64_t deletions_since[CF_FEED_KINDS]; /* deletions after it are in the copy */
   uint64_t generation;                     /* counts the responses that were applied */
@@ -21,9 +33,24 @@
 void cf_replica_init (struct CfReplica *replica);
 void cf_replica_clear (struct CfReplica *replica);
 
-/* Applies RECORDS of KIND, all changes up to REVISION; with WHOLE they are all records that
- * exist.  Returns the records that changed, an array of struct CfRecord that belong to the
- * replica. */
+/* Enters the era ERA, which is later than the replica's. */
+void cf_replica_enter_era (struct CfReplica *replica, uint64_t era, CfMillis now);
+
+/* Returns true if the replica has never had data. */
+bool cf_replica_is_empty (const struct CfReplica *replica);
+
+/* Returns true if RECORD of the replica is from an earlier era, and the store has not been seen to
+ * have it in this one. */
+bool cf_replica_is_carried (const struct CfReplica *replica, const struct CfRecord *record);
+
+/* Deletes the records of KIND that have been carried for long enough at NOW.  To be called when the
+ * store's data of this era are complete.  Manifests are carried until the next one.  Returns the
+ * records that changed, as cf_replica_apply does. */
+GPtrArray *cf_replica_end_carry (struct CfReplica *replica, enum CfFeedKind kind, CfMillis now);
+
+/* Applies RECORDS of KIND in the replica's era, all changes up to REVISION; with WHOLE they are all
+ * records that exist.  A record with revision 0 is carried by the VM that sent it.  Returns the
+ * records that changed, an array of struct CfRecord that belong to the replica. */
 GPtrArray *cf_replica_apply (struct CfReplica *replica,
                              enum CfFeedKind kind,
                              GPtrArray *records,
@@ -31,7 +58,8 @@
                              bool whole);
 
 /* Returns the records of KIND that changed after REVISION, and perhaps some that changed
- * before, an array of struct CfRecord that belong to the replica. */
+ * before, an array of struct CfRecord that belong to the replica.  After 0 the carried records are
+ * among them. */
 GPtrArray *
 cf_replica_since (const struct CfReplica *replica, enum CfFeedKind kind, uint64_t revision);
 
--- a/src/serve/feed_enroll.c
+++ b/src/serve/feed_enroll.c
@@ -49,10 +49,18 @@
   const struct CfRecord *record
       = g_hash_table_lookup (task->replica.records[CF_FEED_VMS], task->balancer->settings.name);
 
-  task->enroll.replace = record && !record->deleted;
+  task->enroll.replace
+      = record && !record->deleted && !cf_replica_is_carried (&task->replica, record);
   return task->enroll.replace && cf_vm_record_equal (record->text, task->enroll.content);
 }
 
+void
+cf_feed_enroll_check (struct FeedTask *task, CfMillis now)
+{
+  task->enroll.check_at = now;
+  task->enroll.next_at = now;
+}
+
 static void
 written (void *data, SoupMessage *message, GBytes *body)
 {
@@ -62,6 +70,7 @@
   CfMillis delay = (CfMillis) RETRY_MIN_MS << MIN (enroll->failures, 8);
 
   enroll->call = NULL;
+  cf_feed_learn_era (task, cf_platform_era (message));
   if (status >= 200 && status < 300)
     {
       enroll->failures = 0;
@@ -89,6 +98,7 @@
   guint status = body ? soup_message_get_status (message) : 0;
 
   task->enroll.delete = NULL;
+  cf_feed_learn_era (task, cf_platform_era (message));
   /* A failed delete is tried again at the next check.  If the VM does run, it writes its record
    * again. */
   if (status < 200 || status >= 300)
@@ -105,7 +115,8 @@
   const struct CfRecord *record
       = vm ? g_hash_table_lookup (task->replica.records[CF_FEED_VMS], vm->name) : NULL;
 
-  if (enroll->delete || !record || now < enroll->next_delete_at)
+  if (enroll->delete || !record || cf_replica_is_carried (&task->replica, record)
+      || now < enroll->next_delete_at)
     return;
   enroll->next_delete_at = now + DELETE_INTERVAL_MS;
   cf_event_log_write (task->balancer->log, "vm-expired",
--- a/src/serve/feed_follow.c
+++ b/src/serve/feed_follow.c
@@ -29,8 +29,25 @@
                               now);
 }
 
+/* Returns true if the records of a response with the header ERA (NULL: none) are of the replica's
+ * era, which becomes ERA if that is later. */
 static bool
-apply_response (struct FeedTask *task, GBytes *body, CfMillis now)
+accept_era (struct FeedTask *task, const char *era)
+{
+  guint64 number;
+
+  /* A build before eras does not know that the store was restored, if it was. */
+  if (!era)
+    return task->replica.carry_since < 0;
+  if (!g_ascii_string_to_unsigned (era, 10, 0, G_MAXUINT64, &number, NULL)
+      || number < task->replica.era)
+    return false;
+  cf_feed_learn_era (task, number);
+  return true;
+}
+
+static bool
+apply_response (struct FeedTask *task, const char *era, GBytes *body, CfMillis now)
 {
   struct CfRelayUpdate update;
   CfMillis synced_at;
@@ -39,6 +56,11 @@
 
   if (!cf_relay_decode (data, len, &update))
     return false;
+  if (!accept_era (task, era))
+    {
+      cf_relay_clear (&update);
+      return false;
+    }
   for (int kind = 0; kind < CF_FEED_KINDS; kind++)
     {
       const struct feed_part *part = &update.parts.parts.parts_val[kind];
@@ -66,7 +88,10 @@
   CfMillis now = cf_now ();
   struct CfSource *source = cf_sources_find (task->sources, task->follow.name);
   bool answer = body && soup_message_get_status (message) == SOUP_STATUS_OK;
-  bool good = answer && apply_response (task, body, now);
+  const char *era = answer ? soup_message_headers_get_one (
+                        soup_message_get_response_headers (message), CF_RELAY_ERA_HEADER)
+                           : NULL;
+  bool good = answer && apply_response (task, era, body, now);
 
   follow->call = NULL;
   follow->next_at = now + (good ? PAUSE_MS : RETRY_MS);
@@ -90,8 +115,8 @@
 cf_feed_follow_tick (struct FeedTask *task, struct CfSource *source, CfMillis now)
 {
   struct FeedFollow *follow = &task->follow;
-  struct CfFeedPosition position;
-  int wait = task->replica.revision[CF_FEED_MANIFEST] > 0 ? WAIT_MS : SEED_WAIT_MS;
+  struct CfFeedPosition position = { .era = task->replica.era };
+  int wait = cf_replica_is_empty (&task->replica) ? SEED_WAIT_MS : WAIT_MS;
   char *query;
   char *url;
 
--- a/src/serve/feed_internal.h
+++ b/src/serve/feed_internal.h
@@ -83,6 +83,16 @@
 /* Starts what is due in all parts, and sets the timer to the earliest time that they return. */
 void cf_feed_tick (struct FeedTask *task);
 
+/* The store or another VM has records of ERA: enters it if it is later than the replica's.  All
+ * readers start over with a list, and calls under way to read the store are cancelled. */
+void cf_feed_learn_era (struct FeedTask *task, uint64_t era);
+
+/* Has the readers enter the replica's era, and cancels the calls that this makes useless. */
+void cf_feed_store_enter_era (struct FeedTask *task, CfMillis now);
+
+/* Has this VM's record checked at once: the store may have lost it. */
+void cf_feed_enroll_check (struct FeedTask *task, CfMillis now);
+
 /* Applies RECORDS of KIND to the replica with cf_replica_apply, and passes the changes to the
  * datapath task and the followers.  With TRUSTED a withdrawn announcement means an
  * ended upstream. */
--- a/src/serve/feed_relay.c
+++ b/src/serve/feed_relay.c
@@ -33,6 +33,7 @@
     .settled = task->settled,
   };
   GBytes *body = cf_relay_encode (&task->relay_cache, &task->replica, position, &origin);
+  char era[24];
   gsize len;
   const char *data;
 
@@ -47,6 +48,9 @@
       return;
     }
   data = g_bytes_get_data (body, &len);
+  g_snprintf (era, sizeof era, "%" G_GUINT64_FORMAT, task->replica.era);
+  soup_message_headers_replace (soup_server_message_get_response_headers (message),
+                                CF_RELAY_ERA_HEADER, era);
   soup_server_message_set_status (message, SOUP_STATUS_OK, NULL);
   soup_server_message_set_response (message, "application/octet-stream", SOUP_MEMORY_COPY, data,
                                     len);
@@ -103,7 +107,7 @@
 {
   struct FeedTask *task = data;
   const char *text = query ? g_hash_table_lookup (query, "wait-ms") : NULL;
-  struct CfFeedPosition position;
+  struct CfFeedPosition position = { .era = task->replica.era };
   guint64 wait = 0;
   CfMillis now = cf_now ();
 
--- a/src/serve/feed_store.c
+++ b/src/serve/feed_store.c
@@ -85,6 +85,21 @@
                       });
 }
 
+void
+cf_feed_store_enter_era (struct FeedTask *task, CfMillis now)
+{
+  for (int kind = 0; kind < CF_FEED_KINDS; kind++)
+    {
+      struct FeedChannel *channel = &task->channels[kind];
+
+      if (!cf_reader_enter_era (&channel->reader, task->replica.era, now))
+        continue;
+      if (channel->call)
+        cf_http_call_cancel (channel->call);
+      channel->call = NULL;
+    }
+}
+
 static void
 answered (void *data, SoupMessage *message, GBytes *body)
 {
@@ -95,10 +110,13 @@
   enum CfReadOutcome outcome = cf_platform_parse_response (message, body, &response);
   bool listing = !reader->listed;
   CfMillis now = cf_now ();
-  uint64_t known_revision = task->replica.revision[reader->kind];
+  uint64_t known_revision;
   bool whole;
 
   channel->call = NULL;
+  outcome = cf_reader_outcome (reader, outcome, response.era);
+  cf_feed_learn_era (task, response.era);
+  known_revision = task->replica.revision[reader->kind];
   if (response.skipped > 0)
     cf_event_log_write_limited (task->balancer->log, &task->source_rate, "answer-partly-unreadable",
                                 (struct CfField[]){
@@ -111,8 +129,6 @@
   if (listing && !reader->after)
     g_ptr_array_set_size (channel->list, 0);
   whole = cf_reader_handle_outcome (reader, outcome, &response, now, task->random);
-  if (response.era > 0)
-    atomic_store (&task->balancer->store_era, response.era);
   if (outcome == CF_READ_ANSWERED)
     {
       cf_source_answered (cf_sources_store (task->sources));
@@ -171,7 +187,8 @@
     return false;
   if (use == CF_STORE_USE_PROBE || any_channel_failed (task))
     return kind == PROBE_KIND;
-  return kind != CF_FEED_VMS || task->replica.revision[kind] == 0 || task->source[0] == 0;
+  return kind != CF_FEED_VMS || task->source[0] == 0
+         || (task->replica.revision[kind] == 0 && task->replica.carry_since < 0);
 }
 
 CfMillis
--- a/src/serve/feed_task.c
+++ b/src/serve/feed_task.c
@@ -1,5 +1,6 @@
 #include "feed_internal.h"
 #include "platform/objects.h"
+#include "platform/store_requests.h"
 #include "server.h"
 
 #include <arpa/inet.h>
@@ -114,6 +115,28 @@
   cf_send_update (task->balancer, update);
 }
 
+void
+cf_feed_learn_era (struct FeedTask *task, uint64_t era)
+{
+  uint64_t previous = task->replica.era;
+  CfMillis now = cf_now ();
+
+  if (era <= previous)
+    return;
+  cf_replica_enter_era (&task->replica, era, now);
+  cf_feed_store_enter_era (task, now);
+  cf_feed_enroll_check (task, now);
+  task->settled = false;
+  atomic_store (&task->balancer->store_era, era);
+  cf_event_log_write (task->balancer->log, "store-era",
+                      (struct CfField[]){
+                          { .key = "era", .number = (int64_t) era },
+                          { .key = "previous", .number = (int64_t) previous },
+                          { .key = "news_age_ms", .number = cf_feed_age (task, now) },
+                          { 0 },
+                      });
+}
+
 void
 cf_feed_apply (struct FeedTask *task,
                enum CfFeedKind kind,
@@ -122,13 +145,40 @@
                bool whole,
                bool trusted)
 {
-  GPtrArray *changes = cf_replica_apply (&task->replica, kind, records, revision, whole);
+  GPtrArray *changes;
 
+  for (guint i = 0; i < records->len; i++)
+    cf_platform_read_order (kind, records->pdata[i]);
+  changes = cf_replica_apply (&task->replica, kind, records, revision, whole);
   if (changes->len > 0)
     send_records (task, kind, changes, trusted);
   g_ptr_array_unref (changes);
 }
 
+/* The store's data of this era are complete: what is still carried was not written again. */
+static void
+end_carry (struct FeedTask *task, CfMillis now)
+{
+  for (int kind = 0; kind < CF_FEED_KINDS; kind++)
+    {
+      GPtrArray *changes = cf_replica_end_carry (&task->replica, (enum CfFeedKind) kind, now);
+
+      if (changes->len > 0)
+        {
+          cf_event_log_write (
+              task->balancer->log, "carry-ended",
+              (struct CfField[]){
+                  { .key = "kind", .text = cf_feed_kind_name ((enum CfFeedKind) kind) },
+                  { .key = "records", .number = changes->len },
+                  { .key = "era", .number = (int64_t) task->replica.era },
+                  { 0 },
+              });
+          send_records (task, (enum CfFeedKind) kind, changes, true);
+        }
+      g_ptr_array_unref (changes);
+    }
+}
+
 void
 cf_feed_set_synced_at (struct FeedTask *task, const char *reader, CfMillis synced_at, bool settled)
 {
@@ -138,6 +188,8 @@
   task->reader = g_strdup (reader);
   task->synced_at = synced_at;
   task->settled = settled;
+  if (settled)
+    end_carry (task, cf_now ());
   cf_send_feed_state (task->balancer, synced_at, settled);
 }
 
@@ -191,7 +243,7 @@
 {
   struct CfStoreUseInput input = {
     .reader = !source->name,
-    .empty = task->replica.revision[CF_FEED_MANIFEST] == 0,
+    .empty = cf_replica_is_empty (&task->replica),
     .synced_at = task->synced_at,
     .read_until = task->read_until,
     .probed_at = task->probed_at,
@@ -222,7 +274,7 @@
   update_source (task, source, now);
   log_summary (task, now);
   next = MIN (next, cf_feed_store_tick (task, store_use (task, source, now), now));
-  if (!source->name && task->replica.revision[CF_FEED_MANIFEST] == 0)
+  if (!source->name && cf_replica_is_empty (&task->replica))
     source = cf_sources_choose_seed (task->sources, now);
   else if (!source->name && cf_feed_age (task, now) >= cf_sources_stale_ms (task->sources))
     source = cf_sources_choose_vm (task->sources, now);
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -26,7 +26,7 @@
 static uint32_t
 relay_changes (const struct CfReplica *from, struct CfReplica *to)
 {
-  struct CfFeedPosition position;
+  struct CfFeedPosition position = { .era = to->era };
   struct CfRelayCache cache = { 0 };
   struct CfRelayUpdate update;
   GBytes *bytes;
--- a/tests/test_restored_store.c
+++ b/tests/test_restored_store.c
@@ -3,6 +3,7 @@
 #include "feed/relay.h"
 #include "feed/replica.h"
 #include "platform/objects.h"
+#include "platform/store_requests.h"
 #include "store.h"
 #include "suite.h"
 
@@ -205,9 +206,41 @@
        bool trusted,
        CfMillis now)
 {
+  for (guint i = 0; i < records->len; i++)
+    cf_platform_read_order (kind, records->pdata[i]);
   pass_on (vm, kind, cf_replica_apply (&vm->replica, kind, records, revision, whole), trusted, now);
 }
 
+static void
+learn_era (struct Vm *vm, uint64_t era, CfMillis now)
+{
+  if (era <= vm->replica.era)
+    return;
+  cf_replica_enter_era (&vm->replica, era, now);
+  for (int kind = 0; kind < CF_FEED_KINDS; kind++)
+    cf_reader_enter_era (&vm->readers[kind], era, now);
+}
+
+/* Ends what VM carries once the store, or SETTLED another VM, has its data complete. */
+static void
+end_carry (struct Vm *vm, bool settled, CfMillis now)
+{
+  for (int kind = 0; kind < CF_FEED_KINDS && settled; kind++)
+    pass_on (vm, (enum CfFeedKind) kind,
+             cf_replica_end_carry (&vm->replica, (enum CfFeedKind) kind, now), true, now);
+  if (settled)
+    cf_directory_expire_lapsed (vm->directory, now);
+}
+
+static bool
+is_settled (const struct Vm *vm, CfMillis now)
+{
+  for (int kind = 0; kind < CF_FEED_VMS; kind++)
+    if (!cf_reader_trusted (&vm->readers[kind], now))
+      return false;
+  return true;
+}
+
 static void
 read_kind (struct Play *play, struct Vm *vm, enum CfFeedKind kind)
 {
@@ -227,12 +260,15 @@
     test_store_list (play->store, kind, &response);
   else if (!test_store_watch (play->store, kind, reader->revision, &response))
     outcome = CF_READ_HISTORY_GONE;
+  outcome = cf_reader_outcome (reader, outcome, response.era);
+  learn_era (vm, response.era, play->now);
   whole = cf_reader_handle_outcome (reader, outcome, &response, play->now, play->random);
   if (outcome == CF_READ_ANSWERED)
     {
       vm->answered_at = play->now;
       apply (vm, kind, response.records, reader->revision, whole,
              cf_reader_trusted (reader, play->now), play->now);
+      end_carry (vm, is_settled (vm, play->now), play->now);
     }
   cf_feed_response_clear (&response);
 }
@@ -240,22 +276,25 @@
 static void
 follow (struct Play *play, struct Vm *vm, const struct Vm *source)
 {
-  struct CfFeedPosition position;
+  struct CfFeedPosition position = { .era = vm->replica.era };
   struct CfRelayCache cache = { 0 };
   struct CfRelayUpdate update;
   struct CfUpdateOrigin origin = {
     .age = play->now - source->answered_at,
-    .settled = cf_reader_trusted (&source->readers[CF_FEED_UPSTREAMS], play->now),
+    .settled = is_settled (source, play->now),
   };
   GBytes *bytes;
   gsize len;
   const void *data;
 
+  if (source->replica.era < vm->replica.era)
+    return;
   for (int kind = 0; kind < CF_FEED_KINDS; kind++)
     position.revision[kind] = vm->replica.revision[kind];
   bytes = cf_relay_encode (&cache, &source->replica, &position, &origin);
   data = g_bytes_get_data (bytes, &len);
   ck_assert (cf_relay_decode (data, len, &update));
+  learn_era (vm, source->replica.era, play->now);
   vm->answered_at = MAX (vm->answered_at, source->answered_at);
   for (int kind = 0; kind < CF_FEED_KINDS; kind++)
     {
@@ -267,6 +306,7 @@
                play->now);
       g_ptr_array_unref (records);
     }
+  end_carry (vm, origin.settled, play->now);
   cf_relay_clear (&update);
   cf_relay_cache_clear (&cache);
   g_bytes_unref (bytes);
