Soak: the store is restored from older copies, faults come in series, up to 200 VMs

The soak's store was a second stand-in that never lost a change. It now serves the one of the tests (tests/store.c), with eras: after a restore operators and upstreams write again within 2 s, and what ended is removed after 3 s. Faults also come in series of one kind, 20 to 300 ms apart. One long flow in eight is used until its upstream closes it or is gone. A fourth argument sets the number of VMs. SOAK_KEEP_STORE leaves restores out, for fleets with builds from before eras.

--- a/Makefile
+++ b/Makefile
@@ -55,7 +55,7 @@
 $(BUILD)/measure: $(BENCH_SRC:%.c=$(BUILD)/%.o) $(TEST_LIB_OBJ) $(PLATFORM_OBJ) $(LIB_OBJ)
 	$(CC) $^ $(LIBS) -o $@
 
-$(BUILD)/soak: $(SOAK_SRC:%.c=$(BUILD)/%.o) $(PLATFORM_OBJ) $(LIB_OBJ)
+$(BUILD)/soak: $(SOAK_SRC:%.c=$(BUILD)/%.o) $(BUILD)/tests/store.o $(PLATFORM_OBJ) $(LIB_OBJ)
 	$(CC) $^ $(LIBS) -o $@
 
 check: $(BUILD)/cyclamenferry $(TESTS) $(STANDINS) $(BUILD)/soak
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -10,9 +10,15 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-/* soak PROGRAM SECONDS SEED: injects faults for SECONDS, then stops them and checks that the system
- * recovers.  The exit status is 1 if a guarantee was violated. */
-
+/* soak PROGRAM SECONDS SEED [VMS]: injects faults for SECONDS, then stops them and checks that the
+ * system recovers.  The exit status is 1 if a guarantee was violated.  With SOAK_KEEP_STORE in the
+ * environment the store is never restored from a copy, for fleets with builds from before eras. */
+
+#define SERIES_ONE_IN 8 /* faults that begin a series of one kind, in quick succession */
+#define RESTORE_AGE_MAX_MS 9000
+#define RESTORE_AWAY_PART 2   /* the store is away for this part of a fault's duration */
+#define REWRITE_MS 2000       /* after a restore writers have written again */
+#define EXPIRE_MS 3000        /* and the announcements of upstreams that have ended expire */
 #define SETTLE_MS 9000        /* minimum fault-free time at the end of the run */
 #define RESTART_MS 300        /* from the exit of a VM until its restart */
 #define READY_INTERVAL_MS 500 /* the fabric checks readiness twice a second */
@@ -163,7 +169,7 @@
 {
   struct Soak *soak = data;
 
-  for (int i = 0; i < SOAK_VMS; i++)
+  for (int i = 0; i < soak->vm_count; i++)
     {
       char *url
           = g_strdup_printf ("http://%s:%u/-/readiness", soak->vms[i].ip, SOAK_READY_PORT (soak));
@@ -203,7 +209,7 @@
 /* The operator. */
 
 static void
-put_manifest (struct Soak *soak)
+write_manifest (struct Soak *soak)
 {
   char *text = g_strdup_printf (
       "{\"version\":%" G_GUINT64_FORMAT
@@ -212,7 +218,7 @@
       "{\"host\":\"198.18.0.1\",\"path-prefix\":\"/81/\",\"service\":\"t\"}%s],\"services\":["
       "{\"name\":\"s\",\"warmup-s\":0.5,\"warmup-per-s\":20},{\"name\":\"t\",\"warmup-s\":0.5,"
       "\"warmup-per-s\":20}],\"limits\":{\"idle-timeout-ms\":15000}}",
-      ++soak->version,
+      soak->version,
       soak->second_route ? ",{\"host\":\"198.18.0.1\",\"path-prefix\":\"/82/\",\"service\":\"t\"}"
                          : "");
 
@@ -221,12 +227,19 @@
   g_free (text);
 }
 
+static void
+put_manifest (struct Soak *soak)
+{
+  soak->version++;
+  write_manifest (soak);
+}
+
 /* Faults. */
 
 static struct SoakVm *
 random_vm (struct Soak *soak)
 {
-  return &soak->vms[g_rand_int_range (soak->random, 0, SOAK_VMS)];
+  return &soak->vms[g_rand_int_range (soak->random, 0, soak->vm_count)];
 }
 
 static struct SoakUpstream *
@@ -273,14 +286,77 @@
   return G_SOURCE_REMOVE;
 }
 
+/* After a restore of the store its writers write again what it lost. */
+
+static gboolean
+announce_again (gpointer data)
+{
+  struct SoakUpstream *upstream = data;
+
+  soak_upstream_announce (upstream);
+  upstream->drained_at = soak_now ();
+  return G_SOURCE_REMOVE;
+}
+
+static gboolean
+operate_again (gpointer data)
+{
+  struct Soak *soak = data;
+
+  write_manifest (soak);
+  for (int i = 0; i < SOAK_DOMAINS; i++)
+    soak_store_put (soak->store, CF_FEED_EVACUATIONS, domains[i],
+                    soak->evacuated == domains[i] ? "{}" : NULL);
+  soak->evacuated_at = soak_now ();
+  return G_SOURCE_REMOVE;
+}
+
+/* The announcements of upstreams that have ended expire. */
+static gboolean
+expire_announcements (gpointer data)
+{
+  struct Soak *soak = data;
+  GPtrArray *names = soak_store_names (soak->store, CF_FEED_UPSTREAMS);
+
+  for (guint i = 0; i < names->len; i++)
+    {
+      bool current = false;
+
+      for (int j = 0; j < SOAK_UPSTREAMS; j++)
+        current |= strcmp (soak->upstreams[j].id, names->pdata[i]) == 0;
+      if (!current)
+        soak_store_put (soak->store, CF_FEED_UPSTREAMS, names->pdata[i], NULL);
+    }
+  g_ptr_array_unref (names);
+  return G_SOURCE_REMOVE;
+}
+
+static gboolean
+restore_store (gpointer data)
+{
+  struct Soak *soak = data;
+
+  soak_store_restore (soak->store, g_rand_int_range (soak->random, 500, RESTORE_AGE_MAX_MS));
+  for (int i = 0; i < SOAK_UPSTREAMS; i++)
+    g_timeout_add ((guint) g_rand_int_range (soak->random, 0, REWRITE_MS), announce_again,
+                   &soak->upstreams[i]);
+  g_timeout_add ((guint) g_rand_int_range (soak->random, 0, REWRITE_MS), operate_again, soak);
+  g_timeout_add (EXPIRE_MS, expire_announcements, soak);
+  for (int i = 0; i < soak->vm_count; i++)
+    note_vm_fault (&soak->vms[i], soak_now () + EXPIRE_MS);
+  return G_SOURCE_REMOVE;
+}
+
+#define FAULTS 13
+
 static void
-inject_fault (struct Soak *soak)
+inject_fault (struct Soak *soak, int kind)
 {
   struct SoakUpstream *upstream = random_upstream (soak);
   enum SoakPath path = (enum SoakPath) g_rand_int_range (soak->random, 1, SOAK_PATHS);
   int ms = g_rand_int_range (soak->random, 500, 5000);
 
-  switch (g_rand_int_range (soak->random, 0, 12))
+  switch (kind)
     {
     case 0:
       soak_vm_signal (random_vm (soak), SIGKILL);
@@ -298,7 +374,7 @@
       degrade_path (random_vm (soak), path, ms);
       break;
     case 5:
-      for (int i = 0; i < SOAK_VMS; i++)
+      for (int i = 0; i < soak->vm_count; i++)
         degrade_path (&soak->vms[i], path, ms);
       break;
     case 6:
@@ -324,6 +400,14 @@
       soak_store_compact (soak->store);
       put_manifest (soak);
       break;
+    case 11:
+      if (soak->keep_store)
+        break;
+      for (int i = 0; i < soak->vm_count; i++)
+        degrade_path (&soak->vms[i], path, ms / RESTORE_AWAY_PART);
+      g_timeout_add ((guint) (ms / RESTORE_AWAY_PART), restore_store, soak);
+      ms += EXPIRE_MS;
+      break;
     default:
       if (soak->evacuated)
         break;
@@ -343,7 +427,19 @@
 
   if (soak->ending)
     return G_SOURCE_REMOVE;
-  inject_fault (soak);
+  if (soak->series_left > 0)
+    {
+      soak->series_left--;
+      inject_fault (soak, soak->series_kind);
+      g_timeout_add ((guint) g_rand_int_range (soak->random, 20, 300), next_fault, soak);
+      return G_SOURCE_REMOVE;
+    }
+  if (g_rand_int_range (soak->random, 0, SERIES_ONE_IN) == 0)
+    {
+      soak->series_left = g_rand_int_range (soak->random, 2, 8);
+      soak->series_kind = g_rand_int_range (soak->random, 0, FAULTS);
+    }
+  inject_fault (soak, g_rand_int_range (soak->random, 0, FAULTS));
   g_timeout_add ((guint) g_rand_int_range (soak->random, 100, 1500), next_fault, soak);
   return G_SOURCE_REMOVE;
 }
@@ -370,7 +466,7 @@
 {
   soak->store = soak_store_new (soak);
   soak->session = soup_session_new_with_options ("proxy-resolver", NULL, "max-conns", 64, NULL);
-  for (int i = 0; i < SOAK_VMS; i++)
+  for (int i = 0; i < soak->vm_count; i++)
     {
       struct SoakVm *vm = &soak->vms[i];
 
@@ -382,7 +478,7 @@
   soak->second_route = true;
   put_manifest (soak);
   soak_upstreams_start (soak);
-  for (int i = 0; i < SOAK_VMS; i++)
+  for (int i = 0; i < soak->vm_count; i++)
     {
       char *ip = g_strdup_printf ("127.4.0.%d", 10 + i);
 
@@ -400,7 +496,7 @@
 stop (struct Soak *soak)
 {
   g_clear_pointer (&soak->loop, g_main_loop_unref);
-  for (int i = 0; i < SOAK_VMS; i++)
+  for (int i = 0; i < soak->vm_count; i++)
     if (soak->vms[i].pid)
       {
         kill (soak->vms[i].pid, SIGKILL);
@@ -417,12 +513,16 @@
   struct Soak *soak = &state;
   double served;
 
-  if (argc != 4)
+  if (argc == 4 || argc == 5)
+    soak->vm_count = argc == 5 ? atoi (argv[4]) : SOAK_VMS;
+  if (soak->vm_count < SOAK_DOMAINS || soak->vm_count > SOAK_VMS_MAX)
     {
-      fprintf (stderr, "usage: soak PROGRAM SECONDS SEED\n");
+      fprintf (stderr, "usage: soak PROGRAM SECONDS SEED [VMS], VMS from %d to %d\n", SOAK_DOMAINS,
+               SOAK_VMS_MAX);
       return 2;
     }
   setvbuf (stdout, NULL, _IOLBF, 0);
+  soak->keep_store = g_getenv ("SOAK_KEEP_STORE") != NULL;
   soak->program = argv[1];
   soak->random = g_rand_new_with_seed ((guint32) atoi (argv[3]));
   soak->folder = g_dir_make_tmp ("cf-soak-XXXXXX", NULL);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -3,6 +3,7 @@
 
 #include "balance/segment.h"
 #include "feed/record.h"
+#include "store.h"
 
 #include <gio/gio.h>
 #include <libsoup/soup.h>
@@ -11,7 +12,8 @@
  * platform's store behind a proxy for each VM, and simulated upstreams and callers.  Faults are
  * injected from outside the processes; violations are detected at callers and upstreams. */
 
-#define SOAK_VMS 5
+#define SOAK_VMS 5 /* unless the command says otherwise */
+#define SOAK_VMS_MAX 200
 #define SOAK_UPSTREAMS 10
 #define SOAK_DOMAINS 2
 
@@ -35,6 +37,10 @@
                      const char *content);
 /* Compacts the log of changes; waiting long polls get status 410. */
 void soak_store_compact (struct SoakStore *store);
+/* Loses the changes of the last AGE_MS; waiting long polls get status 503. */
+void soak_store_restore (struct SoakStore *store, int age_ms);
+/* Returns the names of the objects of KIND, an array of char * that it owns. */
+GPtrArray *soak_store_names (struct SoakStore *store, enum CfFeedKind kind);
 
 /* The path from one VM to the store. */
 
@@ -90,6 +96,7 @@
   int64_t started_at;
   bool unresponsive;
   bool draining;
+  uint32_t sequence;  /* counts its announcements */
   int64_t drained_at; /* when the store accepted that it drains */
   GSocket *socket;
   GSource *source;
@@ -115,13 +122,16 @@
   char *folder;
   uint16_t port; /* of the fabric; the four after it are used by the SOAK_*_PORT macros */
   struct SoakStore *store;
-  struct SoakVm vms[SOAK_VMS];
+  struct SoakVm vms[SOAK_VMS_MAX];
+  int vm_count;
   struct SoakUpstream upstreams[SOAK_UPSTREAMS];
   SoupSession *session;
   GSocket *callers;
   GSource *callers_source;
   GHashTable *flows; /* port to struct SoakFlow */
   uint16_t next_port;
+  int series_left; /* faults of the current series, which are all of series_kind */
+  int series_kind;
   uint64_t version;
   bool second_route; /* the current manifest has the route to "t" at port 82 */
   int64_t route_changed_at;
@@ -129,6 +139,7 @@
   int64_t evacuated_at;
   int64_t evacuation_ended_at; /* when the last evacuation ended */
   int64_t any_fault_at;        /* end of the last fault of any kind */
+  bool keep_store;             /* the store is never restored from an older copy */
   bool ending;                 /* no further faults are injected */
   uint32_t requests;
   uint32_t served;
--- a/tests/soak/store.c
+++ b/tests/soak/store.c
@@ -2,16 +2,7 @@
 
 #include <string.h>
 
-/* A fake of the platform's store: objects by kind, with lists, long polls and writes. */
-
-struct Object
-{
-  enum CfFeedKind kind;
-  char *name;
-  uint64_t revision;
-  bool deleted;
-  char *content;
-};
+/* The fake of the platform's store, over HTTP: lists, long polls and writes. */
 
 struct LongPoll
 {
@@ -26,43 +17,31 @@
 struct SoakStore
 {
   SoupServer *server;
-  GPtrArray *log; /* of struct Object: all changes in order */
-  uint64_t revision;
-  uint64_t compacted_revision; /* changes up to it are no longer available */
-  GPtrArray *polls;            /* of struct LongPoll */
+  struct TestStore *data;
+  GPtrArray *polls; /* of struct LongPoll */
 };
 
 static const char *const kinds[CF_FEED_KINDS]
     = { "config", "servers", "evacuations", "cyclamenferry-vms" };
 
 static void
-append_object (GString *text, const struct Object *object)
+append_object (GString *text, const struct CfRecord *record)
 {
   g_string_append_printf (text,
                           "{\"meta\":{\"name\":\"%s\",\"revision\":%" G_GUINT64_FORMAT
                           ",\"deleting\":false},\"spec\":%s,\"status\":null}",
-                          object->name, object->revision,
-                          object->content ? object->content : "null");
-}
-
-static bool
-is_latest (const struct SoakStore *store, guint index)
-{
-  const struct Object *object = store->log->pdata[index];
-
-  for (guint i = index + 1; i < store->log->len; i++)
-    {
-      const struct Object *later = store->log->pdata[i];
-
-      if (later->kind == object->kind && strcmp (later->name, object->name) == 0)
-        return false;
-    }
-  return !object->deleted;
+                          record->name, record->revision, record->text ? record->text : "null");
 }
 
+/* Sends TEXT, which it frees, with the store's era. */
 static void
-respond (SoupServerMessage *message, guint status, GString *text)
+respond (const struct SoakStore *store, SoupServerMessage *message, guint status, GString *text)
 {
+  char era[24];
+
+  g_snprintf (era, sizeof era, "%" G_GUINT64_FORMAT, test_store_era (store->data));
+  soup_message_headers_replace (soup_server_message_get_response_headers (message), "Store-Era",
+                                era);
   soup_server_message_set_status (message, status, NULL);
   soup_server_message_set_response (message, "application/json", SOUP_MEMORY_COPY, text->str,
                                     text->len);
@@ -73,21 +52,22 @@
 respond_list (struct SoakStore *store, SoupServerMessage *message, enum CfFeedKind kind)
 {
   GString *text = g_string_new ("{\"items\":[");
-  bool first = true;
-
-  for (guint i = 0; i < store->log->len; i++)
-    if (((struct Object *) store->log->pdata[i])->kind == kind && is_latest (store, i))
-      {
-        g_string_append (text, first ? "" : ",");
-        append_object (text, store->log->pdata[i]);
-        first = false;
-      }
+  struct CfFeedResponse response;
+
+  test_store_list (store->data, kind, &response);
+  for (guint i = 0; i < response.records->len; i++)
+    {
+      g_string_append (text, i ? "," : "");
+      append_object (text, response.records->pdata[i]);
+    }
   g_string_append_printf (text, "],\"truncated\":false,\"store-revision\":%" G_GUINT64_FORMAT "}",
-                          store->revision);
-  respond (message, SOUP_STATUS_OK, text);
+                          response.revision);
+  cf_feed_response_clear (&response);
+  respond (store, message, SOUP_STATUS_OK, text);
 }
 
-/* Returns false if there is no change after REVISION. */
+/* Returns false if there is no change after REVISION yet and the caller does not want ALWAYS to
+ * respond. */
 static bool
 respond_changes (struct SoakStore *store,
                  SoupServerMessage *message,
@@ -96,28 +76,31 @@
                  bool always)
 {
   GString *text = g_string_new ("{\"events\":[");
-  bool any = false;
+  struct CfFeedResponse response;
+  bool any;
 
-  for (guint i = 0; i < store->log->len; i++)
+  if (!test_store_watch (store->data, kind, revision, &response))
     {
-      const struct Object *object = store->log->pdata[i];
-
-      if (object->kind != kind || object->revision <= revision)
-        continue;
-      g_string_append_printf (text, "%s{\"deleted\":%s,\"object\":", any ? "," : "",
-                              object->deleted ? "true" : "false");
-      append_object (text, object);
-      g_string_append (text, "}");
-      any = true;
+      respond (store, message, 410, g_string_assign (text, "{}"));
+      return true;
     }
-  if (!any && !always)
+  for (guint i = 0; i < response.records->len; i++)
     {
-      g_string_free (text, TRUE);
-      return false;
+      const struct CfRecord *record = response.records->pdata[i];
+
+      g_string_append_printf (text, "%s{\"deleted\":%s,\"object\":", i ? "," : "",
+                              record->deleted ? "true" : "false");
+      append_object (text, record);
+      g_string_append (text, "}");
     }
-  g_string_append_printf (text, "],\"store-revision\":%" G_GUINT64_FORMAT "}", store->revision);
-  respond (message, SOUP_STATUS_OK, text);
-  return true;
+  g_string_append_printf (text, "],\"store-revision\":%" G_GUINT64_FORMAT "}", response.revision);
+  any = response.records->len > 0;
+  cf_feed_response_clear (&response);
+  if (any || always)
+    respond (store, message, SOUP_STATUS_OK, text);
+  else
+    g_string_free (text, TRUE);
+  return any || always;
 }
 
 static void
@@ -145,7 +128,7 @@
   if (status == SOUP_STATUS_OK)
     respond_changes (poll->store, message, poll->kind, poll->revision, true);
   else
-    respond (message, status, g_string_new ("{}"));
+    respond (poll->store, message, status, g_string_new ("{}"));
   remove_poll (poll);
   soup_server_message_unpause (message);
   g_object_unref (message);
@@ -199,37 +182,40 @@
 
   if (!watch)
     respond_list (store, message, kind);
-  else if (revision < store->compacted_revision)
-    respond (message, 410, g_string_new ("{}"));
   else if (!respond_changes (store, message, kind, revision, false))
     begin_poll (store, message, kind, revision, wait ? (guint) atoi (wait) : 0);
 }
 
-static void
-handle_write (struct SoakStore *store,
-              SoupServerMessage *message,
-              enum CfFeedKind kind,
-              const char *path)
+/* Creates (POST) or replaces (PUT) the object in the body of MESSAGE. */
+static guint
+write_object (struct SoakStore *store, SoupServerMessage *message, enum CfFeedKind kind)
 {
   SoupMessageBody *body = soup_server_message_get_request_body (message);
   GBytes *bytes = soup_message_body_flatten (body);
   char *text = g_strndup (g_bytes_get_data (bytes, NULL), g_bytes_get_size (bytes));
+  bool create = strcmp (soup_server_message_get_method (message), "POST") == 0;
   char *spec = strstr (text, "\"spec\":");
   char *name = strstr (text, "\"name\":\"");
+  guint status = SOUP_STATUS_BAD_REQUEST;
 
   if (spec && name)
     {
       char *end = strrchr (spec, '}');
       char *quote = strchr (name + 8, '"');
+      bool exists;
 
       *end = 0;
       *quote = 0;
-      soak_store_put (store, kind, name + 8, spec + 7);
+      exists = test_store_get (store->data, kind, name + 8);
+      status = create && exists ? SOUP_STATUS_CONFLICT : SOUP_STATUS_OK;
+      if (!create && !exists)
+        status = SOUP_STATUS_NOT_FOUND;
+      if (status == SOUP_STATUS_OK)
+        soak_store_put (store, kind, name + 8, spec + 7);
     }
-  respond (message, spec && name ? SOUP_STATUS_OK : SOUP_STATUS_BAD_REQUEST, g_string_new ("{}"));
-  (void) path;
   g_free (text);
   g_bytes_unref (bytes);
+  return status;
 }
 
 static void
@@ -253,20 +239,11 @@
       if (strcmp (soup_server_message_get_method (message), "GET") == 0)
         handle_get (store, message, (enum CfFeedKind) kind, query);
       else
-        handle_write (store, message, (enum CfFeedKind) kind, path);
+        respond (store, message, write_object (store, message, (enum CfFeedKind) kind),
+                 g_string_new ("{}"));
       return;
     }
-  respond (message, SOUP_STATUS_NOT_FOUND, g_string_new ("{}"));
-}
-
-static void
-free_object (gpointer data)
-{
-  struct Object *object = data;
-
-  g_free (object->name);
-  g_free (object->content);
-  g_free (object);
+  respond (store, message, SOUP_STATUS_NOT_FOUND, g_string_new ("{}"));
 }
 
 struct SoakStore *
@@ -277,9 +254,8 @@
   GSocketAddress *address = g_inet_socket_address_new (ip, SOAK_STORE_PORT (soak));
   GError *error = NULL;
 
-  store->log = g_ptr_array_new_with_free_func (free_object);
+  store->data = test_store_new ();
   store->polls = g_ptr_array_new ();
-  store->revision = 10;
   store->server = soup_server_new (NULL, NULL);
   soup_server_add_handler (store->server, NULL, handle, store, NULL);
   if (!soup_server_listen (store->server, address, 0, &error))
@@ -297,24 +273,25 @@
   soup_server_disconnect (store->server);
   g_object_unref (store->server);
   g_ptr_array_unref (store->polls);
-  g_ptr_array_unref (store->log);
+  test_store_free (store->data);
   g_free (store);
 }
 
+static void
+answer_polls (struct SoakStore *store, guint status)
+{
+  while (store->polls->len > 0)
+    answer_poll (store->polls->pdata[0], status);
+}
+
 void
 soak_store_put (struct SoakStore *store,
                 enum CfFeedKind kind,
                 const char *name,
                 const char *content)
 {
-  struct Object *object = g_new0 (struct Object, 1);
-
-  object->kind = kind;
-  object->name = g_strdup (name);
-  object->revision = ++store->revision;
-  object->deleted = !content;
-  object->content = g_strdup (content);
-  g_ptr_array_add (store->log, object);
+  if (!test_store_put (store->data, kind, name, content, soak_now ()))
+    return;
   for (guint i = store->polls->len; i > 0; i--)
     {
       struct LongPoll *poll = store->polls->pdata[i - 1];
@@ -327,7 +304,26 @@
 void
 soak_store_compact (struct SoakStore *store)
 {
-  store->compacted_revision = store->revision;
-  for (guint i = store->polls->len; i > 0; i--)
-    answer_poll (store->polls->pdata[i - 1], 410);
+  test_store_compact (store->data);
+  answer_polls (store, 410);
+}
+
+void
+soak_store_restore (struct SoakStore *store, int age_ms)
+{
+  test_store_restore (store->data, soak_now () - age_ms);
+  answer_polls (store, 503);
+}
+
+GPtrArray *
+soak_store_names (struct SoakStore *store, enum CfFeedKind kind)
+{
+  GPtrArray *names = g_ptr_array_new_with_free_func (g_free);
+  struct CfFeedResponse response;
+
+  test_store_list (store->data, kind, &response);
+  for (guint i = 0; i < response.records->len; i++)
+    g_ptr_array_add (names, g_strdup (((struct CfRecord *) response.records->pdata[i])->name));
+  cf_feed_response_clear (&response);
+  return names;
 }
--- a/tests/soak/traffic.c
+++ b/tests/soak/traffic.c
@@ -1,6 +1,7 @@
 #include "platform/datagram.h"
 #include "soak.h"
 
+#include <limits.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -23,6 +24,8 @@
 /* Part of the flows to port 80 is long: further requests with pauses between them. */
 #define LONG_FLOW_ONE_IN 3
 #define LONG_FLOW_FURTHER 5
+/* One in so many of these is used until its upstream closes it or ends. */
+#define ENDLESS_FLOW_ONE_IN 8
 #define PAUSE_MIN_MS 100
 #define PAUSE_MAX_MS 900
 
@@ -110,12 +113,12 @@
 pick_vm (struct Soak *soak, uint16_t port)
 {
   const char *domain = soak->vms[port % SOAK_DOMAINS].domain;
-  struct SoakVm *all[SOAK_VMS];
-  struct SoakVm *in[SOAK_VMS];
+  struct SoakVm *all[SOAK_VMS_MAX];
+  struct SoakVm *in[SOAK_VMS_MAX];
   int all_count = 0;
   int in_count = 0;
 
-  for (int i = 0; i < SOAK_VMS; i++)
+  for (int i = 0; i < soak->vm_count; i++)
     {
       if (soak->vms[i].domain != domain)
         continue;
@@ -241,7 +244,8 @@
   flow->port = soak->next_port++;
   flow->service_port = (uint16_t) (80 + service);
   if (service == 0 && flow->port % LONG_FLOW_ONE_IN == 0)
-    flow->further = LONG_FLOW_FURTHER;
+    flow->further
+        = flow->port % (LONG_FLOW_ONE_IN * ENDLESS_FLOW_ONE_IN) == 0 ? INT_MAX : LONG_FLOW_FURTHER;
   count_request (flow);
   g_hash_table_insert (soak->flows, GUINT_TO_POINTER (flow->port), flow);
   flow->timer = g_timeout_add (RETRANSMIT_MS, on_timer, flow);
@@ -503,9 +507,9 @@
 {
   char *content = g_strdup_printf (
       "{\"service\":\"%s\",\"address\":\"%s:%u\",\"zone\":\"%s\",\"version\":\"v1\",\"slots\":2,"
-      "\"state\":\"%s\",\"warmup-remaining-ms\":0,\"sequence\":1,\"born\":%" G_GINT64_FORMAT "}",
+      "\"state\":\"%s\",\"warmup-remaining-ms\":0,\"sequence\":%u,\"born\":%" G_GINT64_FORMAT "}",
       upstream->service, upstream->ip, SOAK_UPSTREAM_PORT (upstream->soak), upstream->domain,
-      upstream->draining ? "draining" : "ready", upstream->started_at);
+      upstream->draining ? "draining" : "ready", ++upstream->sequence, upstream->started_at);
 
   soak_store_put (upstream->soak->store, CF_FEED_UPSTREAMS, upstream->id, content);
   g_free (content);
@@ -522,6 +526,7 @@
     }
   upstream->started_at = soak_now ();
   upstream->draining = false;
+  upstream->sequence = 0;
   upstream->unresponsive = false;
   g_hash_table_remove_all (upstream->flows);
   soak_upstream_announce (upstream);
--- a/tests/store.c
+++ b/tests/store.c
@@ -142,6 +142,12 @@
   return true;
 }
 
+uint64_t
+test_store_era (const struct TestStore *store)
+{
+  return store->era;
+}
+
 void
 test_store_compact (struct TestStore *store)
 {
--- a/tests/store.h
+++ b/tests/store.h
@@ -35,6 +35,8 @@
                        uint64_t revision,
                        struct CfFeedResponse *response);
 
+uint64_t test_store_era (const struct TestStore *store);
+
 /* Forgets the history up to now. */
 void test_store_compact (struct TestStore *store);
 
