A content that the store lost is carried for a time only, also if it was a deletion

Callers lost an upstream for good: its entry had expired and the VMs knew it as gone when the store came back with a copy from before that. The upstream, alive again, found its entry in place and did not write it again.

Cause: a VM that had a later content than the copy took it for confirmed and forgot what the store had. Only a later write to the record could correct it, and none follows if the writer is content with what the store has.

Change: such a record stays carried and remembers what the store has instead (superseded). When the time for writing again has passed, the store's content is taken. VMs send their followers both. Manifests, which have versions, never go back to the older content, nor to any that the operator writes in between.

--- a/src/feed/record.c
+++ b/src/feed/record.c
@@ -38,6 +38,8 @@
 {
   struct CfRecord *record = data;
 
+  if (record->superseded)
+    cf_record_free (record->superseded);
   g_free (record->name);
   g_free (record->text);
   g_free (record);
--- a/src/feed/record.h
+++ b/src/feed/record.h
@@ -42,7 +42,8 @@
   uint64_t learned_revision;  /* in a replica: revision of the response with the last change */
   struct CfRecordOrder order; /* of the content, of the last one if deleted */
   bool deleted;
-  char *text; /* content as it was written to the store; NULL if deleted */
+  char *text;                  /* content as it was written to the store; NULL if deleted */
+  struct CfRecord *superseded; /* in a replica: what the store has instead, if that is older */
 };
 
 struct CfRecord *
--- a/src/feed/relay.c
+++ b/src/feed/relay.c
@@ -56,6 +56,17 @@
   return false;
 }
 
+static void
+add_item (struct feed_part *part, const struct CfRecord *record, uint64_t revision)
+{
+  part->records.records_val[part->records.records_len++] = (feed_record){
+    .name = record->name,
+    .revision = revision,
+    .deleted = record->deleted,
+    .text = record->text ? record->text : (char *) "",
+  };
+}
+
 static void
 fill_part (struct feed_part *part,
            const struct CfReplica *replica,
@@ -69,21 +80,16 @@
   part->whole = since < replica->deletions_since[kind];
   part->revision = replica->revision[kind];
   changed = cf_replica_since (replica, kind, part->whole ? 0 : since);
-  part->records.records_val = g_new0 (feed_record, MAX (changed->len, 1));
+  part->records.records_val = g_new0 (feed_record, MAX (2 * changed->len, 1));
   for (guint i = 0; i < changed->len; i++)
     {
-      struct CfRecord *record = changed->pdata[i];
-
+      const struct CfRecord *record = changed->pdata[i];
       bool carried = cf_replica_is_carried (replica, record);
 
-      if (record->deleted && (part->whole || carried))
-        continue;
-      part->records.records_val[part->records.records_len++] = (feed_record){
-        .name = record->name,
-        .revision = carried ? 0 : record->revision,
-        .deleted = record->deleted,
-        .text = record->text ? record->text : (char *) "",
-      };
+      if (!record->deleted || (!part->whole && !carried))
+        add_item (part, record, carried ? 0 : record->revision);
+      if (record->superseded)
+        add_item (part, record->superseded, record->superseded->revision);
     }
   g_ptr_array_unref (changed);
 }
--- a/src/feed/replica.c
+++ b/src/feed/replica.c
@@ -36,6 +36,29 @@
   return record->era < replica->era;
 }
 
+static void
+set_deleted (struct CfRecord *record)
+{
+  record->deleted = true;
+  g_clear_pointer (&record->text, g_free);
+}
+
+/* The store has FROM instead of the later content that RECORD has; NULL: it does not. */
+static void
+set_superseded (struct CfRecord *record, const struct CfRecord *from)
+{
+  struct CfRecord *superseded = NULL;
+
+  if (from)
+    {
+      superseded = cf_record_new (record->name, from->revision, false, from->text);
+      superseded->order = from->order;
+    }
+  if (record->superseded)
+    cf_record_free (record->superseded);
+  record->superseded = superseded;
+}
+
 void
 cf_replica_enter_era (struct CfReplica *replica, uint64_t era, CfMillis now)
 {
@@ -54,17 +77,13 @@
       replica->carrying[kind] = true;
       g_hash_table_iter_init (&iter, replica->records[kind]);
       while (g_hash_table_iter_next (&iter, NULL, &value))
-        ((struct CfRecord *) value)->learned_revision = 0;
+        {
+          ((struct CfRecord *) value)->learned_revision = 0;
+          set_superseded (value, NULL);
+        }
     }
 }
 
-static void
-set_deleted (struct CfRecord *record)
-{
-  record->deleted = true;
-  g_clear_pointer (&record->text, g_free);
-}
-
 /* Gives RECORD the content of FROM. */
 static void
 set_content (struct CfRecord *record, const struct CfRecord *from)
@@ -84,7 +103,7 @@
 enum Effect
 {
   EFFECT_NONE,
-  EFFECT_CONFIRMED, /* the store has the content that was carried, or an older one */
+  EFFECT_CONFIRMED, /* the store has the content that is carried, or an older one */
   EFFECT_CHANGED,
 };
 
@@ -101,6 +120,15 @@
   return known->deleted ? order <= 0 : order < 0;
 }
 
+/* RECORD is what the store has, from REVISION of this era on. */
+static void
+set_stored (const struct CfReplica *replica, struct CfRecord *record, uint64_t revision)
+{
+  record->era = replica->era;
+  record->revision = revision;
+  set_superseded (record, NULL);
+}
+
 /* KNOWN is carried; RECORD is what the store has in this era. */
 static enum Effect
 confirm_carried (const struct CfReplica *replica,
@@ -109,9 +137,15 @@
 {
   bool same = known->deleted == record->deleted && g_strcmp0 (known->text, record->text) == 0;
 
-  known->era = replica->era;
-  known->revision = record->revision;
-  if (same || is_superseded (record, known))
+  if (known->superseded && record->revision < known->superseded->revision)
+    return EFFECT_NONE;
+  if (is_superseded (record, known))
+    {
+      set_superseded (known, record);
+      return EFFECT_CONFIRMED;
+    }
+  set_stored (replica, known, record->revision);
+  if (same)
     return EFFECT_CONFIRMED;
   set_content (known, record);
   return EFFECT_CHANGED;
@@ -190,6 +224,15 @@
   g_hash_table_unref (seen);
 }
 
+/* Returns true if the store had RECORD in this era, at a revision up to REVISION. */
+static bool
+was_listed (const struct CfReplica *replica, const struct CfRecord *record, uint64_t revision)
+{
+  if (cf_replica_is_carried (replica, record))
+    return record->superseded && record->superseded->revision <= revision;
+  return !record->deleted && record->revision <= revision;
+}
+
 /* Marks the records up to REVISION that are not in LISTED as deleted. */
 static void
 delete_unlisted (const struct CfReplica *replica,
@@ -209,10 +252,9 @@
     {
       struct CfRecord *record = value;
 
-      if (record->deleted || record->revision > revision || cf_replica_is_carried (replica, record)
-          || g_hash_table_contains (names, record->name))
+      if (!was_listed (replica, record, revision) || g_hash_table_contains (names, record->name))
         continue;
-      record->revision = revision;
+      set_stored (replica, record, revision);
       set_deleted (record);
       g_ptr_array_add (changes, record);
     }
@@ -274,10 +316,29 @@
   return changes;
 }
 
+/* Ends the carrying of RECORD: from now on it is what the store has.  Returns true if that is
+ * another content. */
+static bool
+end_carry (const struct CfReplica *replica, enum CfFeedKind kind, struct CfRecord *record)
+{
+  bool changed = record->superseded || !record->deleted;
+
+  if (record->superseded)
+    {
+      set_content (record, record->superseded);
+      set_stored (replica, record, record->superseded->revision);
+      return changed;
+    }
+  set_stored (replica, record, replica->revision[kind]);
+  set_deleted (record);
+  return changed;
+}
+
 GPtrArray *
 cf_replica_end_carry (struct CfReplica *replica, enum CfFeedKind kind, CfMillis now)
 {
-  CfMillis limit = kind == CF_FEED_UPSTREAMS ? CF_REPLICA_CARRY_UPSTREAMS_MS : CF_REPLICA_CARRY_MS;
+  CfMillis missing_ms
+      = kind == CF_FEED_UPSTREAMS ? CF_REPLICA_CARRY_UPSTREAMS_MS : CF_REPLICA_CARRY_MS;
   GPtrArray *changes = g_ptr_array_new ();
   GHashTableIter iter;
   gpointer value;
@@ -286,7 +347,7 @@
     return changes;
   if (replica->carry_since < 0)
     replica->carry_since = now; /* another VM sent records that it carries */
-  if (now - replica->carry_since < limit)
+  if (now - replica->carry_since < missing_ms)
     return changes;
   replica->carrying[kind] = false;
   g_hash_table_iter_init (&iter, replica->records[kind]);
@@ -294,12 +355,12 @@
     {
       struct CfRecord *record = value;
 
-      if (record->deleted || !cf_replica_is_carried (replica, record))
+      if (!cf_replica_is_carried (replica, record))
         continue;
-      record->era = replica->era;
-      record->revision = replica->revision[kind];
-      set_deleted (record);
-      g_ptr_array_add (changes, record);
+      if (record->superseded && now - replica->carry_since < CF_REPLICA_CARRY_MS)
+        replica->carrying[kind] = true;
+      else if (end_carry (replica, kind, record))
+        g_ptr_array_add (changes, record);
     }
   if (changes->len > 0)
     replica->generation++;
--- a/src/feed/replica.h
+++ b/src/feed/replica.h
@@ -8,13 +8,15 @@
  * earlier revision, whichever source sends it.
  *
  * When the store begins a new era, the records are carried over: they stay as they are until the
- * store has them again, or until their writers have had time to write them again. */
+ * store has them again, or until their writers have had time to write them again.  So do records of
+ * which the store has an earlier content, from its copy, and records deleted since that. */
 
 /* Deleted records that are kept for followers that lag behind; one takes about 100 bytes. */
 #define CF_REPLICA_DELETED_MAX 2048
 
 /* How long records are carried after the beginning of an era.  Upstreams renew their announcements
- * every second or two.  Operators and VMs may have to wait for the store to accept their writes. */
+ * every second or two.  Operators and VMs may have to wait for the store to accept their writes.
+ * The latter time is also that until the store has removed what ended before it was restored. */
 #define CF_REPLICA_CARRY_UPSTREAMS_MS 2500
 #define CF_REPLICA_CARRY_MS 10000
 
@@ -43,9 +45,10 @@
  * have it in this one. */
 bool cf_replica_is_carried (const struct CfReplica *replica, const struct CfRecord *record);
 
-/* Deletes the records of KIND that have been carried for long enough at NOW.  To be called when the
- * store's data of this era are complete.  Manifests are carried until the next one.  Returns the
- * records that changed, as cf_replica_apply does. */
+/* Gives the records of KIND that have been carried for long enough at NOW the content that the
+ * store has, or deletes them if it has none.  To be called when the store's data of this era are
+ * complete. Manifests are carried until the next one.  Returns the records that changed, as
+ * cf_replica_apply does. */
 GPtrArray *cf_replica_end_carry (struct CfReplica *replica, enum CfFeedKind kind, CfMillis now);
 
 /* Applies RECORDS of KIND in the replica's era, all changes up to REVISION; with WHOLE they are all
--- a/tests/test_restored_store.c
+++ b/tests/test_restored_store.c
@@ -19,7 +19,8 @@
 #define END_MS 40000
 #define WRITE_MS 700        /* mean time between changes */
 #define REWRITE_MS 2000     /* writers have written again this long after the store's return */
-#define EXPIRY_MS 3000      /* an ended upstream's entry goes this long after the store's return */
+#define EXPIRY_MS 3000      /* entries of silent upstreams are removed, not sooner after a return */
+#define SILENT_MAX_MS 6000  /* an upstream that does not reach the store */
 #define IN_FORCE_MS 3000    /* from the store's confirmation until all VMs have it */
 #define FOLLOW_MS 300       /* between two requests of a follower */
 #define UNTIL_QUIET_MS 8000 /* time without changes before the end */
@@ -32,6 +33,8 @@
   bool ended;
   CfMillis confirmed_at; /* of draining or ended: when the store had it */
   CfMillis next_beat_at;
+  CfMillis silent_since; /* -1: it reaches the store */
+  CfMillis silent_until;
 };
 
 struct Vm
@@ -93,13 +96,26 @@
   g_free (text);
 }
 
+/* Returns true if UPSTREAM does not reach the store, which removes its entry then. */
+static bool
+step_silence (struct Play *play, struct Upstream *upstream, bool settled)
+{
+  if (upstream->silent_since >= 0 && play->now >= upstream->silent_until)
+    upstream->silent_since = -1;
+  if (upstream->silent_since < 0)
+    return false;
+  if (settled && play->now - upstream->silent_since >= EXPIRY_MS)
+    test_store_put (play->store, CF_FEED_UPSTREAMS, upstream->name, NULL, play->now);
+  return true;
+}
+
 static void
 step_upstream (struct Play *play, struct Upstream *upstream)
 {
   bool settled = play->now >= play->away_until + EXPIRY_MS || play->now < play->away_from;
   bool quiet = play->now > END_MS - UNTIL_QUIET_MS;
 
-  if (play->now < upstream->next_beat_at)
+  if (step_silence (play, upstream, settled) || play->now < upstream->next_beat_at)
     return;
   upstream->next_beat_at = play->now + 500 + random_ms (play, 250);
   if (upstream->ended)
@@ -120,6 +136,11 @@
       upstream->draining = true;
       upstream->confirmed_at = play->now;
     }
+  if (!quiet && !upstream->draining && g_rand_int_range (play->random, 0, 30) == 0)
+    {
+      upstream->silent_since = play->now;
+      upstream->silent_until = play->now + random_ms (play, SILENT_MAX_MS / 2);
+    }
   announce (play, upstream);
 }
 
@@ -420,7 +441,10 @@
   play->away_until = play->away_from + g_rand_int_range (play->random, 200, 4000);
   play->age = g_rand_int_range (play->random, 500, 11000);
   for (int i = 0; i < UPSTREAMS; i++)
-    g_snprintf (play->upstreams[i].name, sizeof play->upstreams[i].name, "i-%d", i + 1);
+    {
+      g_snprintf (play->upstreams[i].name, sizeof play->upstreams[i].name, "i-%d", i + 1);
+      play->upstreams[i].silent_since = -1;
+    }
   for (int i = 0; i < VMS; i++)
     {
       struct Vm *vm = &play->vms[i];
