A whole list of a VM does not confirm the records that the VM carries

Cause: the VM had read the upstream's entry from the store's copy. The store removed the entry, and the VM got that from a VM that had never seen the entry in this era, as a whole list. The list had the record all the same, as one that the sender carries, and so the follower's was not taken for deleted.

Change: only records with a revision of this era count as listed.

--- a/src/feed/replica.c
+++ b/src/feed/replica.c
@@ -246,7 +246,12 @@
   gpointer value;
 
   for (guint i = 0; i < listed->len; i++)
-    g_hash_table_add (names, ((struct CfRecord *) listed->pdata[i])->name);
+    {
+      struct CfRecord *record = listed->pdata[i];
+
+      if (record->revision > 0) /* others are carried by the VM that sent the list */
+        g_hash_table_add (names, record->name);
+    }
   g_hash_table_iter_init (&iter, replica->records[kind]);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
