An evacuation that the store lost is carried for 4 s instead of 10 s

Cause: evacuations were carried as long as records of VMs, whose writers wait for the store's rate limit.

Change: a time for each kind.

--- a/src/feed/replica.c
+++ b/src/feed/replica.c
@@ -342,8 +342,11 @@
 GPtrArray *
 cf_replica_end_carry (struct CfReplica *replica, enum CfFeedKind kind, CfMillis now)
 {
-  CfMillis missing_ms
-      = kind == CF_FEED_UPSTREAMS ? CF_REPLICA_CARRY_UPSTREAMS_MS : CF_REPLICA_CARRY_MS;
+  static const CfMillis carry_ms[CF_FEED_KINDS] = {
+    [CF_FEED_UPSTREAMS] = CF_REPLICA_CARRY_UPSTREAMS_MS,
+    [CF_FEED_EVACUATIONS] = CF_REPLICA_CARRY_EVACUATIONS_MS,
+    [CF_FEED_VMS] = CF_REPLICA_CARRY_VMS_MS,
+  };
   GPtrArray *changes = g_ptr_array_new ();
   GHashTableIter iter;
   gpointer value;
@@ -352,7 +355,7 @@
     return changes;
   if (replica->carry_since < 0)
     replica->carry_since = now; /* another VM sent records that it carries */
-  if (now - replica->carry_since < missing_ms)
+  if (now - replica->carry_since < carry_ms[kind])
     return changes;
   replica->carrying[kind] = false;
   g_hash_table_iter_init (&iter, replica->records[kind]);
@@ -362,7 +365,7 @@
 
       if (!cf_replica_is_carried (replica, record))
         continue;
-      if (record->superseded && now - replica->carry_since < CF_REPLICA_CARRY_MS)
+      if (record->superseded && now - replica->carry_since < CF_REPLICA_CARRY_SUPERSEDING_MS)
         replica->carrying[kind] = true;
       else if (end_carry (replica, kind, record))
         g_ptr_array_add (changes, record);
--- a/src/feed/replica.h
+++ b/src/feed/replica.h
@@ -14,11 +14,16 @@
 /* Deleted records that are kept for followers that lag behind; one takes about 100 bytes. */
 #define CF_REPLICA_DELETED_MAX 2048
 
-/* How long records are carried after the beginning of an era.  Upstreams renew their announcements
- * every second or two.  Operators and VMs may have to wait for the store to accept their writes.
- * The latter time is also that until the store has removed what ended before it was restored. */
+/* How long records that the store lacks are carried after the beginning of an era.  Upstreams renew
+ * their announcements every second or two, and operators write evacuations again; one that had been
+ * withdrawn keeps a healthy failure domain out of service.  VMs may have to wait for the store to
+ * accept their writes. */
 #define CF_REPLICA_CARRY_UPSTREAMS_MS 2500
-#define CF_REPLICA_CARRY_MS 10000
+#define CF_REPLICA_CARRY_EVACUATIONS_MS 4000
+#define CF_REPLICA_CARRY_VMS_MS 10000
+/* How long a content is carried if the store has an earlier one.  By then the store has removed
+ * what had ended before it was restored. */
+#define CF_REPLICA_CARRY_SUPERSEDING_MS 10000
 
 struct CfReplica
 {
--- a/tests/test_restored_store.c
+++ b/tests/test_restored_store.c
@@ -373,12 +373,19 @@
   return record && !record->deleted;
 }
 
+/* Returns true if the store is away, or its writers may not have written again since. */
+static bool
+is_unsettled (const struct Play *play)
+{
+  return play->now >= play->away_from && play->now < play->away_until + REWRITE_MS + IN_FORCE_MS;
+}
+
 /* Returns true if what was confirmed at AT has to be in force.  What the store lost is due once it
  * has been written again; what a VM had before the store was away stays in force all the while. */
 static bool
 is_due (const struct Play *play, CfMillis at)
 {
-  if (play->now >= play->away_from && play->now < play->away_until + REWRITE_MS + IN_FORCE_MS)
+  if (is_unsettled (play))
     return at < play->away_from - IN_FORCE_MS;
   return play->now - at > IN_FORCE_MS;
 }
@@ -398,6 +405,9 @@
   if (play->evacuated && is_due (play, play->evacuated_at))
     ck_assert_msg (holds_evacuation (vm), "%lld ms, vm %d: no evacuation", (long long) play->now,
                    index);
+  if (!play->evacuated && is_due (play, play->evacuated_at) && !is_unsettled (play))
+    ck_assert_msg (!holds_evacuation (vm), "%lld ms, vm %d: evacuated", (long long) play->now,
+                   index);
   for (int i = 0; i < UPSTREAMS; i++)
     {
       const struct Upstream *upstream = &play->upstreams[i];
