A VM remembers the deletion of a record that it never had

Cause: the evacuation was written and withdrawn within 650 ms. A VM between got only the deletion, of a record that it did not have, and dropped it, though it claimed to have all deletions since its first list. A follower that had the record and was at a later position never got the deletion.

Change: such a deletion is kept as a deleted record, and sent to followers.

test_deletion_of_unknown_record_is_relayed fails without the change.

--- a/src/feed/replica.c
+++ b/src/feed/replica.c
@@ -103,7 +103,7 @@
 enum Effect
 {
   EFFECT_NONE,
-  EFFECT_CONFIRMED, /* the store has the content that is carried, or an older one */
+  EFFECT_CONFIRMED, /* the content stays, but followers may not know what the store has */
   EFFECT_CHANGED,
 };
 
@@ -185,15 +185,15 @@
 {
   struct CfRecord *added;
 
-  if (record->deleted)
+  if (record->deleted && record->revision == 0)
     return EFFECT_NONE;
-  added = cf_record_new (record->name, record->revision, false, record->text);
+  added = cf_record_new (record->name, record->revision, record->deleted, record->text);
   added->order = record->order;
   added->era = record->revision > 0 ? replica->era : 0;
   if (cf_replica_is_carried (replica, added))
     replica->carrying[kind] = true;
   g_hash_table_insert (replica->records[kind], added->name, added);
-  return EFFECT_CHANGED;
+  return record->deleted ? EFFECT_CONFIRMED : EFFECT_CHANGED;
 }
 
 /* Applies INCOMING.  Adds the records with another content to CHANGES, and those that the store
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -95,6 +95,25 @@
 }
 END_TEST
 
+/* A record was created and deleted while the VM in between heard of neither. */
+START_TEST (test_deletion_of_unknown_record_is_relayed)
+{
+  struct CfReplica from;
+  struct CfReplica to;
+
+  cf_replica_init (&from);
+  cf_replica_init (&to);
+  apply_record (&from, "i-1", 5, false, true);
+  apply_record (&to, "i-1", 5, false, true);
+  apply_record (&to, "i-2", 7, false, false);
+  apply_record (&from, "i-2", 8, true, false);
+  relay_changes (&from, &to);
+  ck_assert_uint_eq (cf_replica_count (&to, CF_FEED_UPSTREAMS), 1);
+  cf_replica_clear (&from);
+  cf_replica_clear (&to);
+}
+END_TEST
+
 /* Returns true if a message can be decoded whose parts are DATA of LEN bytes, with SIZE as their
  * stated uncompressed size. */
 static bool
@@ -281,6 +300,7 @@
 
   suite_add_loop (suite, test_relay, 1);
   suite_add_loop (suite, test_relay_unknown_deletion, 1);
+  suite_add_loop (suite, test_deletion_of_unknown_record_is_relayed, 1);
   suite_add_loop (suite, test_relay_bounded, 1);
   suite_add_loop (suite, test_relay_inflates_bounded, 1);
   suite_add_loop (suite, test_relay_many, 1);
