A VM in its first era follows builds from before eras

In a fleet of old and new builds the new VMs refused the data of old ones from 2.5 s after their start on, and read the store or each other.

Cause: the first era that an empty replica entered was taken for a restore of the store, after which data of builds that know no eras are not trusted.

Change: only what the replica has is carried. test_first_era_carries_nothing fails without it.

--- a/src/feed/replica.c
+++ b/src/feed/replica.c
@@ -74,7 +74,7 @@
       replica->revision[kind] = 0;
       replica->changed[kind] = 0;
       replica->deletions_since[kind] = 0;
-      replica->carrying[kind] = true;
+      replica->carrying[kind] = g_hash_table_size (replica->records[kind]) > 0;
       g_hash_table_iter_init (&iter, replica->records[kind]);
       while (g_hash_table_iter_next (&iter, NULL, &value))
         {
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -114,6 +114,21 @@
 }
 END_TEST
 
+/* A VM in its first era refused all data of builds from before eras, as if the store had been
+ * restored. */
+START_TEST (test_first_era_carries_nothing)
+{
+  struct CfReplica replica;
+
+  cf_replica_init (&replica);
+  cf_replica_enter_era (&replica, 1, 1000);
+  apply_record (&replica, "i-1", 5, false, true);
+  g_ptr_array_unref (cf_replica_end_carry (&replica, CF_FEED_UPSTREAMS, 9000));
+  ck_assert_int_lt (replica.carry_since, 0);
+  cf_replica_clear (&replica);
+}
+END_TEST
+
 /* Returns true if a message can be decoded whose parts are DATA of LEN bytes, with SIZE as their
  * stated uncompressed size. */
 static bool
@@ -301,6 +316,7 @@
   suite_add_loop (suite, test_relay, 1);
   suite_add_loop (suite, test_relay_unknown_deletion, 1);
   suite_add_loop (suite, test_deletion_of_unknown_record_is_relayed, 1);
+  suite_add_loop (suite, test_first_era_carries_nothing, 1);
   suite_add_loop (suite, test_relay_bounded, 1);
   suite_add_loop (suite, test_relay_inflates_bounded, 1);
   suite_add_loop (suite, test_relay_many, 1);
