Open flows are not reset while packets wait on this VM's own link

The VM's timers ran on time: packets waited on its link, not in its process.

Cause: silent flows to three upstreams of a domain are evidence of its loss if the VM's link works, and any answer since then counted as a sign of that. An answer to what was sent before the queue built up says nothing of the kind.

Change: an answer counts by the time at which what it answers was sent.

test_queue_of_own_link fails without the change.

--- a/src/balance/delivery.c
+++ b/src/balance/delivery.c
@@ -19,6 +19,7 @@
       .answered = segment->ack,
       .sent_at = now,
     };
+  update.sent_at = delivery->sent_at;
   update.answered = is_after (segment->ack, delivery->answered);
   if (update.answered)
     delivery->answered = segment->ack;
--- a/src/balance/delivery.h
+++ b/src/balance/delivery.h
@@ -25,9 +25,10 @@
 /* What a packet shows. */
 struct CfDeliveryUpdate
 {
-  bool answered; /* the caller has received further data */
-  bool new_data; /* it carries data that this VM has not seen */
-  bool repeated; /* it carries the last data again, and there was no answer meanwhile */
+  bool answered;    /* the caller has received further data */
+  bool new_data;    /* it carries data that this VM has not seen */
+  bool repeated;    /* it carries the last data again, and there was no answer meanwhile */
+  CfMillis sent_at; /* when the last data before it came to this VM */
 };
 
 /* Updates DELIVERY by SEGMENT, a packet of its flow after the first. */
--- a/src/balance/later_packet.c
+++ b/src/balance/later_packet.c
@@ -20,6 +20,16 @@
   cf_balance_notify_outage (balance, domain, false);
 }
 
+/* Returns when the first packet of CONNECTION was sent to TARGET, -1 if this VM did not send it. */
+static CfMillis
+sent_first_at (const struct CfConnection *connection, const struct CfTarget *target)
+{
+  for (uint32_t i = 0; i < connection->tries; i++)
+    if (connection->tried[i] == target)
+      return connection->tried_at[i];
+  return -1;
+}
+
 /* The flow CONNECTION has opened at TARGET: its second packet carries the cookie of TARGET. */
 static void
 opened (struct CfBalance *balance,
@@ -30,7 +40,7 @@
   bool suspected = !cf_reach_good (&target->reach);
 
   cf_isolation_record_open (&balance->isolation);
-  cf_unreachable_record_answer (balance->unreachable, target, now);
+  cf_unreachable_record_answer (balance->unreachable, target, sent_first_at (connection, target));
   for (uint32_t i = 0; i < connection->tries; i++)
     if (connection->tried[i] == target && i + 1 == connection->tries)
       cf_open_timeout_update (cf_balance_open_timeout (balance, target),
@@ -158,7 +168,7 @@
   struct CfDeliveryUpdate update = cf_delivery_update (&connection->delivery, segment, now);
 
   if (update.answered)
-    cf_unreachable_record_answer (balance->unreachable, target, now);
+    cf_unreachable_record_answer (balance->unreachable, target, update.sent_at);
   if (update.repeated)
     cf_unreachable_record_repeat (balance->unreachable, target, &connection->delivery,
                                   segment->caller.ip, now);
--- a/src/balance/unreachable.c
+++ b/src/balance/unreachable.c
@@ -10,8 +10,8 @@
 
 struct CfUnreachable
 {
-  GHashTable *domains;  /* GQuark to struct Domain, owned */
-  CfMillis answered_at; /* when any upstream last answered, -1: never */
+  GHashTable *domains;   /* GQuark to struct Domain, owned */
+  CfMillis delivered_at; /* when the latest data that was answered had been sent, -1: never */
 };
 
 const char *
@@ -32,7 +32,7 @@
   struct CfUnreachable *unreachable = g_new0 (struct CfUnreachable, 1);
 
   unreachable->domains = g_hash_table_new_full (NULL, NULL, NULL, g_free);
-  unreachable->answered_at = -1;
+  unreachable->delivered_at = -1;
   return unreachable;
 }
 
@@ -65,9 +65,9 @@
 void
 cf_unreachable_record_answer (struct CfUnreachable *unreachable,
                               struct CfTarget *target,
-                              CfMillis now)
+                              CfMillis sent_at)
 {
-  unreachable->answered_at = now;
+  unreachable->delivered_at = MAX (unreachable->delivered_at, sent_at);
   target->silent_at = 0;
   find_domain (unreachable, target->domain)->silent = 0;
 }
@@ -117,14 +117,15 @@
                       CfMillis now)
 {
   const struct Domain *domain = find_domain (unreachable, target->domain);
-  /* An answer since then shows that this VM's own link works. */
+  /* An answer to data that was sent after this shows that it does not wait on this VM's own link.
+   */
   CfMillis since = update->repeated ? delivery->sent_at : target->silent_at;
 
   /* A request that was not sent before is reset on evidence of its own upstream only: some
    * upstreams of the domain may be there. */
   if (!update->repeated && !(update->new_data && is_fresh (target->silent_at, now)))
     return CF_UNREACHABLE_NOT;
-  if (unreachable->answered_at < since || other_domain_silent (unreachable, target->domain, now))
+  if (unreachable->delivered_at < since || other_domain_silent (unreachable, target->domain, now))
     return CF_UNREACHABLE_NOT;
   if (update->repeated && target->state == CF_TARGET_GONE)
     return CF_UNREACHABLE_GONE;
--- a/src/balance/unreachable.h
+++ b/src/balance/unreachable.h
@@ -11,9 +11,11 @@
  * without an acknowledgement is called silent.  A wrong reset ends a healthy flow.  So neither one
  * silent flow is enough, nor several of one caller, which may have been paused and not have read
  * what was answered, nor lost first packets, whose time-outs are short and expire when this VM is
- * slow.  Silent flows in two failure domains at once may be caused by this VM's own link.  It is
- * designed for failure domains that are cut off or lost, and upstreams that the store has removed,
- * under callers that keep their flows open.  It does not act on slow answers.  No I/O. */
+ * slow.  Silent flows in two failure domains at once may be caused by this VM's own link, and so
+ * may those whose packets were sent after all that has been answered: a queue there delays every
+ * flow. It is designed for failure domains that are cut off or lost, and upstreams that the store
+ * has removed, under callers that keep their flows open.  It does not act on slow answers.  No I/O.
+ */
 
 /* Number of upstreams of one failure domain with a silent flow, of different callers in a row, with
  * no answer from the domain meanwhile. */
@@ -36,10 +38,10 @@
 struct CfUnreachable *cf_unreachable_new (void);
 void cf_unreachable_free (struct CfUnreachable *unreachable);
 
-/* Records that TARGET has answered on any flow. */
+/* Records that TARGET has answered what was sent on any flow at SENT_AT (-1: not known). */
 void cf_unreachable_record_answer (struct CfUnreachable *unreachable,
                                    struct CfTarget *target,
-                                   CfMillis now);
+                                   CfMillis sent_at);
 
 /* Records that the data of DELIVERY, a flow of the caller at CALLER_IP to TARGET, was repeated.
  * Counts once for each data. */
--- a/tests/test_unreachable.c
+++ b/tests/test_unreachable.c
@@ -275,6 +275,28 @@
 }
 END_TEST
 
+/* Packets wait on this VM's own link.  What is answered meanwhile had been sent before. */
+START_TEST (test_queue_of_own_link)
+{
+  struct SimFlow *far[4];
+  struct Scene scene = set_up (far);
+
+  sim_send_request (scene.near);
+  sim_run (scene.sim, scene.sim->now + 5);
+  for (int i = 0; i < 4; i++)
+    sim_send_request (far[i]);
+  sim_run (scene.sim, scene.sim->now + 20);
+  sim_acknowledge (scene.near, ANSWER_BYTES);
+  sim_run (scene.sim, scene.sim->now + REPEAT_MS);
+  for (int i = 0; i < 4; i++)
+    {
+      sim_repeat_request (far[i]);
+      ck_assert (!far[i]->reset);
+    }
+  sim_free (scene.sim);
+}
+END_TEST
+
 /* A request that must not run twice is not repeated by its caller after a reset. */
 START_TEST (test_not_idempotent)
 {
@@ -521,6 +543,7 @@
   suite_add_loop (suite, test_slow_answers, 1);
   suite_add_loop (suite, test_pause, 1);
   suite_add_loop (suite, test_own_link, 1);
+  suite_add_loop (suite, test_queue_of_own_link, 1);
   suite_add_loop (suite, test_not_idempotent, 1);
   suite_add_loop (suite, test_gone, 1);
   suite_add_loop (suite, test_moved_flows, 1);
