--- a/tests/soak/store.c
+++ b/tests/soak/store.c
@@ -280,8 +280,8 @@
 static void
 answer_polls (struct SoakStore *store, guint status)
 {
-  while (store->polls->len > 0)
-    answer_poll (store->polls->pdata[0], status);
+  for (guint i = store->polls->len; i > 0; i--)
+    answer_poll (store->polls->pdata[i - 1], status);
 }
 
 void
