--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -95,7 +95,7 @@
 }
 END_TEST
 
-/* A record was created and deleted while the VM in between heard of neither. */
+/* A record is created and deleted between two updates of the VM in between. */
 START_TEST (test_deletion_of_unknown_record_is_relayed)
 {
   struct CfReplica from;
@@ -114,8 +114,7 @@
 }
 END_TEST
 
-/* A VM in its first era refused all data of builds from before eras, as if the store had been
- * restored. */
+/* Until the store has been restored, builds from before eras are followed. */
 START_TEST (test_first_era_carries_nothing)
 {
   struct CfReplica replica;
