--- a/tests/soak/traffic.c
+++ b/tests/soak/traffic.c
@@ -126,6 +126,7 @@
       if (soak->vms[i].in_rotation)
         in[in_count++] = &soak->vms[i];
     }
+  g_assert (all_count > 0);
   return in_count * 2 >= all_count && in_count > 0 ? in[port / SOAK_DOMAINS % in_count]
                                                    : all[port / SOAK_DOMAINS % all_count];
 }
