Soak: requests that are in progress at the end do not count as not served

In the run's last second all VMs saw first packets late (upstream-suspected, upstream-confirmed in turn), so that more requests than usual were under way when it ended.

A request counts once its time is over, 1.5 s, or it was answered; the closing line says how many were in progress. Given-up, refused and reset requests count as before.

--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -511,6 +511,7 @@
 {
   static struct Soak state;
   struct Soak *soak = &state;
+  uint32_t in_progress;
   double served;
 
   if (argc == 4 || argc == 5)
@@ -532,13 +533,16 @@
   g_timeout_add (3000, next_fault, soak);
   g_timeout_add ((guint) atoi (argv[2]) * 1000 + 3000, stop_faults, soak);
   g_main_loop_run (soak->loop);
+  in_progress = soak_callers_in_progress (soak);
   stop (soak);
-  served = soak->stable_requests ? (double) soak->stable_served / soak->stable_requests : 0;
+  served = soak->stable_requests > in_progress
+               ? (double) soak->stable_served / (soak->stable_requests - in_progress)
+               : 0;
   if (served < STABLE_SERVED_MIN)
     soak_violation (soak, "RECOVER: %.3f of the requests in stable periods were served", served);
-  printf ("seed %s: %u requests, %u served; in stable periods %u requests, %u served; %u "
-          "open flows reset, %u violations; logs in %s\n",
+  printf ("seed %s: %u requests, %u served; in stable periods %u requests, %u served, %u "
+          "in progress; %u open flows reset, %u violations; logs in %s\n",
           argv[3], soak->requests, soak->served, soak->stable_requests, soak->stable_served,
-          soak->resets, soak->violations, soak->folder);
+          in_progress, soak->resets, soak->violations, soak->folder);
   return soak->violations > 0;
 }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -112,6 +112,8 @@
 /* Chooses the ports of SOAK, which no other soak test on this machine uses, and holds them. */
 void soak_callers_bind (struct Soak *soak);
 void soak_callers_start (struct Soak *soak);
+/* Returns the number of requests that began in a stable period, are not answered and have time. */
+uint32_t soak_callers_in_progress (const struct Soak *soak);
 void soak_callers_stop (struct Soak *soak);
 
 struct Soak
--- a/tests/soak/traffic.c
+++ b/tests/soak/traffic.c
@@ -179,6 +179,23 @@
   g_free (flow);
 }
 
+uint32_t
+soak_callers_in_progress (const struct Soak *soak)
+{
+  GHashTableIter iter;
+  gpointer value;
+  uint32_t count = 0;
+
+  g_hash_table_iter_init (&iter, soak->flows);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct SoakFlow *flow = value;
+
+      count += flow->stable && !flow->answered && soak_now () - flow->begun_at < GIVE_UP_MS;
+    }
+  return count;
+}
+
 /* Gives the current request up, or sends again what was not answered. */
 static gboolean
 on_timer (gpointer data)
