--- a/tests/test_restored_store.c
+++ b/tests/test_restored_store.c
@@ -16,7 +16,7 @@
 #define VMS 5
 #define UPSTREAMS 8
 #define STEP_MS 50
-#define END_MS 40000
+#define END_MS 46000
 #define WRITE_MS 700        /* mean time between changes */
 #define REWRITE_MS 2000     /* writers have written again this long after the store's return */
 #define EXPIRY_MS 3000      /* entries of silent upstreams are removed, not sooner after a return */
@@ -56,7 +56,8 @@
   CfMillis away_until;
   CfMillis age; /* of the copy that the store returns with */
   bool restored;
-  uint64_t version; /* of the operators' latest manifest */
+  int restores_left; /* after the next one */
+  uint64_t version;  /* of the operators' latest manifest */
   CfMillis version_at;
   bool evacuated;
   CfMillis evacuated_at;
@@ -176,7 +177,7 @@
 }
 
 static void
-step_writers (struct Play *play)
+step_store (struct Play *play)
 {
   if (!play->restored && play->now >= play->away_until)
     {
@@ -184,6 +185,20 @@
       test_store_restore (play->store, play->away_from - play->age);
       play->operator_at = play->now + random_ms (play, REWRITE_MS / 2);
     }
+  if (!play->restored || play->restores_left == 0
+      || play->now < play->away_until + REWRITE_MS + IN_FORCE_MS)
+    return;
+  play->restores_left--;
+  play->restored = false;
+  play->away_from = play->now + g_rand_int_range (play->random, 0, 3000);
+  play->away_until = play->away_from + g_rand_int_range (play->random, 200, 3000);
+  play->age = g_rand_int_range (play->random, 500, 9000);
+}
+
+static void
+step_writers (struct Play *play)
+{
+  step_store (play);
   if (is_away (play))
     return;
   step_operators (play);
@@ -450,6 +465,7 @@
   play->away_from = g_rand_int_range (play->random, 12000, 18000);
   play->away_until = play->away_from + g_rand_int_range (play->random, 200, 4000);
   play->age = g_rand_int_range (play->random, 500, 11000);
+  play->restores_left = seed % 2;
   for (int i = 0; i < UPSTREAMS; i++)
     {
       g_snprintf (play->upstreams[i].name, sizeof play->upstreams[i].name, "i-%d", i + 1);
