Versions of the GUE form's configuration follow the operator's clock

Operators' changes were accepted by the platform and ignored by all VMs, after the platform had been restored from an older copy.

Cause: apply, domain and upstream counted versions up from what the platform has, so that versions were given out again. VMs ignore what is not above the version that they have.

Change: a version is the time of the change in milliseconds, or the version before and 1 if that is more. Two changes to one version no longer have the same one, so the apply id has the version that was changed in front, which tells a lost race from an unknown outcome. Printed versions and config_version are larger numbers from now on; VMs and commands of older builds take and continue them.

--- a/src/objectstore/change.c
+++ b/src/objectstore/change.c
@@ -35,22 +35,44 @@
 {
   WRITE_APPLIED,     /* the write took effect */
   WRITE_NOT_APPLIED, /* the object is as before: the write can be repeated */
-  WRITE_CONFLICT,    /* another change has the version of this one */
-  WRITE_UNCERTAIN,   /* the object has a later version; this write may precede it */
+  WRITE_CONFLICT,    /* another change was made to the same version */
+  WRITE_UNCERTAIN,   /* further changes were made; this write may precede them */
 };
 
+/* The id of a change in its configuration: the version that it changed, and its apply id. */
+static char *
+change_id (uint64_t previous_version, const char *apply_id)
+{
+  return g_strdup_printf ("%" PRIu64 ".%s", previous_version, apply_id);
+}
+
+/* Returns true if CONFIG is the change that was made to PREVIOUS_VERSION. */
+static bool
+is_next (const struct CfConfig *config, uint64_t previous_version)
+{
+  char *marker = g_strdup_printf ("\napply-id=%" PRIu64 ".", previous_version);
+  /* Builds whose ids lack the version count up from it. */
+  bool next = strstr (config->text, marker) || config->version == previous_version + 1;
+
+  g_free (marker);
+  return next;
+}
+
 static enum WriteOutcome
 write_outcome (const struct CfObject *object,
                const char *old_tag,
-               uint64_t version,
+               uint64_t previous_version,
                const char *apply_id,
                uint64_t *found)
 {
-  char *marker = g_strdup_printf ("\napply-id=%s\n", apply_id);
+  char *id = change_id (previous_version, apply_id);
+  char *marker = g_strdup_printf ("\napply-id=%s\n", id);
   bool applied = object->text && strstr (object->text, marker);
+  enum WriteOutcome outcome = WRITE_UNCERTAIN;
   struct CfConfig *config;
 
   g_free (marker);
+  g_free (id);
   *found = 0;
   if (applied)
     return WRITE_APPLIED;
@@ -58,9 +80,13 @@
     return WRITE_NOT_APPLIED;
   config = object->text ? cf_config_parse (object->text, NULL) : NULL;
   if (config)
-    *found = config->version;
+    {
+      *found = config->version;
+      if (is_next (config, previous_version))
+        outcome = WRITE_CONFLICT;
+    }
   cf_config_unref (config);
-  return *found == version ? WRITE_CONFLICT : WRITE_UNCERTAIN;
+  return outcome;
 }
 
 static bool
@@ -77,12 +103,13 @@
                        found);
 }
 
-/* Writes NEXT over the object with OLD_TAG.  Returns true once it is known to have
- * taken effect. */
+/* Writes NEXT over the object with OLD_TAG, which has PREVIOUS_VERSION.  Returns true once it is
+ * known to have taken effect. */
 static bool
 write_config (const struct CfStore *store,
               const struct CfConfig *next,
               const char *old_tag,
+              uint64_t previous_version,
               const char *apply_id,
               struct CfError *error)
 {
@@ -103,7 +130,7 @@
       written_before = true;
       if (read_with_retries (store, &object, error) == CF_STORE_UNKNOWN)
         break;
-      outcome = write_outcome (&object, old_tag, next->version, apply_id, &found);
+      outcome = write_outcome (&object, old_tag, previous_version, apply_id, &found);
       cf_object_clear (&object);
       if (outcome == WRITE_APPLIED)
         return true;
@@ -116,14 +143,14 @@
 }
 
 static struct CfConfig *
-with_apply_id (struct CfConfig *config, const char *apply_id)
+with_change_id (struct CfConfig *config, const char *id)
 {
   GKeyFile *file = g_key_file_new ();
   char *text;
   struct CfConfig *result;
 
   g_key_file_load_from_data (file, config->text, strlen (config->text), G_KEY_FILE_NONE, NULL);
-  g_key_file_set_string (file, "fleet", "apply-id", apply_id);
+  g_key_file_set_string (file, "fleet", "apply-id", id);
   text = cf_config_canonical (file);
   result = cf_config_parse (text, NULL);
   g_free (text);
@@ -132,6 +159,14 @@
   return result;
 }
 
+/* A platform that is restored from an older copy returns an earlier version than VMs have, which
+ * they ignore like any other up to their own.  The clock does not go back with it. */
+static uint64_t
+next_version (const struct CfStore *store, uint64_t previous_version)
+{
+  return MAX (previous_version + 1, (uint64_t) MAX (store->now (store->context), 0));
+}
+
 bool
 cf_store_change (const struct CfStore *store,
                  CfChange *change,
@@ -144,20 +179,26 @@
   struct CfConfig *previous = NULL;
   struct CfConfig *next = NULL;
   enum CfStoreResult read = read_with_retries (store, &object, error);
+  uint64_t previous_version = 0;
   bool done = false;
+  char *id;
 
   if (read == CF_STORE_OK)
     previous = cf_config_parse (object.text, error);
   else if (read != CF_STORE_MISSING)
     return cf_error_set (error, CF_ERROR_IO, "%s; nothing was changed", error->text);
+  if (previous)
+    previous_version = previous->version;
   if (read == CF_STORE_MISSING || previous)
-    next = change (previous, previous ? previous->version + 1 : 1, data, error);
+    next = change (previous, next_version (store, previous_version), data, error);
   if (next && next == previous)
     done = true;
   else if (next)
     {
-      next = with_apply_id (next, apply_id);
-      done = write_config (store, next, object.tag, apply_id, error);
+      id = change_id (previous_version, apply_id);
+      next = with_change_id (next, id);
+      g_free (id);
+      done = write_config (store, next, object.tag, previous_version, apply_id, error);
     }
   if (done)
     *result = cf_config_ref (next);
--- a/src/objectstore/http.c
+++ b/src/objectstore/http.c
@@ -148,6 +148,13 @@
   g_usleep ((gulong) (100 << attempt) * 1000);
 }
 
+static CfMillis
+http_now (void *context)
+{
+  (void) context;
+  return g_get_real_time () / (G_USEC_PER_SEC / CF_MS_PER_S);
+}
+
 struct CfHttpStore *
 cf_http_store_new (const char *base_url)
 {
@@ -173,6 +180,7 @@
     .read = http_read,
     .write = http_write,
     .pause = http_pause,
+    .now = http_now,
     .context = http,
   };
 }
--- a/src/objectstore/store.h
+++ b/src/objectstore/store.h
@@ -38,12 +38,15 @@
       void *context, const char *name, const char *text, const char *tag, struct CfError *error);
   /* Waits before attempt number ATTEMPT (1, 2, ...) of a call. */
   void (*pause) (void *context, int attempt);
+  /* Returns the wall-clock time. */
+  CfMillis (*now) (void *context);
   void *context;
 };
 
 #define CF_CONFIG_OBJECT "config"
 
-/* Makes the next configuration from PREVIOUS (NULL if there is none), with VERSION.
+/* Makes the next configuration from PREVIOUS (NULL if there is none), with VERSION, which is the
+ * time of the change, or PREVIOUS' version and 1 if that is not below it.
  * Returns NULL with ERROR to give up, or a new reference to PREVIOUS for no change. */
 typedef struct CfConfig *
 CfChange (struct CfConfig *previous, uint64_t version, void *data, struct CfError *error);
--- a/tests/sockets/platform.sh
+++ b/tests/sockets/platform.sh
@@ -16,23 +16,31 @@
 
 # Waits until every VM has the version in force, long enough for a slow machine.
 await_version() { # VERSION VM...
-  version=$1
+  expected=$1
   shift
   for vm in "$@"; do
     for _ in $(seq 300); do
       "$cf" status --admin "http://127.0.0.1:$((ports + vm))" 2>/dev/null \
-        | grep -q "state serving, configuration version $version," && break
+        | grep -q "state serving, configuration version $expected," && break
       sleep 0.1
     done
     "$cf" status --admin "http://127.0.0.1:$((ports + vm))" 2>&1 | head -1 \
-      | grep -q "configuration version $version," || {
-      echo "FAILED: VM $vm does not have version $version"
+      | grep -q "configuration version $expected," || {
+      echo "FAILED: VM $vm does not have version $expected"
       "$cf" status --admin "http://127.0.0.1:$((ports + vm))" 2>&1 | head -9
       failed=1
     }
   done
 }
 
+# Expects COMMAND to put a version in force that is above the last one, which is $version then.
+expect_change() { # COMMAND...
+  last=$version
+  expect 0 "$@"
+  version=$(echo "$output" | sed -n 's/.*version \([0-9]*\) is accepted$/\1/p')
+  [ "${version:-0}" -gt "$last" ] || { echo "FAILED: version $version after $last"; failed=1; }
+}
+
 expect() { # STATUS COMMAND...
   status=$1
   shift
@@ -55,23 +63,26 @@
 start_vm 1 palermo
 start_vm 2 catania
 start_vm 3 trapani
-expect 0 "$cf" apply "$work/conf"
-await_version 1 1 2 3
+version=0
+expect_change "$cf" apply "$work/conf"
+await_version "$version" 1 2 3
 for _ in $(seq 300); do
   echo "show status-ingresso-1" >&3
   sleep 0.1
-  grep -q '"config_version":1' "$work/objects" && break
+  grep -q "\"config_version\":$version," "$work/objects" && break
 done
-grep -q '"config_version":1' "$work/objects" || { echo "FAILED: no status object"; failed=1; }
+grep -q "\"config_version\":$version," "$work/objects" || { echo "FAILED: no status object"; failed=1; }
+# The same folder again changes nothing.
 expect 0 "$cf" apply "$work/conf"
-expect 0 "$cf" domain out catania
-await_version 2 1 2 3
-expect 0 "$cf" upstream drain prenota-1
+echo "$output" | grep -q " version $version is accepted$" || { echo "FAILED: another version"; failed=1; }
+expect_change "$cf" domain out catania
+await_version "$version" 1 2 3
+expect_change "$cf" upstream drain prenota-1
 expect 2 "$cf" domain out nowhere
 # The response is lost after the write took effect: the command reads the outcome back.
 echo "lose 1" >&3
-expect 0 "$cf" domain in catania
-await_version 4 1 2 3
+expect_change "$cf" domain in catania
+await_version "$version" 1 2 3
 # The platform stops responding: a restarted VM gets the configuration from its peers, and no VM
 # goes back to an older version.
 echo "silent" >&3
@@ -79,10 +90,10 @@
 kill -9 "$vm2"
 wait "$vm2" 2>/dev/null
 start_vm 2 catania
-await_version 4 1 2 3
+await_version "$version" 1 2 3
 echo "up" >&3
-expect 0 "$cf" domain out palermo
-await_version 5 1 2 3
+expect_change "$cf" domain out palermo
+await_version "$version" 1 2 3
 for pid in "$vm1" "$vm2" "$vm3"; do
   kill -TERM "$pid"
   wait "$pid" || { echo "FAILED: an entry VM exited with $?"; failed=1; }
--- a/tests/test_change.c
+++ b/tests/test_change.c
@@ -22,6 +22,7 @@
   int lose_reads;
   int writes;
   bool refuse;
+  CfMillis clock; /* 0: the clock is behind all versions */
   /* Called once before the next write, and after each lost answer. */
   void (*before_write) (struct FakeStore *fake);
   void (*after_loss) (struct FakeStore *fake);
@@ -89,11 +90,23 @@
   (void) attempt;
 }
 
+static CfMillis
+fake_now (void *context)
+{
+  struct FakeStore *fake = context;
+
+  return fake->clock;
+}
+
 static struct CfStore
 make_store (struct FakeStore *fake)
 {
   return (struct CfStore){
-    .read = fake_read, .write = fake_write, .pause = fake_pause, .context = fake
+    .read = fake_read,
+    .write = fake_write,
+    .pause = fake_pause,
+    .now = fake_now,
+    .context = fake,
   };
 }
 
@@ -151,6 +164,13 @@
   ck_assert (change (fake, "b", "other", &error));
 }
 
+static void
+other_operator_later (struct FakeStore *fake)
+{
+  fake->clock += 10;
+  other_operator (fake);
+}
+
 START_TEST (test_applied)
 {
   struct FakeStore fake = { .text = g_strdup (base), .tag = 1 };
@@ -225,10 +245,48 @@
 }
 END_TEST
 
+/* A clock that goes back does not take versions back. */
+START_TEST (test_versions_grow)
+{
+  struct FakeStore fake = { .text = g_strdup (base), .tag = 1, .clock = 5000 };
+  struct CfError error = { 0 };
+  struct CfConfig *config;
+
+  ck_assert (change (&fake, "a", "one", &error));
+  fake.clock = 3000;
+  enable_again (&fake);
+  config = current (&fake);
+  ck_assert_uint_eq (config->version, 5001);
+  cf_config_unref (config);
+  g_free (fake.text);
+}
+END_TEST
+
+/* With versions by the clock two changes to one configuration have different versions. */
+START_TEST (test_outcomes_by_clock)
+{
+  struct FakeStore fake = { .text = g_strdup (base), .tag = 1, .clock = 5000 };
+  struct CfError error = { 0 };
+
+  fake.before_write = other_operator_later;
+  ck_assert (!change (&fake, "a", "one", &error));
+  ck_assert_int_eq (error.code, CF_ERROR_CONFLICT);
+  ck_assert_ptr_nonnull (strstr (error.text, "version 5010 is in force"));
+  set_object (&fake, base);
+  fake.clock = 6000;
+  fake.lose_answers = 1;
+  fake.after_loss = enable_again;
+  ck_assert (!change (&fake, "a", "two", &error));
+  ck_assert_int_eq (error.code, CF_ERROR_UNKNOWN);
+  ck_assert_ptr_nonnull (strstr (error.text, "version 6001 is in force"));
+  g_free (fake.text);
+}
+END_TEST
+
 /* VMs that have a version ignore another configuration with the same one. */
 START_TEST (test_restored_platform_repeats_no_version)
 {
-  struct FakeStore fake = { .text = g_strdup (base), .tag = 1 };
+  struct FakeStore fake = { .text = g_strdup (base), .tag = 1, .clock = 5000 };
   struct CfError error = { 0 };
   struct CfConfig *lost;
   struct CfConfig *config;
@@ -236,6 +294,7 @@
   ck_assert (change (&fake, "a", "one", &error));
   lost = current (&fake);
   set_object (&fake, base);
+  fake.clock = 5010;
   ck_assert (change (&fake, "b", "two", &error));
   config = current (&fake);
   ck_assert_uint_gt (config->version, lost->version);
@@ -274,6 +333,8 @@
   suite_add_loop (suite, test_lost_answer, 1);
   suite_add_loop (suite, test_lost_write, 1);
   suite_add_loop (suite, test_uncertain, 1);
+  suite_add_loop (suite, test_versions_grow, 1);
+  suite_add_loop (suite, test_outcomes_by_clock, 1);
   suite_add_loop (suite, test_restored_platform_repeats_no_version, 1);
   suite_add_loop (suite, test_platform_unreachable, 1);
   return suite_run (suite);
