A VM reads the platform's configuration in full once the platform has not answered

Change: a VM forgets the tag when a call fails, and reads the object again. That is one read of the whole text by each VM that watches, two in a failure domain.

The stand-in now refuses reads that wait when it goes down, as a process that ends does.

--- a/src/serve/platform_task.c
+++ b/src/serve/platform_task.c
@@ -31,7 +31,8 @@
   GSource *retry;
   guint retry_ms;
   guint list_skip; /* intervals to pass before the next read of the list */
-  char *tag;       /* of the configuration last read */
+  char *tag;       /* of the configuration last read; NULL: it has to be read again */
+  bool has_read;   /* the object has been read once */
   bool watching;   /* the core wants this VM to watch */
   bool reached;    /* the platform answered the last call */
 };
@@ -85,6 +86,7 @@
 
   g_free (task->tag);
   task->tag = g_steal_pointer (&object->tag);
+  task->has_read = true;
   if (config)
     cf_send_config (task->server, config);
   else
@@ -109,6 +111,8 @@
       begin_watch (task);
       return;
     }
+  /* A platform that comes back from an older copy may give tags out again. */
+  g_clear_pointer (&task->tag, g_free);
   retry_later (task);
 }
 
@@ -116,7 +120,7 @@
 begin_watch (struct PlatformTask *task)
 {
   /* Until its first read succeeds every VM reads the object, so that a fleet can start. */
-  if (task->watch || task->retry || (!task->watching && task->tag))
+  if (task->watch || task->retry || (!task->watching && task->has_read))
     return;
   task->watch = begin_call (task,
                             cf_http_read_message (task->server->settings.platform, CF_CONFIG_OBJECT,
--- a/tests/objectstore.c
+++ b/tests/objectstore.c
@@ -12,7 +12,9 @@
  * conditional writes, reads that wait, and the list of VMs.  Commands come from
  * standard input, one a line:
  *
- *   down, up     refuse every call, or answer again
+ *   down, up     refuse every call, those that wait too, or answer again
+ *   save         make a copy of all objects, their tags included
+ *   restore      return to the copy
  *   silent       accept calls and never answer
  *   lose N       let the next N writes take effect without an answer
  *   vms TEXT     the JSON text of the list of VMs
@@ -24,8 +26,10 @@
 struct Platform
 {
   SoupServer *server;
-  GHashTable *values;   /* name to text */
-  GHashTable *versions; /* name to version */
+  GHashTable *values;       /* name to text */
+  GHashTable *versions;     /* name to version */
+  GHashTable *saved_values; /* of the copy, empty until one is made */
+  GHashTable *saved_versions;
   char *vms;
   bool down;
   bool silent;
@@ -77,9 +81,11 @@
   bool expired = g_get_monotonic_time () > pending->deadline;
 
   g_free (tag);
-  if (pending->platform->silent || (!changed && !expired))
+  if (pending->platform->silent || (!pending->platform->down && !changed && !expired))
     return G_SOURCE_CONTINUE;
-  if (changed)
+  if (pending->platform->down)
+    soup_server_message_set_status (pending->message, SOUP_STATUS_SERVICE_UNAVAILABLE, NULL);
+  else if (changed)
     answer_value (pending->platform, pending->message, pending->name);
   else
     soup_server_message_set_status (pending->message, SOUP_STATUS_NOT_MODIFIED, NULL);
@@ -190,6 +196,48 @@
     printf ("no object %s\n", name);
 }
 
+static gpointer
+copy_text (gconstpointer text, gpointer data)
+{
+  (void) data;
+  return g_strdup (text);
+}
+
+static gpointer
+copy_pointer (gconstpointer pointer, gpointer data)
+{
+  (void) data;
+  return (gpointer) pointer;
+}
+
+/* Replaces all of INTO, a table with text as keys, by what FROM has. */
+static void
+copy_table (GHashTable *into, GHashTable *from, GCopyFunc copy_value)
+{
+  GHashTableIter iter;
+  gpointer key;
+  gpointer value;
+
+  g_hash_table_remove_all (into);
+  g_hash_table_iter_init (&iter, from);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    g_hash_table_insert (into, g_strdup (key), copy_value (value, NULL));
+}
+
+static void
+save (struct Platform *platform)
+{
+  copy_table (platform->saved_values, platform->values, copy_text);
+  copy_table (platform->saved_versions, platform->versions, copy_pointer);
+}
+
+static void
+restore (struct Platform *platform)
+{
+  copy_table (platform->values, platform->saved_values, copy_text);
+  copy_table (platform->versions, platform->saved_versions, copy_pointer);
+}
+
 static void
 run_command (struct Platform *platform, const char *line)
 {
@@ -199,6 +247,10 @@
     platform->silent = true;
   else if (strcmp (line, "up") == 0)
     platform->down = platform->silent = false;
+  else if (strcmp (line, "save") == 0)
+    save (platform);
+  else if (strcmp (line, "restore") == 0)
+    restore (platform);
   else if (g_str_has_prefix (line, "lose "))
     platform->lose_answers = atoi (line + 5);
   else if (g_str_has_prefix (line, "vms "))
@@ -249,6 +301,8 @@
     }
   platform.values = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   platform.versions = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  platform.saved_values = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  platform.saved_versions = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   platform.loop = g_main_loop_new (NULL, FALSE);
   platform.server = soup_server_new (NULL, NULL);
   soup_server_add_handler (platform.server, NULL, handle, &platform, NULL);
--- a/tests/sockets/platform.sh
+++ b/tests/sockets/platform.sh
@@ -9,7 +9,7 @@
 
 start_vm() { # NUMBER DOMAIN
   "$cf" serve --name "ingresso-$1" --failure-domain "$2" --address "127.$net.0.3$1" \
-    --admin-port "$((ports + $1))" --linger 0 2>>"$work/log" &
+    --admin-port "$((ports + $1))" --linger 0 >>"$work/log" 2>&1 &
   eval "vm$1=$!"
   pids="$pids $!"
 }
@@ -41,6 +41,15 @@
   [ "${version:-0}" -gt "$last" ] || { echo "FAILED: version $version after $last"; failed=1; }
 }
 
+await_messages() { # TEXT COUNT
+  for _ in $(seq 300); do
+    [ "$(grep -c "$1" "$work/log")" -ge "$2" ] && return
+    sleep 0.1
+  done
+  echo "FAILED: fewer than $2 times: $1"
+  failed=1
+}
+
 expect() { # STATUS COMMAND...
   status=$1
   shift
@@ -83,6 +92,18 @@
 echo "lose 1" >&3
 expect_change "$cf" domain in catania
 await_version "$version" 1 2 3
+# The platform is restored from a copy without the last change, and gives that one's tag out again
+# before any VM has read the object.
+echo "save" >&3
+expect_change "$cf" domain out trapani
+await_version "$version" 1 2 3
+await_messages "configuration version $version from" 3
+echo "down" >&3
+await_messages "the platform does not answer" 3
+echo "restore" >&3
+echo "up" >&3
+expect_change "$cf" upstream drain prenota-2
+await_version "$version" 1 2 3
 # The platform stops responding: a restarted VM gets the configuration from its peers, and no VM
 # goes back to an older version.
 echo "silent" >&3
