--- a/tests/sockets/soak.sh
+++ b/tests/sockets/soak.sh
@@ -8,6 +8,8 @@
 #           (violation CONFIG: it could not know of a removed route); three more runs passed
 #   6008    a failure domain that the restored store had lost from the evacuated ones stayed out for
 #           10 s, together with the other one
+#   9162    with 150 VMs beside a CI run (violation RECOVER): the VMs, the store and the callers got too
+#           little processor time; fails beside 14 busy processes, passes without them
 set -e
 for seed in 11 6008; do
   "$1/soak" "$1/cyclamenferry" 12 "$seed"
