A failure domain that has answered later packets is not taken for lost

At 3.32 s it sends a request to a fifth upstream of that domain, which is answered at 3.34 s. From 3.34 s on the four callers repeat their data, 200 ms after they sent it. Three silent upstreams of one domain are evidence of its loss if the VM's link works, and the answer shows that it does. That it also shows that the domain is there was not considered: it only cleared what had been counted before it.

Change: a flow does not count as silent, and is not reset for the loss of its domain, if the domain has answered what was sent after its data.

test_loss_for_a_moment fails without the change.

--- a/src/balance/unreachable.c
+++ b/src/balance/unreachable.c
@@ -3,9 +3,10 @@
 /* What this VM has seen of a failure domain. */
 struct Domain
 {
-  uint32_t silent;    /* upstreams with a silent flow since one of the domain last answered */
-  uint32_t caller_ip; /* of the last of these flows */
-  CfMillis silent_at; /* when a silent flow was last counted, 0: never */
+  uint32_t silent;       /* upstreams with a silent flow since one of the domain last answered */
+  uint32_t caller_ip;    /* of the last of these flows */
+  CfMillis silent_at;    /* when a silent flow was last counted, 0: never */
+  CfMillis delivered_at; /* when the latest data that was answered had been sent, -1: never */
 };
 
 struct CfUnreachable
@@ -51,6 +52,7 @@
   if (!domain)
     {
       domain = g_new0 (struct Domain, 1);
+      domain->delivered_at = -1;
       g_hash_table_insert (unreachable->domains, GUINT_TO_POINTER (name), domain);
     }
   return domain;
@@ -67,9 +69,12 @@
                               struct CfTarget *target,
                               CfMillis sent_at)
 {
+  struct Domain *domain = find_domain (unreachable, target->domain);
+
   unreachable->delivered_at = MAX (unreachable->delivered_at, sent_at);
+  domain->delivered_at = MAX (domain->delivered_at, sent_at);
   target->silent_at = 0;
-  find_domain (unreachable, target->domain)->silent = 0;
+  domain->silent = 0;
 }
 
 void
@@ -85,6 +90,9 @@
   if (delivery->silent)
     return;
   delivery->silent = true;
+  /* The domain has answered what was sent later: this data was lost on its way. */
+  if (delivery->sent_at < domain->delivered_at)
+    return;
   if (!is_fresh (domain->silent_at, now))
     domain->silent = 0;
   target->silent_at = now;
@@ -129,7 +137,8 @@
     return CF_UNREACHABLE_NOT;
   if (update->repeated && target->state == CF_TARGET_GONE)
     return CF_UNREACHABLE_GONE;
-  return is_fresh (domain->silent_at, now) && domain->silent >= CF_UNREACHABLE_UPSTREAMS
+  return domain->delivered_at <= since && is_fresh (domain->silent_at, now)
+                 && domain->silent >= CF_UNREACHABLE_UPSTREAMS
              ? CF_UNREACHABLE_DOMAIN
              : CF_UNREACHABLE_NOT;
 }
--- a/src/balance/unreachable.h
+++ b/src/balance/unreachable.h
@@ -13,8 +13,10 @@
  * what was answered, nor lost first packets, whose time-outs are short and expire when this VM is
  * slow.  Silent flows in two failure domains at once may be caused by this VM's own link, and so
  * may those whose packets were sent after all that has been answered: a queue there delays every
- * flow. It is designed for failure domains that are cut off or lost, and upstreams that the store
- * has removed, under callers that keep their flows open.  It does not act on slow answers.  No I/O.
+ * flow.  A flow does not count as silent if its failure domain has answered what was sent later:
+ * its packet was lost on its way.  It is designed for failure domains that are cut off or lost, and
+ * upstreams that the store has removed, under callers that keep their flows open.  It does not act
+ * on slow answers.  No I/O.
  */
 
 /* Number of upstreams of one failure domain with a silent flow, of different callers in a row, with
--- a/tests/test_unreachable.c
+++ b/tests/test_unreachable.c
@@ -297,6 +297,28 @@
 }
 END_TEST
 
+/* What was sent to a failure domain later is answered: earlier packets were lost on their way. */
+START_TEST (test_loss_for_a_moment)
+{
+  struct SimFlow *far[4];
+  struct Scene scene = set_up (far);
+
+  for (int i = 0; i < 3; i++)
+    sim_send_request (far[i]);
+  sim_run (scene.sim, scene.sim->now + 20);
+  sim_send_request (far[3]);
+  sim_run (scene.sim, scene.sim->now + 20);
+  sim_acknowledge (far[3], ANSWER_BYTES);
+  sim_run (scene.sim, scene.sim->now + REPEAT_MS);
+  for (int i = 0; i < 3; i++)
+    {
+      sim_repeat_request (far[i]);
+      ck_assert (!far[i]->reset);
+    }
+  sim_free (scene.sim);
+}
+END_TEST
+
 /* A request that must not run twice is not repeated by its caller after a reset. */
 START_TEST (test_not_idempotent)
 {
@@ -544,6 +566,7 @@
   suite_add_loop (suite, test_pause, 1);
   suite_add_loop (suite, test_own_link, 1);
   suite_add_loop (suite, test_queue_of_own_link, 1);
+  suite_add_loop (suite, test_loss_for_a_moment, 1);
   suite_add_loop (suite, test_not_idempotent, 1);
   suite_add_loop (suite, test_gone, 1);
   suite_add_loop (suite, test_moved_flows, 1);
