--- a/include/cf_core.h
+++ b/include/cf_core.h
@@ -56,7 +56,8 @@
   CF_TRANSFER_DECIDE = 1 << 0, /* the receiver decides even if it is not the owner in its view */
 };
 
-/* To an owner by an earlier view, to the owner and back, and to the VM that decides. */
+/* Transfers of one packet: to the owner by an earlier view, to the present owner, back, and to the
+ * VM that decides. */
 #define CF_TRANSFER_HOPS_MAX 4
 
 /* Output callbacks.  CONTEXT is the pointer given to cf_core_new.  Arguments are valid during
--- a/src/balance/directory.h
+++ b/src/balance/directory.h
@@ -85,7 +85,7 @@
   CfMillis cold_until;
   CfMillis cold_next; /* while cold: when this VM may open its next flow */
   int64_t started;
-  uint64_t era;
+  uint64_t era; /* of the store, which the revision counts in */
   uint64_t revision;
   uint32_t open; /* flows of this VM that are open or being opened there */
   bool collides; /* an older upstream has the same cookie: gets no new flows */
--- a/src/balance/later_packet.c
+++ b/src/balance/later_packet.c
@@ -22,7 +22,7 @@
 
 /* Returns when the first packet of CONNECTION was sent to TARGET, -1 if this VM did not send it. */
 static CfMillis
-sent_first_at (const struct CfConnection *connection, const struct CfTarget *target)
+first_sent_at (const struct CfConnection *connection, const struct CfTarget *target)
 {
   for (uint32_t i = 0; i < connection->tries; i++)
     if (connection->tried[i] == target)
@@ -40,7 +40,7 @@
   bool suspected = !cf_reach_good (&target->reach);
 
   cf_isolation_record_open (&balance->isolation);
-  cf_unreachable_record_answer (balance->unreachable, target, sent_first_at (connection, target));
+  cf_unreachable_record_answer (balance->unreachable, target, first_sent_at (connection, target));
   for (uint32_t i = 0; i < connection->tries; i++)
     if (connection->tried[i] == target && i + 1 == connection->tries)
       cf_open_timeout_update (cf_balance_open_timeout (balance, target),
--- a/src/balance/unreachable.c
+++ b/src/balance/unreachable.c
@@ -6,7 +6,7 @@
   uint32_t silent;       /* upstreams with a silent flow since one of the domain last answered */
   uint32_t caller_ip;    /* of the last of these flows */
   CfMillis silent_at;    /* when a silent flow was last counted, 0: never */
-  CfMillis delivered_at; /* when the latest data that was answered had been sent, -1: never */
+  CfMillis delivered_at; /* when the latest data that it answered had been sent, -1: never */
 };
 
 struct CfUnreachable
@@ -125,8 +125,7 @@
                       CfMillis now)
 {
   const struct Domain *domain = find_domain (unreachable, target->domain);
-  /* An answer to data that was sent after this shows that it does not wait on this VM's own link.
-   */
+  /* If data sent after this was answered, none waits on this VM's own link. */
   CfMillis since = update->repeated ? delivery->sent_at : target->silent_at;
 
   /* A request that was not sent before is reset on evidence of its own upstream only: some
--- a/src/feed/replica.h
+++ b/src/feed/replica.h
@@ -14,15 +14,15 @@
 /* Deleted records that are kept for followers that lag behind; one takes about 100 bytes. */
 #define CF_REPLICA_DELETED_MAX 2048
 
-/* How long records that the store lacks are carried after the beginning of an era.  Upstreams renew
- * their announcements every second or two, and operators write evacuations again; one that had been
- * withdrawn keeps a healthy failure domain out of service.  VMs may have to wait for the store to
- * accept their writes. */
+/* Milliseconds after the beginning of an era for which records that the store lacks are carried. */
+/* Upstreams renew their announcements every second or two. */
 #define CF_REPLICA_CARRY_UPSTREAMS_MS 2500
+/* Operators write evacuations again; a withdrawn one keeps a healthy domain out of service. */
 #define CF_REPLICA_CARRY_EVACUATIONS_MS 3000
+/* VMs may have to wait for the store to accept their writes. */
 #define CF_REPLICA_CARRY_VMS_MS 10000
-/* How long a content is carried if the store has an earlier one.  By then the store has removed
- * what had ended before it was restored. */
+/* The same for a content of which the store has an earlier one.  By then the store has removed what
+ * had ended before it was restored. */
 #define CF_REPLICA_CARRY_SUPERSEDING_MS 10000
 
 struct CfReplica
--- a/src/objectstore/change.c
+++ b/src/objectstore/change.c
@@ -51,7 +51,7 @@
 is_next (const struct CfConfig *config, uint64_t previous_version)
 {
   char *marker = g_strdup_printf ("\napply-id=%" PRIu64 ".", previous_version);
-  /* Builds whose ids lack the version count up from it. */
+  /* Older builds write ids without the version, and number changes consecutively. */
   bool next = strstr (config->text, marker) || config->version == previous_version + 1;
 
   g_free (marker);
@@ -159,8 +159,9 @@
   return result;
 }
 
-/* A platform that is restored from an older copy returns an earlier version than VMs have, which
- * they ignore like any other up to their own.  The clock does not go back with it. */
+/* VMs ignore versions that are not above their own.  A platform that was restored from an older
+ * copy returns an earlier version than theirs, so a mere count would be ignored; the clock is not.
+ */
 static uint64_t
 next_version (const struct CfStore *store, uint64_t previous_version)
 {
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -14,14 +14,14 @@
  * system recovers.  The exit status is 1 if a guarantee was violated.  With SOAK_KEEP_STORE in the
  * environment the store is never restored from a copy, for fleets with builds from before eras. */
 
-#define SERIES_ONE_IN 8 /* faults that begin a series of one kind, in quick succession */
-#define RESTORE_AGE_MAX_MS 9000
-#define RESTORE_AWAY_PART 2   /* the store is away for this part of a fault's duration */
-#define REWRITE_MS 2000       /* after a restore writers have written again */
-#define EXPIRE_MS 3000        /* and the announcements of upstreams that have ended expire */
-#define SETTLE_MS 9000        /* minimum fault-free time at the end of the run */
-#define RESTART_MS 300        /* from the exit of a VM until its restart */
-#define READY_INTERVAL_MS 500 /* the fabric checks readiness twice a second */
+#define SERIES_ONE_IN 8         /* faults that begin a series of one kind, in quick succession */
+#define RESTORE_AGE_MAX_MS 9000 /* the restored store lacks this much at most */
+#define RESTORE_AWAY_PART 2     /* the store is away for this part of a fault's duration */
+#define REWRITE_MS 2000         /* after a restore writers have written again */
+#define EXPIRE_MS 3000          /* and the announcements of upstreams that have ended expire */
+#define SETTLE_MS 9000          /* minimum fault-free time at the end of the run */
+#define RESTART_MS 300          /* from the exit of a VM until its restart */
+#define READY_INTERVAL_MS 500   /* the fabric checks readiness twice a second */
 #define READY_TIMEOUT_MS 400
 #define STABLE_SERVED_MIN 0.99 /* fraction of the requests that begin while stable */
 
--- a/tests/test_eras.c
+++ b/tests/test_eras.c
@@ -5,7 +5,7 @@
 
 /* What a VM does with records and responses when the store begins a new era. */
 
-#define ERA_AT 10000 /* when the store returns */
+#define ERA_AT_MS 10000 /* when the store returns */
 
 /* Applies the record NAME of KIND with TEXT (NULL: deleted) at REVISION as a whole list, an empty
  * one if NAME is NULL.  Returns the number of records that changed. */
@@ -63,14 +63,14 @@
 }
 
 /* The store's copy has a manifest from before the one in force. */
-START_TEST (test_older_manifest_is_never_taken)
+START_TEST (test_older_manifest_is_ignored)
 {
   struct CfReplica replica;
 
   begin (&replica);
-  cf_replica_enter_era (&replica, 2, ERA_AT);
+  cf_replica_enter_era (&replica, 2, ERA_AT_MS);
   ck_assert_uint_eq (list (&replica, CF_FEED_MANIFEST, "main", "{\"version\":4}", 20), 0);
-  ck_assert_uint_eq (end_carry (&replica, CF_FEED_MANIFEST, ERA_AT + 1000000), 0);
+  ck_assert_uint_eq (end_carry (&replica, CF_FEED_MANIFEST, ERA_AT_MS + 1000000), 0);
   ck_assert_str_eq (text_of (&replica, CF_FEED_MANIFEST, "main"), "{\"version\":11}");
   ck_assert_uint_eq (list (&replica, CF_FEED_MANIFEST, "main", "{\"version\":14}", 29), 1);
   ck_assert_str_eq (text_of (&replica, CF_FEED_MANIFEST, "main"), "{\"version\":14}");
@@ -86,13 +86,13 @@
 
   begin (&replica);
   list (&replica, CF_FEED_UPSTREAMS, "i-1", text, 29);
-  cf_replica_enter_era (&replica, 2, ERA_AT);
+  cf_replica_enter_era (&replica, 2, ERA_AT_MS);
   ck_assert_uint_eq (list (&replica, CF_FEED_UPSTREAMS, NULL, NULL, 20), 0);
   ck_assert_uint_eq (
-      end_carry (&replica, CF_FEED_UPSTREAMS, ERA_AT + CF_REPLICA_CARRY_UPSTREAMS_MS - 1), 0);
+      end_carry (&replica, CF_FEED_UPSTREAMS, ERA_AT_MS + CF_REPLICA_CARRY_UPSTREAMS_MS - 1), 0);
   ck_assert_str_eq (text_of (&replica, CF_FEED_UPSTREAMS, "i-1"), text);
   ck_assert_uint_eq (
-      end_carry (&replica, CF_FEED_UPSTREAMS, ERA_AT + CF_REPLICA_CARRY_UPSTREAMS_MS), 1);
+      end_carry (&replica, CF_FEED_UPSTREAMS, ERA_AT_MS + CF_REPLICA_CARRY_UPSTREAMS_MS), 1);
   ck_assert_str_eq (text_of (&replica, CF_FEED_UPSTREAMS, "i-1"), "deleted");
   cf_replica_clear (&replica);
 }
@@ -108,13 +108,13 @@
 
   begin (&replica);
   list (&replica, CF_FEED_UPSTREAMS, "i-1", draining, 29);
-  cf_replica_enter_era (&replica, 2, ERA_AT);
+  cf_replica_enter_era (&replica, 2, ERA_AT_MS);
   ck_assert_uint_eq (list (&replica, CF_FEED_UPSTREAMS, "i-1", ready, 20), 0);
   ck_assert_uint_eq (
-      end_carry (&replica, CF_FEED_UPSTREAMS, ERA_AT + CF_REPLICA_CARRY_SUPERSEDING_MS - 1), 0);
+      end_carry (&replica, CF_FEED_UPSTREAMS, ERA_AT_MS + CF_REPLICA_CARRY_SUPERSEDING_MS - 1), 0);
   ck_assert_str_eq (text_of (&replica, CF_FEED_UPSTREAMS, "i-1"), draining);
   ck_assert_uint_eq (
-      end_carry (&replica, CF_FEED_UPSTREAMS, ERA_AT + CF_REPLICA_CARRY_SUPERSEDING_MS), 1);
+      end_carry (&replica, CF_FEED_UPSTREAMS, ERA_AT_MS + CF_REPLICA_CARRY_SUPERSEDING_MS), 1);
   ck_assert_str_eq (text_of (&replica, CF_FEED_UPSTREAMS, "i-1"), ready);
   cf_replica_clear (&replica);
 }
@@ -129,7 +129,7 @@
 
   cf_reader_init (&reader, CF_FEED_MANIFEST, 0);
   ck_assert (cf_reader_start_due (&reader, 0));
-  /* The first response tells the era, and is taken. */
+  /* The first response is accepted whatever its era. */
   ck_assert_int_eq (cf_reader_outcome (&reader, CF_READ_ANSWERED, 2), CF_READ_ANSWERED);
   ck_assert (!cf_reader_enter_era (&reader, 2, 0));
   ck_assert (cf_reader_handle_outcome (&reader, CF_READ_ANSWERED, &whole, 0, random));
@@ -205,7 +205,7 @@
 {
   Suite *suite = suite_create ("eras");
 
-  suite_add_loop (suite, test_older_manifest_is_never_taken, 1);
+  suite_add_loop (suite, test_older_manifest_is_ignored, 1);
   suite_add_loop (suite, test_lost_announcement_is_carried_for_a_time, 1);
   suite_add_loop (suite, test_earlier_announcement_waits, 1);
   suite_add_loop (suite, test_reader_starts_over, 1);
