Observability: how a process ended, and what it uses of its limits

A process that ended by a signal wrote nothing, and one that could not start wrote to standard error only, so logs could not tell the hypotheses of docs/incidents/processes-end.md apart.

Added: the event "crashed" with signal, task and last input, written by the signal handler on a stack of its own; the event "start-failed"; the metrics resident_bytes, threads, descriptors and descriptors_max. No decision changes.

Measured: tests/test_crash_report.c, three tests (one under sanitizers, which have a report of their own); an exhausted stack is reported.

--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,7 @@
 LIB_OBJ = $(LIB_SRC:%.c=$(BUILD)/%.o)
 APP_OBJ = $(APP_SRC:%.c=$(BUILD)/%.o)
 PLATFORM_OBJ = $(filter $(BUILD)/src/objectstore/% $(BUILD)/platform/%,$(APP_OBJ))
-SETTINGS_OBJ = $(BUILD)/src/serve/balance_settings.o
+SERVE_TEST_OBJ = $(BUILD)/src/serve/balance_settings.o $(BUILD)/src/serve/crash_report.o
 TEST_LIB_OBJ = $(TEST_LIB_SRC:%.c=$(BUILD)/%.o)
 TESTS = $(TEST_SRC:tests/%.c=$(BUILD)/%)
 STANDINS = $(STANDIN_SRC:tests/%.c=$(BUILD)/%)
@@ -46,7 +46,7 @@
 $(BUILD)/cyclamenferry: $(LIB_OBJ) $(APP_OBJ)
 	$(CC) $^ $(LIBS) -o $@
 
-$(TESTS): $(BUILD)/%: $(BUILD)/tests/%.o $(TEST_LIB_OBJ) $(PLATFORM_OBJ) $(SETTINGS_OBJ) $(LIB_OBJ)
+$(TESTS): $(BUILD)/%: $(BUILD)/tests/%.o $(TEST_LIB_OBJ) $(PLATFORM_OBJ) $(SERVE_TEST_OBJ) $(LIB_OBJ)
 	$(CC) $^ $(LIBS) $(CHECK_LIBS) -o $@
 
 $(STANDINS): $(BUILD)/%: $(BUILD)/tests/%.o $(TEST_LIB_OBJ) $(BUILD)/src/serve/udp.o $(LIB_OBJ)
--- a/src/cli/balance.c
+++ b/src/cli/balance.c
@@ -44,6 +44,11 @@
   if (!cf_balancer_run (path, &error))
     {
       fprintf (stderr, "cyclamenferry balance: %s\n", error.text);
+      cf_event_log_write_early ("", "start-failed",
+                                (struct CfField[]){
+                                    { .key = "fault", .text = error.text },
+                                    { 0 },
+                                });
       return CF_EXIT_INPUT;
     }
   return CF_EXIT_OK;
--- a/src/serve/balancer.c
+++ b/src/serve/balancer.c
@@ -1,4 +1,5 @@
 #include "balancer.h"
+#include "crash_report.h"
 #include "log.h"
 
 #include <glib-unix.h>
@@ -162,6 +163,8 @@
   supervisor->settings_mtime = file_mtime (path);
   balancer->log = cf_event_log_new (balancer->settings.name);
   cf_event_log_capture_glib (balancer->log);
+  cf_crash_report_install (balancer->settings.name);
+  cf_crash_report_enter ("supervisor");
   balancer->main_loop = g_main_loop_new (NULL, FALSE);
   log_event (balancer, "started", path);
   g_unix_signal_add (SIGTERM, on_stop, supervisor);
@@ -174,6 +177,8 @@
   /* GLib's log writer stays installed and must not use the event log after it is freed. */
   g_log_set_default_handler (g_log_default_handler, NULL);
   cf_event_log_free (balancer->log);
+  cf_crash_report_install ("");
+  cf_crash_report_leave ();
   cf_balance_settings_clear (&balancer->settings);
   g_free (supervisor);
   return true;
--- a/src/serve/balancer_admin_task.c
+++ b/src/serve/balancer_admin_task.c
@@ -1,6 +1,7 @@
 #include "balancer.h"
 #include "http_listen.h"
 #include "platform/store_requests.h"
+#include "process_usage.h"
 #include "server.h"
 
 #include <string.h>
@@ -69,9 +70,12 @@
 {
   struct AdminTask *task = data;
   struct CfMetricsRequest *request = message;
+  struct CfProcessUsage usage;
 
   if (!task->metrics)
     return;
+  if (cf_process_usage_read (&usage))
+    cf_process_usage_write (&usage, request->text);
   respond (request->message, SOUP_STATUS_OK, request->text->str, request->text->len);
   soup_server_message_unpause (request->message);
 }
--- a/src/serve/datapath_messages.c
+++ b/src/serve/datapath_messages.c
@@ -1,3 +1,4 @@
+#include "crash_report.h"
 #include "datapath_internal.h"
 
 #include <inttypes.h>
@@ -125,6 +126,7 @@
   const struct CfUpdate *update = message;
   CfMillis now = cf_now ();
 
+  cf_crash_report_input ("update", cf_feed_kind_name (update->kind));
   apply_upstreams (task, update, now);
   if (update->manifest)
     apply_manifest (task, update->manifest);
--- a/src/serve/datapath_task.c
+++ b/src/serve/datapath_task.c
@@ -1,3 +1,4 @@
+#include "crash_report.h"
 #include "datapath_internal.h"
 
 #include <errno.h>
@@ -217,6 +218,7 @@
 {
   struct CfSegment segment;
 
+  cf_crash_report_input ("packet", NULL);
   if (cf_platform_codec.parse (data, len, &segment))
     task->outcomes[cf_balance_segment (task->balance, &segment, now)]++;
   else
--- a/src/serve/event_log.c
+++ b/src/serve/event_log.c
@@ -91,18 +91,21 @@
 }
 
 static char *
-format (struct CfEventLog *log, const char *event, const struct CfField *fields, uint64_t left_out)
+format (const char *vm,
+        const char *event,
+        const struct CfField *fields,
+        uint64_t left_out,
+        uint64_t lost)
 {
   JsonObject *object = json_object_new ();
   JsonNode *node = json_node_new (JSON_NODE_OBJECT);
-  uint64_t lost = atomic_exchange (&log->lost, 0);
   char *text;
   char *line;
 
   json_object_set_int_member (object, "time_ms", g_get_real_time () / G_TIME_SPAN_MILLISECOND);
   json_object_set_int_member (object, "clock_ms",
                               g_get_monotonic_time () / G_TIME_SPAN_MILLISECOND);
-  json_object_set_string_member (object, "vm", log->name);
+  json_object_set_string_member (object, "vm", vm);
   json_object_set_string_member (object, "event", event);
   for (const struct CfField *field = fields; field->key; field++)
     add_field (object, field);
@@ -129,7 +132,8 @@
       atomic_fetch_add (&log->lost, left_out + 1);
       return;
     }
-  g_async_queue_push (log->lines, format (log, event, fields, left_out));
+  g_async_queue_push (log->lines,
+                      format (log->name, event, fields, left_out, atomic_exchange (&log->lost, 0)));
 }
 
 void
@@ -138,6 +142,15 @@
   add_line (log, event, fields, 0);
 }
 
+void
+cf_event_log_write_early (const char *vm, const char *event, const struct CfField *fields)
+{
+  char *line = format (vm, event, fields, 0, 0);
+
+  write_all (line, strlen (line));
+  g_free (line);
+}
+
 void
 cf_event_log_write_limited (struct CfEventLog *log,
                             struct CfEventRate *rate,
--- a/src/serve/event_log.h
+++ b/src/serve/event_log.h
@@ -28,6 +28,10 @@
 /* Adds a line for EVENT with FIELDS. */
 void cf_event_log_write (struct CfEventLog *log, const char *event, const struct CfField *fields);
 
+/* Writes a line for EVENT with FIELDS at once, for a process whose log has not been started.  VM is
+ * its name, "" if it is not known. */
+void cf_event_log_write_early (const char *vm, const char *event, const struct CfField *fields);
+
 /* A token bucket that limits the lines of one kind. */
 struct CfEventRate
 {
--- a/src/serve/feed_enroll.c
+++ b/src/serve/feed_enroll.c
@@ -1,3 +1,4 @@
+#include "crash_report.h"
 #include "feed_internal.h"
 #include "platform/store_requests.h"
 #include "server.h"
@@ -33,8 +34,10 @@
 cf_feed_enroll_read (struct FeedTask *task, const struct CfRecord *record)
 {
   struct CfVmRecord vm;
-  struct CfVmRecordHolder *holder = cf_vm_record_parse (record->text, &vm);
+  struct CfVmRecordHolder *holder;
 
+  cf_crash_report_input ("vm-record", record->name);
+  holder = cf_vm_record_parse (record->text, &vm);
   if (!record->deleted && !holder)
     cf_event_log_write (task->balancer->log, "vm-unreadable",
                         (struct CfField[]){ { .key = "name", .text = record->name }, { 0 } });
--- a/src/serve/feed_follow.c
+++ b/src/serve/feed_follow.c
@@ -1,3 +1,4 @@
+#include "crash_report.h"
 #include "feed_internal.h"
 #include "server.h"
 
@@ -54,6 +55,7 @@
   gsize len;
   const void *data = g_bytes_get_data (body, &len);
 
+  cf_crash_report_input ("vm-update", task->follow.name);
   if (!cf_relay_decode (data, len, &update))
     return false;
   if (!accept_era (task, era))
--- a/src/serve/feed_relay.c
+++ b/src/serve/feed_relay.c
@@ -1,3 +1,4 @@
+#include "crash_report.h"
 #include "feed_internal.h"
 #include "http_listen.h"
 #include "server.h"
@@ -112,6 +113,7 @@
   CfMillis now = cf_now ();
 
   (void) soup;
+  cf_crash_report_input ("vm-request", path);
   if (strcmp (path, "/feed") != 0)
     {
       soup_server_message_set_status (message, SOUP_STATUS_NOT_FOUND, NULL);
--- a/src/serve/feed_rotation.c
+++ b/src/serve/feed_rotation.c
@@ -1,3 +1,4 @@
+#include "crash_report.h"
 #include "feed_internal.h"
 #include "feed/gossip.h"
 #include "server.h"
@@ -34,6 +35,7 @@
 {
   struct feed_datagram datagram;
 
+  cf_crash_report_input ("vm-datagram", NULL);
   if (!cf_gossip_decode (data, len, &datagram))
     {
       g_message ("ignored an invalid datagram of %zu bytes from another VM", len);
--- a/src/serve/feed_store.c
+++ b/src/serve/feed_store.c
@@ -1,3 +1,4 @@
+#include "crash_report.h"
 #include "feed_internal.h"
 #include "platform/store_requests.h"
 #include "server.h"
@@ -107,13 +108,15 @@
   struct FeedTask *task = channel->task;
   struct CfReader *reader = &channel->reader;
   struct CfFeedResponse response;
-  enum CfReadOutcome outcome = cf_platform_parse_response (message, body, &response);
+  enum CfReadOutcome outcome;
   bool listing = !reader->listed;
   CfMillis now = cf_now ();
   uint64_t known_revision;
   bool whole;
 
   channel->call = NULL;
+  cf_crash_report_input ("store-answer", cf_feed_kind_name (reader->kind));
+  outcome = cf_platform_parse_response (message, body, &response);
   outcome = cf_reader_outcome (reader, outcome, response.era);
   cf_feed_learn_era (task, response.era);
   known_revision = task->replica.revision[reader->kind];
--- a/src/serve/feed_task.c
+++ b/src/serve/feed_task.c
@@ -1,3 +1,4 @@
+#include "crash_report.h"
 #include "feed_internal.h"
 #include "platform/objects.h"
 #include "platform/store_requests.h"
@@ -19,6 +20,7 @@
   struct CfAnnouncement announcement;
   struct CfError error = { 0 };
 
+  cf_crash_report_input ("announcement", record->name);
   if (record->deleted)
     {
       g_ptr_array_add (update->withdrawn, g_strdup (record->name));
@@ -44,6 +46,7 @@
 {
   struct CfError error = { 0 };
 
+  cf_crash_report_input ("manifest", record->name);
   if (record->deleted)
     return;
   g_clear_pointer (&update->manifest, cf_manifest_free);
--- a/src/serve/server.c
+++ b/src/serve/server.c
@@ -1,4 +1,5 @@
 #include "server.h"
+#include "crash_report.h"
 #include "log.h"
 
 #include <glib-unix.h>
@@ -68,10 +69,14 @@
   server->settings = *settings;
   cf_peer_keys (settings->fleet_key, &server->keys);
   server->main_loop = g_main_loop_new (NULL, FALSE);
+  cf_crash_report_install (settings->name);
+  cf_crash_report_enter ("supervisor");
   g_unix_signal_add (SIGTERM, on_stop, server);
   g_unix_signal_add (SIGINT, on_stop, server);
   g_unix_signal_add (SIGHUP, on_reload, server);
   run_children (server, children, count);
   g_main_loop_unref (server->main_loop);
+  cf_crash_report_install ("");
+  cf_crash_report_leave ();
   g_free (server);
 }
--- a/src/serve/task.c
+++ b/src/serve/task.c
@@ -1,4 +1,5 @@
 #include "task.h"
+#include "crash_report.h"
 #include "log.h"
 
 #include <json-glib/json-glib.h>
@@ -31,6 +32,7 @@
   gint64 delay_ms = RESTART_MIN_MS;
   char last[CF_ERROR_TEXT_MAX] = "";
 
+  cf_crash_report_enter (task->class->name);
   g_main_context_push_thread_default (task->context);
   while (!g_atomic_int_get (&task->quit))
     {
@@ -55,6 +57,7 @@
       delay_ms = MIN (delay_ms * 2, RESTART_MAX_MS);
     }
   g_main_context_pop_thread_default (task->context);
+  cf_crash_report_leave ();
   return NULL;
 }
 
