One deeply nested entry of another writer ended every VM

Cause (class: text from outside reaches code that trusts it): json-glib recurses at each bracket, on a thread's stack of 8 MB.

The message of `cyclamenferry status` for an answer that cannot be parsed now says why.

--- a/src/cli/admin.c
+++ b/src/cli/admin.c
@@ -1,8 +1,8 @@
 #include "commands.h"
 #include "cf_types.h"
+#include "base/json_text.h"
 
 #include <argp.h>
-#include <json-glib/json-glib.h>
 #include <libsoup/soup.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -179,17 +179,16 @@
 static int
 print_status (const char *text)
 {
-  JsonParser *parser = json_parser_new ();
+  struct CfError error = { 0 };
+  JsonNode *root = cf_json_parse_object ("/status", text, strlen (text), &error);
   JsonObject *status;
 
-  if (!json_parser_load_from_data (parser, text, -1, NULL)
-      || !JSON_NODE_HOLDS_OBJECT (json_parser_get_root (parser)))
+  if (!root)
     {
-      fprintf (stderr, "cyclamenferry status: the response is not a JSON object\n");
-      g_object_unref (parser);
+      fprintf (stderr, "cyclamenferry status: %s\n", error.text);
       return CF_EXIT_FAILURE;
     }
-  status = json_node_get_object (json_parser_get_root (parser));
+  status = json_node_get_object (root);
   printf ("state %s, configuration version %" G_GINT64_FORMAT ", %s, %" G_GINT64_FORMAT
           " flow records\n\n",
           get_string (status, "state"), get_number (status, "config_version"),
@@ -198,7 +197,7 @@
   print_members (json_object_get_array_member (status, "members"));
   printf ("\n");
   print_upstreams (json_object_get_array_member (status, "upstreams"));
-  g_object_unref (parser);
+  json_node_unref (root);
   return CF_EXIT_OK;
 }
 
--- a/src/feed/vm_record.c
+++ b/src/feed/vm_record.c
@@ -1,6 +1,7 @@
 #include "vm_record.h"
+#include "base/json_text.h"
 
-#include <json-glib/json-glib.h>
+#include <string.h>
 
 struct CfVmRecordHolder
 {
@@ -58,10 +59,11 @@
 struct CfVmRecordHolder *
 cf_vm_record_parse (const char *content, struct CfVmRecord *vm)
 {
-  JsonNode *root = content ? json_from_string (content, NULL) : NULL;
+  JsonNode *root
+      = content ? cf_json_parse_object ("VM record", content, strlen (content), NULL) : NULL;
   struct CfVmRecordHolder *holder;
 
-  if (!root || !JSON_NODE_HOLDS_OBJECT (root) || !parse_vm (json_node_get_object (root), vm))
+  if (!root || !parse_vm (json_node_get_object (root), vm))
     {
       g_clear_pointer (&root, json_node_unref);
       return NULL;
@@ -83,8 +85,8 @@
 bool
 cf_vm_record_equal (const char *a, const char *b)
 {
-  JsonNode *x = json_from_string (a, NULL);
-  JsonNode *y = json_from_string (b, NULL);
+  JsonNode *x = cf_json_parse ("VM record", a, strlen (a), NULL);
+  JsonNode *y = cf_json_parse ("VM record", b, strlen (b), NULL);
   bool same = x && y && json_node_equal (x, y);
 
   g_clear_pointer (&x, json_node_unref);
--- a/src/serve/health_task.c
+++ b/src/serve/health_task.c
@@ -1,7 +1,7 @@
 #include "server.h"
 #include "log.h"
+#include "base/json_text.h"
 
-#include <json-glib/json-glib.h>
 #include <libsoup/soup.h>
 #include <stdatomic.h>
 
@@ -40,22 +40,20 @@
 static bool
 read_answer (GBytes *body, struct CfHealthAnswer *answer)
 {
-  JsonParser *parser = json_parser_new ();
   gsize len;
   const char *text = g_bytes_get_data (body, &len);
-  JsonObject *object = NULL;
-
-  if (len > 0 && len <= BODY_MAX && json_parser_load_from_data (parser, text, (gssize) len, NULL)
-      && json_parser_get_root (parser) && JSON_NODE_HOLDS_OBJECT (json_parser_get_root (parser)))
-    object = json_node_get_object (json_parser_get_root (parser));
-  if (object)
-    {
-      answer->serving = json_object_get_boolean_member_with_default (object, "serving", FALSE);
-      answer->start_time = json_object_get_int_member_with_default (object, "start", 0);
-      answer->open_flows = (uint32_t) json_object_get_int_member_with_default (object, "open", 0);
-    }
-  g_object_unref (parser);
-  return object != NULL;
+  JsonNode *root = len <= BODY_MAX ? cf_json_parse_object ("/health", text, len, NULL) : NULL;
+  JsonObject *object = root ? json_node_get_object (root) : NULL;
+  int64_t open_flows = 0;
+
+  if (!object)
+    return false;
+  answer->serving = json_object_get_boolean_member_with_default (object, "serving", FALSE);
+  cf_json_integer (object, "start", INT64_MIN, INT64_MAX, &answer->start_time);
+  if (cf_json_integer (object, "open", 0, UINT32_MAX, &open_flows))
+    answer->open_flows = (uint32_t) open_flows;
+  json_node_unref (root);
+  return true;
 }
 
 static void
--- a/src/serve/platform_task.c
+++ b/src/serve/platform_task.c
@@ -1,9 +1,9 @@
 #include "server.h"
 #include "log.h"
 #include "http_call.h"
+#include "base/json_text.h"
 #include "objectstore/http.h"
 
-#include <json-glib/json-glib.h>
 #include <string.h>
 
 /* The platform task watches the configuration object while the core wants it to, and
@@ -139,17 +139,15 @@
   if (!JSON_NODE_HOLDS_OBJECT (node))
     return false;
   object = json_node_get_object (node);
-  name = json_object_get_string_member_with_default (object, "name", NULL);
-  domain = json_object_get_string_member_with_default (object, "failure-domain", NULL);
-  ip = json_object_get_string_member_with_default (object, "address", NULL);
+  name = cf_json_string (object, "name");
+  domain = cf_json_string (object, "failure-domain");
+  ip = cf_json_string (object, "address");
   if (!name || !domain || !ip
       || !cf_address_parse (ip, task->server->settings.transfer_port, &vm->address))
     return false;
   vm->id = cf_name_id (name);
   vm->domain = cf_name_id (domain);
-  vm->leaving
-      = g_strcmp0 (json_object_get_string_member_with_default (object, "state", "live"), "leaving")
-        == 0;
+  vm->leaving = g_strcmp0 (cf_json_string (object, "state"), "leaving") == 0;
   return true;
 }
 
@@ -157,7 +155,7 @@
 finish_list (void *data, SoupMessage *message, GBytes *body)
 {
   struct PlatformTask *task = data;
-  JsonParser *parser = json_parser_new ();
+  struct CfError error = { 0 };
   JsonNode *root = NULL;
   const char *text;
   gsize len;
@@ -166,8 +164,9 @@
   if (body && soup_message_get_status (message) == SOUP_STATUS_OK)
     {
       text = g_bytes_get_data (body, &len);
-      if (json_parser_load_from_data (parser, text, (gssize) len, NULL))
-        root = json_parser_get_root (parser);
+      root = cf_json_parse ("the platform's list of VMs", text, len, &error);
+      if (!root)
+        cf_log_warning ("PLATFORM", "fault", "%s", error.text);
     }
   if (root && JSON_NODE_HOLDS_ARRAY (root))
     {
@@ -184,7 +183,7 @@
       cf_send_vm_list (task->server, vms);
       task->list_skip = LIST_SKIP - 1;
     }
-  g_object_unref (parser);
+  g_clear_pointer (&root, json_node_unref);
 }
 
 /* VMs that watch the platform read the list at each interval.  The others learn of new VMs from
--- a/tests/test_feed.c
+++ b/tests/test_feed.c
@@ -1,5 +1,6 @@
 #include "feed/reader.h"
 #include "feed/replica.h"
+#include "feed/vm_record.h"
 #include "platform/store_requests.h"
 #include "platform/objects.h"
 #include "suite.h"
@@ -300,6 +301,72 @@
 }
 END_TEST
 
+/* Returns TEXT with the first "%s" in it replaced by arrays nested 150,000 deep. */
+static char *
+with_nest (const char *text)
+{
+  const size_t depth = 150000;
+  char *nest = g_malloc (2 * depth + 1);
+  char **parts = g_strsplit (text, "%s", 2);
+  char *result;
+
+  memset (nest, '[', depth);
+  memset (nest + depth, ']', depth);
+  nest[2 * depth] = 0;
+  result = g_strconcat (parts[0], nest, parts[1], NULL);
+  g_strfreev (parts);
+  g_free (nest);
+  return result;
+}
+
+/* Where another writer may leave a nest.  A list's reader ended by SIGSEGV. */
+static const char *const nested_items[] = {
+  "{\"meta\":{\"name\":\"i-1\",\"revision\":3},\"spec\":%s}",
+  "{\"meta\":{\"name\":\"i-1\",\"revision\":3},\"spec\":{\"slots\":%s}}",
+  "{\"meta\":{\"name\":\"i-1\",\"revision\":3},\"spec\":{},\"born\":%s}",
+  "{\"meta\":{\"name\":\"i-1\",\"revision\":3},\"spec\":{},\"status\":%s}",
+  "{\"meta\":{\"name\":%s,\"revision\":3},\"spec\":{}}",
+  "{\"meta\":{\"name\":\"i-1\",\"revision\":%s},\"spec\":{}}",
+  "{\"meta\":{\"name\":\"i-1\",\"revision\":3,\"deleting\":%s},\"spec\":{}}",
+  "{\"meta\":%s,\"spec\":{}}",
+  "%s",
+};
+
+START_TEST (test_nested_entry_ends_no_process)
+{
+  char *item = with_nest (nested_items[_i]);
+  char *list
+      = g_strconcat ("{\"items\":[", item,
+                     ",{\"meta\":{\"name\":\"i-2\",\"revision\":2},\"spec\":" VALID_ANNOUNCEMENT
+                     "}],\"truncated\":false,\"store-revision\":20}",
+                     NULL);
+  struct CfFeedResponse response = parse (list, 200, CF_READ_ANSWERED);
+  struct CfAnnouncement announcement;
+  struct CfVmRecord vm;
+  struct CfError error = { 0 };
+
+  ck_assert_uint_ge (response.records->len, 1);
+  for (guint i = 0; i < response.records->len; i++)
+    {
+      struct CfRecord *record = response.records->pdata[i];
+      bool last = i == response.records->len - 1;
+
+      for (int kind = 0; kind < CF_FEED_KINDS; kind++)
+        cf_platform_read_order ((enum CfFeedKind) kind, record);
+      ck_assert_int_eq (cf_platform_read_announcement (record, &announcement, &error), last);
+      if (last)
+        cf_platform_announcement_clear (&announcement);
+      ck_assert_ptr_null (cf_platform_read_manifest (record, &error));
+      ck_assert_ptr_null (cf_vm_record_parse (record->text, &vm));
+      if (record->text)
+        ck_assert (!cf_vm_record_equal (record->text, "{\"hour\":1}"));
+    }
+  cf_feed_response_clear (&response);
+  g_free (item);
+  g_free (list);
+}
+END_TEST
+
 START_TEST (test_manifest)
 {
   struct CfRecord *record = cf_record_new (
@@ -347,6 +414,7 @@
   suite_add_loop (suite, test_answers, 1);
   suite_add_loop (suite, test_announcement, 1);
   suite_add_loop (suite, test_invalid_announcement, G_N_ELEMENTS (invalid_announcements));
+  suite_add_loop (suite, test_nested_entry_ends_no_process, G_N_ELEMENTS (nested_items));
   suite_add_loop (suite, test_manifest, 1);
   return suite_run (suite);
 }
