--- a/src/serve/balance_settings.c
+++ b/src/serve/balance_settings.c
@@ -38,7 +38,10 @@
   double result = value ? g_ascii_strtod (value, &end) : 0;
 
   if (value && (*end || end == value || !(result >= min && result <= max)))
-    fail (reader, group, key, "is not a number in the allowed range");
+    {
+      fail (reader, group, key, "is not a number in the allowed range");
+      result = min; /* callers convert it to integers */
+    }
   g_free (value);
   return result;
 }
