A number that is too large is an error of its record instead of another number

Seen: numbers of the store were cast from double to integers without a check of their range (slots, warmup-remaining-ms, version, weight, priority, warmup-s, idle-timeout-ms), which is undefined; a cold time of 9e18 ms then overflowed when the time was added. Integers beyond 64 bits wrapped: a number of slots of 2^64 was -1. The hour of a VM's record overflowed in a difference, and a VM's address of which no URL can be made (a space, none at all) made a follower wait without end for a call that never began. A cold upstream's capacity above 2,000 requests a second drew a random number from an empty range.

Cause (class: text from outside reaches code that trusts it): each field was read in its own way, and none had bounds.

A VM's record needs an IPv4 address, a link and an hour within bounds.

Evidence, without the change: under the address and undefined sanitizers with float-cast-overflow, test_announced_number_too_large 0 to 2, test_manifest_number_too_large 0 to 5, test_manifest_version_keeps_its_digits and ten of the thirteen cases of test_unreadable_vm_record fail, test_cold_capacity_too_large ends by signal 5 (a critical of GLib). All pass with it, under sanitizers too.

--- a/src/feed/sources.c
+++ b/src/feed/sources.c
@@ -372,7 +372,7 @@
       const struct CfSource *source = sources->vms->pdata[i];
 
       if (strcmp (source->name, sources->name) != 0
-          && cf_sources_hour (source->name, now_s) - source->hour > CF_SOURCES_EXPIRE_HOURS)
+          && source->hour < cf_sources_hour (source->name, now_s) - CF_SOURCES_EXPIRE_HOURS)
         return source;
     }
   return NULL;
--- a/src/feed/vm_record.c
+++ b/src/feed/vm_record.c
@@ -3,6 +3,10 @@
 
 #include <string.h>
 
+#define LINK_MAX_MBPS 1000000000 /* a petabit/s */
+#define HOUR_MAX 1139544         /* the year 2100 */
+#define NAME_MAX_BYTES 255       /* of a failure domain or region */
+
 struct CfVmRecordHolder
 {
   JsonNode *root;
@@ -26,32 +30,33 @@
   return text;
 }
 
-static JsonNode *
-get_value (JsonObject *object, const char *name, GType type)
+static bool
+is_name (const char *text)
 {
-  JsonNode *node = json_object_get_member (object, name);
-
-  return node && JSON_NODE_HOLDS_VALUE (node) && json_node_get_value_type (node) == type ? node
-                                                                                         : NULL;
+  return text && strlen (text) <= NAME_MAX_BYTES;
 }
 
 static bool
 parse_vm (JsonObject *object, struct CfVmRecord *vm)
 {
-  JsonNode *ip = get_value (object, "address", G_TYPE_STRING);
-  JsonNode *domain = get_value (object, "domain", G_TYPE_STRING);
-  JsonNode *region = get_value (object, "region", G_TYPE_STRING);
-  JsonNode *link_mbps = get_value (object, "link_mbps", G_TYPE_INT64);
-  JsonNode *hour = get_value (object, "hour", G_TYPE_INT64);
+  const char *ip = cf_json_string (object, "address");
+  const char *domain = cf_json_string (object, "domain");
+  const char *region = cf_json_string (object, "region");
+  struct CfAddress address;
+  int64_t link_mbps;
+  int64_t hour;
 
-  if (!ip || !domain || !region || !link_mbps || !hour)
+  if (!ip || !cf_address_parse (ip, 0, &address) || !cf_address_is_ipv4 (&address)
+      || !is_name (domain) || !is_name (region)
+      || !cf_json_integer (object, "link_mbps", 0, LINK_MAX_MBPS, &link_mbps)
+      || !cf_json_integer (object, "hour", 0, HOUR_MAX, &hour))
     return false;
   *vm = (struct CfVmRecord){
-    .ip = json_node_get_string (ip),
-    .domain = json_node_get_string (domain),
-    .region = json_node_get_string (region),
-    .link_mbps = (double) json_node_get_int (link_mbps),
-    .hour = json_node_get_int (hour),
+    .ip = ip,
+    .domain = domain,
+    .region = region,
+    .link_mbps = (double) link_mbps,
+    .hour = hour,
   };
   return true;
 }
--- a/src/feed/vm_record.h
+++ b/src/feed/vm_record.h
@@ -19,7 +19,8 @@
 char *cf_vm_record_format (const struct CfVmRecord *vm);
 
 /* Parses CONTENT (may be NULL) into VM, whose strings live until the returned holder is freed
- * with cf_vm_record_release.  Returns NULL if a field is missing or of the wrong type. */
+ * with cf_vm_record_release.  Returns NULL if a field is missing, of the wrong type or out of
+ * range, or the address is not IPv4: "hour" can be subtracted and the address put in a URL. */
 struct CfVmRecordHolder *cf_vm_record_parse (const char *content, struct CfVmRecord *vm);
 void cf_vm_record_release (struct CfVmRecordHolder *holder);
 
--- a/tests/test_balance.c
+++ b/tests/test_balance.c
@@ -473,6 +473,24 @@
 }
 END_TEST
 
+/* The random part of an interval below 1 ms was drawn from an empty range. */
+START_TEST (test_cold_capacity_too_large)
+{
+  struct Simulation *sim = sim_new ();
+  struct CfBalance *balance = sim_add_vm (sim, "a", 1e6);
+
+  g_log_set_always_fatal (G_LOG_LEVEL_CRITICAL | G_LOG_FATAL_MASK);
+  sim_add_upstream (sim, NULL, "cold", "s", "a", 1000);
+  for (int i = 0; i < 5; i++)
+    {
+      sim_open_flow (sim, balance, 80);
+      sim_run (sim, sim->now + 10);
+    }
+  ck_assert_uint_ge (sim_count_first_packets (sim, "cold", 0, sim->now), 4);
+  sim_free (sim);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -492,5 +510,6 @@
   suite_add_loop (suite, test_pause_not_counted_as_loss, 1);
   suite_add_loop (suite, test_cold_limit, 2 * COLD_SEEDS);
   suite_add_loop (suite, test_cold_avoided, 1);
+  suite_add_loop (suite, test_cold_capacity_too_large, 1);
   return suite_run (suite);
 }
--- a/tests/test_feed.c
+++ b/tests/test_feed.c
@@ -1,5 +1,6 @@
 #include "feed/reader.h"
 #include "feed/replica.h"
+#include "feed/sources.h"
 #include "feed/vm_record.h"
 #include "platform/store_requests.h"
 #include "platform/objects.h"
@@ -367,6 +368,191 @@
 }
 END_TEST
 
+static const char *const odd_numbers[] = {
+  "1e300",
+  "-1e300",
+  "1e999",
+  "-1e999",
+  "9223372036854775807",
+  "-9223372036854775808",
+  "1e19",
+  "18446744073709551615",
+  "18446744073709551616",
+  "-9223372036854775809",
+  "9223372036854775808",
+  "1e-999",
+  "-0.0",
+  "\"NaN\"",
+  "[]",
+  "true",
+  "null",
+};
+
+/* Returns TEXT with the first "%s" in it replaced by NUMBER. */
+static char *
+with_number (const char *text, const char *number)
+{
+  char **parts = g_strsplit (text, "%s", 2);
+  char *result = g_strconcat (parts[0], number, parts[1], NULL);
+
+  g_strfreev (parts);
+  return result;
+}
+
+static const struct
+{
+  const char *field;
+  const char *text;
+} announced_numbers[] = {
+  { "slots", "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"a\",\"slots\":%s,"
+             "\"state\":\"ready\",\"warmup-remaining-ms\":0,\"born\":5}" },
+  { "warmup-remaining-ms",
+    "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"a\",\"slots\":2,\"state\":\"ready\","
+    "\"warmup-remaining-ms\":%s,\"born\":5}" },
+  { "born", "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"a\",\"slots\":2,"
+            "\"state\":\"ready\",\"warmup-remaining-ms\":0,\"born\":%s}" },
+};
+
+/* A number out of range was cast to an integer, which is undefined, or became another number. */
+START_TEST (test_announced_number_too_large)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (odd_numbers); i++)
+    {
+      char *text = with_number (announced_numbers[_i].text, odd_numbers[i]);
+      struct CfRecord *record = cf_record_new ("i-1", 9, false, text);
+      struct CfAnnouncement announcement;
+      struct CfError error = { 0 };
+      bool zero = strcmp (odd_numbers[i], "1e-999") == 0 || strcmp (odd_numbers[i], "-0.0") == 0;
+
+      cf_platform_read_order (CF_FEED_UPSTREAMS, record);
+      if (cf_platform_read_announcement (record, &announcement, &error))
+        {
+          ck_assert (zero && _i > 0);
+          cf_platform_announcement_clear (&announcement);
+        }
+      else
+        ck_assert_msg (strstr (error.text, announced_numbers[_i].field)
+                           && strstr (error.text, "i-1: "),
+                       "%s", error.text);
+      cf_record_free (record);
+      g_free (text);
+    }
+}
+END_TEST
+
+#define ROUTE "\"host\":\"198.18.0.1\",\"path-prefix\":\"/80/\""
+
+static const char *const manifest_numbers[] = {
+  "{\"version\":%s,\"routes\":[]}",
+  "{\"version\":1,\"routes\":[{" ROUTE ",\"service\":\"s\",\"priority\":%s}]}",
+  "{\"version\":1,\"routes\":[{" ROUTE
+  ",\"weighted-services\":[{\"service\":\"s\",\"weight\":%s},{\"service\":\"t\",\"weight\":"
+  "4294967295}]}]}",
+  "{\"version\":1,\"routes\":[],\"services\":[{\"name\":\"s\",\"warmup-s\":%s,\"warmup-per-s\":1}]"
+  "}",
+  "{\"version\":1,\"routes\":[],\"services\":[{\"name\":\"s\",\"warmup-s\":1,\"warmup-per-s\":%s}]"
+  "}",
+  "{\"version\":1,\"routes\":[],\"limits\":{\"idle-timeout-ms\":%s}}",
+};
+
+START_TEST (test_manifest_number_too_large)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (odd_numbers); i++)
+    {
+      char *text = with_number (manifest_numbers[_i], odd_numbers[i]);
+      struct CfRecord *record = cf_record_new ("main", 9, false, text);
+      struct CfError error = { 0 };
+      struct CfManifest *manifest;
+
+      cf_platform_read_order (CF_FEED_MANIFEST, record);
+      manifest = cf_platform_read_manifest (record, &error);
+      if (!manifest)
+        ck_assert_msg (g_str_has_prefix (error.text, "main: "), "%s", error.text);
+      else
+        {
+          ck_assert_int_ge (manifest->flow_idle_ms, 0);
+          ck_assert_int_le (manifest->flow_idle_ms, 86400000);
+          for (guint j = 0; j < manifest->services->len; j++)
+            {
+              const struct CfServiceTraits *traits
+                  = &g_array_index (manifest->services, struct CfServiceTraits, j);
+
+              ck_assert_int_ge (traits->cold_ms, 0);
+              ck_assert_int_le (traits->cold_ms, 86400000);
+              ck_assert (traits->cold_per_s >= 0 && traits->cold_per_s <= 1e6);
+            }
+          for (guint j = 0; j < manifest->routes->len; j++)
+            cf_route_service (&g_array_index (manifest->routes, struct CfRouteEntry, j),
+                              (struct CfEndpoint){ .ip = 1, .port = 2 });
+        }
+      cf_manifest_free (manifest);
+      cf_record_free (record);
+      g_free (text);
+    }
+}
+END_TEST
+
+/* A version beyond 2^53 keeps its order. */
+START_TEST (test_manifest_version_keeps_its_digits)
+{
+  struct CfRecord *record
+      = cf_record_new ("main", 9, false, "{\"version\":9223372036854775807,\"routes\":[]}");
+  struct CfManifest *manifest = cf_platform_read_manifest (record, NULL);
+
+  ck_assert_uint_eq (manifest->version, 9223372036854775807U);
+  cf_manifest_free (manifest);
+  cf_record_free (record);
+}
+END_TEST
+
+#define VM_RECORD(address, link, hour)                                                             \
+  "{\"address\":\"" address "\",\"domain\":\"a\",\"region\":\"r\",\"link_mbps\":" link             \
+  ",\"hour\":" hour "}"
+
+/* Records of VMs of another writer.  The difference of hours overflowed, and a VM followed the
+ * first address, of which no URL can be made, until its end. */
+static const char *const unreadable_vms[] = {
+  VM_RECORD ("10.0.0.1 x", "5", "5"),
+  VM_RECORD ("", "5", "5"),
+  VM_RECORD ("[::1", "5", "5"),
+  VM_RECORD ("::1", "5", "5"),
+  VM_RECORD ("10.0.0.1:99999/%", "5", "5"),
+  VM_RECORD ("10.0.0.1", "-1", "5"),
+  VM_RECORD ("10.0.0.1", "1e300", "5"),
+  VM_RECORD ("10.0.0.1", "9223372036854775807", "5"),
+  VM_RECORD ("10.0.0.1", "5", "-9223372036854775808"),
+  VM_RECORD ("10.0.0.1", "5", "9223372036854775807"),
+  VM_RECORD ("10.0.0.1", "5", "18446744073709551616"),
+  VM_RECORD ("10.0.0.1", "5", "\"5\""),
+  "{\"address\":\"10.0.0.1\",\"domain\":[],\"region\":\"r\",\"link_mbps\":5,\"hour\":5}",
+};
+
+START_TEST (test_unreadable_vm_record)
+{
+  struct CfVmRecord vm;
+  struct CfVmRecordHolder *holder;
+
+  ck_assert_ptr_null (cf_vm_record_parse (unreadable_vms[_i], &vm));
+  holder = cf_vm_record_parse (VM_RECORD ("10.0.0.1", "5", "5"), &vm);
+  ck_assert_str_eq (vm.ip, "10.0.0.1");
+  cf_vm_record_release (holder);
+}
+END_TEST
+
+START_TEST (test_hour_of_any_size_overflows_nothing)
+{
+  struct CfSources *sources = cf_sources_new ("vm-1", "a", "r");
+  struct CfVmRecord vm = { .ip = "10.0.0.1", .domain = "a", .region = "r", .hour = INT64_MAX };
+
+  cf_sources_set (sources, "vm-2", &vm);
+  ck_assert_ptr_null (cf_sources_expired (sources, 1791912288));
+  vm.hour = INT64_MIN;
+  cf_sources_set (sources, "vm-2", &vm);
+  ck_assert_ptr_nonnull (cf_sources_expired (sources, 1791912288));
+  cf_sources_free (sources);
+}
+END_TEST
+
 START_TEST (test_manifest)
 {
   struct CfRecord *record = cf_record_new (
@@ -415,6 +601,11 @@
   suite_add_loop (suite, test_announcement, 1);
   suite_add_loop (suite, test_invalid_announcement, G_N_ELEMENTS (invalid_announcements));
   suite_add_loop (suite, test_nested_entry_ends_no_process, G_N_ELEMENTS (nested_items));
+  suite_add_loop (suite, test_announced_number_too_large, G_N_ELEMENTS (announced_numbers));
+  suite_add_loop (suite, test_manifest_number_too_large, G_N_ELEMENTS (manifest_numbers));
+  suite_add_loop (suite, test_manifest_version_keeps_its_digits, 1);
+  suite_add_loop (suite, test_unreadable_vm_record, G_N_ELEMENTS (unreadable_vms));
+  suite_add_loop (suite, test_hour_of_any_size_overflows_nothing, 1);
   suite_add_loop (suite, test_manifest, 1);
   return suite_run (suite);
 }
