A port in a record is digits only, from 1 to 65535

All of 0, 65536, 70000, -1, 2^32 + 80, 2^64 + 80, 10^20 - 1, "80x", none and an IPv6 address were refused before, too, so a port out of range does not end or mislead a process by itself; the test keeps it so, for upstreams and for routes.

--- a/tests/test_feed.c
+++ b/tests/test_feed.c
@@ -440,6 +440,51 @@
 }
 END_TEST
 
+static const char *const invalid_ports[] = {
+  "0",
+  "65536",
+  "70000",
+  "-1",
+  "+80",
+  " 80",
+  "80 ",
+  "80x",
+  "0x50",
+  "",
+  "4294967376",
+  "18446744073709551696",
+  "99999999999999999999",
+  "8\\u0030\\n",
+  "80:80",
+  "1e2",
+};
+
+/* A port that does not fit is an error, and never another port. */
+START_TEST (test_port_out_of_range)
+{
+  const char *port = invalid_ports[_i];
+  char *address = with_number ("{\"service\":\"s\",\"zone\":\"a\",\"state\":\"ready\",\"slots\":2,"
+                               "\"address\":\"10.0.0.1:%s\"}",
+                               port);
+  char *prefix = with_number ("{\"version\":1,\"routes\":[{\"host\":\"198.18.0.1\",\"path-prefix\":"
+                              "\"/%s/\",\"service\":\"s\"}]}",
+                              port);
+  struct CfRecord *upstream = cf_record_new ("i-1", 9, false, address);
+  struct CfRecord *manifest = cf_record_new ("main", 9, false, prefix);
+  struct CfAnnouncement announcement;
+  struct CfError error = { 0 };
+
+  ck_assert (!cf_platform_read_announcement (upstream, &announcement, &error));
+  ck_assert_msg (strstr (error.text, "i-1: address"), "%s", error.text);
+  ck_assert_ptr_null (cf_platform_read_manifest (manifest, &error));
+  ck_assert_msg (strstr (error.text, "main: routes[0]"), "%s", error.text);
+  cf_record_free (upstream);
+  cf_record_free (manifest);
+  g_free (address);
+  g_free (prefix);
+}
+END_TEST
+
 #define ROUTE "\"host\":\"198.18.0.1\",\"path-prefix\":\"/80/\""
 
 static const char *const manifest_numbers[] = {
@@ -602,6 +647,7 @@
   suite_add_loop (suite, test_invalid_announcement, G_N_ELEMENTS (invalid_announcements));
   suite_add_loop (suite, test_nested_entry_ends_no_process, G_N_ELEMENTS (nested_items));
   suite_add_loop (suite, test_announced_number_too_large, G_N_ELEMENTS (announced_numbers));
+  suite_add_loop (suite, test_port_out_of_range, G_N_ELEMENTS (invalid_ports));
   suite_add_loop (suite, test_manifest_number_too_large, G_N_ELEMENTS (manifest_numbers));
   suite_add_loop (suite, test_manifest_version_keeps_its_digits, 1);
   suite_add_loop (suite, test_unreadable_vm_record, G_N_ELEMENTS (unreadable_vms));
