An endless or huge answer ends its call instead of the process

Seen: the body of an answer was read into memory whatever its size until the call's deadline.

Cause (class: text from outside exceeds a limit of the process): soup_session_send_and_read has no bound.

Change: bodies are read into a stream that stops at 32 MB (a page of a list has about 1 MB, a value at most 1 MB, the answer to a watch may hold several), or 64 KB for a probe; the call then fails like one without an answer and its connection is closed. An endless header needs nothing: libsoup ends it by itself (case 3 of the test, before and after).

Evidence: test_endless_answer_takes_bounded_memory 0, 1 and 2 (endless body, endless chunk, a length of a terabyte) end by signal 5 without the change, allocating beyond an address space of 2 GB; with it each ends within 0.2 s and takes 37 MB at its peak.

--- a/src/serve/health_task.c
+++ b/src/serve/health_task.c
@@ -1,5 +1,6 @@
 #include "server.h"
 #include "log.h"
+#include "http_call.h"
 #include "base/json_text.h"
 
 #include <libsoup/soup.h>
@@ -13,7 +14,6 @@
 #define PROBES_MAX 8 /* unanswered at a time, per upstream */
 #define PROBES_PER_S 50
 #define CONNECTIONS_MAX 256
-#define BODY_MAX 4096
 
 struct HealthTask
 {
@@ -42,7 +42,7 @@
 {
   gsize len;
   const char *text = g_bytes_get_data (body, &len);
-  JsonNode *root = len <= BODY_MAX ? cf_json_parse_object ("/health", text, len, NULL) : NULL;
+  JsonNode *root = cf_json_parse_object ("/health", text, len, NULL);
   JsonObject *object = root ? json_node_get_object (root) : NULL;
   int64_t open_flows = 0;
 
@@ -61,9 +61,10 @@
 {
   struct Request *request = data;
   struct HealthTask *task = request->task;
-  GBytes *body = soup_session_send_and_read_finish (SOUP_SESSION (source), result, NULL);
+  GBytes *body = cf_http_fetch_finish (result);
   struct CfHealthAnswer answer = { .upstream = request->upstream };
 
+  (void) source;
   if (!task->stopping)
     {
       if (body && soup_message_get_status (request->message) == SOUP_STATUS_OK)
@@ -98,8 +99,8 @@
   g_queue_push_tail_link (&task->requests, &request->link);
   atomic_store (&task->waiting, task->requests.length);
   soup_message_add_flags (request->message, SOUP_MESSAGE_NEW_CONNECTION);
-  soup_session_send_and_read_async (task->session, request->message, G_PRIORITY_DEFAULT,
-                                    request->cancellable, answered, request);
+  cf_http_fetch (task->session, request->message, CF_HTTP_SHORT_BODY_MAX_BYTES,
+                 request->cancellable, answered, request);
   g_free (url);
 }
 
--- a/src/serve/http_call.c
+++ b/src/serve/http_call.c
@@ -9,6 +9,89 @@
   void *data;
 };
 
+static gpointer
+resize_body (gpointer data, gsize size)
+{
+  return size <= CF_HTTP_BODY_MAX_BYTES ? g_try_realloc (data, size) : NULL;
+}
+
+static gpointer
+resize_short_body (gpointer data, gsize size)
+{
+  return size <= CF_HTTP_SHORT_BODY_MAX_BYTES ? g_try_realloc (data, size) : NULL;
+}
+
+static void
+unref (gpointer object)
+{
+  g_object_unref (object);
+}
+
+static void
+body_read (GObject *source, GAsyncResult *result, gpointer data)
+{
+  GTask *task = data;
+  GError *error = NULL;
+
+  if (g_output_stream_splice_finish (G_OUTPUT_STREAM (source), result, &error) < 0)
+    {
+      /* The session would go on to read the rest of a body that is too large. */
+      g_cancellable_cancel (g_task_get_cancellable (task));
+      g_task_return_error (task, error);
+    }
+  else
+    g_task_return_pointer (task,
+                           g_memory_output_stream_steal_as_bytes (G_MEMORY_OUTPUT_STREAM (source)),
+                           (GDestroyNotify) g_bytes_unref);
+  g_object_unref (task);
+}
+
+static void
+head_read (GObject *source, GAsyncResult *result, gpointer data)
+{
+  GTask *task = data;
+  GError *error = NULL;
+  GInputStream *stream = soup_session_send_finish (SOUP_SESSION (source), result, &error);
+
+  if (!stream)
+    {
+      g_task_return_error (task, error);
+      g_object_unref (task);
+      return;
+    }
+  g_output_stream_splice_async (g_task_get_task_data (task), stream,
+                                G_OUTPUT_STREAM_SPLICE_CLOSE_SOURCE
+                                    | G_OUTPUT_STREAM_SPLICE_CLOSE_TARGET,
+                                G_PRIORITY_DEFAULT, g_task_get_cancellable (task), body_read, task);
+  g_object_unref (stream);
+}
+
+void
+cf_http_fetch (SoupSession *session,
+               SoupMessage *message,
+               gsize body_max,
+               GCancellable *cancellable,
+               GAsyncReadyCallback callback,
+               void *data)
+{
+  GTask *task = g_task_new (session, cancellable, callback, data);
+
+  g_task_set_check_cancellable (task, FALSE);
+  g_task_set_task_data (
+      task,
+      g_memory_output_stream_new (
+          NULL, 0, body_max == CF_HTTP_SHORT_BODY_MAX_BYTES ? resize_short_body : resize_body,
+          g_free),
+      unref);
+  soup_session_send_async (session, message, G_PRIORITY_DEFAULT, cancellable, head_read, task);
+}
+
+GBytes *
+cf_http_fetch_finish (GAsyncResult *result)
+{
+  return g_task_propagate_pointer (G_TASK (result), NULL);
+}
+
 static gboolean
 past_deadline (gpointer data)
 {
@@ -38,7 +121,8 @@
 static void
 answered (GObject *source, GAsyncResult *result, gpointer data)
 {
-  complete (data, soup_session_send_and_read_finish (SOUP_SESSION (source), result, NULL));
+  (void) source;
+  complete (data, cf_http_fetch_finish (result));
 }
 
 static gboolean
@@ -69,8 +153,7 @@
     return call;
   if (new_connection)
     soup_message_add_flags (message, SOUP_MESSAGE_NEW_CONNECTION);
-  soup_session_send_and_read_async (session, message, G_PRIORITY_DEFAULT, call->cancellable,
-                                    answered, call);
+  cf_http_fetch (session, message, CF_HTTP_BODY_MAX_BYTES, call->cancellable, answered, call);
   return call;
 }
 
--- a/src/serve/http_call.h
+++ b/src/serve/http_call.h
@@ -8,8 +8,26 @@
 
 struct CfHttpCall;
 
-/* Receives the BODY of the response to MESSAGE, NULL if none arrived completely in time.  MESSAGE
- * is NULL if there was none to send. */
+/* Bounds of a response's body.  A page of a list has about a megabyte, a value at most one; the
+ * answer to a watch may hold several, and escaped text takes up to six times its size.  The answer
+ * to a probe takes some 100 bytes. */
+#define CF_HTTP_BODY_MAX_BYTES (32 << 20)
+#define CF_HTTP_SHORT_BODY_MAX_BYTES 65536
+
+/* Sends MESSAGE and reads the body of its response, up to BODY_MAX bytes, which is one of the two
+ * above.  CALLBACK gets the result for cf_http_fetch_finish. */
+void cf_http_fetch (SoupSession *session,
+                    SoupMessage *message,
+                    gsize body_max,
+                    GCancellable *cancellable,
+                    GAsyncReadyCallback callback,
+                    void *data);
+
+/* Returns the body, or NULL if it did not arrive completely or is too large. */
+GBytes *cf_http_fetch_finish (GAsyncResult *result);
+
+/* Receives the BODY of the response to MESSAGE, NULL if none arrived completely in time or it was
+ * too large.  MESSAGE is NULL if there was none to send. */
 typedef void CfHttpDone (void *data, SoupMessage *message, GBytes *body);
 
 /* Sends MESSAGE, which the call releases, and calls DONE with DATA within DEADLINE_MS.  MESSAGE may
