A VM no longer uses a source that its own answer has removed

Cause: the list of sources frees a source when its VM's record goes, and hands out pointers to them. The follower looked its source up before it applied the answer, and noted the outcome after it. The answer may end the carrying of that record, delete it, leave it out of a list, or replace it with something unreadable.

Change: the outcome of a call is noted by name (cf_sources_answered, cf_sources_failed), so nobody holds a source across what may remove it; the pointers that are still returned are const and valid until the list changes. A source that is gone by the end of its call is ignored.

test_concurrent_failures looked into the source; it now checks the same times to the millisecond by what is chosen.

--- a/Makefile
+++ b/Makefile
@@ -49,6 +49,9 @@
 $(TESTS): $(BUILD)/%: $(BUILD)/tests/%.o $(TEST_LIB_OBJ) $(PLATFORM_OBJ) $(SERVE_TEST_OBJ) $(LIB_OBJ)
 	$(CC) $^ $(LIBS) $(CHECK_LIBS) -o $@
 
+# This test runs a task of the program.
+$(BUILD)/test_feed_lifetime: $(filter $(BUILD)/src/serve/%,$(APP_OBJ))
+
 $(STANDINS): $(BUILD)/%: $(BUILD)/tests/%.o $(TEST_LIB_OBJ) $(BUILD)/src/serve/udp.o $(LIB_OBJ)
 	$(CC) $^ $(LIBS) -o $@
 
--- a/src/feed/sources.c
+++ b/src/feed/sources.c
@@ -81,15 +81,6 @@
   return NULL;
 }
 
-struct CfSource *
-cf_sources_find (struct CfSources *sources, const char *name)
-{
-  guint index;
-  struct CfSource *source = find (sources->vms, name, &index);
-
-  return source ? source : find (sources->seeds, name, &index);
-}
-
 void
 cf_sources_set (struct CfSources *sources, const char *name, const struct CfVmRecord *vm)
 {
@@ -323,7 +314,7 @@
   return source && (domain_order < 0 || (domain_order == 0 && reader_place < own_place));
 }
 
-struct CfSource *
+const struct CfSource *
 cf_sources_choose (struct CfSources *sources, CfMillis now)
 {
   struct CfSource *best = NULL;
@@ -336,7 +327,7 @@
   return best;
 }
 
-struct CfSource *
+const struct CfSource *
 cf_sources_choose_vm (struct CfSources *sources, CfMillis now)
 {
   struct CfSource *best = NULL;
@@ -348,7 +339,7 @@
   return best;
 }
 
-struct CfSource *
+const struct CfSource *
 cf_sources_choose_seed (struct CfSources *sources, CfMillis now)
 {
   struct CfSource *best = NULL;
@@ -378,27 +369,40 @@
   return NULL;
 }
 
-struct CfSource *
-cf_sources_store (struct CfSources *sources)
+/* Returns the VM or seed called NAME, the store if NAME is NULL, or NULL if there is none. */
+static struct CfSource *
+find_source (struct CfSources *sources, const char *name)
 {
-  return &sources->store;
+  struct CfSource *source;
+  guint index;
+
+  if (!name)
+    return &sources->store;
+  source = find (sources->vms, name, &index);
+  return source ? source : find (sources->seeds, name, &index);
 }
 
 void
-cf_source_failed (struct CfSource *source, CfMillis now)
+cf_sources_answered (struct CfSources *sources, const char *name)
 {
-  CfMillis delay = (CfMillis) CF_SOURCES_RETRY_MIN_MS << MIN (source->failures, 8);
+  struct CfSource *source = find_source (sources, name);
 
-  /* Several calls under way that fail together count as one failure. */
-  if (now < source->down_until)
+  if (!source)
     return;
-  source->failures++;
-  source->down_until = now + MIN (delay, CF_SOURCES_RETRY_MAX_MS);
+  source->failures = 0;
+  source->down_until = 0;
 }
 
 void
-cf_source_answered (struct CfSource *source)
+cf_sources_failed (struct CfSources *sources, const char *name, CfMillis now)
 {
-  source->failures = 0;
-  source->down_until = 0;
+  struct CfSource *source = find_source (sources, name);
+  CfMillis delay;
+
+  /* Several calls under way that fail together count as one failure. */
+  if (!source || now < source->down_until)
+    return;
+  delay = (CfMillis) CF_SOURCES_RETRY_MIN_MS << MIN (source->failures, 8);
+  source->failures++;
+  source->down_until = now + MIN (delay, CF_SOURCES_RETRY_MAX_MS);
 }
--- a/src/feed/sources.h
+++ b/src/feed/sources.h
@@ -54,9 +54,10 @@
 /* Adds or updates the VM called NAME, or removes it (VM is NULL).  Strings are copied. */
 void cf_sources_set (struct CfSources *sources, const char *name, const struct CfVmRecord *vm);
 
-/* Returns the source to use at NOW.  The result is valid until the next call of
- * cf_sources_set. */
-struct CfSource *cf_sources_choose (struct CfSources *sources, CfMillis now);
+/* Returns the source to use at NOW.  The result, like that of each function below that returns a
+ * source, is valid until the next call of cf_sources_set or cf_sources_seed: to be kept, it has to
+ * be kept by name. */
+const struct CfSource *cf_sources_choose (struct CfSources *sources, CfMillis now);
 
 /* How a VM uses the store. */
 enum CfStoreUse
@@ -84,21 +85,18 @@
  * the store at the same time, all but the first may stop. */
 bool cf_sources_precedes (struct CfSources *sources, const char *reader);
 
-/* Returns the VM or seed called NAME, or NULL. */
-struct CfSource *cf_sources_find (struct CfSources *sources, const char *name);
-
 /* Returns the age of its data from which on this VM asks the store itself. */
 CfMillis cf_sources_stale_ms (struct CfSources *sources);
 
 /* Returns the VM to ask at NOW if this VM's source is the store and it does not respond, or
  * NULL. */
-struct CfSource *cf_sources_choose_vm (struct CfSources *sources, CfMillis now);
+const struct CfSource *cf_sources_choose_vm (struct CfSources *sources, CfMillis now);
 
 /* Sets the seeds: IPS at which VMs may run whose names are not known. */
 void cf_sources_seed (struct CfSources *sources, char *const *ips);
 
 /* Returns the seed that a VM without data is to ask at NOW, or NULL. */
-struct CfSource *cf_sources_choose_seed (struct CfSources *sources, CfMillis now);
+const struct CfSource *cf_sources_choose_seed (struct CfSources *sources, CfMillis now);
 
 /* Returns the IPs (text, not owned) of other VMs, those of this failure domain first. */
 GPtrArray *cf_sources_ips (const struct CfSources *sources);
@@ -120,11 +118,10 @@
 /* Returns a VM whose record has expired and is to be deleted, or NULL. */
 const struct CfSource *cf_sources_expired (const struct CfSources *sources, int64_t now_s);
 
-/* Returns the store as a source. */
-struct CfSource *cf_sources_store (struct CfSources *sources);
-
-/* Records that SOURCE did not answer or has only old data. */
-void cf_source_failed (struct CfSource *source, CfMillis now);
-void cf_source_answered (struct CfSource *source);
+/* Records the outcome of a call to the VM or seed called NAME (NULL: the store): it answered, or it
+ * did not or has only old data.  A source that is gone by now, perhaps by its own answer, is
+ * ignored. */
+void cf_sources_answered (struct CfSources *sources, const char *name);
+void cf_sources_failed (struct CfSources *sources, const char *name, CfMillis now);
 
 #endif
--- a/src/serve/feed_follow.c
+++ b/src/serve/feed_follow.c
@@ -88,7 +88,6 @@
   struct FeedTask *task = data;
   struct FeedFollow *follow = &task->follow;
   CfMillis now = cf_now ();
-  struct CfSource *source = cf_sources_find (task->sources, task->follow.name);
   bool answer = body && soup_message_get_status (message) == SOUP_STATUS_OK;
   const char *era = answer ? soup_message_headers_get_one (
                         soup_message_get_response_headers (message), CF_RELAY_ERA_HEADER)
@@ -106,15 +105,15 @@
                                     { 0 },
                                 },
                                 now);
-  if (source && good)
-    cf_source_answered (source);
-  else if (source)
-    cf_source_failed (source, now);
+  if (good)
+    cf_sources_answered (task->sources, follow->name);
+  else
+    cf_sources_failed (task->sources, follow->name, now);
   cf_feed_tick (task);
 }
 
 CfMillis
-cf_feed_follow_tick (struct FeedTask *task, struct CfSource *source, CfMillis now)
+cf_feed_follow_tick (struct FeedTask *task, const struct CfSource *source, CfMillis now)
 {
   struct FeedFollow *follow = &task->follow;
   struct CfFeedPosition position = { .era = task->replica.era };
--- a/src/serve/feed_internal.h
+++ b/src/serve/feed_internal.h
@@ -118,7 +118,7 @@
 
 void cf_feed_follow_stop (struct FeedTask *task);
 /* Requests changes from SOURCE unless a request is in progress; returns when to call again. */
-CfMillis cf_feed_follow_tick (struct FeedTask *task, struct CfSource *source, CfMillis now);
+CfMillis cf_feed_follow_tick (struct FeedTask *task, const struct CfSource *source, CfMillis now);
 
 bool cf_feed_relay_start (struct FeedTask *task, struct CfError *error);
 void cf_feed_relay_stop (struct FeedTask *task);
--- a/src/serve/feed_store.c
+++ b/src/serve/feed_store.c
@@ -134,7 +134,7 @@
   whole = cf_reader_handle_outcome (reader, outcome, &response, now, task->random);
   if (outcome == CF_READ_ANSWERED)
     {
-      cf_source_answered (cf_sources_store (task->sources));
+      cf_sources_answered (task->sources, NULL);
       task->probed_at = now;
       retry_failed_channels (task, now);
       if (listing)
@@ -148,7 +148,7 @@
                              all_trusted (task, now));
     }
   else if (reader->failures >= FAILURES_MAX)
-    cf_source_failed (cf_sources_store (task->sources), now);
+    cf_sources_failed (task->sources, NULL, now);
   cf_feed_response_clear (&response);
   cf_feed_tick (task);
 }
--- a/src/serve/feed_task.c
+++ b/src/serve/feed_task.c
@@ -271,7 +271,7 @@
 cf_feed_tick (struct FeedTask *task)
 {
   CfMillis now = cf_now ();
-  struct CfSource *source = cf_sources_choose (task->sources, now);
+  const struct CfSource *source = cf_sources_choose (task->sources, now);
   CfMillis next = MIN (cf_feed_enroll_tick (task, now), stale_at (task, now));
 
   update_source (task, source, now);
--- /dev/null
+++ b/tests/test_feed_lifetime.c
@@ -0,0 +1,232 @@
+#include "serve/feed_internal.h"
+#include "serve/http_listen.h"
+#include "serve/server.h"
+#include "suite.h"
+
+#include <unistd.h>
+
+/* What the feed task refers to while it handles an answer must outlive the handling, also where the
+ * answer itself removes it.  The task runs on the test's thread, with the VM that it follows on
+ * another loopback address.  Most of these failures show under the address sanitizer only. */
+
+#define PORT_MIN 20000
+#define PORTS 10000
+#define WAIT_S 10
+
+/* The VM under test is "vm-2".  It follows "vm-1", the first of its failure domain. */
+struct Feed
+{
+  struct CfBalancer balancer;
+  struct FeedTask *task;
+  SoupServer *followed;
+  struct CfReplica answer; /* what the followed VM sends */
+  struct CfUpdateOrigin origin;
+  int requests; /* that the followed VM has had */
+};
+
+static void
+never_stop (struct CfTask *task, void *data)
+{
+  (void) task;
+  (void) data;
+}
+
+/* Messages to the other tasks are kept and freed with them. */
+static const struct CfTaskClass idle_class = { .name = "idle", .stop = never_stop };
+
+static char *
+loopback_ip (int host)
+{
+  pid_t pid = getpid ();
+
+  return g_strdup_printf ("127.%d.%d.%d", 1 + (pid >> 8) % 250, pid & 0xff, host);
+}
+
+static struct CfAddress
+address_of (const char *ip, uint16_t port)
+{
+  struct CfAddress address;
+
+  ck_assert (cf_address_parse (ip, port, &address));
+  return address;
+}
+
+static void
+answer_follower (SoupServer *soup,
+                 SoupServerMessage *message,
+                 const char *path,
+                 GHashTable *query,
+                 gpointer data)
+{
+  struct Feed *feed = data;
+  struct CfFeedPosition position = { .era = feed->answer.era };
+  struct CfRelayCache cache = { 0 };
+  GBytes *body;
+  const char *bytes;
+  gsize len;
+
+  (void) soup;
+  (void) path;
+  feed->requests++;
+  ck_assert (cf_feed_position_parse (query, &position));
+  body = cf_relay_encode (&cache, &feed->answer, &position, &feed->origin);
+  bytes = g_bytes_get_data (body, &len);
+  soup_message_headers_replace (soup_server_message_get_response_headers (message),
+                                CF_RELAY_ERA_HEADER, "1");
+  soup_server_message_set_status (message, SOUP_STATUS_OK, NULL);
+  soup_server_message_set_response (message, "application/octet-stream", SOUP_MEMORY_COPY, bytes,
+                                    len);
+  g_bytes_unref (body);
+  cf_relay_cache_clear (&cache);
+}
+
+static void
+add_vm (GPtrArray *records, const char *name, const char *ip, uint64_t revision)
+{
+  char *content = cf_vm_record_format (&(struct CfVmRecord){
+      .ip = ip,
+      .domain = "d",
+      .region = "r",
+      .link_mbps = 100,
+      .hour = cf_sources_hour (name, g_get_real_time () / G_TIME_SPAN_SECOND),
+  });
+
+  g_ptr_array_add (records, cf_record_new (name, revision, false, content));
+  g_free (content);
+}
+
+static GPtrArray *
+new_records (void)
+{
+  return g_ptr_array_new_with_free_func (cf_record_free);
+}
+
+static void
+apply_and_free (struct CfReplica *replica, GPtrArray *records, uint64_t revision, bool whole)
+{
+  g_ptr_array_unref (cf_replica_apply (replica, CF_FEED_VMS, records, revision, whole));
+  g_ptr_array_unref (records);
+}
+
+static void
+start_feed (struct Feed *feed)
+{
+  static int ports;
+  struct CfBalancer *balancer = &feed->balancer;
+  struct CfError error = { 0 };
+  char *ip = loopback_ip (1);
+  GPtrArray *records = new_records ();
+  struct CfAddress followed;
+
+  *feed = (struct Feed){ .origin = { .age = 0 } };
+  balancer->settings = (struct CfBalanceSettings){
+    .name = g_strdup ("vm-2"),
+    .ip = loopback_ip (2),
+    .failure_domain = g_strdup ("d"),
+    .region = g_strdup ("r"),
+    .seeds = g_new0 (char *, 1),
+    .store = g_strdup_printf ("%s:1", ip), /* nothing listens there */
+    .peer_port = (uint16_t) (PORT_MIN + (getpid () + 7 * ports++) % PORTS),
+    .link_mbps = 100,
+  };
+  balancer->settings.ready = address_of (balancer->settings.ip, 0);
+  balancer->log = cf_event_log_new ("vm-2");
+  cf_task_prepare (&balancer->datapath, &idle_class, NULL);
+  cf_task_prepare (&balancer->feed, &cf_feed_task, cf_feed_task_new (balancer));
+  feed->task = balancer->feed.data;
+  g_main_context_push_thread_default (balancer->feed.context);
+  cf_replica_init (&feed->answer);
+  followed = address_of (ip, balancer->settings.peer_port);
+  feed->followed = cf_http_listen (&followed, answer_follower, feed, &error);
+  ck_assert_msg (feed->followed != NULL, "%s", error.text);
+  ck_assert_msg (cf_feed_task.start (&balancer->feed, feed->task, &error), "%s", error.text);
+  cf_feed_learn_era (feed->task, 1);
+  add_vm (records, "vm-1", ip, 1);
+  add_vm (records, "vm-2", balancer->settings.ip, 1);
+  cf_feed_apply (feed->task, CF_FEED_VMS, records, 1, true, true);
+  cf_replica_enter_era (&feed->answer, 1, 0);
+  apply_and_free (&feed->answer, records, 1, true);
+  g_free (ip);
+}
+
+static void
+stop_feed (struct Feed *feed)
+{
+  struct CfBalancer *balancer = &feed->balancer;
+
+  cf_feed_task.stop (&balancer->feed, feed->task);
+  cf_http_close (&feed->followed);
+  while (g_main_context_iteration (balancer->feed.context, FALSE))
+    ;
+  g_main_context_pop_thread_default (balancer->feed.context);
+  cf_task_finish (&balancer->feed);
+  cf_task_finish (&balancer->datapath);
+  cf_feed_task_free (feed->task);
+  cf_replica_clear (&feed->answer);
+  cf_event_log_free (balancer->log);
+  cf_balance_settings_clear (&balancer->settings);
+}
+
+/* Runs the task until it has handled a response of the followed VM. */
+static void
+await_response (struct Feed *feed)
+{
+  gint64 end = g_get_monotonic_time () + WAIT_S * G_TIME_SPAN_SECOND;
+
+  while (feed->requests == 0 || feed->task->follow.call)
+    {
+      ck_assert_msg (g_get_monotonic_time () < end, "no response after %d s", WAIT_S);
+      g_main_context_iteration (feed->balancer.feed.context, TRUE);
+    }
+}
+
+/* Records that the followed VM sends beside the removal of its own record. */
+enum Removal
+{
+  REMOVAL_CHANGE,     /* in an update */
+  REMOVAL_LIST,       /* a whole list does not have it */
+  REMOVAL_UNREADABLE, /* the record has become unreadable */
+  REMOVALS,
+};
+
+static void
+remove_followed (struct Feed *feed, enum Removal removal)
+{
+  GPtrArray *records = new_records ();
+
+  if (removal == REMOVAL_CHANGE)
+    g_ptr_array_add (records, cf_record_new ("vm-1", 2, true, NULL));
+  else if (removal == REMOVAL_UNREADABLE)
+    g_ptr_array_add (records, cf_record_new ("vm-1", 2, false, "{}"));
+  else
+    add_vm (records, "vm-2", feed->balancer.settings.ip, 1);
+  apply_and_free (&feed->answer, records, 2, removal == REMOVAL_LIST);
+}
+
+/* A VM is followed, and its response says that it is gone: heap-use-after-free. */
+START_TEST (test_response_removes_its_source)
+{
+  struct Feed feed;
+  bool stale = _i >= REMOVALS;
+
+  start_feed (&feed);
+  remove_followed (&feed, (enum Removal) (_i % REMOVALS));
+  if (stale)
+    feed.origin.age = 60 * CF_MS_PER_S;
+  await_response (&feed);
+  ck_assert_str_eq (feed.task->follow.name, "vm-1");
+  ck_assert_uint_eq (feed.task->replica.revision[CF_FEED_VMS], 2);
+  ck_assert_uint_eq (cf_sources_domain_size (feed.task->sources), 1);
+  stop_feed (&feed);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("feed lifetime");
+
+  cf_task_register_types ();
+  suite_add_loop (suite, test_response_removes_its_source, 2 * REMOVALS);
+  return suite_run (suite);
+}
--- a/tests/test_sources.c
+++ b/tests/test_sources.c
@@ -34,7 +34,7 @@
 static const char *
 chosen (struct CfSources *sources, CfMillis now)
 {
-  struct CfSource *source = cf_sources_choose (sources, now);
+  const struct CfSource *source = cf_sources_choose (sources, now);
 
   return source->name ? source->name : "store";
 }
@@ -63,12 +63,12 @@
   CfMillis now = 10000;
 
   ck_assert_str_eq (chosen (sources, now), "a2");
-  cf_source_failed (cf_sources_find (sources, "a2"), now);
+  cf_sources_failed (sources, "a2", now);
   ck_assert_str_eq (chosen (sources, now), "a1");
-  cf_source_failed (cf_sources_find (sources, "a1"), now);
+  cf_sources_failed (sources, "a1", now);
   ck_assert_str_eq (chosen (sources, now), "store");
   /* The store does not serve this VM either, so it asks a VM after it in the order. */
-  cf_source_failed (cf_sources_store (sources), now);
+  cf_sources_failed (sources, NULL, now);
   ck_assert_str_eq (chosen (sources, now), "b2");
   /* After the retry delay the order applies again. */
   ck_assert_str_eq (chosen (sources, now + CF_SOURCES_RETRY_MIN_MS), "a2");
@@ -168,7 +168,7 @@
 
   ck_assert_str_eq (chosen (sources, now), "store");
   ck_assert_str_eq (cf_sources_choose_vm (sources, now)->name, "b1");
-  cf_source_failed (cf_sources_find (sources, "b1"), now);
+  cf_sources_failed (sources, "b1", now);
   ck_assert_str_eq (cf_sources_choose_vm (sources, now)->name, "b2");
   ck_assert_ptr_null (cf_sources_choose_vm (alone, now));
   cf_sources_free (alone);
@@ -176,18 +176,39 @@
 }
 END_TEST
 
+/* A call outlives the VM that it asks, and the VM returns under its name before the call ends. */
+START_TEST (test_outcome_of_removed_source)
+{
+  struct CfSources *sources = fleet ("a1", "a");
+  CfMillis now = 10000;
+
+  cf_sources_set (sources, "a2", NULL);
+  cf_sources_failed (sources, "a2", now);
+  cf_sources_answered (sources, "a2");
+  ck_assert_str_eq (chosen (sources, now), "store");
+  add_vm (sources, "a2", "a", 200);
+  ck_assert_str_eq (chosen (sources, now), "a2");
+  cf_sources_failed (sources, "a2", now);
+  ck_assert_str_eq (chosen (sources, now), "store");
+  cf_sources_free (sources);
+}
+END_TEST
+
 START_TEST (test_concurrent_failures)
 {
   struct CfSources *sources = fleet ("a2", "a");
-  struct CfSource *store = cf_sources_store (sources);
+  CfMillis until = 1000 + CF_SOURCES_RETRY_MIN_MS;
 
   for (int i = 0; i < 4; i++)
-    cf_source_failed (store, 1000);
-  ck_assert_int_eq (store->down_until, 1000 + CF_SOURCES_RETRY_MIN_MS);
-  cf_source_failed (store, 3000);
-  ck_assert_int_eq (store->down_until, 3000 + 2 * CF_SOURCES_RETRY_MIN_MS);
-  cf_source_answered (store);
-  ck_assert_int_eq (store->down_until, 0);
+    cf_sources_failed (sources, NULL, 1000);
+  ck_assert_str_eq (chosen (sources, until - 1), "b1");
+  ck_assert_str_eq (chosen (sources, until), "store");
+  cf_sources_failed (sources, NULL, 3000);
+  until = 3000 + 2 * CF_SOURCES_RETRY_MIN_MS;
+  ck_assert_str_eq (chosen (sources, until - 1), "b1");
+  ck_assert_str_eq (chosen (sources, until), "store");
+  cf_sources_answered (sources, NULL);
+  ck_assert_str_eq (chosen (sources, 3000), "store");
   cf_sources_free (sources);
 }
 END_TEST
@@ -196,14 +217,14 @@
 {
   struct CfSources *sources = cf_sources_new ("a1", "a", "r");
   char *seeds[] = { (char *) "10.0.0.1", (char *) "10.0.0.2", NULL };
-  struct CfSource *seed;
+  const struct CfSource *seed;
   GPtrArray *ips;
 
   ck_assert_ptr_null (cf_sources_choose_seed (sources, 0));
   cf_sources_seed (sources, seeds);
   seed = cf_sources_choose_seed (sources, 0);
   ck_assert_str_eq (seed->ip, "10.0.0.1");
-  cf_source_failed (seed, 0);
+  cf_sources_failed (sources, seed->name, 0);
   ck_assert_str_eq (cf_sources_choose_seed (sources, 0)->ip, "10.0.0.2");
   ips = cf_sources_ips (sources);
   ck_assert_uint_eq (ips->len, 2);
@@ -303,11 +324,15 @@
   char *content = cf_vm_record_format (&vm);
   struct CfVmRecord copy;
   struct CfVmRecordHolder *holder = cf_vm_record_parse (content, &copy);
+  GPtrArray *ips;
 
   ck_assert_ptr_nonnull (holder);
   cf_sources_set (sources, "a2", &copy);
   ck_assert_ptr_null (cf_sources_expired (sources, 1800000000));
-  ck_assert_str_eq (cf_sources_find (sources, "a2")->ip, "10.0.0.1");
+  ips = cf_sources_ips (sources);
+  ck_assert_uint_eq (ips->len, 1);
+  ck_assert_str_eq (ips->pdata[0], "10.0.0.1");
+  g_ptr_array_unref (ips);
   ck_assert (cf_vm_record_equal (content, content));
   cf_vm_record_release (holder);
   g_free (content);
@@ -427,6 +452,7 @@
   suite_add_loop (suite, test_reader_precedence, 1);
   suite_add_loop (suite, test_start_asks_store, 1);
   suite_add_loop (suite, test_reader_fallback, 1);
+  suite_add_loop (suite, test_outcome_of_removed_source, 1);
   suite_add_loop (suite, test_concurrent_failures, 1);
   suite_add_loop (suite, test_seeds, 1);
   suite_add_loop (suite, test_tree, 1);
