An upstream with a start time below 0 is known with its service

What was seen: by reading; an entry of another writer may give any whole number as its start.

Cause: the first announcement of an upstream was compared with an empty one, found older, and ignored, but the upstream stayed in the directory without a service or address. Its cookie and id find it, and what compares it with the others of its service then has no list of these.

Change: only an upstream that is known already is compared.

Evidence: test_negative_start_time failed before (service 0), passes now, also under sanitizers.

--- a/src/balance/directory.c
+++ b/src/balance/directory.c
@@ -156,10 +156,10 @@
 {
   struct CfTarget *target = cf_directory_by_id (directory, announcement->id);
 
+  if (target && is_older (announcement, target))
+    return target;
   if (!target)
     target = add_target (directory, announcement, now);
-  if (is_older (announcement, target))
-    return target;
   if (announcement->started != target->started)
     {
       target->reach = (struct CfReach){ .confirmed_at = -1 };
--- a/tests/test_directory.c
+++ b/tests/test_directory.c
@@ -90,6 +90,31 @@
 }
 END_TEST
 
+/* Any number is a start time: an upstream whose first announcement was ignored was known without a
+ * service, and what compares it with the others of its service found none. */
+START_TEST (test_negative_start_time)
+{
+  struct CfDirectory *directory = cf_directory_new ();
+  struct CfAnnouncement odd = announcement ("i-1", 5);
+  struct CfTarget *target;
+
+  odd.started = -1;
+  target = cf_directory_announce (directory, &odd, 0);
+  ck_assert_uint_eq (target->service, g_quark_from_string ("s"));
+  ck_assert_uint_eq (cf_directory_service (directory, target->service)->len, 1);
+  odd.started = -2;
+  odd.service = "t";
+  odd.revision = 6;
+  cf_directory_announce (directory, &odd, 0);
+  ck_assert_uint_eq (target->service, g_quark_from_string ("s"));
+  cf_directory_withdraw (directory, "i-1", true, 0);
+  cf_directory_prune (directory, 60001, 60000);
+  ck_assert_ptr_null (cf_directory_by_id (directory, "i-1"));
+  ck_assert_uint_eq (cf_directory_service (directory, g_quark_from_string ("s"))->len, 0);
+  cf_directory_free (directory);
+}
+END_TEST
+
 /* Finds two ids with the same cookie. */
 static void
 find_collision (char *first, char *second, size_t size)
@@ -150,6 +175,7 @@
   suite_add_loop (suite, test_directory_states, 1);
   suite_add_loop (suite, test_directory_restart, 1);
   suite_add_loop (suite, test_directory_moves_service, 1);
+  suite_add_loop (suite, test_negative_start_time, 1);
   suite_add_loop (suite, test_cookie_collision, 1);
   return suite_run (suite);
 }
