SIGTERM ends a process whose feed or packet task cannot start

What was seen: a VM whose peer port is held by another process, TCP or UDP, ran on after SIGTERM until it was killed; so did "serve" while its packet ports are taken. Each retry logged a failed assertion.

Cause: the supervisor posts the request to leave to a task and waits for its word. A task that could not start handles no message.

Change: the supervisor leaves by itself once the longest wait for other VMs and 400 ms are over (cf_rotation_wait_max; the linger and the end then are within the grace period), and "serve" stops at once if its packet task is not running: it has nothing to hand over.

Evidence: tests/sockets/stop.sh failed before (both processes still there 15 s after SIGTERM; the assertion in the log) and passes. test_failed_starts failed before with the assertion.

--- a/src/serve/balancer.c
+++ b/src/serve/balancer.c
@@ -1,6 +1,8 @@
 #include "balancer.h"
 #include "crash_report.h"
+#include "feed/rotation.h"
 #include "log.h"
+#include "server.h"
 
 #include <glib-unix.h>
 #include <json-glib/json-glib.h>
@@ -15,6 +17,8 @@
  * forwarded. */
 #define LINGER_MS 1400
 #define LEAVE_CHECK_MS 50
+/* Time that the feed task has beyond its longest wait to have this VM leave. */
+#define LEAVE_LATE_MS 400
 /* The settings file is polled, because it may change without a signal. */
 #define SETTINGS_CHECK_S 2
 
@@ -31,6 +35,7 @@
   struct CfBalancer balancer;
   gint64 settings_mtime;
   bool stopping;
+  CfMillis leave_by; /* while stopping */
 };
 
 static void
@@ -52,13 +57,20 @@
   return G_SOURCE_REMOVE;
 }
 
+/* The feed task decides when this VM leaves, but it may not have started. */
 static gboolean
 wait_for_leave (gpointer data)
 {
   struct Supervisor *supervisor = data;
+  struct CfBalancer *balancer = &supervisor->balancer;
 
-  if (!atomic_load (&supervisor->balancer.leaving))
-    return G_SOURCE_CONTINUE;
+  if (!atomic_load (&balancer->leaving))
+    {
+      if (cf_now () < supervisor->leave_by)
+        return G_SOURCE_CONTINUE;
+      atomic_store (&balancer->leaving, true);
+      log_event (balancer, "leaving", "the feed task does not respond");
+    }
   g_timeout_add (LINGER_MS, quit, supervisor);
   return G_SOURCE_REMOVE;
 }
@@ -73,6 +85,8 @@
     return G_SOURCE_CONTINUE;
   supervisor->stopping = true;
   log_event (balancer, "stopping", "SIGTERM");
+  supervisor->leave_by
+      = cf_now () + cf_rotation_wait_max (balancer->settings.grace_ms) + LEAVE_LATE_MS;
   cf_send_stop (balancer);
   g_timeout_add (LEAVE_CHECK_MS, wait_for_leave, supervisor);
   return G_SOURCE_CONTINUE;
--- a/src/serve/server.c
+++ b/src/serve/server.c
@@ -19,7 +19,13 @@
 static gboolean
 on_stop (gpointer data)
 {
-  cf_send_leave (data);
+  struct CfServer *server = data;
+
+  /* Without the packet task there is nothing to hand over, and nobody to say when that is done. */
+  if (cf_task_is_running (&server->packet))
+    cf_send_leave (server);
+  else
+    g_main_loop_quit (server->main_loop);
   return G_SOURCE_CONTINUE;
 }
 
--- a/src/serve/task.c
+++ b/src/serve/task.c
@@ -40,7 +40,11 @@
       gint64 began = g_get_monotonic_time ();
 
       if (task->class->start (task, task->data, &error))
-        g_main_loop_run (task->loop);
+        {
+          g_atomic_int_set (&task->running, 1);
+          g_main_loop_run (task->loop);
+          g_atomic_int_set (&task->running, 0);
+        }
       else if (strcmp (last, error.text) != 0)
         {
           cf_log_warning ("TASK", task->class->name, "task %s did not start: %s", task->class->name,
@@ -115,6 +119,12 @@
   g_main_context_unref (task->context);
 }
 
+bool
+cf_task_is_running (const struct CfTask *task)
+{
+  return g_atomic_int_get (&task->running);
+}
+
 static gboolean
 deliver (gpointer data)
 {
--- a/src/serve/task.h
+++ b/src/serve/task.h
@@ -28,6 +28,7 @@
   GMainContext *context;
   GMainLoop *loop;
   int quit;     /* atomic */
+  int running;  /* atomic */
   int restarts; /* atomic */
 };
 
@@ -49,6 +50,10 @@
 /* Releases TASK and the messages that were not delivered. */
 void cf_task_finish (struct CfTask *task);
 
+/* Returns true if TASK has started: messages to it are handled now.  Those to a task that could not
+ * start yet wait until it has. */
+bool cf_task_is_running (const struct CfTask *task);
+
 /* Calls FUNC with the task's data and MESSAGE on the task's thread, then frees
  * MESSAGE with FREE (may be NULL).  Messages of one sender arrive in order. */
 void cf_task_post (struct CfTask *task, CfTaskFunc *func, void *message, GDestroyNotify free);
--- a/tests/test_feed_lifetime.c
+++ b/tests/test_feed_lifetime.c
@@ -221,12 +221,46 @@
 }
 END_TEST
 
+/* Another process has the port for a while, TCP or UDP: the task starts later, and what the failed
+ * starts left behind does no harm. */
+START_TEST (test_failed_starts)
+{
+  struct Feed feed;
+  struct CfTask *base = &feed.balancer.feed;
+  struct CfError error = { 0 };
+  struct CfAddress address;
+  SoupServer *listener = NULL;
+  GSocket *socket = NULL;
+
+  start_feed (&feed);
+  cf_feed_task.stop (base, feed.task);
+  address = address_of (feed.balancer.settings.ip, feed.balancer.settings.peer_port);
+  if (_i == 0)
+    listener = cf_http_listen (&address, answer_follower, &feed, &error);
+  else
+    socket = cf_udp_open (feed.balancer.settings.ip, feed.balancer.settings.peer_port, &error);
+  ck_assert (listener || socket);
+  for (int i = 0; i < 2; i++)
+    {
+      ck_assert (!cf_feed_task.start (base, feed.task, &error));
+      cf_feed_task.stop (base, feed.task);
+    }
+  cf_http_close (&listener);
+  g_clear_object (&socket);
+  ck_assert_msg (cf_feed_task.start (base, feed.task, &error), "%s", error.text);
+  await_response (&feed);
+  stop_feed (&feed);
+}
+END_TEST
+
 int
 main (void)
 {
   Suite *suite = suite_create ("feed lifetime");
 
+  g_log_set_always_fatal (G_LOG_LEVEL_CRITICAL | G_LOG_LEVEL_ERROR);
   cf_task_register_types ();
   suite_add_loop (suite, test_response_removes_its_source, 2 * REMOVALS);
+  suite_add_loop (suite, test_failed_starts, 2);
   return suite_run (suite);
 }
