A feed task that is started again keeps the era of its records

Cause: the readers began in no era while the replica has one. Each answer then counts as one from another era, and the reader lists again and again instead of waiting for changes. Today a start can only be repeated before there is an era, so no process has shown it.

Change: the readers enter the replica's era at the start. Calls that stop cancels are forgotten, so that no later life cancels them again.

Evidence: test_restart_keeps_era failed before (history-gone instead of answered).

--- a/src/serve/feed_enroll.c
+++ b/src/serve/feed_enroll.c
@@ -188,7 +188,9 @@
 {
   if (task->enroll.call)
     cf_http_call_cancel (task->enroll.call);
+  task->enroll.call = NULL;
   if (task->enroll.delete)
     cf_http_call_cancel (task->enroll.delete);
+  task->enroll.delete = NULL;
   g_clear_pointer (&task->enroll.content, g_free);
 }
--- a/src/serve/feed_store.c
+++ b/src/serve/feed_store.c
@@ -225,6 +225,7 @@
       channel->task = task;
       channel->list = g_ptr_array_new_with_free_func (cf_record_free);
       cf_reader_init (&channel->reader, (enum CfFeedKind) kind, cf_now ());
+      cf_reader_enter_era (&channel->reader, task->replica.era, cf_now ());
     }
 }
 
--- a/tests/test_feed_lifetime.c
+++ b/tests/test_feed_lifetime.c
@@ -253,6 +253,27 @@
 }
 END_TEST
 
+/* A task that is started again knows the era of its records: a reader that does not takes each
+ * answer for one from another era, and lists without end. */
+START_TEST (test_restart_keeps_era)
+{
+  struct Feed feed;
+  struct CfError error = { 0 };
+
+  start_feed (&feed);
+  cf_feed_task.stop (&feed.balancer.feed, feed.task);
+  ck_assert (cf_feed_task.start (&feed.balancer.feed, feed.task, &error));
+  for (int kind = 0; kind < CF_FEED_KINDS; kind++)
+    {
+      struct CfReader *reader = &feed.task->channels[kind].reader;
+
+      reader->listed = true;
+      ck_assert_int_eq (cf_reader_outcome (reader, CF_READ_ANSWERED, 1), CF_READ_ANSWERED);
+    }
+  stop_feed (&feed);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -262,5 +283,6 @@
   cf_task_register_types ();
   suite_add_loop (suite, test_response_removes_its_source, 2 * REMOVALS);
   suite_add_loop (suite, test_failed_starts, 2);
+  suite_add_loop (suite, test_restart_keeps_era, 1);
   return suite_run (suite);
 }
