--- a/tests/test_feed_lifetime.c
+++ b/tests/test_feed_lifetime.c
@@ -1,5 +1,4 @@
 #include "serve/feed_internal.h"
-#include "serve/http_listen.h"
 #include "serve/server.h"
 #include "suite.h"
 
@@ -42,15 +41,6 @@
   return g_strdup_printf ("127.%d.%d.%d", 1 + (pid >> 8) % 250, pid & 0xff, host);
 }
 
-static struct CfAddress
-address_of (const char *ip, uint16_t port)
-{
-  struct CfAddress address;
-
-  ck_assert (cf_address_parse (ip, port, &address));
-  return address;
-}
-
 static void
 answer_follower (SoupServer *soup,
                  SoupServerMessage *message,
@@ -80,6 +70,28 @@
   cf_relay_cache_clear (&cache);
 }
 
+static SoupServer *
+listen_at (const char *ip, uint16_t port, struct Feed *feed)
+{
+  SoupServer *server = soup_server_new (NULL, NULL);
+  struct CfAddress address;
+  GSocketAddress *local;
+
+  ck_assert (cf_address_parse (ip, port, &address));
+  local = cf_socket_address (&address);
+  soup_server_add_handler (server, NULL, answer_follower, feed, NULL);
+  ck_assert (soup_server_listen (server, local, 0, NULL));
+  g_object_unref (local);
+  return server;
+}
+
+static void
+close_server (SoupServer *server)
+{
+  soup_server_disconnect (server);
+  g_object_unref (server);
+}
+
 static void
 add_vm (GPtrArray *records, const char *name, const char *ip, uint64_t revision)
 {
@@ -116,7 +128,6 @@
   struct CfError error = { 0 };
   char *ip = loopback_ip (1);
   GPtrArray *records = new_records ();
-  struct CfAddress followed;
 
   *feed = (struct Feed){ .origin = { .age = 0 } };
   balancer->settings = (struct CfBalanceSettings){
@@ -129,16 +140,14 @@
     .peer_port = (uint16_t) (PORT_MIN + (getpid () + 7 * ports++) % PORTS),
     .link_mbps = 100,
   };
-  balancer->settings.ready = address_of (balancer->settings.ip, 0);
+  ck_assert (cf_address_parse (balancer->settings.ip, 0, &balancer->settings.ready));
   balancer->log = cf_event_log_new ("vm-2");
   cf_task_prepare (&balancer->datapath, &idle_class, NULL);
   cf_task_prepare (&balancer->feed, &cf_feed_task, cf_feed_task_new (balancer));
   feed->task = balancer->feed.data;
   g_main_context_push_thread_default (balancer->feed.context);
   cf_replica_init (&feed->answer);
-  followed = address_of (ip, balancer->settings.peer_port);
-  feed->followed = cf_http_listen (&followed, answer_follower, feed, &error);
-  ck_assert_msg (feed->followed != NULL, "%s", error.text);
+  feed->followed = listen_at (ip, balancer->settings.peer_port, feed);
   ck_assert_msg (cf_feed_task.start (&balancer->feed, feed->task, &error), "%s", error.text);
   cf_feed_learn_era (feed->task, 1);
   add_vm (records, "vm-1", ip, 1);
@@ -155,7 +164,7 @@
   struct CfBalancer *balancer = &feed->balancer;
 
   cf_feed_task.stop (&balancer->feed, feed->task);
-  cf_http_close (&feed->followed);
+  close_server (feed->followed);
   while (g_main_context_iteration (balancer->feed.context, FALSE))
     ;
   g_main_context_pop_thread_default (balancer->feed.context);
@@ -228,24 +237,24 @@
   struct Feed feed;
   struct CfTask *base = &feed.balancer.feed;
   struct CfError error = { 0 };
-  struct CfAddress address;
+  const char *ip;
   SoupServer *listener = NULL;
   GSocket *socket = NULL;
 
   start_feed (&feed);
   cf_feed_task.stop (base, feed.task);
-  address = address_of (feed.balancer.settings.ip, feed.balancer.settings.peer_port);
+  ip = feed.balancer.settings.ip;
   if (_i == 0)
-    listener = cf_http_listen (&address, answer_follower, &feed, &error);
+    listener = listen_at (ip, feed.balancer.settings.peer_port, &feed);
   else
-    socket = cf_udp_open (feed.balancer.settings.ip, feed.balancer.settings.peer_port, &error);
+    socket = cf_udp_open (ip, feed.balancer.settings.peer_port, &error);
   ck_assert (listener || socket);
   for (int i = 0; i < 2; i++)
     {
       ck_assert (!cf_feed_task.start (base, feed.task, &error));
       cf_feed_task.stop (base, feed.task);
     }
-  cf_http_close (&listener);
+  g_clear_pointer (&listener, close_server);
   g_clear_object (&socket);
   ck_assert_msg (cf_feed_task.start (base, feed.task, &error), "%s", error.text);
   await_response (&feed);
