--- a/src/serve/feed_task.c
+++ b/src/serve/feed_task.c
@@ -271,7 +271,7 @@
 cf_feed_tick (struct FeedTask *task)
 {
   CfMillis now = cf_now ();
-  struct CfSource *source = cf_sources_choose (task->sources, now);
+  const struct CfSource *source = cf_sources_choose (task->sources, now);
   CfMillis next = MIN (cf_feed_enroll_tick (task, now), stale_at (task, now));
 
   update_source (task, source, now);
@@ -362,7 +362,8 @@
   cf_feed_enroll_stop (task);
   cf_feed_follow_stop (task);
   cf_feed_store_stop (task);
-  g_source_destroy (task->timer);
+  if (task->timer)
+    g_source_destroy (task->timer);
   g_clear_pointer (&task->timer, g_source_unref);
   g_clear_object (&task->session);
 }
