Settings: a value that a machine does not have no longer ends the start

Seen: an empty region, link, flow lifetime, grace, metrics port or failure domain, and one odd seed, each ended the process with status 2. A backslash in a name was read as an escape, since GLib's key files interpret them, which nothing writes; a byte order mark made the file unusable; an address that is no IP was accepted and every task failed for ever.

Cause: each value was required, whether a VM can serve without it or not. Required are now name, address, fabric, ready, peer port and store. Seeds are hints that may be stale, so one that is no IP:port is left out with a note. Values are taken raw, made valid UTF-8 and stripped of blanks; a port has to be a whole number; the address an IP. A wrong value stays an error that names file and key.

--- a/src/serve/balance_settings.c
+++ b/src/serve/balance_settings.c
@@ -3,10 +3,18 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* For values that this machine does not have. */
+#define NO_FAILURE_DOMAIN "unknown"
+#define DEFAULT_FLOW_LIFETIME_S 3600 /* upstreams that are gone are remembered for this long */
+#define DEFAULT_GRACE_S 5            /* below the usual times of service managers */
+
+#define BYTE_ORDER_MARK "\xef\xbb\xbf"
+
 struct Reader
 {
   GKeyFile *file;
   const char *path;
+  struct CfBalanceSettings *settings;
   struct CfError *error;
   bool failed;
 };
@@ -20,27 +28,96 @@
   reader->failed = true;
 }
 
+static void __attribute__ ((format (printf, 2, 3)))
+add_note (struct Reader *reader, const char *format, ...)
+{
+  va_list args;
+
+  va_start (args, format);
+  g_ptr_array_add (reader->settings->notes, g_strdup_vprintf (format, args));
+  va_end (args);
+}
+
+/* Returns the value of KEY, or NULL if it is empty or missing.  Nothing in it is escaped. */
 static char *
-read_text (struct Reader *reader, const char *group, const char *key)
+find_text (struct Reader *reader, const char *group, const char *key)
 {
-  char *value = g_key_file_get_string (reader->file, group, key, NULL);
+  char *raw = g_key_file_get_value (reader->file, group, key, NULL);
+  char *text = raw && *g_strstrip (raw) ? g_utf8_make_valid (raw, -1) : NULL;
+
+  g_free (raw);
+  return text;
+}
 
-  if (!value || !*value)
+static char *
+require_text (struct Reader *reader, const char *group, const char *key)
+{
+  char *text = find_text (reader, group, key);
+
+  if (!text)
     fail (reader, group, key, "is missing");
-  return value;
+  return text;
+}
+
+static char *
+read_text (struct Reader *reader, const char *group, const char *key, const char *fallback)
+{
+  char *text = find_text (reader, group, key);
+
+  if (text)
+    return text;
+  add_note (reader, "[%s] %s has no value: %s is used", group, key, fallback);
+  return g_strdup (fallback);
 }
 
 static double
-read_number (struct Reader *reader, const char *group, const char *key, double min, double max)
+parse_number (struct Reader *reader,
+              const char *group,
+              const char *key,
+              const char *text,
+              double min,
+              double max)
 {
-  char *value = read_text (reader, group, key);
-  char *end = value;
-  double result = value ? g_ascii_strtod (value, &end) : 0;
+  char *end;
+  double number = g_ascii_strtod (text, &end);
 
-  if (value && (*end || end == value || !(result >= min && result <= max)))
-    fail (reader, group, key, "is not a number in the allowed range");
-  g_free (value);
-  return result;
+  if (*end || end == text || !(number >= min && number <= max))
+    {
+      fail (reader, group, key, "is not a number in the allowed range");
+      return min;
+    }
+  return number;
+}
+
+static double
+read_number (struct Reader *reader, const char *group, const char *key, double max, double fallback)
+{
+  char *text = find_text (reader, group, key);
+  double number = fallback;
+
+  if (text)
+    number = parse_number (reader, group, key, text, 0, max);
+  else
+    add_note (reader, "[%s] %s has no value: %g is used", group, key, fallback);
+  g_free (text);
+  return number;
+}
+
+/* Reads a port, which may be 0 for none, and be missing, if OPTIONAL. */
+static uint16_t
+read_port (struct Reader *reader, const char *group, const char *key, bool optional)
+{
+  char *text = optional ? find_text (reader, group, key) : require_text (reader, group, key);
+  double number = 0;
+
+  if (text)
+    number = parse_number (reader, group, key, text, optional ? 0 : 1, UINT16_MAX);
+  else if (optional)
+    add_note (reader, "[%s] %s has no value: none is served", group, key);
+  if (number != (uint16_t) number)
+    fail (reader, group, key, "is not a whole number");
+  g_free (text);
+  return (uint16_t) number;
 }
 
 static bool
@@ -66,20 +143,21 @@
 read_address (struct Reader *reader, const char *group, const char *key)
 {
   struct CfAddress result = { 0 };
-  char *value = read_text (reader, group, key);
+  char *value = require_text (reader, group, key);
 
-  if (value && *value && !parse_ip_port (value, &result))
+  if (value && !parse_ip_port (value, &result))
     fail (reader, group, key, "is not IP:port");
   g_free (value);
   return result;
 }
 
 /* Parses a comma-separated list of IP:port and returns the IPs other than OWN.  The ports are not
- * needed because all VMs use the same one. */
+ * needed because all VMs use the same one.  Entries that are no IP:port are left out: a VM can
+ * start without any. */
 static char **
 read_ips (struct Reader *reader, const char *group, const char *key, const char *own)
 {
-  char *value = g_key_file_get_string (reader->file, group, key, NULL);
+  char *value = find_text (reader, group, key);
   char **items = g_strsplit (value ? value : "", ",", -1);
   GPtrArray *result = g_ptr_array_new ();
 
@@ -87,8 +165,12 @@
     {
       struct CfAddress parsed;
 
+      g_strstrip (*item);
       if (**item && !parse_ip_port (*item, &parsed))
-        fail (reader, group, key, "is not a list of IP:port");
+        {
+          add_note (reader, "[%s] %s: '%s' is not IP:port and is left out", group, key, *item);
+          continue;
+        }
       *strchrnul (*item, ':') = 0;
       if (**item && g_strcmp0 (*item, own) != 0)
         g_ptr_array_add (result, g_strdup (*item));
@@ -102,24 +184,36 @@
 static void
 read_values (struct Reader *reader, struct CfBalanceSettings *settings)
 {
-  struct CfAddress store;
+  struct CfAddress parsed;
 
-  settings->name = read_text (reader, "vm", "name");
-  settings->ip = read_text (reader, "vm", "address");
-  settings->failure_domain = read_text (reader, "vm", "failure-domain");
-  settings->region = read_text (reader, "vm", "region");
+  settings->name = require_text (reader, "vm", "name");
+  settings->ip = require_text (reader, "vm", "address");
+  if (settings->ip && !cf_address_parse (settings->ip, 0, &parsed))
+    fail (reader, "vm", "address", "is not an IP address");
+  settings->failure_domain = read_text (reader, "vm", "failure-domain", NO_FAILURE_DOMAIN);
+  settings->region = read_text (reader, "vm", "region", settings->failure_domain);
   settings->fabric = read_address (reader, "vm", "fabric-address");
   settings->ready = read_address (reader, "vm", "ready-address");
-  settings->metrics_port = (uint16_t) read_number (reader, "vm", "metrics-port", 0, UINT16_MAX);
-  settings->peer_port = (uint16_t) read_number (reader, "vm", "peer-port", 1, UINT16_MAX);
-  settings->link_mbps = read_number (reader, "vm", "link-mbps", 0, 1e9);
+  settings->metrics_port = read_port (reader, "vm", "metrics-port", true);
+  settings->peer_port = read_port (reader, "vm", "peer-port", false);
+  settings->link_mbps = read_number (reader, "vm", "link-mbps", 1e9, 0);
   settings->seeds = read_ips (reader, "fleet", "seeds", settings->ip);
-  settings->store = read_text (reader, "store", "address");
-  if (settings->store && *settings->store && !parse_ip_port (settings->store, &store))
+  settings->store = require_text (reader, "store", "address");
+  if (settings->store && !parse_ip_port (settings->store, &parsed))
     fail (reader, "store", "address", "is not IP:port");
   settings->max_flow_lifetime_ms
-      = (CfMillis) (read_number (reader, "limits", "flow-lifetime-s", 0, 1e6) * CF_MS_PER_S);
-  settings->grace_ms = (CfMillis) (read_number (reader, "limits", "grace-s", 0, 1e6) * CF_MS_PER_S);
+      = (CfMillis) (read_number (reader, "limits", "flow-lifetime-s", 1e6, DEFAULT_FLOW_LIFETIME_S)
+                    * CF_MS_PER_S);
+  settings->grace_ms
+      = (CfMillis) (read_number (reader, "limits", "grace-s", 1e6, DEFAULT_GRACE_S) * CF_MS_PER_S);
+}
+
+static bool
+load_text (GKeyFile *file, const char *text, gsize len, GError **error)
+{
+  gsize skip = g_str_has_prefix (text, BYTE_ORDER_MARK) ? strlen (BYTE_ORDER_MARK) : 0;
+
+  return g_key_file_load_from_data (file, text + skip, len - skip, G_KEY_FILE_NONE, error);
 }
 
 bool
@@ -127,14 +221,22 @@
                           const char *path,
                           struct CfError *error)
 {
-  struct Reader reader = { .file = g_key_file_new (), .path = path, .error = error };
+  struct Reader reader = {
+    .file = g_key_file_new (),
+    .path = path,
+    .settings = settings,
+    .error = error,
+  };
   GError *gerror = NULL;
   char *text = NULL;
   gsize len;
 
-  *settings = (struct CfBalanceSettings){ .path = g_strdup (path) };
+  *settings = (struct CfBalanceSettings){
+    .path = g_strdup (path),
+    .notes = g_ptr_array_new_with_free_func (g_free),
+  };
   if (!g_file_get_contents (path, &text, &len, &gerror)
-      || !g_key_file_load_from_data (reader.file, text, len, G_KEY_FILE_NONE, &gerror))
+      || !load_text (reader.file, text, len, &gerror))
     {
       cf_error_set (error, CF_ERROR_INPUT, "%s: %s", path, gerror->message);
       g_error_free (gerror);
@@ -157,6 +259,7 @@
   g_free (settings->ip);
   g_free (settings->failure_domain);
   g_free (settings->region);
+  g_clear_pointer (&settings->notes, g_ptr_array_unref);
   g_strfreev (settings->seeds);
   g_free (settings->store);
   *settings = (struct CfBalanceSettings){ 0 };
--- a/src/serve/balance_settings.h
+++ b/src/serve/balance_settings.h
@@ -6,7 +6,8 @@
 #include <glib.h>
 
 /* Settings of "cyclamenferry balance", read from a key file whose path comes from the flag
- * --boot or the variable CYCLAMENFERRY_BOOT. */
+ * --boot or the variable CYCLAMENFERRY_BOOT.  A machine need not have all values: those without
+ * which a VM cannot serve are required, the others have a default. */
 struct CfBalanceSettings
 {
   char *path; /* of the file */
@@ -23,10 +24,11 @@
   char *store;  /* IP:port */
   CfMillis max_flow_lifetime_ms;
   CfMillis grace_ms; /* from SIGTERM until the process is killed */
+  GPtrArray *notes;  /* of char *: defaults that are used and entries that were left out */
 };
 
 /* Reads the file PATH into SETTINGS.  Returns false with ERROR, which names the file and
- * the key, if a value is missing or not valid. */
+ * the key, if a required value is missing or a value is not valid. */
 bool cf_balance_settings_read (struct CfBalanceSettings *settings,
                                const char *path,
                                struct CfError *error);
--- a/src/serve/balancer.c
+++ b/src/serve/balancer.c
@@ -44,6 +44,13 @@
                       });
 }
 
+static void
+log_notes (struct CfBalancer *balancer, const struct CfBalanceSettings *settings)
+{
+  for (guint i = 0; i < settings->notes->len; i++)
+    log_event (balancer, "settings-note", settings->notes->pdata[i]);
+}
+
 static gboolean
 quit (gpointer data)
 {
@@ -105,6 +112,7 @@
       return;
     }
   log_event (balancer, "reloaded", why);
+  log_notes (balancer, &fresh);
   cf_send_seeds (balancer, g_steal_pointer (&fresh.seeds));
   cf_balance_settings_clear (&fresh);
 }
@@ -174,6 +182,7 @@
   cf_crash_report_enter ("supervisor");
   balancer->main_loop = g_main_loop_new (NULL, FALSE);
   log_event (balancer, "started", path);
+  log_notes (balancer, &balancer->settings);
   g_timeout_add_seconds (SETTINGS_CHECK_S, check_settings, supervisor);
   run_children (balancer, children, G_N_ELEMENTS (children));
   log_event (balancer, "stopped", "");
