--- a/src/serve/balancer.c
+++ b/src/serve/balancer.c
@@ -2,6 +2,7 @@
 #include "crash_report.h"
 #include "feed/rotation.h"
 #include "log.h"
+#include "process_setup.h"
 #include "server.h"
 
 #include <glib-unix.h>
@@ -48,6 +49,13 @@
                       });
 }
 
+static void
+log_notes (struct CfBalancer *balancer, const struct CfBalanceSettings *settings)
+{
+  for (guint i = 0; i < settings->notes->len; i++)
+    log_event (balancer, "settings-note", settings->notes->pdata[i]);
+}
+
 static gboolean
 quit (gpointer data)
 {
@@ -118,6 +126,7 @@
       return;
     }
   log_event (balancer, "reloaded", why);
+  log_notes (balancer, &fresh);
   cf_send_seeds (balancer, g_steal_pointer (&fresh.seeds));
   cf_balance_settings_clear (&fresh);
 }
@@ -168,22 +177,26 @@
       cf_balancer_admin_task_free },
   };
 
+  /* A signal that comes before the main loop runs is handled when it does.  The time of the file is
+   * taken first, so that a later change is seen. */
+  g_unix_signal_add (SIGTERM, on_stop, supervisor);
+  g_unix_signal_add (SIGINT, on_stop, supervisor);
+  g_unix_signal_add (SIGHUP, on_reload, supervisor);
+  cf_process_unblock_signals ();
+  supervisor->settings_mtime = file_mtime (path);
   if (!cf_balance_settings_read (&balancer->settings, path, error))
     {
       g_free (supervisor);
       return false;
     }
   cf_task_register_types ();
-  supervisor->settings_mtime = file_mtime (path);
   balancer->log = cf_event_log_new (balancer->settings.name);
   cf_event_log_capture_glib (balancer->log);
   cf_crash_report_install (balancer->settings.name);
   cf_crash_report_enter ("supervisor");
   balancer->main_loop = g_main_loop_new (NULL, FALSE);
   log_event (balancer, "started", path);
-  g_unix_signal_add (SIGTERM, on_stop, supervisor);
-  g_unix_signal_add (SIGINT, on_stop, supervisor);
-  g_unix_signal_add (SIGHUP, on_reload, supervisor);
+  log_notes (balancer, &balancer->settings);
   g_timeout_add_seconds (SETTINGS_CHECK_S, check_settings, supervisor);
   run_children (balancer, children, G_N_ELEMENTS (children));
   log_event (balancer, "stopped", "");
