The program is one file again: a second one is not installed with it

The platform installs the executable of the deploy file alone.

Change: main blocks the signals first; one file as before.

--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -13,10 +13,6 @@
   CF_EXIT_UNKNOWN = 4,  /* whether the change took effect is not known */
 };
 
-/* Called by the program (launch.c) once it has loaded the shared object of the commands, with
- * SIGHUP, SIGTERM and SIGINT blocked.  Returns the exit status. */
-__attribute__ ((visibility ("default"))) int cf_main (int argc, char **argv);
-
 int cf_command_serve (int argc, char **argv);
 int cf_command_balance (int argc, char **argv);
 int cf_command_check (int argc, char **argv);
--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -42,10 +42,11 @@
 }
 
 int
-cf_main (int argc, char **argv)
+main (int argc, char **argv)
 {
   const struct Command *command = NULL;
 
+  cf_process_block_signals ();
   argp_program_version = VERSION;
   setlocale (LC_ALL, "");
   if (sodium_init () < 0)
