A page of a list is never taken for the answer to a watch

While a reader's first call for a list was under way (on a connection that was silent, say), another VM sent the whole list, and the reader was set to watch from its revision. The page that arrived then counted as the answer to that watch: the reader went on from the page's revision, so changes between the two, and the pages after it, were lost for good (DRAIN).

Cause (class: an input stops being followed): how an answer is read was decided when it arrived, not when the call began.

Change: a reader with a page of a list under way stays in the list. Between two pages it may leave, since then the other source's revision is later than that of the list.

--- a/src/feed/reader.c
+++ b/src/feed/reader.c
@@ -176,7 +176,8 @@
 void
 cf_reader_skip_to (struct CfReader *reader, uint64_t revision)
 {
-  if (revision <= reader->revision)
+  /* A page of a list that is under way must not be taken for the answer to a watch. */
+  if (revision <= reader->revision || (reader->in_flight && !reader->listed))
     return;
   reader->revision = revision;
   reader->listed = true;
--- a/tests/test_feed.c
+++ b/tests/test_feed.c
@@ -350,6 +350,33 @@
 }
 END_TEST
 
+/* While the first page of a list was under way, another VM sent the whole list.  The page was taken
+ * for the answer to a watch from then on: the changes between the two were lost. */
+START_TEST (test_list_page_is_no_watch_answer)
+{
+  GRand *random = g_rand_new_with_seed (1);
+  struct CfReader reader;
+  struct CfFeedResponse page
+      = parse ("{\"items\":[" ITEM ("i-1") "],\"truncated\":true,\"store-revision\":20}", 200,
+               CF_READ_ANSWERED);
+
+  cf_reader_init (&reader, CF_FEED_UPSTREAMS, 0);
+  ck_assert (cf_reader_start_due (&reader, 0));
+  cf_reader_skip_to (&reader, 10);
+  ck_assert (!cf_reader_handle_outcome (&reader, CF_READ_ANSWERED, &page, 5, random));
+  ck_assert (!reader.listed);
+  /* Between two pages the reader may leave the list, if it goes on from the other's revision. */
+  cf_reader_skip_to (&reader, 10);
+  ck_assert (!reader.listed);
+  cf_reader_skip_to (&reader, 30);
+  ck_assert (reader.listed);
+  ck_assert_uint_eq (reader.revision, 30);
+  cf_reader_clear (&reader);
+  cf_feed_response_clear (&page);
+  g_rand_free (random);
+}
+END_TEST
+
 /* An event that cannot be read, or events that are too large, came again with each call. */
 START_TEST (test_unreadable_watch_becomes_a_list)
 {
@@ -810,6 +837,7 @@
   suite_add_loop (suite, test_list_gets_past_every_item, G_N_ELEMENTS (listed_items));
   suite_add_loop (suite, test_list_that_ends_nowhere_is_never_whole, G_N_ELEMENTS (stuck_pages));
   suite_add_loop (suite, test_list_without_end_is_given_up, 1);
+  suite_add_loop (suite, test_list_page_is_no_watch_answer, 1);
   suite_add_loop (suite, test_unreadable_watch_becomes_a_list, 1);
   suite_add_loop (suite, test_answers, 1);
   suite_add_loop (suite, test_announcement, 1);
