Entries that are too large are not held, so that other VMs can still be served

Seen: a record whose name has over 1,024 bytes or whose content has over 1 MB cannot be sent to other VMs; while there was one, each VM that has it answered its followers with 500, and all VMs read the store themselves. Each VM also held the contents of all entries of other writers, a megabyte each, of the 260 MB that a process may have.

Cause (class: text from outside exceeds a limit of the process): what an upstream's or a VM's record may take was not bounded where it is read.

Change: an item whose name is too long is no record (counted in "skipped"); if it is the last one of a page, the next page begins after all names that begin like it, which are too long as well, so that the request's URL stays short. A content of over 16 KB of an upstream, evacuation or VM, which take some 300 bytes, is replaced by "null": the record counts as changed, cannot be read, and names no endpoint. A manifest has to be followed and has no bound but that of the answer. The event "answer-partly-unreadable" has a new field, "emptied", the number of these.

Evidence: test_large_records_are_bounded; it needs the new bounds and cannot be built without them.

--- a/src/feed/record.c
+++ b/src/feed/record.c
@@ -1,4 +1,10 @@
 #include "record.h"
+#include "feed.h"
+
+#define SMALL_TEXT_MAX_BYTES 16384
+
+G_STATIC_ASSERT (CF_RECORD_NAME_MAX_BYTES <= FEED_NAME_MAX);
+G_STATIC_ASSERT (SMALL_TEXT_MAX_BYTES <= FEED_TEXT_MAX);
 
 const char *
 cf_feed_kind_name (enum CfFeedKind kind)
@@ -13,6 +19,12 @@
   return names[kind];
 }
 
+size_t
+cf_record_text_max (enum CfFeedKind kind)
+{
+  return kind == CF_FEED_MANIFEST ? SIZE_MAX : SMALL_TEXT_MAX_BYTES;
+}
+
 int
 cf_record_order_compare (const struct CfRecordOrder *a, const struct CfRecordOrder *b)
 {
--- a/src/feed/record.h
+++ b/src/feed/record.h
@@ -22,6 +22,13 @@
 
 const char *cf_feed_kind_name (enum CfFeedKind kind);
 
+/* Bounds of a record, so that every VM can hold all of them and send them to its followers. */
+#define CF_RECORD_NAME_MAX_BYTES 1024
+
+/* Returns the most bytes that a content of KIND may have.  A manifest has to be followed, whatever
+ * its size; the other kinds' writers take some 300 bytes. */
+size_t cf_record_text_max (enum CfFeedKind kind);
+
 /* The place of a content among all that its writer wrote to a record: later incarnations of the
  * writer come later, then higher numbers.  It holds across eras.  All 0: the content has none. */
 struct CfRecordOrder
@@ -62,6 +69,7 @@
   char *last;         /* of a list: name of its last item, whether that is a record or not, or one
                          that comes right after it; NULL: it has none that can be read */
   uint32_t skipped;   /* items that are not records */
+  uint32_t emptied;   /* records whose content was too large; it is "null" instead */
 };
 
 void cf_feed_response_clear (struct CfFeedResponse *response);
--- a/src/serve/feed_store.c
+++ b/src/serve/feed_store.c
@@ -116,17 +116,18 @@
 
   channel->call = NULL;
   cf_crash_report_input ("store-answer", cf_feed_kind_name (reader->kind));
-  outcome = cf_platform_parse_response (message, body, &response);
+  outcome = cf_platform_parse_response (message, body, reader->kind, &response);
   if (outcome == CF_READ_ANSWERED && cf_reader_is_stuck (reader, &response))
     outcome = CF_READ_UNREADABLE;
   outcome = cf_reader_outcome (reader, outcome, response.era);
   cf_feed_learn_era (task, response.era);
   known_revision = task->replica.revision[reader->kind];
-  if (response.skipped > 0)
+  if (response.skipped > 0 || response.emptied > 0)
     cf_event_log_write_limited (task->balancer->log, &task->source_rate, "answer-partly-unreadable",
                                 (struct CfField[]){
                                     { .key = "kind", .text = cf_feed_kind_name (reader->kind) },
                                     { .key = "skipped", .number = response.skipped },
+                                    { .key = "emptied", .number = response.emptied },
                                     { 0 },
                                 },
                                 now);
--- a/tests/test_feed.c
+++ b/tests/test_feed.c
@@ -98,8 +98,9 @@
 {
   struct CfFeedResponse response = { 0 };
 
-  ck_assert_int_eq (cf_platform_parse_response_body (status, text, strlen (text), &response),
-                    expected);
+  ck_assert_int_eq (
+      cf_platform_parse_response_body (status, text, strlen (text), CF_FEED_UPSTREAMS, &response),
+      expected);
   return response;
 }
 
@@ -280,6 +281,46 @@
 }
 END_TEST
 
+/* Other VMs were refused the records while one could not be sent to them, and records of a megabyte
+ * take a process's memory. */
+START_TEST (test_large_records_are_bounded)
+{
+  const size_t sizes[] = { 16000, 17000, 1048000 };
+  char *name = g_strnfill (1000000, 'n');
+  char *text = g_strnfill (sizes[_i], 'x');
+  char *list = g_strconcat ("{\"items\":[{\"meta\":{\"name\":\"i-1\",\"revision\":2},\"spec\":\"",
+                            text, "\"},{\"meta\":{\"name\":\"i-2", name,
+                            "\",\"revision\":2},\"spec\":{}}],\"truncated\":true,"
+                            "\"store-revision\":9}",
+                            NULL);
+
+  for (int kind = 0; kind < CF_FEED_KINDS; kind++)
+    {
+      bool fits = kind == CF_FEED_MANIFEST || _i == 0;
+      struct CfFeedResponse response = { 0 };
+      const struct CfRecord *record;
+
+      ck_assert_int_eq (cf_platform_parse_response_body (200, list, strlen (list),
+                                                         (enum CfFeedKind) kind, &response),
+                        CF_READ_ANSWERED);
+      ck_assert_uint_eq (response.records->len, 1);
+      ck_assert_uint_eq (response.skipped, 1);
+      ck_assert_uint_eq (response.emptied, !fits);
+      record = response.records->pdata[0];
+      ck_assert (fits ? strlen (record->text) == sizes[_i] + 2
+                      : strcmp (record->text, "null") == 0);
+      /* The next page begins after all names that are too long and begin like this one. */
+      ck_assert_uint_eq (strlen (response.last), CF_RECORD_NAME_MAX_BYTES + 4);
+      ck_assert (g_str_has_prefix (response.last, "i-2nnn"));
+      ck_assert (g_str_has_suffix (response.last, "nnn\xf4\x8f\xbf\xbf"));
+      cf_feed_response_clear (&response);
+    }
+  g_free (list);
+  g_free (text);
+  g_free (name);
+}
+END_TEST
+
 /* Pages after which the list is not whole, though the store gives no way on. */
 static const char *const stuck_pages[] = {
   "{\"items\":[],\"truncated\":true,\"store-revision\":9}",
@@ -836,6 +877,7 @@
   suite_add_loop (suite, test_reader_backs_off, 1);
   suite_add_loop (suite, test_list_gets_past_every_item, G_N_ELEMENTS (listed_items));
   suite_add_loop (suite, test_list_that_ends_nowhere_is_never_whole, G_N_ELEMENTS (stuck_pages));
+  suite_add_loop (suite, test_large_records_are_bounded, 3);
   suite_add_loop (suite, test_list_without_end_is_given_up, 1);
   suite_add_loop (suite, test_list_page_is_no_watch_answer, 1);
   suite_add_loop (suite, test_unreadable_watch_becomes_a_list, 1);
--- a/tests/test_fuzz.c
+++ b/tests/test_fuzz.c
@@ -127,7 +127,7 @@
       char *exact = g_memdup2 (text, MAX (len, 1));
       struct CfFeedResponse answer = { 0 };
 
-      cf_platform_parse_response_body (200, exact, len, &answer);
+      cf_platform_parse_response_body (200, exact, len, CF_FEED_UPSTREAMS, &answer);
       for (guint j = 0; answer.records && j < answer.records->len; j++)
         {
           const struct CfRecord *record = answer.records->pdata[j];
