--- a/src/serve/balancer.c
+++ b/src/serve/balancer.c
@@ -1,6 +1,9 @@
 #include "balancer.h"
 #include "crash_report.h"
+#include "feed/rotation.h"
 #include "log.h"
+#include "process_setup.h"
+#include "server.h"
 
 #include <glib-unix.h>
 #include <json-glib/json-glib.h>
@@ -15,6 +18,8 @@
  * forwarded. */
 #define LINGER_MS 1400
 #define LEAVE_CHECK_MS 50
+/* Time that the feed task has beyond its longest wait to have this VM leave. */
+#define LEAVE_LATE_MS 400
 /* The settings file is polled, because it may change without a signal. */
 #define SETTINGS_CHECK_S 2
 
@@ -31,6 +36,7 @@
   struct CfBalancer balancer;
   gint64 settings_mtime;
   bool stopping;
+  CfMillis leave_by; /* while stopping */
 };
 
 static void
@@ -43,6 +49,13 @@
                       });
 }
 
+static void
+log_notes (struct CfBalancer *balancer, const struct CfBalanceSettings *settings)
+{
+  for (guint i = 0; i < settings->notes->len; i++)
+    log_event (balancer, "settings-note", settings->notes->pdata[i]);
+}
+
 static gboolean
 quit (gpointer data)
 {
@@ -52,13 +65,20 @@
   return G_SOURCE_REMOVE;
 }
 
+/* The feed task decides when this VM leaves, but it may not have started. */
 static gboolean
 wait_for_leave (gpointer data)
 {
   struct Supervisor *supervisor = data;
+  struct CfBalancer *balancer = &supervisor->balancer;
 
-  if (!atomic_load (&supervisor->balancer.leaving))
-    return G_SOURCE_CONTINUE;
+  if (!atomic_load (&balancer->leaving))
+    {
+      if (cf_now () < supervisor->leave_by)
+        return G_SOURCE_CONTINUE;
+      atomic_store (&balancer->leaving, true);
+      log_event (balancer, "leaving", "the feed task does not respond");
+    }
   g_timeout_add (LINGER_MS, quit, supervisor);
   return G_SOURCE_REMOVE;
 }
@@ -73,6 +93,8 @@
     return G_SOURCE_CONTINUE;
   supervisor->stopping = true;
   log_event (balancer, "stopping", "SIGTERM");
+  supervisor->leave_by
+      = cf_now () + cf_rotation_wait_max (balancer->settings.grace_ms) + LEAVE_LATE_MS;
   cf_send_stop (balancer);
   g_timeout_add (LEAVE_CHECK_MS, wait_for_leave, supervisor);
   return G_SOURCE_CONTINUE;
@@ -104,6 +126,7 @@
       return;
     }
   log_event (balancer, "reloaded", why);
+  log_notes (balancer, &fresh);
   cf_send_seeds (balancer, g_steal_pointer (&fresh.seeds));
   cf_balance_settings_clear (&fresh);
 }
@@ -154,22 +177,26 @@
       cf_balancer_admin_task_free },
   };
 
+  /* A signal that comes before the main loop runs is handled when it does.  The time of the file is
+   * taken first, so that a later change is seen. */
+  g_unix_signal_add (SIGTERM, on_stop, supervisor);
+  g_unix_signal_add (SIGINT, on_stop, supervisor);
+  g_unix_signal_add (SIGHUP, on_reload, supervisor);
+  cf_process_unblock_signals ();
+  supervisor->settings_mtime = file_mtime (path);
   if (!cf_balance_settings_read (&balancer->settings, path, error))
     {
       g_free (supervisor);
       return false;
     }
   cf_task_register_types ();
-  supervisor->settings_mtime = file_mtime (path);
   balancer->log = cf_event_log_new (balancer->settings.name);
   cf_event_log_capture_glib (balancer->log);
   cf_crash_report_install (balancer->settings.name);
   cf_crash_report_enter ("supervisor");
   balancer->main_loop = g_main_loop_new (NULL, FALSE);
   log_event (balancer, "started", path);
-  g_unix_signal_add (SIGTERM, on_stop, supervisor);
-  g_unix_signal_add (SIGINT, on_stop, supervisor);
-  g_unix_signal_add (SIGHUP, on_reload, supervisor);
+  log_notes (balancer, &balancer->settings);
   g_timeout_add_seconds (SETTINGS_CHECK_S, check_settings, supervisor);
   run_children (balancer, children, G_N_ELEMENTS (children));
   log_event (balancer, "stopped", "");
--- a/src/serve/feed_store.c
+++ b/src/serve/feed_store.c
@@ -137,7 +137,7 @@
   whole = cf_reader_handle_outcome (reader, outcome, &response, now, task->random);
   if (outcome == CF_READ_ANSWERED)
     {
-      cf_source_answered (cf_sources_store (task->sources));
+      cf_sources_answered (task->sources, NULL);
       task->probed_at = now;
       retry_failed_channels (task, now);
       if (listing)
@@ -151,7 +151,7 @@
                              all_trusted (task, now));
     }
   else if (reader->failures >= FAILURES_MAX)
-    cf_source_failed (cf_sources_store (task->sources), now);
+    cf_sources_failed (task->sources, NULL, now);
   cf_feed_response_clear (&response);
   cf_feed_tick (task);
 }
@@ -228,6 +228,7 @@
       channel->task = task;
       channel->list = g_ptr_array_new_with_free_func (cf_record_free);
       cf_reader_init (&channel->reader, (enum CfFeedKind) kind, cf_now ());
+      cf_reader_enter_era (&channel->reader, task->replica.era, cf_now ());
     }
 }
 
