Fuzz: entries of other writers, from the response's text to the flows placed by them

test_fuzz_answers changes some bytes of two sound answers, which hardly ever gives an entry that is JSON with a number out of range, a nest, or a field of another type. test_fuzz_entries builds entries of each kind from their fields, with odd values, members that are missing or double, nests and long texts, and applies what can be read to a replica, the directory, the routes and the list of VMs of a simulated VM, while flows open there. GLib's criticals end it.

--- a/tests/test_fuzz.c
+++ b/tests/test_fuzz.c
@@ -1,5 +1,7 @@
 #include "simulation.h"
 #include "feed/gossip.h"
+#include "feed/sources.h"
+#include "feed/vm_record.h"
 #include "feed/relay.h"
 #include "platform/store_requests.h"
 #include "platform/datagram.h"
@@ -146,6 +148,331 @@
 }
 END_TEST
 
+/* Entries of other writers, built from the fields that the kinds have. */
+
+#define ODD_STRING_MAX 40000
+#define ODD_NEST_MAX 100000
+
+static const char *const odd_values[] = {
+  "null",
+  "true",
+  "[]",
+  "{}",
+  "\"\"",
+  "0",
+  "-0.0",
+  "-1",
+  "0.5",
+  "1e300",
+  "-1e300",
+  "1e999",
+  "1e-999",
+  "4294967295",
+  "4294967296",
+  "9007199254740993",
+  "9223372036854775807",
+  "-9223372036854775808",
+  "9223372036854775808",
+  "18446744073709551615",
+  "18446744073709551616",
+  "01",
+  "NaN",
+  "\"\\u0000\"",
+  "\"\\ud800\"",
+  "\"\\ud83d\\ude00\"",
+  "\"\xff\xfe\"",
+  "\"10.0.0.1:0\"",
+  "\"10.0.0.1:65536\"",
+  "\"10.0.0.1:+80\"",
+  "\"/70000/\"",
+  "\"0.0.0.0\"",
+  "\"::1\"",
+  "[[[1]]]",
+  "{\"a\":{\"a\":[{}]}}",
+  "\"\\n\\\"\"",
+};
+
+static void
+append_repeated (GString *text, const char *part, gint32 count)
+{
+  for (gint32 i = 0; i < count; i++)
+    g_string_append (text, part);
+}
+
+/* Appends a value of any type, or one that is no JSON. */
+static void
+append_odd (GRand *random, GString *text)
+{
+  static const char *const nests[][2] = { { "[", "]" }, { "{\"a\":", "}" }, { "[{\"\":", "}]" } };
+  gint32 shape = g_rand_int_range (random, 0, 60);
+
+  if (shape == 0)
+    {
+      const char *const *nest = nests[g_rand_int_range (random, 0, G_N_ELEMENTS (nests))];
+      gint32 depth = g_rand_int_range (random, 1, ODD_NEST_MAX);
+
+      append_repeated (text, nest[0], depth);
+      g_string_append_c (text, '1');
+      if (g_rand_boolean (random))
+        append_repeated (text, nest[1], depth);
+    }
+  else if (shape == 1)
+    {
+      g_string_append_c (text, '"');
+      append_repeated (text, "x", g_rand_int_range (random, 0, ODD_STRING_MAX));
+      g_string_append_c (text, '"');
+    }
+  else if (shape == 2)
+    append_repeated (text, "9", g_rand_int_range (random, 1, ODD_STRING_MAX));
+  else
+    g_string_append (text, odd_values[g_rand_int_range (random, 0, G_N_ELEMENTS (odd_values))]);
+}
+
+/* Appends the member NAME with VALUE, or now and then with an odd one, twice or not at all. */
+static void
+append_member (GRand *random, GString *text, const char *name, const char *value)
+{
+  gint32 fate = g_rand_int_range (random, 0, 40);
+
+  if (fate == 0)
+    return;
+  for (int i = fate == 1; i < 2; i++)
+    {
+      char last = text->str[text->len - 1];
+
+      g_string_append_printf (text, "%s\"%s\":", last == '{' || last == '[' ? "" : ",", name);
+      if (fate < 6)
+        append_odd (random, text);
+      else
+        g_string_append (text, value);
+      if (fate != 1)
+        return;
+    }
+}
+
+static void
+append_announcement (GRand *random, GString *text)
+{
+  static const char *const services[] = { "\"s\"", "\"t\"" };
+  static const char *const states[] = { "\"ready\"", "\"ready\"", "\"draining\"" };
+  static const char *const zones[] = { "\"a\"", "\"b\"" };
+
+  append_member (random, text, "service", services[g_rand_int_range (random, 0, 2)]);
+  append_member (random, text, "address", "\"10.0.0.1:80\"");
+  append_member (random, text, "zone", zones[g_rand_int_range (random, 0, 2)]);
+  append_member (random, text, "state", states[g_rand_int_range (random, 0, 3)]);
+  append_member (random, text, "slots", g_rand_boolean (random) ? "2" : "1000000");
+  append_member (random, text, "warmup-remaining-ms", g_rand_boolean (random) ? "0" : "86400000");
+  append_member (random, text, "sequence", "4");
+  append_member (random, text, "born", g_rand_boolean (random) ? "1791912288048" : "0");
+}
+
+static void
+append_manifest (GRand *random, GString *text, guint version)
+{
+  char *number = g_strdup_printf ("%u", version);
+
+  append_member (random, text, "version", number);
+  g_free (number);
+  g_string_append (text, ",\"routes\":[");
+  for (int port = 80; port < 82; port++)
+    {
+      g_string_append (text, port == 80 ? "{" : ",{");
+      append_member (random, text, "host", "\"198.18.0.1\"");
+      append_member (random, text, "path-prefix", port == 80 ? "\"/80/\"" : "\"/81/\"");
+      append_member (random, text, "priority", "1");
+      append_member (random, text, "kind", "\"idempotent\"");
+      if (g_rand_boolean (random))
+        append_member (random, text, "service", port == 80 ? "\"s\"" : "\"t\"");
+      else
+        {
+          g_string_append (text, ",\"weighted-services\":[{");
+          append_member (random, text, "service", port == 80 ? "\"s\"" : "\"t\"");
+          append_member (random, text, "weight", "4294967295");
+          g_string_append (text, "}]");
+        }
+      g_string_append_c (text, '}');
+    }
+  g_string_append (text, "],\"services\":[{");
+  append_member (random, text, "name", "\"s\"");
+  append_member (random, text, "warmup-s", "86400");
+  append_member (random, text, "warmup-per-s", g_rand_boolean (random) ? "5" : "1000000");
+  g_string_append (text, "}],\"limits\":{");
+  append_member (random, text, "idle-timeout-ms", "15000");
+  g_string_append_c (text, '}');
+}
+
+static void
+append_vm (GRand *random, GString *text)
+{
+  append_member (random, text, "address", "\"10.0.0.2\"");
+  append_member (random, text, "domain", "\"a\"");
+  append_member (random, text, "region", "\"r\"");
+  append_member (random, text, "link_mbps", "1000");
+  append_member (random, text, "hour", "497753");
+}
+
+/* Appends an object of KIND as the store has it. */
+static void
+append_object (GRand *random, GString *text, enum CfFeedKind kind, guint round)
+{
+  char *name = kind == CF_FEED_MANIFEST
+                   ? g_strdup ("\"main\"")
+                   : g_strdup_printf ("\"i-%d\"", g_rand_int_range (random, 0, 8));
+  char *revision = g_strdup_printf ("%u", round + 2);
+
+  g_string_append (text, "{\"meta\":{");
+  append_member (random, text, "name", name);
+  append_member (random, text, "revision", revision);
+  append_member (random, text, "deleting", "false");
+  g_string_append (text, "},\"spec\":{");
+  if (kind == CF_FEED_MANIFEST)
+    append_manifest (random, text, round + 2);
+  else if (kind == CF_FEED_UPSTREAMS)
+    append_announcement (random, text);
+  else if (kind == CF_FEED_VMS)
+    append_vm (random, text);
+  g_string_append_c (text, '}');
+  append_member (random, text, "status", "null");
+  if (g_rand_int_range (random, 0, 4) == 0)
+    append_member (random, text, "born", "1791912288049");
+  g_string_append_c (text, '}');
+  g_free (revision);
+  g_free (name);
+}
+
+static char *
+odd_response (GRand *random, enum CfFeedKind kind, bool events, guint round)
+{
+  GString *text = g_string_new (events ? "{\"events\":[" : "{\"items\":[");
+  gint32 count = g_rand_int_range (random, 0, 4);
+
+  for (gint32 i = 0; i < count; i++)
+    {
+      g_string_append (text, i ? "," : "");
+      if (events)
+        {
+          g_string_append (text, "{");
+          append_member (random, text, "deleted",
+                         g_rand_int_range (random, 0, 6) ? "false" : "true");
+          g_string_append (text, text->str[text->len - 1] == '{' ? "\"object\":" : ",\"object\":");
+        }
+      if (g_rand_int_range (random, 0, 40) == 0)
+        append_odd (random, text);
+      else
+        append_object (random, text, kind, round);
+      g_string_append (text, events ? "}" : "");
+    }
+  g_string_append_printf (text, "],\"truncated\":%s,\"store-revision\":%u}",
+                          g_rand_boolean (random) ? "true" : "false", round + 2);
+  return g_string_free (text, FALSE);
+}
+
+static void
+apply_change (struct CfBalance *balance,
+              struct CfSources *sources,
+              enum CfFeedKind kind,
+              const struct CfRecord *record,
+              CfMillis now)
+{
+  struct CfDirectory *directory = cf_balance_directory (balance);
+  struct CfAnnouncement announcement;
+  struct CfManifest *manifest;
+  struct CfVmRecord vm;
+  struct CfVmRecordHolder *holder;
+  struct CfError error = { 0 };
+
+  switch (kind)
+    {
+    case CF_FEED_UPSTREAMS:
+      if (!record->deleted && cf_platform_read_announcement (record, &announcement, &error))
+        {
+          cf_directory_announce (directory, &announcement, now);
+          cf_platform_announcement_clear (&announcement);
+        }
+      else
+        cf_directory_withdraw (directory, record->name, true, now);
+      break;
+    case CF_FEED_MANIFEST:
+      manifest = record->deleted ? NULL : cf_platform_read_manifest (record, &error);
+      if (manifest)
+        cf_balance_manifest (balance, manifest);
+      cf_manifest_free (manifest);
+      break;
+    case CF_FEED_VMS:
+      holder = cf_vm_record_parse (record->text, &vm);
+      cf_sources_set (sources, record->name, holder ? &vm : NULL);
+      cf_sources_choose (sources, now);
+      cf_sources_expired (sources, 1791912288);
+      if (record->text)
+        cf_vm_record_equal (record->text, record->text);
+      cf_vm_record_release (holder);
+      break;
+    case CF_FEED_EVACUATIONS:
+      cf_balance_evacuate (balance, record->name, !record->deleted, now);
+      break;
+    case CF_FEED_KINDS:
+      break;
+    }
+}
+
+/* From the response's text to the flows that are placed by it. */
+START_TEST (test_fuzz_entries)
+{
+  struct Simulation *sim = sim_new ();
+  struct CfBalance *balance = sim_add_vm (sim, "a", 10);
+  struct CfSources *sources = cf_sources_new ("vm-1", "a", "r");
+  GRand *random = g_rand_new_with_seed ((guint32) _i + 5);
+  struct CfReader readers[CF_FEED_KINDS];
+  struct CfReplica replica;
+
+  g_log_set_always_fatal (G_LOG_LEVEL_CRITICAL | G_LOG_FATAL_MASK);
+  cf_replica_init (&replica);
+  for (int kind = 0; kind < CF_FEED_KINDS; kind++)
+    cf_reader_init (&readers[kind], (enum CfFeedKind) kind, sim->now);
+  for (guint round = 0; round < (guint) rounds () / 2; round++)
+    {
+      enum CfFeedKind kind = (enum CfFeedKind) g_rand_int_range (random, 0, CF_FEED_KINDS);
+      struct CfReader *reader = &readers[kind];
+      char *text = odd_response (random, kind, reader->listed, round);
+      size_t len = strlen (text);
+      char *exact = g_memdup2 (text, len);
+      struct CfFeedResponse response = { 0 };
+      enum CfReadOutcome outcome
+          = cf_platform_parse_response_body (200, exact, len, kind, &response);
+      bool whole;
+
+      if (outcome == CF_READ_ANSWERED && cf_reader_is_stuck (reader, &response))
+        outcome = CF_READ_UNREADABLE;
+      whole = cf_reader_handle_outcome (reader, outcome, &response, sim->now, random);
+      for (guint i = 0; outcome == CF_READ_ANSWERED && i < response.records->len; i++)
+        cf_platform_read_order (kind, response.records->pdata[i]);
+      if (outcome == CF_READ_ANSWERED)
+        {
+          GPtrArray *changes
+              = cf_replica_apply (&replica, kind, response.records, reader->revision, whole);
+
+          for (guint i = 0; i < changes->len; i++)
+            apply_change (balance, sources, kind, changes->pdata[i], sim->now);
+          g_ptr_array_unref (changes);
+        }
+      sim_open_flow (sim, balance, (uint16_t) (80 + round % 2));
+      sim_run (sim, sim->now + 5);
+      cf_feed_response_clear (&response);
+      g_free (exact);
+      g_free (text);
+    }
+  /* Enough entries were sound for flows to open. */
+  ck_assert_uint_ge (sim->forwarded, (uint32_t) rounds () / 20);
+  for (int kind = 0; kind < CF_FEED_KINDS; kind++)
+    cf_reader_clear (&readers[kind]);
+  cf_replica_clear (&replica);
+  cf_sources_free (sources);
+  g_rand_free (random);
+  sim_free (sim);
+}
+END_TEST
+
 START_TEST (test_fuzz_peers)
 {
   struct CfReplica replica;
@@ -475,6 +802,7 @@
   suite_add_loop (suite, test_packet_format, 1);
   suite_add_loop (suite, test_fuzz_packets, 1);
   suite_add_loop (suite, test_fuzz_answers, 1);
+  suite_add_loop (suite, test_fuzz_entries, 4);
   suite_add_loop (suite, test_fuzz_peers, 1);
   suite_add_loop (suite, test_fuzz_datagrams, 1);
   suite_add_loop (suite, test_fuzz_settings, 1);
