HTTP: requests and idle connections no longer use up the descriptors

Seen: each request whose client then closed its connection left a descriptor in CLOSE_WAIT (40 requests, 40 descriptors, on the ready, metrics and VM ports). At two readiness checks a second the 4,100 descriptors of a process last 34 minutes. Once one connection could not be accepted, all three ports were silent for good, also after all clients had gone; the process went on without them. Idle connections do the same.

Cause: libsoup 3.2.3 does not close a connection that its client ends while it waits for the next request, and drops the source of its listener after one failed accept. It also loses some 330 bytes for each connection that it accepts itself. Class: use of a limited resource left to clients.

Change: connections are accepted here and passed to libsoup, one request each ("Connection: close"). A server holds 512 of them at most, or a sixth of the process's descriptors, and ends the oldest for a new one; a failed accept is tried again after 20 ms. The backlog is 256 instead of 10: a burst of 11 connections waited a second for the SYN's second copy.

Evidence: test_requests_leave_no_descriptors and test_idle_connections_do_not_stop_server failed on the code before (no answer with 64 descriptors), and pass now.

--- a/src/serve/admin_task.c
+++ b/src/serve/admin_task.c
@@ -11,7 +11,7 @@
 struct AdminTask
 {
   struct CfServer *server;
-  SoupServer *soup;
+  struct CfHttpServer *http;
 };
 
 static void
@@ -98,7 +98,7 @@
     [CF_REPORT_EXPLAIN] = "text/plain",
   };
 
-  if (!task->soup)
+  if (!task->http)
     return;
   respond (report->request, SOUP_STATUS_OK, types[report->kind], report->text->str);
   soup_server_message_unpause (report->request);
@@ -129,8 +129,8 @@
 
   (void) base;
   cf_address_parse (settings->admin_ip, settings->admin_port, &address);
-  task->soup = cf_http_listen (&address, handle, task, error);
-  return task->soup != NULL;
+  task->http = cf_http_listen (&address, handle, task, error);
+  return task->http != NULL;
 }
 
 static void
@@ -139,7 +139,7 @@
   struct AdminTask *task = data;
 
   (void) base;
-  cf_http_close (&task->soup);
+  cf_http_close (&task->http);
 }
 
 const struct CfTaskClass cf_admin_task = { .name = "admin", .start = start, .stop = stop };
--- a/src/serve/balancer_admin_task.c
+++ b/src/serve/balancer_admin_task.c
@@ -11,8 +11,8 @@
 struct AdminTask
 {
   struct CfBalancer *balancer;
-  SoupServer *ready;
-  SoupServer *metrics;
+  struct CfHttpServer *ready;
+  struct CfHttpServer *metrics;
 };
 
 static void
--- a/src/serve/feed_internal.h
+++ b/src/serve/feed_internal.h
@@ -8,6 +8,7 @@
 #include "feed/rotation.h"
 #include "feed/sources.h"
 #include "http_call.h"
+#include "http_listen.h"
 
 /* The parts of the feed task, which owns all of them:
  *
@@ -75,7 +76,7 @@
   CfMillis next_hello_at;
   uint32_t hellos_left; /* to be sent after a start */
   CfMillis stop_at;     /* when this VM was told to stop, -1: it is not stopping */
-  SoupServer *relay;
+  struct CfHttpServer *relay;
   struct CfRelayCache relay_cache;
   GQueue waiting; /* of struct RelayRequest: followers that wait for changes */
 };
--- a/src/serve/feed_relay.c
+++ b/src/serve/feed_relay.c
@@ -1,6 +1,5 @@
 #include "crash_report.h"
 #include "feed_internal.h"
-#include "http_listen.h"
 #include "server.h"
 
 #include <string.h>
--- a/src/serve/http_listen.h
+++ b/src/serve/http_listen.h
@@ -5,14 +5,22 @@
 
 #include <libsoup/soup.h>
 
+/* An HTTP server whose use of descriptors is bounded, whatever its clients do.  It holds
+ * a limited number of connections, of one request each, and ends the oldest for a new one.  It goes
+ * on accepting when the process lacked descriptors for a while. */
+struct CfHttpServer;
+
+/* Connections that a server holds at most, or fewer if the process may open few descriptors. */
+#define CF_HTTP_CONNECTIONS_MAX 512
+
 /* Returns an HTTP server at ADDRESS that calls ANSWER with DATA for each request, on the
  * thread-default context, or NULL with ERROR set. */
-SoupServer *cf_http_listen (const struct CfAddress *address,
-                            SoupServerCallback answer,
-                            void *data,
-                            struct CfError *error);
+struct CfHttpServer *cf_http_listen (const struct CfAddress *address,
+                                     SoupServerCallback answer,
+                                     void *data,
+                                     struct CfError *error);
 
-/* Closes *SOUP, which may be NULL, and its connections. */
-void cf_http_close (SoupServer **soup);
+/* Closes *SERVER, which may be NULL, and its connections. */
+void cf_http_close (struct CfHttpServer **server);
 
 #endif
