HTTP: the body of a request is dropped instead of collected

Seen: a POST of 64 MB to any port grew the process by 66,464 kB; 260 MB end it.

Cause: libsoup collects a request's body before it calls the handler. Class: memory use left to the sender.

Change: bodies are not collected. No request of the product has one. Endless headers and request lines were bounded already.

Evidence: test_endless_request_takes_no_memory, cases 0 and 1, failed before (66,464 kB of 16,384) and pass now.

--- a/src/serve/http_listen.c
+++ b/src/serve/http_listen.c
@@ -113,6 +113,8 @@
   (void) path;
   (void) query;
   (void) data;
+  /* No request of this product has a body. */
+  soup_message_body_set_accumulate (soup_server_message_get_request_body (message), FALSE);
   soup_message_headers_replace (soup_server_message_get_response_headers (message), "Connection",
                                 "close");
 }
--- a/src/serve/http_listen.h
+++ b/src/serve/http_listen.h
@@ -5,9 +5,10 @@
 
 #include <libsoup/soup.h>
 
-/* An HTTP server whose use of descriptors is bounded, whatever its clients do.  It holds
+/* An HTTP server whose use of descriptors and memory is bounded, whatever its clients do.  It holds
  * a limited number of connections, of one request each, and ends the oldest for a new one.  It goes
- * on accepting when the process lacked descriptors for a while. */
+ * on accepting when the process lacked descriptors for a while, and drops the bodies of
+ * requests. */
 struct CfHttpServer;
 
 /* Connections that a server holds at most, or fewer if the process may open few descriptors. */
--- a/tests/test_http_listen.c
+++ b/tests/test_http_listen.c
@@ -15,6 +15,8 @@
 #define DESCRIPTORS 64 /* that the server's process may open */
 #define PORT 8261
 #define WAIT_S 2
+#define PAYLOAD_BYTES 67108864 /* of a client that sends too much */
+#define GROWTH_MAX_KB 16384    /* of the server's memory meanwhile */
 
 /* Each test has an address of its own, since tests run side by side. */
 static struct CfAddress server_address = {
@@ -140,6 +142,50 @@
 }
 END_TEST
 
+static long
+resident_kb (pid_t pid)
+{
+  char path[64];
+  char *text = NULL;
+  long pages;
+
+  g_snprintf (path, sizeof path, "/proc/%d/statm", (int) pid);
+  ck_assert (g_file_get_contents (path, &text, NULL, NULL));
+  pages = strtol (strchr (text, ' '), NULL, 10);
+  g_free (text);
+  return pages * (sysconf (_SC_PAGESIZE) / 1024);
+}
+
+static const char *const endless_starts[] = {
+  "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 99999999999\r\n\r\n",
+  "POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n7fffffff\r\n",
+  "GET /a HTTP/1.1\r\nHost: a\r\nX: ",
+  "GET /",
+};
+
+/* The server collected what it received, without a bound. */
+START_TEST (test_endless_request_takes_no_memory)
+{
+  static char payload[65536];
+  pid_t pid = start_server ((uint8_t) (3 + _i));
+  long before;
+  int fd;
+
+  memset (payload, 'a', sizeof payload);
+  ck_assert (is_new_connection_answered ());
+  before = resident_kb (pid);
+  fd = open_connection ();
+  send (fd, endless_starts[_i], strlen (endless_starts[_i]), MSG_NOSIGNAL);
+  for (size_t sent = 0; sent < PAYLOAD_BYTES; sent += sizeof payload)
+    if (send (fd, payload, sizeof payload, MSG_NOSIGNAL) < 0)
+      break;
+  ck_assert (is_new_connection_answered ());
+  ck_assert_int_lt (resident_kb (pid) - before, GROWTH_MAX_KB);
+  close (fd);
+  stop_server (pid);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -147,5 +193,6 @@
 
   suite_add_loop (suite, test_idle_connections_do_not_stop_server, 1);
   suite_add_loop (suite, test_requests_leave_no_descriptors, 1);
+  suite_add_loop (suite, test_endless_request_takes_no_memory, G_N_ELEMENTS (endless_starts));
   return suite_run (suite);
 }
