Packets: a flood no longer takes a VM's memory and processor time

Seen: 400,000 first packets of different callers within 4 s of virtual time took more than 25 s of processor time, so such a VM handled nothing else. 400,000 flows with a valid cookie were all kept for the idle time (60 s), without a bound.

Cause: flows that were being opened were inserted into a list by their time-out, and those that no upstream had answered stood at its end for 1.4 s: each insertion walked past all of them. The list of requests without an answer was searched likewise. The number of tracked flows was left to callers. Class: cost and memory for each packet grow with what others send.

Change: both are sorted sequences (the cost grows with the logarithm); at most 131,072 flows are tracked. Beyond that the pending one that times out first goes if more than half are pending, or else the one not used for longest.

--- a/src/balance/balance.c
+++ b/src/balance/balance.c
@@ -69,18 +69,12 @@
 {
   struct CfConnections *connections = &balance->connections;
   CfMillis idle = cf_routes_flow_idle (balance->routes);
+  struct CfConnection *pending;
   CfMillis next;
 
   cf_balance_resume_queued (balance, now);
-  while (!cf_list_empty (&connections->pending))
-    {
-      struct CfConnection *connection
-          = CF_LIST_ENTRY (connections->pending.next, struct CfConnection, link);
-
-      if (connection->due_at > now)
-        break;
-      cf_balance_open_timed_out (balance, connection, now);
-    }
+  while ((pending = cf_connections_next_due (connections)) && pending->due_at <= now)
+    cf_balance_open_timed_out (balance, pending, now);
   cf_balance_fail_stalled (balance, now);
   while (!cf_list_empty (&connections->open))
     {
@@ -98,8 +92,8 @@
       balance->pruned_at = now;
     }
   next = MIN (now + CF_MS_PER_S, cf_exchange_next_stall (connections));
-  if (!cf_list_empty (&connections->pending))
-    next = MIN (next, CF_LIST_ENTRY (connections->pending.next, struct CfConnection, link)->due_at);
+  if (pending)
+    next = MIN (next, pending->due_at);
   return next;
 }
 
--- a/src/balance/connections.c
+++ b/src/balance/connections.c
@@ -21,24 +21,63 @@
 cf_connections_init (struct CfConnections *connections)
 {
   connections->table = g_hash_table_new (hash, equal);
-  cf_list_init (&connections->pending);
+  connections->pending = g_sequence_new (NULL);
+  connections->awaiting_answer = g_sequence_new (NULL);
   cf_list_init (&connections->open);
-  cf_list_init (&connections->awaiting_answer);
   connections->count = 0;
 }
 
+static gint
+compare_due (gconstpointer a, gconstpointer b, gpointer data)
+{
+  CfMillis x = ((const struct CfConnection *) a)->due_at;
+  CfMillis y = ((const struct CfConnection *) b)->due_at;
+
+  (void) data;
+  return (x > y) - (x < y);
+}
+
+static gint
+compare_stall (gconstpointer a, gconstpointer b, gpointer data)
+{
+  CfMillis x = ((const struct CfConnection *) a)->exchange.stalls_at;
+  CfMillis y = ((const struct CfConnection *) b)->exchange.stalls_at;
+
+  (void) data;
+  return (x > y) - (x < y);
+}
+
+static struct CfConnection *
+first (GSequence *queue)
+{
+  return g_sequence_is_empty (queue) ? NULL : g_sequence_get (g_sequence_get_begin_iter (queue));
+}
+
 static void
-clear_list (struct CfConnections *connections, struct CfLink *list)
+leave_queue (GSequenceIter **iter)
 {
-  while (!cf_list_empty (list))
-    cf_connections_remove (connections, CF_LIST_ENTRY (list->next, struct CfConnection, link));
+  g_clear_pointer (iter, g_sequence_remove);
+}
+
+static struct CfConnection *
+least_recently_used (struct CfConnections *connections)
+{
+  return cf_list_empty (&connections->open)
+             ? NULL
+             : CF_LIST_ENTRY (connections->open.next, struct CfConnection, link);
 }
 
 void
 cf_connections_clear (struct CfConnections *connections)
 {
-  clear_list (connections, &connections->pending);
-  clear_list (connections, &connections->open);
+  struct CfConnection *connection;
+
+  while ((connection = first (connections->pending)))
+    cf_connections_remove (connections, connection);
+  while ((connection = least_recently_used (connections)))
+    cf_connections_remove (connections, connection);
+  g_sequence_free (connections->pending);
+  g_sequence_free (connections->awaiting_answer);
   g_hash_table_unref (connections->table);
 }
 
@@ -52,14 +91,27 @@
   return g_hash_table_lookup (connections->table, &key);
 }
 
+static void
+make_room (struct CfConnections *connections)
+{
+  struct CfConnection *pending = first (connections->pending);
+  struct CfConnection *open = least_recently_used (connections);
+  bool many_pending = g_sequence_get_length (connections->pending) > CF_CONNECTIONS_MAX / 2;
+
+  if (connections->count >= CF_CONNECTIONS_MAX)
+    cf_connections_remove (connections, pending && (many_pending || !open) ? pending : open);
+}
+
 struct CfConnection *
 cf_connections_add (struct CfConnections *connections,
                     struct CfEndpoint caller,
                     struct CfEndpoint service,
                     CfMillis now)
 {
-  struct CfConnection *connection = g_slice_new0 (struct CfConnection);
+  struct CfConnection *connection;
 
+  make_room (connections);
+  connection = g_slice_new0 (struct CfConnection);
   connection->caller = caller;
   connection->service = service;
   connection->pending = true;
@@ -67,7 +119,6 @@
   connection->seen_at = now;
   connection->due_at = now;
   cf_list_init (&connection->link);
-  cf_list_init (&connection->awaiting_answer);
   g_hash_table_add (connections->table, connection);
   connections->count++;
   return connection;
@@ -90,15 +141,35 @@
                          struct CfConnection *connection,
                          CfMillis due_at)
 {
-  struct CfLink *position = &connections->pending;
-
-  cf_list_remove (&connection->link);
+  leave_queue (&connection->due);
   connection->due_at = due_at;
-  /* Delays differ little, so searching from the end is short. */
-  while (position->prev != &connections->pending
-         && CF_LIST_ENTRY (position->prev, struct CfConnection, link)->due_at > due_at)
-    position = position->prev;
-  cf_list_insert (position, &connection->link);
+  connection->due = g_sequence_insert_sorted (connections->pending, connection, compare_due, NULL);
+}
+
+struct CfConnection *
+cf_connections_next_due (const struct CfConnections *connections)
+{
+  return first (connections->pending);
+}
+
+struct CfConnection *
+cf_connections_next_stall (const struct CfConnections *connections)
+{
+  return first (connections->awaiting_answer);
+}
+
+void
+cf_connections_await_answer (struct CfConnections *connections, struct CfConnection *connection)
+{
+  leave_queue (&connection->awaiting_answer);
+  connection->awaiting_answer
+      = g_sequence_insert_sorted (connections->awaiting_answer, connection, compare_stall, NULL);
+}
+
+void
+cf_connection_stop_awaiting (struct CfConnection *connection)
+{
+  leave_queue (&connection->awaiting_answer);
 }
 
 void
@@ -108,6 +179,7 @@
 {
   connection->pending = false;
   connection->seen_at = now;
+  leave_queue (&connection->due);
   cf_list_remove (&connection->link);
   cf_list_insert (&connections->open, &connection->link);
 }
@@ -116,8 +188,9 @@
 cf_connections_remove (struct CfConnections *connections, struct CfConnection *connection)
 {
   cf_connection_set_target (connection, NULL);
+  leave_queue (&connection->due);
+  leave_queue (&connection->awaiting_answer);
   cf_list_remove (&connection->link);
-  cf_list_remove (&connection->awaiting_answer);
   g_hash_table_remove (connections->table, connection);
   g_slice_free (struct CfConnection, connection);
   connections->count--;
--- a/src/balance/connections.h
+++ b/src/balance/connections.h
@@ -12,6 +12,8 @@
 /* A first packet is sent to no more upstreams than this before its caller retransmits it. */
 #define CF_TRIES_MAX 4
 #define CF_FIRST_BYTES_MAX 64 /* a longer first packet is not kept for resending */
+/* Flows that are tracked at most, some 50 MB, whatever callers send. */
+#define CF_CONNECTIONS_MAX 131072
 
 /* The current request of a flow, as inferred from the caller's packets. */
 struct CfExchange
@@ -26,8 +28,9 @@
 
 struct CfConnection
 {
-  struct CfLink link;            /* in pending or in open */
-  struct CfLink awaiting_answer; /* in that list while no byte of the answer has come */
+  struct CfLink link;             /* in open */
+  GSequenceIter *due;             /* in pending; NULL: not there */
+  GSequenceIter *awaiting_answer; /* in that queue while no byte of the answer has come, or NULL */
   struct CfExchange exchange;
   struct CfDelivery delivery;
   struct CfEndpoint caller;
@@ -49,9 +52,9 @@
 struct CfConnections
 {
   GHashTable *table;
-  struct CfLink pending;         /* by due_at, soonest first */
-  struct CfLink open;            /* by seen_at, oldest first */
-  struct CfLink awaiting_answer; /* by exchange.stalls_at, soonest first */
+  GSequence *pending;         /* by due_at, soonest first */
+  struct CfLink open;         /* by seen_at, oldest first */
+  GSequence *awaiting_answer; /* by exchange.stalls_at, soonest first */
   uint32_t count;
 };
 
@@ -62,7 +65,9 @@
                                           struct CfEndpoint caller,
                                           struct CfEndpoint service);
 
-/* Adds a pending connection. */
+/* Adds a pending connection.  With CF_CONNECTIONS_MAX of them another one is removed: the first to
+ * time out of those that are pending, if these are more than half, or else that not used for
+ * longest. */
 struct CfConnection *cf_connections_add (struct CfConnections *connections,
                                          struct CfEndpoint caller,
                                          struct CfEndpoint service,
@@ -76,6 +81,18 @@
                               struct CfConnection *connection,
                               CfMillis due_at);
 
+/* Returns the pending connection that times out next, or NULL. */
+struct CfConnection *cf_connections_next_due (const struct CfConnections *connections);
+
+/* Returns the connection whose request stalls next, or NULL. */
+struct CfConnection *cf_connections_next_stall (const struct CfConnections *connections);
+
+/* Adds CONNECTION to those that await an answer, by its exchange.stalls_at, or moves it there. */
+void cf_connections_await_answer (struct CfConnections *connections,
+                                  struct CfConnection *connection);
+/* Removes CONNECTION from them, if it is there. */
+void cf_connection_stop_awaiting (struct CfConnection *connection);
+
 /* Marks CONNECTION as open and most recently used. */
 void cf_connections_touch (struct CfConnections *connections,
                            struct CfConnection *connection,
--- a/src/balance/exchange.c
+++ b/src/balance/exchange.c
@@ -7,21 +7,13 @@
                CfMillis stall_ms,
                CfMillis now)
 {
-  struct CfLink *position = &connections->awaiting_answer;
-
   connection->exchange = (struct CfExchange){
     .request_sent = true,
     .request_sent_at = now,
     .stalls_at = now + stall_ms,
     .ack_base = segment->ack,
   };
-  cf_list_remove (&connection->awaiting_answer);
-  /* Time-outs differ little, so searching from the end is short. */
-  while (position->prev != &connections->awaiting_answer
-         && CF_LIST_ENTRY (position->prev, struct CfConnection, awaiting_answer)->exchange.stalls_at
-                > now + stall_ms)
-    position = position->prev;
-  cf_list_insert (position, &connection->awaiting_answer);
+  cf_connections_await_answer (connections, connection);
 }
 
 struct CfExchangeUpdate
@@ -41,7 +33,7 @@
       update.answer_began = exchange->answered == 0;
       update.wait = now - exchange->request_sent_at;
       exchange->answered = answered;
-      cf_list_remove (&connection->awaiting_answer);
+      cf_connection_stop_awaiting (connection);
     }
   if (segment->data == 0 || (exchange->request_sent && exchange->answered == 0))
     return update;
@@ -64,22 +56,19 @@
 CfMillis
 cf_exchange_next_stall (const struct CfConnections *connections)
 {
-  if (cf_list_empty (&connections->awaiting_answer))
-    return G_MAXINT64;
-  return CF_LIST_ENTRY (connections->awaiting_answer.next, struct CfConnection, awaiting_answer)
-      ->exchange.stalls_at;
+  const struct CfConnection *next = cf_connections_next_stall (connections);
+
+  return next ? next->exchange.stalls_at : G_MAXINT64;
 }
 
 struct CfConnection *
 cf_exchange_take_stalled (struct CfConnections *connections, CfMillis now)
 {
-  struct CfConnection *connection;
+  struct CfConnection *connection = cf_connections_next_stall (connections);
 
-  if (now < cf_exchange_next_stall (connections))
+  if (!connection || now < connection->exchange.stalls_at)
     return NULL;
-  connection
-      = CF_LIST_ENTRY (connections->awaiting_answer.next, struct CfConnection, awaiting_answer);
   connection->exchange.stalled = true;
-  cf_list_remove (&connection->awaiting_answer);
+  cf_connection_stop_awaiting (connection);
   return connection;
 }
