Packets: nothing is kept of flows to addresses that no manifest has

Seen: packets with a valid cookie to 400,000 different addresses left as many flows, and for each address whose flow was answered or stalled a baseline that is never freed.

Cause: a flow that another VM placed was tracked without a route. Class: memory use left to the sender.

Change: such packets are forwarded as before, but only flows to an address with a route are tracked.

--- a/src/balance/later_packet.c
+++ b/src/balance/later_packet.c
@@ -221,7 +221,7 @@
     return cf_balance_hand_on (balance, segment, CF_OUTCOME_DROPPED_UNKNOWN_COOKIE, now);
   if (route && !route_leads_to (route, target->service))
     return cf_balance_finish (balance, segment, target, CF_OUTCOME_DROPPED_OTHER_SERVICE, now);
-  if (!connection && segment->data > 0)
+  if (!connection && route && segment->data > 0)
     connection = track_moved_flow (balance, segment, target, now);
   if (connection && connection->pending)
     opened (balance, connection, target, now);
--- a/tests/test_flood.c
+++ b/tests/test_flood.c
@@ -67,6 +67,18 @@
 }
 END_TEST
 
+/* Nothing is kept of flows to addresses that no manifest has. */
+START_TEST (test_flood_to_unknown_addresses)
+{
+  struct Simulation *sim = sim_new ();
+  struct CfBalance *balance = sim_add_vm (sim, "a", 0);
+
+  sim_add_upstream (sim, NULL, "i-1", "s", "a", 0);
+  ck_assert_uint_eq (flood (sim, balance, CF_SEGMENT_ACK, cf_cookie ("i-1"), 0), 0);
+  sim_free (sim);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -74,5 +86,6 @@
 
   suite_add_loop (suite, test_flood_of_first_packets, 1);
   suite_add_loop (suite, test_flood_of_later_packets, 1);
+  suite_add_loop (suite, test_flood_to_unknown_addresses, 1);
   return suite_run (suite);
 }
