Messages of other VMs: size and numbers have the bounds of real data

Seen: a response of 20 KB that inflates to 64 MB was accepted, and its receiver held it several times (inflated, decoded, as records, in the replica): near the 260 MB of a process. A record or part with revision 2^64 - 1, or that era, was believed; the receiver then took nothing that the store has for later, and stopped following it for good.

Cause: the bound was chosen for the format, not for the data, and only for the receiver; numbers of the store are signed, those of the message are not. Class: a claim of the sender is trusted.

Change: parts have 16 MB at most before compression, four times what 16,000 upstreams take, and the sender keeps to it: its followers then read the store, as for any failed source, and its log says so, at a limited rate. Revisions and eras above 2^63 - 1 make the whole message invalid.

Not covered: a VM that states a false number below that is believed, as one that states false data.

Evidence: test_relay_size_is_bounded and test_impossible_numbers_are_rejected (two cases) failed on the code before, and pass now.

--- a/src/feed/feed.h
+++ b/src/feed/feed.h
@@ -43,7 +43,7 @@
 	} parts;
 };
 typedef struct feed_parts feed_parts;
-#define FEED_PARTS_MAX 67108864
+#define FEED_PARTS_MAX 16777216
 
 struct feed_news {
 	char *reader;
--- a/src/feed/feed.x
+++ b/src/feed/feed.x
@@ -26,13 +26,13 @@
 };
 
 /* Many followers get the same parts, encoded once: only the fields before them differ. */
-const FEED_PARTS_MAX = 67108864;  /* bytes */
+const FEED_PARTS_MAX = 16777216;  /* bytes; 16,000 upstreams take 4 MB, a manifest 1 MB */
 
 struct feed_news {
   string reader<FEED_NAME_MAX>;  /* the VM that read it from the store */
   unsigned hyper age_ms;  /* since the store sent it */
   bool settled;           /* announcements that expired in a store outage have been renewed */
-  unsigned int size;      /* bytes before compression; the length of "parts" if not deflated */
+  unsigned int size;      /* bytes before compression, up to FEED_PARTS_MAX; the length of "parts" if not deflated */
   opaque parts<FEED_PARTS_MAX>;  /* a feed_parts */
 };
 
--- a/src/feed/relay.c
+++ b/src/feed/relay.c
@@ -153,6 +153,8 @@
     if (is_same (&cache->entries[i], replica, position))
       return &cache->entries[i];
   parts = encode_parts (replica, position);
+  if (parts && g_bytes_get_size (parts) > FEED_PARTS_MAX)
+    g_clear_pointer (&parts, g_bytes_unref);
   if (!parts)
     return NULL;
   entry = &cache->entries[cache->next++ % CF_RELAY_CACHED];
@@ -195,6 +197,30 @@
     g_clear_pointer (&cache->entries[i].parts, g_bytes_unref);
 }
 
+/* The store counts in signed numbers, so a later one is wrong.  A VM that believed it would take
+ * nothing that the store has for later. */
+static bool
+has_valid_revisions (const struct feed_parts *parts)
+{
+  for (u_int i = 0; i < parts->parts.parts_len; i++)
+    {
+      const struct feed_part *part = &parts->parts.parts_val[i];
+
+      if (part->revision > CF_RELAY_NUMBER_MAX)
+        return false;
+      for (u_int j = 0; j < part->records.records_len; j++)
+        if (part->records.records_val[j].revision > CF_RELAY_NUMBER_MAX)
+          return false;
+    }
+  return true;
+}
+
+bool
+cf_relay_parse_era (const char *text, uint64_t *era)
+{
+  return g_ascii_string_to_unsigned (text, 10, 0, CF_RELAY_NUMBER_MAX, era, NULL);
+}
+
 static bool
 decode_parts (const struct feed_news *wire, struct feed_parts *parts)
 {
@@ -227,7 +253,8 @@
       .settled = wire.settled,
     },
   };
-  ok = ok && decode_parts (&wire, &update->parts) && update->parts.parts.parts_len == CF_FEED_KINDS;
+  ok = ok && decode_parts (&wire, &update->parts) && update->parts.parts.parts_len == CF_FEED_KINDS
+       && has_valid_revisions (&update->parts);
   xdr_free ((xdrproc_t) xdr_feed_news, &wire);
   if (!ok)
     cf_relay_clear (update);
--- a/src/feed/relay.h
+++ b/src/feed/relay.h
@@ -10,6 +10,12 @@
 /* Header of a response with the era of its records, which no VM of a build before eras sends. */
 #define CF_RELAY_ERA_HEADER "Feed-Era"
 
+/* The largest revision and era that another VM is believed. */
+#define CF_RELAY_NUMBER_MAX ((uint64_t) INT64_MAX)
+
+/* Reads the value TEXT of that header.  Returns false if it is not valid. */
+bool cf_relay_parse_era (const char *text, uint64_t *era);
+
 /* The follower's era, and its revision of each kind in it, 0 if it has no records. */
 struct CfFeedPosition
 {
--- a/src/serve/feed_follow.c
+++ b/src/serve/feed_follow.c
@@ -35,13 +35,12 @@
 static bool
 accept_era (struct FeedTask *task, const char *era)
 {
-  guint64 number;
+  uint64_t number;
 
   /* A build before eras does not know that the store was restored, if it was. */
   if (!era)
     return task->replica.carry_since < 0;
-  if (!g_ascii_string_to_unsigned (era, 10, 0, G_MAXUINT64, &number, NULL)
-      || number < task->replica.era)
+  if (!cf_relay_parse_era (era, &number) || number < task->replica.era)
     return false;
   cf_feed_learn_era (task, number);
   return true;
--- a/src/serve/feed_relay.c
+++ b/src/serve/feed_relay.c
@@ -39,11 +39,13 @@
 
   if (!body)
     {
-      cf_event_log_write (task->balancer->log, "relay-failed",
-                          (struct CfField[]){
-                              { .key = "fault", .text = "the records exceed the format's bounds" },
-                              { 0 },
-                          });
+      cf_event_log_write_limited (
+          task->balancer->log, &task->source_rate, "relay-failed",
+          (struct CfField[]){
+              { .key = "fault", .text = "the records exceed the format's bounds" },
+              { 0 },
+          },
+          now);
       soup_server_message_set_status (message, SOUP_STATUS_INTERNAL_SERVER_ERROR, NULL);
       return;
     }
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -202,6 +202,83 @@
 }
 END_TEST
 
+#define LONG_TEXTS 20 /* of the longest length each: more than a fleet's data can need */
+
+/* A message of some 20 KB inflated to 64 MB, which a VM then held in several copies; its memory is
+ * limited to 260 MB.  A sender states the bound, too: its followers read the store. */
+START_TEST (test_relay_size_is_bounded)
+{
+  const struct CfFeedPosition nothing = { 0 };
+  struct feed_record records[LONG_TEXTS] = { 0 };
+  struct feed_part list[CF_FEED_KINDS] = {
+    { .revision = 1, .records = { .records_len = LONG_TEXTS, .records_val = records } },
+  };
+  struct feed_parts parts = { .parts = { .parts_len = CF_FEED_KINDS, .parts_val = list } };
+  char *text = g_strnfill (FEED_TEXT_MAX, 'a');
+  char *data = g_malloc (FEED_TEXT_MAX * (LONG_TEXTS + 1));
+  GPtrArray *stored = g_ptr_array_new_with_free_func (cf_record_free);
+  struct CfRelayCache cache = { 0 };
+  struct CfReplica replica;
+  GBytes *whole;
+  GBytes *deflated;
+  gsize len;
+  const void *bytes;
+  XDR xdr;
+
+  cf_replica_init (&replica);
+  for (int i = 0; i < LONG_TEXTS; i++)
+    {
+      char name[16];
+
+      g_snprintf (name, sizeof name, "i-%d", i);
+      g_ptr_array_add (stored, cf_record_new (name, 1, false, text));
+      records[i] = (struct feed_record){ .name = (char *) "i", .revision = 1, .text = text };
+    }
+  xdrmem_create (&xdr, data, FEED_TEXT_MAX * (LONG_TEXTS + 1), XDR_ENCODE);
+  ck_assert (xdr_feed_parts (&xdr, &parts));
+  whole = g_bytes_new_take (data, xdr_getpos (&xdr));
+  xdr_destroy (&xdr);
+  deflated = cf_deflate (whole);
+  bytes = g_bytes_get_data (deflated, &len);
+  ck_assert (!is_valid (bytes, len, g_bytes_get_size (whole)));
+  g_ptr_array_unref (cf_replica_apply (&replica, CF_FEED_UPSTREAMS, stored, 1, true));
+  ck_assert_ptr_null (cf_relay_encode (&cache, &replica, &nothing, &origin));
+  g_bytes_unref (deflated);
+  g_bytes_unref (whole);
+  g_ptr_array_unref (stored);
+  g_free (text);
+  cf_relay_cache_clear (&cache);
+  cf_replica_clear (&replica);
+}
+END_TEST
+
+/* A revision or era above all that the store can have left its receiver with that data for good. */
+START_TEST (test_impossible_numbers_are_rejected)
+{
+  const struct CfFeedPosition nothing = { 0 };
+  struct CfRelayCache cache = { 0 };
+  struct CfReplica replica;
+  struct CfRelayUpdate update;
+  GBytes *bytes;
+  gsize len;
+  const void *data;
+  uint64_t era;
+
+  cf_replica_init (&replica);
+  apply_record (&replica, "i-1", _i ? 5 : UINT64_MAX, false, true);
+  replica.revision[CF_FEED_MANIFEST] = _i ? UINT64_MAX : 5;
+  bytes = cf_relay_encode (&cache, &replica, &nothing, &origin);
+  data = g_bytes_get_data (bytes, &len);
+  ck_assert (!cf_relay_decode (data, len, &update));
+  ck_assert (!cf_relay_parse_era ("18446744073709551615", &era));
+  ck_assert (cf_relay_parse_era ("7", &era));
+  ck_assert_uint_eq (era, 7);
+  g_bytes_unref (bytes);
+  cf_relay_cache_clear (&cache);
+  cf_replica_clear (&replica);
+}
+END_TEST
+
 #define UPSTREAMS 3000 /* of one region, about a fifth of the target size of 16,000 */
 
 /* A reader sends all upstreams to each follower that starts; uncompressed, one reader sent 3.2 MB
@@ -318,6 +395,8 @@
   suite_add_loop (suite, test_first_era_carries_nothing, 1);
   suite_add_loop (suite, test_relay_bounded, 1);
   suite_add_loop (suite, test_relay_inflates_bounded, 1);
+  suite_add_loop (suite, test_relay_size_is_bounded, 1);
+  suite_add_loop (suite, test_impossible_numbers_are_rejected, 2);
   suite_add_loop (suite, test_relay_many, 1);
   suite_add_loop (suite, test_replica_prunes_deleted, 1);
   suite_add_loop (suite, test_position, 1);
