Packets: a flood no longer keeps the datapath from its other events

Cause: packets were received until the socket was empty. Class: a loop that others keep running.

Change: after 16 batches of 32 packets other events get their turn.

--- a/src/serve/datapath_internal.h
+++ b/src/serve/datapath_internal.h
@@ -14,6 +14,7 @@
  *   datapath_messages.c  messages from the other tasks, readiness and metrics */
 
 #define BATCH 32          /* packets per call of recvmmsg or sendmmsg */
+#define BATCHES_MAX 16    /* handled before other events get their turn */
 #define DATAGRAM_MAX 2048 /* bytes; the longest packet in use has 1,232 */
 
 struct DatapathTask
--- a/src/serve/datapath_task.c
+++ b/src/serve/datapath_task.c
@@ -230,9 +230,9 @@
 {
   struct iovec iov[BATCH];
   struct mmsghdr messages[BATCH];
-  int n;
+  int n = BATCH;
 
-  do
+  for (int batch = 0; batch < BATCHES_MAX && n == BATCH; batch++)
     {
       for (int i = 0; i < BATCH; i++)
         {
@@ -244,7 +244,6 @@
         receive_one (task, task->in[i], messages[i].msg_len, cf_now ());
       flush (task);
     }
-  while (n == BATCH);
 }
 
 static gboolean
