Datagrams of other VMs: time, log and memory are bounded

A hello or report under a new name took memory: each name of a hello for good, of a report for 16 s and for each upstream.

Cause: the socket was read until it was empty, each invalid datagram was logged, and names were not compared with the list of VMs. Class: a loop, memory and a log that others keep growing.

A VM that says for ever that it leaves was no fault: the wait for it ends after 2 s (test_rotation_wait_ends).

--- a/src/feed/sources.c
+++ b/src/feed/sources.c
@@ -90,6 +90,16 @@
   return source ? source : find (sources->seeds, name, &index);
 }
 
+bool
+cf_sources_is_neighbour (struct CfSources *sources, const char *name)
+{
+  guint index;
+  const struct CfSource *source = find (sources->vms, name, &index);
+
+  return source && strcmp (name, sources->name) != 0
+         && strcmp (source->domain, sources->domain) == 0;
+}
+
 void
 cf_sources_set (struct CfSources *sources, const char *name, const struct CfVmRecord *vm)
 {
--- a/src/feed/sources.h
+++ b/src/feed/sources.h
@@ -87,6 +87,9 @@
 /* Returns the VM or seed called NAME, or NULL. */
 struct CfSource *cf_sources_find (struct CfSources *sources, const char *name);
 
+/* Returns true if NAME is another VM of this failure domain. */
+bool cf_sources_is_neighbour (struct CfSources *sources, const char *name);
+
 /* Returns the age of its data from which on this VM asks the store itself. */
 CfMillis cf_sources_stale_ms (struct CfSources *sources);
 
--- a/src/serve/feed_internal.h
+++ b/src/serve/feed_internal.h
@@ -66,6 +66,7 @@
   CfMillis read_until; /* this VM reads the store until this time, whatever its source */
   CfMillis probed_at;  /* when the store last answered this VM, -1: never */
   struct CfEventRate source_rate;
+  struct CfEventRate datagram_rate;
   CfMillis summary_at; /* when the next summary is due */
   struct FeedChannel channels[CF_FEED_KINDS];
   struct FeedFollow follow;
--- a/src/serve/feed_rotation.c
+++ b/src/serve/feed_rotation.c
@@ -10,12 +10,16 @@
 /* Randomly chosen VMs of the failure domain that get each quality report: a report of 12
  * upstreams every 500 ms takes 16 KB/s. */
 #define REPORT_FANOUT 8
+/* Datagrams that are handled before other events get their turn. */
+#define DATAGRAMS_MAX 64
+
+/* What VMs say that are not listed is ignored: each name takes memory. */
 
 static void
 handle_hello (struct FeedTask *task, const struct feed_hello *hello, CfMillis now)
 {
-  if (strcmp (hello->name, task->balancer->settings.name) != 0
-      && strcmp (hello->domain, task->balancer->settings.failure_domain) == 0)
+  if (strcmp (hello->domain, task->balancer->settings.failure_domain) == 0
+      && cf_sources_is_neighbour (task->sources, hello->name))
     cf_rotation_update (&task->rotation, hello->name, hello->leaving, now);
 }
 
@@ -24,7 +28,8 @@
 {
   struct CfQualityReport report;
 
-  if (strcmp (qualities->domain, task->balancer->settings.failure_domain) != 0)
+  if (strcmp (qualities->domain, task->balancer->settings.failure_domain) != 0
+      || !cf_sources_is_neighbour (task->sources, qualities->name))
     return;
   cf_gossip_read_quality (qualities, &report);
   cf_send_peer_quality (task->balancer, &report);
@@ -38,7 +43,14 @@
   cf_crash_report_input ("vm-datagram", NULL);
   if (!cf_gossip_decode (data, len, &datagram))
     {
-      g_message ("ignored an invalid datagram of %zu bytes from another VM", len);
+      cf_event_log_write_limited (
+          task->balancer->log, &task->datagram_rate, "notice",
+          (struct CfField[]){
+              { .key = "message", .text = "ignored an invalid datagram from another VM" },
+              { .key = "bytes", .number = (int64_t) len },
+              { 0 },
+          },
+          now);
       return;
     }
   if (datagram.kind == FEED_HELLO)
@@ -53,11 +65,15 @@
 {
   struct FeedTask *task = data;
   uint8_t buffer[CF_GOSSIP_BYTES_MAX];
-  gssize len;
+  gssize len = 0;
 
   (void) condition;
-  while ((len = g_socket_receive (socket, (char *) buffer, sizeof buffer, NULL, NULL)) > 0)
-    handle_datagram (task, buffer, (size_t) len, cf_now ());
+  for (int i = 0; i < DATAGRAMS_MAX && len >= 0; i++)
+    {
+      len = g_socket_receive (socket, (char *) buffer, sizeof buffer, NULL, NULL);
+      if (len > 0)
+        handle_datagram (task, buffer, (size_t) len, cf_now ());
+    }
   cf_feed_tick (task);
   return G_SOURCE_CONTINUE;
 }
--- a/src/serve/feed_task.c
+++ b/src/serve/feed_task.c
@@ -380,6 +380,7 @@
   task->probed_at = -1;
   task->source_rate
       = (struct CfEventRate){ .per_s = SOURCE_LINES_PER_S, .burst = SOURCE_LINES_BURST };
+  task->datagram_rate = task->source_rate;
   task->stop_at = -1;
   task->sources = cf_sources_new (balancer->settings.name, balancer->settings.failure_domain,
                                   balancer->settings.region);
--- a/tests/test_sources.c
+++ b/tests/test_sources.c
@@ -345,6 +345,39 @@
 }
 END_TEST
 
+/* Datagrams under invented names took memory for good. */
+START_TEST (test_rotation_forgets_names)
+{
+  struct CfRotation rotation;
+
+  cf_rotation_init (&rotation);
+  for (int i = 0; i < 1000; i++)
+    {
+      char name[16];
+
+      g_snprintf (name, sizeof name, "vm-%d", i);
+      cf_rotation_update (&rotation, name, true, i * CF_ROTATION_ABSENT_MS);
+    }
+  ck_assert_uint_le (g_hash_table_size (rotation.absences), 2);
+  cf_rotation_clear (&rotation);
+}
+END_TEST
+
+START_TEST (test_only_listed_vms_of_the_domain_are_neighbours)
+{
+  struct CfSources *sources = cf_sources_new ("a1", "a", "r");
+
+  add_vm (sources, "a1", "a", 10);
+  add_vm (sources, "a2", "a", 10);
+  add_vm (sources, "b1", "b", 10);
+  ck_assert (cf_sources_is_neighbour (sources, "a2"));
+  ck_assert (!cf_sources_is_neighbour (sources, "a1"));
+  ck_assert (!cf_sources_is_neighbour (sources, "b1"));
+  ck_assert (!cf_sources_is_neighbour (sources, "invented"));
+  cf_sources_free (sources);
+}
+END_TEST
+
 /* With VMs that left and never returned, others waited for them until after the time at which
  * they had to be out of rotation. */
 START_TEST (test_rotation_wait_ends)
@@ -433,6 +466,8 @@
   suite_add_loop (suite, test_expired, 1);
   suite_add_loop (suite, test_vm_record, 1);
   suite_add_loop (suite, test_rotation, 1);
+  suite_add_loop (suite, test_rotation_forgets_names, 1);
+  suite_add_loop (suite, test_only_listed_vms_of_the_domain_are_neighbours, 1);
   suite_add_loop (suite, test_rotation_wait_ends, 1);
   suite_add_loop (suite, test_hello, 1);
   suite_add_loop (suite, test_quality_report, 1);
