A store or VM that resets connections no longer ends the process

Cause: libsoup 3.2.3 sends a request again if its connection had been used before and ends without a response. Until the failed attempt has been reported, in an idle callback, any other call that begins on the session has the library process all of them, the request that is sent again included; then the report of the first attempt finishes the message, and that of the second uses what is gone. The feed task has up to seven calls at a time on one session, and timers begin them at any moment. A signal from outside of this kind is ordinary: the store restarts, a path resets its connections.

Change: each call has a connection of its own, which is closed after the response, so that the library never sends a request again; retries are the reader's and follower's, with their own delays. Calls that followed a failure had it so already. It costs a round trip and a handshake a call.

--- a/Makefile
+++ b/Makefile
@@ -49,8 +49,8 @@
 $(TESTS): $(BUILD)/%: $(BUILD)/tests/%.o $(TEST_LIB_OBJ) $(PLATFORM_OBJ) $(SERVE_TEST_OBJ) $(LIB_OBJ)
 	$(CC) $^ $(LIBS) $(CHECK_LIBS) -o $@
 
-# This test runs a task of the program.
-$(BUILD)/test_feed_lifetime: $(filter $(BUILD)/src/serve/%,$(APP_OBJ))
+# These tests run a task of the program, or what tasks share.
+$(BUILD)/test_feed_lifetime $(BUILD)/test_connection_reset: $(filter $(BUILD)/src/serve/%,$(APP_OBJ))
 
 $(STANDINS): $(BUILD)/%: $(BUILD)/tests/%.o $(TEST_LIB_OBJ) $(BUILD)/src/serve/udp.o $(LIB_OBJ)
 	$(CC) $^ $(LIBS) -o $@
--- a/src/serve/feed_enroll.c
+++ b/src/serve/feed_enroll.c
@@ -133,7 +133,7 @@
   enroll->delete = cf_http_call_begin (
       task->session,
       cf_platform_delete (task->balancer->settings.store, CF_FEED_VMS, vm->name, record->revision),
-      DEADLINE_MS, false, deleted, task);
+      DEADLINE_MS, deleted, task);
 }
 
 static void
@@ -170,7 +170,7 @@
       = cf_http_call_begin (task->session,
                             cf_platform_write (settings->store, CF_FEED_VMS, settings->name,
                                                enroll->content, enroll->replace),
-                            DEADLINE_MS, enroll->failures > 0, written, task);
+                            DEADLINE_MS, written, task);
   return now + RETRY_MAX_MS;
 }
 
--- a/src/serve/feed_follow.c
+++ b/src/serve/feed_follow.c
@@ -132,9 +132,8 @@
                          task->balancer->settings.peer_port, query, wait);
   g_free (follow->name);
   follow->name = g_strdup (source->name);
-  follow->call
-      = cf_http_call_begin (task->session, soup_message_new ("GET", url),
-                            (guint) wait + DEADLINE_MS, source->failures > 0, answered, task);
+  follow->call = cf_http_call_begin (task->session, soup_message_new ("GET", url),
+                                     (guint) wait + DEADLINE_MS, answered, task);
   g_free (url);
   g_free (query);
   return now + CF_MS_PER_S;
--- a/src/serve/feed_store.c
+++ b/src/serve/feed_store.c
@@ -176,9 +176,8 @@
                              : cf_platform_list (store, reader->kind, reader->after);
 
   atomic_fetch_add (&task->balancer->store_calls, 1);
-  channel->call
-      = cf_http_call_begin (task->session, message, (guint) (wait + CF_READER_DEADLINE_MS),
-                            reader->failures > 0, answered, channel);
+  channel->call = cf_http_call_begin (task->session, message,
+                                      (guint) (wait + CF_READER_DEADLINE_MS), answered, channel);
 }
 
 /* Returns true if KIND is to be read.  While the store is unreachable, only short calls of one kind
--- a/src/serve/http_call.c
+++ b/src/serve/http_call.c
@@ -39,12 +39,8 @@
 }
 
 struct CfHttpCall *
-cf_http_call_begin (SoupSession *session,
-                    SoupMessage *message,
-                    guint deadline_ms,
-                    bool new_connection,
-                    CfHttpDone *done,
-                    void *data)
+cf_http_call_begin (
+    SoupSession *session, SoupMessage *message, guint deadline_ms, CfHttpDone *done, void *data)
 {
   struct CfHttpCall *call = g_new0 (struct CfHttpCall, 1);
 
@@ -55,8 +51,8 @@
   call->deadline = g_timeout_source_new (deadline_ms);
   g_source_set_callback (call->deadline, past_deadline, call, NULL);
   g_source_attach (call->deadline, g_main_context_get_thread_default ());
-  if (new_connection)
-    soup_message_add_flags (message, SOUP_MESSAGE_NEW_CONNECTION);
+  soup_message_add_flags (message, SOUP_MESSAGE_NEW_CONNECTION);
+  soup_message_headers_replace (soup_message_get_request_headers (message), "Connection", "close");
   soup_session_send_and_read_async (session, message, G_PRIORITY_DEFAULT, call->cancellable,
                                     answered, call);
   return call;
--- a/src/serve/http_call.h
+++ b/src/serve/http_call.h
@@ -12,14 +12,14 @@
 typedef void CfHttpDone (void *data, SoupMessage *message, GBytes *body);
 
 /* Sends MESSAGE, which the call releases, and calls DONE with DATA within DEADLINE_MS.
- * With NEW_CONNECTION it uses a connection of its own, so that a stalled one does not delay it.
- * DONE may begin other calls. */
-struct CfHttpCall *cf_http_call_begin (SoupSession *session,
-                                       SoupMessage *message,
-                                       guint deadline_ms,
-                                       bool new_connection,
-                                       CfHttpDone *done,
-                                       void *data);
+ * DONE may begin other calls.
+ *
+ * Each call has a connection of its own.  On a connection that was used before, libsoup 3.2 sends a
+ * request again when the connection ends; if another call begins at that moment, the library uses
+ * the message after it has finished with it, and the process ends by SIGSEGV.  A connection that
+ * has gone silent cannot delay a call either. */
+struct CfHttpCall *cf_http_call_begin (
+    SoupSession *session, SoupMessage *message, guint deadline_ms, CfHttpDone *done, void *data);
 
 /* Cancels CALL, which has not completed yet; DONE is not called. */
 void cf_http_call_cancel (struct CfHttpCall *call);
--- a/src/serve/platform_task.c
+++ b/src/serve/platform_task.c
@@ -53,8 +53,7 @@
 static struct CfHttpCall *
 begin_call (struct PlatformTask *task, SoupMessage *message, guint deadline_ms, CfHttpDone *done)
 {
-  return message ? cf_http_call_begin (task->session, message, deadline_ms, true, done, task)
-                 : NULL;
+  return message ? cf_http_call_begin (task->session, message, deadline_ms, done, task) : NULL;
 }
 
 static gboolean
