--- a/src/serve/health_task.c
+++ b/src/serve/health_task.c
@@ -98,7 +98,6 @@
   };
   g_queue_push_tail_link (&task->requests, &request->link);
   atomic_store (&task->waiting, task->requests.length);
-  soup_message_add_flags (request->message, SOUP_MESSAGE_NEW_CONNECTION);
   cf_http_fetch (task->session, request->message, CF_HTTP_SHORT_BODY_MAX_BYTES,
                  request->cancellable, answered, request);
   g_free (url);
--- a/src/serve/http_call.h
+++ b/src/serve/http_call.h
@@ -15,7 +15,12 @@
 #define CF_HTTP_SHORT_BODY_MAX_BYTES 65536
 
 /* Sends MESSAGE and reads the body of its response, up to BODY_MAX bytes, which is one of the two
- * above.  CALLBACK gets the result for cf_http_fetch_finish. */
+ * above.  CALLBACK gets the result for cf_http_fetch_finish.
+ *
+ * Each message has a connection of its own.  On a connection that was used before, libsoup 3.2
+ * sends a request again when the connection ends; if another call begins at that moment, the
+ * library uses the message after it has finished with it, and the process ends by SIGSEGV.  A
+ * connection that has gone silent cannot delay a call either. */
 void cf_http_fetch (SoupSession *session,
                     SoupMessage *message,
                     gsize body_max,
@@ -32,14 +37,9 @@
 
 /* Sends MESSAGE, which the call releases, and calls DONE with DATA within DEADLINE_MS.  MESSAGE may
  * be NULL, as soup_message_new returns for a text that is no URL: the call fails, but not at once.
- * With NEW_CONNECTION it uses a connection of its own, so that a stalled one does not delay it.
  * DONE may begin other calls. */
-struct CfHttpCall *cf_http_call_begin (SoupSession *session,
-                                       SoupMessage *message,
-                                       guint deadline_ms,
-                                       bool new_connection,
-                                       CfHttpDone *done,
-                                       void *data);
+struct CfHttpCall *cf_http_call_begin (
+    SoupSession *session, SoupMessage *message, guint deadline_ms, CfHttpDone *done, void *data);
 
 /* Cancels CALL, which has not completed yet; DONE is not called. */
 void cf_http_call_cancel (struct CfHttpCall *call);
