Event log: neither its reader nor a text in it stops the process

Seen: a process whose standard output was not read did not end: it waited for the log's thread, which waited for the reader. A name from another VM that is not UTF-8 made its line invalid JSON, and a long text (names and errors come from the store and other VMs) a line of any length, of which 4,096 are queued.

Cause: blocking writes, also at the end; texts from outside written as they came. Class: waiting without a bound; a claim of the sender is trusted.

Change: the log polls before each write of at most PIPE_BUF bytes, and waits 0.5 s at the end; an interrupted write is repeated.

Evidence: test_unread_log_does_not_keep_process and test_any_text_gives_a_short_valid_line failed before, and pass now.

--- a/src/serve/event_log.c
+++ b/src/serve/event_log.c
@@ -1,6 +1,9 @@
 #include "event_log.h"
 
+#include <errno.h>
 #include <json-glib/json-glib.h>
+#include <limits.h>
+#include <poll.h>
 #include <stdatomic.h>
 #include <stdio.h>
 #include <string.h>
@@ -8,6 +11,9 @@
 
 #define QUEUE_MAX 4096        /* lines: about a megabyte */
 #define WRITE_INTERVAL_MS 100 /* lines are collected for this long to save wake-ups */
+#define WRITE_POLL_MS 100     /* while the reader of the log does not read */
+#define END_WAIT_MAX_MS 500   /* for such a reader when the process ends */
+#define TEXT_BYTES_MAX 1024   /* of a field; texts from outside may be long */
 
 struct CfEventLog
 {
@@ -18,17 +24,30 @@
   atomic_uint_fast64_t lost;
 };
 
+/* Writes DATA of LEN bytes to standard output, and waits for its reader; from the end of LOG (NULL:
+ * ended) on for a short time only. */
 static void
-write_all (const char *data, size_t len)
+write_all (const struct CfEventLog *log, const char *data, size_t len)
 {
-  while (len > 0)
+  int waited_ms = 0;
+
+  while (len > 0 && waited_ms < END_WAIT_MAX_MS)
     {
-      ssize_t written = write (STDOUT_FILENO, data, len);
+      struct pollfd out = { .fd = STDOUT_FILENO, .events = POLLOUT };
+      /* A pipe that can be written to has room for this much, so the write does not block. */
+      ssize_t written = poll (&out, 1, WRITE_POLL_MS) > 0
+                            ? write (STDOUT_FILENO, data, MIN (len, PIPE_BUF))
+                            : 0;
 
-      if (written <= 0)
+      if (written < 0 && errno != EINTR && errno != EAGAIN)
         return; /* the reader of the log is gone */
-      data += written;
-      len -= (size_t) written;
+      if (written > 0)
+        {
+          data += written;
+          len -= (size_t) written;
+        }
+      else if (!log || atomic_load (&log->ended))
+        waited_ms += WRITE_POLL_MS;
     }
 }
 
@@ -50,7 +69,7 @@
           g_string_append (batch, line);
           g_free (line);
         }
-      write_all (batch->str, batch->len);
+      write_all (log, batch->str, batch->len);
       g_string_truncate (batch, 0);
       if (ended)
         break;
@@ -85,7 +104,13 @@
 add_field (JsonObject *object, const struct CfField *field)
 {
   if (field->text)
-    json_object_set_string_member (object, field->key, field->text);
+    {
+      /* Texts of other VMs need not be UTF-8, which JSON has to be. */
+      char *text = g_utf8_make_valid (field->text, (gssize) strnlen (field->text, TEXT_BYTES_MAX));
+
+      json_object_set_string_member (object, field->key, text);
+      g_free (text);
+    }
   else
     json_object_set_int_member (object, field->key, field->number);
 }
@@ -147,7 +172,7 @@
 {
   char *line = format (vm, event, fields, 0, 0);
 
-  write_all (line, strlen (line));
+  write_all (NULL, line, strlen (line));
   g_free (line);
 }
 
