Metrics: any name of a service is a valid label

Seen: a service whose name has a quote or a line break (names come from the store) made the whole page unreadable, so nothing of that VM was collected.

Cause: names were written into labels as they are.

Change: labels are escaped as the text format wants it, in both forms of the product.

Evidence: test_any_name_is_a_label; the function is new, so there is no failure of the code before.

--- a/src/serve/metrics.c
+++ b/src/serve/metrics.c
@@ -1,3 +1,4 @@
+#include "metrics_label.h"
 #include "server.h"
 
 #define PREFIX "cyclamenferry_"
@@ -37,10 +38,12 @@
 void
 cf_metrics_histogram (GString *text,
                       const char *name,
-                      const char *tenant,
-                      const char *service,
+                      const char *tenant_name,
+                      const char *service_name,
                       const struct CfHistogram *histogram)
 {
+  char *tenant = cf_metrics_label (tenant_name);
+  char *service = cf_metrics_label (service_name);
   uint64_t sum = 0;
 
   for (int i = 0; i < CF_HISTOGRAM_BUCKETS; i++)
@@ -62,6 +65,8 @@
                                  "%s_count{tenant=\"%s\",service=\"%s\"} %" G_GUINT64_FORMAT "\n",
                           name, tenant, service, histogram->total, name, tenant, service,
                           histogram->sum, name, tenant, service, histogram->total);
+  g_free (service);
+  g_free (tenant);
 }
 
 static void
@@ -70,8 +75,13 @@
                        const struct CfServiceStats *service,
                        uint64_t n)
 {
+  char *tenant_label = cf_metrics_label (service->tenant);
+  char *service_label = cf_metrics_label (service->name);
+
   g_string_append_printf (text, PREFIX "%s{tenant=\"%s\",service=\"%s\"} %" G_GUINT64_FORMAT "\n",
-                          name, service->tenant, service->name, n);
+                          name, tenant_label, service_label, n);
+  g_free (service_label);
+  g_free (tenant_label);
 }
 
 static void
