--- a/tests/test_packet.c
+++ b/tests/test_packet.c
@@ -275,6 +275,170 @@
 }
 END_TEST
 
+/* A number near a limit as often as any other. */
+static uint64_t
+any_number (GRand *random)
+{
+  static const uint64_t edges[] = { 0, 1, 2, INT32_MAX, UINT32_MAX, INT64_MAX, UINT64_MAX };
+
+  if (g_rand_boolean (random))
+    return edges[g_rand_int_range (random, 0, G_N_ELEMENTS (edges))];
+  return (uint64_t) g_rand_int (random) << 32 | g_rand_int (random);
+}
+
+#define LIST_MAX 4
+
+/* What the lists of a message refer to. */
+struct Lists
+{
+  u_int numbers[LIST_MAX];
+  struct peer_load loads[LIST_MAX];
+  struct peer_upstream upstreams[LIST_MAX];
+  struct peer_entry entries[LIST_MAX];
+  char data[64];
+};
+
+static u_int
+any_upstream (GRand *random)
+{
+  return g_rand_boolean (random) ? cf_name_id ("s1") : (u_int) any_number (random);
+}
+
+static void
+fill_lists (GRand *random, struct Lists *lists)
+{
+  for (int i = 0; i < LIST_MAX; i++)
+    {
+      lists->numbers[i] = (u_int) any_number (random);
+      lists->loads[i] = (struct peer_load){
+        .upstream = any_upstream (random),
+        .opened = (u_int) any_number (random),
+        .completed = (u_int) any_number (random),
+        .closed = (u_int) any_number (random),
+      };
+      lists->upstreams[i] = (struct peer_upstream){
+        .upstream = any_upstream (random),
+        .health = (peer_health) g_rand_int_range (random, -1, 5),
+        .generation = (u_int) any_number (random),
+        .budget = (u_int) any_number (random),
+        .grant = (u_int) any_number (random),
+      };
+      lists->entries[i] = (struct peer_entry){
+        .key = any_number (random),
+        .upstream = any_upstream (random),
+        .flags = (u_int) any_number (random),
+      };
+    }
+}
+
+static u_int
+any_count (GRand *random)
+{
+  return (u_int) g_rand_int_range (random, 0, LIST_MAX + 1);
+}
+
+static struct peer_heartbeat
+any_heartbeat (GRand *random, struct Lists *lists)
+{
+  return (struct peer_heartbeat){
+    .state = (peer_state) g_rand_int_range (random, -1, 5),
+    .domain = (u_int) any_number (random),
+    .address = { [10] = (char) 0xff, [11] = (char) 0xff, [12] = 127, [15] = 2 },
+    .port = (u_int) any_number (random),
+    .config_version = any_number (random),
+    .config_digest = any_number (random),
+    .view = any_number (random),
+    .seen_incarnation = any_number (random),
+    .seen_marks = (u_int) any_number (random),
+    .mark_version = (u_int) any_number (random),
+    .has_marks = g_rand_boolean (random),
+    .all_marked = g_rand_boolean (random),
+    .marks = { any_count (random), lists->numbers },
+    .loads = { any_count (random), lists->loads },
+    .upstreams = { any_count (random), lists->upstreams },
+    .suspects = { any_count (random), lists->numbers },
+  };
+}
+
+static struct peer_envelope
+any_envelope (GRand *random, struct Lists *lists)
+{
+  struct peer_envelope envelope = {
+    .vm = (u_int) g_rand_int_range (random, 0, 4),
+    .incarnation = g_rand_boolean (random) ? 3 : any_number (random),
+    .message = { .kind = (peer_kind) g_rand_int_range (random, 0, PEER_CONFIG_CHUNK + 1) },
+  };
+
+  fill_lists (random, lists);
+  switch (envelope.message.kind)
+    {
+    case PEER_HEARTBEAT:
+      envelope.message.peer_message_u.heartbeat = any_heartbeat (random, lists);
+      break;
+    case PEER_ENTRIES:
+      envelope.message.peer_message_u.entries = (struct peer_entries){
+        .seq = (u_int) any_number (random),
+        .entries = { any_count (random), lists->entries },
+      };
+      break;
+    case PEER_ENTRIES_ACK:
+      envelope.message.peer_message_u.ack = (struct peer_entries_ack){
+        .incarnation = any_number (random),
+        .seqs = { any_count (random), lists->numbers },
+      };
+      break;
+    case PEER_CONFIG_REQUEST:
+      envelope.message.peer_message_u.request = (struct peer_config_request){
+        .have = any_number (random),
+        .have_digest = any_number (random),
+        .revision = any_number (random),
+        .digest = any_number (random),
+        .offset = (u_int) any_number (random),
+      };
+      break;
+    case PEER_CONFIG_CHUNK:
+      envelope.message.peer_message_u.chunk = (struct peer_config_chunk){
+        .revision = any_number (random),
+        .digest = any_number (random),
+        .base = any_number (random),
+        .total = (u_int) any_number (random),
+        .offset = (u_int) any_number (random),
+        .data = { (u_int) g_rand_int_range (random, 0, sizeof lists->data), lists->data },
+      };
+      break;
+    }
+  return envelope;
+}
+
+/* Well-formed messages of other VMs with any values. */
+START_TEST (test_any_peer_messages)
+{
+  const char *rounds = getenv ("FUZZ_ROUNDS");
+  struct Sink sink = { 0 };
+  struct CfCore *core = sink_core (&sink);
+  GRand *random = g_rand_new_with_seed (13);
+  CfMillis now = 4000;
+
+  for (int n = rounds ? atoi (rounds) : 3000; n > 0; n--)
+    {
+      struct Lists lists = { 0 };
+      struct peer_envelope envelope = any_envelope (random, &lists);
+      uint8_t data[CF_PACKET_MAX];
+
+      cf_core_peer (core, &envelope, now);
+      cf_core_packet (core, data, mutate (random, data), &service4, now);
+      now += g_rand_int_range (random, 0, 20);
+      if (n % 5 == 0)
+        {
+          cf_core_tick (core, now);
+          cf_core_flush (core, now);
+        }
+    }
+  cf_core_free (core);
+  g_rand_free (random);
+}
+END_TEST
+
 static const struct CfPeerKeys keys = { .peer = { 1 }, .transfer = { 2 } };
 
 static size_t
@@ -390,6 +554,7 @@
   tcase_add_loop_test (group, test_icmp_error, 0, 4);
   tcase_add_test (group, test_mutated_packets);
   tcase_add_test (group, test_mutated_transfers);
+  tcase_add_test (group, test_any_peer_messages);
   tcase_add_test (group, test_peer_codec);
   tcase_add_test (group, test_malformed_messages);
   tcase_add_test (group, test_replay);
