Placement: a cold upstream of high capacity has a start time

Seen: with a cold capacity of over 2,000 requests a second for each VM, each new flow wrote a line of GLib's (g_rand_int_range: assertion 'end > begin' failed) to the log, without a limit.

Cause: the interval between two flows was rounded to 0 ms, an empty range.

Change: it is at least 1 ms. test_fuzz_messages ends at any such message of GLib now.

Evidence: test_cold_upstream_of_high_capacity failed before.

--- a/src/balance/place.c
+++ b/src/balance/place.c
@@ -33,13 +33,13 @@
   return !g_hash_table_contains (placement->evacuated, GUINT_TO_POINTER (target->domain));
 }
 
-/* Returns the interval between two flows of this VM to a cold upstream. */
+/* Returns the interval between two flows of this VM to a cold upstream, at least a millisecond. */
 static CfMillis
 cold_interval (const struct CfPlacement *placement)
 {
   double share = MAX (placement->cold_share * COLD_UTILIZATION, COLD_SHARE_MIN);
 
-  return (CfMillis) (CF_MS_PER_S / share);
+  return MAX ((CfMillis) (CF_MS_PER_S / share), 1);
 }
 
 /* Returns true if a cold upstream may get this VM's next flow.  The first flow of each VM is
--- a/tests/test_first_packets.c
+++ b/tests/test_first_packets.c
@@ -98,6 +98,25 @@
 }
 END_TEST
 
+/* A cold upstream that bears more than a request a millisecond had an empty range of start times,
+ * a fault that GLib logged for each flow. */
+START_TEST (test_cold_upstream_of_high_capacity)
+{
+  struct Simulation *sim = sim_new ();
+  struct CfBalance *balance = sim_add_vm (sim, "a", 10000);
+
+  g_log_set_always_fatal (G_LOG_LEVEL_CRITICAL | G_LOG_FATAL_MASK);
+  sim_add_upstream (sim, NULL, "i-1", "s", "a", 5000);
+  for (int i = 0; i < 10; i++)
+    {
+      sim_open_flow (sim, balance, 80);
+      sim_run (sim, sim->now + 10);
+    }
+  ck_assert_uint_gt (sim->forwarded, 0);
+  sim_free (sim);
+}
+END_TEST
+
 /* Incident inc-a9b9 (vuoka-ferry-grown): VMs that had just started declared themselves isolated.
  * They had sent all first packets that waited for the store at once, and those were lost.  Packets
  * sent before the first loss timed out must count as one loss. */
@@ -241,6 +260,7 @@
   suite_add_loop (suite, test_start_waits_for_store, 1);
   suite_add_loop (suite, test_start_late_store, 1);
   suite_add_loop (suite, test_no_false_refusal, 1);
+  suite_add_loop (suite, test_cold_upstream_of_high_capacity, 1);
   suite_add_loop (suite, test_burst_is_no_isolation, 1);
   suite_add_loop (suite, test_domain_goes_away, 1);
   suite_add_loop (suite, test_some_unreachable_no_outage, 1);
--- a/tests/test_fuzz_messages.c
+++ b/tests/test_fuzz_messages.c
@@ -337,6 +337,8 @@
 {
   Suite *suite = suite_create ("fuzz_messages");
 
+  /* GLib only logs a wrong argument. */
+  g_log_set_always_fatal (G_LOG_LEVEL_CRITICAL | G_LOG_FATAL_MASK);
   suite_add_loop (suite, test_any_packets, 1);
   suite_add_loop (suite, test_any_datagram_length, 1);
   suite_add_loop (suite, test_any_updates, 1);
