--- a/tests/test_http_call.c
+++ b/tests/test_http_call.c
@@ -111,7 +111,7 @@
   GThread *thread = g_thread_new ("server", serve, &server);
   gint64 began = g_get_monotonic_time ();
 
-  cf_http_call_begin (session, soup_message_new ("GET", url), DEADLINE_MS, true, done, &outcome);
+  cf_http_call_begin (session, soup_message_new ("GET", url), DEADLINE_MS, done, &outcome);
   while (!outcome.done)
     g_main_context_iteration (NULL, TRUE);
   ck_assert_uint_eq (outcome.len, _i == ANSWER_LARGE_BODY ? CF_HTTP_BODY_MAX_BYTES : 0);
@@ -139,7 +139,7 @@
   gint64 began = g_get_monotonic_time ();
 
   ck_assert_ptr_null (message);
-  cf_http_call_begin (session, message, DEADLINE_MS, true, done, &outcome);
+  cf_http_call_begin (session, message, DEADLINE_MS, done, &outcome);
   ck_assert (!outcome.done);
   while (!outcome.done && g_get_monotonic_time () - began < 2 * G_TIME_SPAN_SECOND)
     g_main_context_iteration (NULL, FALSE);
@@ -147,7 +147,7 @@
   ck_assert_uint_eq (outcome.len, 0);
   /* One that is cancelled at once. */
   outcome.done = false;
-  cf_http_call_cancel (cf_http_call_begin (session, NULL, DEADLINE_MS, false, done, &outcome));
+  cf_http_call_cancel (cf_http_call_begin (session, NULL, DEADLINE_MS, done, &outcome));
   while (g_main_context_iteration (NULL, FALSE))
     ;
   ck_assert (!outcome.done);
