Test: the real program beside entries of another writer

tests/sockets/foreign.sh starts four VMs in two failure domains against a store with pages of three items, among them entries nested 150,000 deep (of an upstream, in a field, of a VM, of an evacuation), each numeric field of an announcement out of range, ports out of range, texts of other types, a content of a megabyte, a name of half a megabyte and one that is no text, and VMs' records with addresses of which no URL can be made. Each VM has to become ready and place flows at the sound upstream; then all odd entries change, the upstream drains, another one comes, and each VM has to use that one only. None may end by itself, take over 260 MB or fail to send its records to other VMs.

--- a/Makefile
+++ b/Makefile
@@ -21,9 +21,10 @@
   src/balance/*.c src/feed/*.c)
 LAUNCH_SRC := src/cli/launch.c src/serve/process_setup.c
 APP_SRC := $(filter-out src/cli/launch.c,$(wildcard platform/*.c src/objectstore/*.c src/serve/*.c src/cli/*.c))
-TEST_LIB_SRC := $(filter-out tests/test_%.c tests/live.c tests/objectstore.c,$(wildcard tests/*.c))
+TEST_LIB_SRC := $(filter-out tests/test_%.c tests/live.c tests/objectstore.c tests/foreign.c,\
+  $(wildcard tests/*.c))
 TEST_SRC := $(wildcard tests/test_*.c)
-STANDIN_SRC := tests/live.c tests/objectstore.c
+STANDIN_SRC := tests/live.c tests/objectstore.c tests/foreign.c
 SOAK_SRC := $(wildcard tests/soak/*.c)
 BENCH_SRC := $(wildcard bench/*.c)
 
