--- a/src/balance/connections.c
+++ b/src/balance/connections.c
@@ -97,9 +97,10 @@
   struct CfConnection *pending = first (connections->pending);
   struct CfConnection *open = least_recently_used (connections);
   bool many_pending = g_sequence_get_length (connections->pending) > CF_CONNECTIONS_MAX / 2;
+  struct CfConnection *removed = pending && (many_pending || !open) ? pending : open;
 
-  if (connections->count >= CF_CONNECTIONS_MAX)
-    cf_connections_remove (connections, pending && (many_pending || !open) ? pending : open);
+  if (removed && connections->count >= CF_CONNECTIONS_MAX)
+    cf_connections_remove (connections, removed);
 }
 
 struct CfConnection *
--- a/src/serve/http_listen.c
+++ b/src/serve/http_listen.c
@@ -242,10 +242,13 @@
 static void
 forget_connections (struct CfLink *list)
 {
-  while (!cf_list_empty (list))
+  struct CfLink *next;
+
+  for (struct CfLink *link = list->next; link != list; link = next)
     {
-      struct Connection *connection = CF_LIST_ENTRY (list->next, struct Connection, link);
+      struct Connection *connection = CF_LIST_ENTRY (link, struct Connection, link);
 
+      next = link->next;
       g_object_weak_unref (G_OBJECT (connection->stream), on_stream_freed, connection);
       free_connection (connection);
     }
