A call is one request: redirects are not followed

What was seen: against a server that only redirects, 1,000 calls had not ended after 30 s in one run of two; whether they were slow or stuck was not traced. Each call then stands for up to 20 requests, which the library sends again in the way that the connections' resets made unsafe.

Change: the call ends with the redirect, which no reader takes for an answer.

Evidence: the two new cases of test_connections_end_during_calls, three runs each.

--- a/src/serve/http_call.c
+++ b/src/serve/http_call.c
@@ -51,7 +51,7 @@
   call->deadline = g_timeout_source_new (deadline_ms);
   g_source_set_callback (call->deadline, past_deadline, call, NULL);
   g_source_attach (call->deadline, g_main_context_get_thread_default ());
-  soup_message_add_flags (message, SOUP_MESSAGE_NEW_CONNECTION);
+  soup_message_add_flags (message, SOUP_MESSAGE_NEW_CONNECTION | SOUP_MESSAGE_NO_REDIRECT);
   soup_message_headers_replace (soup_message_get_request_headers (message), "Connection", "close");
   soup_session_send_and_read_async (session, message, G_PRIORITY_DEFAULT, call->cancellable,
                                     answered, call);
--- a/src/serve/http_call.h
+++ b/src/serve/http_call.h
@@ -12,7 +12,7 @@
 typedef void CfHttpDone (void *data, SoupMessage *message, GBytes *body);
 
 /* Sends MESSAGE, which the call releases, and calls DONE with DATA within DEADLINE_MS.
- * DONE may begin other calls.
+ * DONE may begin other calls.  A redirect is a response like any other.
  *
  * Each call has a connection of its own.  On a connection that was used before, libsoup 3.2 sends a
  * request again when the connection ends; if another call begins at that moment, the library uses
--- a/tests/test_connection_reset.c
+++ b/tests/test_connection_reset.c
@@ -20,12 +20,14 @@
   bool reset;       /* else the connection is closed */
   useconds_t pause; /* before that */
   size_t part;      /* bytes of the response that are sent before */
+  bool redirect;    /* responses redirect to the same path */
   atomic_bool ended;
   atomic_int connections;
   GThread *thread;
 };
 
 static const char response[] = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+static const char redirect[] = "HTTP/1.1 302 Found\r\nLocation: /\r\nContent-Length: 2\r\n\r\n{}";
 
 /* Returns false at the end of the connection. */
 static bool
@@ -63,7 +65,9 @@
           setsockopt (fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
           return;
         }
-      if (write (fd, response, sizeof response - 1) < 0)
+      if (write (fd, server->redirect ? redirect : response,
+                 server->redirect ? sizeof redirect - 1 : sizeof response - 1)
+          < 0)
         return;
     }
 }
@@ -185,6 +189,8 @@
     { .good = 1, .reset = true, .pause = 2000, .part = 10 },
     { .good = 1, .reset = true, .pause = 2000, .part = sizeof response - 2 },
     { .good = 1, .reset = false, .pause = 2000, .part = 10 },
+    { .good = 1000, .redirect = true },
+    { .good = 3, .reset = true, .redirect = true },
   };
   struct Server server = ends[_i];
   gint64 end = g_get_monotonic_time () + 3 * WAIT_S * G_TIME_SPAN_SECOND;
@@ -216,6 +222,6 @@
   Suite *suite = suite_create ("connection reset");
 
   g_log_set_always_fatal (G_LOG_LEVEL_CRITICAL | G_LOG_LEVEL_ERROR);
-  suite_add_loop (suite, test_connections_end_during_calls, 9);
+  suite_add_loop (suite, test_connections_end_during_calls, 11);
   return suite_run (suite);
 }
