A VM forgets the VMs of its failure domain that left for good

A growth of some 100 bytes each, small for a fleet as it should be.

Change: absences that are over are removed with the next one.

Evidence: test_rotation_forgets failed before (1,000 names kept) and passes.

--- a/src/feed/rotation.c
+++ b/src/feed/rotation.c
@@ -17,11 +17,20 @@
   g_clear_pointer (&rotation->absences, g_hash_table_unref);
 }
 
+static gboolean
+is_over (gpointer name, gpointer absence, gpointer now)
+{
+  (void) name;
+  return *(const CfMillis *) now >= ((const struct CfRotationAbsence *) absence)->until;
+}
+
 void
 cf_rotation_update (struct CfRotation *rotation, const char *name, bool leaving, CfMillis now)
 {
-  struct CfRotationAbsence *absence = g_hash_table_lookup (rotation->absences, name);
+  struct CfRotationAbsence *absence;
 
+  g_hash_table_foreach_remove (rotation->absences, is_over, &now);
+  absence = g_hash_table_lookup (rotation->absences, name);
   if (!absence)
     {
       absence = g_new0 (struct CfRotationAbsence, 1);
--- a/tests/test_sources.c
+++ b/tests/test_sources.c
@@ -370,6 +370,25 @@
 }
 END_TEST
 
+/* VMs are replaced under new names: each that had left was remembered for good. */
+START_TEST (test_rotation_forgets)
+{
+  struct CfRotation rotation;
+  CfMillis now = 1000;
+  char name[16];
+
+  cf_rotation_init (&rotation);
+  for (int i = 0; i < 1000; i++, now += CF_MS_PER_S)
+    {
+      g_snprintf (name, sizeof name, "vm-%d", i);
+      cf_rotation_update (&rotation, name, true, now);
+    }
+  ck_assert_uint_le (g_hash_table_size (rotation.absences), CF_ROTATION_ABSENT_MS / CF_MS_PER_S);
+  ck_assert_uint_eq (cf_rotation_absent_count (&rotation, now), 4);
+  cf_rotation_clear (&rotation);
+}
+END_TEST
+
 /* With VMs that left and never returned, others waited for them until after the time at which
  * they had to be out of rotation. */
 START_TEST (test_rotation_wait_ends)
@@ -459,6 +478,7 @@
   suite_add_loop (suite, test_expired, 1);
   suite_add_loop (suite, test_vm_record, 1);
   suite_add_loop (suite, test_rotation, 1);
+  suite_add_loop (suite, test_rotation_forgets, 1);
   suite_add_loop (suite, test_rotation_wait_ends, 1);
   suite_add_loop (suite, test_hello, 1);
   suite_add_loop (suite, test_quality_report, 1);
