--- a/src/serve/http_call.c
+++ b/src/serve/http_call.c
@@ -76,7 +76,7 @@
 {
   GTask *task = g_task_new (session, cancellable, callback, data);
 
-  soup_message_add_flags (message, SOUP_MESSAGE_NEW_CONNECTION);
+  soup_message_add_flags (message, SOUP_MESSAGE_NEW_CONNECTION | SOUP_MESSAGE_NO_REDIRECT);
   soup_message_headers_replace (soup_message_get_request_headers (message), "Connection", "close");
   g_task_set_check_cancellable (task, FALSE);
   g_task_set_task_data (
