Settings that are empty or half written no longer end the process, and no change is missed

Seen: the platform rewrites the file in place; a start that met it empty ended with status 2 at once. A reload that met it half written was remembered by the file's time, so that a rewrite within the same tick of the file system, or with an older time, was never read.

Cause: one read was taken for the final word, and a time for the content. The supervisor now reads the first settings from its main loop, again every 50 ms for 5 s (event settings-awaited at the first failure), during which SIGTERM ends it with status 0 and SIGHUP does no harm; then it ends as before. Contents are compared instead of times. Now that values may be missing, a file that is cut could pass for a whole one: one that lacks a key or its last line end is used once it has been the same for 0.5 s. A failed reload keeps the old values; lines about reloads are limited, so that a storm of SIGHUP does not fill the log.

--- a/src/serve/balance_settings.c
+++ b/src/serve/balance_settings.c
@@ -43,7 +43,11 @@
 find_text (struct Reader *reader, const char *group, const char *key)
 {
   char *raw = g_key_file_get_value (reader->file, group, key, NULL);
-  char *text = raw && *g_strstrip (raw) ? g_utf8_make_valid (raw, -1) : NULL;
+  char *text;
+
+  if (!raw)
+    reader->settings->complete = false;
+  text = raw && *g_strstrip (raw) ? g_utf8_make_valid (raw, -1) : NULL;
 
   g_free (raw);
   return text;
@@ -217,9 +221,11 @@
 }
 
 bool
-cf_balance_settings_read (struct CfBalanceSettings *settings,
-                          const char *path,
-                          struct CfError *error)
+cf_balance_settings_parse (struct CfBalanceSettings *settings,
+                           const char *path,
+                           const char *text,
+                           size_t len,
+                           struct CfError *error)
 {
   struct Reader reader = {
     .file = g_key_file_new (),
@@ -228,15 +234,13 @@
     .error = error,
   };
   GError *gerror = NULL;
-  char *text = NULL;
-  gsize len;
 
   *settings = (struct CfBalanceSettings){
     .path = g_strdup (path),
     .notes = g_ptr_array_new_with_free_func (g_free),
+    .complete = len > 0 && text[len - 1] == '\n',
   };
-  if (!g_file_get_contents (path, &text, &len, &gerror)
-      || !load_text (reader.file, text, len, &gerror))
+  if (!load_text (reader.file, text, len, &gerror))
     {
       cf_error_set (error, CF_ERROR_INPUT, "%s: %s", path, gerror->message);
       g_error_free (gerror);
@@ -244,7 +248,6 @@
     }
   else
     read_values (&reader, settings);
-  g_free (text);
   g_key_file_unref (reader.file);
   if (reader.failed)
     cf_balance_settings_clear (settings);
--- a/src/serve/balance_settings.h
+++ b/src/serve/balance_settings.h
@@ -25,13 +25,17 @@
   CfMillis max_flow_lifetime_ms;
   CfMillis grace_ms; /* from SIGTERM until the process is killed */
   GPtrArray *notes;  /* of char *: defaults that are used and entries that were left out */
+  bool complete;     /* the file has all keys, if without a value, and its last line has an end */
 };
 
-/* Reads the file PATH into SETTINGS.  Returns false with ERROR, which names the file and
- * the key, if a required value is missing or a value is not valid. */
-bool cf_balance_settings_read (struct CfBalanceSettings *settings,
-                               const char *path,
-                               struct CfError *error);
+/* Reads SETTINGS from TEXT, LEN bytes and a 0, the content of the file PATH.  Returns false with
+ * ERROR, which names the file and the key, if a required value is missing or a value is not valid.
+ */
+bool cf_balance_settings_parse (struct CfBalanceSettings *settings,
+                                const char *path,
+                                const char *text,
+                                size_t len,
+                                struct CfError *error);
 void cf_balance_settings_clear (struct CfBalanceSettings *settings);
 
 #endif
--- a/src/serve/balancer.c
+++ b/src/serve/balancer.c
@@ -2,11 +2,11 @@
 #include "crash_report.h"
 #include "log.h"
 #include "process_setup.h"
+#include "server.h"
 
 #include <glib-unix.h>
 #include <json-glib/json-glib.h>
 #include <libsoup/soup.h>
-#include <sys/stat.h>
 
 /* The supervisor of an entry VM behind a fabric with flow cookies: starts the tasks, turns signals
  * and a changed settings file into messages, and stops the tasks in reverse order. */
@@ -18,6 +18,15 @@
 #define LEAVE_CHECK_MS 50
 /* The settings file is polled, because it may change without a signal. */
 #define SETTINGS_CHECK_S 2
+/* The platform writes the file in place, so it may be empty or half written when it is read.  At
+ * the start it is read again for a while; a file that may lack its end is used once it stays the
+ * same. */
+#define SETTINGS_WAIT_MS 5000
+#define SETTINGS_RETRY_MS 50
+#define SETTINGS_UNCHANGED_MS 500
+/* Log lines about the settings. */
+#define SETTINGS_LINES_PER_S 2
+#define SETTINGS_LINES_BURST 10
 
 struct Child
 {
@@ -30,7 +39,14 @@
 struct Supervisor
 {
   struct CfBalancer balancer;
-  gint64 settings_mtime;
+  const char *path;     /* of the settings file */
+  char *text;           /* of the file when it was last read, NULL: it could not be read */
+  CfMillis changed_at;  /* when TEXT was first seen */
+  bool used;            /* TEXT is in force, or it was rejected */
+  bool loaded;          /* the first settings are in force */
+  CfMillis load_until;  /* without valid settings, the process ends then */
+  struct CfError error; /* why the file could not be used at the start */
+  struct CfEventRate rate;
   bool stopping;
 };
 
@@ -44,13 +60,6 @@
                       });
 }
 
-static void
-log_notes (struct CfBalancer *balancer, const struct CfBalanceSettings *settings)
-{
-  for (guint i = 0; i < settings->notes->len; i++)
-    log_event (balancer, "settings-note", settings->notes->pdata[i]);
-}
-
 static gboolean
 quit (gpointer data)
 {
@@ -80,57 +89,162 @@
   if (supervisor->stopping)
     return G_SOURCE_CONTINUE;
   supervisor->stopping = true;
+  if (!supervisor->loaded)
+    {
+      g_main_loop_quit (balancer->main_loop);
+      return G_SOURCE_CONTINUE;
+    }
   log_event (balancer, "stopping", "SIGTERM");
   cf_send_stop (balancer);
   g_timeout_add (LEAVE_CHECK_MS, wait_for_leave, supervisor);
   return G_SOURCE_CONTINUE;
 }
 
-static gint64
-file_mtime (const char *path)
+static void
+log_settings (struct Supervisor *supervisor, const char *event, const char *detail)
 {
-  struct stat info;
+  cf_event_log_write_limited (supervisor->balancer.log, &supervisor->rate, event,
+                              (struct CfField[]){
+                                  { .key = "detail", .text = detail },
+                                  { 0 },
+                              },
+                              cf_now ());
+}
+
+static void
+log_notes (struct Supervisor *supervisor, const struct CfBalanceSettings *settings)
+{
+  for (guint i = 0; i < settings->notes->len; i++)
+    log_settings (supervisor, "settings-note", settings->notes->pdata[i]);
+}
+
+/* Reads the file.  Contents are compared, since two changes may have the same time. */
+static bool
+read_settings (struct Supervisor *supervisor,
+               struct CfBalanceSettings *settings,
+               struct CfError *error)
+{
+  char *text = NULL;
+  GError *gerror = NULL;
+  gsize len = 0;
+  bool ok;
+
+  if (g_file_get_contents (supervisor->path, &text, &len, &gerror))
+    ok = cf_balance_settings_parse (settings, supervisor->path, text, len, error);
+  else
+    {
+      ok = cf_error_set (error, CF_ERROR_INPUT, "%s", gerror->message);
+      g_error_free (gerror);
+    }
+  if (supervisor->changed_at == 0 || g_strcmp0 (text, supervisor->text) != 0)
+    {
+      supervisor->changed_at = cf_now ();
+      supervisor->used = false;
+    }
+  g_free (supervisor->text);
+  supervisor->text = text;
+  return ok;
+}
 
-  if (stat (path, &info) != 0)
-    return 0;
-  return (gint64) info.st_mtim.tv_sec * G_TIME_SPAN_SECOND + info.st_mtim.tv_nsec / 1000;
+/* Returns true if SETTINGS, just read, have their end. */
+static bool
+is_whole (const struct Supervisor *supervisor, const struct CfBalanceSettings *settings)
+{
+  return settings->complete || cf_now () - supervisor->changed_at >= SETTINGS_UNCHANGED_MS;
 }
 
 /* Only the seeds of a new file take effect at once.  Addresses and names cannot change while the
  * process runs; they are read at the next start. */
 static void
-reload (struct Supervisor *supervisor, const char *why)
+reload (struct Supervisor *supervisor, const char *why, bool always)
 {
-  struct CfBalancer *balancer = &supervisor->balancer;
   struct CfBalanceSettings fresh;
   struct CfError error = { 0 };
+  bool ok = read_settings (supervisor, &fresh, &error);
 
-  supervisor->settings_mtime = file_mtime (balancer->settings.path);
-  if (!cf_balance_settings_read (&fresh, balancer->settings.path, &error))
+  if ((!supervisor->used || always) && !ok)
+    log_settings (supervisor, "reload-failed", error.text);
+  else if ((!supervisor->used || always) && is_whole (supervisor, &fresh))
     {
-      log_event (balancer, "reload-failed", error.text);
+      log_settings (supervisor, "reloaded", why);
+      log_notes (supervisor, &fresh);
+      cf_send_seeds (&supervisor->balancer, g_steal_pointer (&fresh.seeds));
+    }
+  else if (!supervisor->used)
+    {
+      /* The next check uses it if it stays the same. */
+      cf_balance_settings_clear (&fresh);
       return;
     }
-  log_event (balancer, "reloaded", why);
-  log_notes (balancer, &fresh);
-  cf_send_seeds (balancer, g_steal_pointer (&fresh.seeds));
-  cf_balance_settings_clear (&fresh);
+  supervisor->used = true;
+  if (ok)
+    cf_balance_settings_clear (&fresh);
 }
 
+/* Tries to read the first settings. */
 static gboolean
-on_reload (gpointer data)
+load_settings (gpointer data)
 {
-  reload (data, "SIGHUP");
+  struct Supervisor *supervisor = data;
+  struct CfBalancer *balancer = &supervisor->balancer;
+  struct CfBalanceSettings settings;
+  struct CfError error = { 0 };
+  bool ok = read_settings (supervisor, &settings, &error);
+
+  if (ok && is_whole (supervisor, &settings))
+    {
+      balancer->settings = settings;
+      supervisor->loaded = true;
+      supervisor->used = true;
+      g_main_loop_quit (balancer->main_loop);
+      return G_SOURCE_REMOVE;
+    }
+  if (ok)
+    {
+      cf_error_set (&error, CF_ERROR_INPUT, "%s: the end may be missing", supervisor->path);
+      cf_balance_settings_clear (&settings);
+    }
+  if (!*supervisor->error.text)
+    cf_event_log_write_early ("", "settings-awaited",
+                              (struct CfField[]){
+                                  { .key = "fault", .text = error.text },
+                                  { .key = "wait_ms", .number = SETTINGS_WAIT_MS },
+                                  { 0 },
+                              });
+  supervisor->error = error;
+  if (!ok && cf_now () >= supervisor->load_until)
+    {
+      g_main_loop_quit (balancer->main_loop);
+      return G_SOURCE_REMOVE;
+    }
   return G_SOURCE_CONTINUE;
 }
 
+/* Waits until the settings can be used, or a signal stops the process. */
+static void
+await_settings (struct Supervisor *supervisor)
+{
+  supervisor->load_until = cf_now () + SETTINGS_WAIT_MS;
+  if (load_settings (supervisor) == G_SOURCE_REMOVE)
+    return;
+  g_timeout_add (SETTINGS_RETRY_MS, load_settings, supervisor);
+  g_main_loop_run (supervisor->balancer.main_loop);
+}
+
 static gboolean
-check_settings (gpointer data)
+on_reload (gpointer data)
 {
   struct Supervisor *supervisor = data;
 
-  if (file_mtime (supervisor->balancer.settings.path) != supervisor->settings_mtime)
-    reload (supervisor, "the file changed");
+  if (supervisor->loaded)
+    reload (supervisor, "SIGHUP", true);
+  return G_SOURCE_CONTINUE;
+}
+
+static gboolean
+check_settings (gpointer data)
+{
+  reload (data, "the file changed", false);
   return G_SOURCE_CONTINUE;
 }
 
@@ -151,10 +265,9 @@
     }
 }
 
-bool
-cf_balancer_run (const char *path, struct CfError *error)
+static void
+serve (struct Supervisor *supervisor)
 {
-  struct Supervisor *supervisor = g_new0 (struct Supervisor, 1);
   struct CfBalancer *balancer = &supervisor->balancer;
   struct Child children[] = {
     { &cf_datapath_task, &balancer->datapath, cf_datapath_task_new, cf_datapath_task_free },
@@ -163,36 +276,48 @@
       cf_balancer_admin_task_free },
   };
 
-  /* A signal that comes before the main loop runs is handled when it does.  The time of the file is
-   * taken first, so that a later change is seen. */
-  g_unix_signal_add (SIGTERM, on_stop, supervisor);
-  g_unix_signal_add (SIGINT, on_stop, supervisor);
-  g_unix_signal_add (SIGHUP, on_reload, supervisor);
-  cf_process_unblock_signals ();
-  supervisor->settings_mtime = file_mtime (path);
-  if (!cf_balance_settings_read (&balancer->settings, path, error))
-    {
-      g_free (supervisor);
-      return false;
-    }
   cf_task_register_types ();
   balancer->log = cf_event_log_new (balancer->settings.name);
   cf_event_log_capture_glib (balancer->log);
   cf_crash_report_install (balancer->settings.name);
   cf_crash_report_enter ("supervisor");
-  balancer->main_loop = g_main_loop_new (NULL, FALSE);
-  log_event (balancer, "started", path);
-  log_notes (balancer, &balancer->settings);
+  log_event (balancer, "started", supervisor->path);
+  log_notes (supervisor, &balancer->settings);
   g_timeout_add_seconds (SETTINGS_CHECK_S, check_settings, supervisor);
   run_children (balancer, children, G_N_ELEMENTS (children));
   log_event (balancer, "stopped", "");
-  g_main_loop_unref (balancer->main_loop);
   /* GLib's log writer stays installed and must not use the event log after it is freed. */
   g_log_set_default_handler (g_log_default_handler, NULL);
   cf_event_log_free (balancer->log);
   cf_crash_report_install ("");
   cf_crash_report_leave ();
+}
+
+bool
+cf_balancer_run (const char *path, struct CfError *error)
+{
+  struct Supervisor *supervisor = g_new0 (struct Supervisor, 1);
+  struct CfBalancer *balancer = &supervisor->balancer;
+  bool ok;
+
+  supervisor->path = path;
+  supervisor->rate
+      = (struct CfEventRate){ .per_s = SETTINGS_LINES_PER_S, .burst = SETTINGS_LINES_BURST };
+  balancer->main_loop = g_main_loop_new (NULL, FALSE);
+  /* A signal that comes before the main loop runs is handled when it does. */
+  g_unix_signal_add (SIGTERM, on_stop, supervisor);
+  g_unix_signal_add (SIGINT, on_stop, supervisor);
+  g_unix_signal_add (SIGHUP, on_reload, supervisor);
+  cf_process_unblock_signals ();
+  await_settings (supervisor);
+  ok = supervisor->loaded || supervisor->stopping;
+  if (supervisor->loaded && !supervisor->stopping)
+    serve (supervisor);
+  else
+    *error = supervisor->error;
+  g_main_loop_unref (balancer->main_loop);
   cf_balance_settings_clear (&balancer->settings);
+  g_free (supervisor->text);
   g_free (supervisor);
-  return true;
+  return ok;
 }
--- a/tests/sockets/start.sh
+++ b/tests/sockets/start.sh
@@ -6,7 +6,6 @@
 . tests/processes.sh
 cf=$1/cyclamenferry
 failed=0
-address=127.$net.0.51
 unset CYCLAMENFERRY_FLEET_KEY
 
 fail() { # TEXT
@@ -67,6 +66,10 @@
   grep -qF -- "$2" "$1" 2> /dev/null
 }
 
+has_lines() { # LOG TEXT COUNT
+  [ "$(grep -cF -- "$2" "$1" 2> /dev/null)" -ge "$3" ]
+}
+
 # True if the process takes connections for readiness checks at ADDRESS.
 answers() { # ADDRESS
   timeout 5 bash -c "exec 5<>/dev/tcp/$1/$((ports + 3)) && printf 'GET / HTTP/1.0\r\n\r\n' >&5 \
@@ -129,6 +132,67 @@
   done
 }
 
-signal_before_settings
-signal_while_loading
+# The platform writes the file in place.
+settings_written_slowly() {
+  settings "$address" > "$work/whole"
+  : > "$work/slow"
+  start "$work/slow.log" "$work/slow"
+  await "line that the settings are awaited" has_line "$work/slow.log" '"settings-awaited"'
+  head -c 200 "$work/whole" > "$work/slow"
+  sleep 0.2
+  head -n 17 "$work/whole" > "$work/slow"
+  cat "$work/whole" > "$work/slow"
+  await "start after the settings were written" answers "$address"
+  has_line "$work/slow.log" '"settings-note"' && fail "half of the settings were used"
+  # A change that leaves time and size as they were.
+  cp -p "$work/slow" "$work/before"
+  sed "s/127.$net.0.53/127.$net.0.59/" "$work/before" > "$work/slow"
+  touch -r "$work/before" "$work/slow"
+  await "reload of a file of the same time" has_line "$work/slow.log" '"the file changed"'
+  head -c 100 "$work/whole" > "$work/slow"
+  await "rejected reload" has_line "$work/slow.log" '"reload-failed"'
+  rm "$work/slow"
+  kill -HUP "$started"
+  await "rejected reload of a missing file" has_line "$work/slow.log" "No such file"
+  cat "$work/whole" > "$work/slow"
+  kill -HUP "$started"
+  await "reload of the whole file" has_line "$work/slow.log" '"SIGHUP"'
+  stop "settings written slowly" "$started"
+}
+
+settings_never_valid() {
+  : > "$work/never"
+  start "$work/never.log" "$work/never"
+  expect_end "settings that stay empty" "$started" 2
+  has_line "$work/never.log" '"start-failed"' || fail "no line about settings that stay empty"
+  start "$work/awaited.log" "$work/never"
+  await "line that the settings are awaited" has_line "$work/awaited.log" '"settings-awaited"'
+  kill -HUP "$started"
+  stop "SIGTERM while the settings are awaited" "$started"
+  settings "$address" zone= region= limits.link-mbps= bounds.flow-lifetime-s= \
+    bounds.grace-period-s= "seeds=here,," > "$work/values.missing"
+  start "$work/missing.log" "$work/values.missing"
+  await "start without values" answers "$address"
+  await "lines about missing values" has_lines "$work/missing.log" '"settings-note"' 6
+  stop "start without values" "$started"
+}
+
+cases=
+for case in signal_before_settings signal_while_loading settings_written_slowly \
+  settings_never_valid; do
+  number=$((${number:-0} + 1))
+  (
+    address=127.$net.0.$((100 + number))
+    work=$work/$case
+    mkdir "$work"
+    pids=
+    trap 'for pid in $pids; do kill -9 "$pid" 2> /dev/null; done' EXIT
+    $case
+    exit $failed
+  ) &
+  cases="$cases $case:$!"
+done
+for entry in $cases; do
+  wait "${entry##*:}" || fail "case ${entry%:*}"
+done
 exit $failed
--- a/tests/test_fuzz.c
+++ b/tests/test_fuzz.c
@@ -242,17 +242,8 @@
 static bool
 read_text (const char *text, gssize len, struct CfBalanceSettings *settings, struct CfError *error)
 {
-  char *path = g_build_filename (g_get_tmp_dir (), "cf-settings-XXXXXX", NULL);
-  int fd = g_mkstemp (path);
-  bool ok;
-
-  ck_assert_int_ge (fd, 0);
-  close (fd);
-  ck_assert (g_file_set_contents (path, text, len, NULL));
-  ok = cf_balance_settings_read (settings, path, error);
-  g_remove (path);
-  g_free (path);
-  return ok;
+  return cf_balance_settings_parse (settings, "cf-settings-1", text,
+                                    len < 0 ? strlen (text) : (size_t) len, error);
 }
 
 START_TEST (test_fuzz_settings)
@@ -327,6 +318,7 @@
   ck_assert_uint_eq (g_strv_length (settings.seeds), 1);
   ck_assert_str_eq (settings.seeds[0], "10.0.0.2");
   ck_assert_int_eq (settings.grace_ms, 6000);
+  ck_assert (settings.complete);
   cf_balance_settings_clear (&settings);
 }
 END_TEST
@@ -400,6 +392,22 @@
 }
 END_TEST
 
+/* A file that is cut anywhere while it is written is recognised, or has all that counts. */
+START_TEST (test_half_written_settings)
+{
+  for (size_t len = 0; len < strlen (SETTINGS) - 1; len++)
+    {
+      struct CfBalanceSettings settings;
+      struct CfError error = { 0 };
+
+      if (!read_text (SETTINGS, (gssize) len, &settings, &error))
+        continue;
+      ck_assert_msg (!settings.complete, "cut at %zu", len);
+      cf_balance_settings_clear (&settings);
+    }
+}
+END_TEST
+
 /* Files of other systems: CRLF, a byte order mark, blanks at the ends of lines, numbers written in
  * another way, invalid UTF-8. */
 START_TEST (test_settings_of_other_systems)
@@ -482,6 +490,7 @@
   suite_add_loop (suite, test_bad_settings, G_N_ELEMENTS (bad_settings));
   suite_add_loop (suite, test_setting_without_value_ends_start, G_N_ELEMENTS (defaults));
   suite_add_loop (suite, test_name_with_special_characters, G_N_ELEMENTS (names));
+  suite_add_loop (suite, test_half_written_settings, 1);
   suite_add_loop (suite, test_settings_of_other_systems, 1);
   return suite_run (suite);
 }
