A task whose port was taken for some seconds starts within a second of its release

Seen: with the old process lingering, the delay between starts doubled up to 10 s, so that a port that was free again stayed unused for up to that long. Cause: one delay for tasks that fail while they run and for those that cannot start. A start costs little, so its delay now ends at 1 s, and the log says when a task that could not start did.

tests/test_task.c: before, 6521 ms between two starts after eight attempts; now below the bound of 3 s, which leaves room for a busy machine.

--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,7 @@
 APP_OBJ = $(APP_SRC:%.c=$(BUILD)/%.o)
 PLATFORM_OBJ = $(filter $(BUILD)/src/objectstore/% $(BUILD)/platform/%,$(APP_OBJ))
 SERVE_TEST_OBJ = $(BUILD)/src/serve/balance_settings.o $(BUILD)/src/serve/crash_report.o \
-  $(BUILD)/src/serve/process_setup.o
+  $(BUILD)/src/serve/process_setup.o $(BUILD)/src/serve/task.o
 TEST_LIB_OBJ = $(TEST_LIB_SRC:%.c=$(BUILD)/%.o)
 TESTS = $(TEST_SRC:tests/%.c=$(BUILD)/%)
 STANDINS = $(STANDIN_SRC:tests/%.c=$(BUILD)/%)
--- a/src/serve/task.c
+++ b/src/serve/task.c
@@ -8,7 +8,8 @@
 
 #define RESTART_MIN_MS 100
 #define RESTART_MAX_MS 10000
-#define STABLE_RUN_MS 30000 /* a run this long resets the delay */
+#define START_RETRY_MAX_MS 1000 /* a port or address may be free again at any moment */
+#define STABLE_RUN_MS 30000     /* a run this long resets the delay */
 
 struct Message
 {
@@ -38,9 +39,15 @@
     {
       struct CfError error = { 0 };
       gint64 began = g_get_monotonic_time ();
+      bool started = task->class->start (task, task->data, &error);
 
-      if (task->class->start (task, task->data, &error))
-        g_main_loop_run (task->loop);
+      if (started && *last)
+        cf_log_state ("TASK", task->class->name, "task %s started", task->class->name);
+      if (started)
+        {
+          last[0] = 0;
+          g_main_loop_run (task->loop);
+        }
       else if (strcmp (last, error.text) != 0)
         {
           cf_log_warning ("TASK", task->class->name, "task %s did not start: %s", task->class->name,
@@ -54,7 +61,7 @@
       if (g_get_monotonic_time () - began > STABLE_RUN_MS * G_TIME_SPAN_MILLISECOND)
         delay_ms = RESTART_MIN_MS;
       sleep_unless_quit (task, delay_ms);
-      delay_ms = MIN (delay_ms * 2, RESTART_MAX_MS);
+      delay_ms = MIN (delay_ms * 2, started ? RESTART_MAX_MS : START_RETRY_MAX_MS);
     }
   g_main_context_pop_thread_default (task->context);
   cf_crash_report_leave ();
