The feed task can be stopped when its start failed before its timer was made

Seen: an assertion of GLib in the log for each start with a taken peer port or an address that is not there yet. Cause: stop, which is also called after a failed start, destroyed a timer that did not exist. The stop functions of the other tasks were read for the same: none does.

--- a/src/serve/feed_task.c
+++ b/src/serve/feed_task.c
@@ -362,7 +362,8 @@
   cf_feed_enroll_stop (task);
   cf_feed_follow_stop (task);
   cf_feed_store_stop (task);
-  g_source_destroy (task->timer);
+  if (task->timer)
+    g_source_destroy (task->timer);
   g_clear_pointer (&task->timer, g_source_unref);
   g_clear_object (&task->session);
 }
