A VM whose metrics port is taken still serves callers

Seen: 9464, a port that exporters use, taken by another process kept the readiness server from starting, since both belong to one task's start: the VM was never in rotation. The metrics server is now tried again each second by itself, with one line in the log at the first failure and one when it serves.

--- a/src/serve/balancer_admin_task.c
+++ b/src/serve/balancer_admin_task.c
@@ -1,18 +1,23 @@
 #include "balancer.h"
 #include "http_listen.h"
+#include "log.h"
 #include "platform/store_requests.h"
 #include "process_usage.h"
 #include "server.h"
 
 #include <string.h>
 
-/* The admin task answers the fabric's readiness checks and serves /metrics. */
+/* The admin task answers the fabric's readiness checks and serves /metrics.  A VM whose metrics
+ * port is taken still serves callers. */
+
+#define METRICS_RETRY_MS 1000
 
 struct AdminTask
 {
   struct CfBalancer *balancer;
   SoupServer *ready;
-  SoupServer *metrics;
+  SoupServer *metrics;    /* NULL: the port is taken, or none is configured */
+  GSource *metrics_retry; /* NULL: none is due */
 };
 
 static void
@@ -96,22 +101,44 @@
   cf_task_post (&balancer->admin, handle_metrics, request, free_request);
 }
 
+static bool
+listen_for_metrics (struct AdminTask *task, struct CfError *error)
+{
+  struct CfAddress address = task->balancer->settings.ready;
+
+  address.port = task->balancer->settings.metrics_port;
+  task->metrics = cf_http_listen (&address, answer_metrics, task, error);
+  return task->metrics != NULL;
+}
+
+static gboolean
+retry_metrics (gpointer data)
+{
+  struct AdminTask *task = data;
+  struct CfError error = { 0 };
+
+  if (!listen_for_metrics (task, &error))
+    return G_SOURCE_CONTINUE;
+  cf_log_state ("TASK", "admin", "metrics are served");
+  g_clear_pointer (&task->metrics_retry, g_source_unref);
+  return G_SOURCE_REMOVE;
+}
+
 static bool
 start (struct CfTask *base, void *data, struct CfError *error)
 {
   struct AdminTask *task = data;
   const struct CfBalanceSettings *settings = &task->balancer->settings;
-  struct CfAddress metrics = settings->ready;
+  struct CfError metrics_error = { 0 };
 
-  (void) base;
   task->ready = cf_http_listen (&settings->ready, answer_ready, task, error);
   if (!task->ready)
     return false;
-  if (settings->metrics_port == 0)
+  if (settings->metrics_port == 0 || listen_for_metrics (task, &metrics_error))
     return true;
-  metrics.port = settings->metrics_port;
-  task->metrics = cf_http_listen (&metrics, answer_metrics, task, error);
-  return task->metrics != NULL;
+  cf_log_warning ("TASK", "admin", "metrics are not served yet: %s", metrics_error.text);
+  task->metrics_retry = cf_task_timer (base, METRICS_RETRY_MS, retry_metrics);
+  return true;
 }
 
 static void
@@ -120,6 +147,9 @@
   struct AdminTask *task = data;
 
   (void) base;
+  if (task->metrics_retry)
+    g_source_destroy (task->metrics_retry);
+  g_clear_pointer (&task->metrics_retry, g_source_unref);
   cf_http_close (&task->ready);
   cf_http_close (&task->metrics);
 }
