SIGTERM ends a process whose feed task cannot start

Seen: with the peer port taken, or the address not assigned yet, SIGTERM had no effect until SIGKILL. Cause: the supervisor waited for the feed task to say when to leave the rotation, and messages to a task that does not run are not delivered. The supervisor now leaves by itself 200 ms after the longest time that the feed task may wait. The time to forward packets afterwards ends 400 ms before the grace period does, for grace periods below 3.8 s.

--- a/src/feed/rotation.c
+++ b/src/feed/rotation.c
@@ -54,11 +54,15 @@
   return out < size && (size - out) * 2 >= size;
 }
 
+CfMillis
+cf_rotation_wait_max (CfMillis grace)
+{
+  return CLAMP (grace - CF_ROTATION_FORWARD_RESERVE_MS, 0, CF_ROTATION_WAIT_MAX_MS);
+}
+
 bool
 cf_rotation_should_leave (
     const struct CfRotation *rotation, uint32_t size, CfMillis waited, CfMillis grace, CfMillis now)
 {
-  CfMillis longest = MIN (grace - CF_ROTATION_FORWARD_RESERVE_MS, CF_ROTATION_WAIT_MAX_MS);
-
-  return waited >= longest || cf_rotation_may_leave (rotation, size, now);
+  return waited >= cf_rotation_wait_max (grace) || cf_rotation_may_leave (rotation, size, now);
 }
--- a/src/feed/rotation.h
+++ b/src/feed/rotation.h
@@ -40,6 +40,10 @@
 /* Returns true if one of SIZE VMs may leave while at least half stay in rotation. */
 bool cf_rotation_may_leave (const struct CfRotation *rotation, uint32_t size, CfMillis now);
 
+/* Returns how long a VM may wait for others before it leaves, if it is killed GRACE after it was
+ * told to stop. */
+CfMillis cf_rotation_wait_max (CfMillis grace);
+
 /* Returns true if a VM that was told to stop WAITED ago, and that is killed GRACE after it was
  * told, has to leave at NOW: because it may, or because it can wait no longer. */
 bool cf_rotation_should_leave (const struct CfRotation *rotation,
--- a/src/serve/balancer.c
+++ b/src/serve/balancer.c
@@ -1,5 +1,6 @@
 #include "balancer.h"
 #include "crash_report.h"
+#include "feed/rotation.h"
 #include "log.h"
 #include "process_setup.h"
 #include "server.h"
@@ -16,6 +17,8 @@
  * forwarded. */
 #define LINGER_MS 1400
 #define LEAVE_CHECK_MS 50
+#define LEAVE_SLACK_MS 200 /* until the feed task is given up, which decides when to leave */
+#define END_MS 400         /* of the grace period, for the end of the process */
 /* The settings file is polled, because it may change without a signal. */
 #define SETTINGS_CHECK_S 2
 /* The platform writes the file in place, so it may be empty or half written when it is read.  At
@@ -48,6 +51,7 @@
   struct CfError error; /* why the file could not be used at the start */
   struct CfEventRate rate;
   bool stopping;
+  CfMillis stop_at; /* when the signal came */
 };
 
 static void
@@ -69,14 +73,30 @@
   return G_SOURCE_REMOVE;
 }
 
+/* The feed task does not answer if it could not start, as when its port is taken. */
+static bool
+is_overdue (const struct Supervisor *supervisor)
+{
+  CfMillis wait = cf_rotation_wait_max (supervisor->balancer.settings.grace_ms);
+
+  return cf_now () - supervisor->stop_at >= wait + LEAVE_SLACK_MS;
+}
+
 static gboolean
 wait_for_leave (gpointer data)
 {
   struct Supervisor *supervisor = data;
+  CfMillis left;
 
   if (!atomic_load (&supervisor->balancer.leaving))
-    return G_SOURCE_CONTINUE;
-  g_timeout_add (LINGER_MS, quit, supervisor);
+    {
+      if (!is_overdue (supervisor))
+        return G_SOURCE_CONTINUE;
+      log_event (&supervisor->balancer, "leaving", "the feed task does not run");
+      atomic_store (&supervisor->balancer.leaving, true);
+    }
+  left = supervisor->stop_at + supervisor->balancer.settings.grace_ms - END_MS - cf_now ();
+  g_timeout_add ((guint) CLAMP (left, 0, LINGER_MS), quit, supervisor);
   return G_SOURCE_REMOVE;
 }
 
@@ -89,6 +109,7 @@
   if (supervisor->stopping)
     return G_SOURCE_CONTINUE;
   supervisor->stopping = true;
+  supervisor->stop_at = cf_now ();
   if (!supervisor->loaded)
     {
       g_main_loop_quit (balancer->main_loop);
--- a/tests/sockets/start.sh
+++ b/tests/sockets/start.sh
@@ -70,9 +70,9 @@
   [ "$(grep -cF -- "$2" "$1" 2> /dev/null)" -ge "$3" ]
 }
 
-# True if the process takes connections for readiness checks at ADDRESS.
-answers() { # ADDRESS
-  timeout 5 bash -c "exec 5<>/dev/tcp/$1/$((ports + 3)) && printf 'GET / HTTP/1.0\r\n\r\n' >&5 \
+# True if a process takes connections for readiness checks at ADDRESS.
+answers() { # ADDRESS [PORT]
+  timeout 5 bash -c "exec 5<>/dev/tcp/$1/${2:-$((ports + 3))} && printf 'GET / HTTP/1.0\r\n\r\n' >&5 \
     && grep -q '^HTTP' <&5" 2> /dev/null
 }
 
@@ -177,9 +177,56 @@
   stop "start without values" "$started"
 }
 
+# A VM that cannot serve metrics serves callers.
+metrics_port_taken() {
+  settings "$address" > "$work/first"
+  settings "$address" "listen-addresses.datagram-address=$address:$((ports + 12))" \
+    "listen-addresses.ready=$address:$((ports + 13))" "internal-port-range.0=$((ports + 14))" \
+    > "$work/second"
+  start "$work/first.log" "$work/first"
+  first=$started
+  await "first process" "$cf" status --metrics --admin "http://$address:9464" > "$work/metrics" 2>&1
+  start "$work/second.log" "$work/second"
+  await "line about the metrics port" has_line "$work/second.log" "metrics are not served yet"
+  await "readiness without metrics" answers "$address" $((ports + 13))
+  kill -9 "$first"
+  await "line about metrics" has_line "$work/second.log" "metrics are served"
+  await "metrics" "$cf" status --metrics --admin "http://$address:9464" > "$work/metrics" 2>&1
+  stop "metrics port taken" "$started"
+}
+
+# The ports are held by a process that lingers, or the address is not there yet.
+ports_taken() {
+  settings "$address" > "$work/boot"
+  start "$work/holder.log" "$work/boot"
+  holder=$started
+  await "first process" answers "$address"
+  start "$work/ended.log" "$work/boot"
+  ended=$started
+  start "$work/waiting.log" "$work/boot"
+  waiting=$started
+  settings 203.0.113.7 > "$work/absent"
+  start "$work/absent.log" "$work/absent"
+  for log in ended waiting absent; do
+    for task in datapath feed admin; do
+      await "line that $task did not start" has_line "$work/$log.log" "task $task did not start"
+    done
+  done
+  kill -TERM "$ended" "$started"
+  expect_end "SIGTERM while the ports are taken" "$ended" 0
+  expect_end "SIGTERM while the address is not there" "$started" 0
+  kill -9 "$holder"
+  for task in datapath feed admin; do
+    await "start of $task" has_line "$work/waiting.log" "task $task started"
+  done
+  await "readiness once the ports are free" answers "$address"
+  stop "ports that were taken" "$waiting"
+  grep -h assertion "$work"/*.log && fail "a task that did not start was stopped wrongly"
+}
+
 cases=
 for case in signal_before_settings signal_while_loading settings_written_slowly \
-  settings_never_valid; do
+  settings_never_valid metrics_port_taken ports_taken; do
   number=$((${number:-0} + 1))
   (
     address=127.$net.0.$((100 + number))
