SIGTERM ends "serve" whose packet task cannot start

The same cause as with "balance": the message to leave was never delivered. A task says whether it runs; without a packet task there are no flows to hand over, and the process ends.

tests/sockets/start.sh, serve_without_address: before, the process had to be killed.

--- a/src/serve/server.c
+++ b/src/serve/server.c
@@ -20,7 +20,13 @@
 static gboolean
 on_stop (gpointer data)
 {
-  cf_send_leave (data);
+  struct CfServer *server = data;
+
+  /* A packet task that could not start has no flows to hand over. */
+  if (g_atomic_int_get (&server->packet.running))
+    cf_send_leave (server);
+  else
+    g_main_loop_quit (server->main_loop);
   return G_SOURCE_CONTINUE;
 }
 
--- a/src/serve/task.c
+++ b/src/serve/task.c
@@ -46,7 +46,9 @@
       if (started)
         {
           last[0] = 0;
+          g_atomic_int_set (&task->running, 1);
           g_main_loop_run (task->loop);
+          g_atomic_int_set (&task->running, 0);
         }
       else if (strcmp (last, error.text) != 0)
         {
--- a/src/serve/task.h
+++ b/src/serve/task.h
@@ -29,6 +29,7 @@
   GMainLoop *loop;
   int quit;     /* atomic */
   int restarts; /* atomic */
+  int running;  /* atomic: it has started, so that messages are delivered */
 };
 
 typedef void CfTaskFunc (void *data, void *message);
--- a/tests/sockets/start.sh
+++ b/tests/sockets/start.sh
@@ -224,9 +224,21 @@
   grep -h assertion "$work"/*.log && fail "a task that did not start was stopped wrongly"
 }
 
+# The same of "serve".
+serve_without_address() {
+  CYCLAMENFERRY_FLEET_KEY=$(printf '%064d' $$) "$cf" serve --name absent --failure-domain palermo \
+    --address 203.0.113.7 --admin-port 0 --linger 0 --config-dir examples/scordato \
+    > "$work/serve.log" 2>&1 &
+  started=$!
+  pids="$pids $started"
+  await "line that packet did not start" has_line "$work/serve.log" "task packet did not start"
+  kill -HUP "$started"
+  stop "SIGTERM to serve while the address is not there" "$started"
+}
+
 cases=
 for case in signal_before_settings signal_while_loading settings_written_slowly \
-  settings_never_valid metrics_port_taken ports_taken; do
+  settings_never_valid metrics_port_taken ports_taken serve_without_address; do
   number=$((${number:-0} + 1))
   (
     address=127.$net.0.$((100 + number))
