Closed standard files and a log that cannot grow no longer harm the process

Seen: with a limit on the size of files, the first line of the log ended the process by SIGXFSZ (exit status 153). With standard input, output or error closed at the start, the first descriptors that were opened got their numbers, so that lines of the log went there. SIGPIPE was ignored only once GIO had made a socket.

The program opens the null device for closed standard files before anything else is opened, and the commands that serve ignore SIGPIPE and SIGXFSZ, so that the write fails instead.

--- a/src/cli/launch.c
+++ b/src/cli/launch.c
@@ -40,6 +40,7 @@
   MainFunc *cf_main;
 
   cf_process_block_signals ();
+  cf_process_open_standard_files ();
   object = load ();
   symbol = object ? dlsym (object, "cf_main") : NULL;
   if (!symbol)
--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -76,7 +76,9 @@
       fprintf (stderr, "cyclamenferry: there is no command '%s'\n", argv[1]);
       return CF_EXIT_INPUT;
     }
-  if (!command->serves)
+  if (command->serves)
+    cf_process_ignore_write_signals ();
+  else
     cf_process_unblock_signals ();
   return command->run (argc - 1, argv + 1);
 }
--- a/src/serve/process_setup.c
+++ b/src/serve/process_setup.c
@@ -1,8 +1,25 @@
 #include "process_setup.h"
 
+#include <fcntl.h>
 #include <pthread.h>
 #include <signal.h>
 #include <stddef.h>
+#include <unistd.h>
+
+void
+cf_process_open_standard_files (void)
+{
+  for (int fd = STDIN_FILENO; fd <= STDERR_FILENO; fd++)
+    if (fcntl (fd, F_GETFD) < 0)
+      open ("/dev/null", O_RDWR); /* gets the lowest free number */
+}
+
+void
+cf_process_ignore_write_signals (void)
+{
+  signal (SIGPIPE, SIG_IGN);
+  signal (SIGXFSZ, SIG_IGN);
+}
 
 static void
 set_mask (int how)
