A log that nobody reads does not keep a process from ending, and its lost lines are counted

Seen: with standard output a pipe that is full, SIGTERM had no effect until SIGKILL: freeing the log joined the thread that was blocked in write. On a pipe that does not block, on a full disk and after EINTR, the rest of a batch was dropped without being counted, and the next line was appended to the half of another.

The end now waits 300 ms for the last lines and leaves a thread that is still blocked to the end of the process. A write that would block waits up to 1 s for room; lines that cannot be written are counted in lines_lost, and what follows a cut line begins on a new one. Without a thread for the log, lines are written at once.

--- a/src/serve/event_log.c
+++ b/src/serve/event_log.c
@@ -1,6 +1,8 @@
 #include "event_log.h"
 
+#include <errno.h>
 #include <json-glib/json-glib.h>
+#include <poll.h>
 #include <stdatomic.h>
 #include <stdio.h>
 #include <string.h>
@@ -8,28 +10,68 @@
 
 #define QUEUE_MAX 4096        /* lines: about a megabyte */
 #define WRITE_INTERVAL_MS 100 /* lines are collected for this long to save wake-ups */
+#define WRITE_WAIT_MS 1000    /* for a full pipe that does not block, then lines are dropped */
+#define END_WAIT_MS 300       /* for the last lines, if nobody reads them */
 
 struct CfEventLog
 {
   char *name;
   GAsyncQueue *lines; /* of char * */
-  GThread *thread;
+  GThread *thread;    /* NULL: none could be created, each line is written at once */
+  GMutex mutex;
+  GCond written;
+  bool done; /* under mutex: the thread has ended */
+  bool cut;  /* only the beginning of the last line was written */
   atomic_bool ended;
   atomic_uint_fast64_t lost;
 };
 
-static void
+/* Writes DATA and returns the number of bytes written, fewer than LEN if the reader is gone, the
+ * disk is full or a pipe that does not block stays full. */
+static size_t
 write_all (const char *data, size_t len)
 {
-  while (len > 0)
+  struct pollfd out = { .fd = STDOUT_FILENO, .events = POLLOUT };
+  size_t done = 0;
+
+  while (done < len)
     {
-      ssize_t written = write (STDOUT_FILENO, data, len);
+      ssize_t written = write (STDOUT_FILENO, data + done, len - done);
+
+      if (written > 0)
+        done += (size_t) written;
+      else if (written < 0 && errno == EINTR)
+        continue;
+      else if (written == 0 || errno != EAGAIN || poll (&out, 1, WRITE_WAIT_MS) != 1)
+        break;
+    }
+  return done;
+}
+
+static uint64_t
+count_lines (const char *text)
+{
+  uint64_t count = 0;
 
-      if (written <= 0)
-        return; /* the reader of the log is gone */
-      data += written;
-      len -= (size_t) written;
+  for (; (text = strchr (text, '\n')); text++)
+    count++;
+  return count;
+}
+
+/* Writes TEXT, whole lines, after the end of a line that was cut off. */
+static void
+write_lines (struct CfEventLog *log, const char *text, size_t len)
+{
+  size_t done;
+
+  if (len == 0 || (log->cut && write_all ("\n", 1) != 1))
+    {
+      atomic_fetch_add (&log->lost, count_lines (text));
+      return;
     }
+  done = write_all (text, len);
+  log->cut = done > 0 && text[done - 1] != '\n';
+  atomic_fetch_add (&log->lost, count_lines (text + done));
 }
 
 static gpointer
@@ -50,12 +92,16 @@
           g_string_append (batch, line);
           g_free (line);
         }
-      write_all (batch->str, batch->len);
+      write_lines (log, batch->str, batch->len);
       g_string_truncate (batch, 0);
       if (ended)
         break;
     }
   g_string_free (batch, TRUE);
+  g_mutex_lock (&log->mutex);
+  log->done = true;
+  g_cond_signal (&log->written);
+  g_mutex_unlock (&log->mutex);
   return NULL;
 }
 
@@ -66,17 +112,42 @@
 
   log->name = g_strdup (name);
   log->lines = g_async_queue_new_full (g_free);
-  log->thread = g_thread_new ("event-log", run, log);
+  g_mutex_init (&log->mutex);
+  g_cond_init (&log->written);
+  log->thread = g_thread_try_new ("event-log", run, log, NULL);
   return log;
 }
 
-void
-cf_event_log_free (struct CfEventLog *log)
+/* Returns false if the thread is still blocked in a write. */
+static bool
+end_thread (struct CfEventLog *log)
 {
+  gint64 until = g_get_monotonic_time () + END_WAIT_MS * G_TIME_SPAN_MILLISECOND;
+  bool done;
+
+  if (!log->thread)
+    return true;
   atomic_store (&log->ended, true);
   g_async_queue_push (log->lines, g_strdup (""));
-  g_thread_join (log->thread);
+  g_mutex_lock (&log->mutex);
+  while (!log->done && g_cond_wait_until (&log->written, &log->mutex, until))
+    ;
+  done = log->done;
+  g_mutex_unlock (&log->mutex);
+  if (done)
+    g_thread_join (log->thread);
+  return done;
+}
+
+void
+cf_event_log_free (struct CfEventLog *log)
+{
+  /* The end of the process ends a thread that is still blocked. */
+  if (!end_thread (log))
+    return;
   g_async_queue_unref (log->lines);
+  g_mutex_clear (&log->mutex);
+  g_cond_clear (&log->written);
   g_free (log->name);
   g_free (log);
 }
@@ -127,13 +198,23 @@
           const struct CfField *fields,
           uint64_t left_out)
 {
+  char *line;
+
   if (g_async_queue_length (log->lines) >= QUEUE_MAX)
     {
       atomic_fetch_add (&log->lost, left_out + 1);
       return;
     }
-  g_async_queue_push (log->lines,
-                      format (log->name, event, fields, left_out, atomic_exchange (&log->lost, 0)));
+  line = format (log->name, event, fields, left_out, atomic_exchange (&log->lost, 0));
+  if (log->thread)
+    {
+      g_async_queue_push (log->lines, line);
+      return;
+    }
+  g_mutex_lock (&log->mutex);
+  write_lines (log, line, strlen (line));
+  g_mutex_unlock (&log->mutex);
+  g_free (line);
 }
 
 void
--- a/src/serve/event_log.h
+++ b/src/serve/event_log.h
@@ -6,8 +6,9 @@
 #include <glib.h>
 
 /* The event log: one JSON object a line on standard output.  Writers never block: lines
- * go to a bounded queue that a separate thread writes out.  Lines that do not fit are dropped,
- * and the next line holds their number. */
+ * go to a bounded queue that a separate thread writes out.  Lines that do not fit, or cannot be
+ * written, are dropped, and the next line holds their number.  Without a thread, if none can be
+ * created, writers do block. */
 
 struct CfEventLog;
 
@@ -22,7 +23,8 @@
 /* Starts the log of the VM called NAME. */
 struct CfEventLog *cf_event_log_new (const char *name);
 
-/* Writes the queued lines and frees the log. */
+/* Writes the queued lines and frees the log.  If nobody reads them, they are lost after a moment
+ * and the log's memory is not released. */
 void cf_event_log_free (struct CfEventLog *log);
 
 /* Adds a line for EVENT with FIELDS. */
