Threads do not depend on the limit on stacks, and a machine without threads gives an error

Seen: with a limit on stacks of 1 GB and one on address space of 260 MB, the process was ended by SIGTRAP as it created its first thread, since a thread's stack has the size of that limit. With a small one, threads got as little. g_thread_new ends the process also if the limit on threads is reached.

Threads now have 8 MiB, the usual size, whatever the limit is. The tasks' threads are tried again for 2 s; then the process ends with status 1 and a line that says why. GLib's own thread for signals still ends the process if none can be had: the platform starts it again.

tests/sockets/start.sh, deployed_build: five sets of limits; the one named above failed before.

--- a/src/cli/balance.c
+++ b/src/cli/balance.c
@@ -49,7 +49,7 @@
                                     { .key = "fault", .text = error.text },
                                     { 0 },
                                 });
-      return CF_EXIT_INPUT;
+      return error.code == CF_ERROR_INPUT ? CF_EXIT_INPUT : CF_EXIT_FAILURE;
     }
   return CF_EXIT_OK;
 }
--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -77,7 +77,10 @@
       return CF_EXIT_INPUT;
     }
   if (command->serves)
-    cf_process_ignore_write_signals ();
+    {
+      cf_process_ignore_write_signals ();
+      cf_process_set_thread_stack ();
+    }
   else
     cf_process_unblock_signals ();
   return command->run (argc - 1, argv + 1);
--- a/src/cli/serve.c
+++ b/src/cli/serve.c
@@ -26,6 +26,10 @@
         return CF_EXIT_INPUT;
       cf_config_unref (config);
     }
-  cf_server_run (&settings);
+  if (!cf_server_run (&settings, &error))
+    {
+      fprintf (stderr, "cyclamenferry serve: %s\n", error.text);
+      return CF_EXIT_FAILURE;
+    }
   return CF_EXIT_OK;
 }
--- a/src/serve/balancer.c
+++ b/src/serve/balancer.c
@@ -269,14 +269,20 @@
   return G_SOURCE_CONTINUE;
 }
 
-static void
-run_children (struct CfBalancer *balancer, struct Child *children, size_t count)
+static bool
+run_children (struct CfBalancer *balancer,
+              struct Child *children,
+              size_t count,
+              struct CfError *error)
 {
+  bool ok = true;
+
   for (size_t i = 0; i < count; i++)
     cf_task_prepare (children[i].task, children[i].class, children[i].new(balancer));
-  for (size_t i = 0; i < count; i++)
-    cf_task_start (children[i].task);
-  g_main_loop_run (balancer->main_loop);
+  for (size_t i = 0; i < count && ok; i++)
+    ok = cf_task_start (children[i].task, error);
+  if (ok)
+    g_main_loop_run (balancer->main_loop);
   for (size_t i = count; i > 0; i--)
     cf_task_stop (children[i - 1].task);
   for (size_t i = count; i > 0; i--)
@@ -284,10 +290,11 @@
       cf_task_finish (children[i - 1].task);
       children[i - 1].free (children[i - 1].task->data);
     }
+  return ok;
 }
 
-static void
-serve (struct Supervisor *supervisor)
+static bool
+serve (struct Supervisor *supervisor, struct CfError *error)
 {
   struct CfBalancer *balancer = &supervisor->balancer;
   struct Child children[] = {
@@ -296,6 +303,7 @@
     { &cf_balancer_admin_task, &balancer->admin, cf_balancer_admin_task_new,
       cf_balancer_admin_task_free },
   };
+  bool ok;
 
   cf_task_register_types ();
   balancer->log = cf_event_log_new (balancer->settings.name);
@@ -305,13 +313,14 @@
   log_event (balancer, "started", supervisor->path);
   log_notes (supervisor, &balancer->settings);
   g_timeout_add_seconds (SETTINGS_CHECK_S, check_settings, supervisor);
-  run_children (balancer, children, G_N_ELEMENTS (children));
+  ok = run_children (balancer, children, G_N_ELEMENTS (children), error);
   log_event (balancer, "stopped", "");
   /* GLib's log writer stays installed and must not use the event log after it is freed. */
   g_log_set_default_handler (g_log_default_handler, NULL);
   cf_event_log_free (balancer->log);
   cf_crash_report_install ("");
   cf_crash_report_leave ();
+  return ok;
 }
 
 bool
@@ -331,9 +340,9 @@
   g_unix_signal_add (SIGHUP, on_reload, supervisor);
   cf_process_unblock_signals ();
   await_settings (supervisor);
-  ok = supervisor->loaded || supervisor->stopping;
-  if (supervisor->loaded && !supervisor->stopping)
-    serve (supervisor);
+  ok = supervisor->stopping;
+  if (!ok && supervisor->loaded)
+    ok = serve (supervisor, error);
   else
     *error = supervisor->error;
   g_main_loop_unref (balancer->main_loop);
--- a/src/serve/balancer.h
+++ b/src/serve/balancer.h
@@ -88,8 +88,8 @@
 void cf_send_metrics_request (struct CfBalancer *balancer, struct CfMetricsRequest *request);
 void cf_send_metrics (struct CfBalancer *balancer, struct CfMetricsRequest *request);
 
-/* Runs an entry VM with the settings file PATH until SIGTERM.  Returns false with ERROR
- * if the file cannot be used. */
+/* Runs an entry VM with the settings file PATH until SIGTERM.  Returns false with ERROR: of
+ * CF_ERROR_INPUT if the file cannot be used, CF_ERROR_IO if the system has no threads left. */
 bool cf_balancer_run (const char *path, struct CfError *error);
 
 #endif
--- a/src/serve/process_setup.c
+++ b/src/serve/process_setup.c
@@ -6,6 +6,8 @@
 #include <stddef.h>
 #include <unistd.h>
 
+#define THREAD_STACK_BYTES (8 << 20)
+
 void
 cf_process_open_standard_files (void)
 {
@@ -21,6 +23,18 @@
   signal (SIGXFSZ, SIG_IGN);
 }
 
+void
+cf_process_set_thread_stack (void)
+{
+  pthread_attr_t attributes;
+
+  if (pthread_attr_init (&attributes) != 0)
+    return;
+  if (pthread_attr_setstacksize (&attributes, THREAD_STACK_BYTES) == 0)
+    pthread_setattr_default_np (&attributes);
+  pthread_attr_destroy (&attributes);
+}
+
 static void
 set_mask (int how)
 {
--- a/src/serve/server.c
+++ b/src/serve/server.c
@@ -37,16 +37,19 @@
   return G_SOURCE_CONTINUE;
 }
 
-static void
-run_children (struct CfServer *server, struct Child *children, size_t count)
+static bool
+run_children (struct CfServer *server, struct Child *children, size_t count, struct CfError *error)
 {
+  bool ok = true;
+
   /* A task may post to any other as soon as it runs, so all states and contexts
    * exist before the first thread starts its work. */
   for (size_t i = 0; i < count; i++)
     cf_task_prepare (children[i].task, children[i].class, children[i].new(server));
-  for (size_t i = 0; i < count; i++)
-    cf_task_start (children[i].task);
-  g_main_loop_run (server->main_loop);
+  for (size_t i = 0; i < count && ok; i++)
+    ok = cf_task_start (children[i].task, error);
+  if (ok)
+    g_main_loop_run (server->main_loop);
   for (size_t i = count; i > 0; i--)
     cf_task_stop (children[i - 1].task);
   for (size_t i = count; i > 0; i--)
@@ -54,10 +57,11 @@
       cf_task_finish (children[i - 1].task);
       children[i - 1].free (children[i - 1].task->data);
     }
+  return ok;
 }
 
-void
-cf_server_run (const struct CfSettings *settings)
+bool
+cf_server_run (const struct CfSettings *settings, struct CfError *error)
 {
   struct CfServer *server = g_new0 (struct CfServer, 1);
   bool folder = settings->config_dir != NULL;
@@ -71,6 +75,7 @@
     { &cf_admin_task, &server->admin, cf_admin_task_new, cf_admin_task_free },
   };
   size_t count = G_N_ELEMENTS (children) - (settings->admin_port == 0);
+  bool ok;
 
   cf_task_register_types ();
   server->settings = *settings;
@@ -82,9 +87,10 @@
   g_unix_signal_add (SIGINT, on_stop, server);
   g_unix_signal_add (SIGHUP, on_reload, server);
   cf_process_unblock_signals ();
-  run_children (server, children, count);
+  ok = run_children (server, children, count, error);
   g_main_loop_unref (server->main_loop);
   cf_crash_report_install ("");
   cf_crash_report_leave ();
   g_free (server);
+  return ok;
 }
--- a/src/serve/server.h
+++ b/src/serve/server.h
@@ -133,7 +133,8 @@
 /* Appends all metrics in Prometheus text format to TEXT. */
 void cf_metrics_write (const struct CfMetricsInput *input, GString *text);
 
-/* Runs an entry VM with SETTINGS until SIGTERM, or until a VM with the same name takes over. */
-void cf_server_run (const struct CfSettings *settings);
+/* Runs an entry VM with SETTINGS until SIGTERM, or until a VM with the same name takes over.
+ * Returns false with ERROR if the system has no threads left. */
+bool cf_server_run (const struct CfSettings *settings, struct CfError *error);
 
 #endif
--- a/src/serve/task.c
+++ b/src/serve/task.c
@@ -10,6 +10,9 @@
 #define RESTART_MAX_MS 10000
 #define START_RETRY_MAX_MS 1000 /* a port or address may be free again at any moment */
 #define STABLE_RUN_MS 30000     /* a run this long resets the delay */
+/* The limits on threads and memory may be reached for a moment. */
+#define THREAD_WAIT_MS 2000
+#define THREAD_RETRY_MS 100
 
 struct Message
 {
@@ -93,10 +96,24 @@
   task->loop = g_main_loop_new (task->context, FALSE);
 }
 
-void
-cf_task_start (struct CfTask *task)
+bool
+cf_task_start (struct CfTask *task, struct CfError *error)
 {
-  task->thread = g_thread_new (task->class->name, run, task);
+  gint64 until = g_get_monotonic_time () + THREAD_WAIT_MS * G_TIME_SPAN_MILLISECOND;
+  GError *gerror = NULL;
+
+  while (!(task->thread = g_thread_try_new (task->class->name, run, task, &gerror)))
+    {
+      if (g_get_monotonic_time () >= until)
+        {
+          cf_error_set (error, CF_ERROR_IO, "task %s: %s", task->class->name, gerror->message);
+          g_error_free (gerror);
+          return false;
+        }
+      g_clear_error (&gerror);
+      g_usleep (THREAD_RETRY_MS * G_TIME_SPAN_MILLISECOND);
+    }
+  return true;
 }
 
 static void
--- a/src/serve/task.h
+++ b/src/serve/task.h
@@ -41,8 +41,8 @@
 /* Prepares TASK of CLASS, whose functions get DATA.  From now on messages can be posted to it. */
 void cf_task_prepare (struct CfTask *task, const struct CfTaskClass *class, void *data);
 
-/* Starts the thread of TASK. */
-void cf_task_start (struct CfTask *task);
+/* Starts the thread of TASK.  Returns false with ERROR if none can be created within 2 s. */
+bool cf_task_start (struct CfTask *task, struct CfError *error);
 
 /* Stops TASK and waits for its thread.  Messages can still be posted. */
 void cf_task_stop (struct CfTask *task);
--- a/tests/sockets/start.sh
+++ b/tests/sockets/start.sh
@@ -76,13 +76,19 @@
     && grep -q '^HTTP' <&5" 2> /dev/null
 }
 
+# False as well once the shell has taken note of the end.
+is_running() { # PID
+  state=$(sed -n 's/^State:[[:space:]]*//p' "/proc/$1/status" 2> /dev/null)
+  case $state in "" | Z* | X*) return 1 ;; esac
+}
+
 # Waits for process PID to end and expects the exit status WANTED.
 expect_end() { # WHAT PID WANTED
   for _ in $(seq 600); do
-    [ -d "/proc/$2" ] && ! grep -q '^State:.Z' "/proc/$2/status" 2> /dev/null || break
+    is_running "$2" || break
     sleep 0.05
   done
-  if [ -d "/proc/$2" ] && ! grep -q '^State:.Z' "/proc/$2/status" 2> /dev/null; then
+  if is_running "$2"; then
     fail "$1: the process did not end"
     kill -9 "$2"
   fi
@@ -224,6 +230,48 @@
   grep -h assertion "$work"/*.log && fail "a task that did not start was stopped wrongly"
 }
 
+# A process whose limits or standard files are unusual starts and ends as always.
+unusual_files() {
+  settings "$address" > "$work/boot"
+  export CYCLAMENFERRY_BOOT="$work/boot"
+  # A log file that may not grow, files that are closed, a pipe that nobody reads.
+  (ulimit -f 0; exec "$cf" balance) > "$work/limited.log" 2>&1 &
+  limited=$!
+  pids="$pids $limited"
+  await "start with a log that cannot grow" answers "$address"
+  stop "a log that cannot grow" "$limited"
+  "$cf" balance <&- >&- 2>&- &
+  closed=$!
+  pids="$pids $closed"
+  await "start with closed files" answers "$address"
+  for fd in 0 1 2; do
+    [ "$(readlink "/proc/$closed/fd/$fd")" = /dev/null ] || fail "descriptor $fd is another file"
+  done
+  stop "closed files" "$closed"
+  mkfifo "$work/pipe"
+  exec 6<> "$work/pipe"
+  # Fills the pipe.
+  timeout 1 sh -c "yes >&6" 2> /dev/null
+  "$cf" balance >&6 2> "$work/pipe.err" &
+  blocked=$!
+  pids="$pids $blocked"
+  await "start with a full pipe" answers "$address"
+  stop "a full pipe" "$blocked"
+  exec 6>&-
+  "$cf" balance > /dev/full 2> "$work/full.err" &
+  full=$!
+  pids="$pids $full"
+  await "start with a full disk" answers "$address"
+  stop "a full disk" "$full"
+  exec 6<> "$work/pipe" 7> "$work/pipe" 6>&-
+  "$cf" balance >&7 2> "$work/unread.err" &
+  unread=$!
+  exec 7>&-
+  pids="$pids $unread"
+  await "start without a reader" answers "$address"
+  stop "no reader" "$unread"
+}
+
 # The build of the deploy file needs only the packages listed there, and whatever a folder carries over
 # from another machine, with dates in the future, does not disturb it.
 deployed_build() {
@@ -264,6 +312,20 @@
   pids="$pids $started"
   await "start of the deployed program" answers "$address"
   stop "the deployed program" "$started"
+  # Threads must get their stacks whatever the limits on stacks and on address space are.
+  for limits in "-v 266240" "-s 64" "-s unlimited" "-s 1000000 -v 266240" "-n 64"; do
+    set -- $limits
+    (
+      ulimit "$1" "$2"
+      [ $# -eq 2 ] || ulimit "$3" "$4"
+      cd "$source" || exit 1
+      CYCLAMENFERRY_BOOT="$work/boot" exec target/cyclamenferry balance
+    ) > "$work/limits.log" 2>&1 &
+    started=$!
+    pids="$pids $started"
+    await "start with ulimit $limits" answers "$address"
+    stop "ulimit $limits" "$started"
+  done
   chmod -R u+w "$source"
 }
 
@@ -281,7 +343,8 @@
 
 cases=
 for case in signal_before_settings signal_while_loading settings_written_slowly \
-  settings_never_valid metrics_port_taken ports_taken serve_without_address deployed_build; do
+  settings_never_valid metrics_port_taken ports_taken serve_without_address deployed_build \
+  unusual_files; do
   number=$((${number:-0} + 1))
   (
     address=127.$net.0.$((100 + number))
--- a/tests/test_task.c
+++ b/tests/test_task.c
@@ -38,7 +38,7 @@
   gint64 gap;
 
   cf_task_prepare (&task, &class, &counter);
-  cf_task_start (&task);
+  ck_assert (cf_task_start (&task, NULL));
   while (g_atomic_int_get (&counter.starts) < STARTS)
     g_usleep (20000);
   cf_task_stop (&task);
