Sanitized builds find the XDR functions that the address sanitizer intercepts

Seen: a sanitized program ended at its first message to another VM: the sanitizer looks up the real xdrmem_create as the program starts, when only the C library is loaded since the rest is loaded from cyclamenferry.so. Only in these builds, the program is linked with libtirpc itself.

tests/sockets/start.sh passes on the sanitized build; seven of its cases failed before.

--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,8 @@
 CHECK_LIBS = $(shell pkg-config --libs check)
 ALL_CFLAGS = $(WARNINGS) -fPIC -fvisibility=hidden $(CFLAGS) $(SANITIZE) $(CPPFLAGS) $(PKG_CFLAGS) -MMD -MP
 LIBS = $(SANITIZE) $(PKG_LIBS) -lm
+# The address sanitizer looks up the functions of XDR that it intercepts as the program starts.
+INTERCEPTED = -Wl,--no-as-needed $(shell pkg-config --libs libtirpc)
 
 LIB_SRC := $(wildcard src/base/*.c src/config/*.c src/gue/*.c src/packet/*.c src/peer/*.c \
   src/balance/*.c src/feed/*.c)
@@ -60,7 +62,7 @@
 $(BUILD)/src/peer/peer_xdr.o $(BUILD)/src/feed/feed_xdr.o: WARNINGS = -std=gnu11
 
 $(BUILD)/cyclamenferry: $(LAUNCH_SRC:%.c=$(BUILD)/%.o) | $(BUILD)/cyclamenferry.so
-	$(CC) $^ $(SANITIZE) -ldl -Wl,-rpath,'$$ORIGIN' -o $@
+	$(CC) $^ $(SANITIZE) $(if $(SANITIZE),$(INTERCEPTED)) -ldl -Wl,-rpath,'$$ORIGIN' -o $@
 
 $(BUILD)/cyclamenferry.so: $(LIB_OBJ) $(APP_OBJ)
 	$(CC) -shared $^ $(LIBS) -o $@
