--- a/tests/sockets/start.sh
+++ b/tests/sockets/start.sh
@@ -230,6 +230,21 @@
   grep -h assertion "$work"/*.log && fail "a task that did not start was stopped wrongly"
 }
 
+# The operators' folder is still being written.
+serve_folder_written_slowly() {
+  mkdir "$work/conf"
+  CYCLAMENFERRY_FLEET_KEY=$(printf '%064d' $$) "$cf" serve --name slow --failure-domain palermo \
+    --address "$address" --admin-address "$address" --admin-port $((ports + 3)) --linger 0 \
+    --config-dir "$work/conf" > "$work/serve.log" 2>&1 &
+  started=$!
+  pids="$pids $started"
+  sleep 0.2
+  copy_conf examples/scordato "$work/whole"
+  cp "$work/whole"/* "$work/conf"
+  await "start after the folder was written" answers "$address"
+  stop "folder written slowly" "$started"
+}
+
 # A process whose limits or standard files are unusual starts and ends as always.
 unusual_files() {
   settings "$address" > "$work/boot"
@@ -344,7 +359,7 @@
 cases=
 for case in signal_before_settings signal_while_loading settings_written_slowly \
   settings_never_valid metrics_port_taken ports_taken serve_without_address deployed_build \
-  unusual_files; do
+  unusual_files serve_folder_written_slowly; do
   number=$((${number:-0} + 1))
   (
     address=127.$net.0.$((100 + number))
