"serve" is not blocked by a log that nobody reads

Seen: with standard error a full pipe, SIGTERM had no effect until SIGKILL: tasks write their lines themselves and were blocked. A line for which there is no room is now dropped.

tests/sockets/start.sh, serve_full_pipe: before, the process had to be killed.

--- a/src/serve/server.c
+++ b/src/serve/server.c
@@ -4,7 +4,9 @@
 #include "process_setup.h"
 
 #include <glib-unix.h>
+#include <poll.h>
 #include <sodium.h>
+#include <unistd.h>
 
 /* The supervisor: starts the tasks, turns signals into messages, and stops the tasks
  * in reverse order.  A task that fails is started again by its own thread. */
@@ -17,6 +19,17 @@
   void (*free) (void *data);
 };
 
+/* Drops lines that nobody reads: no task may be blocked by its log. */
+static GLogWriterOutput
+write_log (GLogLevelFlags level, const GLogField *fields, gsize count, gpointer data)
+{
+  struct pollfd out = { .fd = STDERR_FILENO, .events = POLLOUT };
+
+  if (poll (&out, 1, 0) != 1 || !(out.revents & POLLOUT))
+    return G_LOG_WRITER_UNHANDLED;
+  return g_log_writer_default (level, fields, count, data);
+}
+
 static gboolean
 on_stop (gpointer data)
 {
@@ -77,6 +90,7 @@
   size_t count = G_N_ELEMENTS (children) - (settings->admin_port == 0);
   bool ok;
 
+  g_log_set_writer_func (write_log, NULL, NULL);
   cf_task_register_types ();
   server->settings = *settings;
   cf_peer_keys (settings->fleet_key, &server->keys);
--- a/tests/sockets/start.sh
+++ b/tests/sockets/start.sh
@@ -230,6 +230,21 @@
   grep -h assertion "$work"/*.log && fail "a task that did not start was stopped wrongly"
 }
 
+# Nobody reads the log of "serve": it is on standard error.
+serve_full_pipe() {
+  mkfifo "$work/pipe"
+  exec 6<> "$work/pipe"
+  timeout 1 sh -c "yes >&6" 2> /dev/null
+  CYCLAMENFERRY_FLEET_KEY=$(printf '%064d' $$) "$cf" serve --name unread --failure-domain palermo \
+    --address "$address" --admin-address "$address" --admin-port $((ports + 3)) --linger 0 \
+    --config-dir examples/scordato 2>&6 &
+  started=$!
+  pids="$pids $started"
+  await "start with a full pipe" answers "$address"
+  stop "serve with a full pipe" "$started"
+  exec 6>&-
+}
+
 # The operators' folder is still being written.
 serve_folder_written_slowly() {
   mkdir "$work/conf"
@@ -359,7 +374,7 @@
 cases=
 for case in signal_before_settings signal_while_loading settings_written_slowly \
   settings_never_valid metrics_port_taken ports_taken serve_without_address deployed_build \
-  unusual_files serve_folder_written_slowly; do
+  unusual_files serve_folder_written_slowly serve_full_pipe; do
   number=$((${number:-0} + 1))
   (
     address=127.$net.0.$((100 + number))
