--- a/tests/soak/traffic.c
+++ b/tests/soak/callers.c
@@ -1,14 +1,11 @@
-#include "platform/datagram.h"
-#include "soak.h"
+#include "traffic.h"
 
 #include <limits.h>
 #include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
 
-/* Callers that open a flow for each request or keep one open for several, upstreams that run it,
- * and the checks at both. */
+/* Callers that open a flow for each request or keep one open for several, and the checks there. */
 
 #define CALLER_IP 0x7f020001u /* 127.2.0.1, the first of CALLERS addresses in the packets */
 #define CALLERS 8
@@ -17,9 +14,7 @@
 #define RETRANSMIT_MS 200
 #define SECOND_RETRANSMIT_MS 600
 #define GIVE_UP_MS 1500
-#define HEADER 32
 #define REQUEST_BYTES 8
-#define ANSWER_BYTES 32
 
 /* Part of the flows to port 80 is long: further requests with pauses between them. */
 #define LONG_FLOW_ONE_IN 3
@@ -34,79 +29,6 @@
 #define BLOCK_PORTS 10
 #define PORT_BLOCKS 1900
 
-enum
-{
-  WIRE_SYN = 64,
-  WIRE_ACK = 2,
-  WIRE_FIN = 16,
-  WIRE_RST = 8,
-};
-
-struct SoakFlow
-{
-  struct Soak *soak;
-  uint16_t port;         /* of the caller */
-  uint16_t service_port; /* 80: "s", 81 and 82: "t" */
-  const struct SoakVm *vm;
-  struct SoakUpstream *upstream; /* where it opened; NULL: not open */
-  int64_t opened_incarnation;    /* incarnation of the upstream at that time */
-  uint32_t cookie;
-  int64_t begun_at; /* of the current request, at first that of the flow */
-  int64_t opened_at;
-  int further;       /* requests after the current one */
-  bool answered;     /* the current request */
-  uint32_t sent;     /* bytes by the caller */
-  uint32_t received; /* bytes by the caller */
-  int request_packets;
-  uint32_t repeats; /* of the current packet by the caller */
-  int misrouted;    /* packets that reached other upstreams while it was open */
-  bool stable;      /* the current request began while stable */
-  guint timer;
-};
-
-static void
-put16 (uint8_t *at, unsigned value)
-{
-  at[0] = (uint8_t) (value >> 8);
-  at[1] = (uint8_t) value;
-}
-
-static void
-put32 (uint8_t *at, uint32_t value)
-{
-  put16 (at, value >> 16);
-  put16 (at + 2, value & 0xffff);
-}
-
-static void
-build (uint8_t *out,
-       unsigned flags,
-       struct CfEndpoint from,
-       struct CfEndpoint to,
-       uint32_t ack,
-       uint32_t cookie,
-       unsigned len)
-{
-  memset (out, 0, HEADER + len);
-  put16 (out, len);
-  out[2] = (uint8_t) flags;
-  put32 (out + 4, to.ip);
-  put16 (out + 8, from.port);
-  put32 (out + 10, from.ip);
-  put16 (out + 14, to.port);
-  put32 (out + 24, ack);
-  put32 (out + 28, cookie);
-}
-
-static void
-send_to (GSocket *socket, const char *ip, uint16_t port, const uint8_t *data, size_t len)
-{
-  GSocketAddress *address = g_inet_socket_address_new_from_string (ip, port);
-
-  g_socket_send_to (socket, address, (const char *) data, len, NULL, NULL);
-  g_object_unref (address);
-}
-
 /* Chooses a VM as the fabric does: among those of the caller's failure domain that are in
  * rotation, or among all of the domain if fewer than half are. */
 static struct SoakVm *
@@ -137,13 +59,13 @@
   uint32_t ack = flags & WIRE_SYN ? flow->repeats : 1 + flow->received;
   struct CfEndpoint from = { .ip = CALLER_IP + flow->port % CALLERS, .port = flow->port };
   struct CfEndpoint to = { .ip = SERVICE_IP, .port = flow->service_port };
-  uint8_t packet[HEADER + 64];
+  uint8_t packet[SOAK_HEADER + 64];
   struct SoakVm *vm = pick_vm (flow->soak, flow->port);
 
   flow->vm = vm;
-  build (packet, flags, from, to, ack, flow->cookie, len);
-  put32 (packet + 20, 1 + flow->sent - len);
-  send_to (flow->soak->callers, vm->ip, SOAK_FABRIC_PORT (flow->soak), packet, HEADER + len);
+  soak_wire_build (packet, flags, from, to, ack, flow->cookie, len);
+  soak_put32 (packet + 20, 1 + flow->sent - len);
+  soak_wire_send (flow->soak->callers, vm->ip, SOAK_FABRIC_PORT (flow->soak), packet, SOAK_HEADER + len);
 }
 
 static void
@@ -340,7 +262,7 @@
     return; /* again */
   else if (segment->flags & CF_SEGMENT_FIN)
     {
-      flow->received += ANSWER_BYTES + 1;
+      flow->received += SOAK_ANSWER_BYTES + 1;
       count_served (flow);
       send_as_caller (flow, WIRE_FIN | WIRE_ACK, 0);
       end_flow (flow);
@@ -348,7 +270,7 @@
   else if (segment->data > 0)
     {
       flow->answered = true;
-      flow->received += ANSWER_BYTES;
+      flow->received += SOAK_ANSWER_BYTES;
       count_served (flow);
       send_as_caller (flow, WIRE_ACK, 0);
       g_source_remove (flow->timer);
@@ -419,176 +341,3 @@
   g_source_unref (soak->callers_source);
   g_object_unref (soak->callers);
 }
-
-static void
-send_as_upstream (struct SoakUpstream *upstream,
-                  const struct CfSegment *segment,
-                  unsigned flags,
-                  unsigned len)
-{
-  uint8_t packet[HEADER + 64];
-
-  build (packet, flags, segment->service, segment->caller, 1, segment->cookie, len);
-  put32 (packet + 16, 1); /* a checksum: resets by the balancer have none */
-  send_to (upstream->socket, "127.2.0.1", SOAK_FABRIC_PORT (upstream->soak), packet, HEADER + len);
-}
-
-static void
-check_first (struct SoakUpstream *upstream, const struct SoakFlow *flow)
-{
-  struct Soak *soak = upstream->soak;
-  int64_t now = soak_now ();
-
-  if ((flow->service_port == 80) != (strcmp (upstream->service, "s") == 0))
-    soak_violation (soak, "ROUTE: flow %u to port %u reached %s of %s", flow->port,
-                    flow->service_port, upstream->id, upstream->service);
-  if (!soak_is_stable (soak, flow->vm))
-    return;
-  if (upstream->draining && now - upstream->drained_at > SOAK_DRAIN_MS)
-    soak_violation (soak, "DRAIN: flow %u reached %s, which has been draining for %d ms",
-                    flow->port, upstream->id, (int) (now - upstream->drained_at));
-  if (soak->evacuated == upstream->domain && now - soak->evacuated_at > SOAK_DRAIN_MS)
-    soak_violation (soak, "EVAC: flow %u reached %s in an evacuated domain", flow->port,
-                    upstream->id);
-  if (flow->service_port == 82 && !soak->second_route
-      && now - soak->route_changed_at > SOAK_DRAIN_MS)
-    soak_violation (soak, "CONFIG: flow %u on a removed route reached %s", flow->port,
-                    upstream->id);
-}
-
-static void
-check_misrouted (struct SoakUpstream *upstream, struct SoakFlow *flow)
-{
-  if (!flow->upstream || flow->upstream->unresponsive
-      || flow->upstream->started_at != flow->opened_incarnation)
-    return;
-  if (++flow->misrouted == 3)
-    soak_violation (upstream->soak, "FLOW: packets of flow %u at %s reach %s", flow->port,
-                    flow->upstream->id, upstream->id);
-}
-
-static void
-upstream_packet (struct SoakUpstream *upstream, const struct CfSegment *segment)
-{
-  struct SoakFlow *flow
-      = g_hash_table_lookup (upstream->soak->flows, GUINT_TO_POINTER (segment->caller.port));
-
-  if (!flow)
-    return;
-  if (segment->flags & CF_SEGMENT_SYN)
-    {
-      check_first (upstream, flow);
-      send_as_upstream (upstream, segment, WIRE_SYN | WIRE_ACK, 0);
-    }
-  else if (!g_hash_table_contains (upstream->flows, flow))
-    {
-      check_misrouted (upstream, flow);
-      send_as_upstream (upstream, segment, WIRE_RST, 0);
-    }
-  else if (segment->size > HEADER)
-    {
-      if (flow->request_packets++ == 0)
-        g_usleep (100);
-      /* A draining upstream closes each flow after its next answer. */
-      if (flow->further == 0 || upstream->draining)
-        send_as_upstream (upstream, segment, WIRE_FIN | WIRE_ACK, ANSWER_BYTES);
-      else
-        send_as_upstream (upstream, segment, WIRE_ACK, ANSWER_BYTES);
-    }
-}
-
-static gboolean
-on_upstream_data (GSocket *socket, GIOCondition condition, gpointer data)
-{
-  struct SoakUpstream *upstream = data;
-  uint8_t buffer[2048];
-  struct CfSegment segment;
-  gssize len;
-
-  (void) condition;
-  while ((len = g_socket_receive (socket, (char *) buffer, sizeof buffer, NULL, NULL)) > 0)
-    {
-      uint64_t tag = 0;
-
-      for (int i = 0; i < 8; i++)
-        tag = tag << 8 | buffer[i];
-      if (upstream->unresponsive || (tag != 0 && tag != upstream->tag))
-        continue;
-      if (cf_platform_codec.parse (buffer + 8, (size_t) len - 8, &segment))
-        upstream_packet (upstream, &segment);
-    }
-  return G_SOURCE_CONTINUE;
-}
-
-void
-soak_upstream_announce (struct SoakUpstream *upstream)
-{
-  char *content = g_strdup_printf (
-      "{\"service\":\"%s\",\"address\":\"%s:%u\",\"zone\":\"%s\",\"version\":\"v1\",\"slots\":2,"
-      "\"state\":\"%s\",\"warmup-remaining-ms\":0,\"sequence\":%u,\"born\":%" G_GINT64_FORMAT "}",
-      upstream->service, upstream->ip, SOAK_UPSTREAM_PORT (upstream->soak), upstream->domain,
-      upstream->draining ? "draining" : "ready", ++upstream->sequence, upstream->started_at);
-
-  soak_store_put (upstream->soak->store, CF_FEED_UPSTREAMS, upstream->id, content);
-  g_free (content);
-}
-
-void
-soak_upstream_restart (struct SoakUpstream *upstream, bool same_id)
-{
-  if (!same_id)
-    {
-      soak_store_put (upstream->soak->store, CF_FEED_UPSTREAMS, upstream->id, NULL);
-      upstream->tag = (uint64_t) g_rand_int (upstream->soak->random) << 8 | 1;
-      g_snprintf (upstream->id, sizeof upstream->id, "i-%010" G_GINT64_MODIFIER "x", upstream->tag);
-    }
-  upstream->started_at = soak_now ();
-  upstream->draining = false;
-  upstream->sequence = 0;
-  upstream->unresponsive = false;
-  g_hash_table_remove_all (upstream->flows);
-  soak_upstream_announce (upstream);
-}
-
-void
-soak_upstreams_start (struct Soak *soak)
-{
-  for (int i = 0; i < SOAK_UPSTREAMS; i++)
-    {
-      struct SoakUpstream *upstream = &soak->upstreams[i];
-      GSocketAddress *address;
-
-      upstream->soak = soak;
-      upstream->index = i;
-      upstream->domain = soak->vms[i % SOAK_DOMAINS].domain;
-      upstream->service = i < SOAK_UPSTREAMS - 4 ? "s" : "t";
-      upstream->flows = g_hash_table_new (NULL, NULL);
-      upstream->tag = (uint64_t) g_rand_int (soak->random) << 8 | 1;
-      g_snprintf (upstream->id, sizeof upstream->id, "i-%010" G_GINT64_MODIFIER "x", upstream->tag);
-      g_snprintf (upstream->ip, sizeof upstream->ip, "127.3.0.%d", 10 + i);
-      address = g_inet_socket_address_new_from_string (upstream->ip, SOAK_UPSTREAM_PORT (soak));
-      upstream->socket = g_socket_new (G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_DATAGRAM,
-                                       G_SOCKET_PROTOCOL_UDP, NULL);
-      if (!g_socket_bind (upstream->socket, address, FALSE, NULL))
-        g_error ("upstream %s: cannot bind", upstream->ip);
-      g_object_unref (address);
-      g_socket_set_blocking (upstream->socket, FALSE);
-      upstream->source = g_socket_create_source (upstream->socket, G_IO_IN, NULL);
-      g_source_set_callback (upstream->source, G_SOURCE_FUNC (on_upstream_data), upstream, NULL);
-      g_source_attach (upstream->source, NULL);
-      upstream->started_at = soak_now ();
-      soak_upstream_announce (upstream);
-    }
-}
-
-void
-soak_upstreams_stop (struct Soak *soak)
-{
-  for (int i = 0; i < SOAK_UPSTREAMS; i++)
-    {
-      g_source_destroy (soak->upstreams[i].source);
-      g_source_unref (soak->upstreams[i].source);
-      g_object_unref (soak->upstreams[i].socket);
-      g_hash_table_unref (soak->upstreams[i].flows);
-    }
-}
--- /dev/null
+++ b/tests/soak/upstreams.c
@@ -0,0 +1,178 @@
+#include "traffic.h"
+
+#include <string.h>
+
+/* Upstreams that answer requests, and the checks there. */
+
+static void
+send_as_upstream (struct SoakUpstream *upstream,
+                  const struct CfSegment *segment,
+                  unsigned flags,
+                  unsigned len)
+{
+  uint8_t packet[SOAK_HEADER + 64];
+
+  soak_wire_build (packet, flags, segment->service, segment->caller, 1, segment->cookie, len);
+  soak_put32 (packet + 16, 1); /* a checksum: resets by the balancer have none */
+  soak_wire_send (upstream->socket, "127.2.0.1", SOAK_FABRIC_PORT (upstream->soak), packet, SOAK_HEADER + len);
+}
+
+static void
+check_first (struct SoakUpstream *upstream, const struct SoakFlow *flow)
+{
+  struct Soak *soak = upstream->soak;
+  int64_t now = soak_now ();
+
+  if ((flow->service_port == 80) != (strcmp (upstream->service, "s") == 0))
+    soak_violation (soak, "ROUTE: flow %u to port %u reached %s of %s", flow->port,
+                    flow->service_port, upstream->id, upstream->service);
+  if (!soak_is_stable (soak, flow->vm))
+    return;
+  if (upstream->draining && now - upstream->drained_at > SOAK_DRAIN_MS)
+    soak_violation (soak, "DRAIN: flow %u reached %s, which has been draining for %d ms",
+                    flow->port, upstream->id, (int) (now - upstream->drained_at));
+  if (soak->evacuated == upstream->domain && now - soak->evacuated_at > SOAK_DRAIN_MS)
+    soak_violation (soak, "EVAC: flow %u reached %s in an evacuated domain", flow->port,
+                    upstream->id);
+  if (flow->service_port == 82 && !soak->second_route
+      && now - soak->route_changed_at > SOAK_DRAIN_MS)
+    soak_violation (soak, "CONFIG: flow %u on a removed route reached %s", flow->port,
+                    upstream->id);
+}
+
+static void
+check_misrouted (struct SoakUpstream *upstream, struct SoakFlow *flow)
+{
+  if (!flow->upstream || flow->upstream->unresponsive
+      || flow->upstream->started_at != flow->opened_incarnation)
+    return;
+  if (++flow->misrouted == 3)
+    soak_violation (upstream->soak, "FLOW: packets of flow %u at %s reach %s", flow->port,
+                    flow->upstream->id, upstream->id);
+}
+
+static void
+upstream_packet (struct SoakUpstream *upstream, const struct CfSegment *segment)
+{
+  struct SoakFlow *flow
+      = g_hash_table_lookup (upstream->soak->flows, GUINT_TO_POINTER (segment->caller.port));
+
+  if (!flow)
+    return;
+  if (segment->flags & CF_SEGMENT_SYN)
+    {
+      check_first (upstream, flow);
+      send_as_upstream (upstream, segment, WIRE_SYN | WIRE_ACK, 0);
+    }
+  else if (!g_hash_table_contains (upstream->flows, flow))
+    {
+      check_misrouted (upstream, flow);
+      send_as_upstream (upstream, segment, WIRE_RST, 0);
+    }
+  else if (segment->size > SOAK_HEADER)
+    {
+      if (flow->request_packets++ == 0)
+        g_usleep (100);
+      /* A draining upstream closes each flow after its next answer. */
+      if (flow->further == 0 || upstream->draining)
+        send_as_upstream (upstream, segment, WIRE_FIN | WIRE_ACK, SOAK_ANSWER_BYTES);
+      else
+        send_as_upstream (upstream, segment, WIRE_ACK, SOAK_ANSWER_BYTES);
+    }
+}
+
+static gboolean
+on_upstream_data (GSocket *socket, GIOCondition condition, gpointer data)
+{
+  struct SoakUpstream *upstream = data;
+  uint8_t buffer[2048];
+  struct CfSegment segment;
+  gssize len;
+
+  (void) condition;
+  while ((len = g_socket_receive (socket, (char *) buffer, sizeof buffer, NULL, NULL)) > 0)
+    {
+      uint64_t tag = 0;
+
+      for (int i = 0; i < 8; i++)
+        tag = tag << 8 | buffer[i];
+      if (upstream->unresponsive || (tag != 0 && tag != upstream->tag))
+        continue;
+      if (cf_platform_codec.parse (buffer + 8, (size_t) len - 8, &segment))
+        upstream_packet (upstream, &segment);
+    }
+  return G_SOURCE_CONTINUE;
+}
+
+void
+soak_upstream_announce (struct SoakUpstream *upstream)
+{
+  char *content = g_strdup_printf (
+      "{\"service\":\"%s\",\"address\":\"%s:%u\",\"zone\":\"%s\",\"version\":\"v1\",\"slots\":2,"
+      "\"state\":\"%s\",\"warmup-remaining-ms\":0,\"sequence\":%u,\"born\":%" G_GINT64_FORMAT "}",
+      upstream->service, upstream->ip, SOAK_UPSTREAM_PORT (upstream->soak), upstream->domain,
+      upstream->draining ? "draining" : "ready", ++upstream->sequence, upstream->started_at);
+
+  soak_store_put (upstream->soak->store, CF_FEED_UPSTREAMS, upstream->id, content);
+  g_free (content);
+}
+
+void
+soak_upstream_restart (struct SoakUpstream *upstream, bool same_id)
+{
+  if (!same_id)
+    {
+      soak_store_put (upstream->soak->store, CF_FEED_UPSTREAMS, upstream->id, NULL);
+      upstream->tag = (uint64_t) g_rand_int (upstream->soak->random) << 8 | 1;
+      g_snprintf (upstream->id, sizeof upstream->id, "i-%010" G_GINT64_MODIFIER "x", upstream->tag);
+    }
+  upstream->started_at = soak_now ();
+  upstream->draining = false;
+  upstream->sequence = 0;
+  upstream->unresponsive = false;
+  g_hash_table_remove_all (upstream->flows);
+  soak_upstream_announce (upstream);
+}
+
+void
+soak_upstreams_start (struct Soak *soak)
+{
+  for (int i = 0; i < SOAK_UPSTREAMS; i++)
+    {
+      struct SoakUpstream *upstream = &soak->upstreams[i];
+      GSocketAddress *address;
+
+      upstream->soak = soak;
+      upstream->index = i;
+      upstream->domain = soak->vms[i % SOAK_DOMAINS].domain;
+      upstream->service = i < SOAK_UPSTREAMS - 4 ? "s" : "t";
+      upstream->flows = g_hash_table_new (NULL, NULL);
+      upstream->tag = (uint64_t) g_rand_int (soak->random) << 8 | 1;
+      g_snprintf (upstream->id, sizeof upstream->id, "i-%010" G_GINT64_MODIFIER "x", upstream->tag);
+      g_snprintf (upstream->ip, sizeof upstream->ip, "127.3.0.%d", 10 + i);
+      address = g_inet_socket_address_new_from_string (upstream->ip, SOAK_UPSTREAM_PORT (soak));
+      upstream->socket = g_socket_new (G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_DATAGRAM,
+                                       G_SOCKET_PROTOCOL_UDP, NULL);
+      if (!g_socket_bind (upstream->socket, address, FALSE, NULL))
+        g_error ("upstream %s: cannot bind", upstream->ip);
+      g_object_unref (address);
+      g_socket_set_blocking (upstream->socket, FALSE);
+      upstream->source = g_socket_create_source (upstream->socket, G_IO_IN, NULL);
+      g_source_set_callback (upstream->source, G_SOURCE_FUNC (on_upstream_data), upstream, NULL);
+      g_source_attach (upstream->source, NULL);
+      upstream->started_at = soak_now ();
+      soak_upstream_announce (upstream);
+    }
+}
+
+void
+soak_upstreams_stop (struct Soak *soak)
+{
+  for (int i = 0; i < SOAK_UPSTREAMS; i++)
+    {
+      g_source_destroy (soak->upstreams[i].source);
+      g_source_unref (soak->upstreams[i].source);
+      g_object_unref (soak->upstreams[i].socket);
+      g_hash_table_unref (soak->upstreams[i].flows);
+    }
+}
