--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -65,7 +65,8 @@
   flow->vm = vm;
   soak_wire_build (packet, flags, from, to, ack, flow->cookie, len);
   soak_put32 (packet + 20, 1 + flow->sent - len);
-  soak_wire_send (flow->soak->callers, vm->ip, SOAK_FABRIC_PORT (flow->soak), packet, SOAK_HEADER + len);
+  soak_wire_send (flow->soak->callers, vm->ip, SOAK_FABRIC_PORT (flow->soak), packet,
+                  SOAK_HEADER + len);
 }
 
 static void
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -21,6 +21,8 @@
 #define SOAK_COLD_MS 2500   /* upstreams count as cold after the evacuation of their domain */
 #define SOAK_STABLE_MS 4000 /* time limits are only checked this long after the last fault */
 #define SOAK_GRACE_MS 6000  /* from SIGTERM until SIGKILL */
+#define SOAK_START_MS 4000  /* from a start, or the end of a fault on a VM, until it is ready */
+#define SOAK_EARLY_MS 30    /* signals to a process that starts are sent within this time */
 
 struct Soak;
 
@@ -39,6 +41,19 @@
 void soak_store_compact (struct SoakStore *store);
 /* Loses the changes of the last AGE_MS; waiting long polls get status 503. */
 void soak_store_restore (struct SoakStore *store, int age_ms);
+/* Writes OBJECT, the JSON text of a whole object, at NAME of KIND.  A SOAK_REVISION in it stands
+ * for its revision. */
+#define SOAK_REVISION "\001"
+void soak_store_put_raw (struct SoakStore *store,
+                         enum CfFeedKind kind,
+                         const char *name,
+                         const char *object);
+const char *soak_store_get (const struct SoakStore *store, enum CfFeedKind kind, const char *name);
+/* Sets the largest number of objects in a page of a list. */
+void soak_store_set_page (struct SoakStore *store, guint page);
+/* While GARBLED, answers end early. */
+void soak_store_set_garbled (struct SoakStore *store, bool garbled);
+uint64_t soak_store_era (const struct SoakStore *store);
 /* Returns the names of the objects of KIND, an array of char * that it owns. */
 GPtrArray *soak_store_names (struct SoakStore *store, enum CfFeedKind kind);
 
@@ -62,25 +77,74 @@
 
 /* Entry VMs. */
 
+struct SoakProcess
+{
+  struct SoakVm *vm;
+  GPid pid;
+  char *log; /* path */
+  int64_t started_at;
+  unsigned asked;         /* bits by number of the signals that were sent to it */
+  bool hup_while_loading; /* SIGHUP was sent before the dynamic linker was done */
+  bool held_up;           /* was stopped (SIGSTOP) within its grace period */
+  bool reported;          /* a violation of this process that would be found again and again */
+  guint grace_timer;
+};
+
 struct SoakVm
 {
   struct Soak *soak;
   int index;
   char ip[32];
   const char *domain;
-  char *settings; /* path */
-  GPid pid;       /* 0: not running */
+  char *settings;               /* path */
+  struct SoakProcess *process;  /* NULL: not running */
+  struct SoakProcess *previous; /* was told to stop, and still holds its ports */
+  int starts;
+  int early_signal; /* to send early_signals times when it starts */
+  int early_signals;
   bool paused;
   bool in_rotation;
   int failed_checks;
+  bool compared;         /* its metrics were read at the end */
+  int64_t ready_at;      /* when it last answered a check of its readiness with success */
   int64_t last_fault_at; /* end of the last fault on it */
   struct SoakProxy *proxy;
 };
 
+void soak_vms_start (struct Soak *soak);
+/* Ends all processes and reads their logs. */
+void soak_vms_stop (struct Soak *soak);
 void soak_vm_start (struct SoakVm *vm);
+/* Tells the process to stop, and starts the next one at once. */
+void soak_vm_start_again (struct SoakVm *vm);
 /* Sends SIGNAL; a VM that exits is restarted. */
 void soak_vm_signal (struct SoakVm *vm, int signal);
 void soak_vm_pause (struct SoakVm *vm, int ms);
+/* Records a fault on VM that lasts until UNTIL.  Faults overlap: the latest end counts. */
+void soak_vm_note_fault (struct SoakVm *vm, int64_t until);
+/* Writes the first PART (0 to 1) of the settings of VM in place, with other seeds. */
+void soak_settings_write (struct SoakVm *vm, double part);
+
+/* Faults. */
+
+/* Injects one fault after another until the soak is ending, then only changes. */
+void soak_faults_start (struct Soak *soak);
+/* The same for signals, settings and restarts in series, which overlap with these faults. */
+void soak_troubles_start (struct Soak *soak);
+/* Entries of another writer in the store. */
+void soak_odd_start (struct Soak *soak);
+/* Returns false if the command leaves faults called NAME out. */
+bool soak_has_fault (const struct Soak *soak, const char *name);
+/* Writes the next version of the manifest. */
+void soak_put_manifest (struct Soak *soak);
+/* Makes the path from VM to the store a bad one for MS. */
+void soak_degrade_path (struct SoakVm *vm, enum SoakPath path, int ms);
+
+/* Connections to the ports of VMs that are used until they break. */
+
+void soak_clients_start (struct Soak *soak);
+/* Compares what the metrics of all VMs say with the store. */
+void soak_clients_compare (struct Soak *soak);
 
 /* Upstreams and callers. */
 
@@ -96,6 +160,7 @@
   int64_t started_at;
   bool unresponsive;
   bool draining;
+  bool odd;           /* another writer has replaced its entry */
   uint32_t sequence;  /* counts its announcements */
   int64_t drained_at; /* when the store accepted that it drains */
   GSocket *socket;
@@ -120,9 +185,10 @@
 {
   GMainLoop *loop;
   GRand *random;
+  GRand *trouble; /* for what was added to the faults that random decides */
   char *program;
   char *folder;
-  uint16_t port; /* of the fabric; the four after it are used by the SOAK_*_PORT macros */
+  uint16_t port; /* of the fabric; the five after it are used by the SOAK_*_PORT macros */
   struct SoakStore *store;
   struct SoakVm vms[SOAK_VMS_MAX];
   int vm_count;
@@ -142,7 +208,14 @@
   int64_t evacuation_ended_at; /* when the last evacuation ended */
   int64_t any_fault_at;        /* end of the last fault of any kind */
   bool keep_store;             /* the store is never restored from an older copy */
-  bool ending;                 /* no further faults are injected */
+  bool ending;                 /* no further faults are injected, only changes */
+  bool over;                   /* and no changes either */
+  uint32_t left_out;           /* kinds of faults that are not injected, bits */
+  int mappings;                /* of the program's file in a process that runs; 0: unknown */
+  long long memory_max;        /* of a VM, in bytes */
+  uint32_t odd_entries;
+  uint32_t client_requests;
+  uint32_t troubles;
   uint32_t requests;
   uint32_t served;
   uint32_t stable_requests; /* begun while stable */
@@ -151,6 +224,8 @@
   uint32_t violations;
 };
 
+extern const char *const soak_domains[SOAK_DOMAINS];
+
 int64_t soak_now (void);
 void soak_violation (struct Soak *soak, const char *format, ...)
     __attribute__ ((format (printf, 2, 3)));
@@ -163,5 +238,6 @@
 #define SOAK_PEER_PORT(soak) ((uint16_t) ((soak)->port + 2))
 #define SOAK_STORE_PORT(soak) ((uint16_t) ((soak)->port + 3))
 #define SOAK_UPSTREAM_PORT(soak) ((uint16_t) ((soak)->port + 4))
+#define SOAK_METRICS_PORT(soak) ((uint16_t) ((soak)->port + 5))
 
 #endif
--- a/tests/soak/store.c
+++ b/tests/soak/store.c
@@ -19,18 +19,58 @@
   SoupServer *server;
   struct TestStore *data;
   GPtrArray *polls; /* of struct LongPoll */
+  guint page;       /* objects in a page of a list */
+  bool garbled;
 };
 
+#define PAGE_DEFAULT 500
+
 static const char *const kinds[CF_FEED_KINDS]
     = { "config", "servers", "evacuations", "cyclamenferry-vms" };
 
+#define RAW '\002' /* first byte of the content of a raw object */
+#define PAGE_BYTES_MAX (1 << 20)
+
+/* Appends NAME as a JSON string.  A byte 2 in it stands for a NUL. */
+static void
+append_name (GString *text, const char *name)
+{
+  g_string_append_c (text, '"');
+  for (const char *c = name; *c; c++)
+    if (*c == '"' || *c == '\\' || (unsigned char) *c < ' ')
+      g_string_append_printf (text, "\\u%04x", *c == 2 ? 0 : *c);
+    else
+      g_string_append_c (text, *c);
+  g_string_append_c (text, '"');
+}
+
+static void
+append_raw (GString *text, const struct CfRecord *record)
+{
+  const char *at = record->text + 1;
+  const char *mark;
+
+  for (; (mark = strstr (at, SOAK_REVISION)); at = mark + strlen (SOAK_REVISION))
+    {
+      g_string_append_len (text, at, mark - at);
+      g_string_append_printf (text, "%" G_GUINT64_FORMAT, record->revision);
+    }
+  g_string_append (text, at);
+}
+
 static void
 append_object (GString *text, const struct CfRecord *record)
 {
-  g_string_append_printf (text,
-                          "{\"meta\":{\"name\":\"%s\",\"revision\":%" G_GUINT64_FORMAT
-                          ",\"deleting\":false},\"spec\":%s,\"status\":null}",
-                          record->name, record->revision, record->text ? record->text : "null");
+  if (record->text && record->text[0] == RAW)
+    {
+      append_raw (text, record);
+      return;
+    }
+  g_string_append (text, "{\"meta\":{\"name\":");
+  append_name (text, record->name);
+  g_string_append_printf (
+      text, ",\"revision\":%" G_GUINT64_FORMAT ",\"deleting\":false},\"spec\":%s,\"status\":null}",
+      record->revision, record->text ? record->text : "null");
 }
 
 /* Sends TEXT, which it frees, with the store's era. */
@@ -39,6 +79,8 @@
 {
   char era[24];
 
+  if (store->garbled)
+    g_string_truncate (text, text->len * 2 / 3);
   g_snprintf (era, sizeof era, "%" G_GUINT64_FORMAT, test_store_era (store->data));
   soup_message_headers_replace (soup_server_message_get_response_headers (message), "Store-Era",
                                 era);
@@ -48,20 +90,37 @@
   g_string_free (text, TRUE);
 }
 
+static int
+compare_names (gconstpointer a, gconstpointer b)
+{
+  return strcmp ((*(struct CfRecord *const *) a)->name, (*(struct CfRecord *const *) b)->name);
+}
+
+/* Responds with the page after the name AFTER (NULL: the first one). */
 static void
-respond_list (struct SoakStore *store, SoupServerMessage *message, enum CfFeedKind kind)
+respond_list (struct SoakStore *store,
+              SoupServerMessage *message,
+              enum CfFeedKind kind,
+              const char *after)
 {
   GString *text = g_string_new ("{\"items\":[");
   struct CfFeedResponse response;
+  guint count = 0;
+  guint i = 0;
 
   test_store_list (store->data, kind, &response);
-  for (guint i = 0; i < response.records->len; i++)
+  g_ptr_array_sort (response.records, compare_names);
+  for (; i < response.records->len && count < store->page && text->len < PAGE_BYTES_MAX; i++)
     {
-      g_string_append (text, i ? "," : "");
-      append_object (text, response.records->pdata[i]);
+      const struct CfRecord *record = response.records->pdata[i];
+
+      if (after && strcmp (record->name, after) <= 0)
+        continue;
+      g_string_append (text, count++ ? "," : "");
+      append_object (text, record);
     }
-  g_string_append_printf (text, "],\"truncated\":false,\"store-revision\":%" G_GUINT64_FORMAT "}",
-                          response.revision);
+  g_string_append_printf (text, "],\"truncated\":%s,\"store-revision\":%" G_GUINT64_FORMAT "}",
+                          i < response.records->len ? "true" : "false", response.revision);
   cf_feed_response_clear (&response);
   respond (store, message, SOUP_STATUS_OK, text);
 }
@@ -181,7 +240,7 @@
   uint64_t revision = watch ? g_ascii_strtoull (watch, NULL, 10) : 0;
 
   if (!watch)
-    respond_list (store, message, kind);
+    respond_list (store, message, kind, query ? g_hash_table_lookup (query, "after") : NULL);
   else if (!respond_changes (store, message, kind, revision, false))
     begin_poll (store, message, kind, revision, wait ? (guint) atoi (wait) : 0);
 }
@@ -256,6 +315,7 @@
 
   store->data = test_store_new ();
   store->polls = g_ptr_array_new ();
+  store->page = PAGE_DEFAULT;
   store->server = soup_server_new (NULL, NULL);
   soup_server_add_handler (store->server, NULL, handle, store, NULL);
   if (!soup_server_listen (store->server, address, 0, &error))
@@ -301,6 +361,42 @@
     }
 }
 
+void
+soak_store_put_raw (struct SoakStore *store,
+                    enum CfFeedKind kind,
+                    const char *name,
+                    const char *object)
+{
+  char *content = g_strdup_printf ("%c%s", RAW, object);
+
+  soak_store_put (store, kind, name, content);
+  g_free (content);
+}
+
+const char *
+soak_store_get (const struct SoakStore *store, enum CfFeedKind kind, const char *name)
+{
+  return test_store_get (store->data, kind, name);
+}
+
+void
+soak_store_set_page (struct SoakStore *store, guint page)
+{
+  store->page = page;
+}
+
+void
+soak_store_set_garbled (struct SoakStore *store, bool garbled)
+{
+  store->garbled = garbled;
+}
+
+uint64_t
+soak_store_era (const struct SoakStore *store)
+{
+  return test_store_era (store->data);
+}
+
 void
 soak_store_compact (struct SoakStore *store)
 {
--- a/tests/soak/traffic.h
+++ b/tests/soak/traffic.h
@@ -48,6 +48,7 @@
                       uint32_t ack,
                       uint32_t cookie,
                       unsigned len);
-void soak_wire_send (GSocket *socket, const char *ip, uint16_t port, const uint8_t *data, size_t len);
+void
+soak_wire_send (GSocket *socket, const char *ip, uint16_t port, const uint8_t *data, size_t len);
 
 #endif
--- a/tests/soak/upstreams.c
+++ b/tests/soak/upstreams.c
@@ -14,7 +14,8 @@
 
   soak_wire_build (packet, flags, segment->service, segment->caller, 1, segment->cookie, len);
   soak_put32 (packet + 16, 1); /* a checksum: resets by the balancer have none */
-  soak_wire_send (upstream->socket, "127.2.0.1", SOAK_FABRIC_PORT (upstream->soak), packet, SOAK_HEADER + len);
+  soak_wire_send (upstream->socket, "127.2.0.1", SOAK_FABRIC_PORT (upstream->soak), packet,
+                  SOAK_HEADER + len);
 }
 
 static void
--- /dev/null
+++ b/tests/soak/vms.c
@@ -0,0 +1,431 @@
+#include "soak.h"
+
+#include <fcntl.h>
+#include <glib/gstdio.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/prctl.h>
+#include <sys/resource.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+/* The processes of the entry VMs: starts and signals them, and judges how they start, run and
+ * end. */
+
+#define RESTART_MAX_MS 600    /* from the exit of a VM until its restart */
+#define READY_INTERVAL_MS 500 /* the fabric checks readiness twice a second */
+#define READY_TIMEOUT_MS 400
+#define MEMORY_MAX_BYTES (260LL << 20)
+#define DESCRIPTORS_MAX 4100
+
+static const char *const fault_events[]
+    = { "\"event\":\"crashed\"", "\"event\":\"start-failed\"", "\"event\":\"fault\"" };
+
+static bool
+is_asked (const struct SoakProcess *process, int signal)
+{
+  return process->asked & 1u << signal;
+}
+
+void
+soak_vm_note_fault (struct SoakVm *vm, int64_t until)
+{
+  vm->last_fault_at = MAX (vm->last_fault_at, until);
+}
+
+/* Returns the number of mappings of the program's file in PROCESS.  It grows when the dynamic
+ * linker, which is done then, protects the relocated data. */
+static int
+count_mappings (const struct SoakProcess *process)
+{
+  char *path = g_strdup_printf ("/proc/%d/maps", process->pid);
+  char *name = g_path_get_basename (process->vm->soak->program);
+  char *text = NULL;
+  int count = 0;
+
+  if (g_file_get_contents (path, &text, NULL, NULL))
+    {
+      char *suffix = g_strconcat ("/", name, "\n", NULL);
+
+      for (const char *at = text; (at = strstr (at, suffix)); at++)
+        count++;
+      g_free (suffix);
+    }
+  g_free (text);
+  g_free (name);
+  g_free (path);
+  return count;
+}
+
+/* Returns what PROCESS has written to its log. */
+static char *
+read_log (const struct SoakProcess *process)
+{
+  char *text = NULL;
+
+  if (!g_file_get_contents (process->log, &text, NULL, NULL))
+    return g_strdup ("");
+  return text;
+}
+
+static void
+judge_log (const struct SoakProcess *process, const char *text)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (fault_events); i++)
+    {
+      const char *at = strstr (text, fault_events[i]);
+
+      if (at)
+        soak_violation (process->vm->soak, "FAULT: vm-%d logged %.*s", process->vm->index,
+                        (int) strcspn (at, "\n"), at);
+    }
+}
+
+/* A process that has not come to its handlers yet may end by a signal that was sent. */
+static void
+judge_end (const struct SoakProcess *process, int status, const char *log)
+{
+  struct Soak *soak = process->vm->soak;
+  int64_t age = soak_now () - process->started_at;
+  bool started = strstr (log, "\"event\":\"started\"") != NULL;
+  int index = process->vm->index;
+
+  if (WIFEXITED (status))
+    {
+      if (WEXITSTATUS (status) != 0 || !is_asked (process, SIGTERM))
+        soak_violation (soak, "FAULT: vm-%d ended with status %d after %d ms", index,
+                        WEXITSTATUS (status), (int) age);
+    }
+  else if (WTERMSIG (status) == SIGKILL && is_asked (process, SIGKILL))
+    return;
+  else if (WTERMSIG (status) == SIGTERM && is_asked (process, SIGTERM) && !started)
+    return;
+  else if (WTERMSIG (status) == SIGHUP && process->hup_while_loading)
+    return;
+  else
+    soak_violation (soak, "FAULT: vm-%d ended with signal %d after %d ms", index, WTERMSIG (status),
+                    (int) age);
+}
+
+static gboolean
+restart_vm (gpointer data)
+{
+  struct SoakVm *vm = data;
+
+  if (vm->soak->loop && !vm->process)
+    soak_vm_start (vm);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+on_end (GPid pid, gint status, gpointer data)
+{
+  struct SoakProcess *process = data;
+  struct SoakVm *vm = process->vm;
+  char *log = read_log (process);
+
+  g_spawn_close_pid (pid);
+  judge_end (process, status, log);
+  judge_log (process, log);
+  g_free (log);
+  soak_vm_note_fault (vm, soak_now ());
+  if (process->grace_timer)
+    g_source_remove (process->grace_timer);
+  if (vm->previous == process)
+    vm->previous = NULL;
+  if (vm->process == process)
+    {
+      vm->process = NULL;
+      g_timeout_add ((guint) g_rand_int_range (vm->soak->trouble, 0, RESTART_MAX_MS), restart_vm,
+                     vm);
+    }
+  g_free (process->log);
+  g_free (process);
+}
+
+/* Runs in the child: the kernel kills VMs when the soak exits. */
+static void
+prepare_child (gpointer data)
+{
+  const struct rlimit descriptors = { DESCRIPTORS_MAX, DESCRIPTORS_MAX };
+
+  (void) data;
+  prctl (PR_SET_PDEATHSIG, SIGKILL);
+  setrlimit (RLIMIT_NOFILE, &descriptors);
+}
+
+static struct SoakProcess *
+spawn (struct SoakVm *vm)
+{
+  char *argv[] = { vm->soak->program, (char *) "balance", (char *) "--boot", vm->settings, NULL };
+  struct SoakProcess *process = g_new0 (struct SoakProcess, 1);
+  GError *error = NULL;
+  int fd;
+
+  *process = (struct SoakProcess){
+    .vm = vm,
+    .started_at = soak_now (),
+    .log = g_strdup_printf ("%s/vm-%d.%d.log", vm->soak->folder, vm->index, vm->starts++),
+  };
+  fd = g_open (process->log, O_WRONLY | O_CREAT | O_APPEND, 0600);
+  if (!g_spawn_async_with_fds (NULL, argv, NULL, G_SPAWN_DO_NOT_REAP_CHILD, prepare_child, NULL,
+                               &process->pid, -1, fd, fd, &error))
+    g_error ("%s: %s", vm->soak->program, error->message);
+  close (fd);
+  g_child_watch_add (process->pid, on_end, process);
+  return process;
+}
+
+static gboolean
+send_early_signal (gpointer data)
+{
+  struct SoakVm *vm = data;
+
+  soak_vm_signal (vm, vm->early_signal);
+  return G_SOURCE_REMOVE;
+}
+
+void
+soak_vm_start (struct SoakVm *vm)
+{
+  vm->process = spawn (vm);
+  soak_vm_note_fault (vm, soak_now ());
+  for (; vm->early_signals > 0; vm->early_signals--)
+    g_timeout_add ((guint) g_rand_int_range (vm->soak->trouble, 0, SOAK_EARLY_MS),
+                   send_early_signal, vm);
+}
+
+void
+soak_vm_start_again (struct SoakVm *vm)
+{
+  if (!vm->process || vm->previous || vm->paused)
+    return;
+  soak_vm_signal (vm, SIGTERM);
+  vm->previous = vm->process;
+  soak_vm_start (vm);
+}
+
+static gboolean
+on_grace_over (gpointer data)
+{
+  struct SoakProcess *process = data;
+  struct SoakVm *vm = process->vm;
+
+  process->grace_timer = 0;
+  if (!process->held_up)
+    soak_violation (vm->soak, "FAULT: vm-%d had not ended %d ms after SIGTERM", vm->index,
+                    SOAK_GRACE_MS);
+  process->asked |= 1u << SIGKILL;
+  kill (process->pid, SIGKILL);
+  return G_SOURCE_REMOVE;
+}
+
+void
+soak_vm_signal (struct SoakVm *vm, int signal)
+{
+  struct SoakProcess *process = vm->process;
+
+  soak_vm_note_fault (vm, soak_now ());
+  if (!process)
+    return;
+  if (signal == SIGHUP && count_mappings (process) < vm->soak->mappings)
+    process->hup_while_loading = true;
+  if (signal == SIGTERM && !is_asked (process, SIGTERM))
+    process->grace_timer = g_timeout_add (SOAK_GRACE_MS, on_grace_over, process);
+  process->held_up |= vm->paused && (signal == SIGTERM || is_asked (process, SIGTERM));
+  process->asked |= 1u << signal;
+  kill (process->pid, signal);
+}
+
+static gboolean
+resume_vm (gpointer data)
+{
+  struct SoakVm *vm = data;
+
+  vm->paused = false;
+  soak_vm_signal (vm, SIGCONT);
+  return G_SOURCE_REMOVE;
+}
+
+void
+soak_vm_pause (struct SoakVm *vm, int ms)
+{
+  if (vm->paused || !vm->process)
+    return;
+  vm->paused = true;
+  soak_vm_signal (vm, SIGSTOP);
+  g_timeout_add ((guint) ms, resume_vm, vm);
+}
+
+static void
+on_readiness (GObject *source, GAsyncResult *result, gpointer data)
+{
+  struct SoakVm *vm = data;
+  SoupMessage *message = soup_session_get_async_result_message (SOUP_SESSION (source), result);
+  GBytes *body = soup_session_send_and_read_finish (SOUP_SESSION (source), result, NULL);
+  bool ready = body && soup_message_get_status (message) == SOUP_STATUS_OK;
+
+  vm->failed_checks = ready ? 0 : vm->failed_checks + 1;
+  if (ready)
+    {
+      vm->in_rotation = true;
+      vm->ready_at = soak_now ();
+      if (vm->soak->mappings == 0 && vm->process)
+        vm->soak->mappings = count_mappings (vm->process);
+    }
+  else if (vm->failed_checks >= 2)
+    vm->in_rotation = false;
+  g_clear_pointer (&body, g_bytes_unref);
+}
+
+static gboolean
+cancel (gpointer data)
+{
+  g_cancellable_cancel (data);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+send_readiness_check (struct SoakVm *vm)
+{
+  char *url = g_strdup_printf ("http://%s:%u/-/readiness", vm->ip, SOAK_READY_PORT (vm->soak));
+  SoupMessage *message = soup_message_new ("GET", url);
+  GCancellable *cancellable = g_cancellable_new ();
+
+  soup_message_add_flags (message, SOUP_MESSAGE_NEW_CONNECTION);
+  soup_session_send_and_read_async (vm->soak->session, message, G_PRIORITY_DEFAULT, cancellable,
+                                    on_readiness, vm);
+  g_timeout_add_full (G_PRIORITY_DEFAULT, READY_TIMEOUT_MS, cancel, cancellable, g_object_unref);
+  g_object_unref (message);
+  g_free (url);
+}
+
+/* Returns the resident memory of PROCESS in bytes, 0 if it has none. */
+static long long
+read_memory (const struct SoakProcess *process)
+{
+  char *path = g_strdup_printf ("/proc/%d/statm", process->pid);
+  char *text = NULL;
+  long long pages = 0;
+
+  if (g_file_get_contents (path, &text, NULL, NULL))
+    sscanf (text, "%*s %lld", &pages);
+  g_free (text);
+  g_free (path);
+  return pages * sysconf (_SC_PAGESIZE);
+}
+
+/* Sanitizers need memory of their own. */
+static void
+judge_memory (struct SoakVm *vm, long long bytes)
+{
+  vm->soak->memory_max = MAX (vm->soak->memory_max, bytes);
+#if !defined __SANITIZE_ADDRESS__
+  if (bytes > MEMORY_MAX_BYTES && !vm->process->reported)
+    {
+      vm->process->reported = true;
+      soak_violation (vm->soak, "FAULT: vm-%d uses %lld MB", vm->index, bytes >> 20);
+    }
+#endif
+}
+
+/* A VM that had no fault for SOAK_START_MS has to be ready. */
+static void
+judge_readiness (struct SoakVm *vm)
+{
+  struct SoakProcess *process = vm->process;
+  int64_t since = MAX (vm->ready_at, vm->last_fault_at);
+
+  if (process->reported || vm->paused || is_asked (process, SIGTERM)
+      || soak_now () - since <= SOAK_START_MS)
+    return;
+  process->reported = true;
+  soak_violation (vm->soak, "FAULT: vm-%d has not been ready for %d ms", vm->index,
+                  (int) (soak_now () - since));
+}
+
+static gboolean
+check_vms (gpointer data)
+{
+  struct Soak *soak = data;
+
+  for (int i = 0; i < soak->vm_count; i++)
+    {
+      struct SoakVm *vm = &soak->vms[i];
+
+      send_readiness_check (vm);
+      if (!vm->process)
+        continue;
+      judge_memory (vm, read_memory (vm->process));
+      judge_readiness (vm);
+    }
+  return G_SOURCE_CONTINUE;
+}
+
+void
+soak_settings_write (struct SoakVm *vm, double part)
+{
+  struct Soak *soak = vm->soak;
+  const char *seeds[2];
+  char *text;
+  int fd = g_open (vm->settings, O_WRONLY | O_CREAT | O_TRUNC, 0600);
+  ssize_t len;
+
+  for (int i = 0; i < 2; i++)
+    seeds[i] = soak->vms[g_rand_int_range (soak->trouble, 0, soak->vm_count)].ip;
+  text = g_strdup_printf (
+      "[vm]\nname=vm-%d\naddress=%s\nfailure-domain=%s\nregion=r\nfabric-address=%s:%u\n"
+      "ready-address=%s:%u\nmetrics-port=%u\npeer-port=%u\nlink-mbps=%d\n[fleet]\n"
+      "seeds=%s:1,%s:1\n[store]\naddress=127.4.0.%d:%u\n[limits]\nflow-lifetime-s=60\n"
+      "grace-s=%d\n",
+      vm->index, vm->ip, vm->domain, vm->ip, SOAK_FABRIC_PORT (soak), vm->ip,
+      SOAK_READY_PORT (soak), SOAK_METRICS_PORT (soak), SOAK_PEER_PORT (soak), 1000 - vm->index,
+      seeds[0], seeds[1], 10 + vm->index, SOAK_STORE_PORT (soak), SOAK_GRACE_MS / 1000);
+  len = (ssize_t) (part * (double) strlen (text));
+  if (fd < 0 || write (fd, text, (size_t) len) != len)
+    g_error ("%s: cannot be written", vm->settings);
+  close (fd);
+  g_free (text);
+}
+
+void
+soak_vms_start (struct Soak *soak)
+{
+  for (int i = 0; i < soak->vm_count; i++)
+    {
+      struct SoakVm *vm = &soak->vms[i];
+      char *ip = g_strdup_printf ("127.4.0.%d", 10 + i);
+
+      vm->proxy = soak_proxy_new (ip, SOAK_STORE_PORT (soak), SOAK_STORE_PORT (soak));
+      vm->settings = g_strdup_printf ("%s/vm-%d.conf", soak->folder, i);
+      soak_settings_write (vm, 1);
+      soak_vm_start (vm);
+      g_free (ip);
+    }
+  g_timeout_add (READY_INTERVAL_MS, check_vms, soak);
+}
+
+static void
+end_process (struct SoakProcess *process)
+{
+  char *log;
+
+  if (!process)
+    return;
+  kill (process->pid, SIGKILL);
+  waitpid (process->pid, NULL, 0);
+  log = read_log (process);
+  judge_log (process, log);
+  g_free (log);
+}
+
+void
+soak_vms_stop (struct Soak *soak)
+{
+  for (int i = 0; i < soak->vm_count; i++)
+    {
+      end_process (soak->vms[i].previous);
+      end_process (soak->vms[i].process);
+    }
+}
--- a/tests/soak/wire.c
+++ b/tests/soak/wire.c
@@ -20,12 +20,12 @@
 
 void
 soak_wire_build (uint8_t *out,
-       unsigned flags,
-       struct CfEndpoint from,
-       struct CfEndpoint to,
-       uint32_t ack,
-       uint32_t cookie,
-       unsigned len)
+                 unsigned flags,
+                 struct CfEndpoint from,
+                 struct CfEndpoint to,
+                 uint32_t ack,
+                 uint32_t cookie,
+                 unsigned len)
 {
   memset (out, 0, SOAK_HEADER + len);
   put16 (out, len);
