--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -23,6 +23,7 @@
 #define SOAK_GRACE_MS 6000  /* from SIGTERM until SIGKILL */
 #define SOAK_START_MS 4000  /* from a start, or the end of a fault on a VM, until it is ready */
 #define SOAK_EARLY_MS 30    /* signals to a process that starts are sent within this time */
+#define SOAK_LOADED_MS 10   /* or, half of the time, within this one */
 
 struct Soak;
 
--- a/tests/soak/traffic.h
+++ b/tests/soak/traffic.h
@@ -23,6 +23,8 @@
   uint16_t port;         /* of the caller */
   uint16_t service_port; /* 80: "s", 81 and 82: "t" */
   const struct SoakVm *vm;
+  const struct SoakVm *pinned;   /* takes all packets until its process is gone, or NULL */
+  int pinned_starts;             /* its number of starts then */
   struct SoakUpstream *upstream; /* where it opened; NULL: not open */
   int64_t opened_incarnation;    /* incarnation of the upstream at that time */
   uint32_t cookie;
