--- a/tests/soak/clients.c
+++ b/tests/soak/clients.c
@@ -10,6 +10,7 @@
 #define TICK_MS 30
 #define BUFFER 16384
 #define PIPELINED 12
+#define SHORT_CLIENTS 20 /* more connections in a run than the 4,100 descriptors of a VM */
 #define MEMORY_MAX_BYTES (260LL << 20)
 
 enum ClientKind
@@ -19,6 +20,7 @@
   CLIENT_PEER,
   CLIENT_PIPELINED, /* many requests without waiting */
   CLIENT_HALF,      /* begins a request and never ends it */
+  CLIENT_SHORT,     /* a connection for each request, at one VM only */
   CLIENT_KINDS,
 };
 
@@ -133,6 +135,7 @@
         judge_metrics (client);
       g_string_truncate (client->answer, 0);
       client->waiting_since = 0;
+      return client->kind != CLIENT_SHORT;
     }
   return open;
 }
@@ -174,41 +177,51 @@
                   client_port (client), (int) (soak_now () - since));
 }
 
-static gboolean
-on_tick (gpointer data)
+static void
+go_on (struct SoakClient *client)
 {
-  struct SoakClient *client = data;
-
   if (!client->socket)
     {
       client->reported = false;
       connect_client (client);
-      return G_SOURCE_CONTINUE;
     }
-  if (!receive (client) || (client->waiting_since == 0 && !send_request (client)))
-    {
-      disconnect (client);
-      return G_SOURCE_CONTINUE;
-    }
-  judge_answer (client);
+  else if (!receive (client) || (client->waiting_since == 0 && !send_request (client)))
+    disconnect (client);
+  else
+    judge_answer (client);
+}
+
+static gboolean
+on_tick (gpointer data)
+{
+  const GPtrArray *clients = data;
+
+  for (guint i = 0; i < clients->len; i++)
+    go_on (clients->pdata[i]);
   return G_SOURCE_CONTINUE;
 }
 
+static void
+add_client (GPtrArray *clients, struct SoakVm *vm, enum ClientKind kind)
+{
+  struct SoakClient *client = g_new0 (struct SoakClient, 1);
+
+  *client = (struct SoakClient){ .vm = vm, .kind = kind, .answer = g_string_new (NULL) };
+  g_ptr_array_add (clients, client);
+}
+
 void
 soak_clients_start (struct Soak *soak)
 {
+  GPtrArray *clients = g_ptr_array_new ();
+  struct SoakVm *often = &soak->vms[g_rand_int_range (soak->trouble, 0, soak->vm_count)];
+
   for (int i = 0; i < MIN (soak->vm_count, CLIENT_VMS_MAX); i++)
-    for (int kind = 0; kind < CLIENT_KINDS; kind++)
-      {
-        struct SoakClient *client = g_new0 (struct SoakClient, 1);
-
-        *client = (struct SoakClient){
-          .vm = &soak->vms[i],
-          .kind = (enum ClientKind) kind,
-          .answer = g_string_new (NULL),
-        };
-        g_timeout_add (TICK_MS, on_tick, client);
-      }
+    for (int kind = 0; kind < CLIENT_SHORT; kind++)
+      add_client (clients, &soak->vms[i], (enum ClientKind) kind);
+  for (int i = 0; i < SHORT_CLIENTS; i++)
+    add_client (clients, often, CLIENT_SHORT);
+  g_timeout_add (TICK_MS, on_tick, clients);
 }
 
 static uint64_t
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -98,6 +98,7 @@
   soak_put_manifest (soak);
   soak_upstreams_start (soak);
   soak_vms_start (soak);
+  soak_readiness_start (soak);
   soak->any_fault_at = soak_now ();
   soak_callers_start (soak);
   soak_clients_start (soak);
--- a/tests/soak/proxy.c
+++ b/tests/soak/proxy.c
@@ -16,9 +16,10 @@
   struct Pipe *pipe;
   GSocket *from;
   GSocket *to;
-  GByteArray *buffered; /* received and not yet forwarded */
-  GSource *source;      /* waits for data, or for the next attempt */
-  bool from_store;      /* from the store to the VM, otherwise the other way */
+  GByteArray *buffered;    /* received and not yet forwarded */
+  struct SoakWatch *watch; /* waits for data, or NULL */
+  guint timer;             /* waits for the next attempt, or 0 */
+  bool from_store;         /* from the store to the VM, otherwise the other way */
 };
 
 struct Pipe
@@ -37,14 +38,13 @@
 };
 
 static void wait_for_data (struct Direction *direction);
-static gboolean on_data (GSocket *socket, GIOCondition condition, gpointer data);
+static gboolean on_data (gpointer data);
 
 static void
-drop_source (struct Direction *direction)
+stop_waiting (struct Direction *direction)
 {
-  if (direction->source)
-    g_source_destroy (direction->source);
-  g_clear_pointer (&direction->source, g_source_unref);
+  g_clear_pointer (&direction->watch, soak_unwatch);
+  g_clear_handle_id (&direction->timer, g_source_remove);
 }
 
 static void
@@ -54,7 +54,7 @@
     {
       struct linger linger = { .l_onoff = 1 };
 
-      drop_source (&pipe->directions[i]);
+      stop_waiting (&pipe->directions[i]);
       g_byte_array_unref (pipe->directions[i].buffered);
       if (reset)
         setsockopt (g_socket_get_fd (pipe->ends[i]), SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
@@ -84,13 +84,8 @@
 {
   struct Direction *direction = data;
 
-  drop_source (direction);
-  if (direction->buffered->len == 0)
-    {
-      wait_for_data (direction);
-      return G_SOURCE_REMOVE;
-    }
-  if (on_data (direction->from, G_IO_IN, direction))
+  direction->timer = 0;
+  if (direction->buffered->len == 0 || on_data (direction))
     wait_for_data (direction);
   return G_SOURCE_REMOVE;
 }
@@ -98,10 +93,8 @@
 static void
 pause_direction (struct Direction *direction, guint ms)
 {
-  drop_source (direction);
-  direction->source = g_timeout_source_new (ms);
-  g_source_set_callback (direction->source, resume_direction, direction, NULL);
-  g_source_attach (direction->source, NULL);
+  stop_waiting (direction);
+  direction->timer = g_timeout_add (ms, resume_direction, direction);
 }
 
 enum ForwardResult
@@ -141,13 +134,11 @@
 }
 
 static gboolean
-on_data (GSocket *socket, GIOCondition condition, gpointer data)
+on_data (gpointer data)
 {
   struct Direction *direction = data;
   struct SoakProxy *proxy = direction->pipe->proxy;
 
-  (void) socket;
-  (void) condition;
   if (proxy->path == SOAK_PATH_RESET)
     {
       free_pipe (direction->pipe, true);
@@ -179,9 +170,7 @@
 static void
 wait_for_data (struct Direction *direction)
 {
-  direction->source = g_socket_create_source (direction->from, G_IO_IN, NULL);
-  g_source_set_callback (direction->source, G_SOURCE_FUNC (on_data), direction, NULL);
-  g_source_attach (direction->source, NULL);
+  direction->watch = soak_watch (g_socket_get_fd (direction->from), on_data, direction);
 }
 
 static gboolean
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -27,6 +27,11 @@
 
 struct Soak;
 
+/* Calls FUNC with DATA when FD has something to read, until soak_unwatch, which has to come before
+ * FD is closed. */
+struct SoakWatch *soak_watch (int fd, GSourceFunc func, gpointer data);
+void soak_unwatch (struct SoakWatch *watch);
+
 /* The store. */
 
 struct SoakStore;
@@ -110,9 +115,12 @@
   int64_t ready_at;      /* when it last answered a check of its readiness with success */
   int64_t last_fault_at; /* end of the last fault on it */
   struct SoakProxy *proxy;
+  GSocket *check; /* the readiness check in progress, or NULL */
+  struct SoakWatch *check_watch;
 };
 
 void soak_vms_start (struct Soak *soak);
+void soak_readiness_start (struct Soak *soak);
 /* Ends all processes and reads their logs. */
 void soak_vms_stop (struct Soak *soak);
 void soak_vm_start (struct SoakVm *vm);
--- a/tests/soak/vms.c
+++ b/tests/soak/vms.c
@@ -13,9 +13,8 @@
 /* The processes of the entry VMs: starts and signals them, and judges how they start, run and
  * end. */
 
-#define RESTART_MAX_MS 600    /* from the exit of a VM until its restart */
-#define READY_INTERVAL_MS 500 /* the fabric checks readiness twice a second */
-#define READY_TIMEOUT_MS 400
+#define RESTART_MAX_MS 600 /* from the exit of a VM until its restart */
+#define CHECK_INTERVAL_MS 500
 #define MEMORY_MAX_BYTES (260LL << 20)
 #define DESCRIPTORS_MAX 4100
 
@@ -275,49 +274,6 @@
   g_timeout_add ((guint) ms, resume_vm, vm);
 }
 
-static void
-on_readiness (GObject *source, GAsyncResult *result, gpointer data)
-{
-  struct SoakVm *vm = data;
-  SoupMessage *message = soup_session_get_async_result_message (SOUP_SESSION (source), result);
-  GBytes *body = soup_session_send_and_read_finish (SOUP_SESSION (source), result, NULL);
-  bool ready = body && soup_message_get_status (message) == SOUP_STATUS_OK;
-
-  vm->failed_checks = ready ? 0 : vm->failed_checks + 1;
-  if (ready)
-    {
-      vm->in_rotation = true;
-      vm->ready_at = soak_now ();
-      if (vm->soak->mappings == 0 && vm->process)
-        vm->soak->mappings = count_mappings (vm->process);
-    }
-  else if (vm->failed_checks >= 2)
-    vm->in_rotation = false;
-  g_clear_pointer (&body, g_bytes_unref);
-}
-
-static gboolean
-cancel (gpointer data)
-{
-  g_cancellable_cancel (data);
-  return G_SOURCE_REMOVE;
-}
-
-static void
-send_readiness_check (struct SoakVm *vm)
-{
-  char *url = g_strdup_printf ("http://%s:%u/-/readiness", vm->ip, SOAK_READY_PORT (vm->soak));
-  SoupMessage *message = soup_message_new ("GET", url);
-  GCancellable *cancellable = g_cancellable_new ();
-
-  soup_message_add_flags (message, SOUP_MESSAGE_NEW_CONNECTION);
-  soup_session_send_and_read_async (vm->soak->session, message, G_PRIORITY_DEFAULT, cancellable,
-                                    on_readiness, vm);
-  g_timeout_add_full (G_PRIORITY_DEFAULT, READY_TIMEOUT_MS, cancel, cancellable, g_object_unref);
-  g_object_unref (message);
-  g_free (url);
-}
-
 /* Returns the resident memory of PROCESS in bytes, 0 if it has none. */
 static long long
 read_memory (const struct SoakProcess *process)
@@ -371,9 +327,10 @@
     {
       struct SoakVm *vm = &soak->vms[i];
 
-      send_readiness_check (vm);
       if (!vm->process)
         continue;
+      if (soak->mappings == 0 && vm->in_rotation)
+        soak->mappings = count_mappings (vm->process);
       judge_memory (vm, read_memory (vm->process));
       judge_readiness (vm);
     }
@@ -420,7 +377,7 @@
       soak_vm_start (vm);
       g_free (ip);
     }
-  g_timeout_add (READY_INTERVAL_MS, check_vms, soak);
+  g_timeout_add (CHECK_INTERVAL_MS, check_vms, soak);
 }
 
 static void
