--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,8 @@
 LIB_OBJ = $(LIB_SRC:%.c=$(BUILD)/%.o)
 APP_OBJ = $(APP_SRC:%.c=$(BUILD)/%.o)
 PLATFORM_OBJ = $(filter $(BUILD)/src/objectstore/% $(BUILD)/platform/%,$(APP_OBJ))
-SERVE_TEST_OBJ = $(BUILD)/src/serve/balance_settings.o $(BUILD)/src/serve/crash_report.o
+SERVE_TEST_OBJ = $(BUILD)/src/serve/balance_settings.o $(BUILD)/src/serve/crash_report.o \
+  $(BUILD)/src/serve/http_call.o $(BUILD)/src/serve/process_setup.o
 TEST_LIB_OBJ = $(TEST_LIB_SRC:%.c=$(BUILD)/%.o)
 TESTS = $(TEST_SRC:tests/%.c=$(BUILD)/%)
 STANDINS = $(STANDIN_SRC:tests/%.c=$(BUILD)/%)
@@ -49,6 +50,9 @@
 $(TESTS): $(BUILD)/%: $(BUILD)/tests/%.o $(TEST_LIB_OBJ) $(PLATFORM_OBJ) $(SERVE_TEST_OBJ) $(LIB_OBJ)
 	$(CC) $^ $(LIBS) $(CHECK_LIBS) -o $@
 
+# This test runs a task of the program.
+$(BUILD)/test_feed_lifetime: $(filter $(BUILD)/src/serve/%,$(APP_OBJ))
+
 $(STANDINS): $(BUILD)/%: $(BUILD)/tests/%.o $(TEST_LIB_OBJ) $(BUILD)/src/serve/udp.o $(LIB_OBJ)
 	$(CC) $^ $(LIBS) -o $@
 
--- a/src/feed/vm_record.c
+++ b/src/feed/vm_record.c
@@ -1,6 +1,11 @@
 #include "vm_record.h"
+#include "base/json_text.h"
 
-#include <json-glib/json-glib.h>
+#include <string.h>
+
+#define LINK_MAX_MBPS 1000000000 /* a petabit/s */
+#define HOUR_MAX 1139544         /* the year 2100 */
+#define NAME_MAX_BYTES 255       /* of a failure domain or region */
 
 struct CfVmRecordHolder
 {
@@ -25,32 +30,33 @@
   return text;
 }
 
-static JsonNode *
-get_value (JsonObject *object, const char *name, GType type)
+static bool
+is_name (const char *text)
 {
-  JsonNode *node = json_object_get_member (object, name);
-
-  return node && JSON_NODE_HOLDS_VALUE (node) && json_node_get_value_type (node) == type ? node
-                                                                                         : NULL;
+  return text && strlen (text) <= NAME_MAX_BYTES;
 }
 
 static bool
 parse_vm (JsonObject *object, struct CfVmRecord *vm)
 {
-  JsonNode *ip = get_value (object, "address", G_TYPE_STRING);
-  JsonNode *domain = get_value (object, "domain", G_TYPE_STRING);
-  JsonNode *region = get_value (object, "region", G_TYPE_STRING);
-  JsonNode *link_mbps = get_value (object, "link_mbps", G_TYPE_INT64);
-  JsonNode *hour = get_value (object, "hour", G_TYPE_INT64);
+  const char *ip = cf_json_string (object, "address");
+  const char *domain = cf_json_string (object, "domain");
+  const char *region = cf_json_string (object, "region");
+  struct CfAddress address;
+  int64_t link_mbps;
+  int64_t hour;
 
-  if (!ip || !domain || !region || !link_mbps || !hour)
+  if (!ip || !cf_address_parse (ip, 0, &address) || !cf_address_is_ipv4 (&address)
+      || !is_name (domain) || !is_name (region)
+      || !cf_json_integer (object, "link_mbps", 0, LINK_MAX_MBPS, &link_mbps)
+      || !cf_json_integer (object, "hour", 0, HOUR_MAX, &hour))
     return false;
   *vm = (struct CfVmRecord){
-    .ip = json_node_get_string (ip),
-    .domain = json_node_get_string (domain),
-    .region = json_node_get_string (region),
-    .link_mbps = (double) json_node_get_int (link_mbps),
-    .hour = json_node_get_int (hour),
+    .ip = ip,
+    .domain = domain,
+    .region = region,
+    .link_mbps = (double) link_mbps,
+    .hour = hour,
   };
   return true;
 }
@@ -58,10 +64,11 @@
 struct CfVmRecordHolder *
 cf_vm_record_parse (const char *content, struct CfVmRecord *vm)
 {
-  JsonNode *root = content ? json_from_string (content, NULL) : NULL;
+  JsonNode *root
+      = content ? cf_json_parse_object ("VM record", content, strlen (content), NULL) : NULL;
   struct CfVmRecordHolder *holder;
 
-  if (!root || !JSON_NODE_HOLDS_OBJECT (root) || !parse_vm (json_node_get_object (root), vm))
+  if (!root || !parse_vm (json_node_get_object (root), vm))
     {
       g_clear_pointer (&root, json_node_unref);
       return NULL;
@@ -83,8 +90,8 @@
 bool
 cf_vm_record_equal (const char *a, const char *b)
 {
-  JsonNode *x = json_from_string (a, NULL);
-  JsonNode *y = json_from_string (b, NULL);
+  JsonNode *x = cf_json_parse ("VM record", a, strlen (a), NULL);
+  JsonNode *y = cf_json_parse ("VM record", b, strlen (b), NULL);
   bool same = x && y && json_node_equal (x, y);
 
   g_clear_pointer (&x, json_node_unref);
--- a/src/serve/health_task.c
+++ b/src/serve/health_task.c
@@ -1,7 +1,8 @@
 #include "server.h"
 #include "log.h"
+#include "http_call.h"
+#include "base/json_text.h"
 
-#include <json-glib/json-glib.h>
 #include <libsoup/soup.h>
 #include <stdatomic.h>
 
@@ -13,7 +14,6 @@
 #define PROBES_MAX 8 /* unanswered at a time, per upstream */
 #define PROBES_PER_S 50
 #define CONNECTIONS_MAX 256
-#define BODY_MAX 4096
 
 struct HealthTask
 {
@@ -40,22 +40,20 @@
 static bool
 read_answer (GBytes *body, struct CfHealthAnswer *answer)
 {
-  JsonParser *parser = json_parser_new ();
   gsize len;
   const char *text = g_bytes_get_data (body, &len);
-  JsonObject *object = NULL;
-
-  if (len > 0 && len <= BODY_MAX && json_parser_load_from_data (parser, text, (gssize) len, NULL)
-      && json_parser_get_root (parser) && JSON_NODE_HOLDS_OBJECT (json_parser_get_root (parser)))
-    object = json_node_get_object (json_parser_get_root (parser));
-  if (object)
-    {
-      answer->serving = json_object_get_boolean_member_with_default (object, "serving", FALSE);
-      answer->start_time = json_object_get_int_member_with_default (object, "start", 0);
-      answer->open_flows = (uint32_t) json_object_get_int_member_with_default (object, "open", 0);
-    }
-  g_object_unref (parser);
-  return object != NULL;
+  JsonNode *root = cf_json_parse_object ("/health", text, len, NULL);
+  JsonObject *object = root ? json_node_get_object (root) : NULL;
+  int64_t open_flows = 0;
+
+  if (!object)
+    return false;
+  answer->serving = json_object_get_boolean_member_with_default (object, "serving", FALSE);
+  cf_json_integer (object, "start", INT64_MIN, INT64_MAX, &answer->start_time);
+  if (cf_json_integer (object, "open", 0, UINT32_MAX, &open_flows))
+    answer->open_flows = (uint32_t) open_flows;
+  json_node_unref (root);
+  return true;
 }
 
 static void
@@ -63,9 +61,10 @@
 {
   struct Request *request = data;
   struct HealthTask *task = request->task;
-  GBytes *body = soup_session_send_and_read_finish (SOUP_SESSION (source), result, NULL);
+  GBytes *body = cf_http_fetch_finish (result);
   struct CfHealthAnswer answer = { .upstream = request->upstream };
 
+  (void) source;
   if (!task->stopping)
     {
       if (body && soup_message_get_status (request->message) == SOUP_STATUS_OK)
@@ -100,8 +99,8 @@
   g_queue_push_tail_link (&task->requests, &request->link);
   atomic_store (&task->waiting, task->requests.length);
   soup_message_add_flags (request->message, SOUP_MESSAGE_NEW_CONNECTION);
-  soup_session_send_and_read_async (task->session, request->message, G_PRIORITY_DEFAULT,
-                                    request->cancellable, answered, request);
+  cf_http_fetch (task->session, request->message, CF_HTTP_SHORT_BODY_MAX_BYTES,
+                 request->cancellable, answered, request);
   g_free (url);
 }
 
--- a/src/serve/http_call.c
+++ b/src/serve/http_call.c
@@ -2,13 +2,96 @@
 
 struct CfHttpCall
 {
-  SoupMessage *message;
+  SoupMessage *message; /* NULL: none to send */
   GCancellable *cancellable;
   GSource *deadline;
   CfHttpDone *done; /* NULL: cancelled */
   void *data;
 };
 
+static gpointer
+resize_body (gpointer data, gsize size)
+{
+  return size <= CF_HTTP_BODY_MAX_BYTES ? g_try_realloc (data, size) : NULL;
+}
+
+static gpointer
+resize_short_body (gpointer data, gsize size)
+{
+  return size <= CF_HTTP_SHORT_BODY_MAX_BYTES ? g_try_realloc (data, size) : NULL;
+}
+
+static void
+unref (gpointer object)
+{
+  g_object_unref (object);
+}
+
+static void
+body_read (GObject *source, GAsyncResult *result, gpointer data)
+{
+  GTask *task = data;
+  GError *error = NULL;
+
+  if (g_output_stream_splice_finish (G_OUTPUT_STREAM (source), result, &error) < 0)
+    {
+      /* The session would go on to read the rest of a body that is too large. */
+      g_cancellable_cancel (g_task_get_cancellable (task));
+      g_task_return_error (task, error);
+    }
+  else
+    g_task_return_pointer (task,
+                           g_memory_output_stream_steal_as_bytes (G_MEMORY_OUTPUT_STREAM (source)),
+                           (GDestroyNotify) g_bytes_unref);
+  g_object_unref (task);
+}
+
+static void
+head_read (GObject *source, GAsyncResult *result, gpointer data)
+{
+  GTask *task = data;
+  GError *error = NULL;
+  GInputStream *stream = soup_session_send_finish (SOUP_SESSION (source), result, &error);
+
+  if (!stream)
+    {
+      g_task_return_error (task, error);
+      g_object_unref (task);
+      return;
+    }
+  g_output_stream_splice_async (g_task_get_task_data (task), stream,
+                                G_OUTPUT_STREAM_SPLICE_CLOSE_SOURCE
+                                    | G_OUTPUT_STREAM_SPLICE_CLOSE_TARGET,
+                                G_PRIORITY_DEFAULT, g_task_get_cancellable (task), body_read, task);
+  g_object_unref (stream);
+}
+
+void
+cf_http_fetch (SoupSession *session,
+               SoupMessage *message,
+               gsize body_max,
+               GCancellable *cancellable,
+               GAsyncReadyCallback callback,
+               void *data)
+{
+  GTask *task = g_task_new (session, cancellable, callback, data);
+
+  g_task_set_check_cancellable (task, FALSE);
+  g_task_set_task_data (
+      task,
+      g_memory_output_stream_new (
+          NULL, 0, body_max == CF_HTTP_SHORT_BODY_MAX_BYTES ? resize_short_body : resize_body,
+          g_free),
+      unref);
+  soup_session_send_async (session, message, G_PRIORITY_DEFAULT, cancellable, head_read, task);
+}
+
+GBytes *
+cf_http_fetch_finish (GAsyncResult *result)
+{
+  return g_task_propagate_pointer (G_TASK (result), NULL);
+}
+
 static gboolean
 past_deadline (gpointer data)
 {
@@ -22,22 +105,33 @@
   g_source_destroy (call->deadline);
   g_source_unref (call->deadline);
   g_object_unref (call->cancellable);
-  g_object_unref (call->message);
+  g_clear_object (&call->message);
   g_free (call);
 }
 
 static void
-answered (GObject *source, GAsyncResult *result, gpointer data)
+complete (struct CfHttpCall *call, GBytes *body)
 {
-  struct CfHttpCall *call = data;
-  GBytes *body = soup_session_send_and_read_finish (SOUP_SESSION (source), result, NULL);
-
   if (call->done)
     call->done (call->data, call->message, body);
   g_clear_pointer (&body, g_bytes_unref);
   free_call (call);
 }
 
+static void
+answered (GObject *source, GAsyncResult *result, gpointer data)
+{
+  (void) source;
+  complete (data, cf_http_fetch_finish (result));
+}
+
+static gboolean
+fail_unsent (gpointer data)
+{
+  complete (data, NULL);
+  return G_SOURCE_REMOVE;
+}
+
 struct CfHttpCall *
 cf_http_call_begin (SoupSession *session,
                     SoupMessage *message,
@@ -52,13 +146,14 @@
   call->done = done;
   call->data = data;
   call->cancellable = g_cancellable_new ();
-  call->deadline = g_timeout_source_new (deadline_ms);
-  g_source_set_callback (call->deadline, past_deadline, call, NULL);
+  call->deadline = message ? g_timeout_source_new (deadline_ms) : g_idle_source_new ();
+  g_source_set_callback (call->deadline, message ? past_deadline : fail_unsent, call, NULL);
   g_source_attach (call->deadline, g_main_context_get_thread_default ());
+  if (!message)
+    return call;
   if (new_connection)
     soup_message_add_flags (message, SOUP_MESSAGE_NEW_CONNECTION);
-  soup_session_send_and_read_async (session, message, G_PRIORITY_DEFAULT, call->cancellable,
-                                    answered, call);
+  cf_http_fetch (session, message, CF_HTTP_BODY_MAX_BYTES, call->cancellable, answered, call);
   return call;
 }
 
--- a/src/serve/server.c
+++ b/src/serve/server.c
@@ -1,6 +1,7 @@
 #include "server.h"
 #include "crash_report.h"
 #include "log.h"
+#include "process_setup.h"
 
 #include <glib-unix.h>
 #include <sodium.h>
@@ -19,7 +20,13 @@
 static gboolean
 on_stop (gpointer data)
 {
-  cf_send_leave (data);
+  struct CfServer *server = data;
+
+  /* Without the packet task there is nothing to hand over, and nobody to say when that is done. */
+  if (cf_task_is_running (&server->packet))
+    cf_send_leave (server);
+  else
+    g_main_loop_quit (server->main_loop);
   return G_SOURCE_CONTINUE;
 }
 
@@ -74,6 +81,7 @@
   g_unix_signal_add (SIGTERM, on_stop, server);
   g_unix_signal_add (SIGINT, on_stop, server);
   g_unix_signal_add (SIGHUP, on_reload, server);
+  cf_process_unblock_signals ();
   run_children (server, children, count);
   g_main_loop_unref (server->main_loop);
   cf_crash_report_install ("");
