--- a/tests/soak/proxy.c
+++ b/tests/soak/proxy.c
@@ -32,7 +32,7 @@
 struct SoakProxy
 {
   GSocketService *service;
-  uint16_t store_port;
+  GSocketAddress *store;
   enum SoakPath path;
   GPtrArray *pipes;
 };
@@ -182,7 +182,7 @@
   struct SoakProxy *proxy = data;
   GSocket *store
       = g_socket_new (G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, NULL);
-  GSocketAddress *address = g_inet_socket_address_new_from_string ("127.0.0.1", proxy->store_port);
+  GSocketAddress *address = g_object_ref (proxy->store);
   GError *error = NULL;
   struct Pipe *pipe;
 
@@ -223,13 +223,13 @@
 }
 
 struct SoakProxy *
-soak_proxy_new (const char *ip, uint16_t port, uint16_t store_port)
+soak_proxy_new (const char *ip, const char *store_ip, uint16_t port)
 {
   struct SoakProxy *proxy = g_new0 (struct SoakProxy, 1);
   GSocketAddress *address = g_inet_socket_address_new_from_string (ip, port);
   GError *error = NULL;
 
-  proxy->store_port = store_port;
+  proxy->store = g_inet_socket_address_new_from_string (store_ip, port);
   proxy->pipes = g_ptr_array_new ();
   proxy->service = g_socket_service_new ();
   if (!g_socket_listener_add_address (G_SOCKET_LISTENER (proxy->service), address,
@@ -256,5 +256,6 @@
   g_object_unref (proxy->service);
   close_all (proxy, false);
   g_ptr_array_unref (proxy->pipes);
+  g_object_unref (proxy->store);
   g_free (proxy);
 }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -32,7 +32,9 @@
 struct SoakWatch *soak_watch (int fd, GSourceFunc func, gpointer data);
 void soak_unwatch (struct SoakWatch *watch);
 
-/* The store. */
+/* The store.  GLib accepts one connection of a socket each time around its loop, so it listens at
+ * several addresses, 127.0.0.1 and those after it. */
+#define SOAK_STORE_LISTENERS 32
 
 struct SoakStore;
 
@@ -77,7 +79,8 @@
 
 struct SoakProxy;
 
-struct SoakProxy *soak_proxy_new (const char *ip, uint16_t port, uint16_t store_port);
+/* A proxy at IP, on the port that the store has at STORE_IP. */
+struct SoakProxy *soak_proxy_new (const char *ip, const char *store_ip, uint16_t port);
 void soak_proxy_free (struct SoakProxy *proxy);
 void soak_proxy_set (struct SoakProxy *proxy, enum SoakPath path);
 
--- a/tests/soak/store.c
+++ b/tests/soak/store.c
@@ -24,6 +24,7 @@
 };
 
 #define PAGE_DEFAULT 500
+#define LISTEN_BACKLOG 1024
 
 static const char *const kinds[CF_FEED_KINDS]
     = { "config", "servers", "evacuations", "cyclamenferry-vms" };
@@ -305,23 +306,37 @@
   respond (store, message, SOUP_STATUS_NOT_FOUND, g_string_new ("{}"));
 }
 
+/* Listens at address 127.0.0.INDEX. */
+static void
+listen_at (struct SoakStore *store, uint16_t port, int index)
+{
+  char *ip = g_strdup_printf ("127.0.0.%d", index);
+  GSocketAddress *address = g_inet_socket_address_new_from_string (ip, port);
+  GSocket *socket
+      = g_socket_new (G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, NULL);
+  GError *error = NULL;
+
+  g_socket_set_listen_backlog (socket, LISTEN_BACKLOG);
+  if (!g_socket_bind (socket, address, TRUE, &error) || !g_socket_listen (socket, &error)
+      || !soup_server_listen_socket (store->server, socket, 0, &error))
+    g_error ("store %s: %s", ip, error->message);
+  g_object_unref (socket);
+  g_object_unref (address);
+  g_free (ip);
+}
+
 struct SoakStore *
 soak_store_new (struct Soak *soak)
 {
   struct SoakStore *store = g_new0 (struct SoakStore, 1);
-  GInetAddress *ip = g_inet_address_new_from_string ("127.0.0.1");
-  GSocketAddress *address = g_inet_socket_address_new (ip, SOAK_STORE_PORT (soak));
-  GError *error = NULL;
 
   store->data = test_store_new ();
   store->polls = g_ptr_array_new ();
   store->page = PAGE_DEFAULT;
   store->server = soup_server_new (NULL, NULL);
   soup_server_add_handler (store->server, NULL, handle, store, NULL);
-  if (!soup_server_listen (store->server, address, 0, &error))
-    g_error ("store: %s", error->message);
-  g_object_unref (address);
-  g_object_unref (ip);
+  for (int i = 1; i <= SOAK_STORE_LISTENERS; i++)
+    listen_at (store, SOAK_STORE_PORT (soak), i);
   return store;
 }
 
--- a/tests/soak/vms.c
+++ b/tests/soak/vms.c
@@ -371,10 +371,13 @@
       struct SoakVm *vm = &soak->vms[i];
       char *ip = g_strdup_printf ("127.4.0.%d", 10 + i);
 
-      vm->proxy = soak_proxy_new (ip, SOAK_STORE_PORT (soak), SOAK_STORE_PORT (soak));
+      char *store_ip = g_strdup_printf ("127.0.0.%d", 1 + i % SOAK_STORE_LISTENERS);
+
+      vm->proxy = soak_proxy_new (ip, store_ip, SOAK_STORE_PORT (soak));
       vm->settings = g_strdup_printf ("%s/vm-%d.conf", soak->folder, i);
       soak_settings_write (vm, 1);
       soak_vm_start (vm);
+      g_free (store_ip);
       g_free (ip);
     }
   g_timeout_add (CHECK_INTERVAL_MS, check_vms, soak);
