--- a/src/feed/sources.h
+++ b/src/feed/sources.h
@@ -85,6 +85,9 @@
  * the store at the same time, all but the first may stop. */
 bool cf_sources_precedes (struct CfSources *sources, const char *reader);
 
+/* Returns true if NAME is another VM of this failure domain. */
+bool cf_sources_is_neighbour (struct CfSources *sources, const char *name);
+
 /* Returns the age of its data from which on this VM asks the store itself. */
 CfMillis cf_sources_stale_ms (struct CfSources *sources);
 
--- a/src/serve/feed_internal.h
+++ b/src/serve/feed_internal.h
@@ -8,6 +8,7 @@
 #include "feed/rotation.h"
 #include "feed/sources.h"
 #include "http_call.h"
+#include "http_listen.h"
 
 /* The parts of the feed task, which owns all of them:
  *
@@ -65,6 +66,7 @@
   CfMillis read_until; /* this VM reads the store until this time, whatever its source */
   CfMillis probed_at;  /* when the store last answered this VM, -1: never */
   struct CfEventRate source_rate;
+  struct CfEventRate datagram_rate;
   CfMillis summary_at; /* when the next summary is due */
   struct FeedChannel channels[CF_FEED_KINDS];
   struct FeedFollow follow;
@@ -75,7 +77,7 @@
   CfMillis next_hello_at;
   uint32_t hellos_left; /* to be sent after a start */
   CfMillis stop_at;     /* when this VM was told to stop, -1: it is not stopping */
-  SoupServer *relay;
+  struct CfHttpServer *relay;
   struct CfRelayCache relay_cache;
   GQueue waiting; /* of struct RelayRequest: followers that wait for changes */
 };
