--- a/tests/soak/readiness.c
+++ b/tests/soak/readiness.c
@@ -45,6 +45,7 @@
 {
   struct Soak *soak = data;
 
+  soak->checks_timer = 0;
   for (int i = 0; i < soak->vm_count; i++)
     end_check (&soak->vms[i], false);
   return G_SOURCE_REMOVE;
@@ -71,9 +72,13 @@
 {
   struct Soak *soak = data;
 
+  /* Both timers may be late. */
+  if (soak->checks_timer)
+    g_source_remove (soak->checks_timer);
+  end_checks (soak);
   for (int i = 0; i < soak->vm_count; i++)
     begin_check (&soak->vms[i]);
-  g_timeout_add (TIMEOUT_MS, end_checks, soak);
+  soak->checks_timer = g_timeout_add (TIMEOUT_MS, end_checks, soak);
   return G_SOURCE_CONTINUE;
 }
 
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -228,8 +228,9 @@
   uint32_t odd_entries;
   uint32_t client_requests;
   uint32_t troubles;
-  int64_t beat_at;  /* when this process last ran its timer */
-  uint32_t held_up; /* times that it was held up */
+  int64_t beat_at;    /* when this process last ran its timer */
+  guint checks_timer; /* ends the readiness checks in progress, or 0 */
+  uint32_t held_up;   /* times that it was held up */
   uint32_t requests;
   uint32_t served;
   uint32_t stable_requests; /* begun while stable */
--- a/tests/soak/vms.c
+++ b/tests/soak/vms.c
@@ -104,19 +104,19 @@
   int64_t age = soak_now () - process->started_at;
   bool started = strstr (log, "\"event\":\"started\"") != NULL;
   int index = process->vm->index;
+  bool expected;
 
   if (WIFEXITED (status))
-    {
-      if (WEXITSTATUS (status) != 0 || !is_asked (process, SIGTERM))
-        soak_violation (soak, "FAULT: vm-%d ended with status %d after %d ms", index,
-                        WEXITSTATUS (status), (int) age);
-    }
-  else if (WTERMSIG (status) == SIGKILL && is_asked (process, SIGKILL))
-    return;
-  else if (WTERMSIG (status) == SIGTERM && is_asked (process, SIGTERM) && !started)
-    return;
-  else if (WTERMSIG (status) == SIGHUP && process->hup_while_loading)
+    expected = WEXITSTATUS (status) == 0 && is_asked (process, SIGTERM);
+  else
+    expected = (WTERMSIG (status) == SIGKILL && is_asked (process, SIGKILL))
+               || (WTERMSIG (status) == SIGTERM && is_asked (process, SIGTERM) && !started)
+               || (WTERMSIG (status) == SIGHUP && process->hup_while_loading);
+  if (expected)
     return;
+  if (WIFEXITED (status))
+    soak_violation (soak, "FAULT: vm-%d ended with status %d after %d ms", index,
+                    WEXITSTATUS (status), (int) age);
   else
     soak_violation (soak, "FAULT: vm-%d ended with signal %d after %d ms", index, WTERMSIG (status),
                     (int) age);
