--- a/Makefile
+++ b/Makefile
@@ -20,9 +20,10 @@
 LIB_SRC := $(wildcard src/base/*.c src/config/*.c src/gue/*.c src/packet/*.c src/peer/*.c \
   src/balance/*.c src/feed/*.c)
 APP_SRC := $(wildcard platform/*.c src/objectstore/*.c src/serve/*.c src/cli/*.c)
-TEST_LIB_SRC := $(filter-out tests/test_%.c tests/live.c tests/objectstore.c,$(wildcard tests/*.c))
+TEST_LIB_SRC := $(filter-out tests/test_%.c tests/live.c tests/objectstore.c tests/foreign.c,\
+  $(wildcard tests/*.c))
 TEST_SRC := $(wildcard tests/test_*.c)
-STANDIN_SRC := tests/live.c tests/objectstore.c
+STANDIN_SRC := tests/live.c tests/objectstore.c tests/foreign.c
 SOAK_SRC := $(wildcard tests/soak/*.c)
 BENCH_SRC := $(wildcard bench/*.c)
 
@@ -30,7 +31,7 @@
 APP_OBJ = $(APP_SRC:%.c=$(BUILD)/%.o)
 PLATFORM_OBJ = $(filter $(BUILD)/src/objectstore/% $(BUILD)/platform/%,$(APP_OBJ))
 SERVE_TEST_OBJ = $(addprefix $(BUILD)/src/serve/,balance_settings.o crash_report.o event_log.o \
-  http_call.o http_listen.o process_setup.o udp.o)
+  http_call.o http_listen.o metrics_label.o process_setup.o udp.o)
 TEST_LIB_OBJ = $(TEST_LIB_SRC:%.c=$(BUILD)/%.o)
 TESTS = $(TEST_SRC:tests/%.c=$(BUILD)/%)
 STANDINS = $(STANDIN_SRC:tests/%.c=$(BUILD)/%)
@@ -50,8 +51,8 @@
 $(TESTS): $(BUILD)/%: $(BUILD)/tests/%.o $(TEST_LIB_OBJ) $(PLATFORM_OBJ) $(SERVE_TEST_OBJ) $(LIB_OBJ)
 	$(CC) $^ $(LIBS) $(CHECK_LIBS) -o $@
 
-# This test runs a task of the program.
-$(BUILD)/test_feed_lifetime: $(filter $(BUILD)/src/serve/%,$(APP_OBJ))
+# These tests run a task of the program, or what tasks share.
+$(BUILD)/test_feed_lifetime $(BUILD)/test_connection_reset: $(filter $(BUILD)/src/serve/%,$(APP_OBJ))
 
 $(STANDINS): $(BUILD)/%: $(BUILD)/tests/%.o $(TEST_LIB_OBJ) $(BUILD)/src/serve/udp.o $(LIB_OBJ)
 	$(CC) $^ $(LIBS) -o $@
--- a/src/serve/http_call.c
+++ b/src/serve/http_call.c
@@ -76,6 +76,8 @@
 {
   GTask *task = g_task_new (session, cancellable, callback, data);
 
+  soup_message_add_flags (message, SOUP_MESSAGE_NEW_CONNECTION);
+  soup_message_headers_replace (soup_message_get_request_headers (message), "Connection", "close");
   g_task_set_check_cancellable (task, FALSE);
   g_task_set_task_data (
       task,
@@ -133,12 +135,8 @@
 }
 
 struct CfHttpCall *
-cf_http_call_begin (SoupSession *session,
-                    SoupMessage *message,
-                    guint deadline_ms,
-                    bool new_connection,
-                    CfHttpDone *done,
-                    void *data)
+cf_http_call_begin (
+    SoupSession *session, SoupMessage *message, guint deadline_ms, CfHttpDone *done, void *data)
 {
   struct CfHttpCall *call = g_new0 (struct CfHttpCall, 1);
 
@@ -149,11 +147,8 @@
   call->deadline = message ? g_timeout_source_new (deadline_ms) : g_idle_source_new ();
   g_source_set_callback (call->deadline, message ? past_deadline : fail_unsent, call, NULL);
   g_source_attach (call->deadline, g_main_context_get_thread_default ());
-  if (!message)
-    return call;
-  if (new_connection)
-    soup_message_add_flags (message, SOUP_MESSAGE_NEW_CONNECTION);
-  cf_http_fetch (session, message, CF_HTTP_BODY_MAX_BYTES, call->cancellable, answered, call);
+  if (message)
+    cf_http_fetch (session, message, CF_HTTP_BODY_MAX_BYTES, call->cancellable, answered, call);
   return call;
 }
 
