--- a/src/feed/rotation.h
+++ b/src/feed/rotation.h
@@ -37,9 +37,6 @@
 /* Returns the number of VMs that have left and are not back in rotation. */
 uint32_t cf_rotation_absent_count (const struct CfRotation *rotation, CfMillis now);
 
-/* Returns how long a VM that is killed GRACE after it was told to stop may wait for others. */
-CfMillis cf_rotation_wait_max (CfMillis grace);
-
 /* Returns true if one of SIZE VMs may leave while at least half stay in rotation. */
 bool cf_rotation_may_leave (const struct CfRotation *rotation, uint32_t size, CfMillis now);
 
--- a/src/serve/balancer.c
+++ b/src/serve/balancer.c
@@ -179,7 +179,7 @@
 static void
 reload (struct Supervisor *supervisor, const char *why, bool always)
 {
-  struct CfBalanceSettings fresh;
+  struct CfBalanceSettings fresh = { 0 };
   struct CfError error = { 0 };
   bool ok = read_settings (supervisor, &fresh, &error);
 
