--- a/src/serve/balancer.c
+++ b/src/serve/balancer.c
@@ -208,7 +208,7 @@
 {
   struct Supervisor *supervisor = data;
   struct CfBalancer *balancer = &supervisor->balancer;
-  struct CfBalanceSettings settings;
+  struct CfBalanceSettings settings = { 0 };
   struct CfError error = { 0 };
   bool ok = read_settings (supervisor, &settings, &error);
 
