--- a/src/serve/feed_task.c
+++ b/src/serve/feed_task.c
@@ -45,19 +45,24 @@
 add_manifest (struct FeedTask *task, struct CfUpdate *update, const struct CfRecord *record)
 {
   struct CfError error = { 0 };
+  struct CfManifest *manifest;
 
   cf_crash_report_input ("manifest", record->name);
   if (record->deleted)
     return;
+  manifest = cf_platform_read_manifest (record, &error);
+  if (!manifest)
+    {
+      cf_event_log_write (task->balancer->log, "manifest-unreadable",
+                          (struct CfField[]){
+                              { .key = "revision", .number = (int64_t) record->revision },
+                              { .key = "fault", .text = error.text },
+                              { 0 },
+                          });
+      return;
+    }
   g_clear_pointer (&update->manifest, cf_manifest_free);
-  update->manifest = cf_platform_read_manifest (record, &error);
-  if (!update->manifest)
-    cf_event_log_write (task->balancer->log, "manifest-unreadable",
-                        (struct CfField[]){
-                            { .key = "revision", .number = (int64_t) record->revision },
-                            { .key = "fault", .text = error.text },
-                            { 0 },
-                        });
+  update->manifest = manifest;
 }
 
 /* Returns the IPs of other VMs, an array of uint32_t. */
--- a/tests/test_feed.c
+++ b/tests/test_feed.c
@@ -733,6 +733,23 @@
   "{\"version\":1,\"routes\":[],\"limits\":{\"idle-timeout-ms\":%s}}",
 };
 
+START_TEST (test_record_beside_the_manifest_is_none)
+{
+  static const char text[] = "{\"version\":9,\"routes\":[]}";
+  struct CfRecord *manifest = cf_record_new ("main", 7, false, text);
+  struct CfRecord *other = cf_record_new ("main-copy", 8, false, text);
+  struct CfManifest *read = cf_platform_read_manifest (manifest, NULL);
+  struct CfError error = { 0 };
+
+  ck_assert_ptr_nonnull (read);
+  ck_assert_ptr_null (cf_platform_read_manifest (other, &error));
+  ck_assert_str_eq (error.text, "main-copy: only main is a manifest");
+  cf_manifest_free (read);
+  cf_record_free (manifest);
+  cf_record_free (other);
+}
+END_TEST
+
 START_TEST (test_manifest_number_too_large)
 {
   for (size_t i = 0; i < G_N_ELEMENTS (odd_numbers); i++)
@@ -887,6 +904,7 @@
   suite_add_loop (suite, test_nested_entry_ends_no_process, G_N_ELEMENTS (nested_items));
   suite_add_loop (suite, test_announced_number_too_large, G_N_ELEMENTS (announced_numbers));
   suite_add_loop (suite, test_port_out_of_range, G_N_ELEMENTS (invalid_ports));
+  suite_add_loop (suite, test_record_beside_the_manifest_is_none, 1);
   suite_add_loop (suite, test_manifest_number_too_large, G_N_ELEMENTS (manifest_numbers));
   suite_add_loop (suite, test_manifest_version_keeps_its_digits, 1);
   suite_add_loop (suite, test_unreadable_vm_record, G_N_ELEMENTS (unreadable_vms));
