Messages of GLib after the event log's end no longer use it

A message of another thread after the log was freed used freed memory. The call that was to prevent it set the handler of unstructured messages, which ends in the same writer.

Change: the writer uses the log that is captured at the moment, under a lock, and none after its end.

--- a/src/serve/balancer.c
+++ b/src/serve/balancer.c
@@ -315,8 +315,6 @@
   g_timeout_add_seconds (SETTINGS_CHECK_S, check_settings, supervisor);
   ok = run_children (balancer, children, G_N_ELEMENTS (children), error);
   log_event (balancer, "stopped", "");
-  /* GLib's log writer stays installed and must not use the event log after it is freed. */
-  g_log_set_default_handler (g_log_default_handler, NULL);
   cf_event_log_free (balancer->log);
   cf_crash_report_install ("");
   cf_crash_report_leave ();
--- a/src/serve/event_log.c
+++ b/src/serve/event_log.c
@@ -26,6 +26,10 @@
   atomic_uint_fast64_t lost;
 };
 
+/* GLib keeps its log writer until the process ends, and other threads may still use it then. */
+static GRecMutex captured_mutex;    /* a line may make GLib log another one */
+static struct CfEventLog *captured; /* NULL: none, or it is freed */
+
 /* Writes DATA of LEN bytes to standard output and waits for its reader, from the end of LOG (NULL:
  * ended) on for a short time only.  Returns the number of bytes written, fewer than LEN if the
  * reader is gone or the disk is full, too. */
@@ -123,6 +127,10 @@
 void
 cf_event_log_free (struct CfEventLog *log)
 {
+  g_rec_mutex_lock (&captured_mutex);
+  if (captured == log)
+    captured = NULL;
+  g_rec_mutex_unlock (&captured_mutex);
   atomic_store (&log->ended, true);
   g_async_queue_push (log->lines, g_strdup (""));
   if (log->thread)
@@ -251,13 +259,20 @@
       message = fields[i].value;
   if (level & (G_LOG_LEVEL_DEBUG | G_LOG_LEVEL_INFO))
     return G_LOG_WRITER_HANDLED;
-  cf_event_log_write (data, level & G_LOG_LEVEL_MESSAGE ? "notice" : "fault",
-                      (struct CfField[]){ { .key = "message", .text = message }, { 0 } });
+  (void) data;
+  g_rec_mutex_lock (&captured_mutex);
+  if (captured)
+    cf_event_log_write (captured, level & G_LOG_LEVEL_MESSAGE ? "notice" : "fault",
+                        (struct CfField[]){ { .key = "message", .text = message }, { 0 } });
+  g_rec_mutex_unlock (&captured_mutex);
   return G_LOG_WRITER_HANDLED;
 }
 
 void
 cf_event_log_capture_glib (struct CfEventLog *log)
 {
-  g_log_set_writer_func (write_glib, log, NULL);
+  g_rec_mutex_lock (&captured_mutex);
+  captured = log;
+  g_rec_mutex_unlock (&captured_mutex);
+  g_log_set_writer_func (write_glib, NULL, NULL);
 }
--- a/tests/test_event_log.c
+++ b/tests/test_event_log.c
@@ -77,6 +77,25 @@
 }
 END_TEST
 
+START_TEST (test_message_after_the_end_uses_no_freed_log)
+{
+  int status = 0;
+  pid_t pid = fork ();
+
+  if (pid == 0)
+    {
+      struct CfEventLog *log = cf_event_log_new ("vm-1");
+
+      cf_event_log_capture_glib (log);
+      cf_event_log_free (log);
+      g_message ("late");
+      _exit (0);
+    }
+  ck_assert_int_eq (waitpid (pid, &status, 0), pid);
+  ck_assert (WIFEXITED (status) && WEXITSTATUS (status) == 0);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -84,5 +103,6 @@
 
   suite_add_loop (suite, test_unread_log_does_not_keep_process, 1);
   suite_add_loop (suite, test_any_text_gives_a_short_valid_line, 2);
+  suite_add_loop (suite, test_message_after_the_end_uses_no_freed_log, 1);
   return suite_run (suite);
 }
