Test: an entry beside config/main keeps no VM from starting and takes no route away

Seen: any entry of the kind that holds the manifest is taken for it. Beside an odd one no VM that starts becomes ready (503); a readable one with a later version replaces the routes.

--- a/tests/foreign.c
+++ b/tests/foreign.c
@@ -554,7 +554,7 @@
 {
   struct Foreign foreign = { .items = g_ptr_array_new (), .caller_port = 20000 };
 
-  if (argc != 5)
+  if (argc != 5 && argc != 6)
     return 2;
   foreign.program = argv[1];
   foreign.folder = argv[2];
@@ -568,6 +568,9 @@
        "{\"version\":1,\"routes\":[{\"host\":\"198.18.0.1\",\"path-prefix\":\"/80/"
        "\",\"service\":\"s\"}],"
        "\"services\":[{\"name\":\"s\",\"warmup-s\":0,\"warmup-per-s\":5}]}");
+  /* Only "main" is the manifest. */
+  if (argc == 6)
+    put (&foreign, "config", "other", argv[5]);
   put_odd (&foreign, "i-0");
   put_upstream (&foreign, 0, false);
   for (int vm = 0; vm < VMS; vm++)
