Test: a late message of GLib uses no event log that was freed

Seen: g_log_default_handler passes messages on to the log writer, which stays installed after the log is freed at the end of the process (heap-use-after-free under the address sanitizer).

--- a/tests/test_event_log.c
+++ b/tests/test_event_log.c
@@ -77,6 +77,18 @@
 }
 END_TEST
 
+/* Fails under the address sanitizer. */
+START_TEST (test_late_message_of_glib_uses_no_freed_log)
+{
+  struct CfEventLog *log = cf_event_log_new ("vm-1");
+
+  cf_event_log_capture_glib (log);
+  g_log_set_default_handler (g_log_default_handler, NULL); /* as the supervisor does */
+  cf_event_log_free (log);
+  g_log ("GLib-GIO", G_LOG_LEVEL_WARNING, "a message after the end");
+}
+END_TEST
+
 int
 main (void)
 {
@@ -84,5 +96,6 @@
 
   suite_add_loop (suite, test_unread_log_does_not_keep_process, 1);
   suite_add_loop (suite, test_any_text_gives_a_short_valid_line, 2);
+  suite_add_loop (suite, test_late_message_of_glib_uses_no_freed_log, 1);
   return suite_run (suite);
 }
