--- /dev/null
+++ b/tests/tcp_server.h
@@ -0,0 +1,31 @@
+#ifndef CF_TEST_TCP_SERVER_H
+#define CF_TEST_TCP_SERVER_H
+
+#include <gio/gio.h>
+#include <stdatomic.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+/* A server on loopback that handles each connection on a thread of its own. */
+struct TcpServer
+{
+  /* Handles the connection FD, which is closed when this returns. */
+  void (*handle) (void *data, int fd);
+  void *data;
+  uint16_t port;       /* set by tcp_server_start */
+  atomic_int accepted; /* connections so far */
+  atomic_int handled;  /* of these, those that are closed */
+  atomic_bool stopping;
+  GSocket *listener;
+  GThread *thread;
+};
+
+void tcp_server_start (struct TcpServer *server);
+
+/* Waits until all connections are closed. */
+void tcp_server_stop (struct TcpServer *server);
+
+/* Reads the head of an HTTP request.  Returns false at the end of the connection. */
+bool tcp_server_read_request (int fd);
+
+#endif
--- a/tests/test_connection_reset.c
+++ b/tests/test_connection_reset.c
@@ -1,6 +1,7 @@
 #include "serve/http_call.h"
 #include "serve/server.h"
 #include "suite.h"
+#include "tcp_server.h"
 
 #include <stdatomic.h>
 #include <string.h>
@@ -12,134 +13,45 @@
 
 #define WAIT_S 10
 
-struct Server
+struct Answerer
 {
-  GSocket *listener;
-  uint16_t port;
+  struct TcpServer tcp;
   int good;         /* requests of each connection that get a response */
   bool reset;       /* else the connection is closed */
   useconds_t pause; /* before that */
   size_t part;      /* bytes of the response that are sent before */
   bool redirect;    /* responses redirect to the same path */
-  atomic_bool ended;
-  atomic_int connections;
-  GThread *thread;
+  atomic_int requests;
 };
 
 static const char response[] = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
 static const char redirect[] = "HTTP/1.1 302 Found\r\nLocation: /\r\nContent-Length: 2\r\n\r\n{}";
 
-/* Returns false at the end of the connection. */
-static bool
-read_request (int fd)
-{
-  char text[4096];
-  size_t len = 0;
-
-  while (len < sizeof text - 1)
-    {
-      ssize_t got = read (fd, text + len, sizeof text - 1 - len);
-
-      if (got <= 0)
-        return false;
-      len += (size_t) got;
-      text[len] = 0;
-      if (strstr (text, "\r\n\r\n"))
-        return true;
-    }
-  return false;
-}
-
 static void
-serve_connection (struct Server *server, int fd)
+answer (void *data, int fd)
 {
-  for (int i = 0; read_request (fd); i++)
+  struct Answerer *answerer = data;
+
+  for (int i = 0; tcp_server_read_request (fd); i++)
     {
-      if (i == server->good)
+      atomic_fetch_add (&answerer->requests, 1);
+      if (i == answerer->good)
         {
-          struct linger linger = { .l_onoff = server->reset };
+          struct linger linger = { .l_onoff = answerer->reset };
 
-          if (server->part > 0 && write (fd, response, server->part) < 0)
+          if (answerer->part > 0 && write (fd, response, answerer->part) < 0)
             return;
-          usleep (server->pause);
+          usleep (answerer->pause);
           setsockopt (fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
           return;
         }
-      if (write (fd, server->redirect ? redirect : response,
-                 server->redirect ? sizeof redirect - 1 : sizeof response - 1)
+      if (write (fd, answerer->redirect ? redirect : response,
+                 answerer->redirect ? sizeof redirect - 1 : sizeof response - 1)
           < 0)
         return;
     }
 }
 
-struct Connection
-{
-  struct Server *server;
-  int fd;
-};
-
-static gpointer
-run_connection (gpointer data)
-{
-  struct Connection *connection = data;
-
-  serve_connection (connection->server, connection->fd);
-  close (connection->fd);
-  atomic_fetch_sub (&connection->server->connections, 1);
-  g_free (connection);
-  return NULL;
-}
-
-static gpointer
-serve (gpointer data)
-{
-  struct Server *server = data;
-
-  while (!atomic_load (&server->ended))
-    {
-      struct Connection connection = { .server = server };
-
-      connection.fd = accept (g_socket_get_fd (server->listener), NULL, NULL);
-      if (connection.fd < 0)
-        continue;
-      atomic_fetch_add (&server->connections, 1);
-      g_thread_unref (
-          g_thread_new ("connection", run_connection, g_memdup2 (&connection, sizeof connection)));
-    }
-  while (atomic_load (&server->connections) > 0)
-    g_usleep (1000);
-  return NULL;
-}
-
-static void
-start_server (struct Server *server)
-{
-  GInetAddress *ip = g_inet_address_new_loopback (G_SOCKET_FAMILY_IPV4);
-  GSocketAddress *address = g_inet_socket_address_new (ip, 0);
-  GSocketAddress *bound;
-
-  server->listener
-      = g_socket_new (G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, NULL);
-  ck_assert (g_socket_bind (server->listener, address, TRUE, NULL));
-  ck_assert (g_socket_listen (server->listener, NULL));
-  g_socket_set_blocking (server->listener, TRUE);
-  bound = g_socket_get_local_address (server->listener, NULL);
-  server->port = g_inet_socket_address_get_port (G_INET_SOCKET_ADDRESS (bound));
-  g_object_unref (bound);
-  g_object_unref (address);
-  g_object_unref (ip);
-  server->thread = g_thread_new ("server", serve, server);
-}
-
-static void
-stop_server (struct Server *server)
-{
-  atomic_store (&server->ended, true);
-  shutdown (g_socket_get_fd (server->listener), SHUT_RDWR);
-  g_thread_join (server->thread);
-  g_object_unref (server->listener);
-}
-
 /* As many calls at a time as a VM has to the store. */
 #define CALLS 6
 #define ROUNDS 1000
@@ -179,7 +91,7 @@
 
 START_TEST (test_connections_end_during_calls)
 {
-  static const struct Server ends[] = {
+  static const struct Answerer ends[] = {
     { .good = 0, .reset = true },
     { .good = 1, .reset = true },
     { .good = 1, .reset = false },
@@ -192,7 +104,7 @@
     { .good = 1000, .redirect = true },
     { .good = 3, .reset = true, .redirect = true },
   };
-  struct Server server = ends[_i];
+  struct Answerer answerer = ends[_i];
   gint64 end = g_get_monotonic_time () + 3 * WAIT_S * G_TIME_SPAN_SECOND;
   struct Caller caller = {
     .session = soup_session_new_with_options ("proxy-resolver", NULL, "max-conns", 16,
@@ -201,8 +113,10 @@
   };
   guint timer;
 
-  start_server (&server);
-  caller.url = g_strdup_printf ("http://127.0.0.1:%u/", server.port);
+  answerer.tcp.handle = answer;
+  answerer.tcp.data = &answerer;
+  tcp_server_start (&answerer.tcp);
+  caller.url = g_strdup_printf ("http://127.0.0.1:%u/", answerer.tcp.port);
   timer = g_timeout_add (1, begin, &caller);
   while (caller.under_way > 0 || caller.left > 0)
     {
@@ -212,7 +126,10 @@
   g_source_remove (timer);
   g_object_unref (caller.session);
   g_free (caller.url);
-  stop_server (&server);
+  tcp_server_stop (&answerer.tcp);
+  /* One request a connection: the library never has one to send again. */
+  ck_assert_int_eq (atomic_load (&answerer.tcp.accepted), ROUNDS);
+  ck_assert_int_eq (atomic_load (&answerer.requests), ROUNDS);
 }
 END_TEST
 
