--- a/tests/test_odd_answers.c
+++ b/tests/test_odd_answers.c
@@ -34,10 +34,10 @@
   "HTTP/1.1 302 Moved\r\nLocation:\r\nContent-Length: 0\r\n\r\n",
   "HTTP/1.1 308 Moved\r\nLocation: http://127.0.0.1:1/\r\nContent-Length: 0\r\n\r\n",
   "HTTP/1.1 401 No\r\nWWW-Authenticate: Basic realm=\"x\"\r\nContent-Length: 0\r\n\r\n",
-  "HTTP/1.1 401 No\r\nWWW-Authenticate: Digest realm=\"x\", nonce=\"\", qop=\"auth\"\r\n"
-  "Content-Length: 0\r\n\r\n",
-  "HTTP/1.1 401 No\r\nWWW-Authenticate: Negotiate\r\nWWW-Authenticate: NTLM\r\n"
-  "Content-Length: 0\r\n\r\n",
+  ("HTTP/1.1 401 No\r\nWWW-Authenticate: Digest realm=\"x\", nonce=\"\", qop=\"auth\"\r\n"
+   "Content-Length: 0\r\n\r\n"),
+  ("HTTP/1.1 401 No\r\nWWW-Authenticate: Negotiate\r\nWWW-Authenticate: NTLM\r\n"
+   "Content-Length: 0\r\n\r\n"),
   "HTTP/1.1 401 No\r\nWWW-Authenticate: ,,=\"\r\nContent-Length: 0\r\n\r\n",
   "HTTP/1.1 407 No\r\nProxy-Authenticate: Basic realm=\"x\"\r\nContent-Length: 0\r\n\r\n",
   "HTTP/1.1 200 OK\r\nContent-Encoding: gzip\r\nContent-Length: 4\r\n\r\nabcd",
