--- a/src/base/json_text.c
+++ b/src/base/json_text.c
@@ -209,7 +209,7 @@
 }
 
 /* Checks the beginning of a value up to where the first one inside it begins, or all of a value
- * that has none; ENDED tells which. */
+ * that has none, in which case ENDED is set. */
 static bool
 check_value (struct Check *check, bool *ended)
 {
--- a/src/serve/event_log.h
+++ b/src/serve/event_log.h
@@ -23,7 +23,7 @@
 /* Starts the log of the VM called NAME. */
 struct CfEventLog *cf_event_log_new (const char *name);
 
-/* Writes the queued lines, for 300 ms at most if nobody reads them, and frees the log. */
+/* Writes the queued lines, for 300 ms at most if they are not read, and frees the log. */
 void cf_event_log_free (struct CfEventLog *log);
 
 /* Adds a line for EVENT with FIELDS. */
--- a/src/serve/server.c
+++ b/src/serve/server.c
@@ -19,7 +19,7 @@
   void (*free) (void *data);
 };
 
-/* Drops lines that nobody reads: no task may be blocked by its log. */
+/* Drops lines while standard error cannot take them: a task must not block on its log. */
 static GLogWriterOutput
 write_log (GLogLevelFlags level, const GLogField *fields, gsize count, gpointer data)
 {
@@ -35,7 +35,7 @@
 {
   struct CfServer *server = data;
 
-  /* Without the packet task there is nothing to hand over, and nobody to say when that is done. */
+  /* Without the packet task there are no flows to hand over, and no task that ends the process. */
   if (cf_task_is_running (&server->packet))
     cf_send_leave (server);
   else
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -107,7 +107,7 @@
   const char *domain;
   char *settings;               /* path */
   struct SoakProcess *process;  /* NULL: not running */
-  struct SoakProcess *previous; /* was told to stop, and still holds its ports */
+  struct SoakProcess *previous; /* got SIGTERM, and still holds its ports */
   int starts;
   int early_signal; /* to send early_signals times when it starts */
   int early_signals;
@@ -127,7 +127,7 @@
 /* Ends all processes and reads their logs. */
 void soak_vms_stop (struct Soak *soak);
 void soak_vm_start (struct SoakVm *vm);
-/* Tells the process to stop, and starts the next one at once. */
+/* Sends SIGTERM to the process, and starts the next one at once. */
 void soak_vm_start_again (struct SoakVm *vm);
 /* Sends SIGNAL; a VM that exits is restarted. */
 void soak_vm_signal (struct SoakVm *vm, int signal);
