Test: a nested content of another VM or of a manifest ends no process

Cause as found before: json-glib recurses at each bracket, and any text reached it. Two changes act on this play: the check of depth before json-glib, and the bound of 16 KB on the content of an entry.

What has no such bound, a manifest and the records of a VM of an earlier build, was played by no test.

--- a/tests/test_feed.c
+++ b/tests/test_feed.c
@@ -601,6 +601,36 @@
 }
 END_TEST
 
+/* Contents whose size nothing bounds: of another VM's records, and of manifests. */
+static const char *const nested_contents[] = {
+  "%s",
+  "{\"slots\":%s}",
+  "{\"version\":%s}",
+  "{\"version\":1,\"routes\":%s}",
+  "{\"version\":1,\"routes\":[{\"host\":%s}],\"services\":[],\"limits\":{}}",
+};
+
+/* Guards against the recursion of json-glib where only the check of depth stands before it: every
+ * reader of a content ended by SIGSEGV.  The bound on sizes hides that for an upstream's entry. */
+START_TEST (test_nested_record_of_vm_ends_no_process)
+{
+  char *text = with_nest (nested_contents[_i]);
+  struct CfRecord *record = cf_record_new ("main", 3, false, text);
+  struct CfAnnouncement announcement;
+  struct CfVmRecord vm;
+  struct CfError error = { 0 };
+
+  for (int kind = 0; kind < CF_FEED_KINDS; kind++)
+    cf_platform_read_order ((enum CfFeedKind) kind, record);
+  ck_assert (!cf_platform_read_announcement (record, &announcement, &error));
+  ck_assert_ptr_null (cf_platform_read_manifest (record, &error));
+  ck_assert_ptr_null (cf_vm_record_parse (text, &vm));
+  ck_assert (!cf_vm_record_equal (text, text));
+  cf_record_free (record);
+  g_free (text);
+}
+END_TEST
+
 static const char *const odd_numbers[] = {
   "1e300",
   "-1e300",
@@ -902,6 +932,7 @@
   suite_add_loop (suite, test_announcement, 1);
   suite_add_loop (suite, test_invalid_announcement, G_N_ELEMENTS (invalid_announcements));
   suite_add_loop (suite, test_nested_entry_ends_no_process, G_N_ELEMENTS (nested_items));
+  suite_add_loop (suite, test_nested_record_of_vm_ends_no_process, G_N_ELEMENTS (nested_contents));
   suite_add_loop (suite, test_announced_number_too_large, G_N_ELEMENTS (announced_numbers));
   suite_add_loop (suite, test_port_out_of_range, G_N_ELEMENTS (invalid_ports));
   suite_add_loop (suite, test_record_beside_the_manifest_is_none, 1);
