Commands bound the answers that they read, in time and memory

What operators saw: a command (status, explain, domain, upstream, folder) beside a platform or VM whose answer does not end took memory until it was killed; an answer that comes byte by byte was awaited for ever, since the time limit was one for each operation on the socket.

Change: base/http_call.c (from serve/, as commands and tasks share it) has cf_http_fetch_wait; tests/layers.sh lets no other file send a message or parse JSON with the library itself.

--- a/Makefile
+++ b/Makefile
@@ -33,7 +33,7 @@
 APP_OBJ = $(APP_SRC:%.c=$(BUILD)/%.o)
 PLATFORM_OBJ = $(filter $(BUILD)/src/objectstore/% $(BUILD)/platform/%,$(APP_OBJ))
 SERVE_TEST_OBJ = $(addprefix $(BUILD)/src/serve/,balance_settings.o crash_report.o event_log.o \
-  http_call.o http_listen.o metrics_label.o process_setup.o task.o udp.o)
+  http_listen.o metrics_label.o process_setup.o task.o udp.o)
 TEST_LIB_OBJ = $(TEST_LIB_SRC:%.c=$(BUILD)/%.o)
 TESTS = $(TEST_SRC:tests/%.c=$(BUILD)/%)
 STANDINS = $(STANDIN_SRC:tests/%.c=$(BUILD)/%)
--- a/src/serve/http_call.c
+++ b/src/base/http_call.c
@@ -89,9 +89,50 @@
 }
 
 GBytes *
-cf_http_fetch_finish (GAsyncResult *result)
+cf_http_fetch_finish (GAsyncResult *result, GError **error)
 {
-  return g_task_propagate_pointer (G_TASK (result), NULL);
+  return g_task_propagate_pointer (G_TASK (result), error);
+}
+
+static void
+keep_result (GObject *source, GAsyncResult *result, gpointer data)
+{
+  (void) source;
+  *(GAsyncResult **) data = g_object_ref (result);
+}
+
+static gboolean
+cancel (gpointer cancellable)
+{
+  g_cancellable_cancel (cancellable);
+  return G_SOURCE_REMOVE;
+}
+
+GBytes *
+cf_http_fetch_wait (SoupSession *session, SoupMessage *message, guint deadline_ms, GError **error)
+{
+  GCancellable *cancellable = g_cancellable_new ();
+  GSource *deadline = g_timeout_source_new (deadline_ms);
+  GAsyncResult *result = NULL;
+  GBytes *body;
+
+  g_source_set_callback (deadline, cancel, cancellable, NULL);
+  g_source_attach (deadline, g_main_context_get_thread_default ());
+  cf_http_fetch (session, message, CF_HTTP_BODY_MAX_BYTES, cancellable, keep_result, &result);
+  while (!result)
+    g_main_context_iteration (g_main_context_get_thread_default (), TRUE);
+  body = cf_http_fetch_finish (result, error);
+  if (error && g_error_matches (*error, G_IO_ERROR, G_IO_ERROR_CANCELLED))
+    {
+      g_clear_error (error);
+      g_set_error (error, G_IO_ERROR, G_IO_ERROR_TIMED_OUT, "no complete answer within %u ms",
+                   deadline_ms);
+    }
+  g_object_unref (result);
+  g_source_destroy (deadline);
+  g_source_unref (deadline);
+  g_object_unref (cancellable);
+  return body;
 }
 
 static gboolean
@@ -124,7 +165,7 @@
 answered (GObject *source, GAsyncResult *result, gpointer data)
 {
   (void) source;
-  complete (data, cf_http_fetch_finish (result));
+  complete (data, cf_http_fetch_finish (result, NULL));
 }
 
 static gboolean
--- a/src/serve/http_call.h
+++ b/src/base/http_call.h
@@ -1,5 +1,5 @@
-#ifndef CF_SERVE_HTTP_CALL_H
-#define CF_SERVE_HTTP_CALL_H
+#ifndef CF_BASE_HTTP_CALL_H
+#define CF_BASE_HTTP_CALL_H
 
 #include <libsoup/soup.h>
 #include <stdbool.h>
@@ -29,8 +29,16 @@
                     GAsyncReadyCallback callback,
                     void *data);
 
-/* Returns the body, or NULL if it did not arrive completely or is too large. */
-GBytes *cf_http_fetch_finish (GAsyncResult *result);
+/* Returns the body, or NULL with ERROR (may be NULL) set if it did not arrive completely or is too
+ * large. */
+GBytes *cf_http_fetch_finish (GAsyncResult *result, GError **error);
+
+/* Sends MESSAGE as cf_http_fetch does and waits for the body of its response, up to
+ * CF_HTTP_BODY_MAX_BYTES, for DEADLINE_MS at most.  Returns NULL with ERROR set if it did not
+ * arrive completely, in time, or is too large.  For commands, which have nothing else to do
+ * meanwhile. */
+GBytes *
+cf_http_fetch_wait (SoupSession *session, SoupMessage *message, guint deadline_ms, GError **error);
 
 /* Receives the BODY of the response to MESSAGE, NULL if none arrived completely in time or it was
  * too large.  MESSAGE is NULL if there was none to send. */
--- a/src/cli/admin.c
+++ b/src/cli/admin.c
@@ -1,6 +1,7 @@
 #include "commands.h"
 #include "cf_types.h"
 #include "base/json_text.h"
+#include "base/http_call.h"
 
 #include <argp.h>
 #include <libsoup/soup.h>
@@ -10,7 +11,7 @@
 
 /* The commands that query a running entry VM over its admin endpoint. */
 
-#define ADMIN_TIMEOUT_S 5
+#define ADMIN_DEADLINE_MS 5000
 #define ADMIN_DEFAULT "http://127.0.0.1:6083"
 
 struct Arguments
@@ -80,7 +81,7 @@
 static char *
 fetch (const char *url, struct CfError *error)
 {
-  SoupSession *session = soup_session_new_with_options ("timeout", ADMIN_TIMEOUT_S, NULL);
+  SoupSession *session = soup_session_new ();
   SoupMessage *message = soup_message_new ("GET", url);
   GError *gerror = NULL;
   GBytes *body = NULL;
@@ -89,7 +90,7 @@
   if (!message)
     cf_error_set (error, CF_ERROR_INPUT, "'%s' is not a URL", url);
   else
-    body = soup_session_send_and_read (session, message, NULL, &gerror);
+    body = cf_http_fetch_wait (session, message, ADMIN_DEADLINE_MS, &gerror);
   if (body)
     {
       gsize len;
--- a/src/objectstore/http.c
+++ b/src/objectstore/http.c
@@ -1,4 +1,5 @@
 #include "http.h"
+#include "base/http_call.h"
 
 #include <string.h>
 
@@ -70,16 +71,12 @@
   return CF_STORE_OK;
 }
 
-/* Sends MESSAGE over a new connection, so that a connection that stopped responding does not
- * delay the next call. */
 static GBytes *
 call (struct CfHttpStore *http, SoupMessage *message, struct CfError *error)
 {
   GError *cause = NULL;
-  GBytes *body;
+  GBytes *body = cf_http_fetch_wait (http->session, message, CF_HTTP_DEADLINE_MS, &cause);
 
-  soup_message_add_flags (message, SOUP_MESSAGE_NEW_CONNECTION);
-  body = soup_session_send_and_read (http->session, message, NULL, &cause);
   if (!body)
     cf_error_set (error, CF_ERROR_IO, "platform %s: %s", http->base, cause->message);
   else if (soup_message_get_status (message) >= 400)
@@ -161,7 +158,7 @@
   struct CfHttpStore *http = g_new0 (struct CfHttpStore, 1);
 
   http->base = g_strdup (base_url);
-  http->session = soup_session_new_with_options ("timeout", CF_HTTP_DEADLINE_S, NULL);
+  http->session = soup_session_new ();
   return http;
 }
 
--- a/src/objectstore/http.h
+++ b/src/objectstore/http.h
@@ -15,7 +15,7 @@
  *        Status objects, "status-" and the VM's name, are written without condition.
  *   GET  BASE/vms            JSON array of the entry VMs. */
 
-#define CF_HTTP_DEADLINE_S 3
+#define CF_HTTP_DEADLINE_MS 3000 /* of a command's call */
 
 /* Returns a request to read NAME; with TAG it waits up to WAIT_S for another version. */
 SoupMessage *cf_http_read_message (const char *base, const char *name, const char *tag, int wait_s);
--- a/src/serve/feed_internal.h
+++ b/src/serve/feed_internal.h
@@ -7,7 +7,7 @@
 #include "feed/replica.h"
 #include "feed/rotation.h"
 #include "feed/sources.h"
-#include "http_call.h"
+#include "base/http_call.h"
 #include "http_listen.h"
 
 /* The parts of the feed task, which owns all of them:
--- a/src/serve/health_task.c
+++ b/src/serve/health_task.c
@@ -1,6 +1,6 @@
 #include "server.h"
 #include "log.h"
-#include "http_call.h"
+#include "base/http_call.h"
 #include "base/json_text.h"
 
 #include <libsoup/soup.h>
@@ -61,7 +61,7 @@
 {
   struct Request *request = data;
   struct HealthTask *task = request->task;
-  GBytes *body = cf_http_fetch_finish (result);
+  GBytes *body = cf_http_fetch_finish (result, NULL);
   struct CfHealthAnswer answer = { .upstream = request->upstream };
 
   (void) source;
--- a/src/serve/platform_task.c
+++ b/src/serve/platform_task.c
@@ -1,6 +1,6 @@
 #include "server.h"
 #include "log.h"
-#include "http_call.h"
+#include "base/http_call.h"
 #include "base/json_text.h"
 #include "objectstore/http.h"
 
--- a/tests/layers.sh
+++ b/tests/layers.sh
@@ -1,6 +1,7 @@
 #!/bin/sh
 # Checks that each file of src/gue calls only files that stand before it in the list of
-# src/gue/internal.h.  The argument is the build folder.
+# src/gue/internal.h, and that JSON and answers over HTTP are read in one place each, where their
+# depth, size and time are bounded.  The argument is the build folder.
 set -eu
 
 objects=$1/src/gue
@@ -11,9 +12,21 @@
   echo "src/gue has $count files, but the list of layers names $(echo $layers | wc -w)"
   exit 1
 fi
+status=0
+# Prints the objects of the program, except FILE, that call a function that matches PATTERN.
+callers() { # PATTERN FILE
+  find "$1/src" "$1/platform" -name '*.o' ! -name "$3.o" -exec nm -A -u {} + | grep " U $2" || true
+}
+if callers "$1" 'json_\(parser_\(new\|load\)\|from_string\|reader_new\)' json_text | grep .; then
+  echo "JSON is parsed without base/json_text.c, which bounds its depth"
+  status=1
+fi
+if callers "$1" 'soup_session_\(send\|preconnect\)' http_call | grep .; then
+  echo "a call is sent without base/http_call.c, which bounds its time and its answer"
+  status=1
+fi
 above=$(mktemp)
 trap 'rm -f "$above"' EXIT
-status=0
 for layer in $(echo "$layers" | tr ' ' '\n' | tac); do
   # The highest layer is visited first; $above lists the symbols of the layers visited so far.
   for symbol in $(nm -u "$objects/$layer.o" | awk '{ print $2 }' | grep '^cf_' || true); do
--- a/tests/test_connection_reset.c
+++ b/tests/test_connection_reset.c
@@ -1,4 +1,4 @@
-#include "serve/http_call.h"
+#include "base/http_call.h"
 #include "serve/server.h"
 #include "suite.h"
 #include "tcp_server.h"
--- a/tests/test_http_call.c
+++ b/tests/test_http_call.c
@@ -1,4 +1,4 @@
-#include "serve/http_call.h"
+#include "base/http_call.h"
 #include "suite.h"
 
 #include <stdatomic.h>
@@ -8,9 +8,12 @@
 #include <arpa/inet.h>
 #include <unistd.h>
 
-/* Calls to servers that answer in odd ways: each ends in time, and takes bounded memory. */
+/* Calls to servers that answer in odd ways: each ends in time, and takes bounded memory.  Commands
+ * read endless answers of the platform or a VM until memory ran out, and one that came byte by byte
+ * for ever. */
 
 #define DEADLINE_MS 4000
+#define SLOW_MS 20 /* between two bytes */
 #define MEMORY_MAX_KB (3 * CF_HTTP_BODY_MAX_BYTES / 1024)
 
 enum Answer
@@ -19,6 +22,7 @@
   ANSWER_ENDLESS_CHUNK,
   ANSWER_LARGE_LENGTH, /* says that a terabyte follows */
   ANSWER_ENDLESS_HEADER,
+  ANSWER_SLOW_BODY,  /* a byte at a time, without end */
   ANSWER_LARGE_BODY, /* just within the limit */
   ANSWERS,
 };
@@ -28,6 +32,7 @@
   [ANSWER_ENDLESS_CHUNK] = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nffffffffff\r\n",
   [ANSWER_LARGE_LENGTH] = "HTTP/1.1 200 OK\r\nContent-Length: 1099511627776\r\n\r\n",
   [ANSWER_ENDLESS_HEADER] = "HTTP/1.1 200 OK\r\nX: ",
+  [ANSWER_SLOW_BODY] = "HTTP/1.1 200 OK\r\n\r\n",
   [ANSWER_LARGE_BODY] = "HTTP/1.1 200 OK\r\nContent-Length: 33554432\r\n\r\n",
 };
 
@@ -44,6 +49,7 @@
   struct Server *server = data;
   char buffer[65536];
   int connection = accept (server->socket, NULL, NULL);
+  size_t part = server->answer == ANSWER_SLOW_BODY ? 1 : sizeof buffer;
   uint64_t left = server->answer == ANSWER_LARGE_BODY ? CF_HTTP_BODY_MAX_BYTES : G_MAXUINT64;
 
   (void) !read (connection, buffer, sizeof buffer);
@@ -51,8 +57,10 @@
   memset (buffer, 'x', sizeof buffer);
   while (left > 0)
     {
-      ssize_t sent = send (connection, buffer, MIN (left, sizeof buffer), MSG_NOSIGNAL);
+      ssize_t sent = send (connection, buffer, MIN (left, part), MSG_NOSIGNAL);
 
+      if (server->answer == ANSWER_SLOW_BODY)
+        g_usleep (SLOW_MS * G_TIME_SPAN_MILLISECOND);
       if (sent <= 0)
         break;
       left -= (uint64_t) sent;
@@ -92,6 +100,21 @@
   outcome->len = body ? g_bytes_get_size (body) : 0;
 }
 
+/* As a command does. */
+static void
+fetch_and_wait (SoupSession *session, const char *url, struct Outcome *outcome)
+{
+  SoupMessage *message = soup_message_new ("GET", url);
+  GError *error = NULL;
+  GBytes *body = cf_http_fetch_wait (session, message, DEADLINE_MS, &error);
+
+  ck_assert ((body != NULL) == (error == NULL));
+  done (outcome, message, body);
+  g_clear_pointer (&body, g_bytes_unref);
+  g_clear_error (&error);
+  g_object_unref (message);
+}
+
 static long
 peak_kb (void)
 {
@@ -103,7 +126,8 @@
 
 START_TEST (test_endless_answer_takes_bounded_memory)
 {
-  struct Server server = { .answer = (enum Answer) _i };
+  struct Server server = { .answer = (enum Answer) (_i % ANSWERS) };
+  bool command = _i >= ANSWERS;
   char *url = listen_on_loopback (&server);
   SoupSession *session = soup_session_new ();
   struct Outcome outcome = { 0 };
@@ -111,10 +135,13 @@
   GThread *thread = g_thread_new ("server", serve, &server);
   gint64 began = g_get_monotonic_time ();
 
-  cf_http_call_begin (session, soup_message_new ("GET", url), DEADLINE_MS, done, &outcome);
+  if (command)
+    fetch_and_wait (session, url, &outcome);
+  else
+    cf_http_call_begin (session, soup_message_new ("GET", url), DEADLINE_MS, done, &outcome);
   while (!outcome.done)
     g_main_context_iteration (NULL, TRUE);
-  ck_assert_uint_eq (outcome.len, _i == ANSWER_LARGE_BODY ? CF_HTTP_BODY_MAX_BYTES : 0);
+  ck_assert_uint_eq (outcome.len, server.answer == ANSWER_LARGE_BODY ? CF_HTTP_BODY_MAX_BYTES : 0);
   /* The connection is closed: nothing goes on reading the rest. */
   while (!atomic_load (&server.ended)
          && g_get_monotonic_time () - began < 2 * DEADLINE_MS * G_TIME_SPAN_MILLISECOND)
@@ -160,7 +187,7 @@
 {
   Suite *suite = suite_create ("http_call");
 
-  suite_add_loop (suite, test_endless_answer_takes_bounded_memory, ANSWERS);
+  suite_add_loop (suite, test_endless_answer_takes_bounded_memory, 2 * ANSWERS);
   suite_add_loop (suite, test_call_without_url_ends, 1);
   return suite_run (suite);
 }
