Test: no call goes over a connection that went silent

Trace of the case on: the source of vm-c1 is out of date after 2.1 s; its probe of the store goes over a connection that has been idle, and silent, for 20 s, and is lost 0.7 s later; 0.1 s later the probe succeeds over a new one; then "upstreams" and "vms" go over idle ones again and are lost after 0.7 s more. 2.1 + 0.7 + 0.1 + 0.2 + 0.7 s is beyond the 3 s. The same holds for vm-d1, b1 and b2.

No test named this failure: test_connection_reset counts connections, and nothing played connections that stay open and silent.

The tests run the feed task beside a store and a followed VM whose connections go silent while they wait or once they are idle.

tests/store.c lists in pages now, by name.

--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,9 @@
 LIB_SRC := $(wildcard src/base/*.c src/config/*.c src/gue/*.c src/packet/*.c src/peer/*.c \
   src/balance/*.c src/feed/*.c)
 APP_SRC := $(wildcard platform/*.c src/objectstore/*.c src/serve/*.c src/cli/*.c)
-TEST_LIB_SRC := $(filter-out tests/test_%.c tests/live.c tests/objectstore.c tests/foreign.c,\
+# The play of a task needs the other tasks, too.
+FEED_PLAY_SRC := tests/feed_play.c
+TEST_LIB_SRC := $(filter-out tests/test_%.c tests/live.c tests/objectstore.c tests/foreign.c $(FEED_PLAY_SRC),\
   $(wildcard tests/*.c))
 TEST_SRC := $(wildcard tests/test_*.c)
 STANDIN_SRC := tests/live.c tests/objectstore.c tests/foreign.c
@@ -64,7 +66,9 @@
 	$(CC) $^ $(LIBS) $(CHECK_LIBS) -o $@
 
 # These tests run a task of the program, or what tasks share.
-$(BUILD)/test_feed_lifetime $(BUILD)/test_connection_reset: $(filter $(BUILD)/src/serve/%,$(APP_OBJ))
+$(BUILD)/test_feed_lifetime $(BUILD)/test_silent_connections: $(FEED_PLAY_SRC:%.c=$(BUILD)/%.o)
+$(BUILD)/test_feed_lifetime $(BUILD)/test_silent_connections $(BUILD)/test_connection_reset: \
+  $(filter $(BUILD)/src/serve/%,$(APP_OBJ))
 
 $(STANDINS): $(BUILD)/%: $(BUILD)/tests/%.o $(TEST_LIB_OBJ) $(BUILD)/src/serve/udp.o $(LIB_OBJ)
 	$(CC) $^ $(LIBS) -o $@
--- a/tests/soak/store.c
+++ b/tests/soak/store.c
@@ -91,12 +91,6 @@
   g_string_free (text, TRUE);
 }
 
-static int
-compare_names (gconstpointer a, gconstpointer b)
-{
-  return strcmp ((*(struct CfRecord *const *) a)->name, (*(struct CfRecord *const *) b)->name);
-}
-
 /* Responds with the page after the name AFTER (NULL: the first one). */
 static void
 respond_list (struct SoakStore *store,
@@ -109,14 +103,11 @@
   guint count = 0;
   guint i = 0;
 
-  test_store_list (store->data, kind, &response);
-  g_ptr_array_sort (response.records, compare_names);
+  test_store_list (store->data, kind, after, G_MAXUINT, &response);
   for (; i < response.records->len && count < store->page && text->len < PAGE_BYTES_MAX; i++)
     {
       const struct CfRecord *record = response.records->pdata[i];
 
-      if (after && strcmp (record->name, after) <= 0)
-        continue;
       g_string_append (text, count++ ? "," : "");
       append_object (text, record);
     }
@@ -432,7 +423,7 @@
   GPtrArray *names = g_ptr_array_new_with_free_func (g_free);
   struct CfFeedResponse response;
 
-  test_store_list (store->data, kind, &response);
+  test_store_list (store->data, kind, NULL, G_MAXUINT, &response);
   for (guint i = 0; i < response.records->len; i++)
     g_ptr_array_add (names, g_strdup (((struct CfRecord *) response.records->pdata[i])->name));
   cf_feed_response_clear (&response);
--- a/tests/store.c
+++ b/tests/store.c
@@ -102,9 +102,17 @@
                                                      !change->content, change->content));
 }
 
+static gint
+compare_names (gconstpointer a, gconstpointer b)
+{
+  return strcmp ((*(struct CfRecord *const *) a)->name, (*(struct CfRecord *const *) b)->name);
+}
+
 void
 test_store_list (const struct TestStore *store,
                  enum CfFeedKind kind,
+                 const char *after,
+                 guint max,
                  struct CfFeedResponse *response)
 {
   GHashTable *seen = g_hash_table_new (g_str_hash, g_str_equal);
@@ -114,10 +122,18 @@
     {
       const struct Change *change = store->changes->pdata[i - 1];
 
-      if (change->kind == kind && g_hash_table_add (seen, change->name) && change->content)
+      if (change->kind == kind && g_hash_table_add (seen, change->name) && change->content
+          && (!after || strcmp (change->name, after) > 0))
         add_record (response, change);
     }
   g_hash_table_unref (seen);
+  g_ptr_array_sort (response->records, compare_names);
+  response->truncated = response->records->len > max;
+  if (response->truncated)
+    g_ptr_array_set_size (response->records, (gint) max);
+  if (response->records->len > 0)
+    response->last = g_strdup (
+        ((struct CfRecord *) response->records->pdata[response->records->len - 1])->name);
 }
 
 bool
--- a/tests/store.h
+++ b/tests/store.h
@@ -23,9 +23,12 @@
 /* Returns the content of NAME, or NULL. */
 const char *test_store_get (const struct TestStore *store, enum CfFeedKind kind, const char *name);
 
-/* Fills in RESPONSE, to be released with cf_feed_response_clear. */
+/* Fills in RESPONSE, to be released with cf_feed_response_clear, with the first MAX records by name
+ * after the name AFTER (NULL: of all). */
 void test_store_list (const struct TestStore *store,
                       enum CfFeedKind kind,
+                      const char *after,
+                      guint max,
                       struct CfFeedResponse *response);
 
 /* Fills in RESPONSE with the changes after REVISION.  Returns false if the store does not have that
--- a/tests/tcp_server.c
+++ b/tests/tcp_server.c
@@ -16,12 +16,19 @@
 bool
 tcp_server_read_request (int fd)
 {
-  char text[4096];
+  char text[TCP_SERVER_HEAD_MAX];
+
+  return tcp_server_read_head (fd, text);
+}
+
+bool
+tcp_server_read_head (int fd, char text[TCP_SERVER_HEAD_MAX])
+{
   size_t len = 0;
 
-  while (len < sizeof text - 1)
+  while (len < TCP_SERVER_HEAD_MAX - 1)
     {
-      ssize_t got = read (fd, text + len, sizeof text - 1 - len);
+      ssize_t got = read (fd, text + len, TCP_SERVER_HEAD_MAX - 1 - len);
 
       if (got <= 0)
         return false;
@@ -71,8 +78,13 @@
 void
 tcp_server_start (struct TcpServer *server)
 {
-  GInetAddress *ip = g_inet_address_new_loopback (G_SOCKET_FAMILY_IPV4);
-  GSocketAddress *address = g_inet_socket_address_new (ip, 0);
+  tcp_server_start_at (server, "127.0.0.1", 0);
+}
+
+void
+tcp_server_start_at (struct TcpServer *server, const char *ip, uint16_t port)
+{
+  GSocketAddress *address = g_inet_socket_address_new_from_string (ip, port);
   GSocketAddress *bound;
 
   server->listener
@@ -83,7 +95,6 @@
   server->port = g_inet_socket_address_get_port (G_INET_SOCKET_ADDRESS (bound));
   g_object_unref (bound);
   g_object_unref (address);
-  g_object_unref (ip);
   server->thread = g_thread_new ("server", run, server);
 }
 
--- a/tests/tcp_server.h
+++ b/tests/tcp_server.h
@@ -20,12 +20,21 @@
   GThread *thread;
 };
 
+/* Listens at any port of 127.0.0.1. */
 void tcp_server_start (struct TcpServer *server);
 
+/* Listens at IP and PORT, 0: any. */
+void tcp_server_start_at (struct TcpServer *server, const char *ip, uint16_t port);
+
 /* Waits until all connections are closed. */
 void tcp_server_stop (struct TcpServer *server);
 
 /* Reads the head of an HTTP request.  Returns false at the end of the connection. */
 bool tcp_server_read_request (int fd);
 
+#define TCP_SERVER_HEAD_MAX 4096
+
+/* The same; TEXT gets the head, and what came with it. */
+bool tcp_server_read_head (int fd, char text[TCP_SERVER_HEAD_MAX]);
+
 #endif
--- a/tests/test_feed_lifetime.c
+++ b/tests/test_feed_lifetime.c
@@ -1,46 +1,20 @@
-#include "serve/feed_internal.h"
-#include "serve/server.h"
+#include "feed_play.h"
 #include "suite.h"
 
-#include <unistd.h>
-
 /* What the feed task refers to while it handles an answer must outlive the handling, also where the
  * answer itself removes it.  The task runs on the test's thread, with the VM that it follows on
  * another loopback address.  Most of these failures show under the address sanitizer only. */
 
-#define PORT_MIN 20000
-#define PORTS 10000
-#define WAIT_S 10
-
 /* The VM under test is "vm-2".  It follows "vm-1", the first of its failure domain. */
 struct Feed
 {
-  struct CfBalancer balancer;
-  struct FeedTask *task;
+  struct FeedPlay play;
   SoupServer *followed;
   struct CfReplica answer; /* what the followed VM sends */
   struct CfUpdateOrigin origin;
   int requests; /* that the followed VM has had */
 };
 
-static void
-never_stop (struct CfTask *task, void *data)
-{
-  (void) task;
-  (void) data;
-}
-
-/* Messages to the other tasks are kept and freed with them. */
-static const struct CfTaskClass idle_class = { .name = "idle", .stop = never_stop };
-
-static char *
-loopback_ip (int host)
-{
-  pid_t pid = getpid ();
-
-  return g_strdup_printf ("127.%d.%d.%d", 1 + (pid >> 8) % 250, pid & 0xff, host);
-}
-
 static void
 answer_follower (SoupServer *soup,
                  SoupServerMessage *message,
@@ -95,13 +69,7 @@
 static void
 add_vm (GPtrArray *records, const char *name, const char *ip, uint64_t revision)
 {
-  char *content = cf_vm_record_format (&(struct CfVmRecord){
-      .ip = ip,
-      .domain = "d",
-      .region = "r",
-      .link_mbps = 100,
-      .hour = cf_sources_hour (name, g_get_real_time () / G_TIME_SPAN_SECOND),
-  });
+  char *content = feed_play_vm_record (name, ip);
 
   g_ptr_array_add (records, cf_record_new (name, revision, false, content));
   g_free (content);
@@ -123,36 +91,19 @@
 static void
 start_feed (struct Feed *feed)
 {
-  static int ports;
-  struct CfBalancer *balancer = &feed->balancer;
-  struct CfError error = { 0 };
-  char *ip = loopback_ip (1);
+  const struct CfBalanceSettings *settings = &feed->play.balancer.settings;
+  char *ip = feed_play_ip (1);
   GPtrArray *records = new_records ();
 
   *feed = (struct Feed){ .origin = { .age = 0 } };
-  balancer->settings = (struct CfBalanceSettings){
-    .name = g_strdup ("vm-2"),
-    .ip = loopback_ip (2),
-    .failure_domain = g_strdup ("d"),
-    .region = g_strdup ("r"),
-    .seeds = g_new0 (char *, 1),
-    .store = g_strdup_printf ("%s:1", ip), /* nothing listens there */
-    .peer_port = (uint16_t) (PORT_MIN + (getpid () + 7 * ports++) % PORTS),
-    .link_mbps = 100,
-  };
-  ck_assert (cf_address_parse (balancer->settings.ip, 0, &balancer->settings.ready));
-  balancer->log = cf_event_log_new ("vm-2");
-  cf_task_prepare (&balancer->datapath, &idle_class, NULL);
-  cf_task_prepare (&balancer->feed, &cf_feed_task, cf_feed_task_new (balancer));
-  feed->task = balancer->feed.data;
-  g_main_context_push_thread_default (balancer->feed.context);
+  feed_play_prepare (&feed->play, g_strdup_printf ("%s:1", ip)); /* nothing listens there */
   cf_replica_init (&feed->answer);
-  feed->followed = listen_at (ip, balancer->settings.peer_port, feed);
-  ck_assert_msg (cf_feed_task.start (&balancer->feed, feed->task, &error), "%s", error.text);
-  cf_feed_learn_era (feed->task, 1);
+  feed->followed = listen_at (ip, settings->peer_port, feed);
+  feed_play_start (&feed->play);
+  cf_feed_learn_era (feed->play.task, 1);
   add_vm (records, "vm-1", ip, 1);
-  add_vm (records, "vm-2", balancer->settings.ip, 1);
-  cf_feed_apply (feed->task, CF_FEED_VMS, records, 1, true, true);
+  add_vm (records, "vm-2", settings->ip, 1);
+  cf_feed_apply (feed->play.task, CF_FEED_VMS, records, 1, true, true);
   cf_replica_enter_era (&feed->answer, 1, 0);
   apply_and_free (&feed->answer, records, 1, true);
   g_free (ip);
@@ -161,32 +112,24 @@
 static void
 stop_feed (struct Feed *feed)
 {
-  struct CfBalancer *balancer = &feed->balancer;
-
-  cf_feed_task.stop (&balancer->feed, feed->task);
   close_server (feed->followed);
-  while (g_main_context_iteration (balancer->feed.context, FALSE))
-    ;
-  g_main_context_pop_thread_default (balancer->feed.context);
-  cf_task_finish (&balancer->feed);
-  cf_task_finish (&balancer->datapath);
-  cf_feed_task_free (feed->task);
+  feed_play_stop (&feed->play);
   cf_replica_clear (&feed->answer);
-  cf_event_log_free (balancer->log);
-  cf_balance_settings_clear (&balancer->settings);
+}
+
+static bool
+has_response (const void *data)
+{
+  const struct Feed *feed = data;
+
+  return feed->requests > 0 && !feed->play.task->follow.call;
 }
 
 /* Runs the task until it has handled a response of the followed VM. */
 static void
 await_response (struct Feed *feed)
 {
-  gint64 end = g_get_monotonic_time () + WAIT_S * G_TIME_SPAN_SECOND;
-
-  while (feed->requests == 0 || feed->task->follow.call)
-    {
-      ck_assert_msg (g_get_monotonic_time () < end, "no response after %d s", WAIT_S);
-      g_main_context_iteration (feed->balancer.feed.context, TRUE);
-    }
+  feed_play_await (&feed->play, has_response, feed, "a response");
 }
 
 /* Records that the followed VM sends beside the removal of its own record. */
@@ -208,7 +151,7 @@
   else if (removal == REMOVAL_UNREADABLE)
     g_ptr_array_add (records, cf_record_new ("vm-1", 2, false, "{}"));
   else
-    add_vm (records, "vm-2", feed->balancer.settings.ip, 1);
+    add_vm (records, "vm-2", feed->play.balancer.settings.ip, 1);
   apply_and_free (&feed->answer, records, 2, removal == REMOVAL_LIST);
 }
 
@@ -223,9 +166,9 @@
   if (stale)
     feed.origin.age = 60 * CF_MS_PER_S;
   await_response (&feed);
-  ck_assert_str_eq (feed.task->follow.name, "vm-1");
-  ck_assert_uint_eq (feed.task->replica.revision[CF_FEED_VMS], 2);
-  ck_assert_uint_eq (cf_sources_domain_size (feed.task->sources), 1);
+  ck_assert_str_eq (feed.play.task->follow.name, "vm-1");
+  ck_assert_uint_eq (feed.play.task->replica.revision[CF_FEED_VMS], 2);
+  ck_assert_uint_eq (cf_sources_domain_size (feed.play.task->sources), 1);
   stop_feed (&feed);
 }
 END_TEST
@@ -235,28 +178,28 @@
 START_TEST (test_failed_starts)
 {
   struct Feed feed;
-  struct CfTask *base = &feed.balancer.feed;
+  struct CfTask *base = &feed.play.balancer.feed;
   struct CfError error = { 0 };
   const char *ip;
   SoupServer *listener = NULL;
   GSocket *socket = NULL;
 
   start_feed (&feed);
-  cf_feed_task.stop (base, feed.task);
-  ip = feed.balancer.settings.ip;
+  cf_feed_task.stop (base, feed.play.task);
+  ip = feed.play.balancer.settings.ip;
   if (_i == 0)
-    listener = listen_at (ip, feed.balancer.settings.peer_port, &feed);
+    listener = listen_at (ip, feed.play.balancer.settings.peer_port, &feed);
   else
-    socket = cf_udp_open (ip, feed.balancer.settings.peer_port, &error);
+    socket = cf_udp_open (ip, feed.play.balancer.settings.peer_port, &error);
   ck_assert (listener || socket);
   for (int i = 0; i < 2; i++)
     {
-      ck_assert (!cf_feed_task.start (base, feed.task, &error));
-      cf_feed_task.stop (base, feed.task);
+      ck_assert (!cf_feed_task.start (base, feed.play.task, &error));
+      cf_feed_task.stop (base, feed.play.task);
     }
   g_clear_pointer (&listener, close_server);
   g_clear_object (&socket);
-  ck_assert_msg (cf_feed_task.start (base, feed.task, &error), "%s", error.text);
+  ck_assert_msg (cf_feed_task.start (base, feed.play.task, &error), "%s", error.text);
   await_response (&feed);
   stop_feed (&feed);
 }
@@ -270,11 +213,11 @@
   struct CfError error = { 0 };
 
   start_feed (&feed);
-  cf_feed_task.stop (&feed.balancer.feed, feed.task);
-  ck_assert (cf_feed_task.start (&feed.balancer.feed, feed.task, &error));
+  cf_feed_task.stop (&feed.play.balancer.feed, feed.play.task);
+  ck_assert (cf_feed_task.start (&feed.play.balancer.feed, feed.play.task, &error));
   for (int kind = 0; kind < CF_FEED_KINDS; kind++)
     {
-      struct CfReader *reader = &feed.task->channels[kind].reader;
+      struct CfReader *reader = &feed.play.task->channels[kind].reader;
 
       reader->listed = true;
       ck_assert_int_eq (cf_reader_outcome (reader, CF_READ_ANSWERED, 1), CF_READ_ANSWERED);
--- a/tests/test_restored_store.c
+++ b/tests/test_restored_store.c
@@ -293,7 +293,7 @@
   if (is_away (play))
     outcome = CF_READ_NO_ANSWER;
   else if (listing)
-    test_store_list (play->store, kind, &response);
+    test_store_list (play->store, kind, NULL, G_MAXUINT, &response);
   else if (!test_store_watch (play->store, kind, reader->revision, &response))
     outcome = CF_READ_HISTORY_GONE;
   outcome = cf_reader_outcome (reader, outcome, response.era);
--- /dev/null
+++ b/tests/test_silent_connections.c
@@ -0,0 +1,271 @@
+#include "feed_play.h"
+#include "silent_server.h"
+#include "store.h"
+#include "suite.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Connections that go silent for good, without a reset, while new ones work: to the store, and to
+ * the VM that is followed.  A call may cost its own deadline once; no later call may go over a
+ * silent connection, and no other may wait for it. */
+
+#define MANIFEST                                                                                   \
+  "{\"version\":1,\"routes\":[],\"services\":[],\"limits\":{\"idle-timeout-ms\":15000}}"
+
+static const char *const kind_paths[CF_FEED_KINDS] = {
+  [CF_FEED_MANIFEST] = "/config?",
+  [CF_FEED_UPSTREAMS] = "/servers?",
+  [CF_FEED_EVACUATIONS] = "/evacuations?",
+  [CF_FEED_VMS] = "/cyclamenferry-vms?",
+};
+
+/* "vm-2" beside a store and, with FOLLOWS, the VM "vm-1", which it follows. */
+struct Play
+{
+  struct FeedPlay feed;
+  bool follows;
+  struct SilentServer store;
+  struct TestStore *data; /* guarded by the store's mutex */
+  struct SilentServer vm;
+  struct CfReplica vm_data; /* of "vm-1", guarded by its mutex, like the next two */
+  struct CfRelayCache vm_cache;
+  struct CfUpdateOrigin vm_origin;
+};
+
+static void
+append_object (GString *text, const struct CfRecord *record)
+{
+  g_string_append_printf (
+      text, "{\"meta\":{\"name\":\"%s\",\"revision\":%" G_GUINT64_FORMAT "},\"spec\":%s}",
+      record->name, record->revision, record->text ? record->text : "null");
+}
+
+static GBytes *
+format_response (struct CfFeedResponse *response, bool list)
+{
+  GString *text = g_string_new (list ? "{\"items\":[" : "{\"events\":[");
+
+  for (guint i = 0; i < response->records->len; i++)
+    {
+      const struct CfRecord *record = response->records->pdata[i];
+
+      g_string_append (text, i > 0 ? "," : "");
+      if (!list)
+        g_string_append_printf (text,
+                                "{\"deleted\":%s,\"object\":", record->deleted ? "true" : "false");
+      append_object (text, record);
+      g_string_append (text, list ? "" : "}");
+    }
+  g_string_append_printf (text, "],\"truncated\":%s,\"store-revision\":%" G_GUINT64_FORMAT "}",
+                          response->truncated ? "true" : "false", response->revision);
+  cf_feed_response_clear (response);
+  return g_string_free_to_bytes (text);
+}
+
+static enum CfFeedKind
+kind_of (const char *path)
+{
+  char *query = strchr (path, '?') ? g_strdup (path) : g_strconcat (path, "?", NULL);
+  int kind = 0;
+
+  while (!strstr (query, kind_paths[kind]))
+    kind++;
+  g_free (query);
+  return (enum CfFeedKind) kind;
+}
+
+static GBytes *
+answer_as_store (void *data, const struct SilentRequest *request)
+{
+  struct Play *play = data;
+  enum CfFeedKind kind = kind_of (request->path);
+  const char *watch = strstr (request->path, "watch=");
+  struct CfFeedResponse response;
+
+  if (!watch)
+    {
+      test_store_list (play->data, kind, NULL, G_MAXUINT, &response);
+      return format_response (&response, true);
+    }
+  ck_assert (
+      test_store_watch (play->data, kind, g_ascii_strtoull (watch + 6, NULL, 10), &response));
+  if (response.records->len > 0 || request->over)
+    return format_response (&response, false);
+  cf_feed_response_clear (&response);
+  return NULL;
+}
+
+static GBytes *
+answer_as_vm (void *data, const struct SilentRequest *request)
+{
+  struct Play *play = data;
+  GHashTable *query = soup_form_decode (strchr (request->path, '?') + 1);
+  struct CfFeedPosition position = { .era = 0 };
+  GBytes *body = NULL;
+
+  ck_assert (cf_feed_position_parse (query, &position));
+  if (request->over || play->vm_origin.age > 0 || cf_relay_has_changes (&play->vm_data, &position))
+    body = cf_relay_encode (&play->vm_cache, &play->vm_data, &position, &play->vm_origin);
+  g_hash_table_unref (query);
+  return body;
+}
+
+static void
+put (struct Play *play, enum CfFeedKind kind, const char *name, const char *content)
+{
+  g_mutex_lock (&play->store.mutex);
+  test_store_put (play->data, kind, name, content, 0);
+  g_cond_broadcast (&play->store.changed);
+  g_mutex_unlock (&play->store.mutex);
+}
+
+/* "vm-1" has what the store has now. */
+static void
+copy_store (struct Play *play)
+{
+  cf_replica_init (&play->vm_data);
+  cf_replica_enter_era (&play->vm_data, 1, 0);
+  for (int kind = 0; kind < CF_FEED_KINDS; kind++)
+    {
+      struct CfFeedResponse response;
+
+      test_store_list (play->data, (enum CfFeedKind) kind, NULL, G_MAXUINT, &response);
+      g_ptr_array_unref (cf_replica_apply (&play->vm_data, (enum CfFeedKind) kind, response.records,
+                                           response.revision, true));
+      cf_feed_response_clear (&response);
+    }
+}
+
+static void
+add_vm (struct Play *play, const char *name, int host)
+{
+  char *ip = feed_play_ip (host);
+  char *content = feed_play_vm_record (name, ip);
+
+  test_store_put (play->data, CF_FEED_VMS, name, content, 0);
+  g_free (content);
+  g_free (ip);
+}
+
+/* The VM has the data, and waits for changes: at "vm-1" if it follows that, else at the store. */
+static bool
+waits_for_changes (const void *data)
+{
+  struct Play *play = (struct Play *) data;
+
+  if (play->follows)
+    return silent_server_has_waiting (&play->vm, "/feed?");
+  for (int kind = 0; kind < CF_FEED_VMS; kind++)
+    if (!silent_server_has_waiting (&play->store, kind_paths[kind]))
+      return false;
+  return true;
+}
+
+static void
+start (struct Play *play, bool follows)
+{
+  char *ip = feed_play_ip (1);
+
+  *play = (struct Play){ .follows = follows, .vm_origin = { .reader = (char *) "vm-1" } };
+  play->data = test_store_new ();
+  play->store = (struct SilentServer){ .answer = answer_as_store, .data = play };
+  play->vm = (struct SilentServer){ .answer = answer_as_vm,
+                                    .data = play,
+                                    .headers = CF_RELAY_ERA_HEADER ": 1\r\n" };
+  test_store_put (play->data, CF_FEED_MANIFEST, "main", MANIFEST, 0);
+  add_vm (play, "vm-2", 2);
+  if (follows)
+    add_vm (play, "vm-1", 1);
+  copy_store (play);
+  silent_server_start (&play->store, NULL, 0);
+  feed_play_prepare (&play->feed, g_strdup_printf ("127.0.0.1:%u", play->store.tcp.port));
+  silent_server_start (&play->vm, ip, play->feed.balancer.settings.peer_port);
+  cf_feed_learn_era (play->feed.task, 1);
+  feed_play_start (&play->feed);
+  feed_play_await (&play->feed, waits_for_changes, play, "waiting for changes");
+  g_free (ip);
+}
+
+static void
+stop (struct Play *play)
+{
+  feed_play_stop (&play->feed);
+  silent_server_stop (&play->store);
+  silent_server_stop (&play->vm);
+  cf_relay_cache_clear (&play->vm_cache);
+  cf_replica_clear (&play->vm_data);
+  test_store_free (play->data);
+}
+
+static bool
+knows_upstream (const void *data)
+{
+  const struct Play *play = data;
+
+  return g_hash_table_contains (play->feed.task->replica.records[CF_FEED_UPSTREAMS], "i-1");
+}
+
+/* review/3: a VM that follows another kept its connections to the store from its start, idle.  They
+ * went silent, and much later, when its source had no fresh data, each kind of records in turn was
+ * asked for over one of them: the sum of the deadlines was beyond the time in which a drain has to
+ * be in force. */
+START_TEST (test_idle_connections_to_store_are_not_used)
+{
+  struct Play play;
+
+  start (&play, true);
+  silent_server_silence (&play.store, NULL);
+  put (&play, CF_FEED_UPSTREAMS, "i-1", "{}");
+  g_mutex_lock (&play.vm.mutex);
+  play.vm_origin.age = 60 * CF_MS_PER_S;
+  g_cond_broadcast (&play.vm.changed);
+  g_mutex_unlock (&play.vm.mutex);
+  feed_play_await (&play.feed, knows_upstream, &play, "the change");
+  ck_assert_int_eq (silent_server_on_silent (&play.store), 0);
+  stop (&play);
+}
+END_TEST
+
+struct Count
+{
+  struct SilentServer *server;
+  int requests;
+};
+
+static bool
+has_requests (const void *data)
+{
+  const struct Count *count = data;
+
+  return silent_server_requests (count->server) >= count->requests;
+}
+
+/* The connection to the followed VM goes silent while a request waits, or each time after one: the
+ * next request takes a new one. */
+START_TEST (test_silent_connection_to_vm_is_replaced)
+{
+  struct Play play;
+  struct Count count;
+
+  start (&play, true);
+  play.vm.silent_if_idle = _i;
+  silent_server_silence (&play.vm, "/feed?");
+  count = (struct Count){ &play.vm, silent_server_requests (&play.vm) + 3 };
+  feed_play_await (&play.feed, has_requests, &count, "three more requests");
+  ck_assert_int_eq (silent_server_on_silent (&play.vm), 0);
+  stop (&play);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("silent connections");
+
+  g_log_set_always_fatal (G_LOG_LEVEL_CRITICAL | G_LOG_LEVEL_ERROR);
+  cf_task_register_types ();
+  suite_add_loop (suite, test_idle_connections_to_store_are_not_used, 1);
+  suite_add_loop (suite, test_silent_connection_to_vm_is_replaced, 2);
+  return suite_run (suite);
+}
