A kind of records whose watch is lost does not wait for the long polls of the others

What a caller could see: the connection of the reader that waits for upstreams goes silent, an upstream drains, and the reader learns of it up to 3.7 s later: 2.2 s until the deadline of that call, then up to 1.5 s until a call for another kind ends.

Cause: once a call has failed, only the kind that probes the store is called, and its call may be a long poll that began before.

Change: as long as the probing kind itself has not failed, a kind that has is tried by itself, with its own delay and without waiting. While the store is away, calls are as few as before.

Evidence: test_silent_watch_waits_for_no_other_kind failed before (the change is not known after 10 s, since the others wait) and passes.

--- a/src/serve/feed_store.c
+++ b/src/serve/feed_store.c
@@ -184,14 +184,17 @@
 }
 
 /* Returns true if KIND is to be read.  While the store is unreachable, only short calls of one kind
- * probe it, and a VM that reads it because of stale data does not need the list of VMs. */
+ * probe it, and a VM that reads it because of stale data does not need the list of VMs.  Until that
+ * kind has failed, too, the others that have are tried by themselves: its call may be a long poll. */
 static bool
 is_wanted (const struct FeedTask *task, enum CfStoreUse use, int kind)
 {
   if (use == CF_STORE_USE_NONE)
     return false;
   if (use == CF_STORE_USE_PROBE || any_channel_failed (task))
-    return kind == PROBE_KIND;
+    return kind == PROBE_KIND
+           || (use == CF_STORE_USE_READ && task->channels[kind].failed
+               && !task->channels[PROBE_KIND].failed);
   return kind != CF_FEED_VMS || task->source[0] == 0
          || (task->replica.revision[kind] == 0 && task->replica.carry_since < 0);
 }
--- a/tests/test_silent_connections.c
+++ b/tests/test_silent_connections.c
@@ -27,6 +27,10 @@
   bool follows;
   struct SilentServer store;
   struct TestStore *data; /* guarded by the store's mutex */
+  /* Watches of other kinds than upstreams with this number and later ones are not answered; 0: all
+   * are. */
+  int hold_from;
+  int held; /* of these, those that came */
   struct SilentServer vm;
   struct CfReplica vm_data; /* of "vm-1", guarded by its mutex, like the next two */
   struct CfRelayCache vm_cache;
@@ -88,6 +92,11 @@
       test_store_list (play->data, kind, NULL, G_MAXUINT, &response);
       return format_response (&response, true);
     }
+  if (kind != CF_FEED_UPSTREAMS && play->hold_from > 0 && request->number >= play->hold_from)
+    {
+      play->held = request->number;
+      return NULL;
+    }
   ck_assert (
       test_store_watch (play->data, kind, g_ascii_strtoull (watch + 6, NULL, 10), &response));
   if (response.records->len > 0 || request->over)
@@ -227,6 +236,28 @@
 }
 END_TEST
 
+/* The watch of one kind has gone silent, and those of the others are under way over sound
+ * connections.  After its deadline of 2.2 s the kind was asked for again only when one of these had
+ * ended, up to 1.5 s later. */
+START_TEST (test_silent_watch_waits_for_no_other_kind)
+{
+  struct Play play;
+
+  start (&play, false);
+  g_mutex_lock (&play.store.mutex);
+  /* The others begin theirs again before that deadline, and have no answer until after it. */
+  play.hold_from = play.store.requests + 1;
+  g_mutex_unlock (&play.store.mutex);
+  silent_server_silence (&play.store, kind_paths[CF_FEED_UPSTREAMS]);
+  put (&play, CF_FEED_UPSTREAMS, "i-1", "{}");
+  feed_play_await (&play.feed, knows_upstream, &play, "the change");
+  ck_assert_int_gt (play.held, 0);
+  ck_assert (play.feed.task->channels[CF_FEED_EVACUATIONS].call);
+  ck_assert (!play.feed.task->channels[CF_FEED_EVACUATIONS].failed);
+  stop (&play);
+}
+END_TEST
+
 struct Count
 {
   struct SilentServer *server;
@@ -266,6 +297,7 @@
   g_log_set_always_fatal (G_LOG_LEVEL_CRITICAL | G_LOG_LEVEL_ERROR);
   cf_task_register_types ();
   suite_add_loop (suite, test_idle_connections_to_store_are_not_used, 1);
+  suite_add_loop (suite, test_silent_watch_waits_for_no_other_kind, 1);
   suite_add_loop (suite, test_silent_connection_to_vm_is_replaced, 2);
   return suite_run (suite);
 }
