A platform that answers a watch without news is not called again at once

What operators could see (serve): beside a platform, or something in its place, that answers "not modified" to a read without a condition, or the known version without waiting, each watching VM sends some 2,000 calls a second.

Change: only a version that is not the one read last is news, after which the next watch begins at once; "not modified" without a known version is no answer.

Evidence: test_answer_without_news_is_no_end_of_wait failed before in each of its three cases (2,009, 2,066 and 1,839 calls in 1 s; the bound is 10) and passes. platform.sh passes.

--- a/src/serve/platform_task.c
+++ b/src/serve/platform_task.c
@@ -80,6 +80,13 @@
   task->retry_ms = MIN (task->retry_ms * 2, RETRY_MAX_MS);
 }
 
+/* Returns true if OBJECT is the version that was read last. */
+static bool
+is_known (const struct PlatformTask *task, const struct CfObject *object)
+{
+  return task->tag && g_strcmp0 (task->tag, object->tag) == 0;
+}
+
 static void
 handle_object (struct PlatformTask *task, struct CfObject *object)
 {
@@ -101,16 +108,21 @@
   struct PlatformTask *task = data;
   struct CfObject object = { 0 };
   enum CfStoreResult result = cf_http_read_result (message, body, &object);
+  bool news = result == CF_STORE_OK && !is_known (task, &object);
 
   task->watch = NULL;
   update_reached (task, result != CF_STORE_UNKNOWN);
-  if (result == CF_STORE_OK)
+  if (news)
     handle_object (task, &object);
   cf_object_clear (&object);
-  if (result == CF_STORE_OK || result == CF_STORE_UNCHANGED)
+  if (result == CF_STORE_OK || (result == CF_STORE_UNCHANGED && task->tag))
     {
       task->retry_ms = RETRY_MIN_MS;
-      begin_watch (task);
+      /* An answer without news need not mean that the platform has waited for any. */
+      if (news)
+        begin_watch (task);
+      else
+        retry_later (task);
       return;
     }
   /* A platform that comes back from an older copy may give tags out again. */
--- a/tests/test_platform_task.c
+++ b/tests/test_platform_task.c
@@ -5,18 +5,21 @@
 #include <string.h>
 
 /* The platform task of the GUE form, on the test's thread, beside a platform whose connections go
- * silent. */
+ * silent, or whose answers are none to what was asked. */
 
 #define WAIT_S 10
 /* A change has to be in force everywhere in this time; the VMs that do not watch the platform still
  * have to learn of it from those that do. */
 #define IN_FORCE_MS 4000
+#define PACE_MS 1000       /* for which calls are counted */
+#define PACED_CALLS_MAX 10 /* in that time: one each 100 ms */
 
 struct Play
 {
   struct CfServer server;
   struct SilentServer platform;
-  int reads; /* of the configuration, guarded by the platform's mutex */
+  bool immediate; /* reads do not wait */
+  int reads;      /* of the configuration, guarded by the platform's mutex */
 };
 
 static const struct CfTaskClass idle_class = { .name = "idle" };
@@ -29,7 +32,7 @@
 
   if (!strstr (request->path, "/objects/config"))
     return g_bytes_new_static ("[]", 2);
-  if (strstr (request->head, "If-None-Match"))
+  if (!play->immediate && strstr (request->head, "If-None-Match"))
     return NULL;
   play->reads++;
   return g_bytes_new_static ("[fleet]\n", 8);
@@ -124,6 +127,36 @@
 }
 END_TEST
 
+static const struct
+{
+  const char *status;
+  const char *headers;
+} idle_answers[] = {
+  { "304 Not Modified", NULL }, /* although nothing is known that could be unmodified */
+  { "304 Not Modified", "ETag: \"1\"\r\n" },
+  { "200 OK", "ETag: \"1\"\r\n" }, /* the known version, at once */
+};
+
+/* A platform that answers a read at once and without news was called again at once, thousands of
+ * times a second: "not modified" was taken for the end of a wait, whatever had been asked. */
+START_TEST (test_answer_without_news_is_no_end_of_wait)
+{
+  struct Play play = {
+    .immediate = true,
+    .platform = { .status = idle_answers[_i].status, .headers = idle_answers[_i].headers },
+  };
+  bool over;
+
+  start (&play);
+  start_timer (&play, PACE_MS, &over);
+  while (!over)
+    g_main_context_iteration (play.server.source.context, TRUE);
+  ck_assert_int_gt (read_count (&play), 1);
+  ck_assert_int_le (read_count (&play), PACED_CALLS_MAX);
+  stop (&play);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -132,5 +165,6 @@
   g_log_set_always_fatal (G_LOG_LEVEL_CRITICAL | G_LOG_LEVEL_ERROR);
   cf_task_register_types ();
   suite_add_loop (suite, test_silent_watch_is_replaced_in_time, 1);
+  suite_add_loop (suite, test_answer_without_news_is_no_end_of_wait, G_N_ELEMENTS (idle_answers));
   return suite_run (suite);
 }
