The outcome of a health probe counts only for what was asked

What callers could see (serve): connections to an upstream went silent for a moment; the probes on them end after 2 s, later than probes that the upstream has answered since. Three of them in a row made it unreachable, and an answer from before its restart that comes late made it cold a second time. After a change of its address, probes of the former one counted, too.

Change: an answer carries the address that was asked and the time; it is ignored if the upstream has another address, or a later probe has a known outcome.

Evidence: test_health_answer_is_about_what_was_asked failed before in both cases (cold after the late answer) and passes.

--- a/include/cf_core.h
+++ b/include/cf_core.h
@@ -97,10 +97,14 @@
   bool leaving;
 };
 
-/* An answer of an upstream's health endpoint, or the lack of one. */
+/* An answer of an upstream's health endpoint, or the lack of one.  It is about what was asked: of
+ * another address than the upstream has by now, or of a time before a probe whose outcome is known,
+ * it is ignored. */
 struct CfHealthAnswer
 {
-  uint32_t upstream;   /* id */
+  uint32_t upstream;        /* id */
+  struct CfAddress address; /* of the endpoint that was asked */
+  CfMillis asked_at;
   bool reachable;      /* an answer came in time */
   bool serving;        /* the upstream says that it takes requests */
   int64_t start_time;  /* when the upstream process started, 0 if not given */
--- a/src/gue/gatekeeper.c
+++ b/src/gue/gatekeeper.c
@@ -296,6 +296,15 @@
   apply_suspects (core, heartbeat, now);
 }
 
+/* Returns true if ANSWER says how the upstream of SLOT is now.  Several probes of it are under way
+ * at a time, and one over a connection that went silent ends long after those sent later. */
+static bool
+is_current (const struct CfSlot *slot, const struct CfHealthAnswer *answer)
+{
+  return answer->asked_at >= slot->probed_at
+         && cf_address_equal (&answer->address, &slot->upstream->health);
+}
+
 void
 cf_core_health (struct CfCore *core, const struct CfHealthAnswer *answer, CfMillis now)
 {
@@ -304,8 +313,9 @@
   uint32_t generation = (uint32_t) answer->start_time;
   bool in_band = slot->completed_at && now - slot->completed_at < IN_BAND_MS;
 
-  if (slot->gatekeeper != 0 || !slot->upstream)
+  if (slot->gatekeeper != 0 || !slot->upstream || !is_current (slot, answer))
     return;
+  slot->probed_at = answer->asked_at;
   if (!answer->reachable || !answer->serving)
     {
       /* Recent completed flows override the health endpoint. */
--- a/src/gue/internal.h
+++ b/src/gue/internal.h
@@ -89,6 +89,7 @@
   CfMillis closed_since;   /* when it stopped taking new flows, or -1 */
   uint64_t closed_version; /* configuration version at closed_since */
   uint32_t failures;       /* consecutive failed health probes */
+  CfMillis probed_at;      /* when the latest probe with a known outcome was sent */
   struct CfLoad load;      /* of this VM */
   struct CfLoad others;    /* sum over the other members, former incarnations included */
   struct CfLoad fleet;     /* sum, updated with every heartbeat */
--- a/src/serve/health_task.c
+++ b/src/serve/health_task.c
@@ -31,7 +31,7 @@
 {
   GList link; /* in the task's requests */
   struct HealthTask *task;
-  uint32_t upstream;
+  struct CfProbe probe; /* what was asked */
   CfMillis began;
   SoupMessage *message;
   GCancellable *cancellable;
@@ -62,7 +62,11 @@
   struct Request *request = data;
   struct HealthTask *task = request->task;
   GBytes *body = cf_http_fetch_finish (result, NULL);
-  struct CfHealthAnswer answer = { .upstream = request->upstream };
+  struct CfHealthAnswer answer = {
+    .upstream = request->probe.upstream,
+    .address = request->probe.address,
+    .asked_at = request->began,
+  };
 
   (void) source;
   if (!task->stopping)
@@ -91,7 +95,7 @@
   *request = (struct Request){
     .link = { .data = request },
     .task = task,
-    .upstream = item->upstream,
+    .probe = *item,
     .began = now,
     .message = soup_message_new ("GET", url),
     .cancellable = g_cancellable_new (),
@@ -124,7 +128,7 @@
   uint32_t n = 0;
 
   for (const GList *link = task->requests.head; link; link = link->next)
-    n += ((const struct Request *) link->data)->upstream == upstream;
+    n += ((const struct Request *) link->data)->probe.upstream == upstream;
   return n;
 }
 
--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -1,4 +1,5 @@
 #include "fleet_internal.h"
+#include "sink.h"
 
 #include <stdio.h>
 #include <string.h>
@@ -77,6 +78,8 @@
             = upstream->health_reports_up || (!upstream->down && !upstream->health_reports_down);
         struct CfHealthAnswer answer = {
           .upstream = cf_name_id (upstream->name),
+          .address = test_health_address (vm->core, upstream->name),
+          .asked_at = now,
           .reachable = up,
           .serving = up,
           .start_time = upstream->start_time,
--- a/tests/sink.c
+++ b/tests/sink.c
@@ -80,3 +80,12 @@
     .state_changed = sink_state,
   };
 }
+
+struct CfAddress
+test_health_address (const struct CfCore *core, const char *name)
+{
+  const struct CfConfig *config = cf_core_config (core);
+  uint32_t index = cf_config_find_upstream (config, cf_name_id (name));
+
+  return index == CF_NO_INDEX ? (struct CfAddress){ 0 } : config->upstreams[index].health;
+}
--- a/tests/test_members.c
+++ b/tests/test_members.c
@@ -190,6 +190,7 @@
   CfMillis now = advance (core, 0, 5000);
 
   /* One of the two upstreams is cold: its new flows are to be diverted to the other. */
+  answer.address = test_health_address (core, "u");
   cf_core_health (core, &answer, now);
   answer.start_time = 2;
   cf_core_health (core, &answer, now);
@@ -299,6 +300,7 @@
 
   g_snprintf (name, sizeof name, "c%d", n);
   answer.upstream = cf_name_id (name);
+  answer.address = test_health_address (core, name);
   for (answer.start_time = 1; answer.start_time <= 2; answer.start_time++)
     cf_core_health (core, &answer, now);
   for (caller.port = 1; caller.port <= FLOWS_PER_SERVICE; caller.port++)
@@ -416,6 +418,48 @@
 }
 END_TEST
 
+#define PROBE_FAILURES 3 /* that make an upstream unreachable */
+
+/* The outcome of a probe was taken for that of the upstream now.  Probes over connections that went
+ * silent end late: they made an upstream unreachable that had answered later ones, and a start time
+ * of before its restart made it cold again.  So did probes of an address that it no longer has. */
+START_TEST (test_health_answer_is_about_what_was_asked)
+{
+  struct CfCoreOutputs outputs;
+  struct Sent sent = { 0 };
+  struct CfCore *core = new_core (&outputs, &sent);
+  CfMillis now = advance (core, 0, 5000);
+  struct CfHealthAnswer answer = {
+    .upstream = cf_name_id ("u"),
+    .address = test_health_address (core, "u"),
+    .asked_at = now,
+    .reachable = true,
+    .serving = true,
+    .start_time = 2,
+  };
+
+  cf_core_health (core, &answer, now);
+  if (_i == 0) /* sent before, ends after */
+    answer.asked_at = now - 1000;
+  else
+    answer.address.port++;
+  answer.start_time = 1;
+  cf_core_health (core, &answer, now);
+  ck_assert_ptr_nonnull (strstr (status_of (core, "u", now), "\"health\":\"warm\""));
+  answer.reachable = false;
+  for (int i = 0; i < PROBE_FAILURES; i++)
+    cf_core_health (core, &answer, now);
+  ck_assert_ptr_nonnull (strstr (status_of (core, "u", now), "\"health\":\"warm\""));
+  /* Those that are about the upstream as it is count. */
+  answer.address = test_health_address (core, "u");
+  answer.asked_at = now;
+  for (int i = 0; i < PROBE_FAILURES; i++)
+    cf_core_health (core, &answer, now);
+  ck_assert_ptr_nonnull (strstr (status_of (core, "u", now), "\"health\":\"unreachable\""));
+  cf_core_free (core);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -429,5 +473,6 @@
   suite_add_loop (suite, test_marks_omitted, 1);
   suite_add_loop (suite, test_too_many_marks, 1);
   suite_add_loop (suite, test_all_marked, 1);
+  suite_add_loop (suite, test_health_answer_is_about_what_was_asked, 2);
   return suite_run (suite);
 }
