A list counts as the store's data of the time of its first page

What a caller could see: a VM that has just listed a store with many upstreams is taken to be up to date, by itself and by the VMs that follow it, for as much longer as the list took; if its next call is lost, a drain is in force that much later than 3 s. At the target size a list has 32 pages: at 250 ms each, 8 s (calculated).

What changed after the first page may be missing from the list; it comes with the watch that begins there.

Change: answered_at is the time of the first page. A watch after a long list does not wait, as after any answer that is old.

Evidence: test_list_is_as_old_as_its_first_page failed before (500 instead of 250) and passes.

--- a/src/feed/reader.c
+++ b/src/feed/reader.c
@@ -148,7 +148,10 @@
   /* Later reads start at the revision of the first page, so they return what changed while the
    * other pages were read. */
   if (!reader->after)
-    reader->revision = response->revision;
+    {
+      reader->revision = response->revision;
+      reader->list_began_at = now;
+    }
   g_clear_pointer (&reader->after, g_free);
   reader->next_at = now;
   if (response->truncated)
@@ -158,7 +161,7 @@
       return false;
     }
   clear_failures (reader);
-  reader->answered_at = now;
+  reader->answered_at = reader->list_began_at;
   reader->listed = true;
   reader->pages = 0;
   reader->next_at = now + CF_READER_COALESCE_MS;
--- a/tests/test_feed.c
+++ b/tests/test_feed.c
@@ -494,6 +494,32 @@
 }
 END_TEST
 
+/* A list counted as the store's data of the time of its last page, although what changed since the
+ * first is not in it: a VM was taken to be up to date that was behind by all of a list's time. */
+START_TEST (test_list_is_as_old_as_its_first_page)
+{
+  GRand *random = g_rand_new_with_seed (1);
+  struct CfReader reader;
+  struct CfFeedResponse first
+      = parse ("{\"items\":[" ITEM ("i-1") "],\"truncated\":true,\"store-revision\":20}", 200,
+               CF_READ_ANSWERED);
+  struct CfFeedResponse last
+      = parse ("{\"items\":[],\"truncated\":false,\"store-revision\":25}", 200, CF_READ_ANSWERED);
+
+  cf_reader_init (&reader, CF_FEED_UPSTREAMS, 0);
+  ck_assert (cf_reader_start_due (&reader, 0));
+  ck_assert (!cf_reader_handle_outcome (&reader, CF_READ_ANSWERED, &first, 250, random));
+  ck_assert_int_lt (reader.answered_at, 0);
+  ck_assert (cf_reader_start_due (&reader, 250));
+  ck_assert (cf_reader_handle_outcome (&reader, CF_READ_ANSWERED, &last, 500, random));
+  ck_assert_int_eq (reader.answered_at, 250);
+  cf_reader_clear (&reader);
+  cf_feed_response_clear (&first);
+  cf_feed_response_clear (&last);
+  g_rand_free (random);
+}
+END_TEST
+
 START_TEST (test_answers)
 {
   struct CfFeedResponse response;
@@ -992,6 +1018,7 @@
   suite_add_loop (suite, test_list_page_is_no_watch_answer, 1);
   suite_add_loop (suite, test_unreadable_watch_becomes_a_list, 1);
   suite_add_loop (suite, test_answer_is_read_by_what_was_asked, 1);
+  suite_add_loop (suite, test_list_is_as_old_as_its_first_page, 1);
   suite_add_loop (suite, test_answers, 1);
   suite_add_loop (suite, test_announcement, 1);
   suite_add_loop (suite, test_invalid_announcement, G_N_ELEMENTS (invalid_announcements));
