A store that answers a watch without news is not called again at once

What operators could see: beside a store, or something in its place, that answers a watch at once and without a change, the VM that reads it calls it without a pause, as in serve.

Change: after an answer without news, calls for a kind of records begin at least 100 ms apart.

Evidence: test_answer_without_news_is_no_end_of_wait failed before (500 calls in 1 s of virtual time, 1 ms each; the bound is 10) and passes.

--- a/src/feed/reader.c
+++ b/src/feed/reader.c
@@ -50,6 +50,7 @@
     .list = !reader->listed,
     .after = g_strdup (reader->after),
     .revision = reader->revision,
+    .began_at = now,
   };
   return true;
 }
@@ -141,6 +142,14 @@
   reader->unreadable = 0;
 }
 
+/* When the next call begins after an answer without news.  A store that does not wait must not be
+ * called without a pause. */
+static CfMillis
+next_at_without_news (const struct CfReader *reader, CfMillis now)
+{
+  return MAX (now, reader->asked.began_at + CF_READER_COALESCE_MS);
+}
+
 /* Until the last page the store has not answered: the records known are not all. */
 static bool
 handle_list_page (struct CfReader *reader, const struct CfFeedResponse *response, CfMillis now)
@@ -183,7 +192,8 @@
       clear_failures (reader);
       reader->answered_at = now;
       reader->revision = MAX (reader->revision, response->revision);
-      reader->next_at = response->records->len > 0 ? now + coalesce_delay (reader) : now;
+      reader->next_at = response->records->len > 0 ? now + coalesce_delay (reader)
+                                                   : next_at_without_news (reader, now);
       return false;
     }
   if (outcome == CF_READ_OVERTAKEN)
--- a/src/feed/reader.h
+++ b/src/feed/reader.h
@@ -47,6 +47,7 @@
   bool list;         /* a page of a list; else the changes after a revision */
   char *after;       /* of a list: last name of the page before, NULL for the first */
   uint64_t revision; /* of a watch */
+  CfMillis began_at;
 };
 
 struct CfReader
--- a/tests/test_feed.c
+++ b/tests/test_feed.c
@@ -520,6 +520,33 @@
 }
 END_TEST
 
+/* A store that answers a watch at once and without news, as one does that knows no waiting, was
+ * called again at once, some hundred times a second. */
+START_TEST (test_answer_without_news_is_no_end_of_wait)
+{
+  GRand *random = g_rand_new_with_seed (1);
+  struct CfReader reader;
+  struct CfFeedResponse none
+      = parse ("{\"events\":[],\"store-revision\":25}", 200, CF_READ_ANSWERED);
+  CfMillis now = 1000;
+  int calls = 0;
+
+  begin_watch (&reader, random);
+  cf_reader_handle_outcome (&reader, CF_READ_ANSWERED, &none, now, random);
+  for (; now < 2000; now++)
+    if (cf_reader_start_due (&reader, now))
+      {
+        cf_reader_handle_outcome (&reader, CF_READ_ANSWERED, &none, ++now, random);
+        calls++;
+      }
+  ck_assert_int_ge (calls, 5);
+  ck_assert_int_le (calls, 10);
+  cf_reader_clear (&reader);
+  cf_feed_response_clear (&none);
+  g_rand_free (random);
+}
+END_TEST
+
 START_TEST (test_answers)
 {
   struct CfFeedResponse response;
@@ -1019,6 +1046,7 @@
   suite_add_loop (suite, test_unreadable_watch_becomes_a_list, 1);
   suite_add_loop (suite, test_answer_is_read_by_what_was_asked, 1);
   suite_add_loop (suite, test_list_is_as_old_as_its_first_page, 1);
+  suite_add_loop (suite, test_answer_without_news_is_no_end_of_wait, 1);
   suite_add_loop (suite, test_answers, 1);
   suite_add_loop (suite, test_announcement, 1);
   suite_add_loop (suite, test_invalid_announcement, G_N_ELEMENTS (invalid_announcements));
