A write that the store may have lost is repeated at once

What operators could see: a VM starts or is restored to the list of VMs while the store comes back from an older copy, and is missing from the list for 10 s: nobody follows it, and cold upstreams get more than their share.

The answer to a write of an earlier era came when the VM knew of the next one, and was taken for the record's being in the store; the next write is due 10 s after that.

Change: the answer to a write of an earlier era than the VM knows does not count; the record is checked and written again at once.

Evidence: test_write_of_an_earlier_era_is_repeated failed before (no write in 10 s) and passes, three runs.

--- a/src/serve/feed_enroll.c
+++ b/src/serve/feed_enroll.c
@@ -71,9 +71,17 @@
   struct FeedEnroll *enroll = &task->enroll;
   guint status = body ? soup_message_get_status (message) : 0;
   CfMillis delay = (CfMillis) RETRY_MIN_MS << MIN (enroll->failures, 8);
+  uint64_t era = cf_platform_era (message);
 
   enroll->call = NULL;
-  cf_feed_learn_era (task, cf_platform_era (message));
+  cf_feed_learn_era (task, era);
+  if (era > 0 && era < task->replica.era)
+    {
+      /* The store was restored since, perhaps from a copy without this write. */
+      cf_feed_enroll_check (task, cf_now ());
+      cf_feed_tick (task);
+      return;
+    }
   if (status >= 200 && status < 300)
     {
       enroll->failures = 0;
--- a/tests/silent_server.c
+++ b/tests/silent_server.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 struct Connection
 {
@@ -49,22 +50,24 @@
   return wait ? atoi (wait + strlen ("wait-ms=")) * G_TIME_SPAN_MILLISECOND : 0;
 }
 
-/* Returns the body for PATH, or NULL if the connection has gone silent or the server stops. */
+/* Returns the body of the response to REQUEST, or NULL if the connection has gone silent or the
+ * server stops. */
 static GBytes *
-await_answer (struct Connection *connection, const char *path, const char *head)
+await_answer (struct Connection *connection, struct SilentRequest *request)
 {
   struct SilentServer *server = connection->server;
-  struct SilentRequest request = { .path = path, .head = head, .number = ++server->requests };
+  const char *path = request->path;
   gint64 until = g_get_monotonic_time () + wait_of (path);
   GBytes *body = NULL;
 
+  request->number = ++server->requests;
   connection->waiting = path;
   g_ptr_array_add (server->waiting, (gpointer) path);
   while (!body && !is_silent (connection) && !server->stopping)
     {
-      request.over = g_get_monotonic_time () >= until;
-      body = server->answer (server->data, &request);
-      if (!body && request.over)
+      request->over = g_get_monotonic_time () >= until;
+      body = server->answer (server->data, request);
+      if (!body && request->over)
         g_cond_wait (&server->changed, &server->mutex);
       else if (!body)
         wait_until (server, until);
@@ -75,15 +78,16 @@
 }
 
 static bool
-respond (struct Connection *connection, GBytes *body, bool last)
+respond (struct Connection *connection, GBytes *body, const char *more, bool last)
 {
   const struct SilentServer *server = connection->server;
   const char *status = server->status ? server->status : "200 OK";
   const char *headers = server->headers ? server->headers : "";
   gsize len;
   const char *data = g_bytes_get_data (body, &len);
-  char *head = g_strdup_printf ("HTTP/1.1 %s\r\n%s%sContent-Length: %" G_GSIZE_FORMAT "\r\n\r\n",
-                                status, headers, last ? "Connection: close\r\n" : "", len);
+  char *head
+      = g_strdup_printf ("HTTP/1.1 %s\r\n%s%s%sContent-Length: %" G_GSIZE_FORMAT "\r\n\r\n", status,
+                         headers, more ? more : "", last ? "Connection: close\r\n" : "", len);
   bool sent = send (connection->fd, head, strlen (head), MSG_NOSIGNAL) == (ssize_t) strlen (head)
               && send (connection->fd, data, len, MSG_NOSIGNAL) == (ssize_t) len;
 
@@ -92,29 +96,48 @@
   return sent && !last;
 }
 
+/* Reads what is left of the body of the request with HEAD, which may have some of it. */
+static void
+skip_body (int fd, const char *head)
+{
+  const char *length = strstr (head, "\r\nContent-Length: ");
+  size_t len = length ? (size_t) atoi (length + strlen ("\r\nContent-Length: ")) : 0;
+  size_t got = strlen (strstr (head, "\r\n\r\n") + 4);
+  char buffer[TCP_SERVER_HEAD_MAX];
+
+  while (got < len)
+    {
+      ssize_t more = read (fd, buffer, MIN (sizeof buffer, len - got));
+
+      if (more <= 0)
+        return;
+      got += (size_t) more;
+    }
+}
+
 /* Returns false if the connection is to be closed. */
 static bool
 handle_request (struct Connection *connection, const char *head)
 {
   struct SilentServer *server = connection->server;
-  const char *end = strchr (head, '\r');
   char **words = g_strsplit (head, " ", 3);
-  bool get = end && g_strv_length (words) == 3 && strcmp (words[0], "GET") == 0;
+  struct SilentRequest request = { .path = words[0] ? words[1] : NULL, .head = head };
   GBytes *body = NULL;
   bool go_on = false;
 
+  skip_body (connection->fd, head);
   g_mutex_lock (&server->mutex);
   if (is_silent (connection))
     server->on_silent++;
-  else if (get)
-    body = await_answer (connection, words[1], head);
+  else if (request.path)
+    body = await_answer (connection, &request);
   if (is_silent (connection))
     stay_silent (server);
   g_mutex_unlock (&server->mutex);
-  /* Writes are refused by closing the connection. */
   if (body && !connection->silent)
     {
-      go_on = respond (connection, body, strstr (head, "\r\nConnection: close\r\n"));
+      go_on
+          = respond (connection, body, request.headers, strstr (head, "\r\nConnection: close\r\n"));
       connection->silent = server->silent_if_idle;
     }
   else
--- a/tests/silent_server.h
+++ b/tests/silent_server.h
@@ -9,17 +9,18 @@
 
 struct SilentRequest
 {
-  const char *path; /* with the query */
-  const char *head; /* request line and headers */
-  int number;       /* of all requests, from 1 */
-  bool over;        /* it has waited for as long as it asked to ("wait-ms") */
+  const char *path;    /* with the query */
+  const char *head;    /* request line and headers */
+  int number;          /* of all requests, from 1 */
+  bool over;           /* it has waited for as long as it asked to ("wait-ms") */
+  const char *headers; /* further ones of the response, to be set by "answer"; or NULL */
 };
 
 struct SilentServer
 {
   /* Returns the body of the response, or NULL if there is none yet.  Called with the mutex held, on
    * the connection's thread: at first, after silent_server_changed, and when the wait is over. */
-  GBytes *(*answer) (void *data, const struct SilentRequest *request);
+  GBytes *(*answer) (void *data, struct SilentRequest *request);
   void *data;
   const char *status;  /* of each response; NULL: "200 OK" */
   const char *headers; /* further ones of each response, each with its line end; or NULL */
--- a/tests/test_feed_calls.c
+++ b/tests/test_feed_calls.c
@@ -29,9 +29,12 @@
   struct FeedPlay feed;
   bool follows;
   struct SilentServer store;
-  struct TestStore *data; /* guarded by the store's mutex, like the next four */
+  struct TestStore *data; /* guarded by the store's mutex, like the next seven */
   guint page;             /* records of a page of a list */
   bool hold_list;         /* lists of upstreams are not answered */
+  bool hold_writes;
+  int writes;      /* that came */
+  const char *era; /* header of each answer; NULL: none */
   /* Watches of other kinds than upstreams with this number and later ones are not answered; 0: all
    * are. */
   int hold_from;
@@ -84,8 +87,20 @@
   return (enum CfFeedKind) kind;
 }
 
+/* The era of an answer is that in which the write was made, although it may come later. */
 static GBytes *
-answer_as_store (void *data, const struct SilentRequest *request)
+answer_write (struct Play *play, struct SilentRequest *request)
+{
+  if (!request->headers)
+    {
+      request->headers = play->era ? play->era : "";
+      play->writes++;
+    }
+  return play->hold_writes ? NULL : g_bytes_new_static ("{}", 2);
+}
+
+static GBytes *
+answer_as_store (void *data, struct SilentRequest *request)
 {
   struct Play *play = data;
   enum CfFeedKind kind = kind_of (request->path);
@@ -93,6 +108,9 @@
   const char *after = strstr (request->path, "after=");
   struct CfFeedResponse response;
 
+  if (!g_str_has_prefix (request->head, "GET "))
+    return answer_write (play, request);
+  request->headers = play->era;
   if (!watch && kind == CF_FEED_UPSTREAMS && play->hold_list)
     return NULL;
   if (!watch)
@@ -114,7 +132,7 @@
 }
 
 static GBytes *
-answer_as_vm (void *data, const struct SilentRequest *request)
+answer_as_vm (void *data, struct SilentRequest *request)
 {
   struct Play *play = data;
   GHashTable *query = soup_form_decode (strchr (request->path, '?') + 1);
@@ -330,6 +348,57 @@
 }
 END_TEST
 
+static bool
+has_write (const void *data)
+{
+  struct Play *play = (struct Play *) data;
+  bool has;
+
+  g_mutex_lock (&play->store.mutex);
+  has = play->writes > 0;
+  g_mutex_unlock (&play->store.mutex);
+  return has;
+}
+
+static bool
+is_in_second_era (const void *data)
+{
+  return ((const struct Play *) data)->feed.task->replica.era == 2;
+}
+
+#define WRITE_AGAIN_MS 3000
+
+/* A VM writes its record, the store is restored from a copy without it, and the answer to the write
+ * comes when the VM knows of that.  It was taken for the record's being in the store, and the next
+ * write came 10 s later. */
+START_TEST (test_write_of_an_earlier_era_is_repeated)
+{
+  struct Play play;
+  CfMillis answered_at;
+
+  prepare (&play);
+  test_store_put (play.data, CF_FEED_VMS, "vm-2", NULL, 0);
+  play.era = "Store-Era: 1\r\n";
+  play.hold_writes = true;
+  copy_store (&play);
+  begin (&play, false);
+  feed_play_await (&play.feed, has_write, &play, "a write");
+  g_mutex_lock (&play.store.mutex);
+  play.era = "Store-Era: 2\r\n";
+  g_mutex_unlock (&play.store.mutex);
+  feed_play_await (&play.feed, is_in_second_era, &play, "the second era");
+  g_mutex_lock (&play.store.mutex);
+  play.hold_writes = false;
+  play.writes = 0;
+  g_cond_broadcast (&play.store.changed);
+  g_mutex_unlock (&play.store.mutex);
+  answered_at = cf_now ();
+  feed_play_await (&play.feed, has_write, &play, "the write again");
+  ck_assert_int_lt (cf_now () - answered_at, WRITE_AGAIN_MS);
+  stop (&play);
+}
+END_TEST
+
 struct Count
 {
   struct SilentServer *server;
@@ -371,6 +440,7 @@
   suite_add_loop (suite, test_idle_connections_to_store_are_not_used, 1);
   suite_add_loop (suite, test_silent_watch_waits_for_no_other_kind, 1);
   suite_add_loop (suite, test_list_under_way_is_no_watch, 1);
+  suite_add_loop (suite, test_write_of_an_earlier_era_is_repeated, 1);
   suite_add_loop (suite, test_silent_connection_to_vm_is_replaced, 2);
   return suite_run (suite);
 }
--- a/tests/test_platform_task.c
+++ b/tests/test_platform_task.c
@@ -26,7 +26,7 @@
 
 /* A list of VMs and a configuration that never changes. */
 static GBytes *
-answer (void *data, const struct SilentRequest *request)
+answer (void *data, struct SilentRequest *request)
 {
   struct Play *play = data;
 
