--- a/tests/soak/clients.c
+++ b/tests/soak/clients.c
@@ -77,7 +77,7 @@
 connect_client (struct SoakClient *client)
 {
   GSocketAddress *address
-      = g_inet_socket_address_new_from_string (client->vm->ip, client_port (client));
+      = g_inet_socket_address_new_from_string (client->vm->ready_ip, client_port (client));
 
   client->socket
       = g_socket_new (G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, NULL);
@@ -258,8 +258,8 @@
 {
   for (int i = 0; i < soak->vm_count; i++)
     {
-      char *url
-          = g_strdup_printf ("http://%s:%u/metrics", soak->vms[i].ip, SOAK_METRICS_PORT (soak));
+      char *url = g_strdup_printf ("http://%s:%u/metrics", soak->vms[i].ready_ip,
+                                   SOAK_METRICS_PORT (soak));
       SoupMessage *message = soup_message_new ("GET", url);
 
       soup_session_send_and_read_async (soak->session, message, G_PRIORITY_DEFAULT, NULL,
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -114,6 +114,7 @@
       vm->index = i;
       vm->domain = soak_domains[i % SOAK_DOMAINS];
       g_snprintf (vm->ip, sizeof vm->ip, "127.1.0.%d", 10 + i);
+      g_snprintf (vm->ready_ip, sizeof vm->ready_ip, "127.1.1.%d", 10 + i);
     }
   soak->second_route = true;
   soak_put_manifest (soak);
--- a/tests/soak/proxy.c
+++ b/tests/soak/proxy.c
@@ -3,11 +3,13 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-/* A TCP proxy that can delay, stall or reset its connections, or drop one direction of them. */
+/* A TCP proxy that can delay, stall or reset its connections, drop one direction of them, or leave
+ * those that are open silent for good. */
 
 #define SLOW_MS 300
 #define RETRY_MS 20 /* between two attempts on a stalled connection */
 #define CHUNK 65536
+#define SILENT_MAX 64 /* pipes that are kept open and silent; no call takes as long as it lasts */
 
 struct Pipe;
 
@@ -35,6 +37,7 @@
   GSocketAddress *store;
   enum SoakPath path;
   GPtrArray *pipes;
+  GPtrArray *silent; /* pipes that forward nothing any more, the oldest first */
 };
 
 static void wait_for_data (struct Direction *direction);
@@ -79,6 +82,22 @@
   g_ptr_array_set_size (proxy->pipes, 0);
 }
 
+void
+soak_proxy_silence (struct SoakProxy *proxy)
+{
+  for (guint i = 0; i < proxy->pipes->len; i++)
+    {
+      struct Pipe *pipe = proxy->pipes->pdata[i];
+
+      stop_waiting (&pipe->directions[0]);
+      stop_waiting (&pipe->directions[1]);
+      g_ptr_array_add (proxy->silent, pipe);
+    }
+  g_ptr_array_set_size (proxy->pipes, 0);
+  for (; proxy->silent->len > SILENT_MAX; g_ptr_array_remove_index (proxy->silent, 0))
+    close_pipe (proxy->silent->pdata[0], false);
+}
+
 static gboolean
 resume_direction (gpointer data)
 {
@@ -231,6 +250,7 @@
 
   proxy->store = g_inet_socket_address_new_from_string (store_ip, port);
   proxy->pipes = g_ptr_array_new ();
+  proxy->silent = g_ptr_array_new ();
   proxy->service = g_socket_service_new ();
   if (!g_socket_listener_add_address (G_SOCKET_LISTENER (proxy->service), address,
                                       G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, NULL, NULL,
@@ -255,6 +275,9 @@
   g_socket_service_stop (proxy->service);
   g_object_unref (proxy->service);
   close_all (proxy, false);
+  while (proxy->silent->len > 0)
+    close_pipe (g_ptr_array_steal_index (proxy->silent, 0), false);
+  g_ptr_array_unref (proxy->silent);
   g_ptr_array_unref (proxy->pipes);
   g_object_unref (proxy->store);
   g_free (proxy);
--- a/tests/soak/readiness.c
+++ b/tests/soak/readiness.c
@@ -56,7 +56,7 @@
 begin_check (struct SoakVm *vm)
 {
   GSocketAddress *address
-      = g_inet_socket_address_new_from_string (vm->ip, SOAK_READY_PORT (vm->soak));
+      = g_inet_socket_address_new_from_string (vm->ready_ip, SOAK_READY_PORT (vm->soak));
 
   vm->check
       = g_socket_new (G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, NULL);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -65,7 +65,7 @@
 /* Returns the names of the objects of KIND, an array of char * that it owns. */
 GPtrArray *soak_store_names (struct SoakStore *store, enum CfFeedKind kind);
 
-/* The path from one VM to the store. */
+/* The path from one VM to the store, or from the others to the port at which it is followed. */
 
 enum SoakPath
 {
@@ -83,6 +83,8 @@
 struct SoakProxy *soak_proxy_new (const char *ip, const char *store_ip, uint16_t port);
 void soak_proxy_free (struct SoakProxy *proxy);
 void soak_proxy_set (struct SoakProxy *proxy, enum SoakPath path);
+/* Has the connections that are open now go silent for good, without a reset.  New ones work. */
+void soak_proxy_silence (struct SoakProxy *proxy);
 
 /* Entry VMs. */
 
@@ -104,6 +106,7 @@
   struct Soak *soak;
   int index;
   char ip[32];
+  char ready_ip[32]; /* of the ports for readiness and metrics, and of the one for other VMs */
   const char *domain;
   char *settings;               /* path */
   struct SoakProcess *process;  /* NULL: not running */
@@ -114,11 +117,12 @@
   bool paused;
   bool in_rotation;
   int failed_checks;
-  bool compared;         /* its metrics were read at the end */
-  int64_t ready_at;      /* when it last answered a check of its readiness with success */
-  int64_t last_fault_at; /* end of the last fault on it */
-  struct SoakProxy *proxy;
-  GSocket *check; /* the readiness check in progress, or NULL */
+  bool compared;                 /* its metrics were read at the end */
+  int64_t ready_at;              /* when it last answered a check of its readiness with success */
+  int64_t last_fault_at;         /* end of the last fault on it */
+  struct SoakProxy *proxy;       /* to the store */
+  struct SoakProxy *peers_proxy; /* from other VMs: at ip, to ready_ip */
+  GSocket *check;                /* the readiness check in progress, or NULL */
   struct SoakWatch *check_watch;
 };
 
--- a/tests/soak/troubles.c
+++ b/tests/soak/troubles.c
@@ -173,6 +173,28 @@
   soak_vm_start_again (draw_vm (soak));
 }
 
+/* Connections go silent, of one VM or of all, to the store or from other VMs.  That is a fault of
+ * all VMs: each may have had one to any other. */
+static void
+silence (struct Soak *soak)
+{
+  const struct SoakVm *only = draw (soak, 0, 1) ? draw_vm (soak) : NULL;
+  int paths = draw (soak, 1, 3); /* bits: to the store, from other VMs */
+
+  for (int i = 0; i < soak->vm_count; i++)
+    {
+      struct SoakVm *vm = &soak->vms[i];
+
+      soak_vm_note_fault (vm, soak_now ());
+      if (only && vm != only)
+        continue;
+      if (paths & 1)
+        soak_proxy_silence (vm->proxy);
+      if (paths & 2)
+        soak_proxy_silence (vm->peers_proxy);
+    }
+}
+
 static gboolean
 end_garbled (gpointer data)
 {
@@ -196,10 +218,15 @@
   const char *name;
   void (*begin) (struct Soak *soak);
 } troubles[] = {
-  { "hup-burst", hup_burst },         { "early-hup", early_hup },
-  { "early-term", early_term },       { "stop-series", stop_series },
-  { "settings", change_settings },    { "restart-all", restart_all },
-  { "start-at-once", start_at_once }, { "garbled", garble },
+  { "hup-burst", hup_burst },
+  { "early-hup", early_hup },
+  { "early-term", early_term },
+  { "stop-series", stop_series },
+  { "settings", change_settings },
+  { "restart-all", restart_all },
+  { "start-at-once", start_at_once },
+  { "garbled", garble },
+  { "silent", silence },
 };
 
 static gboolean
--- a/tests/soak/vms.c
+++ b/tests/soak/vms.c
@@ -352,7 +352,7 @@
       "ready-address=%s:%u\nmetrics-port=%u\npeer-port=%u\nlink-mbps=%d\n[fleet]\n"
       "seeds=%s:1,%s:1\n[store]\naddress=127.4.0.%d:%u\n[limits]\nflow-lifetime-s=60\n"
       "grace-s=%d\n",
-      vm->index, vm->ip, vm->domain, vm->ip, SOAK_FABRIC_PORT (soak), vm->ip,
+      vm->index, vm->ip, vm->domain, vm->ip, SOAK_FABRIC_PORT (soak), vm->ready_ip,
       SOAK_READY_PORT (soak), SOAK_METRICS_PORT (soak), SOAK_PEER_PORT (soak), 1000 - vm->index,
       seeds[0], seeds[1], 10 + vm->index, SOAK_STORE_PORT (soak), SOAK_GRACE_MS / 1000);
   len = (ssize_t) (part * (double) strlen (text));
@@ -373,6 +373,7 @@
       char *store_ip = g_strdup_printf ("127.0.0.%d", 1 + i % SOAK_STORE_LISTENERS);
 
       vm->proxy = soak_proxy_new (ip, store_ip, SOAK_STORE_PORT (soak));
+      vm->peers_proxy = soak_proxy_new (vm->ip, vm->ready_ip, SOAK_PEER_PORT (soak));
       vm->settings = g_strdup_printf ("%s/vm-%d.conf", soak->folder, i);
       soak_settings_write (vm, 1);
       soak_vm_start (vm);
