--- a/tests/test_json_span.c
+++ b/tests/test_json_span.c
@@ -94,9 +94,9 @@
   struct CfFeedResponse response = { 0 };
   char *content = NULL;
 
-  ck_assert_int_eq (
-      cf_platform_parse_response_body (200, text, strlen (text), CF_FEED_UPSTREAMS, true, &response),
-      CF_READ_ANSWERED);
+  ck_assert_int_eq (cf_platform_parse_response_body (200, text, strlen (text), CF_FEED_UPSTREAMS,
+                                                     true, &response),
+                    CF_READ_ANSWERED);
   if (response.records->len == 1)
     content = g_strdup (((struct CfRecord *) response.records->pdata[0])->text);
   cf_feed_response_clear (&response);
