Test: a VM without a configuration has no health addresses

test_fresh_vm_without_platform crashed since the answers of health probes carry an address: the play looked it up in a configuration that the VM does not have yet.

--- a/tests/sink.c
+++ b/tests/sink.c
@@ -85,7 +85,7 @@
 test_health_address (const struct CfCore *core, const char *name)
 {
   const struct CfConfig *config = cf_core_config (core);
-  uint32_t index = cf_config_find_upstream (config, cf_name_id (name));
+  uint32_t index = config ? cf_config_find_upstream (config, cf_name_id (name)) : CF_NO_INDEX;
 
   return index == CF_NO_INDEX ? (struct CfAddress){ 0 } : config->upstreams[index].health;
 }
