--- a/src/feed/reader.c
+++ b/src/feed/reader.c
@@ -142,10 +142,10 @@
   reader->unreadable = 0;
 }
 
-/* When the next call begins after an answer without news.  A store that does not wait must not be
- * called without a pause. */
+/* When the next call begins after an answer without changes.  A store that does not wait must not
+ * be called without a pause. */
 static CfMillis
-next_at_without_news (const struct CfReader *reader, CfMillis now)
+next_at_without_changes (const struct CfReader *reader, CfMillis now)
 {
   return MAX (now, reader->asked.began_at + CF_READER_COALESCE_MS);
 }
@@ -193,7 +193,7 @@
       reader->answered_at = now;
       reader->revision = MAX (reader->revision, response->revision);
       reader->next_at = response->records->len > 0 ? now + coalesce_delay (reader)
-                                                   : next_at_without_news (reader, now);
+                                                   : next_at_without_changes (reader, now);
       return false;
     }
   if (outcome == CF_READ_OVERTAKEN)
--- a/src/serve/platform_task.c
+++ b/src/serve/platform_task.c
@@ -108,18 +108,18 @@
   struct PlatformTask *task = data;
   struct CfObject object = { 0 };
   enum CfStoreResult result = cf_http_read_result (message, body, &object);
-  bool news = result == CF_STORE_OK && !is_known (task, &object);
+  bool changed = result == CF_STORE_OK && !is_known (task, &object);
 
   task->watch = NULL;
   update_reached (task, result != CF_STORE_UNKNOWN);
-  if (news)
+  if (changed)
     handle_object (task, &object);
   cf_object_clear (&object);
   if (result == CF_STORE_OK || (result == CF_STORE_UNCHANGED && task->tag))
     {
       task->retry_ms = RETRY_MIN_MS;
-      /* An answer without news need not mean that the platform has waited for any. */
-      if (news)
+      /* An answer without a change need not mean that the platform has waited for one. */
+      if (changed)
         begin_watch (task);
       else
         retry_later (task);
--- a/tests/test_feed.c
+++ b/tests/test_feed.c
@@ -520,9 +520,9 @@
 }
 END_TEST
 
-/* A store that answers a watch at once and without news, as one does that knows no waiting, was
+/* A store that answers a watch at once and without changes, as one does that knows no waiting, was
  * called again at once, some hundred times a second. */
-START_TEST (test_answer_without_news_is_no_end_of_wait)
+START_TEST (test_answer_without_changes_is_no_end_of_wait)
 {
   GRand *random = g_rand_new_with_seed (1);
   struct CfReader reader;
@@ -1046,7 +1046,7 @@
   suite_add_loop (suite, test_unreadable_watch_becomes_a_list, 1);
   suite_add_loop (suite, test_answer_is_read_by_what_was_asked, 1);
   suite_add_loop (suite, test_list_is_as_old_as_its_first_page, 1);
-  suite_add_loop (suite, test_answer_without_news_is_no_end_of_wait, 1);
+  suite_add_loop (suite, test_answer_without_changes_is_no_end_of_wait, 1);
   suite_add_loop (suite, test_answers, 1);
   suite_add_loop (suite, test_announcement, 1);
   suite_add_loop (suite, test_invalid_announcement, G_N_ELEMENTS (invalid_announcements));
--- a/tests/test_platform_task.c
+++ b/tests/test_platform_task.c
@@ -137,9 +137,9 @@
   { "200 OK", "ETag: \"1\"\r\n" }, /* the known version, at once */
 };
 
-/* A platform that answers a read at once and without news was called again at once, thousands of
- * times a second: "not modified" was taken for the end of a wait, whatever had been asked. */
-START_TEST (test_answer_without_news_is_no_end_of_wait)
+/* A platform that answers a read at once and without a change was called again at once, thousands
+ * of times a second: "not modified" was taken for the end of a wait, whatever had been asked. */
+START_TEST (test_answer_without_change_is_no_end_of_wait)
 {
   struct Play play = {
     .immediate = true,
@@ -165,6 +165,6 @@
   g_log_set_always_fatal (G_LOG_LEVEL_CRITICAL | G_LOG_LEVEL_ERROR);
   cf_task_register_types ();
   suite_add_loop (suite, test_silent_watch_is_replaced_in_time, 1);
-  suite_add_loop (suite, test_answer_without_news_is_no_end_of_wait, G_N_ELEMENTS (idle_answers));
+  suite_add_loop (suite, test_answer_without_change_is_no_end_of_wait, G_N_ELEMENTS (idle_answers));
   return suite_run (suite);
 }
