--- a/src/feed/reader.h
+++ b/src/feed/reader.h
@@ -62,8 +62,7 @@
   uint32_t unreadable; /* the same, of answers that cannot be read */
   CfMillis next_at;    /* when the next call is due */
   CfMillis failed_at;  /* -1: never */
-  /* When the store last had the data that a watch or a whole list brought in this era, -1: never.
-   */
+  /* When the store last had what a watch or a whole list brought in this era, -1: never. */
   CfMillis answered_at;
   CfMillis list_began_at; /* while listing: when the first page came */
   bool in_flight;
--- a/src/serve/feed_store.c
+++ b/src/serve/feed_store.c
@@ -192,8 +192,7 @@
 
 /* Returns true if KIND is to be read.  While the store is unreachable, only short calls of one kind
  * probe it, and a VM that reads it because of stale data does not need the list of VMs.  Until that
- * kind has failed, too, the others that have are called on their own: its call may be a long poll.
- */
+ * kind has failed, too, its call may be a long poll: others that have failed are called, too. */
 static bool
 is_wanted (const struct FeedTask *task, enum CfStoreUse use, int kind)
 {
