--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -226,7 +226,7 @@
   struct SoakUpstream *upstream = flow->upstream;
   struct Soak *soak = flow->soak;
 
-  if (by_balancer && upstream && !upstream->unresponsive
+  if (by_balancer && upstream && !upstream->unresponsive && !flow->silent
       && upstream->started_at == flow->opened_incarnation && flow->service_port != 82)
     soak_violation (soak, "FLOW: open flow %u at %s was reset by the balancer", flow->port,
                     upstream->id);
@@ -240,6 +240,25 @@
   end_flow (flow);
 }
 
+void
+soak_callers_silence (struct Soak *soak, const char *domain)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, soak->flows);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct SoakFlow *flow = value;
+
+      if (!flow->upstream || (domain && flow->upstream->domain != domain))
+        continue;
+      flow->silent = true;
+      soak->stable_requests -= flow->stable && !flow->answered;
+      flow->stable &= flow->answered;
+    }
+}
+
 static struct SoakUpstream *
 upstream_of (struct Soak *soak, GSocketAddress *address)
 {
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -193,6 +193,9 @@
 /* Chooses the ports of SOAK, which no other soak test on this machine uses, and holds them. */
 void soak_callers_bind (struct Soak *soak);
 void soak_callers_start (struct Soak *soak);
+/* Has the flows that are open now, to upstreams of DOMAIN or all (NULL), go silent for good: their
+ * packets no longer reach their upstreams, which answer those of new flows. */
+void soak_callers_silence (struct Soak *soak, const char *domain);
 /* Returns the number of requests that began in a stable period, are not answered and have time. */
 uint32_t soak_callers_in_progress (const struct Soak *soak);
 void soak_callers_stop (struct Soak *soak);
--- a/tests/soak/traffic.h
+++ b/tests/soak/traffic.h
@@ -38,6 +38,7 @@
   uint32_t repeats; /* of the current packet by the caller */
   int misrouted;    /* packets that reached other upstreams while it was open */
   bool stable;      /* the current request began while stable */
+  bool silent;      /* its packets do not reach its upstream any more */
   guint timer;
 };
 
--- a/tests/soak/troubles.c
+++ b/tests/soak/troubles.c
@@ -173,14 +173,16 @@
   soak_vm_start_again (draw_vm (soak));
 }
 
-/* Connections go silent, of one VM or of all, to the store or from other VMs.  That is a fault of
- * all VMs: each may have had one to any other. */
+/* Connections go silent: of one VM or of all, to the store, from other VMs, or to upstreams.  That
+ * is a fault of all VMs: each may have had one to any other. */
 static void
 silence (struct Soak *soak)
 {
   const struct SoakVm *only = draw (soak, 0, 1) ? draw_vm (soak) : NULL;
-  int paths = draw (soak, 1, 3); /* bits: to the store, from other VMs */
+  int paths = draw (soak, 1, 7); /* bits: to the store, from other VMs, to upstreams */
 
+  if (paths & 4)
+    soak_callers_silence (soak, draw (soak, 0, 1) ? soak_domains[draw (soak, 0, 1)] : NULL);
   for (int i = 0; i < soak->vm_count; i++)
     {
       struct SoakVm *vm = &soak->vms[i];
--- a/tests/soak/upstreams.c
+++ b/tests/soak/upstreams.c
@@ -58,7 +58,7 @@
   struct SoakFlow *flow
       = g_hash_table_lookup (upstream->soak->flows, GUINT_TO_POINTER (segment->caller.port));
 
-  if (!flow)
+  if (!flow || flow->silent)
     return;
   if (segment->flags & CF_SEGMENT_SYN)
     {
