--- a/tests/silent_server.c
+++ b/tests/silent_server.c
@@ -171,14 +171,6 @@
   tcp_server_start_at (&server->tcp, ip ? ip : "127.0.0.1", port);
 }
 
-void
-silent_server_changed (struct SilentServer *server)
-{
-  g_mutex_lock (&server->mutex);
-  g_cond_broadcast (&server->changed);
-  g_mutex_unlock (&server->mutex);
-}
-
 void
 silent_server_silence (struct SilentServer *server, const char *path)
 {
--- a/tests/silent_server.h
+++ b/tests/silent_server.h
@@ -19,18 +19,19 @@
 struct SilentServer
 {
   /* Returns the body of the response, or NULL if there is none yet.  Called with the mutex held, on
-   * the connection's thread: at first, after silent_server_changed, and when the wait is over. */
+   * the connection's thread: at first, after each signal of "changed", and when the wait is over.
+   */
   GBytes *(*answer) (void *data, struct SilentRequest *request);
   void *data;
   const char *status;  /* of each response; NULL: "200 OK" */
   const char *headers; /* further ones of each response, each with its line end; or NULL */
-  atomic_bool
-      silent_if_idle; /* each connection goes silent once a request on it has been answered */
+  /* Each connection goes silent once a request on it has been answered. */
+  atomic_bool silent_if_idle;
 
   /* The rest belongs to the server. */
   struct TcpServer tcp;
-  GMutex mutex; /* guards what follows, and what "answer" refers to */
-  GCond changed;
+  GMutex mutex;  /* guards what follows, and what "answer" refers to */
+  GCond changed; /* to be signalled with the mutex held when other answers may be due */
   const char *silent_path;
   int silences;       /* calls of silent_server_silence */
   GPtrArray *waiting; /* paths of the requests that wait for an answer */
@@ -42,9 +43,6 @@
 /* Listens at IP and PORT, NULL and 0: at any port of 127.0.0.1, which tcp.port then has. */
 void silent_server_start (struct SilentServer *server, const char *ip, uint16_t port);
 
-/* To be called when other answers may be due. */
-void silent_server_changed (struct SilentServer *server);
-
 /* Has the connections that are open now go silent: those that wait for the answer to a request
  * whose path has PATH in it, or all, idle ones too (PATH is NULL). */
 void silent_server_silence (struct SilentServer *server, const char *path);
