--- /dev/null
+++ b/src/balance/load_table.h
@@ -0,0 +1,74 @@
+#ifndef CF_BALANCE_LOAD_TABLE_H
+#define CF_BALANCE_LOAD_TABLE_H
+
+#include "cf_types.h"
+#include "load_report.h"
+
+#include <glib.h>
+
+/* The load reports of other VMs (load_report.h), and their sum for each service.
+ *
+ * A VM hears of a random part of the others at a time.  What it has heard of a failure domain is
+ * scaled to all VMs there, so a VM that was not heard counts like the mean of the others and not
+ * as idle.  A report counts once, replaces the one before from the same VM, never goes back to an
+ * earlier one, and expires.  No I/O. */
+
+/* A report counts for this long after it was received: the share of a VM that was killed, frozen or
+ * cut off ends with it.  Each VM hears 12 reports/s, so that some 24 count at a time. */
+#define CF_LOAD_REPORT_AGE_MAX_MS 2000
+/* Reports held at most, the oldest is dropped; bounds memory against forged senders. */
+#define CF_LOAD_REPORTS_MAX 256
+#define CF_LOAD_DOMAINS_MAX 16 /* failure domains in a sum, the largest */
+
+/* What the VMs of one failure domain see of a service. */
+struct CfLoadDomain
+{
+  GQuark domain;
+  uint32_t vms;               /* in the domain */
+  uint32_t heard;             /* of these, whose counts are known; this VM included */
+  struct CfLoadCounts counts; /* scaled from those that were heard to all */
+};
+
+struct CfLoadSum
+{
+  uint32_t domain_count;
+  struct CfLoadDomain domains[CF_LOAD_DOMAINS_MAX];
+  struct CfLoadCounts total; /* of all domains */
+  uint32_t vms;              /* VMs of all domains that were heard of */
+  uint32_t heard;
+  CfMillis age; /* mean age of the reports that were used, 0 if there is none */
+};
+
+struct CfLoadTable;
+
+struct CfLoadTable *cf_load_table_new (void);
+void cf_load_table_free (struct CfLoadTable *table);
+
+/* Merges REPORT, received at NOW.  Returns false, and changes nothing, if it is not newer than the
+ * last one of its VM, or holds impossible values: not finite, negative, above the bounds of
+ * load_report.h, or a domain of no VM. */
+bool
+cf_load_table_merge (struct CfLoadTable *table, const struct CfLoadReport *report, CfMillis now);
+
+/* Writes to SUM what all VMs see of the service called NAME.  OWN is what this VM sees of it, in
+ * DOMAIN with DOMAIN_VMS VMs, itself included. */
+void cf_load_table_sum (const struct CfLoadTable *table,
+                        const char *name,
+                        const struct CfLoadCounts *own,
+                        GQuark domain,
+                        uint32_t domain_vms,
+                        CfMillis now,
+                        struct CfLoadSum *sum);
+
+/* Calls EACH with every line of the reports that count at NOW, with the hash of the VM that sent
+ * it and the time when it was received. */
+void cf_load_table_each_line (
+    const struct CfLoadTable *table,
+    CfMillis now,
+    void (*each) (void *context, uint32_t vm, const struct CfLoadLine *line, CfMillis received),
+    void *context);
+
+/* Returns the number of reports that count at NOW. */
+uint32_t cf_load_table_count (const struct CfLoadTable *table, CfMillis now);
+
+#endif
--- /dev/null
+++ b/src/balance/overload.h
@@ -0,0 +1,77 @@
+#ifndef CF_BALANCE_OVERLOAD_H
+#define CF_BALANCE_OVERLOAD_H
+
+#include "load_table.h"
+
+/* Decides whether a service is overloaded, and which part of its new flows is admitted meanwhile,
+ * by priority and failure domain.
+ *
+ * It is designed for bursts above what a service's slots can work on, also beside the loss of a
+ * part of the upstreams, and for callers of one failure domain that press beyond their share.
+ * While there is room all flows are admitted.  An upstream that is full turns requests away after
+ * they have waited there, whichever they are; refused here, the caller knows at once, and the
+ * more urgent requests keep their way.  No I/O.
+ *
+ * A service is overloaded if both are seen: requests in progress fill the slots of the upstreams
+ * that can be reached, and upstreams turn requests away.  Errors alone are not overload (an
+ * upstream that fails has free slots), nor are slow answers alone (nothing is refused then). */
+
+/* Requests in progress for each slot from which a service may be overloaded, and below which it no
+ * longer is.  Upstreams queue some requests beyond their slots. */
+#define CF_OVERLOAD_ENTER_OCCUPANCY 1.0
+#define CF_OVERLOAD_LEAVE_OCCUPANCY 0.8
+/* Part of the requests that ended that must have been turned away, and at least so many a second.
+ */
+#define CF_OVERLOAD_ENTER_SHED 0.03
+#define CF_OVERLOAD_SHED_RATE_MIN 2.0
+/* The overload ends after this long with lower occupancy, or with all demand admitted and almost
+ * none turned away. */
+#define CF_OVERLOAD_LEAVE_MS 300
+/* Flows are admitted at this multiple of the rate that is answered: finds capacity that returns.
+ * What is too much is turned away by the upstreams. */
+#define CF_OVERLOAD_PROBE 1.1
+/* Part of the admitted rate that is kept for lower priorities, all together. */
+#define CF_OVERLOAD_FLOOR 0.1
+/* What was decided is computed again after this long. */
+#define CF_OVERLOAD_INTERVAL_MS 100
+
+/* State of one service, all zero at first. */
+struct CfOverload
+{
+  bool active;
+  CfMillis since;      /* when it began */
+  CfMillis calm_since; /* while active: since when the conditions to leave hold; 0: they do not */
+  CfMillis decided_at;
+  double occupancy;                    /* requests in progress for each slot */
+  double shed_share;                   /* part of the requests that was turned away */
+  double capacity;                     /* flows a second that all VMs together admit */
+  double admitted[CF_LOAD_PRIORITIES]; /* part of this domain's demand that is admitted, 0 to 1 */
+  CfMillis age;                        /* of the reports that decided */
+  uint32_t heard;                      /* VMs that it rests on, this one included */
+};
+
+enum CfOverloadChange
+{
+  CF_OVERLOAD_SAME,
+  CF_OVERLOAD_BEGINS,
+  CF_OVERLOAD_ENDS,
+};
+
+/* Decides anew from SUM, if CF_OVERLOAD_INTERVAL_MS have passed.  SLOTS are those of all upstreams
+ * that may get flows.  DOMAIN is this VM's failure domain. */
+enum CfOverloadChange cf_overload_update (struct CfOverload *overload,
+                                          const struct CfLoadSum *sum,
+                                          double slots,
+                                          GQuark domain,
+                                          double floor_share,
+                                          CfMillis now);
+
+/* Returns the part of the demand of PRIORITY that is admitted, 1 if there is no overload. */
+double cf_overload_admitted (const struct CfOverload *overload, uint32_t priority);
+
+/* Divides CAPACITY between COUNT claims of the amounts DEMAND by max-min fairness: each gets what
+ * it asks for, or an equal part of what is left.  Writes each part to SHARE (0 to 1, 1 for a
+ * demand of 0). */
+void cf_max_min_shares (const double *demand, uint32_t count, double capacity, double *share);
+
+#endif
--- /dev/null
+++ b/src/balance/service_load.h
@@ -0,0 +1,48 @@
+#ifndef CF_BALANCE_SERVICE_LOAD_H
+#define CF_BALANCE_SERVICE_LOAD_H
+
+#include "cf_types.h"
+#include "load_report.h"
+
+#include <glib.h>
+
+/* What this VM itself sees of each service: decayed rates of new flows, of answers and of requests
+ * that busy upstreams turned away, and the mean number of requests in progress.  No I/O. */
+
+/* Rates halve in this time when nothing more comes: short, since a burst begins and ends within a
+ * second, and long enough for a VM with tens of requests a second. */
+#define CF_SERVICE_LOAD_HALF_LIFE_MS 700
+
+struct CfServiceLoads;
+
+struct CfServiceLoads *cf_service_loads_new (void);
+void cf_service_loads_free (struct CfServiceLoads *loads);
+
+/* Records a new flow of PRIORITY to SERVICE: a first packet that is not a retransmission. */
+void cf_service_loads_demand (struct CfServiceLoads *loads,
+                              GQuark service,
+                              uint32_t priority,
+                              CfMillis now);
+/* Records that a flow of PRIORITY was sent to an upstream for the first time. */
+void cf_service_loads_admit (struct CfServiceLoads *loads,
+                             GQuark service,
+                             uint32_t priority,
+                             CfMillis now);
+/* Records that a request was sent (BEGIN) or ended: it has been answered, has stalled, or its flow
+ * has ended. */
+void
+cf_service_loads_progress (struct CfServiceLoads *loads, GQuark service, bool begin, CfMillis now);
+/* Records the end of a request: answered in full, or turned away by a busy upstream (SHED). */
+void
+cf_service_loads_answer (struct CfServiceLoads *loads, GQuark service, bool shed, CfMillis now);
+
+/* Writes to COUNTS the rates at NOW.  Returns false, with COUNTS all 0, if SERVICE is not known. */
+bool cf_service_loads_counts (const struct CfServiceLoads *loads,
+                              GQuark service,
+                              CfMillis now,
+                              struct CfLoadCounts *counts);
+
+/* Removes services that have had no event for 60 s.  To be called every few seconds. */
+void cf_service_loads_prune (struct CfServiceLoads *loads, CfMillis now);
+
+#endif
