--- a/src/balance/load_table.h
+++ b/src/balance/load_table.h
@@ -14,7 +14,8 @@
  * earlier one, and expires.  No I/O. */
 
 /* A report counts for this long after it was received: the share of a VM that was killed, frozen or
- * cut off ends with it.  Each VM hears 12 reports/s, so that some 24 count at a time. */
+ * cut off ends with it.  Each VM hears 8 reports/s, so that those of some 14 other VMs count at a
+ * time. */
 #define CF_LOAD_REPORT_AGE_MAX_MS 2000
 /* Reports held at most, the oldest is dropped; bounds memory against forged senders. */
 #define CF_LOAD_REPORTS_MAX 256
--- a/src/balance/routes.h
+++ b/src/balance/routes.h
@@ -22,9 +22,10 @@
   struct CfEndpoint address;
   struct CfSplit splits[CF_SPLIT_MAX];
   uint32_t split_count;
-  uint32_t priority; /* 0 is highest */
-  bool idempotent;   /* its requests may be repeated after any failure */
-  bool removed;      /* not in the current manifest */
+  uint32_t priority;          /* 0 is highest */
+  CfMillis target_latency_ms; /* within which callers need an answer; 0: not stated */
+  bool idempotent;            /* its requests may be repeated after any failure */
+  bool removed;               /* not in the current manifest */
 };
 
 struct CfServiceTraits
