--- a/src/balance/balance.c
+++ b/src/balance/balance.c
@@ -33,6 +33,7 @@
   balance->peers = g_array_new (FALSE, FALSE, sizeof (uint32_t));
   balance->synced_at = -1;
   cf_connections_init (&balance->connections);
+  cf_balance_init_admission (balance);
   cf_startup_queue_init (&balance->startup_queue);
   return balance;
 }
@@ -41,6 +42,7 @@
 cf_balance_free (struct CfBalance *balance)
 {
   cf_connections_clear (&balance->connections);
+  g_clear_pointer (&balance->admission, cf_admission_control_free);
   cf_startup_queue_clear (&balance->startup_queue);
   cf_outlier_detector_free (balance->outlier_detector);
   cf_unreachable_free (balance->unreachable);
@@ -56,11 +58,15 @@
 enum CfOutcome
 cf_balance_segment (struct CfBalance *balance, const struct CfSegment *segment, CfMillis now)
 {
+  balance->now = now;
   if (segment->flags & CF_SEGMENT_SYN)
     return cf_balance_first_packet (balance, segment, now);
   /* The flow has opened: another VM found an upstream for it. */
   if (!cf_startup_queue_empty (&balance->startup_queue))
     cf_startup_queue_remove (&balance->startup_queue, segment->caller, segment->service);
+  if (balance->admission)
+    cf_admission_forget (cf_admission_control_queue (balance->admission), segment->caller,
+                         segment->service);
   return cf_balance_later_packet (balance, segment, now);
 }
 
@@ -72,10 +78,13 @@
   struct CfConnection *pending;
   CfMillis next;
 
+  balance->now = now;
   cf_balance_resume_queued (balance, now);
   while ((pending = cf_connections_next_due (connections)) && pending->due_at <= now)
     cf_balance_open_timed_out (balance, pending, now);
   cf_balance_fail_stalled (balance, now);
+  if (balance->admission)
+    cf_balance_resume_held (balance, now);
   while (!cf_list_empty (&connections->open))
     {
       struct CfConnection *connection
@@ -94,6 +103,8 @@
   next = MIN (now + CF_MS_PER_S, cf_exchange_next_stall (connections));
   if (pending)
     next = MIN (next, pending->due_at);
+  if (balance->admission)
+    next = MIN (next, cf_admission_tick (balance->admission, now));
   return next;
 }
 
@@ -152,6 +163,12 @@
   balance->fleet_size = count;
 }
 
+struct CfAdmissionControl *
+cf_balance_admission (struct CfBalance *balance)
+{
+  return balance->admission;
+}
+
 struct CfDirectory *
 cf_balance_directory (struct CfBalance *balance)
 {
--- a/src/balance/balance.h
+++ b/src/balance/balance.h
@@ -1,6 +1,7 @@
 #ifndef CF_BALANCE_H
 #define CF_BALANCE_H
 
+#include "admission.h"
 #include "directory.h"
 #include "place.h"
 #include "quality_report.h"
@@ -25,10 +26,12 @@
   CF_OUTCOME_REPEATED,       /* retransmitted first packet, sent to another upstream */
   CF_OUTCOME_HANDED_ON,      /* sent to another entry VM, whose state may be newer */
   CF_OUTCOME_WAITING,        /* first packet, queued until this VM has synced */
+  CF_OUTCOME_HELD,           /* first packet, queued until its overloaded service has room */
   CF_OUTCOME_RESET_NO_ROUTE, /* refused: no route at its address */
   CF_OUTCOME_RESET_NO_UPSTREAM,   /* refused: no eligible upstream */
   CF_OUTCOME_RESET_ROUTE_REMOVED, /* flow ended: its route was removed */
   CF_OUTCOME_RESET_UNREACHABLE,   /* flow ended: its upstream cannot be reached (unreachable.h) */
+  CF_OUTCOME_RESET_OVERLOAD,      /* refused: its service is overloaded (admission.h) */
   CF_OUTCOME_DROPPED_NO_ROUTE,    /* dropped: no route known, and the manifest may be stale */
   CF_OUTCOME_DROPPED_NO_UPSTREAM, /* dropped: no upstream known, and the directory may be stale */
   CF_OUTCOME_DROPPED_UNKNOWN_COOKIE, /* dropped: its cookie names no known upstream */
@@ -48,6 +51,7 @@
   const struct CfTarget *silent; /* the previous upstream, which did not respond; NULL: none */
   enum CfPlaceReason reason;
   enum CfUnreachableReason evidence; /* of CF_OUTCOME_RESET_UNREACHABLE */
+  struct CfAdmissionVerdict verdict; /* of CF_OUTCOME_HELD and CF_OUTCOME_RESET_OVERLOAD */
   uint32_t tries;                    /* upstreams that got the first packet before */
   uint64_t manifest_version;         /* current version */
   CfMillis state_age;                /* how long the upstream has been in its state */
@@ -76,6 +80,14 @@
   /* The upstreams of DOMAIN are avoided because they seem to be unreachable together, or are no
    * longer avoided. */
   void (*outage_changed) (void *context, GQuark domain, bool begins);
+  /* A first packet has waited for admission for WAIT and is placed, or refused. */
+  void (*held) (void *context, CfMillis wait);
+  /* SERVICE is overloaded by what SUM says, or no longer is. */
+  void (*overload_changed) (void *context,
+                            GQuark service,
+                            const struct CfOverload *overload,
+                            const struct CfLoadSum *sum,
+                            bool begins);
 };
 
 struct CfBalanceOptions
@@ -83,6 +95,7 @@
   const char *domain; /* failure domain of this VM */
   uint32_t seed;      /* of the random number generator */
   CfMillis flow_lifetime_ms;
+  struct CfAdmissionOptions admission;
 };
 
 struct CfBalance *cf_balance_new (const struct CfBalanceOptions *options,
@@ -123,6 +136,9 @@
 /* Sets the number of VMs that share the capacity of a cold upstream. */
 void cf_balance_set_fleet_size (struct CfBalance *balance, uint32_t count);
 
+/* Returns the admission control, NULL if it is off. */
+struct CfAdmissionControl *cf_balance_admission (struct CfBalance *balance);
+
 struct CfDirectory *cf_balance_directory (struct CfBalance *balance);
 const struct CfRoutes *cf_balance_routes (const struct CfBalance *balance);
 
--- a/src/balance/balance_internal.h
+++ b/src/balance/balance_internal.h
@@ -14,6 +14,7 @@
  *   inputs and timers                  balance.c
  *   packets after the first            later_packet.c
  *   first packets                      first_packet.c
+ *   admission of new flows             admit.c
  *   refusing and handing on, reports   outcome.c */
 
 /* A tick that is this late shows that the process was paused: time-outs that expired meanwhile
@@ -45,6 +46,8 @@
   struct CfOutages *outages;
   struct CfUnreachable *unreachable;
   struct CfOutlierDetector *outlier_detector;
+  struct CfAdmissionControl *admission; /* NULL: off */
+  CfMillis now;                         /* of the input that is being handled */
   uint32_t flows_since_trial; /* flows placed since the last trial of a suspected upstream */
   CfMillis tried_at;          /* when that trial was */
   CfMillis pruned_at;
@@ -82,6 +85,34 @@
 struct CfOpenTimeout *cf_balance_open_timeout (struct CfBalance *balance,
                                                const struct CfTarget *target);
 
+/* Places the flows that waited for admission and may go on, and refuses those that may not. */
+void cf_balance_resume_held (struct CfBalance *balance, CfMillis now);
+
+/* admit.c */
+/* Starts admission control, if the options ask for it. */
+void cf_balance_init_admission (struct CfBalance *balance);
+/* Decides whether SEGMENT, the first packet of a flow to SERVICE on ROUTE, is placed now. */
+struct CfAdmissionVerdict cf_balance_admit (struct CfBalance *balance,
+                                            const struct CfSegment *segment,
+                                            const struct CfRouteEntry *route,
+                                            GQuark service,
+                                            CfMillis now);
+/* Reports that SEGMENT is held, or refuses it, as VERDICT says. */
+enum CfOutcome cf_balance_finish_unadmitted (struct CfBalance *balance,
+                                             const struct CfSegment *segment,
+                                             const struct CfAdmissionVerdict *verdict,
+                                             CfMillis now);
+/* Records that a request of CONNECTION ended with BYTES of an answer, which began after WAIT.
+ * Returns true if TARGET turned it away because it was busy. */
+bool cf_balance_record_answer (struct CfBalance *balance,
+                               const struct CfConnection *connection,
+                               struct CfTarget *target,
+                               uint32_t bytes,
+                               CfMillis wait,
+                               CfMillis now);
+/* Returns true if the next flow to SERVICE should go to another failure domain. */
+bool cf_balance_prefers_far (struct CfBalance *balance, GQuark service, CfMillis now);
+
 /* later_packet.c */
 enum CfOutcome
 cf_balance_later_packet (struct CfBalance *balance, const struct CfSegment *segment, CfMillis now);
--- a/src/balance/connections.c
+++ b/src/balance/connections.c
@@ -25,6 +25,7 @@
   connections->awaiting_answer = g_sequence_new (NULL);
   cf_list_init (&connections->open);
   connections->count = 0;
+  connections->awaiting_changed = NULL;
 }
 
 static gint
@@ -162,15 +163,21 @@
 void
 cf_connections_await_answer (struct CfConnections *connections, struct CfConnection *connection)
 {
-  leave_queue (&connection->awaiting_answer);
+  cf_connections_stop_awaiting (connections, connection);
   connection->awaiting_answer
       = g_sequence_insert_sorted (connections->awaiting_answer, connection, compare_stall, NULL);
+  if (connections->awaiting_changed)
+    connections->awaiting_changed (connections->context, connection, true);
 }
 
 void
-cf_connection_stop_awaiting (struct CfConnection *connection)
+cf_connections_stop_awaiting (struct CfConnections *connections, struct CfConnection *connection)
 {
+  if (!connection->awaiting_answer)
+    return;
   leave_queue (&connection->awaiting_answer);
+  if (connections->awaiting_changed)
+    connections->awaiting_changed (connections->context, connection, false);
 }
 
 void
@@ -190,7 +197,7 @@
 {
   cf_connection_set_target (connection, NULL);
   leave_queue (&connection->due);
-  leave_queue (&connection->awaiting_answer);
+  cf_connections_stop_awaiting (connections, connection);
   cf_list_remove (&connection->link);
   g_hash_table_remove (connections->table, connection);
   g_slice_free (struct CfConnection, connection);
--- a/src/balance/connections.h
+++ b/src/balance/connections.h
@@ -20,6 +20,7 @@
 {
   bool request_sent; /* data of a request went to the upstream */
   bool stalled;      /* counted as failed: no answer came in time */
+  CfMillis wait;     /* from the request to the first byte of the answer, -1: none came */
   CfMillis request_sent_at;
   CfMillis stalls_at;
   uint32_t ack_base; /* the caller's acknowledgement number at request_sent_at */
@@ -40,6 +41,7 @@
   CfMillis tried_at[CF_TRIES_MAX];
   uint32_t tries;
   GQuark service_name;
+  uint32_t priority; /* of its route */
   bool sent;         /* an upstream got the first packet */
   bool pending;      /* no packet has followed the first */
   CfMillis begun_at; /* arrival of the first packet */
@@ -56,6 +58,9 @@
   struct CfLink open;         /* by seen_at, oldest first */
   GSequence *awaiting_answer; /* by exchange.stalls_at, soonest first */
   uint32_t count;
+  /* A request of CONNECTION begins to await an answer, or no longer does; may be NULL. */
+  void (*awaiting_changed) (void *context, const struct CfConnection *connection, bool begins);
+  void *context;
 };
 
 void cf_connections_init (struct CfConnections *connections);
@@ -91,7 +96,8 @@
 void cf_connections_await_answer (struct CfConnections *connections,
                                   struct CfConnection *connection);
 /* Removes CONNECTION from them, if it is there. */
-void cf_connection_stop_awaiting (struct CfConnection *connection);
+void cf_connections_stop_awaiting (struct CfConnections *connections,
+                                   struct CfConnection *connection);
 
 /* Marks CONNECTION as open and most recently used. */
 void cf_connections_touch (struct CfConnections *connections,
--- a/src/balance/exchange.c
+++ b/src/balance/exchange.c
@@ -11,6 +11,7 @@
     .request_sent = true,
     .request_sent_at = now,
     .stalls_at = now + stall_ms,
+    .wait = -1,
     .ack_base = segment->ack,
   };
   cf_connections_await_answer (connections, connection);
@@ -32,14 +33,17 @@
     {
       update.answer_began = exchange->answered == 0;
       update.wait = now - exchange->request_sent_at;
+      if (update.answer_began)
+        exchange->wait = update.wait;
       exchange->answered = answered;
-      cf_connection_stop_awaiting (connection);
+      cf_connections_stop_awaiting (connections, connection);
     }
   if (segment->data == 0 || (exchange->request_sent && exchange->answered == 0))
     return update;
   /* Data that follows an answer begins the next request. */
   update.request_ended = exchange->request_sent;
   update.bytes = exchange->answered;
+  update.ended_wait = exchange->wait;
   begin_request (connections, connection, segment, stall_ms, now);
   return update;
 }
@@ -69,6 +73,6 @@
   if (!connection || now < connection->exchange.stalls_at)
     return NULL;
   connection->exchange.stalled = true;
-  cf_connection_stop_awaiting (connection);
+  cf_connections_stop_awaiting (connections, connection);
   return connection;
 }
--- a/src/balance/exchange.h
+++ b/src/balance/exchange.h
@@ -11,8 +11,9 @@
 {
   bool answer_began; /* the first byte of an answer came WAIT after its request */
   CfMillis wait;
-  bool request_ended; /* a request ended, with an answer of BYTES */
+  bool request_ended; /* a request ended, with an answer of BYTES that began after ENDED_WAIT */
   uint32_t bytes;
+  CfMillis ended_wait;
 };
 
 /* Updates CONNECTION by its packet SEGMENT.  A request that it begins stalls after STALL_MS. */
--- a/src/balance/first_packet.c
+++ b/src/balance/first_packet.c
@@ -65,6 +65,9 @@
     .cold_share = cold_share (balance, connection->service_name),
     .outages = balance->outages,
     .may_try = may_try (balance, connection, now),
+    .use_pace = balance->admission != NULL,
+    .prefer_far = balance->admission && connection->tries == 0
+                  && cf_balance_prefers_far (balance, connection->service_name, now),
     .random = balance->random,
   };
 
@@ -92,6 +95,9 @@
 
   if (!target)
     return false;
+  if (balance->admission && connection->tries == 0)
+    cf_admission_record_placed (balance->admission, connection->service_name, connection->priority,
+                                now);
   balance->flows_since_trial++;
   if (reason == CF_PLACE_TRY)
     {
@@ -134,6 +140,7 @@
       = cf_connections_add (&balance->connections, segment->caller, segment->service, now);
 
   connection->service_name = cf_route_service (route, segment->caller);
+  connection->priority = route->priority;
   if (segment->size <= CF_FIRST_BYTES_MAX)
     {
       memcpy (connection->first, segment->bytes, segment->size);
@@ -162,13 +169,40 @@
                             now);
 }
 
+/* Sends SEGMENT, a first packet on ROUTE, to an upstream.  CONNECTION is that of its flow, NULL for
+ * a new one. */
+static enum CfOutcome
+place_flow (struct CfBalance *balance,
+            const struct CfSegment *segment,
+            const struct CfRouteEntry *route,
+            struct CfConnection *connection,
+            CfMillis now)
+{
+  enum CfOutcome outcome = segment->retransmit_count > 0 ? CF_OUTCOME_REPEATED : CF_OUTCOME_PLACED;
+
+  if (!connection)
+    connection = add_connection (balance, segment, route, now);
+  if (connection->tries == CF_TRIES_MAX)
+    connection->tries = 0;
+  if (try_next (balance, connection, segment->bytes, segment->size, outcome, now))
+    return outcome;
+  if (connection->tries > 0)
+    {
+      /* All upstreams were tried: start over. */
+      connection->tries = 0;
+      if (try_next (balance, connection, segment->bytes, segment->size, outcome, now))
+        return outcome;
+    }
+  return refuse_unplaced (balance, segment, connection, now);
+}
+
 enum CfOutcome
 cf_balance_first_packet (struct CfBalance *balance, const struct CfSegment *segment, CfMillis now)
 {
   const struct CfRouteEntry *route = cf_routes_find (balance->routes, segment->service);
   struct CfConnection *connection
       = cf_connections_find (&balance->connections, segment->caller, segment->service);
-  enum CfOutcome outcome = segment->retransmit_count > 0 ? CF_OUTCOME_REPEATED : CF_OUTCOME_PLACED;
+  struct CfAdmissionVerdict verdict;
 
   if (!has_synced (balance))
     return queue_until_synced (balance, segment, now);
@@ -187,20 +221,38 @@
       cf_connections_remove (&balance->connections, connection);
       connection = NULL;
     }
-  if (!connection)
-    connection = add_connection (balance, segment, route, now);
-  if (connection->tries == CF_TRIES_MAX)
-    connection->tries = 0;
-  if (try_next (balance, connection, segment->bytes, segment->size, outcome, now))
-    return outcome;
-  if (connection->tries > 0)
+  if (!connection && balance->admission)
     {
-      /* All upstreams were tried: start over. */
-      connection->tries = 0;
-      if (try_next (balance, connection, segment->bytes, segment->size, outcome, now))
-        return outcome;
+      verdict = cf_balance_admit (balance, segment, route,
+                                  cf_route_service (route, segment->caller), now);
+      if (verdict.admission != CF_ADMISSION_PLACE)
+        return cf_balance_finish_unadmitted (balance, segment, &verdict, now);
+    }
+  return place_flow (balance, segment, route, connection, now);
+}
+
+void
+cf_balance_resume_held (struct CfBalance *balance, CfMillis now)
+{
+  struct CfAdmissionResult result;
+  struct CfAdmissionVerdict verdict;
+  enum CfAdmissionEnd end;
+
+  while ((end = cf_admission_control_next (balance->admission, &result, &verdict, now))
+         != CF_ADMISSION_END_NONE)
+    {
+      const struct CfRouteEntry *route = cf_routes_find (balance->routes, result.segment.service);
+
+      result.segment.bytes = result.bytes;
+      if (balance->out->held)
+        balance->out->held (balance->context, result.waited);
+      if (!route || route->removed)
+        cf_balance_finish (balance, &result.segment, NULL, CF_OUTCOME_RESET_NO_ROUTE, now);
+      else if (end == CF_ADMISSION_END_EXPIRED)
+        cf_balance_finish_unadmitted (balance, &result.segment, &verdict, now);
+      else
+        place_flow (balance, &result.segment, route, NULL, now);
     }
-  return refuse_unplaced (balance, segment, connection, now);
 }
 
 void
--- a/src/balance/later_packet.c
+++ b/src/balance/later_packet.c
@@ -71,16 +71,22 @@
     balance->out->failing (balance->context, target);
 }
 
-/* A request of CONNECTION to TARGET has ended, or has stalled, with BYTES of an answer. */
+/* A request of CONNECTION to TARGET has ended, or has stalled, with BYTES of an answer, which began
+ * after WAIT. */
 static void
 record_response (struct CfBalance *balance,
                  const struct CfConnection *connection,
                  struct CfTarget *target,
                  uint32_t bytes,
+                 CfMillis wait,
                  CfMillis now)
 {
   GPtrArray *siblings = cf_directory_service (balance->directory, target->service);
 
+  /* An upstream without a free slot does not fail. */
+  if (balance->admission
+      && cf_balance_record_answer (balance, connection, target, bytes, wait, now))
+    return;
   if (cf_outlier_record_response (balance->outlier_detector, target, siblings, connection->service,
                                   bytes, now))
     notify_failing (balance, target);
@@ -129,14 +135,14 @@
   if (update.answer_began)
     cf_outlier_record_first_byte (balance->outlier_detector, connection->service, update.wait);
   if (update.request_ended)
-    record_response (balance, connection, target, update.bytes, now);
+    record_response (balance, connection, target, update.bytes, update.ended_wait, now);
   if (!(segment->flags & (CF_SEGMENT_FIN | CF_SEGMENT_RST)))
     {
       cf_connections_touch (&balance->connections, connection, now);
       return;
     }
   if (cf_exchange_end (connection, &bytes))
-    record_response (balance, connection, target, bytes, now);
+    record_response (balance, connection, target, bytes, connection->exchange.wait, now);
   cf_connections_remove (&balance->connections, connection);
 }
 
@@ -243,5 +249,5 @@
 
   while ((connection = cf_exchange_take_stalled (&balance->connections, now)))
     if (connection->target && now - connection->exchange.stalls_at <= CF_PAUSE_MS)
-      record_response (balance, connection, connection->target, 0, now);
+      record_response (balance, connection, connection->target, 0, -1, now);
 }
--- a/src/balance/load_report.h
+++ b/src/balance/load_report.h
@@ -10,11 +10,12 @@
  *
  * Rates are per second.  A report replaces the sender's report before it; it adds to nothing. */
 
-#define CF_LOAD_PRIORITIES 4   /* levels that are counted apart; higher numbers count as the last */
-#define CF_LOAD_SERVICES_MAX 4 /* services in a report: those with the most requests in progress   \
-                                */
-#define CF_LOAD_LINES_MAX 16   /* upstreams in a report: those whose pace differs most */
-#define CF_LOAD_NAME_MAX 64    /* bytes with the final 0; a longer name is not reported */
+#define CF_LOAD_PRIORITIES 4 /* levels that are counted apart; higher numbers count as the last */
+#define CF_LOAD_SERVICES_MAX                                                                       \
+  4                          /* services in a report: those with the most requests in progress     \
+                              */
+#define CF_LOAD_LINES_MAX 16 /* upstreams in a report: those whose pace differs most */
+#define CF_LOAD_NAME_MAX 64  /* bytes with the final 0; a longer name is not reported */
 /* Bounds of what is believed of a report.  Above what one VM can count. */
 #define CF_LOAD_RATE_MAX 1e6
 #define CF_LOAD_PACE_MIN 0.01
--- a/src/balance/outlier.c
+++ b/src/balance/outlier.c
@@ -113,15 +113,45 @@
   baseline->wait_ms += BASELINE_WEIGHT * ((double) wait - baseline->wait_ms);
 }
 
+static const struct Baseline *
+find_baseline (const struct CfOutlierDetector *detector, struct CfEndpoint address)
+{
+  struct Baseline key = { .address = address };
+
+  return g_hash_table_lookup (detector->baselines, &key);
+}
+
+double
+cf_outlier_wait_ms (const struct CfOutlierDetector *detector, struct CfEndpoint address)
+{
+  const struct Baseline *baseline = find_baseline (detector, address);
+
+  return baseline ? baseline->wait_ms : 0;
+}
+
+static bool
+is_short (const struct Baseline *baseline, uint32_t bytes)
+{
+  return baseline && baseline->count >= BASELINE_SAMPLES_MIN
+         && bytes < baseline->bytes * CF_OUTLIER_SHORT_RATIO;
+}
+
+bool
+cf_outlier_is_short (const struct CfOutlierDetector *detector,
+                     struct CfEndpoint address,
+                     uint32_t bytes)
+{
+  return is_short (find_baseline (detector, address), bytes);
+}
+
 CfMillis
 cf_outlier_stall_ms (const struct CfOutlierDetector *detector, struct CfEndpoint address)
 {
-  struct Baseline key = { .address = address };
-  const struct Baseline *baseline = g_hash_table_lookup (detector->baselines, &key);
+  double wait_ms = cf_outlier_wait_ms (detector, address);
 
-  if (!baseline || baseline->wait_ms <= 0)
+  if (wait_ms <= 0)
     return CF_OUTLIER_STALL_MAX_MS;
-  return CLAMP ((CfMillis) (CF_OUTLIER_STALL_FACTOR * baseline->wait_ms), CF_OUTLIER_STALL_MIN_MS,
+  return CLAMP ((CfMillis) (CF_OUTLIER_STALL_FACTOR * wait_ms), CF_OUTLIER_STALL_MIN_MS,
                 CF_OUTLIER_STALL_MAX_MS);
 }
 
@@ -131,7 +161,7 @@
 {
   struct Baseline *baseline = get_baseline (detector, address);
 
-  if (baseline->count >= BASELINE_SAMPLES_MIN && bytes < baseline->bytes * CF_OUTLIER_SHORT_RATIO)
+  if (is_short (baseline, bytes))
     {
       /* Short answers still move the baseline, so that a permanent change of the service's answers
        * is accepted in time. */
--- a/src/balance/outlier.h
+++ b/src/balance/outlier.h
@@ -61,6 +61,15 @@
                                    struct CfEndpoint address,
                                    CfMillis wait);
 
+/* Returns the mean time to the first byte of an answer from ADDRESS, 0 if it is not known. */
+double cf_outlier_wait_ms (const struct CfOutlierDetector *detector, struct CfEndpoint address);
+
+/* Returns true if an answer of BYTES from ADDRESS is far shorter than usual: an error, or the
+ * answer of an upstream that turned the request away. */
+bool cf_outlier_is_short (const struct CfOutlierDetector *detector,
+                          struct CfEndpoint address,
+                          uint32_t bytes);
+
 /* Returns how long a request to ADDRESS may go without a byte of an answer. */
 CfMillis cf_outlier_stall_ms (const struct CfOutlierDetector *detector, struct CfEndpoint address);
 
--- a/src/serve/balance_settings.c
+++ b/src/serve/balance_settings.c
@@ -7,6 +7,10 @@
 #define NO_FAILURE_DOMAIN "unknown"
 #define DEFAULT_FLOW_LIFETIME_S 3600 /* upstreams that are gone are remembered for this long */
 #define DEFAULT_GRACE_S 5            /* below the usual times of service managers */
+#define DEFAULT_HOLD_SHARE 0.25
+#define DEFAULT_FLOOR_SHARE 0.1
+#define DEFAULT_RETRY_SHARE 0.2
+#define DEFAULT_CALLER_PREFIX 32
 
 #define BYTE_ORDER_MARK "\xef\xbb\xbf"
 
@@ -107,6 +111,45 @@
   return number;
 }
 
+/* Returns the value of KEY of a group that a file need not have, or NULL. */
+static char *
+find_optional (struct Reader *reader, const char *group, const char *key)
+{
+  return g_key_file_has_key (reader->file, group, key, NULL) ? find_text (reader, group, key)
+                                                             : NULL;
+}
+
+static double
+read_optional_number (struct Reader *reader,
+                      const char *group,
+                      const char *key,
+                      double min,
+                      double max,
+                      double fallback)
+{
+  char *text = find_optional (reader, group, key);
+  double number = text ? parse_number (reader, group, key, text, min, max) : fallback;
+
+  g_free (text);
+  return number;
+}
+
+static bool
+read_optional_bool (struct Reader *reader, const char *group, const char *key, bool fallback)
+{
+  char *text = find_optional (reader, group, key);
+  bool value = fallback;
+
+  if (text && strcmp (text, "true") == 0)
+    value = true;
+  else if (text && strcmp (text, "false") == 0)
+    value = false;
+  else if (text)
+    fail (reader, group, key, "is neither true nor false");
+  g_free (text);
+  return value;
+}
+
 /* Reads a port, which may be 0 for none, and be missing, if OPTIONAL. */
 static uint16_t
 read_port (struct Reader *reader, const char *group, const char *key, bool optional)
@@ -185,6 +228,29 @@
   return (char **) g_ptr_array_free (result, FALSE);
 }
 
+/* Groups of parts that are off unless the file has them. */
+static void
+read_optional_groups (struct Reader *reader, struct CfBalanceSettings *settings)
+{
+  double prefix
+      = read_optional_number (reader, "overload", "caller-prefix", 8, 32, DEFAULT_CALLER_PREFIX);
+
+  if (prefix != (unsigned) prefix)
+    fail (reader, "overload", "caller-prefix", "is not a whole number");
+  settings->admission = (struct CfAdmissionOptions){
+    .enabled = read_optional_bool (reader, "overload", "enabled", false),
+    .hold_share
+    = read_optional_number (reader, "overload", "hold-share", 0, 0.25, DEFAULT_HOLD_SHARE),
+    .floor_share
+    = read_optional_number (reader, "overload", "floor-share", 0, 0.5, DEFAULT_FLOOR_SHARE),
+    .retry_share
+    = read_optional_number (reader, "overload", "retry-share", 0, 1, DEFAULT_RETRY_SHARE),
+    .caller_prefix = (unsigned) prefix,
+  };
+  settings->extra_openings
+      = read_optional_number (reader, "slow-answers", "extra-openings", 0, 0.1, 0);
+}
+
 static void
 read_values (struct Reader *reader, struct CfBalanceSettings *settings)
 {
@@ -210,6 +276,7 @@
                     * CF_MS_PER_S);
   settings->grace_ms
       = (CfMillis) (read_number (reader, "limits", "grace-s", 1e6, DEFAULT_GRACE_S) * CF_MS_PER_S);
+  read_optional_groups (reader, settings);
 }
 
 static bool
--- a/src/serve/balance_settings.h
+++ b/src/serve/balance_settings.h
@@ -1,7 +1,7 @@
 #ifndef CF_SERVE_BALANCE_SETTINGS_H
 #define CF_SERVE_BALANCE_SETTINGS_H
 
-#include "cf_types.h"
+#include "balance/admission.h"
 
 #include <glib.h>
 
@@ -24,8 +24,10 @@
   char *store;  /* IP:port */
   CfMillis max_flow_lifetime_ms;
   CfMillis grace_ms; /* from SIGTERM until the process is killed */
-  GPtrArray *notes;  /* of char *: defaults that are used and entries that were left out */
-  bool complete;     /* the file has all keys, if without a value, and its last line has an end */
+  struct CfAdmissionOptions admission;
+  double extra_openings; /* as a share of the usual ones, 0: none */
+  GPtrArray *notes;      /* of char *: defaults that are used and entries that were left out */
+  bool complete; /* the file has all keys, if without a value, and its last line has an end */
 };
 
 /* Reads SETTINGS from TEXT, LEN bytes and a 0, the content of the file PATH.  Returns false with
--- a/src/serve/datapath_internal.h
+++ b/src/serve/datapath_internal.h
@@ -2,6 +2,7 @@
 #define CF_SERVE_DATAPATH_INTERNAL_H
 
 #include "balancer.h"
+#include "cf_stats.h"
 #include "platform/datagram.h"
 #include "server.h"
 
@@ -28,6 +29,9 @@
   uint16_t caller_port; /* callers receive packets at their address and this port */
   struct CfEventRate placed_rate;
   struct CfEventRate notable_rate;
+  struct CfEventRate admission_rate;
+  uint64_t refused[CF_LOAD_PRIORITIES][CF_REFUSAL_COUNT]; /* during overload */
+  struct CfHistogram held; /* ms that first packets waited for admission */
   uint64_t outcomes[CF_OUTCOME_COUNT];
   bool isolated;
   CfMillis next_report_at; /* when the next quality report may be sent */
--- a/src/serve/datapath_task.c
+++ b/src/serve/datapath_task.c
@@ -10,6 +10,7 @@
 #define PLACED_PER_S 2.0   /* log lines about ordinary decisions */
 #define NOTABLE_PER_S 10.0 /* log lines about resets, drops, moved flows and failures */
 #define NOTABLE_BURST 50.0
+#define ADMISSION_PER_S 5.0 /* log lines about flows that wait or are refused during overload */
 
 static void
 flush (struct DatapathTask *task)
@@ -102,6 +103,40 @@
               endpoint.ip >> 16 & 255, endpoint.ip >> 8 & 255, endpoint.ip & 255, endpoint.port);
 }
 
+static int64_t
+percent (double part)
+{
+  return (int64_t) (part * 100 + 0.5);
+}
+
+/* Counts and logs a first packet that waits for admission or was refused. */
+static void
+log_admission (struct DatapathTask *task, const struct CfDecision *decision)
+{
+  const struct CfAdmissionVerdict *verdict = &decision->verdict;
+  char flow[CF_ADDRESS_TEXT_MAX];
+  char service[CF_ADDRESS_TEXT_MAX];
+
+  if (decision->outcome == CF_OUTCOME_RESET_OVERLOAD)
+    task->refused[MIN (verdict->priority, CF_LOAD_PRIORITIES - 1)][verdict->reason]++;
+  format_endpoint (decision->caller, flow);
+  format_endpoint (decision->service, service);
+  cf_event_log_write_limited (
+      task->balancer->log, &task->admission_rate, cf_outcome_name (decision->outcome),
+      (struct CfField[]){
+          { .key = "flow", .text = flow },
+          { .key = "to", .text = service },
+          { .key = "reason", .text = cf_refusal_reason_name (verdict->reason) },
+          { .key = "priority", .number = verdict->priority },
+          { .key = "admitted_pct", .number = percent (verdict->admitted) },
+          { .key = "caller_requests", .number = (int64_t) verdict->caller_use },
+          { .key = "occupancy_pct", .number = percent (verdict->occupancy) },
+          { .key = "reports_age_ms", .number = verdict->age },
+          { 0 },
+      },
+      cf_now ());
+}
+
 static void
 decided (void *context, const struct CfDecision *decision)
 {
@@ -112,6 +147,11 @@
   char flow[CF_ADDRESS_TEXT_MAX];
   char service[CF_ADDRESS_TEXT_MAX];
 
+  if (decision->outcome == CF_OUTCOME_HELD || decision->outcome == CF_OUTCOME_RESET_OVERLOAD)
+    {
+      log_admission (task, decision);
+      return;
+    }
   if (decision->outcome == CF_OUTCOME_MOVED)
     task->outcomes[CF_OUTCOME_MOVED]++;
   format_endpoint (decision->caller, flow);
@@ -202,6 +242,40 @@
       cf_now ());
 }
 
+static void
+held (void *context, CfMillis wait)
+{
+  struct DatapathTask *task = context;
+
+  cf_histogram_add (&task->held, (uint64_t) wait);
+}
+
+static void
+overload_changed (void *context,
+                  GQuark service,
+                  const struct CfOverload *overload,
+                  const struct CfLoadSum *sum,
+                  bool begins)
+{
+  struct DatapathTask *task = context;
+
+  cf_event_log_write (task->balancer->log, begins ? "overload" : "overload-ended",
+                      (struct CfField[]){
+                          { .key = "service", .text = g_quark_to_string (service) },
+                          { .key = "occupancy_pct", .number = percent (overload->occupancy) },
+                          { .key = "turned_away_pct", .number = percent (overload->shed_share) },
+                          { .key = "answered_per_s", .number = (int64_t) sum->total.answered },
+                          { .key = "admitted_per_s", .number = (int64_t) overload->capacity },
+                          { .key = "admitted_0_pct", .number = percent (overload->admitted[0]) },
+                          { .key = "admitted_1_pct", .number = percent (overload->admitted[1]) },
+                          { .key = "admitted_2_pct", .number = percent (overload->admitted[2]) },
+                          { .key = "admitted_3_pct", .number = percent (overload->admitted[3]) },
+                          { .key = "vms_heard", .number = overload->heard },
+                          { .key = "reports_age_ms", .number = overload->age },
+                          { 0 },
+                      });
+}
+
 static const struct CfBalanceOutputs outputs = {
   .forward = forward,
   .hand_on = hand_on,
@@ -211,6 +285,8 @@
   .reach_changed = reach_changed,
   .outage_changed = outage_changed,
   .failing = failing,
+  .held = held,
+  .overload_changed = overload_changed,
 };
 
 static void
@@ -316,12 +392,14 @@
   task->caller_port = settings->fabric.port;
   task->placed_rate = (struct CfEventRate){ .per_s = PLACED_PER_S, .burst = PLACED_PER_S };
   task->notable_rate = (struct CfEventRate){ .per_s = NOTABLE_PER_S, .burst = NOTABLE_BURST };
+  task->admission_rate = (struct CfEventRate){ .per_s = ADMISSION_PER_S, .burst = ADMISSION_PER_S };
   task->opened = g_hash_table_new_full (NULL, NULL, NULL, g_free);
   task->balance = cf_balance_new (
       &(struct CfBalanceOptions){
           .domain = settings->failure_domain,
           .seed = g_random_int (),
           .flow_lifetime_ms = settings->max_flow_lifetime_ms,
+          .admission = settings->admission,
       },
       &outputs, task);
   return task;
