--- a/src/balance/directory.h
+++ b/src/balance/directory.h
@@ -42,7 +42,7 @@
   CfMillis failed_at;    /* when the last of them timed out */
   CfMillis retry_at;     /* with failures: earliest time of the next trial */
   CfMillis confirmed_at; /* when a flow last opened, -1: never */
-  bool trying;           /* a trial is under way */
+  CfMillis trial_until;  /* a trial is under way until then at most, 0: none is */
 };
 
 /* Recent answers, with exponential decay. */
--- a/src/balance/first_packet.c
+++ b/src/balance/first_packet.c
@@ -117,7 +117,7 @@
   connection->tries++;
   connection->sent = true;
   cf_connection_set_target (connection, target);
-  cf_reach_record_attempt (&target->reach);
+  cf_reach_record_attempt (&target->reach, now);
   cf_connections_schedule (&balance->connections, connection,
                            now + cf_open_timeout_ms (cf_balance_open_timeout (balance, target)));
   balance->out->forward (balance->context, bytes, size, target);
--- a/src/balance/reach.c
+++ b/src/balance/reach.c
@@ -9,21 +9,21 @@
 bool
 cf_reach_may_try (const struct CfReach *reach, CfMillis now)
 {
-  return reach->failures > 0 && !reach->trying && now >= reach->retry_at;
+  return reach->failures > 0 && now >= reach->trial_until && now >= reach->retry_at;
 }
 
 void
-cf_reach_record_attempt (struct CfReach *reach)
+cf_reach_record_attempt (struct CfReach *reach, CfMillis now)
 {
   if (reach->failures > 0)
-    reach->trying = true;
+    reach->trial_until = now + CF_REACH_TRIAL_MAX_MS;
 }
 
 void
 cf_reach_record_success (struct CfReach *reach, CfMillis now)
 {
   reach->failures = 0;
-  reach->trying = false;
+  reach->trial_until = 0;
   reach->confirmed_at = now;
 }
 
@@ -33,7 +33,7 @@
   if (reach->failures == 0)
     return;
   reach->failures = 0;
-  reach->trying = false;
+  reach->trial_until = 0;
   /* Time-outs of flows that were begun before now do not count. */
   reach->confirmed_at = now;
 }
@@ -45,7 +45,7 @@
 
   if (reach->confirmed_at >= begun)
     return;
-  reach->trying = false;
+  reach->trial_until = 0;
   /* Concurrent flows fail together and count once. */
   if (reach->failures > 0 && begun <= reach->failed_at)
     return;
--- a/src/balance/reach.h
+++ b/src/balance/reach.h
@@ -23,8 +23,12 @@
 /* Returns true if the upstream is suspected and a trial is due at NOW. */
 bool cf_reach_may_try (const struct CfReach *reach, CfMillis now);
 
+/* A trial whose outcome is not known after this time has none: its time-out expired while the VM
+ * was paused, or its flow was removed.  Longer than a flow takes to open. */
+#define CF_REACH_TRIAL_MAX_MS 1500
+
 /* Records that a flow begins at the upstream: a trial if the upstream is suspected. */
-void cf_reach_record_attempt (struct CfReach *reach);
+void cf_reach_record_attempt (struct CfReach *reach, CfMillis now);
 
 /* Records that a flow has opened at the upstream. */
 void cf_reach_record_success (struct CfReach *reach, CfMillis now);
--- a/tests/test_balance.c
+++ b/tests/test_balance.c
@@ -11,7 +11,7 @@
   struct CfReach reach = { .confirmed_at = -1 };
   CfMillis now = 1000;
 
-  cf_reach_record_attempt (&reach);
+  cf_reach_record_attempt (&reach, now);
   cf_reach_record_failure (&reach, now, now + 12);
   ck_assert (!cf_reach_good (&reach));
   /* Flows that began before the first failure timed out do not count again. */
@@ -20,13 +20,13 @@
   ck_assert (!cf_reach_may_try (&reach, now + 100));
   now += 12 + CF_REACH_RETRY_MIN_MS;
   ck_assert (cf_reach_may_try (&reach, now));
-  cf_reach_record_attempt (&reach);
+  cf_reach_record_attempt (&reach, now);
   ck_assert (!cf_reach_may_try (&reach, now));
   for (int i = 0; i < 10; i++)
     {
       cf_reach_record_failure (&reach, now, now + 12);
       now = reach.retry_at;
-      cf_reach_record_attempt (&reach);
+      cf_reach_record_attempt (&reach, now);
     }
   ck_assert_int_eq (reach.retry_at - reach.failed_at, CF_REACH_RETRY_MAX_MS);
   cf_reach_record_success (&reach, now + 5);
--- a/tests/test_first_packets.c
+++ b/tests/test_first_packets.c
@@ -98,6 +98,41 @@
 }
 END_TEST
 
+/* A trial whose time-out expires while the VM is paused says nothing about its upstream.  It used
+ * to count as under way for good, so that the upstream was never tried again. */
+START_TEST (test_trial_during_pause)
+{
+  struct Simulation *sim = sim_new ();
+  struct CfBalance *balance = sim_add_vm (sim, "a", 0);
+  const struct CfTarget *target;
+
+  sim_add_upstream (sim, NULL, "i-1", "s", "a", 0);
+  sim_add_upstream (sim, NULL, "i-2", "s", "a", 0);
+  target = cf_directory_by_id (cf_balance_directory (balance), "i-1");
+  g_hash_table_add (sim->unresponsive, (gpointer) "i-1");
+  /* Each trial of i-1 is followed by a pause of this VM. */
+  for (int i = 0; i < 40; i++)
+    {
+      uint32_t before = sim_count_first_packets (sim, "i-1", 0, sim->now + 1);
+
+      sim_open_flow (sim, balance, 80);
+      if (target->reach.failures > 0
+          && sim_count_first_packets (sim, "i-1", 0, sim->now + 1) > before)
+        sim->now += 500;
+      sim_run (sim, sim->now + 100);
+    }
+  ck_assert_uint_gt (target->reach.failures, 0);
+  g_hash_table_remove_all (sim->unresponsive);
+  for (int i = 0; i < 40; i++)
+    {
+      sim_open_flow (sim, balance, 80);
+      sim_run (sim, sim->now + 100);
+    }
+  ck_assert_uint_eq (target->reach.failures, 0);
+  sim_free (sim);
+}
+END_TEST
+
 /* A cold upstream that bears more than a request a millisecond had an empty range of start times,
  * a fault that GLib logged for each flow. */
 START_TEST (test_cold_upstream_of_high_capacity)
@@ -260,6 +295,7 @@
   suite_add_loop (suite, test_start_waits_for_store, 1);
   suite_add_loop (suite, test_start_late_store, 1);
   suite_add_loop (suite, test_no_false_refusal, 1);
+  suite_add_loop (suite, test_trial_during_pause, 1);
   suite_add_loop (suite, test_cold_upstream_of_high_capacity, 1);
   suite_add_loop (suite, test_burst_is_no_isolation, 1);
   suite_add_loop (suite, test_domain_goes_away, 1);
