--- a/src/balance/load_report.h
+++ b/src/balance/load_report.h
@@ -11,14 +11,14 @@
  * Rates are per second.  A report replaces the sender's report before it; it adds to nothing. */
 
 #define CF_LOAD_PRIORITIES 4   /* levels that are counted apart; higher numbers count as the last */
-#define CF_LOAD_SERVICES_MAX 4 /* services in a report: those with the most requests in progress   \
-                                */
+#define CF_LOAD_SERVICES_MAX 4 /* in a report: those with the most requests in progress */
 #define CF_LOAD_LINES_MAX 16   /* upstreams in a report: those whose pace differs most */
 #define CF_LOAD_NAME_MAX 64    /* bytes with the final 0; a longer name is not reported */
 /* Bounds of what is believed of a report.  Above what one VM can count. */
 #define CF_LOAD_RATE_MAX 1e6
 #define CF_LOAD_PACE_MIN 0.01
 #define CF_LOAD_PACE_MAX 100.0
+#define CF_LOAD_DOMAIN_VMS_MAX 4096 /* the target is a fleet of 1,700 VMs in 5 regions */
 
 /* What a VM, or several together, see of one service. */
 struct CfLoadCounts
@@ -57,4 +57,7 @@
   struct CfLoadLine lines[CF_LOAD_LINES_MAX];
 };
 
+/* Returns true if all numbers of REPORT are within the bounds above. */
+bool cf_load_report_valid (const struct CfLoadReport *report);
+
 #endif
--- a/src/balance/load_table.h
+++ b/src/balance/load_table.h
@@ -17,9 +17,14 @@
  * cut off ends with it.  Each VM hears 8 reports/s, so that those of some 14 other VMs count at a
  * time. */
 #define CF_LOAD_REPORT_AGE_MAX_MS 2000
+/* The incarnation and sequence of a VM's last report are remembered for this long after it was
+ * received: longer than a datagram can be late.  A VM whose wall clock was set back before a
+ * restart has a lower incarnation, and a forged report may have a higher one: its reports count
+ * again after this time. */
+#define CF_LOAD_REPORT_FORGET_MS 10000
 /* Reports held at most, the oldest is dropped; bounds memory against forged senders. */
 #define CF_LOAD_REPORTS_MAX 256
-#define CF_LOAD_DOMAINS_MAX 16 /* failure domains in a sum, the largest */
+#define CF_LOAD_DOMAINS_MAX 16 /* failure domains in a sum: the own one and the largest others */
 
 /* What the VMs of one failure domain see of a service. */
 struct CfLoadDomain
@@ -33,8 +38,8 @@
 struct CfLoadSum
 {
   uint32_t domain_count;
-  struct CfLoadDomain domains[CF_LOAD_DOMAINS_MAX];
-  struct CfLoadCounts total; /* of all domains */
+  struct CfLoadDomain domains[CF_LOAD_DOMAINS_MAX]; /* this VM's first, then by size */
+  struct CfLoadCounts total; /* of all domains, also of those that are left out above */
   uint32_t vms;              /* VMs of all domains that were heard of */
   uint32_t heard;
   CfMillis age; /* mean age of the reports that were used, 0 if there is none */
@@ -46,13 +51,14 @@
 void cf_load_table_free (struct CfLoadTable *table);
 
 /* Merges REPORT, received at NOW.  Returns false, and changes nothing, if it is not newer than the
- * last one of its VM, or holds impossible values: not finite, negative, above the bounds of
- * load_report.h, or a domain of no VM. */
+ * last one of its VM, its domain is not known to this process as a GQuark, or it holds impossible
+ * values: not finite, negative, above the bounds of load_report.h, or a domain of no VM. */
 bool
 cf_load_table_merge (struct CfLoadTable *table, const struct CfLoadReport *report, CfMillis now);
 
 /* Writes to SUM what all VMs see of the service called NAME.  OWN is what this VM sees of it, in
- * DOMAIN with DOMAIN_VMS VMs, itself included. */
+ * DOMAIN with DOMAIN_VMS VMs, itself included.  A VM whose report leaves the service out counts
+ * with zeros: a report contains the services with the most requests in progress. */
 void cf_load_table_sum (const struct CfLoadTable *table,
                         const char *name,
                         const struct CfLoadCounts *own,
