--- a/src/feed/feed.h
+++ b/src/feed/feed.h
@@ -82,10 +82,48 @@
 	} upstreams;
 };
 typedef struct feed_qualities feed_qualities;
+#define FEED_LOAD_PRIORITIES 4
+#define FEED_LOAD_SERVICES_MAX 4
+#define FEED_LOAD_LINES_MAX 16
+
+struct feed_load_service {
+	char *name;
+	u_int demand[FEED_LOAD_PRIORITIES];
+	u_int admitted[FEED_LOAD_PRIORITIES];
+	u_int answered;
+	u_int shed;
+	u_int in_progress;
+};
+typedef struct feed_load_service feed_load_service;
+
+struct feed_load_line {
+	u_int cookie;
+	u_int samples;
+	u_int pace;
+};
+typedef struct feed_load_line feed_load_line;
+
+struct feed_loads {
+	char *name;
+	char *domain;
+	u_quad_t incarnation;
+	u_int sequence;
+	u_int domain_vms;
+	struct {
+		u_int services_len;
+		feed_load_service *services_val;
+	} services;
+	struct {
+		u_int upstreams_len;
+		feed_load_line *upstreams_val;
+	} upstreams;
+};
+typedef struct feed_loads feed_loads;
 
 enum feed_datagram_kind {
 	FEED_HELLO = 1,
 	FEED_QUALITIES = 2,
+	FEED_LOADS = 3,
 };
 typedef enum feed_datagram_kind feed_datagram_kind;
 
@@ -94,6 +132,7 @@
 	union {
 		feed_hello hello;
 		feed_qualities qualities;
+		feed_loads loads;
 	} feed_datagram_u;
 };
 typedef struct feed_datagram feed_datagram;
@@ -108,6 +147,9 @@
 extern  bool_t xdr_feed_hello (XDR *, feed_hello*);
 extern  bool_t xdr_feed_quality (XDR *, feed_quality*);
 extern  bool_t xdr_feed_qualities (XDR *, feed_qualities*);
+extern  bool_t xdr_feed_load_service (XDR *, feed_load_service*);
+extern  bool_t xdr_feed_load_line (XDR *, feed_load_line*);
+extern  bool_t xdr_feed_loads (XDR *, feed_loads*);
 extern  bool_t xdr_feed_datagram_kind (XDR *, feed_datagram_kind*);
 extern  bool_t xdr_feed_datagram (XDR *, feed_datagram*);
 
@@ -119,6 +161,9 @@
 extern bool_t xdr_feed_hello ();
 extern bool_t xdr_feed_quality ();
 extern bool_t xdr_feed_qualities ();
+extern bool_t xdr_feed_load_service ();
+extern bool_t xdr_feed_load_line ();
+extern bool_t xdr_feed_loads ();
 extern bool_t xdr_feed_datagram_kind ();
 extern bool_t xdr_feed_datagram ();
 
--- a/src/feed/feed.x
+++ b/src/feed/feed.x
@@ -61,7 +61,41 @@
   feed_quality upstreams<FEED_QUALITIES_MAX>;
 };
 
-enum feed_datagram_kind { FEED_HELLO = 1, FEED_QUALITIES = 2 };
+const FEED_LOAD_PRIORITIES = 4;
+const FEED_LOAD_SERVICES_MAX = 4;
+const FEED_LOAD_LINES_MAX = 16;
+
+/* A VM's counts of one service, by priority where there are several: rates per second and numbers of
+ * requests, in thousandths. */
+struct feed_load_service {
+  string name<255>;
+  unsigned int demand[FEED_LOAD_PRIORITIES];    /* new flows */
+  unsigned int admitted[FEED_LOAD_PRIORITIES];  /* of these, sent to an upstream */
+  unsigned int answered;
+  unsigned int shed;         /* rejected by a busy upstream */
+  unsigned int in_progress;  /* not a rate */
+};
+
+/* How quickly one upstream answers, in thousandths. */
+struct feed_load_line {
+  unsigned int cookie;  /* of the upstream; not in thousandths */
+  unsigned int samples;
+  unsigned int pace;    /* of the mean wait at the same address */
+};
+
+/* A VM's report on load, to VMs of its region.  It replaces the sender's reports with a lower
+ * incarnation, or with the same and a lower sequence. */
+struct feed_loads {
+  string name<255>;  /* of the VM */
+  string domain<255>;
+  unsigned hyper incarnation;  /* start of its process, wall clock ms */
+  unsigned int sequence;
+  unsigned int domain_vms;     /* VMs of its failure domain, itself included */
+  feed_load_service services<FEED_LOAD_SERVICES_MAX>;
+  feed_load_line upstreams<FEED_LOAD_LINES_MAX>;
+};
+
+enum feed_datagram_kind { FEED_HELLO = 1, FEED_QUALITIES = 2, FEED_LOADS = 3 };
 
 /* Any datagram between VMs. */
 union feed_datagram switch (feed_datagram_kind kind) {
@@ -69,4 +103,6 @@
   feed_hello hello;
 case FEED_QUALITIES:
   feed_qualities qualities;
+case FEED_LOADS:
+  feed_loads loads;
 };
--- a/src/feed/feed_xdr.c
+++ b/src/feed/feed_xdr.c
@@ -110,6 +110,148 @@
 	return TRUE;
 }
 
+bool_t
+xdr_feed_load_service (XDR *xdrs, feed_load_service *objp)
+{
+	register int32_t *buf;
+
+	int i;
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_string (xdrs, &objp->name, 255))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, (3 +  FEED_LOAD_PRIORITIES  + FEED_LOAD_PRIORITIES )* BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_vector (xdrs, (char *)objp->demand, FEED_LOAD_PRIORITIES,
+				sizeof (u_int), (xdrproc_t) xdr_u_int))
+				 return FALSE;
+			 if (!xdr_vector (xdrs, (char *)objp->admitted, FEED_LOAD_PRIORITIES,
+				sizeof (u_int), (xdrproc_t) xdr_u_int))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->answered))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->shed))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->in_progress))
+				 return FALSE;
+		} else {
+			{
+				register u_int *genp;
+
+				for (i = 0, genp = objp->demand;
+					i < FEED_LOAD_PRIORITIES; ++i) {
+					IXDR_PUT_U_LONG(buf, *genp++);
+				}
+			}
+			{
+				register u_int *genp;
+
+				for (i = 0, genp = objp->admitted;
+					i < FEED_LOAD_PRIORITIES; ++i) {
+					IXDR_PUT_U_LONG(buf, *genp++);
+				}
+			}
+			IXDR_PUT_U_LONG(buf, objp->answered);
+			IXDR_PUT_U_LONG(buf, objp->shed);
+			IXDR_PUT_U_LONG(buf, objp->in_progress);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_string (xdrs, &objp->name, 255))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, (3 +  FEED_LOAD_PRIORITIES  + FEED_LOAD_PRIORITIES )* BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_vector (xdrs, (char *)objp->demand, FEED_LOAD_PRIORITIES,
+				sizeof (u_int), (xdrproc_t) xdr_u_int))
+				 return FALSE;
+			 if (!xdr_vector (xdrs, (char *)objp->admitted, FEED_LOAD_PRIORITIES,
+				sizeof (u_int), (xdrproc_t) xdr_u_int))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->answered))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->shed))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->in_progress))
+				 return FALSE;
+		} else {
+			{
+				register u_int *genp;
+
+				for (i = 0, genp = objp->demand;
+					i < FEED_LOAD_PRIORITIES; ++i) {
+					*genp++ = IXDR_GET_U_LONG(buf);
+				}
+			}
+			{
+				register u_int *genp;
+
+				for (i = 0, genp = objp->admitted;
+					i < FEED_LOAD_PRIORITIES; ++i) {
+					*genp++ = IXDR_GET_U_LONG(buf);
+				}
+			}
+			objp->answered = IXDR_GET_U_LONG(buf);
+			objp->shed = IXDR_GET_U_LONG(buf);
+			objp->in_progress = IXDR_GET_U_LONG(buf);
+		}
+	 return TRUE;
+	}
+
+	 if (!xdr_string (xdrs, &objp->name, 255))
+		 return FALSE;
+	 if (!xdr_vector (xdrs, (char *)objp->demand, FEED_LOAD_PRIORITIES,
+		sizeof (u_int), (xdrproc_t) xdr_u_int))
+		 return FALSE;
+	 if (!xdr_vector (xdrs, (char *)objp->admitted, FEED_LOAD_PRIORITIES,
+		sizeof (u_int), (xdrproc_t) xdr_u_int))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->answered))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->shed))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->in_progress))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_feed_load_line (XDR *xdrs, feed_load_line *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->cookie))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->samples))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->pace))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_feed_loads (XDR *xdrs, feed_loads *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->name, 255))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->domain, 255))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->sequence))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->domain_vms))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->services.services_val, (u_int *) &objp->services.services_len, FEED_LOAD_SERVICES_MAX,
+		sizeof (feed_load_service), (xdrproc_t) xdr_feed_load_service))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->upstreams.upstreams_val, (u_int *) &objp->upstreams.upstreams_len, FEED_LOAD_LINES_MAX,
+		sizeof (feed_load_line), (xdrproc_t) xdr_feed_load_line))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_feed_datagram_kind (XDR *xdrs, feed_datagram_kind *objp)
 {
@@ -136,6 +278,10 @@
 		 if (!xdr_feed_qualities (xdrs, &objp->feed_datagram_u.qualities))
 			 return FALSE;
 		break;
+	case FEED_LOADS:
+		 if (!xdr_feed_loads (xdrs, &objp->feed_datagram_u.loads))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/src/feed/gossip.c
+++ b/src/feed/gossip.c
@@ -9,8 +9,8 @@
  * report of more is wrong. */
 #define ANSWERS_MAX 100000
 
-static size_t
-encode (struct feed_datagram *datagram, uint8_t *out, size_t size)
+size_t
+cf_gossip_encode (struct feed_datagram *datagram, uint8_t *out, size_t size)
 {
   size_t len = 0;
   XDR xdr;
@@ -35,7 +35,7 @@
     },
   };
 
-  return encode (&datagram, out, size);
+  return cf_gossip_encode (&datagram, out, size);
 }
 
 size_t
@@ -61,7 +61,7 @@
       .failed = (u_int) (MIN (report->lines[i].failed, ANSWERS_MAX) * ANSWER_SCALE),
       .avoided = report->lines[i].avoided,
     };
-  return encode (&datagram, out, size);
+  return cf_gossip_encode (&datagram, out, size);
 }
 
 bool
--- a/src/feed/gossip.h
+++ b/src/feed/gossip.h
@@ -8,12 +8,16 @@
 #include <stddef.h>
 #include <stdint.h>
 
-/* Datagrams between the VMs of a failure domain: that the sender leaves or has returned, and its
- * answer counts of upstreams whose requests fail. */
+/* Datagrams between VMs.  Those of a failure domain tell each other that the sender leaves or has
+ * returned, and its answer counts of upstreams whose requests fail; load reports between the VMs of
+ * a region are in load_message.h. */
 
 /* Datagrams of up to this many bytes are not fragmented on any link. */
 #define CF_GOSSIP_BYTES_MAX 1200
 
+/* Encodes DATAGRAM into OUT of SIZE bytes and returns its length, 0 if it does not fit. */
+size_t cf_gossip_encode (struct feed_datagram *datagram, uint8_t *out, size_t size);
+
 /* Encodes a hello into OUT of SIZE bytes and returns its length, 0 if it does not fit. */
 size_t cf_gossip_encode_hello (
     const char *name, const char *domain, bool leaving, uint8_t *out, size_t size);
--- a/src/feed/sources.c
+++ b/src/feed/sources.c
@@ -91,6 +91,16 @@
          && strcmp (source->domain, sources->domain) == 0;
 }
 
+bool
+cf_sources_is_in_region (struct CfSources *sources, const char *name, const char *domain)
+{
+  guint index;
+  const struct CfSource *source = find (sources->vms, name, &index);
+
+  return source && strcmp (name, sources->name) != 0 && strcmp (source->domain, domain) == 0
+         && strcmp (source->region, sources->region) == 0;
+}
+
 void
 cf_sources_set (struct CfSources *sources, const char *name, const struct CfVmRecord *vm)
 {
@@ -179,6 +189,22 @@
   return ips;
 }
 
+GPtrArray *
+cf_sources_other_domain_ips (const struct CfSources *sources)
+{
+  GPtrArray *ips = g_ptr_array_new ();
+
+  for (guint i = 0; i < sources->vms->len; i++)
+    {
+      struct CfSource *source = sources->vms->pdata[i];
+
+      if (strcmp (source->region, sources->region) == 0
+          && strcmp (source->domain, sources->domain) != 0)
+        g_ptr_array_add (ips, source->ip);
+    }
+  return ips;
+}
+
 GPtrArray *
 cf_sources_ips (const struct CfSources *sources)
 {
--- a/src/feed/sources.h
+++ b/src/feed/sources.h
@@ -88,6 +88,9 @@
 /* Returns true if NAME is another VM of this failure domain. */
 bool cf_sources_is_neighbour (struct CfSources *sources, const char *name);
 
+/* Returns true if NAME is another VM of this region, in the failure domain DOMAIN. */
+bool cf_sources_is_in_region (struct CfSources *sources, const char *name, const char *domain);
+
 /* Returns the age of its data from which on this VM asks the store itself. */
 CfMillis cf_sources_stale_ms (struct CfSources *sources);
 
@@ -107,6 +110,9 @@
 /* The same, of this failure domain only. */
 GPtrArray *cf_sources_domain_ips (const struct CfSources *sources);
 
+/* The same, of the other failure domains of this region. */
+GPtrArray *cf_sources_other_domain_ips (const struct CfSources *sources);
+
 /* Returns the number of VMs in this failure domain. */
 uint32_t cf_sources_domain_size (const struct CfSources *sources);
 
--- a/tests/test_fuzz_messages.c
+++ b/tests/test_fuzz_messages.c
@@ -1,5 +1,6 @@
 #include "balance/connections.h"
 #include "feed/gossip.h"
+#include "feed/load_message.h"
 #include "feed/relay.h"
 #include "feed/rotation.h"
 #include "platform/datagram.h"
@@ -260,12 +261,66 @@
 }
 END_TEST
 
+/* The parts of a datagram that it refers to. */
+struct Lines
+{
+  struct feed_quality qualities[FEED_QUALITIES_MAX];
+  struct feed_load_service services[FEED_LOAD_SERVICES_MAX];
+  struct feed_load_line loads[FEED_LOAD_LINES_MAX];
+};
+
+/* A number that a load report may contain nine times out of ten, so that a part of the reports is
+ * valid. */
+static u_int
+any_load (GRand *random)
+{
+  return g_rand_int_range (random, 0, 10) ? (u_int) g_rand_int_range (random, 10, 100000)
+                                          : (u_int) any_number (random);
+}
+
+static struct feed_datagram
+any_loads (GRand *random, struct Lines *lines)
+{
+  struct feed_datagram datagram = { .kind = FEED_LOADS };
+  struct feed_loads *loads = &datagram.feed_datagram_u.loads;
+
+  *loads = (struct feed_loads){
+    .name = (char *) any_name (random),
+    .domain = (char *) any_name (random),
+    .incarnation = any_number (random),
+    .sequence = (u_int) any_number (random),
+    .domain_vms = any_load (random) / 100,
+    .services
+    = { .services_len = (u_int) g_rand_int_range (random, 0, 3), .services_val = lines->services },
+    .upstreams = { .upstreams_len = (u_int) g_rand_int_range (random, 0, FEED_LOAD_LINES_MAX + 1),
+                   .upstreams_val = lines->loads },
+  };
+  for (u_int i = 0; i < loads->services.services_len; i++)
+    lines->services[i] = (struct feed_load_service){
+      .name = (char *) any_name (random),
+      .demand = { any_load (random), any_load (random) },
+      .answered = any_load (random),
+      .in_progress = any_load (random),
+    };
+  for (u_int i = 0; i < loads->upstreams.upstreams_len; i++)
+    lines->loads[i] = (struct feed_load_line){
+      .cookie = (u_int) any_number (random),
+      .samples = (u_int) g_rand_int_range (random, 0, 100000),
+      .pace
+      = (u_int) g_rand_int_range (random, 10, g_rand_int_range (random, 0, 40) ? 1000 : 200000),
+    };
+  return datagram;
+}
+
 static struct feed_datagram
-any_datagram (GRand *random, struct feed_quality *lines)
+any_datagram (GRand *random, struct Lines *lines)
 {
   struct feed_datagram datagram = { .kind = FEED_HELLO };
+  int kind = g_rand_int_range (random, 0, 3);
 
-  if (g_rand_boolean (random))
+  if (kind == 0)
+    return any_loads (random, lines);
+  if (kind == 1)
     {
       datagram.feed_datagram_u.hello = (struct feed_hello){
         .name = (char *) any_name (random),
@@ -279,10 +334,10 @@
     .name = (char *) any_name (random),
     .domain = (char *) any_name (random),
     .upstreams = { .upstreams_len = (u_int) g_rand_int_range (random, 0, FEED_QUALITIES_MAX + 1),
-                   .upstreams_val = lines },
+                   .upstreams_val = lines->qualities },
   };
   for (u_int i = 0; i < datagram.feed_datagram_u.qualities.upstreams.upstreams_len; i++)
-    lines[i] = (struct feed_quality){
+    lines->qualities[i] = (struct feed_quality){
       .upstream = (char *) any_name (random),
       .answers = (u_int) any_number (random),
       .failed = (u_int) any_number (random) & (u_int) g_rand_int (random),
@@ -297,17 +352,19 @@
   struct CfBalance *balance = sim_add_vm (sim, "a", 0);
   GRand *random = g_rand_new_with_seed (24);
   struct CfRotation rotation;
+  int loads_merged = 0;
 
   cf_rotation_init (&rotation);
   sim_add_upstream (sim, NULL, "i-1", "s", "a", 0);
   sim_add_upstream (sim, NULL, "i-2", "s", "a", 0);
   for (int i = 0; i < message_count (); i++)
     {
-      struct feed_quality lines[FEED_QUALITIES_MAX];
-      struct feed_datagram sent = any_datagram (random, lines);
+      struct Lines lines;
+      struct feed_datagram sent = any_datagram (random, &lines);
       uint8_t bytes[CF_GOSSIP_BYTES_MAX];
       struct feed_datagram datagram;
       struct CfQualityReport report;
+      struct CfLoadReport load;
       XDR xdr;
 
       xdrmem_create (&xdr, (char *) bytes, sizeof bytes, XDR_ENCODE);
@@ -317,6 +374,11 @@
       if (datagram.kind == FEED_HELLO)
         cf_rotation_update (&rotation, datagram.feed_datagram_u.hello.name,
                             datagram.feed_datagram_u.hello.leaving, sim->now);
+      else if (datagram.kind == FEED_LOADS)
+        {
+          if (cf_load_message_read (&datagram.feed_datagram_u.loads, &load))
+            loads_merged += cf_balance_receive_load (balance, &load, sim->now);
+        }
       else
         {
           cf_gossip_read_quality (&datagram.feed_datagram_u.qualities, &report);
@@ -326,6 +388,7 @@
       cf_balance_report (balance, &report, sim->now);
       ck_assert (cf_rotation_should_leave (&rotation, 3, CF_ROTATION_WAIT_MAX_MS, 6000, sim->now));
     }
+  ck_assert_int_gt (loads_merged, message_count () / 100);
   cf_rotation_clear (&rotation);
   g_rand_free (random);
   sim_free (sim);
--- a/tests/test_sources.c
+++ b/tests/test_sources.c
@@ -404,6 +404,30 @@
 }
 END_TEST
 
+/* Load reports of another region, of a name that is not listed, or with another domain than the
+ * store has would distort the sums of this region. */
+START_TEST (test_vms_of_the_region)
+{
+  struct CfSources *sources = fleet ("a1", "a");
+  const struct CfVmRecord foreign = { .ip = "c1", .domain = "c", .region = "other" };
+  GPtrArray *ips;
+
+  cf_sources_set (sources, "c1", &foreign);
+  ck_assert (cf_sources_is_in_region (sources, "a2", "a"));
+  ck_assert (cf_sources_is_in_region (sources, "b1", "b"));
+  ck_assert (!cf_sources_is_in_region (sources, "b1", "a"));
+  ck_assert (!cf_sources_is_in_region (sources, "a1", "a"));
+  ck_assert (!cf_sources_is_in_region (sources, "c1", "c"));
+  ck_assert (!cf_sources_is_in_region (sources, "invented", "a"));
+  ips = cf_sources_other_domain_ips (sources);
+  ck_assert_uint_eq (ips->len, 2);
+  ck_assert_str_eq (ips->pdata[0], "b1");
+  ck_assert_str_eq (ips->pdata[1], "b2");
+  g_ptr_array_unref (ips);
+  cf_sources_free (sources);
+}
+END_TEST
+
 /* With VMs that left and never returned, others waited for them until after the time at which
  * they had to be out of rotation. */
 START_TEST (test_rotation_wait_ends)
@@ -495,6 +519,7 @@
   suite_add_loop (suite, test_rotation, 1);
   suite_add_loop (suite, test_rotation_forgets, 1);
   suite_add_loop (suite, test_only_listed_vms_of_the_domain_are_neighbours, 1);
+  suite_add_loop (suite, test_vms_of_the_region, 1);
   suite_add_loop (suite, test_rotation_wait_ends, 1);
   suite_add_loop (suite, test_hello, 1);
   suite_add_loop (suite, test_quality_report, 1);
