--- a/Makefile
+++ b/Makefile
@@ -66,9 +66,10 @@
 	$(CC) $^ $(LIBS) $(CHECK_LIBS) -o $@
 
 # These tests run a task of the program, or what tasks share.
-$(BUILD)/test_feed_lifetime $(BUILD)/test_feed_calls: $(FEED_PLAY_SRC:%.c=$(BUILD)/%.o)
-$(BUILD)/test_feed_lifetime $(BUILD)/test_feed_calls $(BUILD)/test_connection_reset \
-$(BUILD)/test_platform_task: \
+$(BUILD)/test_feed_lifetime $(BUILD)/test_feed_calls $(BUILD)/test_feed_load: \
+  $(FEED_PLAY_SRC:%.c=$(BUILD)/%.o)
+$(BUILD)/test_feed_lifetime $(BUILD)/test_feed_calls $(BUILD)/test_feed_load \
+$(BUILD)/test_connection_reset $(BUILD)/test_platform_task: \
   $(filter $(BUILD)/src/serve/%,$(APP_OBJ))
 
 $(STANDINS): $(BUILD)/%: $(BUILD)/tests/%.o $(TEST_LIB_OBJ) $(BUILD)/src/serve/udp.o $(LIB_OBJ)
--- a/src/balance/balance.c
+++ b/src/balance/balance.c
@@ -29,7 +29,9 @@
   balance->outages = cf_outages_new ();
   balance->unreachable = cf_unreachable_new ();
   balance->outlier_detector = cf_outlier_detector_new ();
+  balance->load_table = cf_load_table_new ();
   balance->fleet_size = 1;
+  balance->domain_size = 1;
   balance->peers = g_array_new (FALSE, FALSE, sizeof (uint32_t));
   balance->synced_at = -1;
   cf_connections_init (&balance->connections);
@@ -42,6 +44,7 @@
 {
   cf_connections_clear (&balance->connections);
   cf_startup_queue_clear (&balance->startup_queue);
+  cf_load_table_free (balance->load_table);
   cf_outlier_detector_free (balance->outlier_detector);
   cf_unreachable_free (balance->unreachable);
   cf_outages_free (balance->outages);
--- a/src/balance/balance.h
+++ b/src/balance/balance.h
@@ -2,6 +2,7 @@
 #define CF_BALANCE_H
 
 #include "directory.h"
+#include "load_report.h"
 #include "place.h"
 #include "quality_report.h"
 #include "routes.h"
@@ -120,6 +121,19 @@
  * Returns false if there is nothing to report. */
 bool cf_balance_report (struct CfBalance *balance, struct CfQualityReport *report, CfMillis now);
 
+/* Merges REPORT on load, which another VM of this region sent.  Returns false if it is dropped, see
+ * cf_load_table_merge. */
+bool cf_balance_receive_load (struct CfBalance *balance,
+                              const struct CfLoadReport *report,
+                              CfMillis now);
+
+/* Writes to REPORT, except for its sender, the load report to other VMs of this region.  Returns
+ * false if there is nothing to report. */
+bool cf_balance_load_report (struct CfBalance *balance, struct CfLoadReport *report, CfMillis now);
+
+/* Sets the number of VMs in this failure domain, this one included. */
+void cf_balance_set_domain_size (struct CfBalance *balance, uint32_t count);
+
 /* Sets the number of VMs that share the capacity of a cold upstream. */
 void cf_balance_set_fleet_size (struct CfBalance *balance, uint32_t count);
 
--- a/src/balance/balance_internal.h
+++ b/src/balance/balance_internal.h
@@ -5,6 +5,7 @@
 #include "balance.h"
 #include "connections.h"
 #include "isolation.h"
+#include "load_table.h"
 #include "outage.h"
 #include "open_timeout.h"
 #include "startup_queue.h"
@@ -14,7 +15,8 @@
  *   inputs and timers                  balance.c
  *   packets after the first            later_packet.c
  *   first packets                      first_packet.c
- *   refusing and handing on, reports   outcome.c */
+ *   refusing and handing on, reports   outcome.c
+ *   load reports                       load_exchange.c */
 
 /* A tick that is this late shows that the process was paused: time-outs that expired meanwhile
  * are no evidence against an upstream. */
@@ -37,8 +39,10 @@
   GQuark domain;
   struct CfOpenTimeout near_timeout; /* for upstreams of this failure domain */
   struct CfOpenTimeout far_timeout;  /* for all others */
+  struct CfLoadTable *load_table;
   uint32_t fleet_size;
-  GArray *peers; /* of uint32_t: IPs of other entry VMs */
+  uint32_t domain_size; /* VMs of this failure domain, this one included */
+  GArray *peers;        /* of uint32_t: IPs of other entry VMs */
   uint32_t next_peer;
   CfMillis synced_at;
   struct CfIsolation isolation;
--- a/src/serve/balancer.h
+++ b/src/serve/balancer.h
@@ -22,7 +22,11 @@
   GMainLoop *main_loop;
   atomic_uint_fast64_t store_calls; /* calls made to the store, for metrics */
   atomic_uint_fast64_t store_era; /* of the store's history as it last answered this VM, 0: none */
-  atomic_bool serving;            /* new flows can be served */
+  atomic_uint_fast64_t load_reports_sent; /* datagrams, for metrics like the following */
+  atomic_uint_fast64_t load_report_bytes_sent;
+  atomic_uint_fast64_t load_reports_received; /* those that were dropped included */
+  atomic_uint_fast64_t load_report_bytes_received;
+  atomic_bool serving; /* new flows can be served */
   atomic_bool leaving; /* after SIGTERM: readiness checks fail so that the fabric stops sending */
 };
 
@@ -50,6 +54,7 @@
   GPtrArray *evacuated;        /* names of failure domains that get no new flows */
   GPtrArray *returned;         /* names of failure domains that may get new flows again */
   uint32_t vms;                /* number of VMs in the fleet, 0: unchanged */
+  uint32_t domain_vms;         /* of these, in this VM's failure domain, 0: unchanged */
   /* Of uint32_t: IPs of VMs that may know flows that this one does not; NULL: unchanged. */
   GArray *peers;
 };
@@ -73,6 +78,10 @@
 void cf_send_quality (struct CfBalancer *balancer, const struct CfQualityReport *report);
 void cf_send_peer_quality (struct CfBalancer *balancer, const struct CfQualityReport *report);
 
+/* The same with load reports, between the VMs of a region.  The feed task fills in the sender. */
+void cf_send_load (struct CfBalancer *balancer, const struct CfLoadReport *report);
+void cf_send_peer_load (struct CfBalancer *balancer, const struct CfLoadReport *report);
+
 /* Message to the feed task: this VM has to stop, and leaves the rotation once enough other VMs of
  * its failure domain are in it, or when it can wait no longer. */
 void cf_send_stop (struct CfBalancer *balancer);
--- a/src/serve/datapath_internal.h
+++ b/src/serve/datapath_internal.h
@@ -31,6 +31,7 @@
   uint64_t outcomes[CF_OUTCOME_COUNT];
   bool isolated;
   CfMillis next_report_at; /* when the next quality report may be sent */
+  CfMillis next_load_report_at;
   uint64_t malformed;
   uint64_t send_failures;
   /* Service (GQuark) to struct CfHistogram: ms from the first packet to the next. */
@@ -50,6 +51,9 @@
 /* Sends a report on upstreams whose requests fail to other VMs, if one is due. */
 void cf_datapath_report_quality (struct DatapathTask *task, CfMillis now);
 
+/* Sends a load report to other VMs, if one is due. */
+void cf_datapath_report_load (struct DatapathTask *task, CfMillis now);
+
 /* Updates readiness when this VM is cut off from all upstreams, and when it no longer is. */
 void cf_datapath_update_isolation (struct DatapathTask *task, CfMillis now);
 
--- a/src/serve/datapath_messages.c
+++ b/src/serve/datapath_messages.c
@@ -4,6 +4,7 @@
 #include <inttypes.h>
 
 #define REPORT_INTERVAL_MS 500 /* between quality reports while requests fail */
+#define LOAD_REPORT_INTERVAL_MS 500
 
 void
 cf_datapath_update_serving (struct DatapathTask *task)
@@ -58,6 +59,32 @@
                 g_free);
 }
 
+void
+cf_datapath_report_load (struct DatapathTask *task, CfMillis now)
+{
+  struct CfLoadReport report;
+
+  if (now < task->next_load_report_at)
+    return;
+  task->next_load_report_at = now + LOAD_REPORT_INTERVAL_MS;
+  if (cf_balance_load_report (task->balance, &report, now))
+    cf_send_load (task->balancer, &report);
+}
+
+static void
+handle_peer_load (void *data, void *message)
+{
+  struct DatapathTask *task = data;
+
+  cf_balance_receive_load (task->balance, message, cf_now ());
+}
+
+void
+cf_send_peer_load (struct CfBalancer *balancer, const struct CfLoadReport *report)
+{
+  cf_task_post (&balancer->datapath, handle_peer_load, g_memdup2 (report, sizeof *report), g_free);
+}
+
 static void
 log_upstream (struct DatapathTask *task, const struct CfTarget *target)
 {
@@ -136,6 +163,8 @@
     apply_evacuation (task, update->returned->pdata[i], false, now);
   if (update->vms > 0)
     cf_balance_set_fleet_size (task->balance, update->vms);
+  if (update->domain_vms > 0)
+    cf_balance_set_domain_size (task->balance, update->domain_vms);
   if (update->peers)
     cf_balance_set_peers (task->balance, (const uint32_t *) update->peers->data,
                           update->peers->len);
--- a/src/serve/datapath_task.c
+++ b/src/serve/datapath_task.c
@@ -257,6 +257,7 @@
   next = cf_balance_tick (task->balance, cf_now ());
   cf_datapath_update_isolation (task, cf_now ());
   cf_datapath_report_quality (task, cf_now ());
+  cf_datapath_report_load (task, cf_now ());
   flush (task);
   g_source_set_ready_time (source, next * G_TIME_SPAN_MILLISECOND);
   return G_SOURCE_CONTINUE;
--- a/src/serve/feed_internal.h
+++ b/src/serve/feed_internal.h
@@ -2,6 +2,7 @@
 #define CF_SERVE_FEED_INTERNAL_H
 
 #include "balancer.h"
+#include "feed/feed.h"
 #include "feed/reader.h"
 #include "feed/relay.h"
 #include "feed/replica.h"
@@ -18,7 +19,8 @@
  *   feed_relay.c     serves the VMs that follow this one
  *   feed_enroll.c    keeps this VM's record in the store
  *   feed_rotation.c  agrees with the VMs of its failure domain on when each may stop, and
- *                    exchanges reports of failing upstreams */
+ *                    exchanges reports of failing upstreams
+ *   feed_load.c      exchanges load reports with VMs of its region */
 
 struct FeedTask;
 
@@ -72,11 +74,13 @@
   struct FeedFollow follow;
   struct FeedEnroll enroll;
   struct CfRotation rotation;
-  GSocket *gossip; /* UDP to and from the VMs of the failure domain */
+  GSocket *gossip; /* UDP to and from other VMs */
   GSource *gossip_source;
   CfMillis next_hello_at;
-  uint32_t hellos_left; /* to be sent after a start */
-  CfMillis stop_at;     /* when this VM was told to stop, -1: it is not stopping */
+  uint32_t hellos_left;   /* to be sent after a start */
+  CfMillis stop_at;       /* when this VM was told to stop, -1: it is not stopping */
+  uint64_t incarnation;   /* of this VM's load reports: when the task started, wall clock ms */
+  uint32_t load_sequence; /* of its last load report */
   struct CfHttpServer *relay;
   struct CfRelayCache relay_cache;
   GQueue waiting; /* of struct RelayRequest: followers that wait for changes */
@@ -132,6 +136,15 @@
 void cf_feed_rotation_stop (struct FeedTask *task);
 CfMillis cf_feed_rotation_tick (struct FeedTask *task, CfMillis now);
 
+/* Sends DATA of LEN bytes to COUNT VMs, chosen at random and removed from IPS (text), or to all if
+ * there are fewer.  Returns the number of datagrams sent. */
+guint cf_feed_send_to_random (
+    struct FeedTask *task, GPtrArray *ips, guint count, const uint8_t *data, size_t len);
+
+/* Passes LOADS, a datagram of LEN bytes, to the datapath task if it is of a VM of this region.
+ * Returns false if it is not a valid report. */
+bool cf_feed_receive_load (struct FeedTask *task, const struct feed_loads *loads, size_t len);
+
 void cf_feed_enroll_start (struct FeedTask *task);
 void cf_feed_enroll_stop (struct FeedTask *task);
 CfMillis cf_feed_enroll_tick (struct FeedTask *task, CfMillis now);
--- a/src/serve/feed_rotation.c
+++ b/src/serve/feed_rotation.c
@@ -35,6 +35,19 @@
   cf_send_peer_quality (task->balancer, &report);
 }
 
+static void
+log_invalid (struct FeedTask *task, size_t len, CfMillis now)
+{
+  cf_event_log_write_limited (
+      task->balancer->log, &task->datagram_rate, "notice",
+      (struct CfField[]){
+          { .key = "message", .text = "ignored an invalid datagram from another VM" },
+          { .key = "bytes", .number = (int64_t) len },
+          { 0 },
+      },
+      now);
+}
+
 static void
 handle_datagram (struct FeedTask *task, const uint8_t *data, size_t len, CfMillis now)
 {
@@ -43,20 +56,22 @@
   cf_crash_report_input ("vm-datagram", NULL);
   if (!cf_gossip_decode (data, len, &datagram))
     {
-      cf_event_log_write_limited (
-          task->balancer->log, &task->datagram_rate, "notice",
-          (struct CfField[]){
-              { .key = "message", .text = "ignored an invalid datagram from another VM" },
-              { .key = "bytes", .number = (int64_t) len },
-              { 0 },
-          },
-          now);
+      log_invalid (task, len, now);
       return;
     }
-  if (datagram.kind == FEED_HELLO)
-    handle_hello (task, &datagram.feed_datagram_u.hello, now);
-  else
-    handle_qualities (task, &datagram.feed_datagram_u.qualities);
+  switch (datagram.kind)
+    {
+    case FEED_HELLO:
+      handle_hello (task, &datagram.feed_datagram_u.hello, now);
+      break;
+    case FEED_QUALITIES:
+      handle_qualities (task, &datagram.feed_datagram_u.qualities);
+      break;
+    case FEED_LOADS:
+      if (!cf_feed_receive_load (task, &datagram.feed_datagram_u.loads, len))
+        log_invalid (task, len, now);
+      break;
+    }
   cf_gossip_clear (&datagram);
 }
 
@@ -78,17 +93,34 @@
   return G_SOURCE_CONTINUE;
 }
 
-/* Sends DATA of LEN bytes to the VM at IP.  A lost datagram does little harm: hellos are sent
- * several times, and reports are repeated while requests fail. */
-static void
+/* Sends DATA of LEN bytes to the VM at IP.  Returns true if it was sent.  A lost datagram does
+ * little harm: hellos are sent several times, and reports are repeated while there is something to
+ * report. */
+static bool
 send_to (struct FeedTask *task, const char *ip, const uint8_t *data, size_t len)
 {
   GSocketAddress *to
       = g_inet_socket_address_new_from_string (ip, task->balancer->settings.peer_port);
+  bool sent = to && g_socket_send_to (task->gossip, to, (const char *) data, len, NULL, NULL) >= 0;
 
-  if (to)
-    g_socket_send_to (task->gossip, to, (const char *) data, len, NULL, NULL);
   g_clear_object (&to);
+  return sent;
+}
+
+guint
+cf_feed_send_to_random (
+    struct FeedTask *task, GPtrArray *ips, guint count, const uint8_t *data, size_t len)
+{
+  guint sent = 0;
+
+  for (guint i = 0; i < count && ips->len > 0 && len > 0; i++)
+    {
+      guint other = (guint) g_rand_int_range (task->random, 0, (gint32) ips->len);
+
+      sent += send_to (task, ips->pdata[other], data, len);
+      g_ptr_array_remove_index_fast (ips, other);
+    }
+  return sent;
 }
 
 static void
@@ -117,13 +149,7 @@
 
   g_strlcpy (report->vm, settings->name, sizeof report->vm);
   len = cf_gossip_encode_quality (report, settings->failure_domain, buffer, sizeof buffer);
-  for (int i = 0; i < REPORT_FANOUT && ips->len > 0 && len > 0; i++)
-    {
-      guint other = (guint) g_rand_int_range (task->random, 0, (gint32) ips->len);
-
-      send_to (task, ips->pdata[other], buffer, len);
-      g_ptr_array_remove_index_fast (ips, other);
-    }
+  cf_feed_send_to_random (task, ips, REPORT_FANOUT, buffer, len);
   g_ptr_array_unref (ips);
 }
 
--- a/src/serve/feed_task.c
+++ b/src/serve/feed_task.c
@@ -118,6 +118,7 @@
   if (kind == CF_FEED_VMS)
     {
       update->vms = cf_replica_count (&task->replica, kind);
+      update->domain_vms = cf_sources_domain_size (task->sources);
       update->peers = peers (task);
     }
   cf_send_update (task->balancer, update);
@@ -388,6 +389,7 @@
       = (struct CfEventRate){ .per_s = SOURCE_LINES_PER_S, .burst = SOURCE_LINES_BURST };
   task->datagram_rate = task->source_rate;
   task->stop_at = -1;
+  task->incarnation = (uint64_t) (g_get_real_time () / G_TIME_SPAN_MILLISECOND);
   task->sources = cf_sources_new (balancer->settings.name, balancer->settings.failure_domain,
                                   balancer->settings.region);
   cf_replica_init (&task->replica);
