--- a/src/balance/admission.c
+++ b/src/balance/admission.c
@@ -94,10 +94,15 @@
 }
 
 void
-cf_admission_set_fleet (struct CfAdmissionControl *control, uint32_t vms, uint32_t domain_vms)
+cf_admission_set_fleet_size (struct CfAdmissionControl *control, uint32_t vms)
 {
   control->vms = MAX (vms, 1);
-  control->domain_vms = MAX (domain_vms, 1);
+}
+
+void
+cf_admission_set_domain_size (struct CfAdmissionControl *control, uint32_t vms)
+{
+  control->domain_vms = MAX (vms, 1);
 }
 
 static struct Service *
@@ -355,7 +360,8 @@
 CfMillis
 cf_admission_tick (struct CfAdmissionControl *control, CfMillis now)
 {
-  CfMillis next = cf_admission_due (control->queue);
+  CfMillis next = MIN (cf_admission_due (control->queue),
+                       now < control->report_until ? now + CF_LOAD_REPORT_INTERVAL_MS : G_MAXINT64);
   GHashTableIter iter;
   gpointer value;
 
@@ -375,16 +381,17 @@
   return next;
 }
 
-void
+bool
 cf_admission_receive_report (struct CfAdmissionControl *control,
                              const struct CfLoadReport *report,
                              CfMillis now)
 {
   if (!cf_load_table_merge (control->table, report, now))
-    return;
+    return false;
   for (uint32_t i = 0; i < report->service_count; i++)
     if (sheds (&report->services[i].counts))
       control->report_until = now + CF_ADMISSION_REPORT_MS;
+  return true;
 }
 
 /* Inserts SERVICE into REPORT, which keeps those with the most requests in progress in descending
--- a/src/balance/admission.h
+++ b/src/balance/admission.h
@@ -75,8 +75,9 @@
                                                      void *context);
 void cf_admission_control_free (struct CfAdmissionControl *control);
 
-/* Sets the number of VMs of the fleet and of this VM's failure domain, itself included. */
-void cf_admission_set_fleet (struct CfAdmissionControl *control, uint32_t vms, uint32_t domain_vms);
+/* Sets the number of VMs of the fleet, or of this VM's failure domain, itself included. */
+void cf_admission_set_fleet_size (struct CfAdmissionControl *control, uint32_t vms);
+void cf_admission_set_domain_size (struct CfAdmissionControl *control, uint32_t vms);
 
 /* Records a new flow to SERVICE, of SEGMENT on ROUTE.  Returns true if it is a repeated try. */
 bool cf_admission_record_flow (struct CfAdmissionControl *control,
@@ -127,8 +128,8 @@
 /* Decides anew which services are overloaded.  Returns by when to call again. */
 CfMillis cf_admission_tick (struct CfAdmissionControl *control, CfMillis now);
 
-/* Merges REPORT of another VM. */
-void cf_admission_receive_report (struct CfAdmissionControl *control,
+/* Merges REPORT of another VM.  Returns false if it is dropped, see cf_load_table_merge. */
+bool cf_admission_receive_report (struct CfAdmissionControl *control,
                                   const struct CfLoadReport *report,
                                   CfMillis now);
 
--- a/src/balance/balance.c
+++ b/src/balance/balance.c
@@ -161,6 +161,8 @@
 cf_balance_set_fleet_size (struct CfBalance *balance, uint32_t count)
 {
   balance->fleet_size = count;
+  if (balance->admission)
+    cf_admission_set_fleet_size (balance->admission, count);
 }
 
 struct CfAdmissionControl *
--- a/src/balance/balance_internal.h
+++ b/src/balance/balance_internal.h
@@ -15,7 +15,8 @@
  *   packets after the first            later_packet.c
  *   first packets                      first_packet.c
  *   admission of new flows             admit.c
- *   refusing and handing on, reports   outcome.c */
+ *   refusing and handing on, reports   outcome.c
+ *   load reports                       load_exchange.c */
 
 /* A tick that is this late shows that the process was paused: time-outs that expired meanwhile
  * are no evidence against an upstream. */
