--- a/src/balance/fair_share.h
+++ b/src/balance/fair_share.h
@@ -14,7 +14,11 @@
  *
  * The callers with the most requests are counted one by one (the space-saving algorithm, Metwally
  * et al. 2005); the count of such a caller is too high by at most the count of the least of them.
- * All others are counted together.  Memory does not grow with the number of callers.  No I/O. */
+ * All others are counted together.  Memory does not grow with the number of callers.
+ *
+ * A caller is only held to a level above 4 requests and above the error of the counts: callers
+ * below cannot be told apart, and are admitted alike.  If they ask for more than is admitted on
+ * their own, all parts are reduced by the same factor.  No I/O. */
 
 #define CF_FAIR_SHARE_CALLERS 128 /* counted one by one */
 #define CF_FAIR_SHARE_HALF_LIFE_MS 2000
@@ -28,7 +32,8 @@
 /* Records a new flow of the caller at IP. */
 void cf_fair_share_record (struct CfFairShare *fair, uint32_t ip, CfMillis now);
 
-/* Returns what the caller at IP has asked for lately, in requests, 0 if it is not counted. */
+/* Returns what the caller at IP has asked for lately, in requests, too high by at most
+ * cf_fair_share_error; 0 if it is not counted. */
 double cf_fair_share_use (const struct CfFairShare *fair, uint32_t ip, CfMillis now);
 
 /* Returns the part of the requests of the caller at IP that is within its share while the part
