--- a/src/balance/extra_open.h
+++ b/src/balance/extra_open.h
@@ -12,11 +12,13 @@
 
 /* The delay is this quantile of the recent opening times of the service, */
 #define CF_EXTRA_OPEN_QUANTILE 0.95
-/* within these bounds, */
+/* within these bounds: there are no extra openings while the quantile is above the maximum, since
+ * the service is slow as a whole; */
 #define CF_EXTRA_OPEN_DELAY_MIN_MS 3
 #define CF_EXTRA_OPEN_DELAY_MAX_MS 100
-/* once this many flows have opened in the last seconds. */
+/* once this many flows have opened in the last CF_EXTRA_OPEN_WINDOW_MS to twice that. */
 #define CF_EXTRA_OPEN_SAMPLES_MIN 20
+#define CF_EXTRA_OPEN_WINDOW_MS 5000
 /* Extra openings at one upstream, as a share of the usual ones there, in a window of
  * CF_RETRY_BUDGET_WINDOW_MS; at least one. */
 #define CF_EXTRA_OPEN_UPSTREAM_SHARE 0.25
@@ -26,7 +28,7 @@
 #define CF_EXTRA_OPEN_JUDGED 20
 #define CF_EXTRA_OPEN_PAUSE_MS 10000
 
-/* Why no extra opening was made. */
+/* Whether an extra opening is made, or why not. */
 enum CfExtraOpenResult
 {
   CF_EXTRA_OPEN_SENT,
@@ -66,7 +68,9 @@
 enum CfExtraOpenResult
 cf_extra_open_take (struct CfExtraOpen *extra, const struct CfTarget *target, CfMillis now);
 
-/* Forgets upstreams without an event for 60 s.  To be called every few seconds. */
+/* Forgets upstreams and services without an event for 60 s.  To be called every few seconds. */
 void cf_extra_open_prune (struct CfExtraOpen *extra, CfMillis now);
+/* Returns the number of upstreams and services that are remembered. */
+guint cf_extra_open_size (const struct CfExtraOpen *extra);
 
 #endif
