--- a/src/balance/balance.c
+++ b/src/balance/balance.c
@@ -34,6 +34,7 @@
   balance->synced_at = -1;
   cf_connections_init (&balance->connections);
   cf_balance_init_admission (balance);
+  balance->extra_open = cf_extra_open_new (options->extra_openings);
   cf_startup_queue_init (&balance->startup_queue);
   return balance;
 }
@@ -43,6 +44,7 @@
 {
   cf_connections_clear (&balance->connections);
   g_clear_pointer (&balance->admission, cf_admission_control_free);
+  cf_extra_open_free (balance->extra_open);
   cf_startup_queue_clear (&balance->startup_queue);
   cf_outlier_detector_free (balance->outlier_detector);
   cf_unreachable_free (balance->unreachable);
@@ -98,6 +100,7 @@
     {
       cf_directory_prune (balance->directory, now,
                           MAX (balance->options.flow_lifetime_ms, CF_PENDING_MAX_MS));
+      cf_extra_open_prune (balance->extra_open, now);
       balance->pruned_at = now;
     }
   next = MIN (now + CF_MS_PER_S, cf_exchange_next_stall (connections));
--- a/src/balance/balance.h
+++ b/src/balance/balance.h
@@ -3,6 +3,7 @@
 
 #include "admission.h"
 #include "directory.h"
+#include "extra_open.h"
 #include "load_report.h"
 #include "place.h"
 #include "quality_report.h"
@@ -24,6 +25,7 @@
   CF_OUTCOME_PLACED,         /* first packet, sent to a chosen upstream */
   CF_OUTCOME_PASSED,         /* sent to the upstream that its cookie names */
   CF_OUTCOME_MOVED,          /* first packet, sent to another upstream without a retransmission */
+  CF_OUTCOME_EXTRA,          /* the same, while the first upstream may still open the flow */
   CF_OUTCOME_REPEATED,       /* retransmitted first packet, sent to another upstream */
   CF_OUTCOME_HANDED_ON,      /* sent to another entry VM, whose state may be newer */
   CF_OUTCOME_WAITING,        /* first packet, queued until this VM has synced */
@@ -81,6 +83,8 @@
   /* The upstreams of DOMAIN are avoided because they seem to be unreachable together, or are no
    * longer avoided. */
   void (*outage_changed) (void *context, GQuark domain, bool begins);
+  /* An extra opening of a flow to SERVICE was due, with this RESULT. */
+  void (*extra_opening) (void *context, GQuark service, enum CfExtraOpenResult result);
   /* A first packet has waited for admission for WAIT and is placed, or refused. */
   void (*held) (void *context, CfMillis wait);
   /* SERVICE is overloaded by what SUM says, or no longer is. */
@@ -97,6 +101,7 @@
   uint32_t seed;      /* of the random number generator */
   CfMillis flow_lifetime_ms;
   struct CfAdmissionOptions admission;
+  double extra_openings; /* as a share of the usual ones of a service, 0: none (extra_open.h) */
 };
 
 struct CfBalance *cf_balance_new (const struct CfBalanceOptions *options,
--- a/src/balance/balance_internal.h
+++ b/src/balance/balance_internal.h
@@ -48,7 +48,8 @@
   struct CfUnreachable *unreachable;
   struct CfOutlierDetector *outlier_detector;
   struct CfAdmissionControl *admission; /* NULL: off */
-  CfMillis now;                         /* of the input that is being handled */
+  struct CfExtraOpen *extra_open;
+  CfMillis now;               /* of the input that is being handled */
   uint32_t flows_since_trial; /* flows placed since the last trial of a suspected upstream */
   CfMillis tried_at;          /* when that trial was */
   CfMillis pruned_at;
--- a/src/balance/connections.h
+++ b/src/balance/connections.h
@@ -39,10 +39,15 @@
   struct CfTarget *target;              /* counted in its open flows; NULL: none */
   struct CfTarget *tried[CF_TRIES_MAX]; /* in order of the attempts */
   CfMillis tried_at[CF_TRIES_MAX];
+  CfMillis times_out_at[CF_TRIES_MAX];
   uint32_t tries;
+  uint32_t timed_out; /* of these, the first ones */
   GQuark service_name;
   uint32_t priority; /* of its route */
   bool sent;         /* an upstream got the first packet */
+  bool idempotent;   /* its requests may be repeated */
+  bool extra_due;    /* while pending: at due_at, an extra opening is due and no time-out */
+  uint32_t extra;    /* index of the attempt that is an extra opening, 0: none */
   bool pending;      /* no packet has followed the first */
   CfMillis begun_at; /* arrival of the first packet */
   CfMillis due_at;   /* while pending: when the next upstream is tried */
--- a/src/balance/first_packet.c
+++ b/src/balance/first_packet.c
@@ -81,23 +81,33 @@
   return target->domain == balance->domain ? &balance->near_timeout : &balance->far_timeout;
 }
 
-/* Sends the first packet BYTES of CONNECTION to the next upstream. */
-static bool
-try_next (struct CfBalance *balance,
-          struct CfConnection *connection,
-          const uint8_t *bytes,
-          size_t size,
-          enum CfOutcome outcome,
-          CfMillis now)
+/* Sets when CONNECTION is due next: at the time-out of its last attempt, or before for an extra
+ * opening. */
+static void
+schedule (struct CfBalance *balance, struct CfConnection *connection, CfMillis now)
 {
-  enum CfPlaceReason reason;
-  struct CfTarget *target = choose_target (balance, connection, now, &reason);
+  CfMillis due_at = connection->times_out_at[connection->tries - 1];
+  CfMillis delay = G_MAXINT64;
 
-  if (!target)
-    return false;
-  if (balance->admission && connection->tries == 0)
-    cf_admission_record_placed (balance->admission, connection->service_name, connection->priority,
-                                now);
+  if (connection->tries == 1 && connection->idempotent && connection->first_size > 0)
+    delay = cf_extra_open_delay (balance->extra_open, connection->service_name, now);
+  connection->extra_due = delay < due_at - now;
+  if (connection->extra_due)
+    due_at = now + delay;
+  cf_connections_schedule (&balance->connections, connection, due_at);
+}
+
+/* Sends the first packet BYTES of CONNECTION to TARGET, chosen for REASON. */
+static void
+send_first (struct CfBalance *balance,
+            struct CfConnection *connection,
+            struct CfTarget *target,
+            enum CfPlaceReason reason,
+            const uint8_t *bytes,
+            size_t size,
+            enum CfOutcome outcome,
+            CfMillis now)
+{
   balance->flows_since_trial++;
   if (reason == CF_PLACE_TRY)
     {
@@ -120,16 +130,69 @@
       });
   connection->tried[connection->tries] = target;
   connection->tried_at[connection->tries] = now;
+  connection->times_out_at[connection->tries]
+      = now + cf_open_timeout_ms (cf_balance_open_timeout (balance, target));
   connection->tries++;
   connection->sent = true;
   cf_connection_set_target (connection, target);
   cf_reach_record_attempt (&target->reach, now);
-  cf_connections_schedule (&balance->connections, connection,
-                           now + cf_open_timeout_ms (cf_balance_open_timeout (balance, target)));
+  schedule (balance, connection, now);
   balance->out->forward (balance->context, bytes, size, target);
+}
+
+/* Sends the first packet BYTES of CONNECTION to the next upstream. */
+static bool
+try_next (struct CfBalance *balance,
+          struct CfConnection *connection,
+          const uint8_t *bytes,
+          size_t size,
+          enum CfOutcome outcome,
+          CfMillis now)
+{
+  enum CfPlaceReason reason;
+  struct CfTarget *target = choose_target (balance, connection, now, &reason);
+
+  if (!target)
+    return false;
+  if (connection->tries == 0)
+    {
+      connection->timed_out = 0;
+      connection->extra = 0;
+      if (balance->admission)
+        cf_admission_record_placed (balance->admission, connection->service_name,
+                                    connection->priority, now);
+      cf_extra_open_record_usual (balance->extra_open, target, now);
+    }
+  send_first (balance, connection, target, reason, bytes, size, outcome, now);
   return true;
 }
 
+/* Sends the first packet of CONNECTION to a second upstream, while the first one may still open the
+ * flow, if the budget allows and there is room. */
+static void
+open_extra (struct CfBalance *balance, struct CfConnection *connection, CfMillis now)
+{
+  enum CfPlaceReason reason;
+  enum CfExtraOpenResult result;
+  struct CfTarget *target;
+
+  connection->extra_due = false;
+  cf_connections_schedule (&balance->connections, connection, connection->times_out_at[0]);
+  if (balance->admission && cf_admission_overloaded (balance->admission, connection->service_name))
+    return;
+  target = choose_target (balance, connection, now, &reason);
+  if (!target || reason != CF_PLACE_NEAR)
+    return;
+  result = cf_extra_open_take (balance->extra_open, target, now);
+  if (balance->out->extra_opening)
+    balance->out->extra_opening (balance->context, connection->service_name, result);
+  if (result != CF_EXTRA_OPEN_SENT)
+    return;
+  connection->extra = connection->tries;
+  send_first (balance, connection, target, reason, connection->first, connection->first_size,
+              CF_OUTCOME_EXTRA, now);
+}
+
 static struct CfConnection *
 add_connection (struct CfBalance *balance,
                 const struct CfSegment *segment,
@@ -141,6 +204,7 @@
 
   connection->service_name = cf_route_service (route, segment->caller);
   connection->priority = route->priority;
+  connection->idempotent = route->idempotent;
   if (segment->size <= CF_FIRST_BYTES_MAX)
     {
       memcpy (connection->first, segment->bytes, segment->size);
@@ -255,6 +319,25 @@
     }
 }
 
+/* The attempt number INDEX of CONNECTION was lost. */
+static void
+record_loss (struct CfBalance *balance,
+             const struct CfConnection *connection,
+             uint32_t index,
+             CfMillis now)
+{
+  struct CfTarget *target = connection->tried[index];
+  bool good = cf_reach_good (&target->reach);
+
+  cf_isolation_record_loss (&balance->isolation, connection->tried_at[index], now);
+  cf_reach_record_failure (&target->reach, connection->tried_at[index], now);
+  if (!good || cf_reach_good (&target->reach))
+    return;
+  cf_balance_notify_reach (balance, target);
+  if (cf_outages_record_loss (balance->outages, target->domain))
+    cf_balance_notify_outage (balance, target->domain, true);
+}
+
 void
 cf_balance_open_timed_out (struct CfBalance *balance, struct CfConnection *connection, CfMillis now)
 {
@@ -266,20 +349,22 @@
       cf_connections_remove (&balance->connections, connection);
       return;
     }
-  if (connection->tries > 0 && !paused && connection->due_at < give_up_at)
+  if (connection->extra_due)
+    {
+      open_extra (balance, connection, now);
+      return;
+    }
+  for (; connection->timed_out < connection->tries
+         && connection->times_out_at[connection->timed_out] <= now;
+       connection->timed_out++)
+    if (!paused)
+      record_loss (balance, connection, connection->timed_out, now);
+  if (connection->timed_out < connection->tries)
     {
-      struct CfTarget *last = connection->tried[connection->tries - 1];
-      bool good = cf_reach_good (&last->reach);
-
-      cf_isolation_record_loss (&balance->isolation, connection->tried_at[connection->tries - 1],
-                                now);
-      cf_reach_record_failure (&last->reach, connection->tried_at[connection->tries - 1], now);
-      if (good && !cf_reach_good (&last->reach))
-        {
-          cf_balance_notify_reach (balance, last);
-          if (cf_outages_record_loss (balance->outages, last->domain))
-            cf_balance_notify_outage (balance, last->domain, true);
-        }
+      /* An extra opening has its own time. */
+      cf_connections_schedule (&balance->connections, connection,
+                               connection->times_out_at[connection->timed_out]);
+      return;
     }
   if (connection->first_size > 0 && connection->tries < CF_TRIES_MAX
       && now - connection->begun_at < CALLER_RETRANSMIT_MS
--- a/src/balance/later_packet.c
+++ b/src/balance/later_packet.c
@@ -38,13 +38,20 @@
         CfMillis now)
 {
   bool suspected = !cf_reach_good (&target->reach);
+  CfMillis sent_at = first_sent_at (connection, target);
 
   cf_isolation_record_open (&balance->isolation);
-  cf_unreachable_record_answer (balance->unreachable, target, first_sent_at (connection, target));
+  cf_unreachable_record_answer (balance->unreachable, target, sent_at);
   for (uint32_t i = 0; i < connection->tries; i++)
-    if (connection->tried[i] == target && i + 1 == connection->tries)
+    if (connection->tried[i] == target
+        && (i + 1 == connection->tries || i + 1 == connection->extra))
       cf_open_timeout_update (cf_balance_open_timeout (balance, target),
                               now - connection->tried_at[i]);
+  if (sent_at >= 0)
+    cf_extra_open_record_opened (balance->extra_open, target->service, now - sent_at, now);
+  if (connection->extra > 0)
+    cf_extra_open_record_result (balance->extra_open, target->service,
+                                 connection->tried[connection->extra] == target, now);
   cf_reach_record_success (&target->reach, now);
   if (suspected)
     cf_balance_notify_reach (balance, target);
--- a/src/balance/outcome_names.c
+++ b/src/balance/outcome_names.c
@@ -7,6 +7,7 @@
     [CF_OUTCOME_PLACED] = "placed",
     [CF_OUTCOME_PASSED] = "passed",
     [CF_OUTCOME_MOVED] = "moved",
+    [CF_OUTCOME_EXTRA] = "extra",
     [CF_OUTCOME_REPEATED] = "repeated",
     [CF_OUTCOME_HANDED_ON] = "handed-on",
     [CF_OUTCOME_WAITING] = "waiting",
--- a/src/serve/datapath_internal.h
+++ b/src/serve/datapath_internal.h
@@ -31,6 +31,7 @@
   struct CfEventRate notable_rate;
   struct CfEventRate admission_rate;
   uint64_t refused[CF_LOAD_PRIORITIES][CF_REFUSAL_COUNT]; /* during overload */
+  uint64_t extra_openings[CF_EXTRA_OPEN_COUNT];
   struct CfHistogram held; /* ms that first packets waited for admission */
   uint64_t outcomes[CF_OUTCOME_COUNT];
   bool isolated;
--- a/src/serve/datapath_task.c
+++ b/src/serve/datapath_task.c
@@ -152,8 +152,9 @@
       log_admission (task, decision);
       return;
     }
-  if (decision->outcome == CF_OUTCOME_MOVED)
-    task->outcomes[CF_OUTCOME_MOVED]++;
+  /* Not an outcome of a packet that has just come. */
+  if (decision->outcome == CF_OUTCOME_MOVED || decision->outcome == CF_OUTCOME_EXTRA)
+    task->outcomes[decision->outcome]++;
   format_endpoint (decision->caller, flow);
   format_endpoint (decision->service, service);
   cf_event_log_write_limited (
@@ -242,6 +243,15 @@
       cf_now ());
 }
 
+static void
+extra_opening (void *context, GQuark service, enum CfExtraOpenResult result)
+{
+  struct DatapathTask *task = context;
+
+  (void) service;
+  task->extra_openings[result]++;
+}
+
 static void
 held (void *context, CfMillis wait)
 {
@@ -285,6 +295,7 @@
   .reach_changed = reach_changed,
   .outage_changed = outage_changed,
   .failing = failing,
+  .extra_opening = extra_opening,
   .held = held,
   .overload_changed = overload_changed,
 };
@@ -401,6 +412,7 @@
           .seed = g_random_int (),
           .flow_lifetime_ms = settings->max_flow_lifetime_ms,
           .admission = settings->admission,
+          .extra_openings = settings->extra_openings,
       },
       &outputs, task);
   return task;
