--- a/src/balance/routes.c
+++ b/src/balance/routes.c
@@ -122,6 +122,12 @@
 
 GQuark
 cf_route_service (const struct CfRouteEntry *route, struct CfEndpoint caller)
+{
+  return cf_route_service_of_hash (route, cf_endpoint_hash (caller));
+}
+
+GQuark
+cf_route_service_of_hash (const struct CfRouteEntry *route, uint32_t hash)
 {
   uint64_t total = 0;
   uint64_t point;
@@ -130,7 +136,7 @@
     total += route->splits[i].weight;
   if (total == 0)
     return 0;
-  point = cf_endpoint_hash (caller) % total;
+  point = hash % total;
   for (uint32_t i = 0; i < route->split_count; i++)
     {
       if (point < route->splits[i].weight)
--- a/src/balance/routes.h
+++ b/src/balance/routes.h
@@ -24,6 +24,7 @@
   uint32_t split_count;
   uint32_t priority;          /* 0 is highest */
   CfMillis target_latency_ms; /* within which callers need an answer; 0: not stated */
+  CfMillis timeout_ms;        /* after which callers give up; 0: not stated */
   bool idempotent;            /* its requests may be repeated after any failure */
   bool removed;               /* not in the current manifest */
 };
@@ -70,4 +71,7 @@
 /* Returns the service that a new flow of CALLER on ROUTE goes to: the same on every VM. */
 GQuark cf_route_service (const struct CfRouteEntry *route, struct CfEndpoint caller);
 
+/* The same for all callers whose cf_endpoint_hash is HASH.  Returns 0 if all weights are 0. */
+GQuark cf_route_service_of_hash (const struct CfRouteEntry *route, uint32_t hash);
+
 #endif
