--- a/src/config/build.c
+++ b/src/config/build.c
@@ -151,7 +151,8 @@
   char *target = g_strdup_printf ("%s %s", kind, name);
   uint32_t index = GPOINTER_TO_UINT (g_hash_table_lookup (build->by_group, target));
 
-  if (index == 0)
+  /* An empty or missing name is a fault of its own already. */
+  if (index == 0 && *name)
     fault (build, group, key, "there is no group [%s]", target);
   g_free (target);
   g_free (name);
@@ -378,9 +379,8 @@
   build.config->refs = 1;
   for (int i = 0; groups[i]; i++)
     check_group (&build, groups[i]);
-  /* Names and addresses are only compared once each value is known to be valid. */
-  if (faults->len == 0)
-    read_groups (&build, groups);
+  read_groups (&build, groups);
+  /* Addresses are only compared once each value is known to be valid. */
   if (faults->len == 0)
     {
       cf_config_index (build.config);
--- a/src/config/folder.c
+++ b/src/config/folder.c
@@ -1,3 +1,4 @@
+#include "folder.h"
 #include "build.h"
 #include "locations.h"
 
@@ -63,9 +64,25 @@
   g_strfreev (groups);
 }
 
+/* Appends the locations in TEXT, the contents of file NAME, to FILES. */
 static void
-merge_file (
-    GKeyFile *merged, GHashTable *locations, const char *dir, const char *name, GPtrArray *faults)
+append_file (GPtrArray *files, const char *name, const char *text)
+{
+  GHashTable *locations = cf_locations_new ();
+  GPtrArray *repeated = g_ptr_array_new_with_free_func (g_free);
+
+  cf_locations_scan (locations, name, text, repeated);
+  g_ptr_array_add (files, locations);
+  g_ptr_array_unref (repeated);
+}
+
+static void
+merge_file (GKeyFile *merged,
+            GHashTable *locations,
+            const char *dir,
+            const char *name,
+            GPtrArray *faults,
+            GPtrArray *files)
 {
   char *path = g_build_filename (dir, name, NULL);
   GKeyFile *file = g_key_file_new ();
@@ -81,6 +98,8 @@
     g_ptr_array_add (faults, g_strdup_printf ("%s: %s", name, error->message));
   else
     {
+      if (files)
+        append_file (files, name, text);
       cf_locations_scan (locations, name, text, faults);
       merge_key_file (merged, file);
     }
@@ -92,6 +111,12 @@
 
 struct CfConfig *
 cf_config_read_folder (const char *dir, GPtrArray *faults)
+{
+  return cf_config_read_folder_files (dir, faults, NULL);
+}
+
+struct CfConfig *
+cf_config_read_folder_files (const char *dir, GPtrArray *faults, GPtrArray *files)
 {
   GHashTable *locations = cf_locations_new ();
   GKeyFile *merged = g_key_file_new ();
@@ -100,7 +125,7 @@
   GPtrArray *build_faults = g_ptr_array_new ();
 
   for (guint i = 0; i < names->len; i++)
-    merge_file (merged, locations, dir, names->pdata[i], faults);
+    merge_file (merged, locations, dir, names->pdata[i], faults, files);
   /* Without any file a build would only add misleading faults. */
   if (names->len > 0)
     config = cf_config_build (merged, locations, false, build_faults);
--- a/src/config/locations.h
+++ b/src/config/locations.h
@@ -6,7 +6,7 @@
 /* File and line at which each group and key of a merged configuration was set, for
  * error messages. */
 
-/* Returns an empty table. */
+/* Returns an empty table, of "group\nkey" (of a group itself "group\n") to "file:line". */
 GHashTable *cf_locations_new (void);
 
 /* Records the location of each group and key in TEXT, the contents of file NAME, and
--- a/src/serve/balance_settings.c
+++ b/src/serve/balance_settings.c
@@ -8,6 +8,8 @@
 #define DEFAULT_FLOW_LIFETIME_S 3600 /* upstreams that are gone are remembered for this long */
 #define DEFAULT_GRACE_S 5            /* below the usual times of service managers */
 
+#define REASON_MAX 128 /* bytes */
+
 #define BYTE_ORDER_MARK "\xef\xbb\xbf"
 
 struct Reader
@@ -17,11 +19,21 @@
   struct CfBalanceSettings *settings;
   struct CfError *error;
   bool failed;
+  CfSettingsFault *fault; /* NULL: only the first one is wanted, in error */
+  void *context;
+  GHashTable *known; /* "group\nkey" of each key that was looked up; NULL: not wanted */
 };
 
 static void
 fail (struct Reader *reader, const char *group, const char *key, const char *reason)
 {
+  if (reader->fault)
+    {
+      char *value = g_key_file_get_value (reader->file, group, key, NULL);
+
+      reader->fault (reader->context, group, key, value, reason);
+      g_free (value);
+    }
   if (!reader->failed)
     cf_error_set (reader->error, CF_ERROR_INPUT, "%s: [%s] %s: %s", reader->path, group, key,
                   reason);
@@ -45,6 +57,8 @@
   char *raw = g_key_file_get_value (reader->file, group, key, NULL);
   char *text;
 
+  if (reader->known)
+    g_hash_table_add (reader->known, g_strconcat (group, "\n", key, NULL));
   if (!raw)
     reader->settings->complete = false;
   text = raw && *g_strstrip (raw) ? g_utf8_make_valid (raw, -1) : NULL;
@@ -87,7 +101,11 @@
 
   if (*end || end == text || !(number >= min && number <= max))
     {
-      fail (reader, group, key, "is not a number in the allowed range");
+      char reason[REASON_MAX];
+
+      g_snprintf (reason, sizeof reason, "is not a number in the allowed range, %.15g to %.15g",
+                  min, max);
+      fail (reader, group, key, reason);
       return min;
     }
   return number;
@@ -220,38 +238,90 @@
   return g_key_file_load_from_data (file, text + skip, len - skip, G_KEY_FILE_NONE, error);
 }
 
+static void
+report_unknown_keys (struct Reader *reader)
+{
+  char **groups = g_key_file_get_groups (reader->file, NULL);
+
+  for (int i = 0; groups[i]; i++)
+    {
+      char **keys = g_key_file_get_keys (reader->file, groups[i], NULL, NULL);
+
+      for (int j = 0; keys && keys[j]; j++)
+        {
+          char *id = g_strconcat (groups[i], "\n", keys[j], NULL);
+
+          if (!g_hash_table_contains (reader->known, id))
+            fail (reader, groups[i], keys[j], "is no key of this group");
+          g_free (id);
+        }
+      g_strfreev (keys);
+    }
+  g_strfreev (groups);
+}
+
+static bool
+parse_settings (struct Reader *reader, const char *text, size_t len)
+{
+  GError *gerror = NULL;
+
+  *reader->settings = (struct CfBalanceSettings){
+    .path = g_strdup (reader->path),
+    .notes = g_ptr_array_new_with_free_func (g_free),
+    .complete = len > 0 && text[len - 1] == '\n',
+  };
+  reader->file = g_key_file_new ();
+  if (!load_text (reader->file, text, len, &gerror))
+    {
+      if (reader->fault)
+        reader->fault (reader->context, NULL, NULL, NULL, gerror->message);
+      cf_error_set (reader->error, CF_ERROR_INPUT, "%s: %s", reader->path, gerror->message);
+      g_error_free (gerror);
+      reader->failed = true;
+    }
+  else
+    {
+      read_values (reader, reader->settings);
+      if (reader->known)
+        report_unknown_keys (reader);
+    }
+  g_key_file_unref (reader->file);
+  if (reader->failed)
+    cf_balance_settings_clear (reader->settings);
+  return !reader->failed;
+}
+
 bool
 cf_balance_settings_parse (struct CfBalanceSettings *settings,
                            const char *path,
                            const char *text,
                            size_t len,
                            struct CfError *error)
+{
+  struct Reader reader = { .path = path, .settings = settings, .error = error };
+
+  return parse_settings (&reader, text, len);
+}
+
+bool
+cf_balance_settings_check (struct CfBalanceSettings *settings,
+                           const char *path,
+                           const char *text,
+                           size_t len,
+                           CfSettingsFault *fault,
+                           void *context)
 {
   struct Reader reader = {
-    .file = g_key_file_new (),
     .path = path,
     .settings = settings,
-    .error = error,
+    .fault = fault,
+    .context = context,
+    .known = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL),
   };
-  GError *gerror = NULL;
+  bool ok = parse_settings (&reader, text, len);
 
-  *settings = (struct CfBalanceSettings){
-    .path = g_strdup (path),
-    .notes = g_ptr_array_new_with_free_func (g_free),
-    .complete = len > 0 && text[len - 1] == '\n',
-  };
-  if (!load_text (reader.file, text, len, &gerror))
-    {
-      cf_error_set (error, CF_ERROR_INPUT, "%s: %s", path, gerror->message);
-      g_error_free (gerror);
-      reader.failed = true;
-    }
-  else
-    read_values (&reader, settings);
-  g_key_file_unref (reader.file);
-  if (reader.failed)
-    cf_balance_settings_clear (settings);
-  return !reader.failed;
+  g_hash_table_unref (reader.known);
+  return ok;
 }
 
 void
--- a/src/serve/balance_settings.h
+++ b/src/serve/balance_settings.h
@@ -36,6 +36,20 @@
                                 const char *text,
                                 size_t len,
                                 struct CfError *error);
+
+/* Receives a fault: KEY of GROUP (both NULL: the whole file) with VALUE (NULL: none) is wrong for
+ * REASON. */
+typedef void CfSettingsFault (
+    void *context, const char *group, const char *key, const char *value, const char *reason);
+
+/* The same for a check before the file is used: FAULT gets each fault, keys that do not exist
+ * included. */
+bool cf_balance_settings_check (struct CfBalanceSettings *settings,
+                                const char *path,
+                                const char *text,
+                                size_t len,
+                                CfSettingsFault *fault,
+                                void *context);
 void cf_balance_settings_clear (struct CfBalanceSettings *settings);
 
 #endif
