--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 
 LIB_SRC := $(wildcard src/base/*.c src/config/*.c src/gue/*.c src/packet/*.c src/peer/*.c \
   src/balance/*.c src/feed/*.c)
-APP_SRC := $(wildcard platform/*.c src/objectstore/*.c src/serve/*.c src/cli/*.c)
+APP_SRC := $(wildcard platform/*.c src/objectstore/*.c src/serve/*.c src/check/*.c src/cli/*.c)
 # The play of a task needs the other tasks, too.
 FEED_PLAY_SRC := tests/feed_play.c
 TEST_LIB_SRC := $(filter-out tests/test_%.c tests/live.c tests/objectstore.c tests/foreign.c $(FEED_PLAY_SRC),\
@@ -36,6 +36,7 @@
 PLATFORM_OBJ = $(filter $(BUILD)/src/objectstore/% $(BUILD)/platform/%,$(APP_OBJ))
 SERVE_TEST_OBJ = $(addprefix $(BUILD)/src/serve/,balance_settings.o crash_report.o event_log.o \
   http_listen.o metrics_label.o process_setup.o task.o udp.o)
+CHECK_OBJ = $(filter $(BUILD)/src/check/%,$(APP_OBJ))
 TEST_LIB_OBJ = $(TEST_LIB_SRC:%.c=$(BUILD)/%.o)
 TESTS = $(TEST_SRC:tests/%.c=$(BUILD)/%)
 STANDINS = $(STANDIN_SRC:tests/%.c=$(BUILD)/%)
@@ -62,7 +63,8 @@
 $(BUILD)/cyclamenferry: $(LIB_OBJ) $(APP_OBJ)
 	$(CC) $^ $(LIBS) -o $@
 
-$(TESTS): $(BUILD)/%: $(BUILD)/tests/%.o $(TEST_LIB_OBJ) $(PLATFORM_OBJ) $(SERVE_TEST_OBJ) $(LIB_OBJ)
+$(TESTS): $(BUILD)/%: $(BUILD)/tests/%.o $(TEST_LIB_OBJ) $(PLATFORM_OBJ) $(SERVE_TEST_OBJ) \
+  $(CHECK_OBJ) $(LIB_OBJ)
 	$(CC) $^ $(LIBS) $(CHECK_LIBS) -o $@
 
 # These tests run a task of the program, or what tasks share.
--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -23,7 +23,7 @@
   { "serve", cf_command_serve, "run the load balancer on an entry VM", true },
   { "balance", cf_command_balance, "run the load balancer behind a fabric with flow cookies",
     true },
-  { "check", cf_command_check, "check a folder of configuration files", false },
+  { "check", cf_command_check, "check a configuration before it is used", false },
   { "apply", cf_command_apply, "put a folder of configuration files in force through the platform",
     false },
   { "domain", cf_command_domain, "take a failure domain out of service, or back in", false },
--- a/tests/sockets/commands.sh
+++ b/tests/sockets/commands.sh
@@ -33,6 +33,20 @@
 expect 2 "no file *.conf" "$cf" check "$work/empty"
 expect 2 "a.conf:2: [upstream a] weight: 0 is outside 1 to 1000" "$cf" check "$work/bad"
 expect 2 "No such file" "$cf" check "$work/none"
+printf '{"version":1,"routes":[],"services":[{"name":"s"}]}' > "$work/m.json"
+printf '{"version":1,"routes":4}' > "$work/bad.json"
+expect 2 "is missing" "$cf" check
+expect 2 "routes: 4 is not allowed" "$cf" check "$work/bad.json"
+expect 0 "warning: $work/m.json: services[0]: no route" "$cf" check "$work/m.json"
+expect 1 "service-without-route" "$cf" check --strict "$work/m.json"
+expect 0 '"warnings" : 1' "$cf" check --json "$work/m.json"
+expect 2 "exclude each other" "$cf" check --against x --against-store y "$work/m.json"
+expect 2 "127.0.0.1:1: Could not connect" "$cf" check --against-store 127.0.0.1:1 "$work/m.json"
+expect 2 "no input is of its kind" "$cf" check --against "$work/m.json" examples/scordato
+if [ "$("$cf" check --against examples/scordato examples/scordato 2>&1)" ]; then
+  echo "FAILED: a folder differs from itself"
+  failed=1
+fi
 expect 2 "--name: missing" "$cf" serve
 expect 2 "--fleet-key: missing" "$cf" serve $vm --config-dir examples/scordato
 expect 2 "--fleet-key: not 64" "$cf" serve --fleet-key 12
--- a/tests/test_fuzz.c
+++ b/tests/test_fuzz.c
@@ -1,4 +1,6 @@
 #include "simulation.h"
+#include "check/manifest.h"
+#include "check/settings.h"
 #include "feed/gossip.h"
 #include "feed/sources.h"
 #include "feed/vm_record.h"
@@ -282,6 +284,8 @@
       append_member (random, text, "path-prefix", port == 80 ? "\"/80/\"" : "\"/81/\"");
       append_member (random, text, "priority", "1");
       append_member (random, text, "kind", "\"idempotent\"");
+      append_member (random, text, "target-latency-ms", "250");
+      append_member (random, text, "timeout-ms", "1000");
       if (g_rand_boolean (random))
         append_member (random, text, "service", port == 80 ? "\"s\"" : "\"t\"");
       else
@@ -476,6 +480,59 @@
 }
 END_TEST
 
+static void
+check_manifests (const char *text, size_t len, const struct CfManifest *in_force)
+{
+  const struct CfOverloadValues values = { .enabled = true, .extra_openings = 0.1 };
+  struct CfFindings findings;
+  struct CfManifest *manifest;
+  char *printed;
+
+  cf_findings_init (&findings);
+  manifest = cf_check_manifest_read ("m.json", text, len, &findings);
+  ck_assert (manifest || findings.counts[CF_SEVERITY_ERROR] > 0);
+  if (manifest)
+    {
+      cf_check_manifest_matches ("m.json", manifest, &findings);
+      cf_check_manifest_limits ("m.json", manifest, &findings);
+      cf_check_manifest_changes ("m.json", in_force, manifest, &findings);
+      cf_check_overload ("settings", &values, manifest, &findings);
+    }
+  ck_assert_uint_le (findings.list->len, CF_SEVERITIES * CF_FINDINGS_MAX);
+  printed = cf_findings_text (&findings);
+  ck_assert (g_utf8_validate (printed, -1, NULL));
+  g_free (printed);
+  g_free (cf_findings_json (&findings));
+  cf_manifest_free (manifest);
+  cf_findings_clear (&findings);
+}
+
+/* The check before a manifest is sent reads every value of it, where a VM stops at the first that
+ * it cannot use. */
+START_TEST (test_fuzz_checked_manifests)
+{
+  GRand *random = g_rand_new_with_seed (6);
+  struct CfManifest *in_force = sim_manifest (1, 0, true);
+
+  for (int i = 0; i < rounds (); i++)
+    {
+      GString *text = g_string_new ("{");
+      size_t len;
+      char *exact;
+
+      append_manifest (random, text, (guint) i + 2);
+      g_string_append_c (text, '}');
+      len = i % 2 ? mutate (random, (uint8_t *) text->str, text->len) : text->len;
+      exact = g_memdup2 (text->str, MAX (len, 1));
+      check_manifests (exact, len, in_force);
+      g_free (exact);
+      g_string_free (text, TRUE);
+    }
+  cf_manifest_free (in_force);
+  g_rand_free (random);
+}
+END_TEST
+
 START_TEST (test_fuzz_peers)
 {
   struct CfReplica replica;
@@ -814,6 +871,7 @@
   suite_add_loop (suite, test_fuzz_packets, 1);
   suite_add_loop (suite, test_fuzz_answers, 1);
   suite_add_loop (suite, test_fuzz_entries, 4);
+  suite_add_loop (suite, test_fuzz_checked_manifests, 1);
   suite_add_loop (suite, test_fuzz_peers, 1);
   suite_add_loop (suite, test_fuzz_datagrams, 1);
   suite_add_loop (suite, test_fuzz_settings, 1);
