--- a/tests/test_check.c
+++ b/tests/test_check.c
@@ -85,8 +85,8 @@
     "error: m.json: routes[1].weighted-services[2].service: is missing; allowed is a string in an "
     "object [not-allowed]\n" },
   { "{\"version\":1,\"routes\":[{" HOST ",\"service\":\"s\"}],\"services\":[{\"name\":\"s\","
-    "\"health-path\":\"/a b\"},{\"warmup-s\":1e9}],\"limits\":{\"idle-timeout-ms\":-5}}",
-    "error: m.json: services[0].health-path: \"/a b\" is not allowed; allowed is a path that "
+    "\"health-check-path\":\"/a b\"},{\"warmup-s\":1e9}],\"limits\":{\"idle-timeout-ms\":-5}}",
+    "error: m.json: services[0].health-check-path: \"/a b\" is not allowed; allowed is a path that "
     "begins with / and has at most 1024 printable ASCII characters other than space and # "
     "[not-allowed]\n"
     "error: m.json: services[1].warmup-s: 1000000000.0 is not allowed; allowed is a number from 0 "
