--- a/src/check/check.c
+++ b/src/check/check.c
@@ -160,6 +160,9 @@
         check_settings (inputs, &inputs->inputs[i], &checked, findings);
         break;
       }
+  if (checked.settings_read)
+    cf_check_overload (checked.settings_source->name, &checked.settings.overload, checked.manifest,
+                       findings);
   if (checked.manifest && checked.settings_read)
     cf_check_lifetime (checked.settings_source->name, &checked.settings,
                        checked.manifest_source->name, checked.manifest, findings);
--- a/src/check/overload.c
+++ b/src/check/overload.c
@@ -29,18 +29,18 @@
 
 static void
 check_with_manifest (const char *file,
-                     const struct CfOverloadValues *values,
+                     const struct CfOverloadSettings *values,
                      const struct CfManifest *manifest,
                      struct CfFindings *findings)
 {
   struct RouteSums sums = sum_routes (manifest);
 
-  if (values->enabled && !sums.with_target)
+  if (values->admission.enabled && !sums.with_target)
     cf_findings_add (findings, CF_SEVERITY_WARNING, "overload-without-target", file,
                      "[overload] enabled",
                      "is true while no route has target-latency-ms above 0: no flow is held or "
                      "refused");
-  if (values->enabled && values->floor_share == 0 && sums.priorities)
+  if (values->admission.enabled && values->admission.floor_share == 0 && sums.priorities)
     cf_findings_add (findings, CF_SEVERITY_WARNING, "floor-zero", file, "[overload] floor-share",
                      "is 0 while routes have several priorities: the lower ones may get nothing "
                      "during overload");
@@ -54,20 +54,21 @@
 
 void
 cf_check_overload (const char *file,
-                   const struct CfOverloadValues *values,
+                   const struct CfOverloadSettings *values,
                    const struct CfManifest *manifest,
                    struct CfFindings *findings)
 {
-  if (!values->enabled && values->given)
+  if (!values->admission.enabled && values->has_other_keys)
     cf_findings_add (findings, CF_SEVERITY_WARNING, "overload-disabled", file, "[overload] enabled",
                      "is false: the other keys of [overload] have no effect");
-  if (values->enabled && values->floor_share + values->retry_share > 1)
+  if (values->admission.enabled
+      && values->admission.floor_share + values->admission.retry_share > 1)
     cf_findings_add (findings, CF_SEVERITY_WARNING, "shares-above-one", file,
                      "[overload] floor-share",
                      "%g and [overload] retry-share %g are above 1 together: no capacity is left "
                      "for first attempts of the highest priority",
-                     values->floor_share, values->retry_share);
-  if (values->enabled && values->retry_share == 0 && values->extra_openings > 0)
+                     values->admission.floor_share, values->admission.retry_share);
+  if (values->admission.enabled && values->admission.retry_share == 0 && values->extra_openings > 0)
     cf_findings_add (findings, CF_SEVERITY_WARNING, "extra-without-retries", file,
                      "[slow-answers] extra-openings",
                      "is %g while [overload] retry-share is 0: requests are opened twice but not "
--- a/src/check/settings.h
+++ b/src/check/settings.h
@@ -35,21 +35,10 @@
                                 const char *text,
                                 struct CfFindings *findings);
 
-/* The values of the groups [overload] and [slow-answers]. */
-struct CfOverloadValues
-{
-  bool enabled;
-  bool given; /* a key of [overload] other than "enabled" is set */
-  double hold_share;
-  double floor_share;
-  double retry_share;
-  double extra_openings;
-};
-
 /* Adds a warning for each two of VALUES that contradict each other, and for those that MANIFEST
  * (NULL: not known) leaves without effect. */
 void cf_check_overload (const char *file,
-                        const struct CfOverloadValues *values,
+                        const struct CfOverloadSettings *values,
                         const struct CfManifest *manifest,
                         struct CfFindings *findings);
 
--- a/src/serve/balance_settings.c
+++ b/src/serve/balance_settings.c
@@ -255,7 +255,7 @@
 
   if (prefix != (unsigned) prefix)
     fail (reader, "overload", "caller-prefix", "is not a whole number");
-  settings->admission = (struct CfAdmissionOptions){
+  settings->overload.admission = (struct CfAdmissionOptions){
     .enabled = read_optional_bool (reader, "overload", "enabled", false),
     .hold_share
     = read_optional_number (reader, "overload", "hold-share", 0, 0.25, DEFAULT_HOLD_SHARE),
@@ -265,8 +265,11 @@
     = read_optional_number (reader, "overload", "retry-share", 0, 1, DEFAULT_RETRY_SHARE),
     .caller_prefix = (unsigned) prefix,
   };
-  settings->extra_openings
+  settings->overload.extra_openings
       = read_optional_number (reader, "slow-answers", "extra-openings", 0, 0.1, 0);
+  for (char **key = (char *[]){ "hold-share", "floor-share", "retry-share", "caller-prefix", NULL };
+       *key; key++)
+    settings->overload.has_other_keys |= g_key_file_has_key (reader->file, "overload", *key, NULL);
 }
 
 static void
--- a/src/serve/balance_settings.h
+++ b/src/serve/balance_settings.h
@@ -5,6 +5,14 @@
 
 #include <glib.h>
 
+/* The groups [overload] and [slow-answers], which a file need not have. */
+struct CfOverloadSettings
+{
+  struct CfAdmissionOptions admission;
+  double extra_openings; /* as a share of the usual ones, 0: none */
+  bool has_other_keys;   /* the file has a key of [overload] other than "enabled" */
+};
+
 /* Settings of "cyclamenferry balance", read from a key file whose path comes from the flag
  * --boot or the variable CYCLAMENFERRY_BOOT.  A machine need not have all values: those without
  * which a VM cannot serve are required, the others have a default. */
@@ -24,10 +32,9 @@
   char *store;  /* IP:port */
   CfMillis max_flow_lifetime_ms;
   CfMillis grace_ms; /* from SIGTERM until the process is killed */
-  struct CfAdmissionOptions admission;
-  double extra_openings; /* as a share of the usual ones, 0: none */
-  GPtrArray *notes;      /* of char *: defaults that are used and entries that were left out */
-  bool complete; /* the file has all keys, if without a value, and its last line has an end */
+  struct CfOverloadSettings overload;
+  GPtrArray *notes; /* of char *: defaults that are used and entries that were left out */
+  bool complete;    /* the file has all keys, if without a value, and its last line has an end */
 };
 
 /* Reads SETTINGS from TEXT, LEN bytes and a 0, the content of the file PATH.  Returns false with
--- a/src/serve/datapath_task.c
+++ b/src/serve/datapath_task.c
@@ -411,8 +411,8 @@
           .domain = settings->failure_domain,
           .seed = g_random_int (),
           .flow_lifetime_ms = settings->max_flow_lifetime_ms,
-          .admission = settings->admission,
-          .extra_openings = settings->extra_openings,
+          .admission = settings->overload.admission,
+          .extra_openings = settings->overload.extra_openings,
       },
       &outputs, task);
   return task;
--- a/tests/test_check.c
+++ b/tests/test_check.c
@@ -335,16 +335,20 @@
 /* Values of overload control that leave each other without effect, CODE each; NULL: none. */
 static const struct
 {
-  struct CfOverloadValues values;
+  struct CfOverloadSettings values;
   const char *manifest;
   const char *code;
 } overloads[] = {
-  { { .enabled = true, .floor_share = 0.1, .retry_share = 0.2 }, NULL, NULL },
-  { { .given = true }, NULL, "overload-disabled" },
-  { { .enabled = true, .floor_share = 0.5, .retry_share = 0.6 }, NULL, "shares-above-one" },
-  { { .enabled = true, .extra_openings = 0.1 }, NULL, "extra-without-retries" },
-  { { .enabled = true, .floor_share = 0.1, .retry_share = 0.2 }, GOOD, "overload-without-target" },
-  { { .enabled = true, .retry_share = 0.2 },
+  { { .admission = { .enabled = true, .floor_share = 0.1, .retry_share = 0.2 } }, NULL, NULL },
+  { { .has_other_keys = true }, NULL, "overload-disabled" },
+  { { .admission = { .enabled = true, .floor_share = 0.5, .retry_share = 0.6 } },
+    NULL,
+    "shares-above-one" },
+  { { .admission = { .enabled = true }, .extra_openings = 0.1 }, NULL, "extra-without-retries" },
+  { { .admission = { .enabled = true, .floor_share = 0.1, .retry_share = 0.2 } },
+    GOOD,
+    "overload-without-target" },
+  { { .admission = { .enabled = true, .retry_share = 0.2 } },
     ROUTES ("{" HOST ",\"service\":\"s\",\"target-latency-ms\":9},{" HOST_2
             ",\"service\":\"s\",\"priority\":1}"),
     "floor-zero" },
--- a/tests/test_fuzz.c
+++ b/tests/test_fuzz.c
@@ -483,7 +483,8 @@
 static void
 check_manifests (const char *text, size_t len, const struct CfManifest *in_force)
 {
-  const struct CfOverloadValues values = { .enabled = true, .extra_openings = 0.1 };
+  const struct CfOverloadSettings values
+      = { .admission = { .enabled = true }, .extra_openings = 0.1 };
   struct CfFindings findings;
   struct CfManifest *manifest;
   char *printed;
