--- a/src/balance/admission.c
+++ b/src/balance/admission.c
@@ -4,12 +4,15 @@
 #include "retry_tracker.h"
 #include "service_load.h"
 
+#include <math.h>
 #include <string.h>
 
 /* Repeated tries admitted in any case, in a window of the retry budget: with few requests, a share
  * of them would be none. */
 #define RETRIES_MIN 2.0
 #define PRUNE_INTERVAL_MS 10000
+/* Recent requests of a caller at one VM up to which it goes before no other. */
+#define CALLER_USE_USUAL 4.0
 
 struct Service
 {
@@ -134,28 +137,13 @@
          && counts->shed >= CF_OVERLOAD_ENTER_SHED * (counts->shed + counts->answered);
 }
 
-/* The VMs whose counts are not known count like the mean of those that are. */
-static void
-scale_to_fleet (const struct CfAdmissionControl *control, struct CfLoadSum *sum)
-{
-  double factor = sum->vms > 0 && sum->vms < control->vms ? (double) control->vms / sum->vms : 1;
-
-  for (int i = 0; i < CF_LOAD_PRIORITIES; i++)
-    {
-      sum->total.demand[i] *= factor;
-      sum->total.admitted[i] *= factor;
-    }
-  sum->total.answered *= factor;
-  sum->total.shed *= factor;
-  sum->total.in_progress *= factor;
-}
-
 static void
 update_service (struct CfAdmissionControl *control, struct Service *service, CfMillis now)
 {
   struct CfLoadCounts own;
   struct CfLoadSum sum;
   enum CfOverloadChange change;
+  double slots;
 
   if (now - service->updated_at < CF_OVERLOAD_INTERVAL_MS)
     return;
@@ -165,10 +153,10 @@
     control->report_until = now + CF_ADMISSION_REPORT_MS;
   cf_load_table_sum (control->table, g_quark_to_string (service->name), &own, control->domain,
                      control->domain_vms, now, &sum);
-  scale_to_fleet (control, &sum);
-  change = cf_overload_update (&service->overload, &sum,
-                               control->events->slots (control->context, service->name, now),
-                               control->domain, control->options.floor_share, now);
+  slots = cf_overload_slots (&sum, control->events->slots (control->context, service->name, now),
+                             control->vms);
+  change = cf_overload_update (&service->overload, &sum, slots, control->domain,
+                               control->options.floor_share, now);
   if (change == CF_OVERLOAD_ENDS)
     cf_admission_release (control->queue, service->name, now);
   if (change != CF_OVERLOAD_SAME)
@@ -232,6 +220,14 @@
   return others > 0 ? cf_fair_share_admitted (service->callers, ip, admitted, now) / others : 1;
 }
 
+/* Returns the order of a caller within its priority: callers with about the same use are equal, and
+ * go in the order in which they came. */
+static double
+caller_rank (double use)
+{
+  return use < CALLER_USE_USUAL ? 0 : floor (log2 (use));
+}
+
 struct CfAdmissionVerdict
 cf_admission_decide (struct CfAdmissionControl *control,
                      GQuark service_name,
@@ -247,13 +243,16 @@
   struct CfLoadCounts own;
   enum CfAdmission admission;
 
-  if (!service->overload.active || route->target_latency_ms <= 0 || verdict.admitted >= 1)
+  if (!service->overload.active || route->target_latency_ms <= 0)
     return verdict;
   verdict.caller_use = cf_fair_share_use (service->callers, segment->caller.ip, now);
-  if (chance >= caller_part (service, segment->caller.ip, verdict.admitted, now))
-    return refuse (control, service, segment, verdict, CF_REFUSAL_CALLER, now);
-  if (repeated && !cf_retry_budget_withdraw (&service->retries, now))
-    return refuse (control, service, segment, verdict, CF_REFUSAL_RETRY, now);
+  if (verdict.admitted < 1)
+    {
+      if (chance >= caller_part (service, segment->caller.ip, verdict.admitted, now))
+        return refuse (control, service, segment, verdict, CF_REFUSAL_CALLER, now);
+      if (repeated && !cf_retry_budget_withdraw (&service->retries, now))
+        return refuse (control, service, segment, verdict, CF_REFUSAL_RETRY, now);
+    }
   cf_service_loads_counts (control->loads, service_name, now, &own);
   admission = cf_admission_request (
       control->queue,
@@ -262,7 +261,8 @@
           .service = service_name,
           .priority = route->priority,
           .rate = own.demand[level] * verdict.admitted,
-          .caller_use = verdict.caller_use,
+          .admitted = verdict.admitted,
+          .caller_use = caller_rank (verdict.caller_use),
           .hold_ms = (CfMillis) (control->options.hold_share * (double) route->target_latency_ms),
       },
       now);
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -49,6 +49,7 @@
   struct CfEndpoint caller;
   int vm;
   const struct CfTarget *target; /* where it opened */
+  uint32_t index;                /* in flows */
   bool offered;                  /* an upstream got a packet of it */
   bool over;
 };
@@ -168,6 +169,7 @@
   flow->request = request;
   flow->caller = (struct CfEndpoint){ .ip = request->ip, .port = ++play->next_port };
   flow->vm = request->domain + 2 * g_rand_int_range (play->random, 0, VMS / 2);
+  flow->index = play->flows->len;
   request->tries++;
   g_ptr_array_add (play->flows, flow);
   add_event (play->now, EVENT_OPEN, flow, NULL);
@@ -205,13 +207,28 @@
   end_flow (flow, false);
 }
 
-static const struct CfBalanceOutputs outputs = { .forward = forward, .reset = reset };
+uint32_t dbg[2][8];
+static void
+decided (void *context, const struct CfDecision *decision)
+{
+  if (decision->outcome == CF_OUTCOME_RESET_OVERLOAD)
+    dbg[decision->verdict.priority - 1][decision->verdict.reason]++;
+}
+static void
+ov (void *context, GQuark s, const struct CfOverload *o, const struct CfLoadSum *sum, bool b)
+{
+  if (0)
+    printf ("%ld %p %d occ %.2f shed %.3f cap %.0f adm %.2f %.2f heard %u dem %.0f %.0f\n",
+            play->now, context, b, o->occupancy, o->shed_share, o->capacity, o->admitted[1],
+            o->admitted[2], o->heard, sum->total.demand[1], sum->total.demand[2]);
+}
+static const struct CfBalanceOutputs outputs
+    = { .forward = forward, .reset = reset, .decided = decided, .overload_changed = ov };
 
 static void
 send (struct Flow *flow, char kind, unsigned flags, uint32_t data, uint32_t ack, uint16_t count)
 {
   uint8_t bytes[32] = { 0 };
-  uint32_t index;
   struct CfSegment segment = {
     .caller = flow->caller,
     .service = { .ip = SERVICE_IP, .port = flow->request->class == URGENT ? 81 : 80 },
@@ -225,8 +242,7 @@
     .size = sizeof bytes,
   };
 
-  g_ptr_array_find (play->flows, flow, &index);
-  memcpy (bytes, &index, sizeof index);
+  memcpy (bytes, &flow->index, sizeof flow->index);
   bytes[4] = (uint8_t) kind;
   cf_balance_segment (play->vms[flow->vm], &segment, play->now);
 }
@@ -402,10 +418,13 @@
   for (; play->now < until; play->now++)
     {
       for (int i = 0; i < 4; i++)
-        if (g_rand_double (play->random) < rate[i / 2][i % 2] / CF_MS_PER_S)
+        for (double due = rate[i / 2][i % 2] / CF_MS_PER_S; due > 0; due--)
           {
-            struct Request *request = g_new0 (struct Request, 1);
+            struct Request *request;
 
+            if (g_rand_double (play->random) >= due)
+              break;
+            request = g_new0 (struct Request, 1);
             request->domain = i / 2;
             request->class = i % 2;
             request->ip = 0x64400000 + (uint32_t) g_rand_int_range (play->random, 0, 500);
@@ -470,7 +489,7 @@
   double rate[2][2];
   double urgent;
   double usual;
-  double before;
+  double before[2];
   uint32_t rejected;
 
   burst (factor, rate);
@@ -479,7 +498,8 @@
   run (20000, rate);
   run (22000, idle);
   rejected = play->rejected;
-  before = served (URGENT, -1, 13000, 20000);
+  before[URGENT] = served (URGENT, -1, 13000, 20000);
+  before[USUAL] = served (USUAL, -1, 13000, 20000);
   play_free ();
   play_new ((uint32_t) _i + 1, true);
   run (12000, calm);
@@ -488,10 +508,17 @@
   run (22000, idle);
   urgent = served (URGENT, -1, 13000, 20000);
   usual = served (USUAL, -1, 13000, 20000);
-  printf ("burst of %.1f times the slots: urgent %.3f (before %.3f), others %.3f, turned away %u "
+  printf ("burst of %.1f times the slots: urgent %.3f (before %.3f), others %.3f (%.3f), turned "
+          "away %u "
           "(before %u), refused %u and %u\n",
-          factor, urgent, before, usual, play->rejected, rejected, play->refused[URGENT],
-          play->refused[USUAL]);
+          factor, urgent, before[URGENT], usual, before[USUAL], play->rejected, rejected,
+          play->refused[URGENT], play->refused[USUAL]);
+  for (int i = 0; i < 2; i++)
+    {
+      for (int j = 0; j < 8; j++)
+        printf ("%u ", dbg[i][j]);
+      printf ("\n");
+    }
   ck_assert_double_ge (urgent, 0.985);
   ck_assert_uint_lt (play->rejected, rejected / 3);
   ck_assert_double_ge (usual * 0.8 + urgent * 0.2, 0.9 / factor);
