--- a/src/balance/service_load.h
+++ b/src/balance/service_load.h
@@ -12,6 +12,10 @@
 /* Rates halve in this time when nothing more comes: short, since a burst begins and ends within a
  * second, and long enough for a VM with tens of requests a second. */
 #define CF_SERVICE_LOAD_HALF_LIFE_MS 700
+/* Half-life of the mean number of requests in progress: it shows free slots before the rates do. */
+#define CF_SERVICE_LOAD_PROGRESS_HALF_LIFE_MS 150
+/* Half-life of the rate that shows the begin of a burst to the token buckets. */
+#define CF_SERVICE_LOAD_BURST_HALF_LIFE_MS 150
 
 struct CfServiceLoads;
 
@@ -42,6 +46,14 @@
                               CfMillis now,
                               struct CfLoadCounts *counts);
 
+/* Returns the rate of new flows of PRIORITY for the token buckets of this VM, per second.  It
+ * follows the begin of a burst within some 200 ms, so that a VM whose demand has just risen does
+ * not refuse flows for which there is room, and its end as slowly as the other rates. */
+double cf_service_loads_demand_rate (const struct CfServiceLoads *loads,
+                                     GQuark service,
+                                     uint32_t priority,
+                                     CfMillis now);
+
 /* Removes services that have had no event for 60 s.  To be called every few seconds. */
 void cf_service_loads_prune (struct CfServiceLoads *loads, CfMillis now);
 
