--- /dev/null
+++ b/src/balance/overload.c
@@ -0,0 +1,208 @@
+#include "overload.h"
+
+/* Part of the requests turned away below which almost none are. */
+#define LEAVE_SHED 0.01
+/* Part turned away at which nothing more is admitted than is answered. */
+#define PROBE_SHED_MAX 0.1
+
+/* Returns RATE within bounds, 0 if it is not a number. */
+static double
+sane (double rate)
+{
+  return rate > 0 ? MIN (rate, CF_LOAD_RATE_MAX * CF_LOAD_RATE_MAX) : 0;
+}
+
+void
+cf_max_min_shares (const double *demand, uint32_t count, double capacity, double *share)
+{
+  double left = sane (capacity);
+  uint32_t open = 0;
+
+  for (uint32_t i = 0; i < count; i++)
+    {
+      share[i] = sane (demand[i]) > 0 ? -1 : 1; /* -1: not decided */
+      open += share[i] < 0;
+    }
+  /* Each round grants those in full that ask for no more than an equal part. */
+  for (bool granted = true; granted && open > 0;)
+    {
+      double part = left / open;
+
+      granted = false;
+      for (uint32_t i = 0; i < count; i++)
+        if (share[i] < 0 && sane (demand[i]) <= part)
+          {
+            share[i] = 1;
+            left = MAX (left - sane (demand[i]), 0);
+            open--;
+            granted = true;
+          }
+    }
+  for (uint32_t i = 0; i < count; i++)
+    if (share[i] < 0)
+      share[i] = MIN (left / open / sane (demand[i]), 1);
+}
+
+double
+cf_overload_slots (const struct CfLoadSum *sum, double slots, uint32_t region_vms)
+{
+  if (sum->vms == 0 || region_vms <= sum->vms)
+    return sane (slots);
+  return sane (slots) * sum->vms / region_vms;
+}
+
+static double
+total_demand (const struct CfLoadSum *sum)
+{
+  double total = 0;
+
+  for (uint32_t i = 0; i < CF_LOAD_PRIORITIES; i++)
+    total += sane (sum->total.demand[i]);
+  return total;
+}
+
+/* Writes what this VM sees of the load to OVERLOAD. */
+static void
+observe (struct CfOverload *overload, const struct CfLoadSum *sum, double slots)
+{
+  double answered = sane (sum->total.answered);
+  double shed = sane (sum->total.shed);
+
+  overload->occupancy = sane (slots) > 0 ? sane (sum->total.in_progress) / sane (slots) : 0;
+  overload->shed_share = shed > 0 ? shed / (answered + shed) : 0;
+  overload->age = sum->age;
+  overload->heard = sum->heard;
+}
+
+static bool
+must_begin (const struct CfOverload *overload, const struct CfLoadSum *sum)
+{
+  return overload->occupancy >= CF_OVERLOAD_ENTER_OCCUPANCY
+         && overload->shed_share >= CF_OVERLOAD_ENTER_SHED
+         && sane (sum->total.shed) >= CF_OVERLOAD_SHED_RATE_MIN;
+}
+
+/* Estimates the flows a second that all VMs together can admit. */
+static void
+estimate_capacity (struct CfOverload *overload, const struct CfLoadSum *sum)
+{
+  double probe = (CF_OVERLOAD_PROBE - 1) * MAX (1 - overload->shed_share / PROBE_SHED_MAX, 0);
+  double answered = sane (sum->total.answered) * (1 + probe);
+  double room = CF_OVERLOAD_FILL_OCCUPANCY - overload->occupancy;
+  double grown = overload->capacity * (1 + CF_OVERLOAD_GROWTH * CLAMP (room, 0, 1));
+
+  overload->capacity = answered;
+  /* Beyond the demand, growth would only delay the reaction to the next burst. */
+  if (room > 0)
+    overload->capacity = MAX (answered, MIN (grown, total_demand (sum) * CF_OVERLOAD_PROBE));
+}
+
+/* Returns the part of DOMAIN's demand of PRIORITY that is admitted when all domains together get
+ * GRANT. */
+static double
+domain_share (const struct CfLoadSum *sum, uint32_t priority, GQuark domain, double grant)
+{
+  double demand[CF_LOAD_DOMAINS_MAX];
+  double share[CF_LOAD_DOMAINS_MAX];
+  uint32_t count = MIN (sum->domain_count, CF_LOAD_DOMAINS_MAX);
+  double total = sane (sum->total.demand[priority]);
+
+  for (uint32_t i = 0; i < count; i++)
+    demand[i] = sum->domains[i].counts.demand[priority];
+  cf_max_min_shares (demand, count, grant, share);
+  for (uint32_t i = 0; i < count; i++)
+    if (sum->domains[i].domain == domain)
+      return share[i];
+  return total > grant ? grant / total : 1;
+}
+
+/* Divides the capacity by priority.  Returns true if all demand is admitted. */
+static bool
+divide_capacity (struct CfOverload *overload,
+                 const struct CfLoadSum *sum,
+                 GQuark domain,
+                 double floor_share)
+{
+  double left = overload->capacity;
+  double below = total_demand (sum);
+  bool all = below <= left;
+
+  for (uint32_t i = 0; i < CF_LOAD_PRIORITIES; i++)
+    {
+      double demand = sane (sum->total.demand[i]);
+      double grant;
+
+      below = MAX (below - demand, 0);
+      /* What the lower priorities do not ask for is not reserved: otherwise less than the capacity
+       * would be admitted, less be answered, and the estimate would fall with it. */
+      grant = MIN (demand, left - MIN (floor_share * left, below));
+      overload->admitted[i] = domain_share (sum, i, domain, grant);
+      left = MAX (left - grant, 0);
+    }
+  return all;
+}
+
+static void
+admit_all (struct CfOverload *overload)
+{
+  for (uint32_t i = 0; i < CF_LOAD_PRIORITIES; i++)
+    overload->admitted[i] = 1;
+  overload->active = false;
+  overload->capacity = 0;
+  overload->calm_since = 0;
+}
+
+/* Returns true if the conditions to leave have held for long enough, CALM being that they do. */
+static bool
+must_end (struct CfOverload *overload, bool calm, bool paused, CfMillis now)
+{
+  if (!calm)
+    overload->calm_since = 0;
+  else if (overload->calm_since == 0 || paused)
+    overload->calm_since = now;
+  return calm && now - overload->calm_since >= CF_OVERLOAD_LEAVE_MS;
+}
+
+enum CfOverloadChange
+cf_overload_update (struct CfOverload *overload,
+                    const struct CfLoadSum *sum,
+                    double slots,
+                    GQuark domain,
+                    double floor_share,
+                    CfMillis now)
+{
+  bool first = overload->decided_at == 0;
+  bool paused = now - overload->decided_at > CF_OVERLOAD_PAUSE_MS;
+  bool began = false;
+  bool all;
+
+  if (!first && now - overload->decided_at < CF_OVERLOAD_INTERVAL_MS)
+    return CF_OVERLOAD_SAME;
+  overload->decided_at = now;
+  observe (overload, sum, slots);
+  if (!overload->active)
+    {
+      admit_all (overload);
+      if (!must_begin (overload, sum))
+        return CF_OVERLOAD_SAME;
+      overload->active = began = true;
+      overload->since = now;
+    }
+  estimate_capacity (overload, sum);
+  all = divide_capacity (overload, sum, domain, CLAMP (sane (floor_share), 0, 0.5));
+  if (must_end (overload,
+                overload->occupancy < CF_OVERLOAD_LEAVE_OCCUPANCY
+                    || (all && overload->shed_share < LEAVE_SHED),
+                paused, now))
+    {
+      admit_all (overload);
+      return CF_OVERLOAD_ENDS;
+    }
+  return began ? CF_OVERLOAD_BEGINS : CF_OVERLOAD_SAME;
+}
+
+double
+cf_overload_admitted (const struct CfOverload *overload, uint32_t priority)
+{
+  return overload->active ? overload->admitted[MIN (priority, CF_LOAD_PRIORITIES - 1)] : 1;
+}
--- a/src/balance/overload.h
+++ b/src/balance/overload.h
@@ -27,13 +27,24 @@
 /* The overload ends after this long with lower occupancy, or with all demand admitted and almost
  * none turned away. */
 #define CF_OVERLOAD_LEAVE_MS 300
-/* Flows are admitted at this multiple of the rate that is answered: finds capacity that returns.
- * What is too much is turned away by the upstreams. */
+/* Flows are admitted at up to this multiple of the rate that is answered, to find capacity that
+ * returns: at the whole of it while nothing is turned away, less as more is, and at the rate that
+ * is answered when 1 in 10 is.  In balance, 1 in 20 is turned away. */
 #define CF_OVERLOAD_PROBE 1.1
-/* Part of the admitted rate that is kept for lower priorities, all together. */
+/* Below this occupancy part of the slots is idle at times, so the capacity grows: by
+ * CF_OVERLOAD_GROWTH each interval at one request less for each slot, in proportion above.  The
+ * answered rate alone can't show idle slots, since it is never above what is admitted.  Doubling
+ * takes 0.7 s, which is about the age of the counts. */
+#define CF_OVERLOAD_FILL_OCCUPANCY 2.0
+#define CF_OVERLOAD_GROWTH 0.1
+/* Default part of the admitted rate that is kept for the priorities below the most urgent one; the
+ * same part of the rest is kept for those below the next one, and so on.  What they do not ask for
+ * is not kept. */
 #define CF_OVERLOAD_FLOOR 0.1
 /* What was decided is computed again after this long. */
 #define CF_OVERLOAD_INTERVAL_MS 100
+/* After a longer time without a decision this VM was paused, which is no evidence of calm. */
+#define CF_OVERLOAD_PAUSE_MS 500
 
 /* State of one service, all zero at first. */
 struct CfOverload
@@ -57,8 +68,13 @@
   CF_OVERLOAD_ENDS,
 };
 
-/* Decides anew from SUM, if CF_OVERLOAD_INTERVAL_MS have passed.  SLOTS are those of all upstreams
- * that may get flows.  DOMAIN is this VM's failure domain. */
+/* Returns the part of SLOTS, those of all upstreams that may get flows, that falls to the VMs whose
+ * counts SUM holds, of REGION_VMS VMs in all.  A VM that hears nobody has the counts of its own
+ * failure domain only; against all slots it would never see an overload. */
+double cf_overload_slots (const struct CfLoadSum *sum, double slots, uint32_t region_vms);
+
+/* Decides anew from SUM, if CF_OVERLOAD_INTERVAL_MS have passed.  SLOTS is the result of
+ * cf_overload_slots.  DOMAIN is this VM's failure domain. */
 enum CfOverloadChange cf_overload_update (struct CfOverload *overload,
                                           const struct CfLoadSum *sum,
                                           double slots,
