--- a/src/balance/directory.c
+++ b/src/balance/directory.c
@@ -16,6 +16,7 @@
   struct CfTarget *target = data;
 
   g_clear_pointer (&target->quality.remote, g_array_unref);
+  cf_pace_clear (&target->pace);
   g_free (target->id);
   g_free (target);
 }
@@ -166,6 +167,7 @@
       target->silent_at = 0;
       g_clear_pointer (&target->quality.remote, g_array_unref);
       target->quality = (struct CfQuality){ 0 };
+      cf_pace_clear (&target->pace);
       target->cold_until = 0;
     }
   if (announcement->era != target->era || announcement->revision != target->revision)
--- a/src/balance/directory.h
+++ b/src/balance/directory.h
@@ -1,6 +1,7 @@
 #ifndef CF_BALANCE_DIRECTORY_H
 #define CF_BALANCE_DIRECTORY_H
 
+#include "pace.h"
 #include "segment.h"
 
 #include <glib.h>
@@ -93,6 +94,7 @@
   CfMillis silent_at; /* when a silent flow to it was last counted (unreachable.h), 0: none since an
                          answer */
   struct CfQuality quality;
+  struct CfPace pace;
 };
 
 struct CfDirectory;
--- a/src/balance/pace.h
+++ b/src/balance/pace.h
@@ -14,8 +14,11 @@
  * (load_report.h) are added, and a mean of few samples is moved towards 1.  No I/O. */
 
 /* The weight of a sample halves in this time: an upstream that turns slow is noticed within
- * seconds, and one that recovers gets its share back. */
-#define CF_PACE_HALF_LIFE_MS 3000
+ * seconds, and one that recovers gets its share back.  With 3 s an upstream got 1.7 times the mean
+ * utilisation for seconds after half of a service had turned slow, and that half had two fifths of
+ * its flows 6 s after it had recovered; with 1.5 s 1.5 times, and nine tenths
+ * (docs/design/uneven-upstreams.md). */
+#define CF_PACE_HALF_LIFE_MS 1500
 /* The pace counts as if this many samples of the mean, 1, had been seen, too. */
 #define CF_PACE_PRIOR_SAMPLES 2.0
 /* A pace within this factor of 1 counts as 1: chance alone moves it this far. */
@@ -24,6 +27,8 @@
  * recovery is noticed. */
 #define CF_PACE_SHARE_MIN 0.05
 #define CF_PACE_REMOTE_MAX 24 /* VMs whose samples of one upstream are held */
+/* A computed pace is used again for this long unless samples come: it decays by 5% meanwhile. */
+#define CF_PACE_CACHE_MS 100
 
 /* Samples of one upstream, decayed to the time AT. */
 struct CfPaceTally
@@ -44,6 +49,8 @@
 {
   struct CfPaceTally own;
   GArray *remote; /* of struct CfPaceRemote; NULL: none */
+  double cached;  /* pace at cached_at, 0: to be computed */
+  CfMillis cached_at;
 };
 
 void cf_pace_clear (struct CfPace *pace);
@@ -52,7 +59,8 @@
 void cf_pace_record (struct CfPace *pace, CfMillis wait, double mean, CfMillis now);
 
 /* Records a request that the upstream turned away because it was busy: counts as an answer that
- * took twice the present pace. */
+ * took twice the present pace, 1 / CF_PACE_SHARE_MIN at most: slower makes no difference, and would
+ * delay the recovery. */
 void cf_pace_record_shed (struct CfPace *pace, CfMillis now);
 
 /* Replaces what the VM with the hash VM reported at RECEIVED: SAMPLES answers of the mean PACE. */
@@ -63,6 +71,12 @@
  * that takes twice as long. */
 double cf_pace_value (const struct CfPace *pace, CfMillis now);
 
+/* Returns the same, at most CF_PACE_CACHE_MS old, without computing the decay each time. */
+double cf_pace_cached (struct CfPace *pace, CfMillis now);
+
+/* Returns PACE, or 1 if it is within the tolerance. */
+double cf_pace_weight (double pace);
+
 /* Returns the part of new flows that an upstream of this pace should get, relative to one of pace
  * 1: 1 within the tolerance, else inverse to the pace, CF_PACE_SHARE_MIN at least. */
 double cf_pace_share (double pace);
