--- a/src/balance/first_packet.c
+++ b/src/balance/first_packet.c
@@ -65,6 +65,8 @@
     .cold_share = cold_share (balance, connection->service_name),
     .outages = balance->outages,
     .may_try = may_try (balance, connection, now),
+    .use_pace = false,
+    .prefer_far = false,
     .random = balance->random,
   };
 
--- a/src/balance/place.c
+++ b/src/balance/place.c
@@ -80,7 +80,7 @@
 /* Lower is better.  Healthy upstreams compete by load.  An upstream that is due for a trial is
  * preferred to them: otherwise its recovery would never be noticed. */
 static double
-cost (const struct CfTarget *target, enum CfPlaceReason reason)
+cost (const struct CfPlacement *placement, const struct CfTarget *target, enum CfPlaceReason reason)
 {
   double load = (double) target->open / MAX (target->slots, 1);
 
@@ -89,9 +89,9 @@
     case CF_PLACE_TRY:
       return -1;
     case CF_PLACE_NEAR:
-      return load;
+      return placement->prefer_far ? load + CF_PLACE_FAR_COST : load;
     case CF_PLACE_FAR:
-      return load + CF_PLACE_FAR_COST;
+      return placement->prefer_far ? load : load + CF_PLACE_FAR_COST;
     case CF_PLACE_FAILING:
       return COST_FAILING + load;
     case CF_PLACE_OUTAGE:
@@ -116,6 +116,72 @@
   return random_bits ^ random_bits << 5;
 }
 
+/* Healthy upstreams of this failure domain, or of all others, while a flow is placed by pace. */
+struct Group
+{
+  double weight;     /* sum over all of them */
+  double least_load; /* of any of them */
+  struct CfTarget *drawn[CF_PLACE_DRAWS];
+  double drawn_load[CF_PLACE_DRAWS];
+};
+
+/* Adds TARGET to GROUP.  Each drawn place holds each upstream with a probability proportional to
+ * its weight, as in weighted reservoir sampling.  Returns the next random bits. */
+static uint32_t
+add_to_group (struct Group *group, struct CfTarget *target, uint32_t random_bits, CfMillis now)
+{
+  double pace = cf_pace_cached (&target->pace, now);
+  double slots = MAX (target->slots, 1);
+  double weight = cf_pace_share (pace) * slots;
+  double load = (target->open + 1) / slots * cf_pace_weight (pace);
+
+  group->least_load = group->weight > 0 ? MIN (group->least_load, load) : load;
+  group->weight += weight;
+  for (uint32_t i = 0; i < CF_PLACE_DRAWS; i++)
+    {
+      random_bits = next_random_bits (random_bits);
+      if (group->drawn[i] && random_bits * group->weight >= weight * 0x1p32)
+        continue;
+      group->drawn[i] = target;
+      group->drawn_load[i] = load;
+    }
+  return random_bits;
+}
+
+/* Returns the least loaded upstream that was drawn from GROUP, the first drawn of equal ones. */
+static struct CfTarget *
+choose_drawn (const struct Group *group)
+{
+  uint32_t best = 0;
+
+  for (uint32_t i = 1; i < CF_PLACE_DRAWS; i++)
+    if (group->drawn_load[i] < group->drawn_load[best])
+      best = i;
+  return group->drawn[best];
+}
+
+/* Returns the upstream for a flow that is placed by pace, or NULL if both groups are empty.  The
+ * failure domain is chosen by the least load anywhere there, so that chance in the draws causes no
+ * bytes between domains. */
+static struct CfTarget *
+choose_by_pace (const struct Group *near,
+                const struct Group *far,
+                bool prefer_far,
+                enum CfPlaceReason *reason)
+{
+  const struct Group *preferred = prefer_far ? far : near;
+  const struct Group *other = prefer_far ? near : far;
+  const struct Group *chosen = preferred;
+
+  if (preferred->weight <= 0
+      || (other->weight > 0 && preferred->least_load > other->least_load + CF_PLACE_FAR_COST))
+    chosen = other;
+  if (chosen->weight <= 0)
+    return NULL;
+  *reason = chosen == near ? CF_PLACE_NEAR : CF_PLACE_FAR;
+  return choose_drawn (chosen);
+}
+
 struct CfTarget *
 cf_place_flow (const struct CfPlacement *placement,
                GQuark service,
@@ -125,6 +191,8 @@
                enum CfPlaceReason *reason)
 {
   GPtrArray *targets = cf_directory_service (placement->directory, service);
+  struct Group near = { 0 };
+  struct Group far = { 0 };
   struct CfTarget *best = NULL;
   double best_cost = 0;
   uint32_t random_bits = g_rand_int (placement->random) | 1;
@@ -142,7 +210,14 @@
       candidate_reason = classify (placement, target, now);
       if (candidate_reason == CF_PLACE_NONE)
         continue;
-      candidate_cost = cost (target, candidate_reason);
+      if (placement->use_pace
+          && (candidate_reason == CF_PLACE_NEAR || candidate_reason == CF_PLACE_FAR))
+        {
+          random_bits = add_to_group (candidate_reason == CF_PLACE_NEAR ? &near : &far, target,
+                                      random_bits, now);
+          continue;
+        }
+      candidate_cost = cost (placement, target, candidate_reason);
       if (best && candidate_cost > best_cost)
         continue;
       /* Reservoir sampling: equal upstreams are chosen with equal probability. */
@@ -154,6 +229,13 @@
       best_cost = candidate_cost;
       *reason = candidate_reason;
     }
+  if (*reason != CF_PLACE_TRY)
+    {
+      struct CfTarget *healthy = choose_by_pace (&near, &far, placement->prefer_far, reason);
+
+      if (healthy)
+        return healthy;
+    }
   if (best && *reason == CF_PLACE_COLD)
     best->cold_next = now + cold_interval (placement);
   return best;
--- a/src/balance/place.h
+++ b/src/balance/place.h
@@ -21,10 +21,15 @@
   GHashTable *evacuated; /* set of GQuark: domains that get no new flows */
   double cold_share;     /* share of this VM in a cold upstream's capacity, flows/s */
   const struct CfOutages *outages;
-  bool may_try; /* this flow may be a trial of a suspected upstream */
+  bool may_try;    /* this flow may be a trial of a suspected upstream */
+  bool use_pace;   /* healthy upstreams get flows by their pace (pace.h), not by load alone */
+  bool prefer_far; /* CF_PLACE_FAR_COST applies to near upstreams instead of far ones */
   GRand *random;
 };
 
+/* With use_pace, so many healthy upstreams are drawn by weight, and the least loaded is chosen. */
+#define CF_PLACE_DRAWS 2
+
 /* At most one in this many flows tries a suspected upstream.  If many upstreams are suspected,
  * most flows would be trials otherwise. */
 #define CF_PLACE_TRY_EACH 8
