--- a/src/balance/spill.h
+++ b/src/balance/spill.h
@@ -28,6 +28,28 @@
 #define CF_SPILL_USUAL_HALF_LIFE_MS 20000 /* of the usual waits */
 /* Answers, decayed, that a comparison needs on each side. */
 #define CF_SPILL_SAMPLES_MIN 3.0
+/* The last of these count, however few come, until none has come for this long. */
+#define CF_SPILL_STALE_MS 1000
+/* Near answers, decayed, that the beginning of a spill needs: chance doubles the mean of fewer. */
+#define CF_SPILL_BEGIN_SAMPLES_MIN 6.0
+/* Intervals, decayed, from which the usual wait is known.  A VM that starts amid a load has none to
+ * compare with, and spills later. */
+#define CF_SPILL_USUAL_SAMPLES_MIN 20.0
+/* A recent wait counts as at most this many times the usual one when that is updated. */
+#define CF_SPILL_USUAL_RISE 1.25
+/* A doubling by less than this is left alone: waits are whole milliseconds, and an answer from
+ * another failure domain takes 1 to 3 ms longer. */
+#define CF_SPILL_EXCESS_MIN_MS 5.0
+/* Near waits below this many times the usual ones end the load: the spill shrinks by
+ * CF_SPILL_STEP.  Between this and CF_SPILL_BEGIN_RATIO near upstreams are well loaded thanks to
+ * the spill, which shrinks by CF_SPILL_SLOW_STEP: a fast return would load them again at once. */
+#define CF_SPILL_END_RATIO 1.3
+#define CF_SPILL_SLOW_STEP 0.01
+/* Step back while far waits are nearly as long: waits lag the share by some 300 ms, and a step as
+ * large as that of the growth overshoots to no spill at all. */
+#define CF_SPILL_BACK_STEP 0.04
+#define CF_SPILL_PROBE_MS 2000 /* a spill that begins waits so long for far answers */
+#define CF_SPILL_RETRY_MS 2000 /* between the end of a spill and the next beginning */
 
 /* Decayed sum of waits. */
 struct CfSpillTally
@@ -42,8 +64,12 @@
 {
   struct CfSpillTally near_recent;
   struct CfSpillTally far_recent;
-  struct CfSpillTally near_usual;
+  struct CfSpillTally near_usual; /* a sample is the mean recent wait at a decision */
+  CfMillis near_answered_at;
+  CfMillis far_answered_at;
   double share; /* part of new flows that goes far, 0 to CF_SPILL_MAX */
+  CfMillis begun_at;
+  CfMillis retry_at; /* earliest time of the next beginning */
   CfMillis decided_at;
 };
 
