--- a/src/balance/admission.c
+++ b/src/balance/admission.c
@@ -108,6 +108,12 @@
   control->domain_vms = MAX (vms, 1);
 }
 
+uint32_t
+cf_admission_domain_size (const struct CfAdmissionControl *control)
+{
+  return control->domain_vms;
+}
+
 static struct Service *
 find_service (const struct CfAdmissionControl *control, GQuark name)
 {
@@ -143,6 +149,7 @@
   struct CfLoadCounts own;
   struct CfLoadSum sum;
   enum CfOverloadChange change;
+  bool was_active = service->overload.active;
   double slots;
 
   if (now - service->updated_at < CF_OVERLOAD_INTERVAL_MS)
@@ -157,6 +164,11 @@
                              control->vms);
   change = cf_overload_update (&service->overload, &sum, slots, control->domain,
                                control->options.floor_share, now);
+  if (service->overload.active && cf_spill_near_has_room (&service->spill, now))
+    {
+      cf_overload_end (&service->overload);
+      change = was_active ? CF_OVERLOAD_ENDS : CF_OVERLOAD_SAME;
+    }
   if (change == CF_OVERLOAD_ENDS)
     cf_admission_release (control->queue, service->name, now);
   if (change != CF_OVERLOAD_SAME)
@@ -203,6 +215,7 @@
 {
   return (struct CfAdmissionVerdict){
     .admission = CF_ADMISSION_PLACE,
+    .service = service->name,
     .priority = priority,
     .admitted = cf_overload_admitted (&service->overload, priority),
     .occupancy = service->overload.occupancy,
@@ -239,9 +252,8 @@
 {
   struct Service *service = get_service (control, service_name);
   struct CfAdmissionVerdict verdict = new_verdict (service, route->priority);
-  uint32_t level = MIN (route->priority, CF_LOAD_PRIORITIES - 1);
-  struct CfLoadCounts own;
   enum CfAdmission admission;
+  double rate;
 
   if (!service->overload.active || route->target_latency_ms <= 0)
     return verdict;
@@ -253,14 +265,14 @@
       if (repeated && !cf_retry_budget_withdraw (&service->retries, now))
         return refuse (control, service, segment, verdict, CF_REFUSAL_RETRY, now);
     }
-  cf_service_loads_counts (control->loads, service_name, now, &own);
+  rate = cf_service_loads_demand_rate (control->loads, service_name, route->priority, now);
   admission = cf_admission_request (
       control->queue,
       &(struct CfAdmissionRequest){
           .segment = segment,
           .service = service_name,
           .priority = route->priority,
-          .rate = own.demand[level] * verdict.admitted,
+          .rate = rate * verdict.admitted,
           .admitted = verdict.admitted,
           .caller_use = caller_rank (verdict.caller_use),
           .hold_ms = (CfMillis) (control->options.hold_share * (double) route->target_latency_ms),
--- a/src/balance/admission.h
+++ b/src/balance/admission.h
@@ -48,6 +48,7 @@
 {
   enum CfAdmission admission;
   enum CfRefusalReason reason;
+  GQuark service;
   uint32_t priority;
   double admitted;   /* part of the flows of this priority that is admitted */
   double caller_use; /* requests of the caller lately */
@@ -78,6 +79,7 @@
 /* Sets the number of VMs of the fleet, or of this VM's failure domain, itself included. */
 void cf_admission_set_fleet_size (struct CfAdmissionControl *control, uint32_t vms);
 void cf_admission_set_domain_size (struct CfAdmissionControl *control, uint32_t vms);
+uint32_t cf_admission_domain_size (const struct CfAdmissionControl *control);
 
 /* Records a new flow to SERVICE, of SEGMENT on ROUTE.  Returns true if it is a repeated try. */
 bool cf_admission_record_flow (struct CfAdmissionControl *control,
--- a/src/balance/admission_queue.c
+++ b/src/balance/admission_queue.c
@@ -522,6 +522,16 @@
   return due;
 }
 
+bool
+cf_admission_waits (const struct CfAdmissionQueue *queue,
+                    struct CfEndpoint caller,
+                    struct CfEndpoint service)
+{
+  const struct Waiting key = { .caller = caller, .address = service };
+
+  return g_hash_table_contains (queue->flows, &key);
+}
+
 uint32_t
 cf_admission_waiting (const struct CfAdmissionQueue *queue)
 {
--- a/src/balance/load_table.c
+++ b/src/balance/load_table.c
@@ -236,3 +236,21 @@
     count += is_valid_at (value, now);
   return count;
 }
+
+CfMillis
+cf_load_table_age (const struct CfLoadTable *table, CfMillis now)
+{
+  GHashTableIter iter;
+  gpointer value;
+  CfMillis sum = 0;
+  uint32_t count = 0;
+
+  g_hash_table_iter_init (&iter, table->reports);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (is_valid_at (value, now))
+      {
+        sum += now - ((const struct HeldReport *) value)->received;
+        count++;
+      }
+  return count > 0 ? sum / count : 0;
+}
--- a/src/balance/load_table.h
+++ b/src/balance/load_table.h
@@ -75,6 +75,9 @@
     void (*each) (void *context, uint32_t vm, const struct CfLoadLine *line, CfMillis received),
     void *context);
 
+/* Returns the mean age of the reports that count at NOW, 0 if there is none. */
+CfMillis cf_load_table_age (const struct CfLoadTable *table, CfMillis now);
+
 /* Returns the number of reports that count at NOW. */
 uint32_t cf_load_table_count (const struct CfLoadTable *table, CfMillis now);
 
--- a/src/balance/overload.c
+++ b/src/balance/overload.c
@@ -4,6 +4,7 @@
 #define LEAVE_SHED 0.01
 /* Part turned away at which nothing more is admitted than is answered. */
 #define PROBE_SHED_MAX 0.1
+#define ROUNDING 1e-9
 
 /* Returns RATE within bounds, 0 if it is not a number. */
 static double
@@ -109,7 +110,8 @@
 
   for (uint32_t i = 0; i < count; i++)
     demand[i] = sum->domains[i].counts.demand[priority];
-  cf_max_min_shares (demand, count, grant, share);
+  /* Rounding must not leave a priority that is granted in full just below it. */
+  cf_max_min_shares (demand, count, grant * (1 + ROUNDING), share);
   for (uint32_t i = 0; i < count; i++)
     if (sum->domains[i].domain == domain)
       return share[i];
@@ -142,8 +144,8 @@
   return all;
 }
 
-static void
-admit_all (struct CfOverload *overload)
+void
+cf_overload_end (struct CfOverload *overload)
 {
   for (uint32_t i = 0; i < CF_LOAD_PRIORITIES; i++)
     overload->admitted[i] = 1;
@@ -182,7 +184,7 @@
   observe (overload, sum, slots);
   if (!overload->active)
     {
-      admit_all (overload);
+      cf_overload_end (overload);
       if (!must_begin (overload, sum))
         return CF_OVERLOAD_SAME;
       overload->active = began = true;
@@ -195,7 +197,7 @@
                     || (all && overload->shed_share < LEAVE_SHED),
                 paused, now))
     {
-      admit_all (overload);
+      cf_overload_end (overload);
       return CF_OVERLOAD_ENDS;
     }
   return began ? CF_OVERLOAD_BEGINS : CF_OVERLOAD_SAME;
--- a/src/balance/place.h
+++ b/src/balance/place.h
@@ -27,8 +27,11 @@
   GRand *random;
 };
 
-/* With use_pace, so many healthy upstreams are drawn by weight, and the least loaded is chosen. */
+/* With use_pace, while upstreams are uneven, so many healthy upstreams are drawn by weight, and the
+ * least loaded is chosen. */
 #define CF_PLACE_DRAWS 2
+/* With this many open flows of its own for each upstream, a VM chooses the least loaded of all. */
+#define CF_PLACE_OPEN_KNOWN 0.5
 
 /* At most one in this many flows tries a suspected upstream.  If many upstreams are suspected,
  * most flows would be trials otherwise. */
--- a/src/balance/spill.c
+++ b/src/balance/spill.c
@@ -135,3 +135,12 @@
     spill->retry_at = now + CF_SPILL_RETRY_MS;
   return spill->share;
 }
+
+bool
+cf_spill_near_has_room (const struct CfSpill *spill, CfMillis now)
+{
+  return spill->near_usual.samples >= CF_SPILL_USUAL_SAMPLES_MIN
+         && spill->near_recent.samples >= CF_SPILL_SAMPLES_MIN
+         && now - spill->near_answered_at <= CF_SPILL_HALF_LIFE_MS
+         && !above_usual (spill, CF_SPILL_END_RATIO);
+}
--- a/src/serve/datapath_messages.c
+++ b/src/serve/datapath_messages.c
@@ -232,6 +232,7 @@
   while (g_hash_table_iter_next (&iter, &key, &value))
     cf_metrics_histogram (request->text, "flow_open_ms", "",
                           g_quark_to_string (GPOINTER_TO_UINT (key)), value);
+  cf_datapath_write_overload_metrics (task, request->text);
   cf_send_metrics (task->balancer, request);
 }
 
--- a/src/serve/datapath_task.c
+++ b/src/serve/datapath_task.c
@@ -118,7 +118,7 @@
   char service[CF_ADDRESS_TEXT_MAX];
 
   if (decision->outcome == CF_OUTCOME_RESET_OVERLOAD)
-    task->refused[MIN (verdict->priority, CF_LOAD_PRIORITIES - 1)][verdict->reason]++;
+    cf_datapath_count_refusal (task, verdict);
   format_endpoint (decision->caller, flow);
   format_endpoint (decision->service, service);
   cf_event_log_write_limited (
@@ -405,6 +405,7 @@
   task->placed_rate = (struct CfEventRate){ .per_s = PLACED_PER_S, .burst = PLACED_PER_S };
   task->notable_rate = (struct CfEventRate){ .per_s = NOTABLE_PER_S, .burst = NOTABLE_BURST };
   task->admission_rate = (struct CfEventRate){ .per_s = ADMISSION_PER_S, .burst = ADMISSION_PER_S };
+  task->refused = g_hash_table_new_full (NULL, NULL, NULL, g_free);
   task->opened = g_hash_table_new_full (NULL, NULL, NULL, g_free);
   task->balance = cf_balance_new (
       &(struct CfBalanceOptions){
@@ -425,5 +426,6 @@
 
   cf_balance_free (task->balance);
   g_hash_table_unref (task->opened);
+  g_hash_table_unref (task->refused);
   g_free (task);
 }
--- a/src/serve/feed_load.c
+++ b/src/serve/feed_load.c
@@ -3,8 +3,8 @@
 #include "feed/load_message.h"
 
 /* Randomly chosen VMs that get each load report: a report of 600 bytes every 500 ms takes 4.8 KB/s,
- * whatever the number of VMs.  Most are of other failure domains of the region: with two of four, one
- * in sixteen VMs has no report of some domain at a time. */
+ * whatever the number of VMs.  Most are of other failure domains of the region: with two of four,
+ * one in sixteen VMs has no report of some domain at a time. */
 #define FANOUT 4
 #define FAR_FANOUT 3
 
