--- a/src/balance/load_table.c
+++ b/src/balance/load_table.c
@@ -1,5 +1,7 @@
 #include "load_table.h"
 
+#include <math.h>
+
 struct HeldReport
 {
   struct CfLoadReport report;
@@ -17,6 +19,7 @@
 {
   struct CfLoadDomain domain;
   CfMillis newest; /* when the report was received that gave the number of VMs */
+  double weight;   /* of the reports together */
 };
 
 struct CfLoadTable *
@@ -111,12 +114,14 @@
 
 /* Adds what HELD says of the service called NAME to the sum of its failure domain. */
 static void
-add_report (GArray *sums, const struct HeldReport *held, const char *name)
+add_report (GArray *sums, const struct HeldReport *held, const char *name, CfMillis now)
 {
   const struct CfLoadReport *report = &held->report;
   struct DomainSum *sum = get_domain (sums, held->domain);
+  double weight = exp2 (-(double) (now - held->received) / CF_LOAD_REPORT_HALF_LIFE_MS);
 
   sum->domain.heard++;
+  sum->weight += weight;
   if (held->received > sum->newest)
     {
       sum->newest = held->received;
@@ -125,21 +130,22 @@
   for (uint32_t i = 0; i < report->service_count; i++)
     if (g_str_equal (report->services[i].name, name))
       {
-        add_counts (&sum->domain.counts, &report->services[i].counts, 1);
+        add_counts (&sum->domain.counts, &report->services[i].counts, weight);
         return;
       }
 }
 
-/* Scales the counts of DOMAIN from the VMs that were heard to all. */
+/* Scales the counts of SUM from the VMs that were heard to all. */
 static void
-scale_to_all (struct CfLoadDomain *domain)
+scale_to_all (struct DomainSum *sum)
 {
+  struct CfLoadDomain *domain = &sum->domain;
   struct CfLoadCounts heard = domain->counts;
 
   /* The list of VMs may be behind. */
   domain->vms = MAX (domain->vms, domain->heard);
   domain->counts = (struct CfLoadCounts){ 0 };
-  add_counts (&domain->counts, &heard, (double) domain->vms / domain->heard);
+  add_counts (&domain->counts, &heard, domain->vms / sum->weight);
 }
 
 /* This VM's own domain first, then the largest. */
@@ -180,6 +186,7 @@
   const struct DomainSum first = {
     .domain = { .domain = domain, .vms = domain_vms, .heard = 1, .counts = *own },
     .newest = G_MAXINT64,
+    .weight = 1,
   };
   uint32_t reports = 0;
   GHashTableIter iter;
@@ -191,13 +198,13 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     if (is_valid_at (value, now))
       {
-        add_report (sums, value, name);
+        add_report (sums, value, name, now);
         sum->age += now - ((struct HeldReport *) value)->received;
         reports++;
       }
   sum->age /= MAX (reports, 1);
   for (guint i = 0; i < sums->len; i++)
-    scale_to_all (&g_array_index (sums, struct DomainSum, i).domain);
+    scale_to_all (&g_array_index (sums, struct DomainSum, i));
   g_array_sort (sums, compare_domains);
   for (guint i = 0; i < sums->len; i++)
     add_domain (sum, &g_array_index (sums, struct DomainSum, i).domain);
--- a/src/balance/load_table.h
+++ b/src/balance/load_table.h
@@ -22,6 +22,9 @@
  * restart has a lower incarnation, and a forged report may have a higher one: its reports count
  * again after this time. */
 #define CF_LOAD_REPORT_FORGET_MS 10000
+/* The weight of a report in a sum halves in this time: a burst begins and ends within a second, and
+ * the mean of all reports would follow it only after another one. */
+#define CF_LOAD_REPORT_HALF_LIFE_MS 400
 /* Reports held at most, the oldest is dropped; bounds memory against forged senders. */
 #define CF_LOAD_REPORTS_MAX 256
 #define CF_LOAD_DOMAINS_MAX 16 /* failure domains in a sum: the own one and the largest others */
--- a/src/balance/service_load.h
+++ b/src/balance/service_load.h
@@ -11,7 +11,7 @@
 
 /* Rates halve in this time when nothing more comes: short, since a burst begins and ends within a
  * second, and long enough for a VM with tens of requests a second. */
-#define CF_SERVICE_LOAD_HALF_LIFE_MS 700
+#define CF_SERVICE_LOAD_HALF_LIFE_MS 400
 /* Half-life of the mean number of requests in progress: it shows free slots before the rates do. */
 #define CF_SERVICE_LOAD_PROGRESS_HALF_LIFE_MS 150
 /* Half-life of the rate that shows the begin of a burst to the token buckets. */
