--- a/src/balance/admission.c
+++ b/src/balance/admission.c
@@ -155,6 +155,8 @@
   if (now - service->updated_at < CF_OVERLOAD_INTERVAL_MS)
     return;
   service->updated_at = now;
+  if (!was_active)
+    cf_service_loads_learn_usual (control->loads, service->name, now);
   cf_service_loads_counts (control->loads, service->name, now, &own);
   if (sheds (&own))
     control->report_until = now + CF_ADMISSION_REPORT_MS;
@@ -285,15 +287,6 @@
   return verdict;
 }
 
-void
-cf_admission_record_placed (struct CfAdmissionControl *control,
-                            GQuark service,
-                            uint32_t priority,
-                            CfMillis now)
-{
-  cf_service_loads_admit (control->loads, service, priority, now);
-}
-
 void
 cf_admission_record_progress (struct CfAdmissionControl *control,
                               GQuark service,
--- a/src/balance/admission.h
+++ b/src/balance/admission.h
@@ -97,11 +97,6 @@
                                                double chance,
                                                CfMillis now);
 
-/* Records that a flow of PRIORITY was sent to an upstream for the first time. */
-void cf_admission_record_placed (struct CfAdmissionControl *control,
-                                 GQuark service,
-                                 uint32_t priority,
-                                 CfMillis now);
 /* Records that a request was sent to SERVICE (BEGIN) or is no longer in progress. */
 void cf_admission_record_progress (struct CfAdmissionControl *control,
                                    GQuark service,
--- a/src/balance/first_packet.c
+++ b/src/balance/first_packet.c
@@ -158,9 +158,6 @@
     {
       connection->timed_out = 0;
       connection->extra = 0;
-      if (balance->admission)
-        cf_admission_record_placed (balance->admission, connection->service_name,
-                                    connection->priority, now);
       cf_extra_open_record_usual (balance->extra_open, target, now);
     }
   send_first (balance, connection, target, reason, bytes, size, outcome, now);
--- a/src/balance/load_report.c
+++ b/src/balance/load_report.c
@@ -11,12 +11,12 @@
 counts_valid (const struct CfLoadCounts *counts)
 {
   for (int i = 0; i < CF_LOAD_PRIORITIES; i++)
-    if (!within (counts->demand[i], 0, CF_LOAD_RATE_MAX)
-        || !within (counts->admitted[i], 0, CF_LOAD_RATE_MAX))
+    if (!within (counts->demand[i], 0, CF_LOAD_RATE_MAX))
       return false;
   return within (counts->answered, 0, CF_LOAD_RATE_MAX)
          && within (counts->shed, 0, CF_LOAD_RATE_MAX)
-         && within (counts->in_progress, 0, CF_LOAD_RATE_MAX);
+         && within (counts->in_progress, 0, CF_LOAD_RATE_MAX)
+         && within (counts->usual, 0, CF_LOAD_RATE_MAX);
 }
 
 bool
--- a/src/balance/load_report.h
+++ b/src/balance/load_report.h
@@ -24,11 +24,11 @@
 /* What a VM, or several together, see of one service. */
 struct CfLoadCounts
 {
-  double demand[CF_LOAD_PRIORITIES];   /* new flows of callers, by priority; 0 is most urgent */
-  double admitted[CF_LOAD_PRIORITIES]; /* of these, sent to an upstream */
-  double answered;                     /* requests that were answered in full */
-  double shed;                         /* requests that a busy upstream turned away */
-  double in_progress;                  /* mean number of requests that await an answer */
+  double demand[CF_LOAD_PRIORITIES]; /* new flows of callers, by priority; 0 is most urgent */
+  double answered;                   /* requests that were answered in full */
+  double shed;                       /* requests that a busy upstream turned away */
+  double in_progress;                /* mean number of requests that await an answer */
+  double usual;                      /* long mean of the demand of all priorities */
 };
 
 struct CfLoadService
--- a/src/balance/load_table.c
+++ b/src/balance/load_table.c
@@ -91,13 +91,11 @@
 add_counts (struct CfLoadCounts *sum, const struct CfLoadCounts *counts, double factor)
 {
   for (int i = 0; i < CF_LOAD_PRIORITIES; i++)
-    {
-      sum->demand[i] += factor * counts->demand[i];
-      sum->admitted[i] += factor * counts->admitted[i];
-    }
+    sum->demand[i] += factor * counts->demand[i];
   sum->answered += factor * counts->answered;
   sum->shed += factor * counts->shed;
   sum->in_progress += factor * counts->in_progress;
+  sum->usual += factor * counts->usual;
 }
 
 static struct DomainSum *
--- a/src/balance/overload.c
+++ b/src/balance/overload.c
@@ -13,35 +13,43 @@
   return rate > 0 ? MIN (rate, CF_LOAD_RATE_MAX * CF_LOAD_RATE_MAX) : 0;
 }
 
+/* Returns the weight of claim I, above 0. */
+static double
+weight_of (const double *weight, uint32_t i)
+{
+  return weight && sane (weight[i]) > 0 ? weight[i] : 1;
+}
+
 void
-cf_max_min_shares (const double *demand, uint32_t count, double capacity, double *share)
+cf_max_min_shares (
+    const double *demand, const double *weight, uint32_t count, double capacity, double *share)
 {
   double left = sane (capacity);
-  uint32_t open = 0;
+  double open = 0; /* weight of the claims that are not decided */
 
   for (uint32_t i = 0; i < count; i++)
     {
       share[i] = sane (demand[i]) > 0 ? -1 : 1; /* -1: not decided */
-      open += share[i] < 0;
+      open += share[i] < 0 ? weight_of (weight, i) : 0;
     }
-  /* Each round grants those in full that ask for no more than an equal part. */
+  /* Each round grants those in full that ask for no more than their part. */
   for (bool granted = true; granted && open > 0;)
     {
       double part = left / open;
 
       granted = false;
       for (uint32_t i = 0; i < count; i++)
-        if (share[i] < 0 && sane (demand[i]) <= part)
+        if (share[i] < 0 && sane (demand[i]) <= part * weight_of (weight, i))
           {
             share[i] = 1;
             left = MAX (left - sane (demand[i]), 0);
-            open--;
+            open -= weight_of (weight, i);
             granted = true;
           }
     }
   for (uint32_t i = 0; i < count; i++)
     if (share[i] < 0)
-      share[i] = MIN (left / open / sane (demand[i]), 1);
+      share[i] = open > 0 ? MIN (left / open * weight_of (weight, i) / sane (demand[i]), 1) : 0;
 }
 
 double
@@ -99,19 +107,26 @@
 }
 
 /* Returns the part of DOMAIN's demand of PRIORITY that is admitted when all domains together get
- * GRANT. */
+ * GRANT.  Domains have claims in proportion to their usual demand: when all of them press alike,
+ * the same part of each is admitted, and one that presses alone takes nothing from the others. */
 static double
 domain_share (const struct CfLoadSum *sum, uint32_t priority, GQuark domain, double grant)
 {
-  double demand[CF_LOAD_DOMAINS_MAX];
+  double demand[CF_LOAD_DOMAINS_MAX] = { 0 };
+  double usual[CF_LOAD_DOMAINS_MAX] = { 0 };
   double share[CF_LOAD_DOMAINS_MAX];
+  bool known = true;
   uint32_t count = MIN (sum->domain_count, CF_LOAD_DOMAINS_MAX);
   double total = sane (sum->total.demand[priority]);
 
   for (uint32_t i = 0; i < count; i++)
-    demand[i] = sum->domains[i].counts.demand[priority];
+    {
+      demand[i] = sum->domains[i].counts.demand[priority];
+      usual[i] = sum->domains[i].counts.usual;
+      known &= usual[i] > 0;
+    }
   /* Rounding must not leave a priority that is granted in full just below it. */
-  cf_max_min_shares (demand, count, grant * (1 + ROUNDING), share);
+  cf_max_min_shares (demand, known ? usual : NULL, count, grant * (1 + ROUNDING), share);
   for (uint32_t i = 0; i < count; i++)
     if (sum->domains[i].domain == domain)
       return share[i];
--- a/src/balance/overload.h
+++ b/src/balance/overload.h
@@ -89,8 +89,9 @@
 double cf_overload_admitted (const struct CfOverload *overload, uint32_t priority);
 
 /* Divides CAPACITY between COUNT claims of the amounts DEMAND by max-min fairness: each gets what
- * it asks for, or an equal part of what is left.  Writes each part to SHARE (0 to 1, 1 for a
- * demand of 0). */
-void cf_max_min_shares (const double *demand, uint32_t count, double capacity, double *share);
+ * it asks for, or a part of what is left in proportion to its WEIGHT (NULL: all alike).  Writes
+ * each part to SHARE (0 to 1, 1 for a demand of 0). */
+void cf_max_min_shares (
+    const double *demand, const double *weight, uint32_t count, double capacity, double *share);
 
 #endif
--- a/src/balance/service_load.c
+++ b/src/balance/service_load.c
@@ -6,6 +6,10 @@
 /* The rate with the short half-life counts if it is above the other one by this many standard
  * deviations; by 2 it is 2% of the time without a burst. */
 #define BURST_DEVIATIONS 2.0
+/* A demand far above the usual one counts in part: a burst raises the usual demand little before it
+ * is noticed as an overload.  From this age on a usual demand is known. */
+#define USUAL_RISE 1.25
+#define USUAL_KNOWN_MS 1000
 
 /* A count of events, decayed to the time AT. */
 struct Decayed
@@ -18,12 +22,14 @@
 {
   struct Decayed demand[CF_LOAD_PRIORITIES];
   struct Decayed recent_demand[CF_LOAD_PRIORITIES]; /* with the short half-life */
-  struct Decayed admitted[CF_LOAD_PRIORITIES];
   struct Decayed answered;
   struct Decayed shed;
   uint32_t in_progress;
   double in_progress_mean; /* at in_progress_at */
   CfMillis in_progress_at;
+  double usual; /* demand a second */
+  CfMillis usual_at;
+  CfMillis usual_since; /* 0: nothing was learned yet */
   CfMillis used_at;
 };
 
@@ -103,16 +109,6 @@
                now);
 }
 
-void
-cf_service_loads_admit (struct CfServiceLoads *loads,
-                        GQuark service,
-                        uint32_t priority,
-                        CfMillis now)
-{
-  count_event (&get_load (loads, service, now)->admitted[priority_index (priority)],
-               CF_SERVICE_LOAD_HALF_LIFE_MS, now);
-}
-
 static double
 progress_mean (const struct ServiceLoad *load, CfMillis now)
 {
@@ -142,6 +138,29 @@
   count_event (shed ? &load->shed : &load->answered, CF_SERVICE_LOAD_HALF_LIFE_MS, now);
 }
 
+void
+cf_service_loads_learn_usual (struct CfServiceLoads *loads, GQuark service, CfMillis now)
+{
+  struct ServiceLoad *load = get_load (loads, service, now);
+  double demand = 0;
+  double part;
+  CfMillis age;
+
+  for (uint32_t i = 0; i < CF_LOAD_PRIORITIES; i++)
+    demand += decayed_rate (&load->demand[i], CF_SERVICE_LOAD_HALF_LIFE_MS, now);
+  if (load->usual_since == 0)
+    load->usual_since = load->usual_at = now;
+  age = now - load->usual_since;
+  if (age >= USUAL_KNOWN_MS)
+    demand = MIN (demand, load->usual * USUAL_RISE);
+  /* At first, the mean of all that was seen. */
+  part = 1 - decay_factor (load->usual_at, now, CF_SERVICE_LOAD_USUAL_HALF_LIFE_MS);
+  if (age > 0)
+    part = MAX (part, (double) (now - load->usual_at) / (double) age);
+  load->usual += part * (demand - load->usual);
+  load->usual_at = now;
+}
+
 bool
 cf_service_loads_counts (const struct CfServiceLoads *loads,
                          GQuark service,
@@ -155,13 +174,11 @@
   if (!load)
     return false;
   for (uint32_t i = 0; i < CF_LOAD_PRIORITIES; i++)
-    {
-      counts->demand[i] = decayed_rate (&load->demand[i], CF_SERVICE_LOAD_HALF_LIFE_MS, now);
-      counts->admitted[i] = decayed_rate (&load->admitted[i], CF_SERVICE_LOAD_HALF_LIFE_MS, now);
-    }
+    counts->demand[i] = decayed_rate (&load->demand[i], CF_SERVICE_LOAD_HALF_LIFE_MS, now);
   counts->answered = decayed_rate (&load->answered, CF_SERVICE_LOAD_HALF_LIFE_MS, now);
   counts->shed = decayed_rate (&load->shed, CF_SERVICE_LOAD_HALF_LIFE_MS, now);
   counts->in_progress = progress_mean (load, now);
+  counts->usual = load->usual;
   return true;
 }
 
--- a/src/balance/service_load.h
+++ b/src/balance/service_load.h
@@ -17,6 +17,9 @@
 /* Half-life of the rate that shows the begin of a burst to the token buckets. */
 #define CF_SERVICE_LOAD_BURST_HALF_LIFE_MS 150
 
+/* Half-life of the usual demand: long against a burst. */
+#define CF_SERVICE_LOAD_USUAL_HALF_LIFE_MS 20000
+
 struct CfServiceLoads;
 
 struct CfServiceLoads *cf_service_loads_new (void);
@@ -27,11 +30,6 @@
                               GQuark service,
                               uint32_t priority,
                               CfMillis now);
-/* Records that a flow of PRIORITY was sent to an upstream for the first time. */
-void cf_service_loads_admit (struct CfServiceLoads *loads,
-                             GQuark service,
-                             uint32_t priority,
-                             CfMillis now);
 /* Records that a request was sent (BEGIN) or ended: it has been answered, has stalled, or its flow
  * has ended. */
 void
@@ -40,6 +38,10 @@
 void
 cf_service_loads_answer (struct CfServiceLoads *loads, GQuark service, bool shed, CfMillis now);
 
+/* Adds the present demand of SERVICE to its usual demand.  To be called every second or more often
+ * while the service is not overloaded. */
+void cf_service_loads_learn_usual (struct CfServiceLoads *loads, GQuark service, CfMillis now);
+
 /* Writes to COUNTS the rates at NOW.  Returns false, with COUNTS all 0, if SERVICE is not known. */
 bool cf_service_loads_counts (const struct CfServiceLoads *loads,
                               GQuark service,
--- a/src/feed/feed.h
+++ b/src/feed/feed.h
@@ -89,10 +89,10 @@
 struct feed_load_service {
 	char *name;
 	u_int demand[FEED_LOAD_PRIORITIES];
-	u_int admitted[FEED_LOAD_PRIORITIES];
 	u_int answered;
 	u_int shed;
 	u_int in_progress;
+	u_int usual;
 };
 typedef struct feed_load_service feed_load_service;
 
--- a/src/feed/feed.x
+++ b/src/feed/feed.x
@@ -70,10 +70,10 @@
 struct feed_load_service {
   string name<255>;
   unsigned int demand[FEED_LOAD_PRIORITIES];    /* new flows */
-  unsigned int admitted[FEED_LOAD_PRIORITIES];  /* of these, sent to an upstream */
   unsigned int answered;
   unsigned int shed;         /* rejected by a busy upstream */
   unsigned int in_progress;  /* not a rate */
+  unsigned int usual;        /* new flows without overload, long mean */
 };
 
 /* How quickly one upstream answers, in thousandths. */
--- a/src/feed/feed_xdr.c
+++ b/src/feed/feed_xdr.c
@@ -120,20 +120,19 @@
 	if (xdrs->x_op == XDR_ENCODE) {
 		 if (!xdr_string (xdrs, &objp->name, 255))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, (3 +  FEED_LOAD_PRIORITIES  + FEED_LOAD_PRIORITIES )* BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, (4 +  FEED_LOAD_PRIORITIES )* BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_vector (xdrs, (char *)objp->demand, FEED_LOAD_PRIORITIES,
 				sizeof (u_int), (xdrproc_t) xdr_u_int))
 				 return FALSE;
-			 if (!xdr_vector (xdrs, (char *)objp->admitted, FEED_LOAD_PRIORITIES,
-				sizeof (u_int), (xdrproc_t) xdr_u_int))
-				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->answered))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->shed))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->in_progress))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->usual))
+				 return FALSE;
 		} else {
 			{
 				register u_int *genp;
@@ -143,36 +142,28 @@
 					IXDR_PUT_U_LONG(buf, *genp++);
 				}
 			}
-			{
-				register u_int *genp;
-
-				for (i = 0, genp = objp->admitted;
-					i < FEED_LOAD_PRIORITIES; ++i) {
-					IXDR_PUT_U_LONG(buf, *genp++);
-				}
-			}
 			IXDR_PUT_U_LONG(buf, objp->answered);
 			IXDR_PUT_U_LONG(buf, objp->shed);
 			IXDR_PUT_U_LONG(buf, objp->in_progress);
+			IXDR_PUT_U_LONG(buf, objp->usual);
 		}
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_string (xdrs, &objp->name, 255))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, (3 +  FEED_LOAD_PRIORITIES  + FEED_LOAD_PRIORITIES )* BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, (4 +  FEED_LOAD_PRIORITIES )* BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_vector (xdrs, (char *)objp->demand, FEED_LOAD_PRIORITIES,
 				sizeof (u_int), (xdrproc_t) xdr_u_int))
 				 return FALSE;
-			 if (!xdr_vector (xdrs, (char *)objp->admitted, FEED_LOAD_PRIORITIES,
-				sizeof (u_int), (xdrproc_t) xdr_u_int))
-				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->answered))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->shed))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->in_progress))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->usual))
+				 return FALSE;
 		} else {
 			{
 				register u_int *genp;
@@ -182,17 +173,10 @@
 					*genp++ = IXDR_GET_U_LONG(buf);
 				}
 			}
-			{
-				register u_int *genp;
-
-				for (i = 0, genp = objp->admitted;
-					i < FEED_LOAD_PRIORITIES; ++i) {
-					*genp++ = IXDR_GET_U_LONG(buf);
-				}
-			}
 			objp->answered = IXDR_GET_U_LONG(buf);
 			objp->shed = IXDR_GET_U_LONG(buf);
 			objp->in_progress = IXDR_GET_U_LONG(buf);
+			objp->usual = IXDR_GET_U_LONG(buf);
 		}
 	 return TRUE;
 	}
@@ -202,15 +186,14 @@
 	 if (!xdr_vector (xdrs, (char *)objp->demand, FEED_LOAD_PRIORITIES,
 		sizeof (u_int), (xdrproc_t) xdr_u_int))
 		 return FALSE;
-	 if (!xdr_vector (xdrs, (char *)objp->admitted, FEED_LOAD_PRIORITIES,
-		sizeof (u_int), (xdrproc_t) xdr_u_int))
-		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->answered))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->shed))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->in_progress))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->usual))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/feed/load_message.c
+++ b/src/feed/load_message.c
@@ -38,12 +38,12 @@
     .answered = pack_rate (counts->answered),
     .shed = pack_rate (counts->shed),
     .in_progress = pack_rate (counts->in_progress),
+    .usual = pack_rate (counts->usual),
   };
 
   for (int i = 0; i < CF_LOAD_PRIORITIES; i++)
     {
       packed.demand[i] = pack_rate (counts->demand[i]);
-      packed.admitted[i] = pack_rate (counts->admitted[i]);
     }
   return packed;
 }
@@ -93,11 +93,11 @@
     .answered = unpack (packed->answered),
     .shed = unpack (packed->shed),
     .in_progress = unpack (packed->in_progress),
+    .usual = unpack (packed->usual),
   };
   for (int i = 0; i < CF_LOAD_PRIORITIES; i++)
     {
       service->counts.demand[i] = unpack (packed->demand[i]);
-      service->counts.admitted[i] = unpack (packed->admitted[i]);
     }
   return read_name (packed->name, service->name);
 }
--- a/tests/simulation.c
+++ b/tests/simulation.c
@@ -205,6 +205,7 @@
           .domain = domain,
           .seed = sim->balances->len + 1,
           .flow_lifetime_ms = lifetime_ms,
+          .admission = sim->admission,
       },
       &outputs, sim);
 
--- a/tests/simulation.h
+++ b/tests/simulation.h
@@ -41,9 +41,10 @@
   uint32_t resets;
   uint32_t handed_on;
   uint32_t forwarded;
-  const struct CfTarget *last; /* target of the last forwarded packet */
-  bool request_at_once;        /* the second packet of a flow carries its first request */
-  CfMillis round_trip;         /* from the first packet of a flow to the second, at the VM */
+  const struct CfTarget *last;         /* target of the last forwarded packet */
+  bool request_at_once;                /* the second packet of a flow carries its first request */
+  struct CfAdmissionOptions admission; /* of VMs that are added from now on; off at first */
+  CfMillis round_trip; /* from the first packet of a flow to the second, at the VM */
 };
 
 struct Simulation *sim_new (void);
--- a/tests/test_fuzz_messages.c
+++ b/tests/test_fuzz_messages.c
@@ -349,11 +349,13 @@
 START_TEST (test_any_gossip)
 {
   struct Simulation *sim = sim_new ();
-  struct CfBalance *balance = sim_add_vm (sim, "a", 0);
+  struct CfBalance *balance;
   GRand *random = g_rand_new_with_seed (24);
   struct CfRotation rotation;
   int loads_merged = 0;
 
+  sim->admission = (struct CfAdmissionOptions){ .enabled = true, .caller_prefix = 32 };
+  balance = sim_add_vm (sim, "a", 0);
   cf_rotation_init (&rotation);
   sim_add_upstream (sim, NULL, "i-1", "s", "a", 0);
   sim_add_upstream (sim, NULL, "i-2", "s", "a", 0);
--- a/tests/test_load_message.c
+++ b/tests/test_load_message.c
@@ -25,8 +25,8 @@
     {
       report->services[i].counts = (struct CfLoadCounts){
         .demand = { 1.5, 2, 3, 4 + i },
-        .admitted = { 1.25, 1, CF_LOAD_RATE_MAX, 0.001 },
         .answered = 17.125,
+        .usual = 0.001,
         .shed = 0.5,
         .in_progress = 3,
       };
--- a/tests/test_load_table.c
+++ b/tests/test_load_table.c
@@ -161,7 +161,7 @@
   struct CfLoadReport report = make_report ("b1", "b", 1, 2);
   struct CfLoadCounts *counts = &report.services[0].counts;
   double *const numbers[]
-      = { &counts->demand[3],   &counts->admitted[0],     &counts->answered,    &counts->shed,
+      = { &counts->demand[3],   &counts->usual,           &counts->answered,    &counts->shed,
           &counts->in_progress, &report.lines[0].samples, &report.lines[0].pace };
 
   for (guint i = 0; i < G_N_ELEMENTS (numbers) * G_N_ELEMENTS (bad); i++)
--- a/tests/test_overload.c
+++ b/tests/test_overload.c
@@ -119,12 +119,20 @@
 {
   double share[4];
 
-  cf_max_min_shares ((double[]){ 10, 0, 300, 100 }, 4, 210, share);
+  cf_max_min_shares ((double[]){ 10, 0, 300, 100 }, NULL, 4, 210, share);
   ck_assert_double_eq (share[0], 1);
   ck_assert_double_eq (share[1], 1);
   ck_assert_double_eq_tol (share[2], 1.0 / 3, 1e-9);
   ck_assert_double_eq_tol (share[3], 1, 1e-9);
-  cf_max_min_shares ((double[]){ 10, NAN, INFINITY, -3 }, 4, 0, share);
+  /* All press alike, by their weights; then one of them alone. */
+  cf_max_min_shares ((double[]){ 600, 300, 900, 0 }, (double[]){ 2, 1, 3, 0 }, 4, 900, share);
+  for (int i = 0; i < 3; i++)
+    ck_assert_double_eq_tol (share[i], 0.5, 1e-9);
+  cf_max_min_shares ((double[]){ 900, 100, 300, 0 }, (double[]){ 2, 1, 3, 0 }, 4, 900, share);
+  ck_assert_double_eq_tol (share[0], 5.0 / 9, 1e-9);
+  ck_assert_double_eq_tol (share[1], 1, 1e-9);
+  ck_assert_double_eq_tol (share[2], 1, 1e-9);
+  cf_max_min_shares ((double[]){ 10, NAN, INFINITY, -3 }, NULL, 4, 0, share);
   ck_assert_double_eq (share[0], 0);
   for (int i = 0; i < 4; i++)
     ck_assert (share[i] >= 0 && share[i] <= 1);
@@ -281,7 +289,6 @@
 static void
 place (struct Play *play, int vm, uint32_t priority)
 {
-  cf_service_loads_admit (play->vms[vm].loads, service (), priority, play->now);
   cf_service_loads_progress (play->vms[vm].loads, service (), true, play->now);
   busy_service_send (&play->service, (uint8_t) vm);
   play->placed[vm % DOMAINS][priority]++;
--- a/tests/test_service_load.c
+++ b/tests/test_service_load.c
@@ -1,6 +1,8 @@
 #include "balance/service_load.h"
 #include "suite.h"
 
+#include <math.h>
+
 /* Rates and requests in progress of a service, on virtual time. */
 
 static GQuark
@@ -40,14 +42,15 @@
   demand (loads, 7, 40, 1000, 8000);
   for (CfMillis now = 1000; now < 8000; now += 10)
     {
-      cf_service_loads_admit (loads, service (), 1, now);
+      cf_service_loads_learn_usual (loads, service (), now);
       cf_service_loads_answer (loads, service (), now % 50 == 0, now);
     }
   counts = counts_at (loads, 8000);
   ck_assert_double_eq (counts.demand[0], 0);
   ck_assert_double_eq_tol (counts.demand[1], 200, 4);
   ck_assert_double_eq_tol (counts.demand[CF_LOAD_PRIORITIES - 1], 40, 2);
-  ck_assert_double_eq_tol (counts.admitted[1], 100, 2);
+  /* The mean since the beginning, when rates were still rising. */
+  ck_assert_double_eq_tol (counts.usual, 240, 24);
   ck_assert_double_eq_tol (counts.answered, 80, 3);
   ck_assert_double_eq_tol (counts.shed, 20, 2);
   /* A clock that repeats a value or a pause leaves finite numbers. */
@@ -82,6 +85,27 @@
 }
 END_TEST
 
+/* Guards against a burst that counts as usual demand before it is noticed as an overload: the
+ * claims of failure domains are in proportion to it. */
+START_TEST (test_usual_demand)
+{
+  struct CfServiceLoads *loads = cf_service_loads_new ();
+  double before;
+
+  for (CfMillis now = 1000; now < 8000; now += 100)
+    {
+      demand (loads, 1, 200, now, now + 100);
+      cf_service_loads_learn_usual (loads, service (), now + 100);
+    }
+  before = counts_at (loads, 8000).usual;
+  ck_assert_double_eq_tol (before, 200, 30);
+  demand (loads, 1, 2400, 8000, 8500);
+  cf_service_loads_learn_usual (loads, service (), 8500);
+  ck_assert_double_le (counts_at (loads, 8500).usual, 1.05 * before);
+  cf_service_loads_free (loads);
+}
+END_TEST
+
 /* Guards against token buckets that are filled at the rate before a burst, or run dry at its end,
  * and against a chance cluster of flows that counts as a burst. */
 START_TEST (test_rate_in_burst)
@@ -128,6 +152,7 @@
 
   suite_add_loop (suite, test_rates, 1);
   suite_add_loop (suite, test_requests_in_progress, 1);
+  suite_add_loop (suite, test_usual_demand, 1);
   suite_add_loop (suite, test_rate_in_burst, 1);
   suite_add_loop (suite, test_prune, 1);
   return suite_run (suite);
