--- a/src/gue/flow_table.h
+++ b/src/gue/flow_table.h
@@ -23,6 +23,7 @@
   CF_FLOW_HANDOVER_END = 1 << 7, /* on the wire: marks the end of a handover */
   CF_FLOW_COUNTED = 1 << 9,      /* this VM counted it as opened */
   CF_FLOW_UNCONFIRMED = 1 << 8,  /* half open when the owner last replicated it */
+  CF_FLOW_UNSHARED = 1 << 10,    /* kept over a pause: this VM may be the only holder */
 };
 
 /* One flow.  Times are in seconds since the core started. */
--- a/src/gue/internal.h
+++ b/src/gue/internal.h
@@ -318,6 +318,9 @@
 void cf_stream_clear (struct CfStream *stream);
 void cf_stream_reset (struct CfStream *stream);
 bool cf_stream_idle (const struct CfStream *stream);
+/* Empties STREAM.  Returns the entries (of struct peer_entry) that its receiver had not
+ * acknowledged; the caller frees the array. */
+GArray *cf_stream_take_pending (struct CfStream *stream);
 void cf_stream_ack (struct CfStream *stream, const peer_entries_ack *ack);
 
 /* choose.c */
@@ -393,6 +396,11 @@
                       bool urgent,
                       CfMillis now);
 void cf_replicate_handover_end (struct CfMember *member);
+/* After a pause: sends MEMBER the present state of the entries that it had not acknowledged, and
+ * sets CF_FLOW_UNSHARED on their records. */
+void cf_replicate_pending (struct CfCore *core, struct CfMember *member, CfMillis now);
+/* Replicates every record with CF_FLOW_UNSHARED to the present holders and clears the flag. */
+void cf_replicate_unshared (struct CfCore *core, CfMillis now);
 /* Tells the buckets' owners of recent first packets sent to upstreams whose report flag is set. */
 void cf_report_recent (struct CfCore *core, CfMillis now);
 void cf_receive_entries (struct CfCore *core,
--- a/src/gue/lifecycle.c
+++ b/src/gue/lifecycle.c
@@ -93,7 +93,7 @@
       member->acked_marks = 0;
       member->handover_sent = 0;
       member->ack_count = 0;
-      cf_stream_reset (&member->stream);
+      cf_replicate_pending (core, member, now);
     }
   for (uint32_t i = 0; i < core->slots->len; i++)
     cf_slot (core, i)->grant = 0;
@@ -121,6 +121,18 @@
   return false;
 }
 
+/* A record from before the pause may be dropped only by this VM, when it joins again, and only if
+ * all its holders had acknowledged it and one of them served throughout: that holder has handed
+ * over whatever it still knows of the flow, so that without a new copy the flow has ended.  That a
+ * holder served is no evidence about a record that was still queued or in flight: this VM's copy
+ * may be the only one. */
+static bool
+may_drop (const struct CfCore *core, const struct CfFlow *flow)
+{
+  return (flow->flags & CF_FLOW_STALE) && !(flow->flags & CF_FLOW_UNSHARED)
+         && holder_kept_serving (core, CF_BUCKET (flow->key));
+}
+
 static void
 resolve_stale_flows (struct CfCore *core)
 {
@@ -128,8 +140,7 @@
     {
       struct CfFlow *flow = &core->table.flows[i];
 
-      if (flow->key && (flow->flags & CF_FLOW_STALE)
-          && holder_kept_serving (core, CF_BUCKET (flow->key)))
+      if (flow->key && may_drop (core, flow))
         {
           cf_flows_drop (core, flow);
           continue;
@@ -144,6 +155,7 @@
 cf_members_join (struct CfCore *core, CfMillis now)
 {
   CfMillis waited = now - core->state_since;
+  bool resumed = core->holders_before_pause != NULL;
   bool complete = true;
   bool any = false;
   bool alone = true;
@@ -163,7 +175,7 @@
     }
   if (waited < CF_JOIN_WAIT_MS || (any && !complete && waited < CF_JOIN_LIMIT_MS))
     return;
-  if (core->holders_before_pause)
+  if (resumed)
     resolve_stale_flows (core);
   for (uint32_t b = 0; b < CF_BUCKETS; b++)
     {
@@ -173,4 +185,7 @@
       core->decides_since[b] = now - CF_IN_FLIGHT_MS;
     }
   cf_enter_state (core, PEER_SERVING, now);
+  /* Holders that have restarted since the pause were not sent them again. */
+  if (resumed)
+    cf_replicate_unshared (core, now);
 }
--- a/src/gue/replicate.c
+++ b/src/gue/replicate.c
@@ -109,6 +109,42 @@
   queue (member, &entry, false);
 }
 
+/* Queued copies are not sent as they are: their ages are those of before the pause, and a flow that
+ * another VM has placed again meanwhile would look older than they do. */
+void
+cf_replicate_pending (struct CfCore *core, struct CfMember *member, CfMillis now)
+{
+  GArray *pending = cf_stream_take_pending (&member->stream);
+
+  for (guint i = 0; i < pending->len; i++)
+    {
+      const struct peer_entry *entry = &g_array_index (pending, struct peer_entry, i);
+      struct CfFlow *flow = NULL;
+
+      if (!(entry->flags & (CF_FLOW_REMOVED | CF_FLOW_REPORT | CF_FLOW_HANDOVER_END)))
+        flow = cf_flow_find (&core->table, entry->key);
+      if (!flow || flow->kind != CF_FLOW_ENTRY)
+        continue;
+      flow->flags |= CF_FLOW_UNSHARED;
+      cf_replicate_to (core, member, flow, true, now);
+    }
+  g_array_unref (pending);
+}
+
+void
+cf_replicate_unshared (struct CfCore *core, CfMillis now)
+{
+  for (uint32_t i = 0; i < core->table.capacity; i++)
+    {
+      struct CfFlow *flow = &core->table.flows[i];
+
+      if (!flow->key || !(flow->flags & CF_FLOW_UNSHARED))
+        continue;
+      flow->flags &= ~CF_FLOW_UNSHARED;
+      cf_replicate (core, flow, false, now);
+    }
+}
+
 /* A first packet that this VM forwarded directly to an upstream is unknown to the bucket's
  * owner.  The owner has to learn of such packets before it places flows elsewhere, so that a
  * retransmission is not sent to a second upstream. */
--- a/src/gue/stream.c
+++ b/src/gue/stream.c
@@ -38,6 +38,22 @@
          && stream->bulk_head == stream->bulk->len;
 }
 
+GArray *
+cf_stream_take_pending (struct CfStream *stream)
+{
+  GArray *pending = g_array_new (FALSE, FALSE, sizeof (struct peer_entry));
+
+  for (int i = 0; stream->window && i < CF_BATCH_WINDOW; i++)
+    if (stream->window[i].seq)
+      g_array_append_vals (pending, stream->window[i].entries, stream->window[i].count);
+  if (stream->urgent->len)
+    g_array_append_vals (pending, stream->urgent->data, stream->urgent->len);
+  for (guint i = stream->bulk_head; i < stream->bulk->len; i++)
+    g_array_append_val (pending, g_array_index (stream->bulk, struct peer_entry, i));
+  cf_stream_reset (stream);
+  return pending;
+}
+
 void
 cf_stream_ack (struct CfStream *stream, const peer_entries_ack *ack)
 {
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -248,6 +248,27 @@
 }
 END_TEST
 
+/* A VM that pauses with entries still queued for their holders has the only copies: it must not
+ * drop them on joining again because another holder went on serving. */
+START_TEST (test_pause_before_replication)
+{
+  struct Fleet *fleet = running_fleet ((uint32_t) _i + 1, 6);
+
+  for (uint32_t u = 0; u < 4; u++)
+    fleet_drain (fleet, u, true, 500);
+  fleet_run (fleet, 8000);
+  test_network_set_group (fleet->network, 0, 1);
+  for (int i = 0; i < 200; i++)
+    fleet_open (fleet, 0, 20000, 1000);
+  fleet_run (fleet, 100);
+  fleet_pause (fleet, 0, 1500);
+  test_network_set_group (fleet->network, 0, 0);
+  fleet_run (fleet, 70000);
+  ck_assert_uint_eq (fleet_counter (fleet, CF_COUNT_PAUSES), 1);
+  check_no_broken_flow (fleet, "a VM pauses before its entries are replicated");
+}
+END_TEST
+
 /* What tests/sockets/kill.sh does, on a machine where processes wait for a processor: one VM is
  * killed, one is frozen, and the others pause for up to SPAN_MAX meanwhile. */
 static struct Fleet *
@@ -514,6 +535,7 @@
   suite_add_loop (suite, test_partition, SEEDS);
   suite_add_loop (suite, test_pause, SEEDS);
   suite_add_loop (suite, test_all_pause, SEEDS);
+  suite_add_loop (suite, test_pause_before_replication, SEEDS);
   suite_add_loop (suite, test_kill_and_freeze, SEEDS);
   suite_add_loop (suite, test_kill_and_pause, SEEDS);
   suite_add_loop (suite, test_reordering, SEEDS);
