--- a/src/gue/internal.h
+++ b/src/gue/internal.h
@@ -186,6 +186,9 @@
   uint64_t handover_received;        /* this VM's incarnation that got its whole handover */
   uint64_t incarnation_before_pause; /* its incarnation when this VM was paused, 0 if dead */
   CfMillis reconnected_at;           /* when it was heard again after it was declared dead, or -1 */
+  /* When an earlier incarnation that had not left was last heard, until the present one has handed
+   * over what it kept, or -1. */
+  CfMillis absent_since;
   struct CfStream stream;
   uint32_t acks[32];
   uint32_t ack_count;
@@ -399,7 +402,8 @@
 /* After a pause: sends MEMBER the present state of the entries that it had not acknowledged, and
  * sets CF_FLOW_UNSHARED on their records. */
 void cf_replicate_pending (struct CfCore *core, struct CfMember *member, CfMillis now);
-/* Replicates every record with CF_FLOW_UNSHARED to the present holders and clears the flag. */
+/* Replicates every record with CF_FLOW_UNSHARED to the present holders, clears the flag, and tells
+ * all members that these were all. */
 void cf_replicate_unshared (struct CfCore *core, CfMillis now);
 /* Tells the buckets' owners of recent first packets sent to upstreams whose report flag is set. */
 void cf_report_recent (struct CfCore *core, CfMillis now);
--- a/src/gue/lifecycle.c
+++ b/src/gue/lifecycle.c
@@ -133,6 +133,7 @@
          && holder_kept_serving (core, CF_BUCKET (flow->key));
 }
 
+/* Drops what the others know better, and keeps the rest to be replicated. */
 static void
 resolve_stale_flows (struct CfCore *core)
 {
@@ -145,6 +146,8 @@
           cf_flows_drop (core, flow);
           continue;
         }
+      if (flow->key && (flow->flags & CF_FLOW_STALE) && flow->kind == CF_FLOW_ENTRY)
+        flow->flags |= CF_FLOW_UNSHARED;
       flow->flags &= ~CF_FLOW_STALE;
       i++;
     }
@@ -155,7 +158,6 @@
 cf_members_join (struct CfCore *core, CfMillis now)
 {
   CfMillis waited = now - core->state_since;
-  bool resumed = core->holders_before_pause != NULL;
   bool complete = true;
   bool any = false;
   bool alone = true;
@@ -175,7 +177,7 @@
     }
   if (waited < CF_JOIN_WAIT_MS || (any && !complete && waited < CF_JOIN_LIMIT_MS))
     return;
-  if (resumed)
+  if (core->holders_before_pause)
     resolve_stale_flows (core);
   for (uint32_t b = 0; b < CF_BUCKETS; b++)
     {
@@ -185,7 +187,6 @@
       core->decides_since[b] = now - CF_IN_FLIGHT_MS;
     }
   cf_enter_state (core, PEER_SERVING, now);
-  /* Holders that have restarted since the pause were not sent them again. */
-  if (resumed)
-    cf_replicate_unshared (core, now);
+  /* The others may have joined while this VM was paused, and none of them had its entries. */
+  cf_replicate_unshared (core, now);
 }
--- a/src/gue/members.c
+++ b/src/gue/members.c
@@ -30,6 +30,7 @@
   member->loads = g_array_new (FALSE, TRUE, sizeof (struct CfLoad));
   member->sent_at = -CF_DEAD_PROBE_MS;
   member->reconnected_at = -1;
+  member->absent_since = -1;
   cf_stream_init (&member->stream);
   g_ptr_array_add (core->members, member);
   g_hash_table_insert (core->member_by_id, GUINT_TO_POINTER (id), member);
@@ -114,9 +115,22 @@
   member->mark_version = 0;
 }
 
+/* A VM that paused, unlike one that was killed, still has the entries that it placed before, but
+ * this VM cannot tell the two apart.  The doubt ends CF_PARTITION_MS after the member was last
+ * heard, as if it had stayed away, also if it restarts again and again. */
+static void
+expect_entries (struct CfMember *member)
+{
+  if (member->left || member->state == PEER_LEAVING)
+    member->absent_since = -1;
+  else if (member->incarnation && member->absent_since < 0)
+    member->absent_since = member->heard_at;
+}
+
 void
 cf_member_restarted (struct CfCore *core, struct CfMember *member)
 {
+  expect_entries (member);
   cf_member_clear_marks (core, member);
   /* The sums keep the counts of the former incarnation; the next one starts at 0. */
   g_array_set_size (member->loads, 0);
--- a/src/gue/replicate.c
+++ b/src/gue/replicate.c
@@ -143,6 +143,9 @@
       flow->flags &= ~CF_FLOW_UNSHARED;
       cf_replicate (core, flow, false, now);
     }
+  for (guint i = 1; i < core->members->len; i++)
+    if (cf_member (core, i)->alive)
+      cf_replicate_handover_end (cf_member (core, i));
 }
 
 /* A first packet that this VM forwarded directly to an upstream is unknown to the bucket's
@@ -311,6 +314,16 @@
     cf_replicate (core, flow, false, now);
 }
 
+static void
+receive_handover_end (const struct CfCore *core,
+                      struct CfMember *member,
+                      const struct peer_entry *entry)
+{
+  member->handover_received = entry->key;
+  if (entry->key == core->incarnation)
+    member->absent_since = -1;
+}
+
 void
 cf_receive_entries (struct CfCore *core,
                     struct CfMember *member,
@@ -324,7 +337,7 @@
 
       core->stats.counter[CF_COUNT_ENTRIES_RECEIVED]++;
       if (entry->flags & CF_FLOW_HANDOVER_END)
-        member->handover_received = entry->key;
+        receive_handover_end (core, member, entry);
       else if (entry->key == 0 || entry->upstream == 0)
         core->stats.counter[CF_COUNT_ENTRIES_REFUSED]++;
       else if (entry->flags & CF_FLOW_REMOVED)
--- a/src/gue/view.c
+++ b/src/gue/view.c
@@ -264,7 +264,7 @@
 }
 
 /* Returns true if members may hold entries that this VM cannot look up: they fell
- * silent and may be partitioned, or came back and have not handed over yet. */
+ * silent and may be partitioned, or came back or restarted and have not handed over yet. */
 static bool
 partition_suspected (const struct CfCore *core, CfMillis now)
 {
@@ -276,6 +276,9 @@
           && member->handover_received != core->incarnation
           && now - member->reconnected_at < CF_PARTITION_MS)
         return true;
+      if (member->alive && member->absent_since >= 0
+          && now - member->absent_since < CF_PARTITION_MS)
+        return true;
       if (!member->alive && member->listed && !member->left && member->incarnation
           && now - member->heard_at < CF_PARTITION_MS)
         return true;
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -269,6 +269,36 @@
 }
 END_TEST
 
+/* The only VM that served while all others paused pauses in turn and joins last: it must hand over
+ * the entries that no other VM has, and until then the others must not take their flows for flows
+ * without an entry. */
+START_TEST (test_last_to_join_has_the_entries)
+{
+  struct Fleet *fleet = running_fleet ((uint32_t) _i + 1, 3);
+
+  for (uint32_t u = 0; u < 4; u++)
+    fleet_drain (fleet, u, true, 500);
+  fleet_run (fleet, 8000);
+  for (uint32_t vm = 1; vm < 3; vm++)
+    {
+      fleet_pause (fleet, vm, 4500);
+      fleet->vms[vm].in_fabric = false;
+    }
+  /* The pauses are longer than CF_MEMBER_DEAD_MS, so that VM 0 owns all flows for a while. */
+  fleet_run (fleet, 4000);
+  fleet_pause (fleet, 0, 4000);
+  fleet_run (fleet, 500);
+  for (uint32_t vm = 1; vm < 3; vm++)
+    fleet->vms[vm].in_fabric = true;
+  fleet->vms[0].in_fabric = false;
+  fleet_run (fleet, 10000);
+  fleet->vms[0].in_fabric = true;
+  fleet_run (fleet, 70000);
+  ck_assert_uint_eq (fleet_counter (fleet, CF_COUNT_PAUSES), 3);
+  check_no_broken_flow (fleet, "the last to join has the entries");
+}
+END_TEST
+
 /* What tests/sockets/kill.sh does, on a machine where processes wait for a processor: one VM is
  * killed, one is frozen, and the others pause for up to SPAN_MAX meanwhile. */
 static struct Fleet *
@@ -536,6 +566,7 @@
   suite_add_loop (suite, test_pause, SEEDS);
   suite_add_loop (suite, test_all_pause, SEEDS);
   suite_add_loop (suite, test_pause_before_replication, SEEDS);
+  suite_add_loop (suite, test_last_to_join_has_the_entries, SEEDS);
   suite_add_loop (suite, test_kill_and_freeze, SEEDS);
   suite_add_loop (suite, test_kill_and_pause, SEEDS);
   suite_add_loop (suite, test_reordering, SEEDS);
