--- a/src/gue/lifecycle.c
+++ b/src/gue/lifecycle.c
@@ -70,14 +70,19 @@
 }
 
 /* After a pause no earlier state is trusted: other members may have taken over this VM's
- * buckets.  The entries are kept as a last resort, in case the whole fleet was paused. */
+ * buckets.  The entries are kept as a last resort, in case the whole fleet was paused.  A VM that
+ * pauses while it is joining starts anew, too: otherwise it would take all others for dead, since
+ * it has not heard them, and serve without their entries.  Who served throughout is then judged
+ * from before the first pause. */
 void
 cf_members_resume (struct CfCore *core, CfMillis now)
 {
+  bool first = !core->holders_before_pause;
+
   core->stats.counter[CF_COUNT_PAUSES]++;
   core->incarnation++;
-  g_free (core->holders_before_pause);
-  core->holders_before_pause = g_memdup2 (core->current.holders, sizeof core->current.holders);
+  if (first)
+    core->holders_before_pause = g_memdup2 (core->current.holders, sizeof core->current.holders);
   for (uint32_t i = 0; i < core->table.capacity; i++)
     if (core->table.flows[i].key)
       core->table.flows[i].flags |= CF_FLOW_STALE;
@@ -85,7 +90,8 @@
     {
       struct CfMember *member = cf_member (core, i);
 
-      member->incarnation_before_pause = member->alive ? member->incarnation : 0;
+      if (first)
+        member->incarnation_before_pause = member->alive ? member->incarnation : 0;
       member->alive = false;
       member->reconnected_at = -1;
       member->handover_received = 0;
--- a/src/gue/receive.c
+++ b/src/gue/receive.c
@@ -11,7 +11,7 @@
     return;
   core->last_tick = now;
   core->resumed_at = now;
-  if (core->state == PEER_SERVING)
+  if (core->state != PEER_LEAVING)
     cf_members_resume (core, now);
 }
 
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -299,6 +299,28 @@
 }
 END_TEST
 
+/* A VM that pauses while it joins again must not take the silence for the death of all others and
+ * serve without their entries. */
+START_TEST (test_pause_while_joining)
+{
+  struct Fleet *fleet = running_fleet ((uint32_t) _i + 1, 6);
+
+  for (uint32_t u = 0; u < 4; u++)
+    fleet_drain (fleet, u, true, 500);
+  fleet_run (fleet, 8000);
+  fleet_pause (fleet, 0, 1500);
+  fleet_run (fleet, 2000);
+  ck_assert_int_eq (cf_core_state (fleet->vms[0].core), PEER_JOINING);
+  fleet_pause (fleet, 0, 3000);
+  fleet_run (fleet, 3200);
+  ck_assert_int_eq (cf_core_state (fleet->vms[0].core), PEER_JOINING);
+  fleet_run (fleet, 70000);
+  ck_assert_int_eq (cf_core_state (fleet->vms[0].core), PEER_SERVING);
+  ck_assert_uint_eq (fleet_counter (fleet, CF_COUNT_PAUSES), 2);
+  check_no_broken_flow (fleet, "a VM pauses while it joins again");
+}
+END_TEST
+
 /* What tests/sockets/kill.sh does, on a machine where processes wait for a processor: one VM is
  * killed, one is frozen, and the others pause for up to SPAN_MAX meanwhile. */
 static struct Fleet *
@@ -567,6 +589,7 @@
   suite_add_loop (suite, test_all_pause, SEEDS);
   suite_add_loop (suite, test_pause_before_replication, SEEDS);
   suite_add_loop (suite, test_last_to_join_has_the_entries, SEEDS);
+  suite_add_loop (suite, test_pause_while_joining, SEEDS);
   suite_add_loop (suite, test_kill_and_freeze, SEEDS);
   suite_add_loop (suite, test_kill_and_pause, SEEDS);
   suite_add_loop (suite, test_reordering, SEEDS);
