--- a/src/gue/internal.h
+++ b/src/gue/internal.h
@@ -278,6 +278,7 @@
   uint64_t common_version; /* every live member has this configuration version or a newer one */
   bool unsure; /* marks of other members may be missing: every upstream counts as marked */
   bool partition_suspected; /* members fell silent or have just come back */
+  bool entries_awaited;     /* a member that restarted or paused has not handed over */
 
   uint32_t mark_version;
   uint32_t all_marked; /* members that mark every upstream */
--- a/src/gue/route.c
+++ b/src/gue/route.c
@@ -124,7 +124,7 @@
   if (entry_in_flight (core, route) || (gained >= 0 && route->now - gained < CF_TAKEOVER_MS))
     return true;
   return expects_record (core, route)
-         && (core->partition_suspected
+         && (core->partition_suspected || core->entries_awaited
              || route->now - core->decides_since[bucket] < CF_TAKEOVER_MS);
 }
 
--- a/src/gue/view.c
+++ b/src/gue/view.c
@@ -264,7 +264,7 @@
 }
 
 /* Returns true if members may hold entries that this VM cannot look up: they fell
- * silent and may be partitioned, or came back or restarted and have not handed over yet. */
+ * silent and may be partitioned, or came back and have not handed over yet. */
 static bool
 partition_suspected (const struct CfCore *core, CfMillis now)
 {
@@ -276,9 +276,6 @@
           && member->handover_received != core->incarnation
           && now - member->reconnected_at < CF_PARTITION_MS)
         return true;
-      if (member->alive && member->absent_since >= 0
-          && now - member->absent_since < CF_PARTITION_MS)
-        return true;
       if (!member->alive && member->listed && !member->left && member->incarnation
           && now - member->heard_at < CF_PARTITION_MS)
         return true;
@@ -286,6 +283,22 @@
   return false;
 }
 
+/* Returns true if a member that restarted or paused has not handed over what it kept.  Unlike one
+ * beyond a partition it is heard, so that drains need not wait for it. */
+static bool
+entries_awaited (const struct CfCore *core, CfMillis now)
+{
+  for (guint i = 1; i < core->members->len; i++)
+    {
+      const struct CfMember *member = cf_member (core, i);
+
+      if (member->alive && member->absent_since >= 0
+          && now - member->absent_since < CF_PARTITION_MS)
+        return true;
+    }
+  return false;
+}
+
 void
 cf_view_settle (struct CfCore *core, CfMillis now)
 {
@@ -307,6 +320,7 @@
       fresh &= now - member->heard_at <= CF_MEMBER_STALE_MS && member->sees_this_vm;
     }
   core->partition_suspected = partition_suspected (core, now);
+  core->entries_awaited = entries_awaited (core, now);
   core->config_settled = config_settled;
   core->common_version = common;
   core->settled = config_settled && agreed && fresh && core->state != PEER_JOINING;
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -321,6 +321,29 @@
 }
 END_TEST
 
+/* A VM that has just started waits for entries of the others, which pause: that must not make it
+ * doubt that they know of a drain, and send new flows to draining upstreams. */
+START_TEST (test_awaited_entries_delay_no_drain)
+{
+  struct Fleet *fleet = running_fleet ((uint32_t) _i + 1, 3);
+
+  for (uint32_t u = 0; u < 4; u++)
+    fleet_drain (fleet, u, true, 500);
+  fleet_run (fleet, 8000);
+  fleet_kill (fleet, 1);
+  fleet_run (fleet, 4000);
+  fleet_start (fleet, 1, false);
+  fleet->vms[1].in_fabric = false;
+  fleet_run (fleet, 500);
+  fleet_pause (fleet, 0, 1100);
+  fleet_pause (fleet, 2, 1100);
+  fleet_run (fleet, 1200);
+  fleet->vms[1].in_fabric = true;
+  fleet_run (fleet, 70000);
+  check_no_broken_flow (fleet, "entries are awaited after a start");
+}
+END_TEST
+
 /* What tests/sockets/kill.sh does, on a machine where processes wait for a processor: one VM is
  * killed, one is frozen, and the others pause for up to SPAN_MAX meanwhile. */
 static struct Fleet *
@@ -590,6 +613,7 @@
   suite_add_loop (suite, test_pause_before_replication, SEEDS);
   suite_add_loop (suite, test_last_to_join_has_the_entries, SEEDS);
   suite_add_loop (suite, test_pause_while_joining, SEEDS);
+  suite_add_loop (suite, test_awaited_entries_delay_no_drain, SEEDS);
   suite_add_loop (suite, test_kill_and_freeze, SEEDS);
   suite_add_loop (suite, test_kill_and_pause, SEEDS);
   suite_add_loop (suite, test_reordering, SEEDS);
