--- a/src/gue/internal.h
+++ b/src/gue/internal.h
@@ -186,6 +186,9 @@
   uint64_t handover_received;        /* this VM's incarnation that got its whole handover */
   uint64_t incarnation_before_pause; /* its incarnation when this VM was paused, 0 if dead */
   CfMillis reconnected_at;           /* when it was heard again after it was declared dead, or -1 */
+  /* When an earlier incarnation that had not left was last heard, until the present one has handed
+   * over what it kept, or -1. */
+  CfMillis absent_since;
   struct CfStream stream;
   uint32_t acks[32];
   uint32_t ack_count;
@@ -275,6 +278,7 @@
   uint64_t common_version; /* every live member has this configuration version or a newer one */
   bool unsure; /* marks of other members may be missing: every upstream counts as marked */
   bool partition_suspected; /* members fell silent or have just come back */
+  bool entries_awaited;     /* a member that restarted or paused has not handed over */
 
   uint32_t mark_version;
   uint32_t all_marked; /* members that mark every upstream */
@@ -318,6 +322,9 @@
 void cf_stream_clear (struct CfStream *stream);
 void cf_stream_reset (struct CfStream *stream);
 bool cf_stream_idle (const struct CfStream *stream);
+/* Empties STREAM.  Returns the entries (of struct peer_entry) that its receiver had not
+ * acknowledged; the caller frees the array. */
+GArray *cf_stream_take_pending (struct CfStream *stream);
 void cf_stream_ack (struct CfStream *stream, const peer_entries_ack *ack);
 
 /* choose.c */
@@ -393,6 +400,12 @@
                       bool urgent,
                       CfMillis now);
 void cf_replicate_handover_end (struct CfMember *member);
+/* After a pause: sends MEMBER the present state of the entries that it had not acknowledged, and
+ * sets CF_FLOW_UNSHARED on their records. */
+void cf_replicate_pending (struct CfCore *core, struct CfMember *member, CfMillis now);
+/* Replicates every record with CF_FLOW_UNSHARED to the present holders, clears the flag, and tells
+ * all members that these were all. */
+void cf_replicate_unshared (struct CfCore *core, CfMillis now);
 /* Tells the buckets' owners of recent first packets sent to upstreams whose report flag is set. */
 void cf_report_recent (struct CfCore *core, CfMillis now);
 void cf_receive_entries (struct CfCore *core,
--- a/src/gue/lifecycle.c
+++ b/src/gue/lifecycle.c
@@ -70,14 +70,19 @@
 }
 
 /* After a pause no earlier state is trusted: other members may have taken over this VM's
- * buckets.  The entries are kept as a last resort, in case the whole fleet was paused. */
+ * buckets.  The entries are kept as a last resort, in case the whole fleet was paused.  A VM that
+ * pauses while it is joining starts anew, too: otherwise it would take all others for dead, since
+ * it has not heard them, and serve without their entries.  Who served throughout is then judged
+ * from before the first pause. */
 void
 cf_members_resume (struct CfCore *core, CfMillis now)
 {
+  bool first = !core->holders_before_pause;
+
   core->stats.counter[CF_COUNT_PAUSES]++;
   core->incarnation++;
-  g_free (core->holders_before_pause);
-  core->holders_before_pause = g_memdup2 (core->current.holders, sizeof core->current.holders);
+  if (first)
+    core->holders_before_pause = g_memdup2 (core->current.holders, sizeof core->current.holders);
   for (uint32_t i = 0; i < core->table.capacity; i++)
     if (core->table.flows[i].key)
       core->table.flows[i].flags |= CF_FLOW_STALE;
@@ -85,7 +90,8 @@
     {
       struct CfMember *member = cf_member (core, i);
 
-      member->incarnation_before_pause = member->alive ? member->incarnation : 0;
+      if (first)
+        member->incarnation_before_pause = member->alive ? member->incarnation : 0;
       member->alive = false;
       member->reconnected_at = -1;
       member->handover_received = 0;
@@ -93,7 +99,7 @@
       member->acked_marks = 0;
       member->handover_sent = 0;
       member->ack_count = 0;
-      cf_stream_reset (&member->stream);
+      cf_replicate_pending (core, member, now);
     }
   for (uint32_t i = 0; i < core->slots->len; i++)
     cf_slot (core, i)->grant = 0;
@@ -121,6 +127,19 @@
   return false;
 }
 
+/* A record from before the pause may be dropped only by this VM, when it joins again, and only if
+ * all its holders had acknowledged it and one of them served throughout: that holder has handed
+ * over whatever it still knows of the flow, so that without a new copy the flow has ended.  That a
+ * holder served is no evidence about a record that was still queued or in flight: this VM's copy
+ * may be the only one. */
+static bool
+may_drop (const struct CfCore *core, const struct CfFlow *flow)
+{
+  return (flow->flags & CF_FLOW_STALE) && !(flow->flags & CF_FLOW_UNSHARED)
+         && holder_kept_serving (core, CF_BUCKET (flow->key));
+}
+
+/* Drops what the others know better, and keeps the rest to be replicated. */
 static void
 resolve_stale_flows (struct CfCore *core)
 {
@@ -128,12 +147,13 @@
     {
       struct CfFlow *flow = &core->table.flows[i];
 
-      if (flow->key && (flow->flags & CF_FLOW_STALE)
-          && holder_kept_serving (core, CF_BUCKET (flow->key)))
+      if (flow->key && may_drop (core, flow))
         {
           cf_flows_drop (core, flow);
           continue;
         }
+      if (flow->key && (flow->flags & CF_FLOW_STALE) && flow->kind == CF_FLOW_ENTRY)
+        flow->flags |= CF_FLOW_UNSHARED;
       flow->flags &= ~CF_FLOW_STALE;
       i++;
     }
@@ -173,4 +193,6 @@
       core->decides_since[b] = now - CF_IN_FLIGHT_MS;
     }
   cf_enter_state (core, PEER_SERVING, now);
+  /* The others may have joined while this VM was paused, and none of them had its entries. */
+  cf_replicate_unshared (core, now);
 }
--- a/src/gue/view.c
+++ b/src/gue/view.c
@@ -283,6 +283,22 @@
   return false;
 }
 
+/* Returns true if a member that restarted or paused has not handed over what it kept.  Unlike one
+ * beyond a partition it is heard, so that drains need not wait for it. */
+static bool
+entries_awaited (const struct CfCore *core, CfMillis now)
+{
+  for (guint i = 1; i < core->members->len; i++)
+    {
+      const struct CfMember *member = cf_member (core, i);
+
+      if (member->alive && member->absent_since >= 0
+          && now - member->absent_since < CF_PARTITION_MS)
+        return true;
+    }
+  return false;
+}
+
 void
 cf_view_settle (struct CfCore *core, CfMillis now)
 {
@@ -304,6 +320,7 @@
       fresh &= now - member->heard_at <= CF_MEMBER_STALE_MS && member->sees_this_vm;
     }
   core->partition_suspected = partition_suspected (core, now);
+  core->entries_awaited = entries_awaited (core, now);
   core->config_settled = config_settled;
   core->common_version = common;
   core->settled = config_settled && agreed && fresh && core->state != PEER_JOINING;
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -248,6 +248,102 @@
 }
 END_TEST
 
+/* A VM that pauses with entries still queued for their holders has the only copies: it must not
+ * drop them on joining again because another holder went on serving. */
+START_TEST (test_pause_before_replication)
+{
+  struct Fleet *fleet = running_fleet ((uint32_t) _i + 1, 6);
+
+  for (uint32_t u = 0; u < 4; u++)
+    fleet_drain (fleet, u, true, 500);
+  fleet_run (fleet, 8000);
+  test_network_set_group (fleet->network, 0, 1);
+  for (int i = 0; i < 200; i++)
+    fleet_open (fleet, 0, 20000, 1000);
+  fleet_run (fleet, 100);
+  fleet_pause (fleet, 0, 1500);
+  test_network_set_group (fleet->network, 0, 0);
+  fleet_run (fleet, 70000);
+  ck_assert_uint_eq (fleet_counter (fleet, CF_COUNT_PAUSES), 1);
+  check_no_broken_flow (fleet, "a VM pauses before its entries are replicated");
+}
+END_TEST
+
+/* The only VM that served while all others paused pauses in turn and joins last: it must hand over
+ * the entries that no other VM has, and until then the others must not take their flows for flows
+ * without an entry. */
+START_TEST (test_last_to_join_has_the_entries)
+{
+  struct Fleet *fleet = running_fleet ((uint32_t) _i + 1, 3);
+
+  for (uint32_t u = 0; u < 4; u++)
+    fleet_drain (fleet, u, true, 500);
+  fleet_run (fleet, 8000);
+  for (uint32_t vm = 1; vm < 3; vm++)
+    {
+      fleet_pause (fleet, vm, 4500);
+      fleet->vms[vm].in_fabric = false;
+    }
+  /* The pauses are longer than CF_MEMBER_DEAD_MS, so that VM 0 owns all flows for a while. */
+  fleet_run (fleet, 4000);
+  fleet_pause (fleet, 0, 4000);
+  fleet_run (fleet, 500);
+  for (uint32_t vm = 1; vm < 3; vm++)
+    fleet->vms[vm].in_fabric = true;
+  fleet->vms[0].in_fabric = false;
+  fleet_run (fleet, 10000);
+  fleet->vms[0].in_fabric = true;
+  fleet_run (fleet, 70000);
+  ck_assert_uint_eq (fleet_counter (fleet, CF_COUNT_PAUSES), 3);
+  check_no_broken_flow (fleet, "the last to join has the entries");
+}
+END_TEST
+
+/* A VM that pauses while it joins again must not take the silence for the death of all others and
+ * serve without their entries. */
+START_TEST (test_pause_while_joining)
+{
+  struct Fleet *fleet = running_fleet ((uint32_t) _i + 1, 6);
+
+  for (uint32_t u = 0; u < 4; u++)
+    fleet_drain (fleet, u, true, 500);
+  fleet_run (fleet, 8000);
+  fleet_pause (fleet, 0, 1500);
+  fleet_run (fleet, 2000);
+  ck_assert_int_eq (cf_core_state (fleet->vms[0].core), PEER_JOINING);
+  fleet_pause (fleet, 0, 3000);
+  fleet_run (fleet, 3200);
+  ck_assert_int_eq (cf_core_state (fleet->vms[0].core), PEER_JOINING);
+  fleet_run (fleet, 70000);
+  ck_assert_int_eq (cf_core_state (fleet->vms[0].core), PEER_SERVING);
+  ck_assert_uint_eq (fleet_counter (fleet, CF_COUNT_PAUSES), 2);
+  check_no_broken_flow (fleet, "a VM pauses while it joins again");
+}
+END_TEST
+
+/* A VM that has just started waits for entries of the others, which pause: that must not make it
+ * doubt that they know of a drain, and send new flows to draining upstreams. */
+START_TEST (test_awaited_entries_delay_no_drain)
+{
+  struct Fleet *fleet = running_fleet ((uint32_t) _i + 1, 3);
+
+  for (uint32_t u = 0; u < 4; u++)
+    fleet_drain (fleet, u, true, 500);
+  fleet_run (fleet, 8000);
+  fleet_kill (fleet, 1);
+  fleet_run (fleet, 4000);
+  fleet_start (fleet, 1, false);
+  fleet->vms[1].in_fabric = false;
+  fleet_run (fleet, 500);
+  fleet_pause (fleet, 0, 1100);
+  fleet_pause (fleet, 2, 1100);
+  fleet_run (fleet, 1200);
+  fleet->vms[1].in_fabric = true;
+  fleet_run (fleet, 70000);
+  check_no_broken_flow (fleet, "entries are awaited after a start");
+}
+END_TEST
+
 /* What tests/sockets/kill.sh does, on a machine where processes wait for a processor: one VM is
  * killed, one is frozen, and the others pause for up to SPAN_MAX meanwhile. */
 static struct Fleet *
@@ -514,6 +610,10 @@
   suite_add_loop (suite, test_partition, SEEDS);
   suite_add_loop (suite, test_pause, SEEDS);
   suite_add_loop (suite, test_all_pause, SEEDS);
+  suite_add_loop (suite, test_pause_before_replication, SEEDS);
+  suite_add_loop (suite, test_last_to_join_has_the_entries, SEEDS);
+  suite_add_loop (suite, test_pause_while_joining, SEEDS);
+  suite_add_loop (suite, test_awaited_entries_delay_no_drain, SEEDS);
   suite_add_loop (suite, test_kill_and_freeze, SEEDS);
   suite_add_loop (suite, test_kill_and_pause, SEEDS);
   suite_add_loop (suite, test_reordering, SEEDS);
