--- a/src/feed/record.h
+++ b/src/feed/record.h
@@ -45,7 +45,7 @@
 {
   char *name;
   uint64_t revision; /* of the last change; a deletion has its own or that of the change before */
-  uint64_t era;      /* of the store's history that the revision counts in */
+  uint64_t era;      /* that the revision counts in: the number of eras entered until then */
   uint64_t learned_revision;  /* in a replica: revision of the response with the last change */
   struct CfRecordOrder order; /* of the content, of the last one if deleted */
   bool deleted;
--- a/src/feed/relay.h
+++ b/src/feed/relay.h
@@ -10,7 +10,7 @@
 /* Header of a response with the era of its records, which no VM of a build before eras sends. */
 #define CF_RELAY_ERA_HEADER "Feed-Era"
 
-/* The largest revision and era that another VM is believed. */
+/* The largest revision and era that another VM is believed; see also era.h. */
 #define CF_RELAY_NUMBER_MAX ((uint64_t) INT64_MAX)
 
 /* Reads the value TEXT of that header.  Returns false if it is not valid. */
--- a/src/feed/replica.c
+++ b/src/feed/replica.c
@@ -4,6 +4,7 @@
 cf_replica_init (struct CfReplica *replica)
 {
   replica->era = 0;
+  replica->eras = 0;
   replica->carry_since = -1;
   replica->generation = 0;
   for (int kind = 0; kind < CF_FEED_KINDS; kind++)
@@ -33,7 +34,7 @@
 bool
 cf_replica_is_carried (const struct CfReplica *replica, const struct CfRecord *record)
 {
-  return record->era < replica->era;
+  return record->era < replica->eras;
 }
 
 static void
@@ -68,6 +69,7 @@
   if (!cf_replica_is_empty (replica))
     replica->carry_since = now;
   replica->era = era;
+  replica->eras++;
   replica->generation++;
   for (int kind = 0; kind < CF_FEED_KINDS; kind++)
     {
@@ -124,7 +126,7 @@
 static void
 set_stored (const struct CfReplica *replica, struct CfRecord *record, uint64_t revision)
 {
-  record->era = replica->era;
+  record->era = replica->eras;
   record->revision = revision;
   set_superseded (record, NULL);
 }
@@ -189,7 +191,7 @@
     return EFFECT_NONE;
   added = cf_record_new (record->name, record->revision, record->deleted, record->text);
   added->order = record->order;
-  added->era = record->revision > 0 ? replica->era : 0;
+  added->era = record->revision > 0 ? replica->eras : 0;
   if (cf_replica_is_carried (replica, added))
     replica->carrying[kind] = true;
   g_hash_table_insert (replica->records[kind], added->name, added);
--- a/src/feed/replica.h
+++ b/src/feed/replica.h
@@ -28,6 +28,7 @@
 struct CfReplica
 {
   uint64_t era;                            /* of the store, 0: not known */
+  uint64_t eras;                           /* entered so far; it rises when a wrong era is left */
   CfMillis carry_since;                    /* when records were first carried in it, -1: none */
   bool carrying[CF_FEED_KINDS];            /* there may be carried records */
   GHashTable *records[CF_FEED_KINDS];      /* name to struct CfRecord, deleted ones included */
@@ -40,7 +41,7 @@
 void cf_replica_init (struct CfReplica *replica);
 void cf_replica_clear (struct CfReplica *replica);
 
-/* Enters the era ERA, which is later than the replica's. */
+/* Enters the era ERA, which is another than the replica's. */
 void cf_replica_enter_era (struct CfReplica *replica, uint64_t era, CfMillis now);
 
 /* Returns true if the replica has never had data. */
--- a/src/serve/feed_enroll.c
+++ b/src/serve/feed_enroll.c
@@ -74,7 +74,7 @@
   uint64_t era = cf_platform_era (message);
 
   enroll->call = NULL;
-  cf_feed_learn_era (task, era);
+  cf_feed_learn_era (task, NULL, era);
   if (era > 0 && era < task->replica.era)
     {
       /* The store was restored since, perhaps from a copy without this write. */
@@ -109,7 +109,7 @@
   guint status = body ? soup_message_get_status (message) : 0;
 
   task->enroll.delete = NULL;
-  cf_feed_learn_era (task, cf_platform_era (message));
+  cf_feed_learn_era (task, NULL, cf_platform_era (message));
   /* A failed delete is tried again at the next check.  If the VM does run, it writes its record
    * again. */
   if (status < 200 || status >= 300)
--- a/src/serve/feed_follow.c
+++ b/src/serve/feed_follow.c
@@ -42,8 +42,7 @@
     return task->replica.carry_since < 0;
   if (!cf_relay_parse_era (era, &number) || number < task->replica.era)
     return false;
-  cf_feed_learn_era (task, number);
-  return true;
+  return cf_feed_learn_era (task, task->follow.name, number) != CF_ERA_DOUBTED;
 }
 
 static bool
--- a/src/serve/feed_internal.h
+++ b/src/serve/feed_internal.h
@@ -2,6 +2,7 @@
 #define CF_SERVE_FEED_INTERNAL_H
 
 #include "balancer.h"
+#include "feed/era.h"
 #include "feed/feed.h"
 #include "feed/reader.h"
 #include "feed/relay.h"
@@ -60,6 +61,7 @@
   GSource *timer;
   GRand *random;
   struct CfReplica replica;
+  struct CfEraDoubt era_doubt;
   struct CfSources *sources;
   char *source;       /* name of the VM that is followed, "" for the store, NULL: none yet */
   CfMillis synced_at; /* the replica holds the store's data of this time, -1: never */
@@ -89,9 +91,10 @@
 /* Starts what is due in all parts, and sets the timer to the earliest time that they return. */
 void cf_feed_tick (struct FeedTask *task);
 
-/* The store or another VM has records of ERA: enters it if it is later than the replica's.  All
- * readers start over with a list, and calls under way to read the store are cancelled. */
-void cf_feed_learn_era (struct FeedTask *task, uint64_t era);
+/* The VM called SOURCE, or the store (NULL), gave ERA (0: none) in an answer: enters it if it is
+ * believed and another than the replica's.  All readers then start over with a list, and calls
+ * under way to read the store are cancelled.  What comes with a doubted one must not be used. */
+enum CfEraVerdict cf_feed_learn_era (struct FeedTask *task, const char *source, uint64_t era);
 
 /* Has the readers enter the replica's era, and cancels the calls that this makes useless. */
 void cf_feed_store_enter_era (struct FeedTask *task, CfMillis now);
--- a/src/serve/feed_store.c
+++ b/src/serve/feed_store.c
@@ -123,7 +123,8 @@
   if (outcome == CF_READ_ANSWERED && cf_reader_is_stuck (reader, &response))
     outcome = CF_READ_UNREADABLE;
   outcome = cf_reader_outcome (reader, outcome, response.era);
-  cf_feed_learn_era (task, response.era);
+  if (cf_feed_learn_era (task, NULL, response.era) == CF_ERA_DOUBTED)
+    outcome = CF_READ_REJECTED;
   known_revision = task->replica.revision[reader->kind];
   if (response.skipped > 0 || response.emptied > 0)
     cf_event_log_write_limited (task->balancer->log, &task->source_rate, "answer-partly-unreadable",
--- a/src/serve/feed_task.c
+++ b/src/serve/feed_task.c
@@ -124,14 +124,33 @@
   cf_send_update (task->balancer, update);
 }
 
-void
-cf_feed_learn_era (struct FeedTask *task, uint64_t era)
+static void
+log_doubted_era (struct FeedTask *task, const char *source, uint64_t era, CfMillis now)
+{
+  cf_event_log_write_limited (
+      task->balancer->log, &task->source_rate, "store-era-doubted",
+      (struct CfField[]){
+          { .key = "era", .number = (int64_t) MIN (era, CF_ERA_MAX) },
+          { .key = "held", .number = (int64_t) task->replica.era },
+          { .key = "source", .text = source ? source : "store" },
+          { .key = "answers", .number = source ? 0 : task->era_doubt.answers },
+          { 0 },
+      },
+      now);
+}
+
+enum CfEraVerdict
+cf_feed_learn_era (struct FeedTask *task, const char *source, uint64_t era)
 {
   uint64_t previous = task->replica.era;
   CfMillis now = cf_now ();
+  enum CfEraVerdict verdict = source ? cf_era_judge (previous, era)
+                                     : cf_era_judge_store (&task->era_doubt, previous, era, now);
 
-  if (era <= previous)
-    return;
+  if (verdict == CF_ERA_DOUBTED)
+    log_doubted_era (task, source, era, now);
+  if (verdict != CF_ERA_LATER)
+    return verdict;
   cf_replica_enter_era (&task->replica, era, now);
   cf_feed_store_enter_era (task, now);
   cf_feed_enroll_check (task, now);
@@ -144,6 +163,7 @@
                           { .key = "news_age_ms", .number = cf_feed_age (task, now) },
                           { 0 },
                       });
+  return verdict;
 }
 
 void
--- a/tests/test_eras.c
+++ b/tests/test_eras.c
@@ -1,3 +1,4 @@
+#include "feed/era.h"
 #include "feed/reader.h"
 #include "feed/replica.h"
 #include "platform/store_requests.h"
@@ -156,7 +157,8 @@
   {
     const char *header;
     uint64_t era;
-  } cases[] = { { NULL, 0 }, { "3", 3 }, { "", 0 }, { "-1", 0 }, { "3x", 0 } };
+  } cases[] = { { NULL, 0 }, { "3", 3 },  { "", 0 },
+                { "-1", 0 }, { "3x", 0 }, { "18446744073709551616", UINT64_MAX } };
 
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
     {
@@ -171,6 +173,48 @@
 }
 END_TEST
 
+/* A VM that left a wrong era took what it had in it for later than the store's records. */
+START_TEST (test_records_of_a_left_era_are_carried)
+{
+  struct CfReplica replica;
+  const struct CfRecord *record;
+
+  cf_replica_init (&replica);
+  cf_replica_enter_era (&replica, 1000000, 0);
+  list (&replica, CF_FEED_UPSTREAMS, "i-1", "{}", 29);
+  record = g_hash_table_lookup (replica.records[CF_FEED_UPSTREAMS], "i-1");
+  cf_replica_enter_era (&replica, 1, ERA_AT_MS);
+  ck_assert (cf_replica_is_carried (&replica, record));
+  list (&replica, CF_FEED_UPSTREAMS, "i-1", "{}", 7);
+  ck_assert (!cf_replica_is_carried (&replica, record));
+  ck_assert_uint_eq (record->revision, 7);
+  ck_assert_uint_gt (record->era, 1);
+  cf_replica_clear (&replica);
+}
+END_TEST
+
+/* One wrong answer, or several that differ, must not be enough, and a right one ends the doubt. */
+START_TEST (test_doubted_era_needs_confirmation)
+{
+  struct CfEraDoubt doubt = { 0 };
+  const CfMillis end = CF_ERA_CONFIRM_MS;
+
+  ck_assert_int_eq (cf_era_judge_store (&doubt, 0, 5000, 0), CF_ERA_LATER);
+  ck_assert_int_eq (cf_era_judge_store (&doubt, 5, 5 + CF_ERA_JUMP_MAX, 0), CF_ERA_LATER);
+  ck_assert_int_eq (cf_era_judge_store (&doubt, 5000, 5000 - CF_ERA_JUMP_MAX, 0), CF_ERA_EARLIER);
+  ck_assert_int_eq (cf_era_judge_store (&doubt, 5000, 5, 0), CF_ERA_DOUBTED);
+  ck_assert_int_eq (cf_era_judge_store (&doubt, 5000, 5, 1), CF_ERA_DOUBTED);
+  ck_assert_int_eq (cf_era_judge_store (&doubt, 5000, 5, end - 1), CF_ERA_DOUBTED);
+  ck_assert_int_eq (cf_era_judge_store (&doubt, 5000, 5000, end), CF_ERA_HELD);
+  ck_assert_int_eq (cf_era_judge_store (&doubt, 5000, 5, end), CF_ERA_DOUBTED);
+  ck_assert_int_eq (cf_era_judge_store (&doubt, 5000, 6, 2 * end), CF_ERA_DOUBTED);
+  ck_assert_int_eq (cf_era_judge_store (&doubt, 5000, 6, 3 * end), CF_ERA_DOUBTED);
+  ck_assert_int_eq (cf_era_judge_store (&doubt, 5000, 6, 3 * end), CF_ERA_LATER);
+  for (int i = 0; i <= 2 * CF_ERA_CONFIRM_ANSWERS; i++)
+    ck_assert_int_eq (cf_era_judge_store (&doubt, 5, CF_ERA_MAX + 1, i * end), CF_ERA_DOUBTED);
+}
+END_TEST
+
 START_TEST (test_order_of_contents)
 {
   static const struct
@@ -211,6 +255,8 @@
   suite_add_loop (suite, test_earlier_announcement_waits, 1);
   suite_add_loop (suite, test_reader_starts_over, 1);
   suite_add_loop (suite, test_era_of_response, 1);
+  suite_add_loop (suite, test_records_of_a_left_era_are_carried, 1);
+  suite_add_loop (suite, test_doubted_era_needs_confirmation, 1);
   suite_add_loop (suite, test_order_of_contents, 1);
   return suite_run (suite);
 }
--- a/tests/test_feed_calls.c
+++ b/tests/test_feed_calls.c
@@ -226,7 +226,7 @@
       settings->seeds = g_new0 (char *, 2);
       settings->seeds[0] = g_strdup (ip);
     }
-  cf_feed_learn_era (play->feed.task, 1);
+  cf_feed_learn_era (play->feed.task, NULL, 1);
   feed_play_start (&play->feed);
   g_free (ip);
 }
@@ -460,6 +460,76 @@
 }
 END_TEST
 
+static void
+set_era (struct Play *play, const char *header)
+{
+  g_mutex_lock (&play->store.mutex);
+  play->era = header;
+  g_cond_broadcast (&play->store.changed);
+  g_mutex_unlock (&play->store.mutex);
+}
+
+static bool
+has_lost_store (const void *data)
+{
+  return ((const struct Play *) data)->feed.task->channels[CF_FEED_UPSTREAMS].failed;
+}
+
+/* An answer gives an era above 2^63, or one that no restores can explain.  The VM believed it, and
+ * refused every later answer of the store. */
+START_TEST (test_unbelievable_era_is_not_adopted)
+{
+  static const char *const eras[] = {
+    "Store-Era: 9223372036854775809\r\n",
+    "Store-Era: 18446744073709551616\r\n",
+    "Store-Era: 1000000\r\n",
+  };
+  struct Play play;
+
+  start (&play, false);
+  set_era (&play, eras[_i]);
+  feed_play_await (&play.feed, has_lost_store, &play, "an answer with that era");
+  ck_assert_uint_eq (play.feed.task->replica.era, 1);
+  set_era (&play, "Store-Era: 1\r\n");
+  put (&play, CF_FEED_UPSTREAMS, "i-1", "{}");
+  feed_play_await (&play.feed, knows_upstream, &play, "the change");
+  stop (&play);
+}
+END_TEST
+
+/* Another VM has adopted such an era: its records are not taken, and the store is read instead. */
+START_TEST (test_unbelievable_era_of_vm_is_not_adopted)
+{
+  struct Play play;
+
+  start (&play, true);
+  put (&play, CF_FEED_UPSTREAMS, "i-1", "{}");
+  g_mutex_lock (&play.vm.mutex);
+  play.vm.headers = CF_RELAY_ERA_HEADER ": 1000000\r\n";
+  g_mutex_unlock (&play.vm.mutex);
+  feed_play_await (&play.feed, knows_upstream, &play, "the change, from the store");
+  ck_assert_uint_eq (play.feed.task->replica.era, 1);
+  stop (&play);
+}
+END_TEST
+
+/* A VM that starts takes the first era that it hears of.  It stayed with a wrong one for good. */
+START_TEST (test_wrong_era_is_left)
+{
+  struct Play play;
+
+  prepare (&play);
+  copy_store (&play);
+  play.era = "Store-Era: 1\r\n";
+  begin (&play, false);
+  cf_feed_learn_era (play.feed.task, NULL, 1000000);
+  put (&play, CF_FEED_UPSTREAMS, "i-1", "{}");
+  feed_play_await (&play.feed, knows_upstream, &play, "the store's records");
+  ck_assert_uint_eq (play.feed.task->replica.era, 1);
+  stop (&play);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -473,5 +543,8 @@
   suite_add_loop (suite, test_write_of_an_earlier_era_is_repeated, 1);
   suite_add_loop (suite, test_silent_watch_of_vms_is_replaced, 1);
   suite_add_loop (suite, test_silent_connection_to_vm_is_replaced, 2);
+  suite_add_loop (suite, test_unbelievable_era_is_not_adopted, 3);
+  suite_add_loop (suite, test_unbelievable_era_of_vm_is_not_adopted, 1);
+  suite_add_loop (suite, test_wrong_era_is_left, 1);
   return suite_run (suite);
 }
--- a/tests/test_feed_lifetime.c
+++ b/tests/test_feed_lifetime.c
@@ -100,7 +100,7 @@
   cf_replica_init (&feed->answer);
   feed->followed = listen_at (ip, settings->peer_port, feed);
   feed_play_start (&feed->play);
-  cf_feed_learn_era (feed->play.task, 1);
+  cf_feed_learn_era (feed->play.task, NULL, 1);
   add_vm (records, "vm-1", ip, 1);
   add_vm (records, "vm-2", settings->ip, 1);
   cf_feed_apply (feed->play.task, CF_FEED_VMS, records, 1, true, true);
