--- a/Makefile
+++ b/Makefile
@@ -68,9 +68,9 @@
 	$(CC) $^ $(LIBS) $(CHECK_LIBS) -o $@
 
 # These tests run a task of the program, or what tasks share.
-$(BUILD)/test_feed_lifetime $(BUILD)/test_feed_calls $(BUILD)/test_feed_load: \
-  $(FEED_PLAY_SRC:%.c=$(BUILD)/%.o)
-$(BUILD)/test_feed_lifetime $(BUILD)/test_feed_calls $(BUILD)/test_feed_load \
+FEED_TESTS = $(addprefix $(BUILD)/test_feed_,lifetime calls load names)
+$(FEED_TESTS): $(FEED_PLAY_SRC:%.c=$(BUILD)/%.o)
+$(FEED_TESTS) \
 $(BUILD)/test_connection_reset $(BUILD)/test_platform_task: \
   $(filter $(BUILD)/src/serve/%,$(APP_OBJ))
 
--- a/src/serve/feed_internal.h
+++ b/src/serve/feed_internal.h
@@ -5,6 +5,7 @@
 #include "feed/era.h"
 #include "feed/feed.h"
 #include "feed/reader.h"
+#include "feed/names.h"
 #include "feed/relay.h"
 #include "feed/replica.h"
 #include "feed/rotation.h"
@@ -62,6 +63,8 @@
   GRand *random;
   struct CfReplica replica;
   struct CfEraDoubt era_doubt;
+  struct CfNames names; /* from records that this task has passed on */
+  bool name_refused;    /* records were not passed on because of a name */
   struct CfSources *sources;
   char *source;       /* name of the VM that is followed, "" for the store, NULL: none yet */
   CfMillis synced_at; /* the replica holds the store's data of this time, -1: never */
@@ -71,6 +74,7 @@
   CfMillis probed_at;  /* when the store last answered this VM, -1: never */
   struct CfEventRate source_rate;
   struct CfEventRate datagram_rate;
+  struct CfEventRate record_rate;
   CfMillis summary_at; /* when the next summary is due */
   struct FeedChannel channels[CF_FEED_KINDS];
   struct FeedFollow follow;
--- a/src/serve/feed_load.c
+++ b/src/serve/feed_load.c
@@ -59,7 +59,7 @@
     return true;
   /* The domain of a listed VM is from the store.  It may have no upstream, so that the datapath
    * task does not know it yet. */
-  g_quark_from_string (report.domain);
-  cf_send_peer_load (balancer, &report);
+  if (cf_names_admit (&task->names, CF_NAME_DOMAIN, report.domain))
+    cf_send_peer_load (balancer, &report);
   return true;
 }
--- a/src/serve/feed_task.c
+++ b/src/serve/feed_task.c
@@ -14,6 +14,38 @@
 #define SOURCE_LINES_BURST 10
 #define SUMMARY_INTERVAL_MS 10000 /* a line about the state of the feed */
 
+/* Returns true if NAME, of KIND, is within the bound of names.  If it is not, ERROR says so of
+ * RECORD. */
+static bool
+admit_name (struct FeedTask *task,
+            const struct CfRecord *record,
+            enum CfNameKind kind,
+            const char *name,
+            struct CfError *error)
+{
+  if (cf_names_admit (&task->names, kind, name))
+    return true;
+  task->name_refused = true;
+  return cf_error_set (
+      error, CF_ERROR_INPUT, "%s: its %s is in no manifest, and %d others that are not are known",
+      record->name, kind == CF_NAME_SERVICE ? "service" : "failure domain", CF_NAMES_MAX);
+}
+
+static bool
+read_announcement (struct FeedTask *task,
+                   const struct CfRecord *record,
+                   struct CfAnnouncement *announcement,
+                   struct CfError *error)
+{
+  if (!cf_platform_read_announcement (record, announcement, error))
+    return false;
+  if (admit_name (task, record, CF_NAME_SERVICE, announcement->service, error)
+      && admit_name (task, record, CF_NAME_DOMAIN, announcement->domain, error))
+    return true;
+  cf_platform_announcement_clear (announcement);
+  return false;
+}
+
 static void
 add_upstream (struct FeedTask *task, struct CfUpdate *update, const struct CfRecord *record)
 {
@@ -26,18 +58,19 @@
       g_ptr_array_add (update->withdrawn, g_strdup (record->name));
       return;
     }
-  if (cf_platform_read_announcement (record, &announcement, &error))
+  if (read_announcement (task, record, &announcement, &error))
     {
       g_array_append_val (update->announcements, announcement);
       return;
     }
-  cf_event_log_write (task->balancer->log, "announcement-unreadable",
-                      (struct CfField[]){
-                          { .key = "upstream", .text = record->name },
-                          { .key = "revision", .number = (int64_t) record->revision },
-                          { .key = "fault", .text = error.text },
-                          { 0 },
-                      });
+  cf_event_log_write_limited (task->balancer->log, &task->record_rate, "announcement-unreadable",
+                              (struct CfField[]){
+                                  { .key = "upstream", .text = record->name },
+                                  { .key = "revision", .number = (int64_t) record->revision },
+                                  { .key = "fault", .text = error.text },
+                                  { 0 },
+                              },
+                              cf_now ());
   g_ptr_array_add (update->withdrawn, g_strdup (record->name));
 }
 
@@ -65,6 +98,32 @@
   update->manifest = manifest;
 }
 
+static void
+add_evacuation (struct FeedTask *task, struct CfUpdate *update, const struct CfRecord *record)
+{
+  struct CfError error = { 0 };
+
+  if (record->deleted)
+    {
+      if (g_quark_try_string (record->name))
+        g_ptr_array_add (update->returned, g_strdup (record->name));
+      return;
+    }
+  if (admit_name (task, record, CF_NAME_DOMAIN, record->name, &error))
+    {
+      g_ptr_array_add (update->evacuated, g_strdup (record->name));
+      return;
+    }
+  cf_event_log_write_limited (task->balancer->log, &task->record_rate, "evacuation-unreadable",
+                              (struct CfField[]){
+                                  { .key = "domain", .text = record->name },
+                                  { .key = "revision", .number = (int64_t) record->revision },
+                                  { .key = "fault", .text = error.text },
+                                  { 0 },
+                              },
+                              cf_now ());
+}
+
 /* Returns the IPs of other VMs, an array of uint32_t. */
 static GArray *
 peers (struct FeedTask *task)
@@ -105,8 +164,7 @@
           add_upstream (task, update, record);
           break;
         case CF_FEED_EVACUATIONS:
-          g_ptr_array_add (record->deleted ? update->returned : update->evacuated,
-                           g_strdup (record->name));
+          add_evacuation (task, update, record);
           break;
         case CF_FEED_VMS:
           cf_feed_enroll_read (task, record);
@@ -124,6 +182,22 @@
   cf_send_update (task->balancer, update);
 }
 
+/* A manifest may list names that were refused: passes on the records that were not. */
+static void
+send_refused (struct FeedTask *task)
+{
+  static const enum CfFeedKind kinds[] = { CF_FEED_EVACUATIONS, CF_FEED_UPSTREAMS };
+
+  task->name_refused = false;
+  for (size_t i = 0; i < G_N_ELEMENTS (kinds); i++)
+    {
+      GPtrArray *records = cf_replica_since (&task->replica, kinds[i], 0);
+
+      send_records (task, kinds[i], records, false);
+      g_ptr_array_unref (records);
+    }
+}
+
 static void
 log_doubted_era (struct FeedTask *task, const char *source, uint64_t era, CfMillis now)
 {
@@ -181,6 +255,8 @@
   changes = cf_replica_apply (&task->replica, kind, records, revision, whole);
   if (changes->len > 0)
     send_records (task, kind, changes, trusted);
+  if (kind == CF_FEED_MANIFEST && changes->len > 0 && task->name_refused)
+    send_refused (task);
   g_ptr_array_unref (changes);
 }
 
@@ -408,6 +484,7 @@
   task->source_rate
       = (struct CfEventRate){ .per_s = SOURCE_LINES_PER_S, .burst = SOURCE_LINES_BURST };
   task->datagram_rate = task->source_rate;
+  task->record_rate = task->source_rate;
   task->stop_at = -1;
   task->incarnation = (uint64_t) (g_get_real_time () / G_TIME_SPAN_MILLISECOND);
   task->sources = cf_sources_new (balancer->settings.name, balancer->settings.failure_domain,
