--- a/src/serve/feed_task.c
+++ b/src/serve/feed_task.c
@@ -27,8 +27,10 @@
     return true;
   task->name_refused = true;
   return cf_error_set (
-      error, CF_ERROR_INPUT, "%s: its %s is in no manifest, and %d others that are not are known",
-      record->name, kind == CF_NAME_SERVICE ? "service" : "failure domain", CF_NAMES_MAX);
+      error, CF_ERROR_INPUT,
+      "%s: its %s is in no manifest, and above %d bytes or the bound of %d such names",
+      record->name, kind == CF_NAME_SERVICE ? "service" : "failure domain", CF_NAME_MAX_BYTES,
+      CF_NAMES_MAX);
 }
 
 static bool
@@ -193,6 +195,9 @@
     {
       GPtrArray *records = cf_replica_since (&task->replica, kinds[i], 0);
 
+      for (guint j = records->len; j > 0; j--)
+        if (((const struct CfRecord *) records->pdata[j - 1])->deleted)
+          g_ptr_array_remove_index_fast (records, j - 1);
       send_records (task, kinds[i], records, false);
       g_ptr_array_unref (records);
     }
