--- a/src/feed/relay.c
+++ b/src/feed/relay.c
@@ -7,6 +7,9 @@
 /* Deflating shorter responses gains nothing. */
 #define DEFLATE_MIN_BYTES 512
 #define ERA_KEY "era" /* in the query of a request */
+#define XDR_UNIT 4    /* bytes; what is encoded takes a multiple of it */
+
+static const char zeros[XDR_UNIT];
 
 static bool
 parse_number (const char *text, uint64_t *number)
@@ -168,11 +171,20 @@
   return entry;
 }
 
-GBytes *
-cf_relay_encode (struct CfRelayCache *cache,
-                 const struct CfReplica *replica,
-                 const struct CfFeedPosition *position,
-                 const struct CfUpdateOrigin *origin)
+void
+cf_relay_chunks_clear (struct CfRelayChunks *chunks)
+{
+  g_clear_pointer (&chunks->head, g_bytes_unref);
+  g_clear_pointer (&chunks->parts, g_bytes_unref);
+  g_clear_pointer (&chunks->padding, g_bytes_unref);
+}
+
+bool
+cf_relay_encode_chunks (struct CfRelayCache *cache,
+                        const struct CfReplica *replica,
+                        const struct CfFeedPosition *position,
+                        const struct CfUpdateOrigin *origin,
+                        struct CfRelayChunks *chunks)
 {
   const struct CfRelayEntry *entry = find_or_encode (cache, replica, position);
   struct feed_news update = {
@@ -180,14 +192,54 @@
     .age_ms = (uint64_t) MAX (origin->age, 0),
     .settled = origin->settled,
   };
-  gsize len;
+  GByteArray *head;
+  GBytes *empty;
+  uint32_t len;
 
+  *chunks = (struct CfRelayChunks){ 0 };
   if (!entry)
-    return NULL;
+    return false;
   update.size = entry->size;
-  update.parts.parts_val = (char *) g_bytes_get_data (entry->parts, &len);
-  update.parts.parts_len = (u_int) len;
-  return encode ((xdrproc_t) xdr_feed_news, &update);
+  empty = encode ((xdrproc_t) xdr_feed_news, &update);
+  if (!empty)
+    return false;
+  /* Without parts, the encoding ends with their length. */
+  head = g_bytes_unref_to_array (empty);
+  len = GUINT32_TO_BE ((uint32_t) g_bytes_get_size (entry->parts));
+  memcpy (head->data + head->len - sizeof len, &len, sizeof len);
+  chunks->head = g_byte_array_free_to_bytes (head);
+  chunks->parts = g_bytes_ref (entry->parts);
+  chunks->padding = g_bytes_new_static (
+      zeros, (XDR_UNIT - g_bytes_get_size (entry->parts) % XDR_UNIT) % XDR_UNIT);
+  return true;
+}
+
+static void
+append (GByteArray *array, GBytes *bytes)
+{
+  gsize len;
+  const void *data = g_bytes_get_data (bytes, &len);
+
+  g_byte_array_append (array, data, (guint) len);
+}
+
+GBytes *
+cf_relay_encode (struct CfRelayCache *cache,
+                 const struct CfReplica *replica,
+                 const struct CfFeedPosition *position,
+                 const struct CfUpdateOrigin *origin)
+{
+  struct CfRelayChunks chunks;
+  GByteArray *array;
+
+  if (!cf_relay_encode_chunks (cache, replica, position, origin, &chunks))
+    return NULL;
+  array = g_byte_array_new ();
+  append (array, chunks.head);
+  append (array, chunks.parts);
+  append (array, chunks.padding);
+  cf_relay_chunks_clear (&chunks);
+  return g_byte_array_free_to_bytes (array);
 }
 
 void
--- a/src/feed/relay.h
+++ b/src/feed/relay.h
@@ -58,9 +58,27 @@
   bool settled; /* announcements that expired in an outage of the store have been renewed */
 };
 
-/* Returns the changes of REPLICA after POSITION, all of its records if POSITION is of another era,
- * encoded, or NULL if they exceed the format's bounds.  CACHE has to be zeroed at first and serves
- * one replica. */
+/* An encoded update: HEAD, PARTS and PADDING, one after the other.  PARTS, the largest, belongs to
+ * all responses with the same changes. */
+struct CfRelayChunks
+{
+  GBytes *head;
+  GBytes *parts;
+  GBytes *padding;
+};
+
+void cf_relay_chunks_clear (struct CfRelayChunks *chunks);
+
+/* Encodes the changes of REPLICA after POSITION, all of its records if POSITION is of another era,
+ * to be released with cf_relay_chunks_clear.  Returns false if they exceed the format's bounds.
+ * CACHE has to be zeroed at first and serves one replica. */
+bool cf_relay_encode_chunks (struct CfRelayCache *cache,
+                             const struct CfReplica *replica,
+                             const struct CfFeedPosition *position,
+                             const struct CfUpdateOrigin *origin,
+                             struct CfRelayChunks *chunks);
+
+/* The same in one piece, NULL if they exceed the bounds. */
 GBytes *cf_relay_encode (struct CfRelayCache *cache,
                          const struct CfReplica *replica,
                          const struct CfFeedPosition *position,
--- a/src/serve/feed_follow.c
+++ b/src/serve/feed_follow.c
@@ -80,6 +80,16 @@
   return task->synced_at >= 0 && now - task->synced_at < CF_SOURCES_STALE_FIRST_MS;
 }
 
+static const char *
+outcome_name (SoupMessage *message, GBytes *body)
+{
+  if (!body)
+    return "no-answer";
+  if (soup_message_get_status (message) == SOUP_STATUS_SERVICE_UNAVAILABLE)
+    return "refused";
+  return soup_message_get_status (message) == SOUP_STATUS_OK ? "stale" : "no-answer";
+}
+
 static void
 answered (void *data, SoupMessage *message, GBytes *body)
 {
@@ -98,7 +108,7 @@
     cf_event_log_write_limited (task->balancer->log, &task->source_rate, "source-failed",
                                 (struct CfField[]){
                                     { .key = "source", .text = follow->name },
-                                    { .key = "outcome", .text = answer ? "stale" : "no-answer" },
+                                    { .key = "outcome", .text = outcome_name (message, body) },
                                     { .key = "news_age_ms", .number = cf_feed_age (task, now) },
                                     { 0 },
                                 },
--- a/src/serve/feed_internal.h
+++ b/src/serve/feed_internal.h
@@ -90,6 +90,8 @@
   struct CfHttpServer *relay;
   struct CfRelayCache relay_cache;
   GQueue waiting; /* of struct RelayRequest: followers that wait for changes */
+  GQueue sending; /* of struct RelayResponse: responses under way, the oldest first */
+  struct CfEventRate relay_rate;
 };
 
 /* Starts what is due in all parts, and sets the timer to the earliest time that they return. */
@@ -133,6 +135,21 @@
 /* Requests changes from SOURCE unless a request is in progress; returns when to call again. */
 CfMillis cf_feed_follow_tick (struct FeedTask *task, const struct CfSource *source, CfMillis now);
 
+/* Bounds of the responses under way, whatever clients request and however they read.  Beyond them
+ * those that make no progress are ended, or a request is refused with status 503. */
+/* The kernel buffers up to 128 KB of each (http_listen.h), 32 MB of all. */
+#define CF_RELAY_SENDING_MAX 256
+/* Bytes of bodies that they hold together, beside those in the cache; several responses share one.
+ * All records of 16,000 upstreams take 0.5 MB. */
+#define CF_RELAY_HELD_MAX_BYTES (16 * 1048576)
+/* A response of which the client takes nothing for this long is ended; 16 followers that share a
+ * link of 2 Mbit/s get a buffer's worth each 4 s. */
+#define CF_RELAY_STALL_MS 5000
+/* One that has made no progress for this long is ended when there is no place for another. */
+#define CF_RELAY_YIELD_MS 1000
+/* Time for a whole response: 16 followers that share such a link take 35 s for 0.5 MB each. */
+#define CF_RELAY_SEND_MAX_MS 60000
+
 bool cf_feed_relay_start (struct FeedTask *task, struct CfError *error);
 void cf_feed_relay_stop (struct FeedTask *task);
 /* Responds to the waiting followers for which there are changes at NOW, or whose wait is over.
--- a/src/serve/feed_relay.c
+++ b/src/serve/feed_relay.c
@@ -21,6 +21,181 @@
   CfMillis until;
 };
 
+/* A response that a client receives. */
+struct RelayResponse
+{
+  GList link; /* in the task's sending */
+  struct FeedTask *task;
+  SoupServerMessage *message;
+  gulong finished; /* signal handlers */
+  gulong wrote;
+  GBytes *parts; /* the shared chunk of its body */
+  CfMillis began_at;
+  CfMillis progress_at; /* when the connection last took a part of it */
+};
+
+static void
+free_response (struct RelayResponse *response)
+{
+  g_signal_handler_disconnect (response->message, response->finished);
+  g_signal_handler_disconnect (response->message, response->wrote);
+  g_object_unref (response->message);
+  g_bytes_unref (response->parts);
+  g_free (response);
+}
+
+static void
+remove_response (struct RelayResponse *response)
+{
+  g_queue_unlink (&response->task->sending, &response->link);
+  free_response (response);
+}
+
+static void
+on_sent (SoupServerMessage *message, gpointer data)
+{
+  (void) message;
+  remove_response (data);
+}
+
+static void
+on_progress (SoupServerMessage *message, guint bytes, gpointer data)
+{
+  struct RelayResponse *response = data;
+
+  (void) message;
+  (void) bytes;
+  response->progress_at = cf_now ();
+}
+
+static void
+add_response (struct FeedTask *task, SoupServerMessage *message, GBytes *parts, CfMillis now)
+{
+  struct RelayResponse *response = g_new0 (struct RelayResponse, 1);
+
+  response->link.data = response;
+  response->task = task;
+  response->message = g_object_ref (message);
+  response->parts = g_bytes_ref (parts);
+  response->began_at = now;
+  response->progress_at = now;
+  response->finished = g_signal_connect (message, "finished", G_CALLBACK (on_sent), response);
+  response->wrote
+      = g_signal_connect (message, "wrote-body-data", G_CALLBACK (on_progress), response);
+  g_queue_push_tail_link (&task->sending, &response->link);
+}
+
+/* Ends RESPONSE, and with it the connection. */
+static void
+end_response (struct RelayResponse *response, CfMillis now)
+{
+  struct FeedTask *task = response->task;
+  SoupServerMessage *message = g_object_ref (response->message);
+  const char *client = soup_server_message_get_remote_host (message);
+
+  cf_event_log_write_limited (
+      task->balancer->log, &task->relay_rate, "follower-too-slow",
+      (struct CfField[]){
+          { .key = "client", .text = client ? client : "" },
+          { .key = "began_ago_ms", .number = now - response->began_at },
+          { .key = "progress_ago_ms", .number = now - response->progress_at },
+          { 0 },
+      },
+      now);
+  remove_response (response);
+  cf_http_end (task->relay, message);
+  g_object_unref (message);
+}
+
+/* Returns the response that has made no progress for the longest, NULL if there is none. */
+static struct RelayResponse *
+slowest (const struct FeedTask *task)
+{
+  struct RelayResponse *found = NULL;
+
+  for (GList *link = task->sending.head; link; link = link->next)
+    {
+      struct RelayResponse *response = link->data;
+
+      if (!found || response->progress_at < found->progress_at)
+        found = response;
+    }
+  return found;
+}
+
+/* Returns the bytes that responses under way and one with PARTS hold beside the cache. */
+static gsize
+held_bytes (const struct FeedTask *task, GBytes *parts)
+{
+  GHashTable *seen = g_hash_table_new (NULL, NULL);
+  gsize sum = g_bytes_get_size (parts);
+
+  g_hash_table_add (seen, parts);
+  for (int i = 0; i < CF_RELAY_CACHED; i++)
+    if (task->relay_cache.entries[i].parts)
+      g_hash_table_add (seen, task->relay_cache.entries[i].parts);
+  for (GList *link = task->sending.head; link; link = link->next)
+    {
+      const struct RelayResponse *response = link->data;
+
+      if (g_hash_table_add (seen, response->parts))
+        sum += g_bytes_get_size (response->parts);
+    }
+  g_hash_table_unref (seen);
+  return sum;
+}
+
+/* Makes room for a response with PARTS.  Returns false if there is none. */
+static bool
+make_room (struct FeedTask *task, GBytes *parts, CfMillis now)
+{
+  while (task->sending.length > 0
+         && (task->sending.length >= CF_RELAY_SENDING_MAX
+             || held_bytes (task, parts) > CF_RELAY_HELD_MAX_BYTES))
+    {
+      struct RelayResponse *response = slowest (task);
+
+      if (now - response->progress_at < CF_RELAY_YIELD_MS)
+        return false;
+      end_response (response, now);
+    }
+  return true;
+}
+
+/* Ends the responses whose clients take too long.  Returns when the next one may be due. */
+static CfMillis
+end_slow_responses (struct FeedTask *task, CfMillis now)
+{
+  CfMillis due = G_MAXINT64;
+  GList *next;
+
+  for (GList *link = task->sending.head; link; link = next)
+    {
+      struct RelayResponse *response = link->data;
+      CfMillis end = MIN (response->progress_at + CF_RELAY_STALL_MS,
+                          response->began_at + CF_RELAY_SEND_MAX_MS);
+
+      next = link->next;
+      if (now >= end)
+        end_response (response, now);
+      else
+        due = MIN (due, end);
+    }
+  return due;
+}
+
+static void
+refuse (struct FeedTask *task, SoupServerMessage *message, CfMillis now)
+{
+  cf_event_log_write_limited (task->balancer->log, &task->relay_rate, "follower-refused",
+                              (struct CfField[]){
+                                  { .key = "responses", .number = task->sending.length },
+                                  { 0 },
+                              },
+                              now);
+  soup_server_message_set_status (message, SOUP_STATUS_SERVICE_UNAVAILABLE, NULL);
+}
+
 static void
 respond (struct FeedTask *task,
          SoupServerMessage *message,
@@ -32,12 +207,12 @@
     .age = cf_feed_age (task, now),
     .settled = task->settled,
   };
-  GBytes *body = cf_relay_encode (&task->relay_cache, &task->replica, position, &origin);
+  SoupMessageHeaders *headers = soup_server_message_get_response_headers (message);
+  SoupMessageBody *body = soup_server_message_get_response_body (message);
+  struct CfRelayChunks chunks;
   char era[24];
-  gsize len;
-  const char *data;
 
-  if (!body)
+  if (!cf_relay_encode_chunks (&task->relay_cache, &task->replica, position, &origin, &chunks))
     {
       cf_event_log_write_limited (
           task->balancer->log, &task->source_rate, "relay-failed",
@@ -49,14 +224,21 @@
       soup_server_message_set_status (message, SOUP_STATUS_INTERNAL_SERVER_ERROR, NULL);
       return;
     }
-  data = g_bytes_get_data (body, &len);
-  g_snprintf (era, sizeof era, "%" G_GUINT64_FORMAT, task->replica.era);
-  soup_message_headers_replace (soup_server_message_get_response_headers (message),
-                                CF_RELAY_ERA_HEADER, era);
-  soup_server_message_set_status (message, SOUP_STATUS_OK, NULL);
-  soup_server_message_set_response (message, "application/octet-stream", SOUP_MEMORY_COPY, data,
-                                    len);
-  g_bytes_unref (body);
+  if (make_room (task, chunks.parts, now))
+    {
+      g_snprintf (era, sizeof era, "%" G_GUINT64_FORMAT, task->replica.era);
+      soup_message_headers_replace (headers, CF_RELAY_ERA_HEADER, era);
+      soup_message_headers_replace (headers, "Content-Type", "application/octet-stream");
+      soup_server_message_set_status (message, SOUP_STATUS_OK, NULL);
+      soup_message_body_append_bytes (body, chunks.head);
+      soup_message_body_append_bytes (body, chunks.parts);
+      if (g_bytes_get_size (chunks.padding) > 0)
+        soup_message_body_append_bytes (body, chunks.padding);
+      add_response (task, message, chunks.parts, now);
+    }
+  else
+    refuse (task, message, now);
+  cf_relay_chunks_clear (&chunks);
 }
 
 static void
@@ -149,7 +331,7 @@
 CfMillis
 cf_feed_relay_tick (struct FeedTask *task, CfMillis now)
 {
-  CfMillis due = now + WAIT_MAX_MS;
+  CfMillis due = MIN (now + WAIT_MAX_MS, end_slow_responses (task, now));
   GList *next;
 
   for (GList *link = task->waiting.head; link; link = next)
@@ -179,6 +361,7 @@
   struct CfAddress address = settings->ready;
 
   g_queue_init (&task->waiting);
+  g_queue_init (&task->sending);
   address.port = settings->peer_port;
   task->relay = cf_http_listen (&address, handle, task, error);
   return task->relay != NULL;
@@ -191,6 +374,8 @@
 
   while ((link = g_queue_pop_head_link (&task->waiting)))
     free_request (link->data);
+  while ((link = g_queue_pop_head_link (&task->sending)))
+    free_response (link->data);
   cf_http_close (&task->relay);
   cf_relay_cache_clear (&task->relay_cache);
 }
--- a/src/serve/feed_task.c
+++ b/src/serve/feed_task.c
@@ -490,6 +490,7 @@
       = (struct CfEventRate){ .per_s = SOURCE_LINES_PER_S, .burst = SOURCE_LINES_BURST };
   task->datagram_rate = task->source_rate;
   task->record_rate = task->source_rate;
+  task->relay_rate = task->source_rate;
   task->stop_at = -1;
   task->incarnation = (uint64_t) (g_get_real_time () / G_TIME_SPAN_MILLISECOND);
   task->sources = cf_sources_new (balancer->settings.name, balancer->settings.failure_domain,
--- a/src/serve/http_listen.c
+++ b/src/serve/http_listen.c
@@ -35,7 +35,8 @@
   struct CfLink link; /* in the server's connections or ending */
   struct CfHttpServer *server;
   GSocket *socket;
-  GIOStream *stream; /* not owned; frees this struct */
+  GSocketAddress *remote; /* may be NULL */
+  GIOStream *stream;      /* not owned; frees this struct */
 };
 
 static guint
@@ -55,6 +56,7 @@
   connection->server->count--;
   cf_list_remove (&connection->link);
   g_object_unref (connection->socket);
+  g_clear_object (&connection->remote);
   g_free (connection);
 }
 
@@ -65,20 +67,40 @@
   free_connection (data);
 }
 
-/* Ends the oldest connection: the HTTP library closes it when it reads its end. */
+/* The HTTP library closes CONNECTION when it reads its end. */
 static void
-end_oldest (struct CfHttpServer *server)
+end_connection (struct CfHttpServer *server, struct Connection *connection)
 {
-  struct Connection *connection;
-
-  if (cf_list_empty (&server->connections))
-    return;
-  connection = CF_LIST_ENTRY (server->connections.next, struct Connection, link);
   cf_list_remove (&connection->link);
   cf_list_insert (&server->ending, &connection->link);
   g_socket_shutdown (connection->socket, TRUE, TRUE, NULL);
 }
 
+static void
+end_oldest (struct CfHttpServer *server)
+{
+  if (!cf_list_empty (&server->connections))
+    end_connection (server, CF_LIST_ENTRY (server->connections.next, struct Connection, link));
+}
+
+void
+cf_http_end (struct CfHttpServer *server, SoupServerMessage *message)
+{
+  GSocketAddress *remote = soup_server_message_get_remote_address (message);
+
+  for (struct CfLink *link = server->connections.next; link != &server->connections;
+       link = link->next)
+    {
+      struct Connection *connection = CF_LIST_ENTRY (link, struct Connection, link);
+
+      if (connection->remote && connection->remote == remote)
+        {
+          end_connection (server, connection);
+          return;
+        }
+    }
+}
+
 static void
 add_connection (struct CfHttpServer *server, GSocket *socket)
 {
@@ -90,10 +112,13 @@
   connection->server = server;
   connection->socket = g_object_ref (socket);
   connection->stream = G_IO_STREAM (stream);
+  connection->remote = remote ? g_object_ref (remote) : NULL;
   cf_list_insert (&server->connections, &connection->link);
   server->count++;
   g_object_weak_ref (G_OBJECT (stream), on_stream_freed, connection);
   g_socket_set_option (socket, IPPROTO_TCP, TCP_NODELAY, 1, NULL);
+  g_socket_set_option (socket, IPPROTO_TCP, TCP_USER_TIMEOUT, CF_HTTP_CLIENT_STALL_MS, NULL);
+  g_socket_set_option (socket, SOL_SOCKET, SO_SNDBUF, CF_HTTP_SEND_BUFFER_BYTES, NULL);
   /* A client that is gone already has no address. */
   if (local && remote)
     soup_server_accept_iostream (server->soup, G_IO_STREAM (stream), local, remote, NULL);
--- a/src/serve/http_listen.h
+++ b/src/serve/http_listen.h
@@ -21,6 +21,16 @@
                                      void *data,
                                      struct CfError *error);
 
+/* Bytes of a response that the kernel takes at once; it allocates up to twice as many, and would
+ * otherwise take up to some MB.  Fills a path of 25 Mbit/s with 20 ms. */
+#define CF_HTTP_SEND_BUFFER_BYTES 65536
+/* A connection whose client has taken none of what was sent is ended by the kernel, also after the
+ * server closed it. */
+#define CF_HTTP_CLIENT_STALL_MS 5000
+
+/* Ends the connection of MESSAGE, whose request is "finished" soon after. */
+void cf_http_end (struct CfHttpServer *server, SoupServerMessage *message);
+
 /* Closes *SERVER, which may be NULL, and its connections. */
 void cf_http_close (struct CfHttpServer **server);
 
