--- a/src/serve/feed_internal.h
+++ b/src/serve/feed_internal.h
@@ -89,8 +89,8 @@
   uint32_t load_sequence; /* of its last load report */
   struct CfHttpServer *relay;
   struct CfRelayCache relay_cache;
-  GQueue waiting; /* of struct RelayRequest: followers that wait for changes */
-  GQueue sending; /* of struct RelayResponse: responses under way, the oldest first */
+  GQueue waiting;     /* of struct RelayRequest: followers that wait for changes */
+  GPtrArray *sending; /* of struct RelayResponse: responses under way */
   struct CfEventRate relay_rate;
 };
 
--- a/src/serve/feed_relay.c
+++ b/src/serve/feed_relay.c
@@ -24,7 +24,6 @@
 /* A response that a client receives. */
 struct RelayResponse
 {
-  GList link; /* in the task's sending */
   struct FeedTask *task;
   SoupServerMessage *message;
   gulong finished; /* signal handlers */
@@ -35,8 +34,10 @@
 };
 
 static void
-free_response (struct RelayResponse *response)
+free_response (gpointer data)
 {
+  struct RelayResponse *response = data;
+
   g_signal_handler_disconnect (response->message, response->finished);
   g_signal_handler_disconnect (response->message, response->wrote);
   g_object_unref (response->message);
@@ -44,18 +45,13 @@
   g_free (response);
 }
 
-static void
-remove_response (struct RelayResponse *response)
-{
-  g_queue_unlink (&response->task->sending, &response->link);
-  free_response (response);
-}
-
 static void
 on_sent (SoupServerMessage *message, gpointer data)
 {
+  struct RelayResponse *response = data;
+
   (void) message;
-  remove_response (data);
+  g_ptr_array_remove (response->task->sending, response);
 }
 
 static void
@@ -73,7 +69,6 @@
 {
   struct RelayResponse *response = g_new0 (struct RelayResponse, 1);
 
-  response->link.data = response;
   response->task = task;
   response->message = g_object_ref (message);
   response->parts = g_bytes_ref (parts);
@@ -82,7 +77,7 @@
   response->finished = g_signal_connect (message, "finished", G_CALLBACK (on_sent), response);
   response->wrote
       = g_signal_connect (message, "wrote-body-data", G_CALLBACK (on_progress), response);
-  g_queue_push_tail_link (&task->sending, &response->link);
+  g_ptr_array_add (task->sending, response);
 }
 
 /* Ends RESPONSE, and with it the connection. */
@@ -102,7 +97,7 @@
           { 0 },
       },
       now);
-  remove_response (response);
+  g_ptr_array_remove (task->sending, response);
   cf_http_end (task->relay, message);
   g_object_unref (message);
 }
@@ -113,9 +108,9 @@
 {
   struct RelayResponse *found = NULL;
 
-  for (GList *link = task->sending.head; link; link = link->next)
+  for (guint i = 0; i < task->sending->len; i++)
     {
-      struct RelayResponse *response = link->data;
+      struct RelayResponse *response = task->sending->pdata[i];
 
       if (!found || response->progress_at < found->progress_at)
         found = response;
@@ -134,9 +129,9 @@
   for (int i = 0; i < CF_RELAY_CACHED; i++)
     if (task->relay_cache.entries[i].parts)
       g_hash_table_add (seen, task->relay_cache.entries[i].parts);
-  for (GList *link = task->sending.head; link; link = link->next)
+  for (guint i = 0; i < task->sending->len; i++)
     {
-      const struct RelayResponse *response = link->data;
+      const struct RelayResponse *response = task->sending->pdata[i];
 
       if (g_hash_table_add (seen, response->parts))
         sum += g_bytes_get_size (response->parts);
@@ -149,8 +144,8 @@
 static bool
 make_room (struct FeedTask *task, GBytes *parts, CfMillis now)
 {
-  while (task->sending.length > 0
-         && (task->sending.length >= CF_RELAY_SENDING_MAX
+  while (task->sending->len > 0
+         && (task->sending->len >= CF_RELAY_SENDING_MAX
              || held_bytes (task, parts) > CF_RELAY_HELD_MAX_BYTES))
     {
       struct RelayResponse *response = slowest (task);
@@ -167,15 +162,13 @@
 end_slow_responses (struct FeedTask *task, CfMillis now)
 {
   CfMillis due = G_MAXINT64;
-  GList *next;
 
-  for (GList *link = task->sending.head; link; link = next)
+  for (guint i = task->sending->len; i > 0; i--)
     {
-      struct RelayResponse *response = link->data;
+      struct RelayResponse *response = task->sending->pdata[i - 1];
       CfMillis end = MIN (response->progress_at + CF_RELAY_STALL_MS,
                           response->began_at + CF_RELAY_SEND_MAX_MS);
 
-      next = link->next;
       if (now >= end)
         end_response (response, now);
       else
@@ -189,7 +182,7 @@
 {
   cf_event_log_write_limited (task->balancer->log, &task->relay_rate, "follower-refused",
                               (struct CfField[]){
-                                  { .key = "responses", .number = task->sending.length },
+                                  { .key = "responses", .number = task->sending->len },
                                   { 0 },
                               },
                               now);
@@ -361,7 +354,7 @@
   struct CfAddress address = settings->ready;
 
   g_queue_init (&task->waiting);
-  g_queue_init (&task->sending);
+  task->sending = g_ptr_array_new_with_free_func (free_response);
   address.port = settings->peer_port;
   task->relay = cf_http_listen (&address, handle, task, error);
   return task->relay != NULL;
@@ -374,8 +367,7 @@
 
   while ((link = g_queue_pop_head_link (&task->waiting)))
     free_request (link->data);
-  while ((link = g_queue_pop_head_link (&task->sending)))
-    free_response (link->data);
+  g_clear_pointer (&task->sending, g_ptr_array_unref);
   cf_http_close (&task->relay);
   cf_relay_cache_clear (&task->relay_cache);
 }
