--- a/src/serve/feed_enroll.c
+++ b/src/serve/feed_enroll.c
@@ -77,8 +77,11 @@
   cf_feed_learn_era (task, NULL, era);
   if (era > 0 && era < task->replica.era)
     {
-      /* The store was restored since, perhaps from a copy without this write. */
-      cf_feed_enroll_check (task, cf_now ());
+      /* The store was restored since, perhaps from a copy without this write, or is another one and
+       * stays in that era. */
+      enroll->failures++;
+      enroll->next_at = cf_now () + MIN (delay, RETRY_MAX_MS);
+      enroll->check_at = enroll->next_at;
       cf_feed_tick (task);
       return;
     }
--- a/tests/test_feed_calls.c
+++ b/tests/test_feed_calls.c
@@ -33,8 +33,9 @@
   guint page;             /* records of a page of a list */
   bool hold_list;         /* lists of upstreams are not answered */
   bool hold_writes;
-  int writes;      /* that came */
-  const char *era; /* header of each answer; NULL: none */
+  int writes;            /* that came */
+  const char *era;       /* header of each answer; NULL: none */
+  const char *write_era; /* the same of answers to writes; NULL: that of all */
   /* Watches of other kinds than upstreams with this number and later ones are not answered; 0: all
    * are. */
   int hold_from;
@@ -93,7 +94,7 @@
 {
   if (!request->headers)
     {
-      request->headers = play->era ? play->era : "";
+      request->headers = play->write_era ? play->write_era : play->era ? play->era : "";
       play->writes++;
     }
   return play->hold_writes ? NULL : g_bytes_new_static ("{}", 2);
@@ -399,6 +400,35 @@
 }
 END_TEST
 
+static bool
+is_over (const void *data)
+{
+  return cf_now () >= *(const CfMillis *) data;
+}
+
+/* The store answers each write in an earlier era than the VM's, as a new one under the old address
+ * does.  The write was repeated at once, each time. */
+START_TEST (test_writes_of_an_earlier_era_are_spaced)
+{
+  struct Play play;
+  CfMillis end;
+
+  prepare (&play);
+  test_store_put (play.data, CF_FEED_VMS, "vm-2", NULL, 0);
+  play.era = "Store-Era: 2\r\n";
+  play.write_era = "Store-Era: 1\r\n";
+  copy_store (&play);
+  begin (&play, false);
+  feed_play_await (&play.feed, has_write, &play, "a write");
+  end = cf_now () + WRITE_AGAIN_MS;
+  feed_play_await (&play.feed, is_over, &end, "the end");
+  g_mutex_lock (&play.store.mutex);
+  ck_assert_int_le (play.writes, 4);
+  g_mutex_unlock (&play.store.mutex);
+  stop (&play);
+}
+END_TEST
+
 static bool
 watches_vms (const void *data)
 {
@@ -541,6 +571,7 @@
   suite_add_loop (suite, test_silent_watch_waits_for_no_other_kind, 1);
   suite_add_loop (suite, test_list_under_way_is_no_watch, 1);
   suite_add_loop (suite, test_write_of_an_earlier_era_is_repeated, 1);
+  suite_add_loop (suite, test_writes_of_an_earlier_era_are_spaced, 1);
   suite_add_loop (suite, test_silent_watch_of_vms_is_replaced, 1);
   suite_add_loop (suite, test_silent_connection_to_vm_is_replaced, 2);
   suite_add_loop (suite, test_unbelievable_era_is_not_adopted, 3);
