--- a/src/serve/feed_enroll.c
+++ b/src/serve/feed_enroll.c
@@ -74,11 +74,14 @@
   uint64_t era = cf_platform_era (message);
 
   enroll->call = NULL;
-  cf_feed_learn_era (task, era);
+  cf_feed_learn_era (task, NULL, era);
   if (era > 0 && era < task->replica.era)
     {
-      /* The store was restored since, perhaps from a copy without this write. */
-      cf_feed_enroll_check (task, cf_now ());
+      /* The store was restored since, perhaps from a copy without this write, or is another one and
+       * stays in that era. */
+      enroll->failures++;
+      enroll->next_at = cf_now () + MIN (delay, RETRY_MAX_MS);
+      enroll->check_at = enroll->next_at;
       cf_feed_tick (task);
       return;
     }
@@ -109,7 +112,7 @@
   guint status = body ? soup_message_get_status (message) : 0;
 
   task->enroll.delete = NULL;
-  cf_feed_learn_era (task, cf_platform_era (message));
+  cf_feed_learn_era (task, NULL, cf_platform_era (message));
   /* A failed delete is tried again at the next check.  If the VM does run, it writes its record
    * again. */
   if (status < 200 || status >= 300)
--- a/src/serve/feed_internal.h
+++ b/src/serve/feed_internal.h
@@ -2,8 +2,10 @@
 #define CF_SERVE_FEED_INTERNAL_H
 
 #include "balancer.h"
+#include "feed/era.h"
 #include "feed/feed.h"
 #include "feed/reader.h"
+#include "feed/names.h"
 #include "feed/relay.h"
 #include "feed/replica.h"
 #include "feed/rotation.h"
@@ -60,6 +62,9 @@
   GSource *timer;
   GRand *random;
   struct CfReplica replica;
+  struct CfEraDoubt era_doubt;
+  struct CfNames names; /* from records that this task has passed on */
+  bool name_refused;    /* records were not passed on because of a name */
   struct CfSources *sources;
   char *source;       /* name of the VM that is followed, "" for the store, NULL: none yet */
   CfMillis synced_at; /* the replica holds the store's data of this time, -1: never */
@@ -69,6 +74,7 @@
   CfMillis probed_at;  /* when the store last answered this VM, -1: never */
   struct CfEventRate source_rate;
   struct CfEventRate datagram_rate;
+  struct CfEventRate record_rate;
   CfMillis summary_at; /* when the next summary is due */
   struct FeedChannel channels[CF_FEED_KINDS];
   struct FeedFollow follow;
@@ -83,15 +89,18 @@
   uint32_t load_sequence; /* of its last load report */
   struct CfHttpServer *relay;
   struct CfRelayCache relay_cache;
-  GQueue waiting; /* of struct RelayRequest: followers that wait for changes */
+  GQueue waiting;     /* of struct RelayRequest: followers that wait for changes */
+  GPtrArray *sending; /* of struct RelayResponse: responses under way */
+  struct CfEventRate relay_rate;
 };
 
 /* Starts what is due in all parts, and sets the timer to the earliest time that they return. */
 void cf_feed_tick (struct FeedTask *task);
 
-/* The store or another VM has records of ERA: enters it if it is later than the replica's.  All
- * readers start over with a list, and calls under way to read the store are cancelled. */
-void cf_feed_learn_era (struct FeedTask *task, uint64_t era);
+/* The VM called SOURCE, or the store (NULL), gave ERA (0: none) in an answer: enters it if it is
+ * believed and another than the replica's.  All readers then start over with a list, and calls
+ * under way to read the store are cancelled.  What comes with a doubted one must not be used. */
+enum CfEraVerdict cf_feed_learn_era (struct FeedTask *task, const char *source, uint64_t era);
 
 /* Has the readers enter the replica's era, and cancels the calls that this makes useless. */
 void cf_feed_store_enter_era (struct FeedTask *task, CfMillis now);
@@ -126,6 +135,21 @@
 /* Requests changes from SOURCE unless a request is in progress; returns when to call again. */
 CfMillis cf_feed_follow_tick (struct FeedTask *task, const struct CfSource *source, CfMillis now);
 
+/* Bounds of the responses under way, whatever clients request and however they read.  Beyond them
+ * those that make no progress are ended, or a request is refused with status 503. */
+/* The kernel buffers up to 128 KB of each (http_listen.h), 32 MB of all. */
+#define CF_RELAY_SENDING_MAX 256
+/* Bytes of bodies that they hold together, beside those in the cache; several responses share one.
+ * All records of 16,000 upstreams take 0.5 MB. */
+#define CF_RELAY_HELD_MAX_BYTES (16 * 1048576)
+/* A response of which the client takes nothing for this long is ended; 16 followers that share a
+ * link of 2 Mbit/s get a buffer's worth each 4 s. */
+#define CF_RELAY_STALL_MS 5000
+/* One that has made no progress for this long is ended when there is no place for another. */
+#define CF_RELAY_YIELD_MS 1000
+/* Time for a whole response: 16 followers that share such a link take 35 s for 0.5 MB each. */
+#define CF_RELAY_SEND_MAX_MS 60000
+
 bool cf_feed_relay_start (struct FeedTask *task, struct CfError *error);
 void cf_feed_relay_stop (struct FeedTask *task);
 /* Responds to the waiting followers for which there are changes at NOW, or whose wait is over.
