--- a/src/balance/balance.h
+++ b/src/balance/balance.h
@@ -62,7 +62,8 @@
   void (*forward) (void *context, const uint8_t *bytes, size_t size, const struct CfTarget *target);
   /* Sends SEGMENT to the entry VM at IP. */
   void (*hand_on) (void *context, const struct CfSegment *segment, uint32_t ip);
-  /* Resets the flow of SEGMENT towards its caller. */
+  /* Resets the flow of SEGMENT towards its caller.  Its packet may be the first one of the flow,
+   * and of size 0 if that was not kept. */
   void (*reset) (void *context, const struct CfSegment *segment);
   /* The following only report events, and may be NULL. */
 
--- a/src/balance/connections.c
+++ b/src/balance/connections.c
@@ -24,6 +24,7 @@
   connections->pending = g_sequence_new (NULL);
   connections->awaiting_answer = g_sequence_new (NULL);
   cf_list_init (&connections->open);
+  cf_list_init (&connections->silent);
   connections->count = 0;
 }
 
@@ -120,6 +121,7 @@
   connection->seen_at = now;
   connection->due_at = now;
   cf_list_init (&connection->link);
+  cf_list_init (&connection->silent_link);
   g_hash_table_add (connections->table, connection);
   connections->count++;
   return connection;
@@ -173,6 +175,13 @@
   leave_queue (&connection->awaiting_answer);
 }
 
+void
+cf_connections_add_silent (struct CfConnections *connections, struct CfConnection *connection)
+{
+  cf_list_remove (&connection->silent_link);
+  cf_list_insert (&connections->silent, &connection->silent_link);
+}
+
 void
 cf_connections_touch (struct CfConnections *connections,
                       struct CfConnection *connection,
@@ -192,6 +201,7 @@
   leave_queue (&connection->due);
   leave_queue (&connection->awaiting_answer);
   cf_list_remove (&connection->link);
+  cf_list_remove (&connection->silent_link);
   g_hash_table_remove (connections->table, connection);
   g_slice_free (struct CfConnection, connection);
   connections->count--;
--- a/src/balance/connections.h
+++ b/src/balance/connections.h
@@ -31,6 +31,7 @@
   struct CfLink link;             /* in open */
   GSequenceIter *due;             /* in pending; NULL: not there */
   GSequenceIter *awaiting_answer; /* in that queue while no byte of the answer has come, or NULL */
+  struct CfLink silent_link;      /* in silent, or empty */
   struct CfExchange exchange;
   struct CfDelivery delivery;
   struct CfEndpoint caller;
@@ -54,6 +55,7 @@
   GHashTable *table;
   GSequence *pending;         /* by due_at, soonest first */
   struct CfLink open;         /* by seen_at, oldest first */
+  struct CfLink silent;       /* by delivery.repeated_at, oldest first */
   GSequence *awaiting_answer; /* by exchange.stalls_at, soonest first */
   uint32_t count;
 };
@@ -93,6 +95,9 @@
 /* Removes CONNECTION from them, if it is there. */
 void cf_connection_stop_awaiting (struct CfConnection *connection);
 
+/* Moves CONNECTION, whose data has just been repeated, to the end of the silent flows. */
+void cf_connections_add_silent (struct CfConnections *connections, struct CfConnection *connection);
+
 /* Marks CONNECTION as open and most recently used. */
 void cf_connections_touch (struct CfConnections *connections,
                            struct CfConnection *connection,
--- a/src/balance/delivery.c
+++ b/src/balance/delivery.c
@@ -18,6 +18,7 @@
       .end = segment->seq,
       .answered = segment->ack,
       .sent_at = now,
+      .repeated_at = -1,
     };
   update.sent_at = delivery->sent_at;
   update.answered = is_after (segment->ack, delivery->answered);
@@ -28,9 +29,14 @@
     {
       delivery->end = end;
       delivery->sent_at = now;
+      delivery->repeated_at = -1;
       delivery->silent = false;
     }
   update.repeated = segment->data > 0 && !update.new_data && !update.answered
                     && now - delivery->sent_at >= CF_DELIVERY_REPEAT_MS;
+  if (update.answered)
+    delivery->repeated_at = -1;
+  if (update.repeated)
+    delivery->repeated_at = now;
   return update;
 }
--- a/src/balance/delivery.h
+++ b/src/balance/delivery.h
@@ -15,11 +15,12 @@
 /* The last data of a flow. */
 struct CfDelivery
 {
-  bool seen;         /* the fields below are set */
-  bool silent;       /* counted as not acknowledged */
-  uint32_t end;      /* sequence number after it */
-  uint32_t answered; /* highest acknowledgement number of the caller */
-  CfMillis sent_at;  /* when it first came to this VM */
+  bool seen;            /* the fields below are set */
+  bool silent;          /* counted as not acknowledged */
+  uint32_t end;         /* sequence number after it */
+  uint32_t answered;    /* highest acknowledgement number of the caller */
+  CfMillis sent_at;     /* when it first came to this VM */
+  CfMillis repeated_at; /* when it last came again without an answer, -1: not since sent_at */
 };
 
 /* What a packet shows. */
--- a/src/balance/later_packet.c
+++ b/src/balance/later_packet.c
@@ -170,19 +170,22 @@
   if (update.answered)
     cf_unreachable_record_answer (balance->unreachable, target, update.sent_at);
   if (update.repeated)
-    cf_unreachable_record_repeat (balance->unreachable, target, &connection->delivery,
-                                  segment->caller.ip, now);
+    {
+      cf_unreachable_record_repeat (balance->unreachable, target, &connection->delivery,
+                                    segment->caller.ip, now);
+      cf_connections_add_silent (&balance->connections, connection);
+    }
   /* A request that must not run twice is not repeated after a reset; its answer may still come. */
   if (!route || !route->idempotent)
     return CF_UNREACHABLE_NOT;
   return cf_unreachable_check (balance->unreachable, target, &connection->delivery, &update, now);
 }
 
-static enum CfOutcome
+static void
 reset_unreachable (struct CfBalance *balance,
                    struct CfConnection *connection,
                    const struct CfSegment *segment,
-                   struct CfTarget *target,
+                   const struct CfTarget *target,
                    enum CfUnreachableReason evidence,
                    CfMillis now)
 {
@@ -199,7 +202,57 @@
                                            .sync_age = cf_balance_sync_age (balance, now),
                                        });
   cf_connections_remove (&balance->connections, connection);
-  return CF_OUTCOME_RESET_UNREACHABLE;
+}
+
+static bool
+should_reset_earlier (const struct CfBalance *balance,
+                      const struct CfConnection *connection,
+                      GQuark domain,
+                      CfMillis now)
+{
+  const struct CfRouteEntry *route = cf_routes_find (balance->routes, connection->service);
+
+  if (!route || !route->idempotent || !connection->target || connection->target->domain != domain)
+    return false;
+  return cf_unreachable_check_earlier (
+      balance->unreachable, connection->target, &connection->delivery,
+      cf_outlier_usual_wait_ms (balance->outlier_detector, connection->service), now);
+}
+
+/* Resets the flows to DOMAIN that repeated their data before the domain was found to be lost.  Each
+ * repeat is looked at once, as soon as an answer is due. */
+static void
+reset_earlier (struct CfBalance *balance, GQuark domain, CfMillis now)
+{
+  struct CfLink *silent = &balance->connections.silent;
+
+  if (!cf_unreachable_domain_confirmed (balance->unreachable, domain))
+    return;
+  while (!cf_list_empty (silent))
+    {
+      struct CfConnection *connection
+          = CF_LIST_ENTRY (silent->next, struct CfConnection, silent_link);
+      const struct CfDelivery *delivery = &connection->delivery;
+
+      if (cf_unreachable_answer_not_due (balance->unreachable, delivery))
+        return;
+      cf_list_remove (&connection->silent_link);
+      if (!should_reset_earlier (balance, connection, domain, now))
+        continue;
+      /* There is no packet at hand: the reset needs the caller's acknowledgement only. */
+      reset_unreachable (balance, connection,
+                         &(struct CfSegment){
+                             .caller = connection->caller,
+                             .service = connection->service,
+                             .flags = CF_SEGMENT_ACK,
+                             .seq = delivery->end,
+                             .ack = delivery->answered,
+                             .cookie = connection->target->cookie,
+                             .bytes = connection->first,
+                             .size = connection->first_size,
+                         },
+                         connection->target, CF_UNREACHABLE_EARLIER, now);
+    }
 }
 
 enum CfOutcome
@@ -228,7 +281,12 @@
   if (connection)
     evidence = check_unreachable (balance, route, connection, segment, target, now);
   if (evidence != CF_UNREACHABLE_NOT)
-    return reset_unreachable (balance, connection, segment, target, evidence, now);
+    {
+      reset_unreachable (balance, connection, segment, target, evidence, now);
+      if (evidence == CF_UNREACHABLE_DOMAIN)
+        reset_earlier (balance, target->domain, now);
+      return CF_OUTCOME_RESET_UNREACHABLE;
+    }
   balance->out->forward (balance->context, segment->bytes, segment->size, target);
   if (!connection)
     return CF_OUTCOME_PASSED;
--- a/src/balance/outlier.c
+++ b/src/balance/outlier.c
@@ -113,15 +113,23 @@
   baseline->wait_ms += BASELINE_WEIGHT * ((double) wait - baseline->wait_ms);
 }
 
-CfMillis
-cf_outlier_stall_ms (const struct CfOutlierDetector *detector, struct CfEndpoint address)
+double
+cf_outlier_usual_wait_ms (const struct CfOutlierDetector *detector, struct CfEndpoint address)
 {
   struct Baseline key = { .address = address };
   const struct Baseline *baseline = g_hash_table_lookup (detector->baselines, &key);
 
-  if (!baseline || baseline->wait_ms <= 0)
+  return baseline ? baseline->wait_ms : 0;
+}
+
+CfMillis
+cf_outlier_stall_ms (const struct CfOutlierDetector *detector, struct CfEndpoint address)
+{
+  double wait_ms = cf_outlier_usual_wait_ms (detector, address);
+
+  if (wait_ms <= 0)
     return CF_OUTLIER_STALL_MAX_MS;
-  return CLAMP ((CfMillis) (CF_OUTLIER_STALL_FACTOR * baseline->wait_ms), CF_OUTLIER_STALL_MIN_MS,
+  return CLAMP ((CfMillis) (CF_OUTLIER_STALL_FACTOR * wait_ms), CF_OUTLIER_STALL_MIN_MS,
                 CF_OUTLIER_STALL_MAX_MS);
 }
 
--- a/src/balance/outlier.h
+++ b/src/balance/outlier.h
@@ -61,6 +61,10 @@
                                    struct CfEndpoint address,
                                    CfMillis wait);
 
+/* Returns the mean time to the first byte of an answer from ADDRESS in ms, 0 if it is not known. */
+double cf_outlier_usual_wait_ms (const struct CfOutlierDetector *detector,
+                                 struct CfEndpoint address);
+
 /* Returns how long a request to ADDRESS may go without a byte of an answer. */
 CfMillis cf_outlier_stall_ms (const struct CfOutlierDetector *detector, struct CfEndpoint address);
 
--- a/src/balance/unreachable.c
+++ b/src/balance/unreachable.c
@@ -3,8 +3,10 @@
 /* What this VM has seen of a failure domain. */
 struct Domain
 {
-  uint32_t silent;       /* upstreams with a silent flow since one of the domain last answered */
-  uint32_t caller_ip;    /* of the last of these flows */
+  uint32_t silent;    /* upstreams with a silent flow since one of the domain last answered */
+  uint32_t caller_ip; /* of the last of these flows */
+  uint32_t callers[CF_UNREACHABLE_CALLERS]; /* with a silent flow in the same time */
+  uint32_t caller_count;
   CfMillis silent_at;    /* when a silent flow was last counted, 0: never */
   CfMillis delivered_at; /* when the latest data that it answered had been sent, -1: never */
 };
@@ -22,6 +24,7 @@
     [CF_UNREACHABLE_NOT] = "",
     [CF_UNREACHABLE_GONE] = "upstream-gone",
     [CF_UNREACHABLE_DOMAIN] = "domain-silent",
+    [CF_UNREACHABLE_EARLIER] = "domain-silent-earlier",
   };
 
   return names[reason];
@@ -64,6 +67,23 @@
   return silent_at > 0 && now - silent_at <= CF_UNREACHABLE_FRESH_MS;
 }
 
+static void
+forget_silent (struct Domain *domain)
+{
+  domain->silent = 0;
+  domain->caller_count = 0;
+}
+
+static void
+count_caller (struct Domain *domain, uint32_t caller_ip)
+{
+  for (uint32_t i = 0; i < domain->caller_count; i++)
+    if (domain->callers[i] == caller_ip)
+      return;
+  if (domain->caller_count < CF_UNREACHABLE_CALLERS)
+    domain->callers[domain->caller_count++] = caller_ip;
+}
+
 void
 cf_unreachable_record_answer (struct CfUnreachable *unreachable,
                               struct CfTarget *target,
@@ -74,7 +94,7 @@
   unreachable->delivered_at = MAX (unreachable->delivered_at, sent_at);
   domain->delivered_at = MAX (domain->delivered_at, sent_at);
   target->silent_at = 0;
-  domain->silent = 0;
+  forget_silent (domain);
 }
 
 void
@@ -94,9 +114,10 @@
   if (delivery->sent_at < domain->delivered_at)
     return;
   if (!is_fresh (domain->silent_at, now))
-    domain->silent = 0;
+    forget_silent (domain);
   target->silent_at = now;
   domain->silent_at = now;
+  count_caller (domain, caller_ip);
   if (domain->silent > 0 && (counted || domain->caller_ip == caller_ip))
     return;
   domain->silent++;
@@ -141,3 +162,32 @@
              ? CF_UNREACHABLE_DOMAIN
              : CF_UNREACHABLE_NOT;
 }
+
+bool
+cf_unreachable_domain_confirmed (const struct CfUnreachable *unreachable, GQuark domain)
+{
+  return find_domain (unreachable, domain)->caller_count >= CF_UNREACHABLE_CALLERS;
+}
+
+bool
+cf_unreachable_answer_not_due (const struct CfUnreachable *unreachable,
+                               const struct CfDelivery *delivery)
+{
+  return unreachable->delivered_at < delivery->repeated_at + CF_UNREACHABLE_CONFIRM_MS;
+}
+
+bool
+cf_unreachable_check_earlier (const struct CfUnreachable *unreachable,
+                              const struct CfTarget *target,
+                              const struct CfDelivery *delivery,
+                              double usual_wait_ms,
+                              CfMillis now)
+{
+  if (!delivery->silent || delivery->repeated_at < 0
+      || now - delivery->repeated_at > CF_UNREACHABLE_WAIT_MS)
+    return false;
+  if (usual_wait_ms <= 0 || usual_wait_ms > CF_UNREACHABLE_CONFIRM_MS)
+    return false;
+  /* The domain has answered what was sent later: the data was lost on its way. */
+  return find_domain (unreachable, target->domain)->delivered_at <= delivery->sent_at;
+}
--- a/src/balance/unreachable.h
+++ b/src/balance/unreachable.h
@@ -17,19 +17,41 @@
  * its packet was lost on its way.  It is designed for failure domains that are cut off or lost, and
  * upstreams that the store has removed, under callers that keep their flows open.  It does not act
  * on slow answers.  No I/O.
+ *
+ * A caller repeats its data after 200 ms and again 400 ms later.  If it repeats before the evidence
+ * is complete, its second repeat comes too late for a request that is to be answered within 500 ms.
+ * So the reset of a flow for the loss of its domain also resets flows there that were repeated
+ * shortly before.  No packet of such a flow is at hand that says that it still waits, so more is
+ * needed than for a flow that repeats now: one more caller, no answer in the time in which the
+ * repeat would have been answered if it had arrived, and an answer from elsewhere to data that this
+ * VM sent after that time.  The last shows that neither the repeat waits on this VM's own link nor
+ * its answer in this VM's own queue.  A flow without a second repeat when it is due was
+ * acknowledged, or its caller is paused or has gone: it is left alone.  As with flows that repeat
+ * now, what a domain does after its return counts only once it has answered.
  */
 
 /* Number of upstreams of one failure domain with a silent flow, of different callers in a row, with
  * no answer from the domain meanwhile. */
 #define CF_UNREACHABLE_UPSTREAMS 3
+/* Number of callers with a silent flow to the domain, with no answer from the domain meanwhile, for
+ * a flow that does not repeat its data now. */
+#define CF_UNREACHABLE_CALLERS 4
+/* Milliseconds from a repeat to the data whose answer shows that the repeat would have been
+ * answered.  Flows of services that usually take longer are not reset before their next repeat. */
+#define CF_UNREACHABLE_CONFIRM_MS 100
+/* Milliseconds after its repeat for which a flow may be reset without a second repeat: less than
+ * the 400 ms after which that is due, and hardly longer ago than a flow that repeats now has sent
+ * its data.  The longer, the more flows are reset whose domain has returned meanwhile. */
+#define CF_UNREACHABLE_WAIT_MS 250
 /* Milliseconds for which a silent flow counts. */
 #define CF_UNREACHABLE_FRESH_MS 2000
 
 enum CfUnreachableReason
 {
-  CF_UNREACHABLE_NOT,    /* no reset */
-  CF_UNREACHABLE_GONE,   /* the store has removed its upstream */
-  CF_UNREACHABLE_DOMAIN, /* other upstreams of the failure domain are silent, too */
+  CF_UNREACHABLE_NOT,     /* no reset */
+  CF_UNREACHABLE_GONE,    /* the store has removed its upstream */
+  CF_UNREACHABLE_DOMAIN,  /* other upstreams of the failure domain are silent, too */
+  CF_UNREACHABLE_EARLIER, /* the same, found after the flow's last repeat */
 };
 
 const char *cf_unreachable_reason_name (enum CfUnreachableReason reason);
@@ -61,4 +83,22 @@
                                                const struct CfDeliveryUpdate *update,
                                                CfMillis now);
 
+/* Returns true if flows to DOMAIN that repeated their data earlier may be reset, too, now that one
+ * is for CF_UNREACHABLE_DOMAIN: enough callers have a silent flow there. */
+bool cf_unreachable_domain_confirmed (const struct CfUnreachable *unreachable, GQuark domain);
+
+/* Returns true if it is too early to know whether the repeat of DELIVERY, and all later ones,
+ * should have been answered. */
+bool cf_unreachable_answer_not_due (const struct CfUnreachable *unreachable,
+                                    const struct CfDelivery *delivery);
+
+/* Returns true if a flow of idempotent requests to TARGET, with DELIVERY, should be reset, too, by
+ * its own state: its domain must be confirmed, and its answer due.  Answers of its service usually
+ * begin after USUAL_WAIT_MS (0: not known). */
+bool cf_unreachable_check_earlier (const struct CfUnreachable *unreachable,
+                                   const struct CfTarget *target,
+                                   const struct CfDelivery *delivery,
+                                   double usual_wait_ms,
+                                   CfMillis now);
+
 #endif
--- a/src/serve/datapath_task.c
+++ b/src/serve/datapath_task.c
@@ -112,8 +112,9 @@
   char flow[CF_ADDRESS_TEXT_MAX];
   char service[CF_ADDRESS_TEXT_MAX];
 
-  if (decision->outcome == CF_OUTCOME_MOVED)
-    task->outcomes[CF_OUTCOME_MOVED]++;
+  /* No packet that was received has these outcomes. */
+  if (decision->outcome == CF_OUTCOME_MOVED || decision->evidence == CF_UNREACHABLE_EARLIER)
+    task->outcomes[decision->outcome]++;
   format_endpoint (decision->caller, flow);
   format_endpoint (decision->service, service);
   cf_event_log_write_limited (
--- a/tests/test_unreachable.c
+++ b/tests/test_unreachable.c
@@ -383,6 +383,230 @@
 }
 END_TEST
 
+/* What goes on elsewhere while flows to a domain are silent. */
+struct Elsewhere
+{
+  CfMillis until;           /* of the last request to "near" */
+  CfMillis pause;           /* before each silent flow after the first */
+  struct SimFlow *answered; /* its repeat arrives: answered after 20 ms; NULL: none */
+};
+
+#define NEAR_EACH_MS 40
+#define NEAR_WAIT_MS 20
+
+/* Sends a request on each of the COUNT FLOWS, and sends it again after REPEAT_MS, while "near" goes
+ * on answering. */
+static void
+stay_silent_together (struct Scene *scene,
+                      struct SimFlow **flows,
+                      int count,
+                      const struct Elsewhere *elsewhere)
+{
+  for (CfMillis at = 0; at <= (count - 1) * elsewhere->pause + REPEAT_MS; at++)
+    {
+      if (at < elsewhere->until && at % NEAR_EACH_MS == 0)
+        sim_send_request (scene->near);
+      if (at < elsewhere->until + NEAR_WAIT_MS && at % NEAR_EACH_MS == NEAR_WAIT_MS)
+        sim_acknowledge (scene->near, ANSWER_BYTES);
+      for (int i = 0; i < count; i++)
+        {
+          if (at == i * elsewhere->pause)
+            sim_send_request (flows[i]);
+          if (at == i * elsewhere->pause + REPEAT_MS)
+            sim_repeat_request (flows[i]);
+        }
+      if (elsewhere->answered && at == REPEAT_MS + NEAR_WAIT_MS)
+        sim_acknowledge (elsewhere->answered, ANSWER_BYTES);
+      sim_run (scene->sim, scene->sim->now + 1);
+    }
+}
+
+/* Opens a flow to ID, of the caller of FLOW. */
+static struct SimFlow *
+open_another_flow (struct Scene *scene, const struct SimFlow *flow, const char *id)
+{
+  struct SimFlow *other;
+
+  cf_balance_evacuate (scene->balance, "a", true, scene->sim->now);
+  do
+    {
+      do
+        scene->sim->next_port++;
+      while ((0x64400000 + (scene->sim->next_port % SIM_CALLERS << 1)) != flow->caller.ip);
+      other = open_flow (scene, 80);
+    }
+  while (!g_str_equal (other->target->id, id));
+  ck_assert_uint_eq (other->caller.ip, flow->caller.ip);
+  return other;
+}
+
+/* The caller of a lost domain that repeats first would wait for its second repeat, when others have
+ * long been reset.  A flow whose repeat may still be answered is left alone. */
+START_TEST (test_flow_that_repeated_earlier)
+{
+  struct SimFlow *far[4];
+  struct Scene scene = set_up (far);
+
+  stay_silent_together (&scene, far, 4, &(struct Elsewhere){ .until = 1000, .pause = 70 });
+  ck_assert (far[0]->reset);
+  ck_assert (!far[1]->reset);
+  ck_assert (far[2]->reset && far[3]->reset);
+  sim_free (scene.sim);
+}
+END_TEST
+
+/* A packet is lost, and its repeat arrives and is answered: the flow is healthy, whatever others
+ * say afterwards. */
+START_TEST (test_repeat_that_is_answered)
+{
+  struct SimFlow *far[4];
+  struct Scene scene = set_up (far);
+  struct SimFlow *flows[5];
+
+  for (int i = 0; i < 4; i++)
+    flows[i] = far[i];
+  cf_balance_evacuate (scene.balance, "a", true, scene.sim->now);
+  flows[4] = open_flow_at (&scene, "far-0");
+  stay_silent_together (&scene, flows, 5,
+                        &(struct Elsewhere){ .until = 1000, .pause = 50, .answered = far[0] });
+  ck_assert (flows[4]->reset);
+  ck_assert (!far[0]->reset);
+  sim_free (scene.sim);
+}
+END_TEST
+
+/* A packet is lost for a moment: its domain answers what is sent later, and is lost after that. */
+START_TEST (test_earlier_flow_and_loss_for_a_moment)
+{
+  struct SimFlow *far[4];
+  struct Scene scene = set_up (far);
+  struct SimFlow *others[2];
+
+  let_answer (&scene, scene.near);
+  cf_balance_evacuate (scene.balance, "a", true, scene.sim->now);
+  for (int i = 0; i < 2; i++)
+    others[i] = open_flow_at (&scene, "far-0");
+  sim_send_request (far[0]);
+  sim_run (scene.sim, scene.sim->now + 5);
+  let_answer (&scene, others[0]);
+  for (int i = 1; i < 4; i++)
+    sim_send_request (far[i]);
+  sim_send_request (others[1]);
+  sim_run (scene.sim, scene.sim->now + REPEAT_MS - 20);
+  sim_repeat_request (far[0]);
+  let_answer (&scene, scene.near);
+  sim_repeat_request (far[1]);
+  sim_repeat_request (far[2]);
+  sim_run (scene.sim, scene.sim->now + CF_UNREACHABLE_CONFIRM_MS);
+  let_answer (&scene, scene.near);
+  sim_repeat_request (far[3]);
+  sim_repeat_request (others[1]);
+  ck_assert (far[1]->reset && others[1]->reset);
+  ck_assert (!far[0]->reset);
+  sim_free (scene.sim);
+}
+END_TEST
+
+/* A request that must not run twice is not reset together with others. */
+START_TEST (test_earlier_flow_not_idempotent)
+{
+  struct SimFlow *far[4];
+  struct Scene scene = set_up (far);
+  struct SimFlow *flows[5];
+
+  sim_add_upstream (scene.sim, NULL, "t", "t", "b", 0);
+  flows[0] = open_flow (&scene, 81);
+  let_answer (&scene, flows[0]);
+  for (int i = 0; i < 4; i++)
+    flows[1 + i] = far[i];
+  stay_silent_together (&scene, flows, 5, &(struct Elsewhere){ .until = 1000, .pause = 50 });
+  ck_assert (flows[1]->reset && flows[4]->reset);
+  ck_assert (!flows[0]->reset);
+  sim_free (scene.sim);
+}
+END_TEST
+
+/* A caller was paused and repeats on two flows at once: three callers are not enough for flows that
+ * do not repeat now. */
+START_TEST (test_earlier_flow_and_paused_caller)
+{
+  struct SimFlow *far[4];
+  struct Scene scene = set_up (far);
+
+  far[3] = open_another_flow (&scene, far[2], "far-3");
+  stay_silent_together (&scene, far, 4, &(struct Elsewhere){ .until = 1000, .pause = 70 });
+  ck_assert (far[2]->reset);
+  ck_assert (!far[0]->reset);
+  sim_free (scene.sim);
+}
+END_TEST
+
+/* Packets wait on this VM's own link from the first repeat on.  What is answered meanwhile was sent
+ * too early to tell whether that repeat had left. */
+START_TEST (test_earlier_flow_and_queue_of_own_link)
+{
+  struct SimFlow *far[4];
+  struct Scene scene = set_up (far);
+
+  stay_silent_together (&scene, far, 4, &(struct Elsewhere){ .until = 290, .pause = 70 });
+  ck_assert (far[3]->reset);
+  ck_assert (!far[0]->reset);
+  sim_free (scene.sim);
+}
+END_TEST
+
+/* This VM is slow: it reads the repeats of other flows before an answer that came sooner. */
+START_TEST (test_earlier_flow_and_slow_vm)
+{
+  struct SimFlow *far[4];
+  struct Scene scene = set_up (far);
+
+  let_answer (&scene, scene.near);
+  for (int i = 0; i < 4; i++)
+    sim_send_request (far[i]);
+  sim_run (scene.sim, scene.sim->now + REPEAT_MS);
+  sim_repeat_request (far[0]);
+  sim_send_request (scene.near);
+  scene.sim->now += 200; /* no tick meanwhile */
+  sim_acknowledge (scene.near, ANSWER_BYTES);
+  for (int i = 1; i < 4; i++)
+    sim_repeat_request (far[i]);
+  ck_assert (far[3]->reset);
+  ck_assert (!far[0]->reset);
+  sim_free (scene.sim);
+}
+END_TEST
+
+/* A busy service: its answers usually take longer than the flow has waited since its repeat. */
+START_TEST (test_earlier_flow_and_slow_answers)
+{
+  struct SimFlow *far[4];
+  struct Scene scene = set_up (far);
+
+  sim_send_request (scene.near);
+  sim_run (scene.sim, scene.sim->now + 200);
+  sim_acknowledge (scene.near, ANSWER_BYTES);
+  stay_silent_together (&scene, far, 4, &(struct Elsewhere){ .until = 1000, .pause = 70 });
+  ck_assert (far[3]->reset);
+  ck_assert (!far[0]->reset);
+  sim_free (scene.sim);
+}
+END_TEST
+
+/* A busy upstream: it acknowledged the repeat, so that the second repeat, due after 400 ms, does
+ * not come. */
+START_TEST (test_earlier_flow_that_was_acknowledged)
+{
+  struct SimFlow *far[4];
+  struct Scene scene = set_up (far);
+
+  stay_silent_together (&scene, far, 4, &(struct Elsewhere){ .until = 1000, .pause = 120 });
+  ck_assert (!far[0]->reset);
+  ck_assert (far[1]->reset);
+  sim_free (scene.sim);
+}
+END_TEST
+
 /* A caller that keeps a flow open, with pauses between its requests. */
 struct Caller
 {
@@ -570,6 +794,15 @@
   suite_add_loop (suite, test_not_idempotent, 1);
   suite_add_loop (suite, test_gone, 1);
   suite_add_loop (suite, test_moved_flows, 1);
+  suite_add_loop (suite, test_flow_that_repeated_earlier, 1);
+  suite_add_loop (suite, test_repeat_that_is_answered, 1);
+  suite_add_loop (suite, test_earlier_flow_and_loss_for_a_moment, 1);
+  suite_add_loop (suite, test_earlier_flow_not_idempotent, 1);
+  suite_add_loop (suite, test_earlier_flow_and_paused_caller, 1);
+  suite_add_loop (suite, test_earlier_flow_and_queue_of_own_link, 1);
+  suite_add_loop (suite, test_earlier_flow_and_slow_vm, 1);
+  suite_add_loop (suite, test_earlier_flow_and_slow_answers, 1);
+  suite_add_loop (suite, test_earlier_flow_that_was_acknowledged, 1);
   suite_add_loop (suite, test_callers_of_a_cut_domain, 4);
   suite_add_loop (suite, test_late_callers_of_a_cut_domain, 4);
   return suite_run (suite);
