--- a/src/balance/connections.c
+++ b/src/balance/connections.c
@@ -24,6 +24,7 @@
   connections->pending = g_sequence_new (NULL);
   connections->awaiting_answer = g_sequence_new (NULL);
   cf_list_init (&connections->open);
+  cf_list_init (&connections->silent);
   connections->count = 0;
   connections->awaiting_changed = NULL;
 }
@@ -121,6 +122,7 @@
   connection->seen_at = now;
   connection->due_at = now;
   cf_list_init (&connection->link);
+  cf_list_init (&connection->silent_link);
   g_hash_table_add (connections->table, connection);
   connections->count++;
   return connection;
@@ -180,6 +182,13 @@
     connections->awaiting_changed (connections->context, connection, false);
 }
 
+void
+cf_connections_add_silent (struct CfConnections *connections, struct CfConnection *connection)
+{
+  cf_list_remove (&connection->silent_link);
+  cf_list_insert (&connections->silent, &connection->silent_link);
+}
+
 void
 cf_connections_touch (struct CfConnections *connections,
                       struct CfConnection *connection,
@@ -199,6 +208,7 @@
   leave_queue (&connection->due);
   cf_connections_stop_awaiting (connections, connection);
   cf_list_remove (&connection->link);
+  cf_list_remove (&connection->silent_link);
   g_hash_table_remove (connections->table, connection);
   g_slice_free (struct CfConnection, connection);
   connections->count--;
--- a/src/balance/connections.h
+++ b/src/balance/connections.h
@@ -32,6 +32,7 @@
   struct CfLink link;             /* in open */
   GSequenceIter *due;             /* in pending; NULL: not there */
   GSequenceIter *awaiting_answer; /* in that queue while no byte of the answer has come, or NULL */
+  struct CfLink silent_link;      /* in silent, or empty */
   struct CfExchange exchange;
   struct CfDelivery delivery;
   struct CfEndpoint caller;
@@ -61,6 +62,7 @@
   GHashTable *table;
   GSequence *pending;         /* by due_at, soonest first */
   struct CfLink open;         /* by seen_at, oldest first */
+  struct CfLink silent;       /* by delivery.repeated_at, oldest first */
   GSequence *awaiting_answer; /* by exchange.stalls_at, soonest first */
   uint32_t count;
   /* A request of CONNECTION begins to await an answer, or no longer does; may be NULL. */
@@ -104,6 +106,9 @@
 void cf_connections_stop_awaiting (struct CfConnections *connections,
                                    struct CfConnection *connection);
 
+/* Moves CONNECTION, whose data has just been repeated, to the end of the silent flows. */
+void cf_connections_add_silent (struct CfConnections *connections, struct CfConnection *connection);
+
 /* Marks CONNECTION as open and most recently used. */
 void cf_connections_touch (struct CfConnections *connections,
                            struct CfConnection *connection,
--- a/src/balance/outlier.h
+++ b/src/balance/outlier.h
@@ -61,7 +61,7 @@
                                    struct CfEndpoint address,
                                    CfMillis wait);
 
-/* Returns the mean time to the first byte of an answer from ADDRESS, 0 if it is not known. */
+/* Returns the mean time to the first byte of an answer from ADDRESS in ms, 0 if it is not known. */
 double cf_outlier_usual_wait_ms (const struct CfOutlierDetector *detector,
                                  struct CfEndpoint address);
 
--- a/src/serve/datapath_task.c
+++ b/src/serve/datapath_task.c
@@ -152,8 +152,9 @@
       log_admission (task, decision);
       return;
     }
-  /* Not an outcome of a packet that has just come. */
-  if (decision->outcome == CF_OUTCOME_MOVED || decision->outcome == CF_OUTCOME_EXTRA)
+  /* No packet that was received has these outcomes. */
+  if (decision->outcome == CF_OUTCOME_MOVED || decision->outcome == CF_OUTCOME_EXTRA
+      || decision->evidence == CF_UNREACHABLE_EARLIER)
     task->outcomes[decision->outcome]++;
   format_endpoint (decision->caller, flow);
   format_endpoint (decision->service, service);
