--- a/src/balance/directory.c
+++ b/src/balance/directory.c
@@ -142,12 +142,30 @@
     set_cold (target, until, now);
 }
 
+/* Returns true if ANNOUNCEMENT, with an earlier start time than that of TARGET, is one of several:
+ * an upstream whose clock jumped back between two starts goes on writing.  A write of its previous
+ * process that the store executes late comes once. */
 static bool
-is_older (const struct CfAnnouncement *announcement, const struct CfTarget *target)
+is_repeated_earlier_start (const struct CfAnnouncement *announcement, struct CfTarget *target)
 {
-  if (announcement->started < target->started || announcement->era < target->era)
-    return true;
-  return announcement->era == target->era && announcement->revision < target->revision;
+  bool repeated = target->earlier_revision > 0 && announcement->started == target->earlier_started
+                  && announcement->revision > target->earlier_revision;
+
+  if (announcement->era != target->era || announcement->revision <= target->revision)
+    return false;
+  target->earlier_started = announcement->started;
+  target->earlier_revision = announcement->revision;
+  return repeated;
+}
+
+static bool
+is_older (const struct CfAnnouncement *announcement, struct CfTarget *target)
+{
+  if (announcement->started < target->started)
+    return !is_repeated_earlier_start (announcement, target);
+  if (announcement->era != target->era)
+    return announcement->era < target->era;
+  return announcement->revision < target->revision;
 }
 
 struct CfTarget *
@@ -172,6 +190,7 @@
     }
   if (announcement->era != target->era || announcement->revision != target->revision)
     set_cold (target, announcement->cold_ms > 0 ? now + announcement->cold_ms : 0, now);
+  target->earlier_revision = 0;
   target->started = announcement->started;
   target->era = announcement->era;
   target->revision = announcement->revision;
--- a/src/balance/directory.h
+++ b/src/balance/directory.h
@@ -88,6 +88,10 @@
   int64_t started;
   uint64_t era; /* of the store, which the revision counts in */
   uint64_t revision;
+  /* Of the last announcement that was ignored for its start time; revision 0: none since one that
+   * counts. */
+  int64_t earlier_started;
+  uint64_t earlier_revision;
   uint32_t open; /* flows of this VM that are open or being opened there */
   bool collides; /* an older upstream has the same cookie: gets no new flows */
   struct CfReach reach;
--- a/tests/test_directory.c
+++ b/tests/test_directory.c
@@ -74,6 +74,36 @@
 }
 END_TEST
 
+/* An upstream that started again while its clock had jumped back used to be ignored for good, and
+ * with it that it drains, although it went on writing. */
+START_TEST (test_directory_restart_with_lower_clock)
+{
+  struct CfDirectory *directory = cf_directory_new ();
+  struct CfAnnouncement first = announcement ("i-1", 5);
+  struct CfAnnouncement again = announcement ("i-1", 9);
+  struct CfTarget *target;
+
+  first.era = again.era = 2;
+  first.started = 2500;
+  again.started = 1500;
+  target = cf_directory_announce (directory, &first, 0);
+  /* This may be a late write of a process before. */
+  cf_directory_announce (directory, &again, 10);
+  ck_assert_int_eq (target->started, 2500);
+  /* The same record, told once more, is no second write. */
+  cf_directory_announce (directory, &again, 15);
+  ck_assert_int_eq (target->started, 2500);
+  again.draining = true;
+  again.revision = 11;
+  cf_directory_announce (directory, &again, 20);
+  ck_assert_int_eq (target->state, CF_TARGET_LEAVING);
+  /* The first incarnation, told late, is older by its revision. */
+  cf_directory_announce (directory, &first, 30);
+  ck_assert_int_eq (target->state, CF_TARGET_LEAVING);
+  cf_directory_free (directory);
+}
+END_TEST
+
 START_TEST (test_directory_moves_service)
 {
   struct CfDirectory *directory = cf_directory_new ();
@@ -174,6 +204,7 @@
 
   suite_add_loop (suite, test_directory_states, 1);
   suite_add_loop (suite, test_directory_restart, 1);
+  suite_add_loop (suite, test_directory_restart_with_lower_clock, 1);
   suite_add_loop (suite, test_directory_moves_service, 1);
   suite_add_loop (suite, test_negative_start_time, 1);
   suite_add_loop (suite, test_cookie_collision, 1);
