--- a/src/balance/first_packet.c
+++ b/src/balance/first_packet.c
@@ -263,6 +263,8 @@
   const struct CfRouteEntry *route = cf_routes_find (balance->routes, segment->service);
   struct CfConnection *connection
       = cf_connections_find (&balance->connections, segment->caller, segment->service);
+  /* A copy of the packet may be on its way to an upstream: the flow must not be refused. */
+  bool known = connection != NULL;
   struct CfAdmissionVerdict verdict;
 
   if (!has_synced (balance))
@@ -282,7 +284,7 @@
       cf_connections_remove (&balance->connections, connection);
       connection = NULL;
     }
-  if (!connection && balance->admission)
+  if (!known && balance->admission)
     {
       verdict = cf_balance_admit (balance, segment, route,
                                   cf_route_service (route, segment->caller), now);
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -86,6 +86,7 @@
   CfMillis last_refusal;
   CfMillis placed_usual_at;
   struct Flow *current; /* whose packet is being handled */
+  bool duplicates;      /* the network delivers each first packet twice */
 };
 
 static struct Play *play; /* of the test that runs: callbacks of eight balancers use it */
@@ -260,6 +261,8 @@
     case EVENT_OPEN:
       add_event (play->now + 200, EVENT_REPEAT, flow, NULL);
       send (flow, 'S', CF_SEGMENT_SYN, 0, 0, 0);
+      if (play->duplicates && !flow->over)
+        send (flow, 'S', CF_SEGMENT_SYN, 0, 0, 0);
       break;
     case EVENT_REPEAT:
       if (!flow->over && !flow->target)
@@ -574,6 +577,22 @@
 }
 END_TEST
 
+/* The network delivers first packets twice: the copy of one that an upstream had received was
+ * refused.  The check is in reset. */
+START_TEST (test_duplicate_is_not_refused)
+{
+  double rate[2][2];
+
+  burst (2.0, rate);
+  play_new (5, true);
+  play->duplicates = true;
+  run (12000, calm);
+  run (14000, rate);
+  ck_assert_uint_gt (play->refused[USUAL], 0);
+  play_free ();
+}
+END_TEST
+
 int
 main (void)
 {
@@ -583,5 +602,6 @@
   suite_add_loop (suite, test_recovers_after_burst, 1);
   suite_add_loop (suite, test_one_domain_presses, 1);
   suite_add_loop (suite, test_full_is_not_failing, 1);
+  suite_add_loop (suite, test_duplicate_is_not_refused, 1);
   return suite_run (suite);
 }
