--- a/src/balance/admit.c
+++ b/src/balance/admit.c
@@ -73,18 +73,21 @@
                   CfMillis now)
 {
   struct CfAdmissionVerdict verdict = { .admission = CF_ADMISSION_PLACE };
+  struct CfAdmissionQueue *queue = cf_admission_control_queue (balance->admission);
   bool repeated;
 
-  if (cf_admission_waits (cf_admission_control_queue (balance->admission), segment->caller,
-                          segment->service))
+  /* Another VM, or this one before a restart, may have sent it to an upstream. */
+  if (segment->retransmit_count > 0
+      || segment->flags & (CF_SEGMENT_FROM_PEER | CF_SEGMENT_SENT_TO_PEER))
+    {
+      cf_admission_forget (queue, segment->caller, segment->service);
+      return verdict;
+    }
+  if (cf_admission_waits (queue, segment->caller, segment->service))
     {
       verdict.admission = CF_ADMISSION_HELD;
       return verdict;
     }
-  /* Another VM, or this one before a restart, may have sent it to an upstream. */
-  if (segment->retransmit_count > 0
-      || segment->flags & (CF_SEGMENT_FROM_PEER | CF_SEGMENT_SENT_TO_PEER))
-    return verdict;
   repeated = cf_admission_record_flow (balance->admission, service, route, segment, now);
   if (!cf_admission_overloaded (balance->admission, service))
     return verdict;
--- a/src/balance/balance.h
+++ b/src/balance/balance.h
@@ -35,6 +35,7 @@
   CF_OUTCOME_RESET_ROUTE_REMOVED, /* flow ended: its route was removed */
   CF_OUTCOME_RESET_UNREACHABLE,   /* flow ended: its upstream cannot be reached (unreachable.h) */
   CF_OUTCOME_RESET_OVERLOAD,      /* refused: its service is overloaded (admission.h) */
+  CF_OUTCOME_DROPPED_LATE,        /* dropped: held until its caller retransmitted it */
   CF_OUTCOME_DROPPED_NO_ROUTE,    /* dropped: no route known, and the manifest may be stale */
   CF_OUTCOME_DROPPED_NO_UPSTREAM, /* dropped: no upstream known, and the directory may be stale */
   CF_OUTCOME_DROPPED_UNKNOWN_COOKIE, /* dropped: its cookie names no known upstream */
--- a/src/balance/first_packet.c
+++ b/src/balance/first_packet.c
@@ -309,7 +309,10 @@
       result.segment.bytes = result.bytes;
       if (balance->out->held)
         balance->out->held (balance->context, result.waited);
-      if (!route || route->removed)
+      /* After a pause of this VM, another one may have sent a retransmission to an upstream. */
+      if (result.waited >= CALLER_RETRANSMIT_MS)
+        cf_balance_finish (balance, &result.segment, NULL, CF_OUTCOME_DROPPED_LATE, now);
+      else if (!route || route->removed)
         cf_balance_finish (balance, &result.segment, NULL, CF_OUTCOME_RESET_NO_ROUTE, now);
       else if (end == CF_ADMISSION_END_EXPIRED)
         cf_balance_finish_unadmitted (balance, &result.segment, &verdict, now);
--- a/src/balance/outcome_names.c
+++ b/src/balance/outcome_names.c
@@ -17,6 +17,7 @@
     [CF_OUTCOME_RESET_ROUTE_REMOVED] = "reset-route-removed",
     [CF_OUTCOME_RESET_UNREACHABLE] = "reset-unreachable",
     [CF_OUTCOME_RESET_OVERLOAD] = "reset-overload",
+    [CF_OUTCOME_DROPPED_LATE] = "dropped-late",
     [CF_OUTCOME_DROPPED_NO_ROUTE] = "dropped-no-route",
     [CF_OUTCOME_DROPPED_NO_UPSTREAM] = "dropped-no-upstream",
     [CF_OUTCOME_DROPPED_UNKNOWN_COOKIE] = "dropped-unknown-cookie",
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -87,6 +87,8 @@
   CfMillis placed_usual_at;
   struct Flow *current; /* whose packet is being handled */
   bool duplicates;      /* the network delivers each first packet twice */
+  int paused;           /* VM that does not run, whose packets the fabric moves; -1: none */
+  CfMillis longest_hold;
 };
 
 static struct Play *play; /* of the test that runs: callbacks of eight balancers use it */
@@ -208,7 +210,15 @@
   end_flow (flow, false);
 }
 
-static const struct CfBalanceOutputs outputs = { .forward = forward, .reset = reset };
+static void
+held (void *context, CfMillis wait)
+{
+  (void) context;
+  play->longest_hold = MAX (wait, play->longest_hold);
+}
+
+static const struct CfBalanceOutputs outputs
+    = { .forward = forward, .reset = reset, .held = held };
 
 static void
 send (struct Flow *flow, char kind, unsigned flags, uint32_t data, uint32_t ack, uint16_t count)
@@ -229,6 +239,8 @@
 
   memcpy (bytes, &flow->index, sizeof flow->index);
   bytes[4] = (uint8_t) kind;
+  if (flow->vm == play->paused)
+    flow->vm = (flow->vm + 2) % VMS;
   cf_balance_segment (play->vms[flow->vm], &segment, play->now);
 }
 
@@ -282,7 +294,7 @@
 }
 
 static struct CfManifest *
-manifest_new (void)
+manifest_new (CfMillis target_latency_ms)
 {
   struct CfManifest *manifest = cf_manifest_new ();
   struct CfServiceTraits traits = { .name = g_quark_from_string ("s") };
@@ -295,7 +307,7 @@
         .address = { .ip = SERVICE_IP, .port = port },
         .idempotent = port == 80,
         .priority = port == 81 ? 1 : 2,
-        .target_latency_ms = TARGET_LATENCY_MS,
+        .target_latency_ms = target_latency_ms,
         .splits = { { .service = traits.name, .weight = 1 } },
         .split_count = 1,
       };
@@ -329,12 +341,13 @@
 }
 
 static void
-play_new (uint32_t seed, bool enabled)
+play_new_with_target (uint32_t seed, bool enabled, CfMillis target_latency_ms)
 {
-  struct CfManifest *manifest = manifest_new ();
+  struct CfManifest *manifest = manifest_new (target_latency_ms);
 
   play = g_new0 (struct Play, 1);
   play->now = 10000;
+  play->paused = -1;
   play->random = g_rand_new_with_seed (seed);
   play->events = g_sequence_new (g_free);
   play->flows = g_ptr_array_new_with_free_func (g_free);
@@ -364,6 +377,12 @@
   cf_manifest_free (manifest);
 }
 
+static void
+play_new (uint32_t seed, bool enabled)
+{
+  play_new_with_target (seed, enabled, TARGET_LATENCY_MS);
+}
+
 static void
 play_free (void)
 {
@@ -437,7 +456,8 @@
           handle (&event);
         }
       for (int i = 0; i < VMS; i++)
-        cf_balance_tick (play->vms[i], play->now);
+        if (i != play->paused)
+          cf_balance_tick (play->vms[i], play->now);
       if (play->now % REPORT_MS == 0)
         exchange_reports ();
     }
@@ -593,6 +613,27 @@
 }
 END_TEST
 
+/* A VM with waiting packets is paused, and the fabric moves its flows to other VMs, which place the
+ * retransmissions: when it ran again, it refused these flows.  The check is in reset. */
+START_TEST (test_paused_vm_refuses_nothing)
+{
+  double rate[2][2];
+
+  burst (2.0, rate);
+  play_new (6, true);
+  run (12000, calm);
+  for (int i = 0; i < 10; i++)
+    {
+      play->paused = -1;
+      run (play->now + 500, rate);
+      play->paused = i % VMS;
+      run (play->now + 300, rate);
+    }
+  ck_assert_int_gt (play->longest_hold, 250);
+  play_free ();
+}
+END_TEST
+
 int
 main (void)
 {
@@ -603,5 +644,6 @@
   suite_add_loop (suite, test_one_domain_presses, 1);
   suite_add_loop (suite, test_full_is_not_failing, 1);
   suite_add_loop (suite, test_duplicate_is_not_refused, 1);
+  suite_add_loop (suite, test_paused_vm_refuses_nothing, 1);
   return suite_run (suite);
 }
