--- a/src/balance/admission.c
+++ b/src/balance/admission.c
@@ -255,6 +255,7 @@
   struct Service *service = get_service (control, service_name);
   struct CfAdmissionVerdict verdict = new_verdict (service, route->priority);
   enum CfAdmission admission;
+  double hold_ms = control->options.hold_share * (double) route->target_latency_ms;
   double rate;
 
   if (!service->overload.active || route->target_latency_ms <= 0)
@@ -277,7 +278,7 @@
           .rate = rate * verdict.admitted,
           .admitted = verdict.admitted,
           .caller_use = caller_rank (verdict.caller_use),
-          .hold_ms = (CfMillis) (control->options.hold_share * (double) route->target_latency_ms),
+          .hold_ms = (CfMillis) MIN (hold_ms, CF_ADMISSION_HOLD_MAX_MS),
       },
       now);
   if (admission == CF_ADMISSION_REFUSE || admission == CF_ADMISSION_FULL)
--- a/src/balance/admission.h
+++ b/src/balance/admission.h
@@ -27,6 +27,9 @@
 #define CF_ADMISSION_REPORT_MS 4000
 /* Requests a second that upstreams must turn away at one VM for it to report. */
 #define CF_ADMISSION_REPORT_SHED_RATE 1.0
+/* Longest hold time, whatever the target latency: callers retransmit their first packet after 200
+ * ms, maybe to another VM, which sends it to an upstream. */
+#define CF_ADMISSION_HOLD_MAX_MS 180
 /* The state of a service without new flows is kept for this long. */
 #define CF_ADMISSION_SERVICE_IDLE_MS 60000
 
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -634,6 +634,22 @@
 }
 END_TEST
 
+/* Callers retransmit after 200 ms, maybe to another VM: a packet that was held for longer was
+ * refused, although its retransmission had been sent to an upstream. */
+START_TEST (test_hold_ends_before_retransmission)
+{
+  double rate[2][2];
+
+  burst (1.3, rate);
+  play_new_with_target (8, true, 4 * TARGET_LATENCY_MS);
+  run (12000, calm);
+  run (14000, rate);
+  ck_assert_int_gt (play->longest_hold, 0);
+  ck_assert_int_lt (play->longest_hold, 200);
+  play_free ();
+}
+END_TEST
+
 int
 main (void)
 {
@@ -645,5 +661,6 @@
   suite_add_loop (suite, test_full_is_not_failing, 1);
   suite_add_loop (suite, test_duplicate_is_not_refused, 1);
   suite_add_loop (suite, test_paused_vm_refuses_nothing, 1);
+  suite_add_loop (suite, test_hold_ends_before_retransmission, 1);
   return suite_run (suite);
 }
