--- a/src/balance/first_packet.c
+++ b/src/balance/first_packet.c
@@ -154,9 +154,10 @@
 
   if (!target)
     return false;
+  /* Earlier attempts are not judged once the caller has retransmitted. */
+  connection->timed_out = connection->tries;
   if (connection->tries == 0)
     {
-      connection->timed_out = 0;
       connection->extra = 0;
       cf_extra_open_record_usual (balance->extra_open, target, now);
     }
--- a/tests/test_first_packets.c
+++ b/tests/test_first_packets.c
@@ -1,4 +1,5 @@
 #include "balance/isolation.h"
+#include "balance/reach.h"
 #include "simulation.h"
 #include "suite.h"
 
@@ -186,6 +187,36 @@
 }
 END_TEST
 
+/* A caller retransmits its first packet before the last attempt has timed out.  That attempt is not
+ * judged any more, as before extra openings existed: they are off here. */
+START_TEST (test_retransmission_ends_attempt)
+{
+  static const char *const ids[] = { "i-1", "i-2", "i-3", "i-4" };
+  struct Simulation *sim = sim_new ();
+  struct CfBalance *balance = sim_add_vm (sim, "a", 0);
+  uint32_t judged = 0;
+
+  for (int i = 0; i < 4; i++)
+    sim_add_upstream (sim, NULL, ids[i], "s", "a", 0);
+  /* The time-out becomes 80 ms, so the attempts are after 0, 80, 160 and 200 ms. */
+  sim->round_trip = 20;
+  for (int i = 0; i < 100; i++)
+    {
+      sim_open_flow (sim, balance, 80);
+      sim_run (sim, sim->now + 100);
+    }
+  for (int i = 0; i < 4; i++)
+    g_hash_table_add (sim->unresponsive, (gpointer) ids[i]);
+  sim_open_flow (sim, balance, 80);
+  sim_run (sim, sim->now + 320);
+  for (int i = 0; i < 4; i++)
+    judged
+        += !cf_reach_good (&cf_directory_by_id (cf_balance_directory (balance), ids[i])->reach);
+  ck_assert_uint_eq (judged, 3);
+  sim_free (sim);
+}
+END_TEST
+
 #define UPSTREAMS_PER_DOMAIN 40
 #define FLOWS 200
 #define FLOW_INTERVAL_MS 60 /* interval of flows at one of 20 VMs of a failure domain */
@@ -298,6 +329,7 @@
   suite_add_loop (suite, test_trial_during_pause, 1);
   suite_add_loop (suite, test_cold_upstream_of_high_capacity, 1);
   suite_add_loop (suite, test_burst_is_no_isolation, 1);
+  suite_add_loop (suite, test_retransmission_ends_attempt, 1);
   suite_add_loop (suite, test_domain_goes_away, 1);
   suite_add_loop (suite, test_some_unreachable_no_outage, 1);
   return suite_run (suite);
