--- a/src/balance/admission.c
+++ b/src/balance/admission.c
@@ -304,9 +304,13 @@
                             bool is_short,
                             CfMillis now)
 {
-  const struct Service *service = find_service (control, service_name);
-  bool full = service && service->overload.occupancy >= CF_OVERLOAD_ENTER_OCCUPANCY;
+  struct Service *service = find_service (control, service_name);
+  bool full;
 
+  /* With requests on open flows only, the occupancy of the last new flow is old. */
+  if (service)
+    update_service (control, service, now);
+  full = service && service->overload.occupancy >= CF_OVERLOAD_ENTER_OCCUPANCY;
   cf_service_loads_answer (control->loads, service_name, is_short, now);
   if (!is_short || !full)
     return false;
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -684,6 +684,38 @@
 }
 END_TEST
 
+static double
+two_slots (void *context, GQuark service, CfMillis now)
+{
+  (void) context;
+  (void) service;
+  (void) now;
+  return 2;
+}
+
+/* A service without new flows, but with requests on open ones: the occupancy of its last new flow
+ * remained, so that errors counted as rejections and the upstream was not avoided. */
+START_TEST (test_old_occupancy_hides_no_failure)
+{
+  const struct CfAdmissionEvents events = { .slots = two_slots };
+  const struct CfAdmissionOptions options = { .enabled = true, .caller_prefix = 32 };
+  const struct CfRouteEntry route = { .target_latency_ms = TARGET_LATENCY_MS };
+  const struct CfSegment segment = { .caller = { .ip = 1, .port = 1 } };
+  const GQuark service = g_quark_from_string ("s");
+  struct CfAdmissionControl *control
+      = cf_admission_control_new (&options, g_quark_from_string ("a"), &events, NULL);
+
+  for (int i = 0; i < 8; i++)
+    cf_admission_record_progress (control, service, true, 10000);
+  cf_admission_record_flow (control, service, &route, &segment, 11000);
+  ck_assert (cf_admission_record_answer (control, service, 1, true, 11000));
+  for (int i = 0; i < 8; i++)
+    cf_admission_record_progress (control, service, false, 11000);
+  ck_assert (!cf_admission_record_answer (control, service, 1, true, 20000));
+  cf_admission_control_free (control);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -697,5 +729,6 @@
   suite_add_loop (suite, test_paused_vm_refuses_nothing, 1);
   suite_add_loop (suite, test_hold_ends_before_retransmission, 1);
   suite_add_loop (suite, test_release_is_resumed_at_once, 1);
+  suite_add_loop (suite, test_old_occupancy_hides_no_failure, 1);
   return suite_run (suite);
 }
