--- a/src/balance/admit.c
+++ b/src/balance/admit.c
@@ -78,7 +78,7 @@
 
   /* Another VM, or this one before a restart, may have sent it to an upstream. */
   if (segment->retransmit_count > 0
-      || segment->flags & (CF_SEGMENT_FROM_PEER | CF_SEGMENT_SENT_TO_PEER))
+      || segment->flags & (CF_SEGMENT_FROM_PEER | CF_SEGMENT_SENT_TO_PEER | CF_SEGMENT_QUEUED))
     {
       cf_admission_forget (queue, segment->caller, segment->service);
       return verdict;
--- a/src/balance/first_packet.c
+++ b/src/balance/first_packet.c
@@ -386,5 +386,8 @@
   if (!has_synced (balance))
     return;
   while (cf_startup_queue_pop (&balance->startup_queue, &first, now))
-    cf_balance_first_packet (balance, &first.segment, now);
+    {
+      first.segment.flags |= CF_SEGMENT_QUEUED;
+      cf_balance_first_packet (balance, &first.segment, now);
+    }
 }
--- a/src/balance/segment.h
+++ b/src/balance/segment.h
@@ -18,6 +18,7 @@
   CF_SEGMENT_RST = 1 << 3,
   CF_SEGMENT_FROM_PEER = 1 << 4,    /* a peer handed it on to this VM */
   CF_SEGMENT_SENT_TO_PEER = 1 << 5, /* not on the wire: this VM has handed it on before */
+  CF_SEGMENT_QUEUED = 1 << 6,       /* not on the wire: it came before this VM's first sync */
 };
 
 /* An IPv4 address and port, both in host byte order. */
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -684,6 +684,41 @@
 }
 END_TEST
 
+/* A VM that starts amid an overload refused first packets that had waited for the store, although
+ * their callers had retransmitted them to other VMs.  The check is in reset. */
+START_TEST (test_start_refuses_nothing_old)
+{
+  const struct CfBalanceOptions options = {
+    .domain = "a",
+    .seed = 1,
+    .flow_lifetime_ms = 60000,
+    .admission = { .enabled = true, .hold_share = 0.25, .caller_prefix = 32 },
+  };
+  struct CfManifest *manifest = manifest_new (TARGET_LATENCY_MS);
+  struct CfBalance *old;
+  double rate[2][2];
+
+  burst (2.0, rate);
+  play_new (10, true);
+  run (12000, calm);
+  run (14000, rate);
+  old = play->vms[0]; /* flows refer to its upstreams */
+  play->vms[0] = cf_balance_new (&options, &outputs, NULL);
+  cf_balance_set_fleet_size (play->vms[0], VMS);
+  cf_balance_set_domain_size (play->vms[0], VMS / 2);
+  run (14500, rate);
+  play->paused = 0; /* as the fabric sees it: it does not receive retransmissions */
+  run (14800, rate);
+  cf_balance_manifest (play->vms[0], manifest);
+  add_upstreams (play->vms[0]);
+  cf_balance_synced (play->vms[0], play->now);
+  cf_balance_tick (play->vms[0], play->now);
+  cf_manifest_free (manifest);
+  play_free ();
+  cf_balance_free (old);
+}
+END_TEST
+
 static double
 two_slots (void *context, GQuark service, CfMillis now)
 {
@@ -730,5 +765,6 @@
   suite_add_loop (suite, test_hold_ends_before_retransmission, 1);
   suite_add_loop (suite, test_release_is_resumed_at_once, 1);
   suite_add_loop (suite, test_old_occupancy_hides_no_failure, 1);
+  suite_add_loop (suite, test_start_refuses_nothing_old, 1);
   return suite_run (suite);
 }
