--- a/src/balance/admit.c
+++ b/src/balance/admit.c
@@ -76,6 +76,9 @@
   struct CfAdmissionQueue *queue = cf_admission_control_queue (balance->admission);
   bool repeated;
 
+  if (service == 0) /* all splits of ROUTE have weight 0 */
+    return verdict;
+
   /* Another VM, or this one before a restart, may have sent it to an upstream. */
   if (segment->retransmit_count > 0
       || segment->flags & (CF_SEGMENT_FROM_PEER | CF_SEGMENT_SENT_TO_PEER | CF_SEGMENT_QUEUED))
@@ -149,7 +152,10 @@
 bool
 cf_balance_prefers_far (struct CfBalance *balance, GQuark service, CfMillis now)
 {
-  double share = cf_spill_update (cf_admission_spill (balance->admission, service), now);
+  double share;
 
+  if (service == 0)
+    return false;
+  share = cf_spill_update (cf_admission_spill (balance->admission, service), now);
   return share > 0 && g_rand_double (balance->random) < share;
 }
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -719,6 +719,35 @@
 }
 END_TEST
 
+/* A route whose splits all have weight 0 leads to no service: its first packet crashed a VM that had
+ * a load report. */
+START_TEST (test_route_without_service)
+{
+  struct CfManifest *manifest = manifest_new (TARGET_LATENCY_MS);
+  struct Request request = { .class = USUAL };
+  double rate[2][2];
+
+  burst (2.0, rate);
+  play_new (11, true);
+  run (12000, calm);
+  run (14000, rate);
+  manifest->version = 2;
+  for (guint i = 0; i < manifest->routes->len; i++)
+    g_array_index (manifest->routes, struct CfRouteEntry, i).splits[0].weight = 0;
+  cf_balance_manifest (play->vms[0], manifest);
+  cf_balance_synced (play->vms[0], play->now);
+  open_flow (&request);
+  ((struct Flow *) play->flows->pdata[play->flows->len - 1])->vm = 0;
+  play->refused[USUAL] = 0;
+  send (play->flows->pdata[play->flows->len - 1], 'S', CF_SEGMENT_SYN, 0, 0, 0);
+  ck_assert_uint_eq (play->refused[USUAL], 1);
+  g_log_set_always_fatal (G_LOG_LEVEL_CRITICAL | G_LOG_FATAL_MASK);
+  exchange_reports ();
+  cf_manifest_free (manifest);
+  play_free ();
+}
+END_TEST
+
 static double
 two_slots (void *context, GQuark service, CfMillis now)
 {
@@ -766,5 +795,6 @@
   suite_add_loop (suite, test_release_is_resumed_at_once, 1);
   suite_add_loop (suite, test_old_occupancy_hides_no_failure, 1);
   suite_add_loop (suite, test_start_refuses_nothing_old, 1);
+  suite_add_loop (suite, test_route_without_service, 1);
   return suite_run (suite);
 }
