--- a/src/balance/admission.c
+++ b/src/balance/admission.c
@@ -269,18 +269,18 @@
         return refuse (control, service, segment, verdict, CF_REFUSAL_RETRY, now);
     }
   rate = cf_service_loads_demand_rate (control->loads, service_name, route->priority, now);
-  admission = cf_admission_request (
-      control->queue,
-      &(struct CfAdmissionRequest){
-          .segment = segment,
-          .service = service_name,
-          .priority = route->priority,
-          .rate = rate * verdict.admitted,
-          .admitted = verdict.admitted,
-          .caller_use = caller_rank (verdict.caller_use),
-          .hold_ms = (CfMillis) MIN (hold_ms, CF_ADMISSION_HOLD_MAX_MS),
-      },
-      now);
+  admission
+      = cf_admission_request (control->queue,
+                              &(struct CfAdmissionRequest){
+                                  .segment = segment,
+                                  .service = service_name,
+                                  .priority = route->priority,
+                                  .rate = rate * verdict.admitted,
+                                  .admitted = verdict.admitted,
+                                  .caller_use = caller_rank (verdict.caller_use),
+                                  .hold_ms = (CfMillis) MIN (hold_ms, CF_ADMISSION_HOLD_MAX_MS),
+                              },
+                              now);
   if (admission == CF_ADMISSION_REFUSE || admission == CF_ADMISSION_FULL)
     return refuse (control, service, segment, verdict,
                    admission == CF_ADMISSION_FULL ? CF_REFUSAL_QUEUE : CF_REFUSAL_PRIORITY, now);
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -217,8 +217,7 @@
   play->longest_hold = MAX (wait, play->longest_hold);
 }
 
-static const struct CfBalanceOutputs outputs
-    = { .forward = forward, .reset = reset, .held = held };
+static const struct CfBalanceOutputs outputs = { .forward = forward, .reset = reset, .held = held };
 
 static void
 send (struct Flow *flow, char kind, unsigned flags, uint32_t data, uint32_t ack, uint16_t count)
@@ -719,8 +718,8 @@
 }
 END_TEST
 
-/* A route whose splits all have weight 0 leads to no service: its first packet crashed a VM that had
- * a load report. */
+/* A route whose splits all have weight 0 leads to no service: its first packet crashed a VM that
+ * had a load report. */
 START_TEST (test_route_without_service)
 {
   struct CfManifest *manifest = manifest_new (TARGET_LATENCY_MS);
--- a/tests/test_first_packets.c
+++ b/tests/test_first_packets.c
@@ -210,8 +210,7 @@
   sim_open_flow (sim, balance, 80);
   sim_run (sim, sim->now + 320);
   for (int i = 0; i < 4; i++)
-    judged
-        += !cf_reach_good (&cf_directory_by_id (cf_balance_directory (balance), ids[i])->reach);
+    judged += !cf_reach_good (&cf_directory_by_id (cf_balance_directory (balance), ids[i])->reach);
   ck_assert_uint_eq (judged, 3);
   sim_free (sim);
 }
