--- a/src/balance/admission.c
+++ b/src/balance/admission.c
@@ -255,6 +255,7 @@
   struct Service *service = get_service (control, service_name);
   struct CfAdmissionVerdict verdict = new_verdict (service, route->priority);
   enum CfAdmission admission;
+  double hold_ms = control->options.hold_share * (double) route->target_latency_ms;
   double rate;
 
   if (!service->overload.active || route->target_latency_ms <= 0)
@@ -268,18 +269,18 @@
         return refuse (control, service, segment, verdict, CF_REFUSAL_RETRY, now);
     }
   rate = cf_service_loads_demand_rate (control->loads, service_name, route->priority, now);
-  admission = cf_admission_request (
-      control->queue,
-      &(struct CfAdmissionRequest){
-          .segment = segment,
-          .service = service_name,
-          .priority = route->priority,
-          .rate = rate * verdict.admitted,
-          .admitted = verdict.admitted,
-          .caller_use = caller_rank (verdict.caller_use),
-          .hold_ms = (CfMillis) (control->options.hold_share * (double) route->target_latency_ms),
-      },
-      now);
+  admission
+      = cf_admission_request (control->queue,
+                              &(struct CfAdmissionRequest){
+                                  .segment = segment,
+                                  .service = service_name,
+                                  .priority = route->priority,
+                                  .rate = rate * verdict.admitted,
+                                  .admitted = verdict.admitted,
+                                  .caller_use = caller_rank (verdict.caller_use),
+                                  .hold_ms = (CfMillis) MIN (hold_ms, CF_ADMISSION_HOLD_MAX_MS),
+                              },
+                              now);
   if (admission == CF_ADMISSION_REFUSE || admission == CF_ADMISSION_FULL)
     return refuse (control, service, segment, verdict,
                    admission == CF_ADMISSION_FULL ? CF_REFUSAL_QUEUE : CF_REFUSAL_PRIORITY, now);
@@ -303,9 +304,13 @@
                             bool is_short,
                             CfMillis now)
 {
-  const struct Service *service = find_service (control, service_name);
-  bool full = service && service->overload.occupancy >= CF_OVERLOAD_ENTER_OCCUPANCY;
+  struct Service *service = find_service (control, service_name);
+  bool full;
 
+  /* With requests on open flows only, the occupancy of the last new flow is old. */
+  if (service)
+    update_service (control, service, now);
+  full = service && service->overload.occupancy >= CF_OVERLOAD_ENTER_OCCUPANCY;
   cf_service_loads_answer (control->loads, service_name, is_short, now);
   if (!is_short || !full)
     return false;
@@ -365,8 +370,8 @@
 CfMillis
 cf_admission_tick (struct CfAdmissionControl *control, CfMillis now)
 {
-  CfMillis next = MIN (cf_admission_due (control->queue),
-                       now < control->report_until ? now + CF_LOAD_REPORT_INTERVAL_MS : G_MAXINT64);
+  CfMillis next = now < control->report_until ? now + CF_LOAD_REPORT_INTERVAL_MS : G_MAXINT64;
+  CfMillis due;
   GHashTableIter iter;
   gpointer value;
 
@@ -383,7 +388,9 @@
       cf_service_loads_prune (control->loads, now);
       g_hash_table_foreach_remove (control->services, is_unused, &now);
     }
-  return next;
+  /* The end of an overload has released packets. */
+  due = cf_admission_due (control->queue);
+  return MIN (next, due);
 }
 
 bool
--- a/src/balance/admit.c
+++ b/src/balance/admit.c
@@ -73,18 +73,24 @@
                   CfMillis now)
 {
   struct CfAdmissionVerdict verdict = { .admission = CF_ADMISSION_PLACE };
+  struct CfAdmissionQueue *queue = cf_admission_control_queue (balance->admission);
   bool repeated;
 
-  if (cf_admission_waits (cf_admission_control_queue (balance->admission), segment->caller,
-                          segment->service))
+  if (service == 0) /* all splits of ROUTE have weight 0 */
+    return verdict;
+
+  /* Another VM, or this one before a restart, may have sent it to an upstream. */
+  if (segment->retransmit_count > 0
+      || segment->flags & (CF_SEGMENT_FROM_PEER | CF_SEGMENT_SENT_TO_PEER | CF_SEGMENT_QUEUED))
+    {
+      cf_admission_forget (queue, segment->caller, segment->service);
+      return verdict;
+    }
+  if (cf_admission_waits (queue, segment->caller, segment->service))
     {
       verdict.admission = CF_ADMISSION_HELD;
       return verdict;
     }
-  /* Another VM, or this one before a restart, may have sent it to an upstream. */
-  if (segment->retransmit_count > 0
-      || segment->flags & (CF_SEGMENT_FROM_PEER | CF_SEGMENT_SENT_TO_PEER))
-    return verdict;
   repeated = cf_admission_record_flow (balance->admission, service, route, segment, now);
   if (!cf_admission_overloaded (balance->admission, service))
     return verdict;
@@ -146,7 +152,10 @@
 bool
 cf_balance_prefers_far (struct CfBalance *balance, GQuark service, CfMillis now)
 {
-  double share = cf_spill_update (cf_admission_spill (balance->admission, service), now);
+  double share;
 
+  if (service == 0)
+    return false;
+  share = cf_spill_update (cf_admission_spill (balance->admission, service), now);
   return share > 0 && g_rand_double (balance->random) < share;
 }
--- a/src/balance/first_packet.c
+++ b/src/balance/first_packet.c
@@ -154,9 +154,10 @@
 
   if (!target)
     return false;
+  /* Earlier attempts are not judged once the caller has retransmitted. */
+  connection->timed_out = connection->tries;
   if (connection->tries == 0)
     {
-      connection->timed_out = 0;
       connection->extra = 0;
       cf_extra_open_record_usual (balance->extra_open, target, now);
     }
@@ -263,6 +264,8 @@
   const struct CfRouteEntry *route = cf_routes_find (balance->routes, segment->service);
   struct CfConnection *connection
       = cf_connections_find (&balance->connections, segment->caller, segment->service);
+  /* A copy of the packet may be on its way to an upstream: the flow must not be refused. */
+  bool known = connection != NULL;
   struct CfAdmissionVerdict verdict;
 
   if (!has_synced (balance))
@@ -282,7 +285,7 @@
       cf_connections_remove (&balance->connections, connection);
       connection = NULL;
     }
-  if (!connection && balance->admission)
+  if (!known && balance->admission)
     {
       verdict = cf_balance_admit (balance, segment, route,
                                   cf_route_service (route, segment->caller), now);
@@ -307,7 +310,10 @@
       result.segment.bytes = result.bytes;
       if (balance->out->held)
         balance->out->held (balance->context, result.waited);
-      if (!route || route->removed)
+      /* After a pause of this VM, another one may have sent a retransmission to an upstream. */
+      if (result.waited >= CALLER_RETRANSMIT_MS)
+        cf_balance_finish (balance, &result.segment, NULL, CF_OUTCOME_DROPPED_LATE, now);
+      else if (!route || route->removed)
         cf_balance_finish (balance, &result.segment, NULL, CF_OUTCOME_RESET_NO_ROUTE, now);
       else if (end == CF_ADMISSION_END_EXPIRED)
         cf_balance_finish_unadmitted (balance, &result.segment, &verdict, now);
@@ -380,5 +386,8 @@
   if (!has_synced (balance))
     return;
   while (cf_startup_queue_pop (&balance->startup_queue, &first, now))
-    cf_balance_first_packet (balance, &first.segment, now);
+    {
+      first.segment.flags |= CF_SEGMENT_QUEUED;
+      cf_balance_first_packet (balance, &first.segment, now);
+    }
 }
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -86,6 +86,9 @@
   CfMillis last_refusal;
   CfMillis placed_usual_at;
   struct Flow *current; /* whose packet is being handled */
+  bool duplicates;      /* the network delivers each first packet twice */
+  int paused;           /* VM that does not run, whose packets the fabric moves; -1: none */
+  CfMillis longest_hold;
 };
 
 static struct Play *play; /* of the test that runs: callbacks of eight balancers use it */
@@ -207,7 +210,14 @@
   end_flow (flow, false);
 }
 
-static const struct CfBalanceOutputs outputs = { .forward = forward, .reset = reset };
+static void
+held (void *context, CfMillis wait)
+{
+  (void) context;
+  play->longest_hold = MAX (wait, play->longest_hold);
+}
+
+static const struct CfBalanceOutputs outputs = { .forward = forward, .reset = reset, .held = held };
 
 static void
 send (struct Flow *flow, char kind, unsigned flags, uint32_t data, uint32_t ack, uint16_t count)
@@ -228,6 +238,8 @@
 
   memcpy (bytes, &flow->index, sizeof flow->index);
   bytes[4] = (uint8_t) kind;
+  if (flow->vm == play->paused)
+    flow->vm = (flow->vm + 2) % VMS;
   cf_balance_segment (play->vms[flow->vm], &segment, play->now);
 }
 
@@ -260,6 +272,8 @@
     case EVENT_OPEN:
       add_event (play->now + 200, EVENT_REPEAT, flow, NULL);
       send (flow, 'S', CF_SEGMENT_SYN, 0, 0, 0);
+      if (play->duplicates && !flow->over)
+        send (flow, 'S', CF_SEGMENT_SYN, 0, 0, 0);
       break;
     case EVENT_REPEAT:
       if (!flow->over && !flow->target)
@@ -279,7 +293,7 @@
 }
 
 static struct CfManifest *
-manifest_new (void)
+manifest_new (CfMillis target_latency_ms)
 {
   struct CfManifest *manifest = cf_manifest_new ();
   struct CfServiceTraits traits = { .name = g_quark_from_string ("s") };
@@ -292,7 +306,7 @@
         .address = { .ip = SERVICE_IP, .port = port },
         .idempotent = port == 80,
         .priority = port == 81 ? 1 : 2,
-        .target_latency_ms = TARGET_LATENCY_MS,
+        .target_latency_ms = target_latency_ms,
         .splits = { { .service = traits.name, .weight = 1 } },
         .split_count = 1,
       };
@@ -326,12 +340,13 @@
 }
 
 static void
-play_new (uint32_t seed, bool enabled)
+play_new_with_target (uint32_t seed, bool enabled, CfMillis target_latency_ms)
 {
-  struct CfManifest *manifest = manifest_new ();
+  struct CfManifest *manifest = manifest_new (target_latency_ms);
 
   play = g_new0 (struct Play, 1);
   play->now = 10000;
+  play->paused = -1;
   play->random = g_rand_new_with_seed (seed);
   play->events = g_sequence_new (g_free);
   play->flows = g_ptr_array_new_with_free_func (g_free);
@@ -361,6 +376,12 @@
   cf_manifest_free (manifest);
 }
 
+static void
+play_new (uint32_t seed, bool enabled)
+{
+  play_new_with_target (seed, enabled, TARGET_LATENCY_MS);
+}
+
 static void
 play_free (void)
 {
@@ -405,6 +426,17 @@
   return whole + (g_rand_double (play->random) < mean - whole);
 }
 
+/* Runs what is due at VM, which must ask to be called again in time for each waiting packet. */
+static void
+tick (struct CfBalance *vm)
+{
+  CfMillis next = cf_balance_tick (vm, play->now);
+  struct CfAdmissionControl *admission = cf_balance_admission (vm);
+
+  if (admission)
+    ck_assert_int_le (next, cf_admission_due (cf_admission_control_queue (admission)));
+}
+
 /* Lets new requests come until UNTIL: so many a second by domain and class. */
 static void
 run (CfMillis until, const double rate[2][2])
@@ -434,7 +466,8 @@
           handle (&event);
         }
       for (int i = 0; i < VMS; i++)
-        cf_balance_tick (play->vms[i], play->now);
+        if (i != play->paused)
+          tick (play->vms[i]);
       if (play->now % REPORT_MS == 0)
         exchange_reports ();
     }
@@ -574,6 +607,178 @@
 }
 END_TEST
 
+/* The network delivers first packets twice: the copy of one that an upstream had received was
+ * refused.  The check is in reset. */
+START_TEST (test_duplicate_is_not_refused)
+{
+  double rate[2][2];
+
+  burst (2.0, rate);
+  play_new (5, true);
+  play->duplicates = true;
+  run (12000, calm);
+  run (14000, rate);
+  ck_assert_uint_gt (play->refused[USUAL], 0);
+  play_free ();
+}
+END_TEST
+
+/* A VM with waiting packets is paused, and the fabric moves its flows to other VMs, which place the
+ * retransmissions: when it ran again, it refused these flows.  The check is in reset. */
+START_TEST (test_paused_vm_refuses_nothing)
+{
+  double rate[2][2];
+
+  burst (2.0, rate);
+  play_new (6, true);
+  run (12000, calm);
+  for (int i = 0; i < 10; i++)
+    {
+      play->paused = -1;
+      run (play->now + 500, rate);
+      play->paused = i % VMS;
+      run (play->now + 300, rate);
+    }
+  ck_assert_int_gt (play->longest_hold, 250);
+  play_free ();
+}
+END_TEST
+
+/* Callers retransmit after 200 ms, maybe to another VM: a packet that was held for longer was
+ * refused, although its retransmission had been sent to an upstream. */
+START_TEST (test_hold_ends_before_retransmission)
+{
+  double rate[2][2];
+
+  burst (1.3, rate);
+  play_new_with_target (8, true, 4 * TARGET_LATENCY_MS);
+  run (12000, calm);
+  run (14000, rate);
+  ck_assert_int_gt (play->longest_hold, 0);
+  ck_assert_int_lt (play->longest_hold, 200);
+  play_free ();
+}
+END_TEST
+
+/* An overload that ends while packets wait: they waited on, since the tick that released them
+ * asked to be called again too late.  The check is in tick. */
+START_TEST (test_release_is_resumed_at_once)
+{
+  double rate[2][2];
+
+  burst (2.0, rate);
+  play_new (9, true);
+  run (12000, calm);
+  run (13000, rate);
+  for (int i = 0; i < 20; i++)
+    {
+      run (play->now + 500, rate);
+      for (int vm = 0; vm < VMS; vm++)
+        *cf_admission_spill (cf_balance_admission (play->vms[vm]), g_quark_from_string ("s"))
+            = (struct CfSpill){ .near_usual = { 100, 2000, play->now },
+                                .near_recent = { 100, 2000, play->now },
+                                .near_answered_at = play->now };
+    }
+  play_free ();
+}
+END_TEST
+
+/* A VM that starts amid an overload refused first packets that had waited for the store, although
+ * their callers had retransmitted them to other VMs.  The check is in reset. */
+START_TEST (test_start_refuses_nothing_old)
+{
+  const struct CfBalanceOptions options = {
+    .domain = "a",
+    .seed = 1,
+    .flow_lifetime_ms = 60000,
+    .admission = { .enabled = true, .hold_share = 0.25, .caller_prefix = 32 },
+  };
+  struct CfManifest *manifest = manifest_new (TARGET_LATENCY_MS);
+  struct CfBalance *old;
+  double rate[2][2];
+
+  burst (2.0, rate);
+  play_new (10, true);
+  run (12000, calm);
+  run (14000, rate);
+  old = play->vms[0]; /* flows refer to its upstreams */
+  play->vms[0] = cf_balance_new (&options, &outputs, NULL);
+  cf_balance_set_fleet_size (play->vms[0], VMS);
+  cf_balance_set_domain_size (play->vms[0], VMS / 2);
+  run (14500, rate);
+  play->paused = 0; /* as the fabric sees it: it does not receive retransmissions */
+  run (14800, rate);
+  cf_balance_manifest (play->vms[0], manifest);
+  add_upstreams (play->vms[0]);
+  cf_balance_synced (play->vms[0], play->now);
+  cf_balance_tick (play->vms[0], play->now);
+  cf_manifest_free (manifest);
+  play_free ();
+  cf_balance_free (old);
+}
+END_TEST
+
+/* A route whose splits all have weight 0 leads to no service: its first packet crashed a VM that
+ * had a load report. */
+START_TEST (test_route_without_service)
+{
+  struct CfManifest *manifest = manifest_new (TARGET_LATENCY_MS);
+  struct Request request = { .class = USUAL };
+  double rate[2][2];
+
+  burst (2.0, rate);
+  play_new (11, true);
+  run (12000, calm);
+  run (14000, rate);
+  manifest->version = 2;
+  for (guint i = 0; i < manifest->routes->len; i++)
+    g_array_index (manifest->routes, struct CfRouteEntry, i).splits[0].weight = 0;
+  cf_balance_manifest (play->vms[0], manifest);
+  cf_balance_synced (play->vms[0], play->now);
+  open_flow (&request);
+  ((struct Flow *) play->flows->pdata[play->flows->len - 1])->vm = 0;
+  play->refused[USUAL] = 0;
+  send (play->flows->pdata[play->flows->len - 1], 'S', CF_SEGMENT_SYN, 0, 0, 0);
+  ck_assert_uint_eq (play->refused[USUAL], 1);
+  g_log_set_always_fatal (G_LOG_LEVEL_CRITICAL | G_LOG_FATAL_MASK);
+  exchange_reports ();
+  cf_manifest_free (manifest);
+  play_free ();
+}
+END_TEST
+
+static double
+two_slots (void *context, GQuark service, CfMillis now)
+{
+  (void) context;
+  (void) service;
+  (void) now;
+  return 2;
+}
+
+/* A service without new flows, but with requests on open ones: the occupancy of its last new flow
+ * remained, so that errors counted as rejections and the upstream was not avoided. */
+START_TEST (test_old_occupancy_hides_no_failure)
+{
+  const struct CfAdmissionEvents events = { .slots = two_slots };
+  const struct CfAdmissionOptions options = { .enabled = true, .caller_prefix = 32 };
+  const struct CfRouteEntry route = { .target_latency_ms = TARGET_LATENCY_MS };
+  const struct CfSegment segment = { .caller = { .ip = 1, .port = 1 } };
+  const GQuark service = g_quark_from_string ("s");
+  struct CfAdmissionControl *control
+      = cf_admission_control_new (&options, g_quark_from_string ("a"), &events, NULL);
+
+  for (int i = 0; i < 8; i++)
+    cf_admission_record_progress (control, service, true, 10000);
+  cf_admission_record_flow (control, service, &route, &segment, 11000);
+  ck_assert (cf_admission_record_answer (control, service, 1, true, 11000));
+  for (int i = 0; i < 8; i++)
+    cf_admission_record_progress (control, service, false, 11000);
+  ck_assert (!cf_admission_record_answer (control, service, 1, true, 20000));
+  cf_admission_control_free (control);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -583,5 +788,12 @@
   suite_add_loop (suite, test_recovers_after_burst, 1);
   suite_add_loop (suite, test_one_domain_presses, 1);
   suite_add_loop (suite, test_full_is_not_failing, 1);
+  suite_add_loop (suite, test_duplicate_is_not_refused, 1);
+  suite_add_loop (suite, test_paused_vm_refuses_nothing, 1);
+  suite_add_loop (suite, test_hold_ends_before_retransmission, 1);
+  suite_add_loop (suite, test_release_is_resumed_at_once, 1);
+  suite_add_loop (suite, test_old_occupancy_hides_no_failure, 1);
+  suite_add_loop (suite, test_start_refuses_nothing_old, 1);
+  suite_add_loop (suite, test_route_without_service, 1);
   return suite_run (suite);
 }
