--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -7,14 +7,14 @@
 
 /* Callers that open a flow for each request or keep one open for several, and the checks there. */
 
-#define CALLER_IP 0x7f020001u /* 127.2.0.1, the first of CALLERS addresses in the packets */
-#define CALLERS 8
+#define CALLER_IP 0x7f020001u /* 127.2.0.1, the first of SOAK_CALLERS addresses */
 #define SERVICE_IP 0xc6120001u
 #define OPEN_INTERVAL_MS 5
 #define RETRANSMIT_MS 200
 #define SECOND_RETRANSMIT_MS 600
 #define GIVE_UP_MS 1500
 #define REQUEST_BYTES 8
+#define REFUSED_MS 2000 /* for which packets of a refused flow are looked for */
 
 /* Part of the flows to port 80 is long: further requests with pauses between them. */
 #define LONG_FLOW_ONE_IN 3
@@ -69,7 +69,7 @@
 send_as_caller (struct SoakFlow *flow, unsigned flags, unsigned len)
 {
   uint32_t ack = flags & WIRE_SYN ? flow->repeats : 1 + flow->received;
-  struct CfEndpoint from = { .ip = CALLER_IP + flow->port % CALLERS, .port = flow->port };
+  struct CfEndpoint from = { .ip = CALLER_IP + (uint32_t) flow->caller, .port = flow->port };
   struct CfEndpoint to = { .ip = SERVICE_IP, .port = flow->service_port };
   uint8_t packet[SOAK_HEADER + 64];
   const struct SoakVm *vm = next_vm (flow);
@@ -77,7 +77,7 @@
   flow->vm = vm;
   soak_wire_build (packet, flags, from, to, ack, flow->cookie, len);
   soak_put32 (packet + 20, 1 + flow->sent - len);
-  soak_wire_send (flow->soak->callers, vm->ip, SOAK_FABRIC_PORT (flow->soak), packet,
+  soak_wire_send (flow->soak->callers[flow->caller], vm->ip, SOAK_FABRIC_PORT (flow->soak), packet,
                   SOAK_HEADER + len);
 }
 
@@ -126,7 +126,8 @@
     {
       const struct SoakFlow *flow = value;
 
-      count += flow->stable && !flow->answered && soak_now () - flow->begun_at < GIVE_UP_MS;
+      count += flow->stable && !flow->answered && !flow->refused
+               && soak_now () - flow->begun_at < GIVE_UP_MS;
     }
   return count;
 }
@@ -181,21 +182,47 @@
   return G_SOURCE_REMOVE;
 }
 
+static struct SoakFlow *
+new_flow (struct Soak *soak, uint16_t service_port)
+{
+  struct SoakFlow *flow = g_new0 (struct SoakFlow, 1);
+
+  while (soak->next_port < 1024
+         || g_hash_table_contains (soak->flows, GUINT_TO_POINTER (soak->next_port)))
+    soak->next_port = (uint16_t) MAX (soak->next_port + 1, 1024);
+  flow->soak = soak;
+  flow->port = soak->next_port++;
+  flow->caller = flow->port % SOAK_CALLERS;
+  flow->service_port = service_port;
+  return flow;
+}
+
+static void
+begin_flow (struct SoakFlow *flow)
+{
+  count_request (flow);
+  g_hash_table_insert (flow->soak->flows, GUINT_TO_POINTER (flow->port), flow);
+  flow->timer = g_timeout_add (RETRANSMIT_MS, on_timer, flow);
+  send_as_caller (flow, WIRE_SYN, 0);
+}
+
+void
+soak_callers_request (struct Soak *soak, uint16_t service_port, int caller)
+{
+  struct SoakFlow *flow = new_flow (soak, service_port);
+
+  if (caller >= 0)
+    flow->caller = caller;
+  begin_flow (flow);
+}
+
 static gboolean
 open_flow (gpointer data)
 {
   struct Soak *soak = data;
-  struct SoakFlow *flow;
   int service = g_rand_int_range (soak->random, 0, 3);
+  struct SoakFlow *flow = new_flow (soak, (uint16_t) (80 + service));
 
-  if (soak->next_port < 1024)
-    soak->next_port = 1024;
-  if (g_hash_table_contains (soak->flows, GUINT_TO_POINTER (soak->next_port)))
-    return G_SOURCE_CONTINUE;
-  flow = g_new0 (struct SoakFlow, 1);
-  flow->soak = soak;
-  flow->port = soak->next_port++;
-  flow->service_port = (uint16_t) (80 + service);
   if (service == 0 && flow->port % LONG_FLOW_ONE_IN == 0)
     flow->further
         = flow->port % (LONG_FLOW_ONE_IN * ENDLESS_FLOW_ONE_IN) == 0 ? INT_MAX : LONG_FLOW_FURTHER;
@@ -204,10 +231,7 @@
       flow->pinned = pick_vm (soak, flow->port);
       flow->pinned_starts = flow->pinned->starts;
     }
-  count_request (flow);
-  g_hash_table_insert (soak->flows, GUINT_TO_POINTER (flow->port), flow);
-  flow->timer = g_timeout_add (RETRANSMIT_MS, on_timer, flow);
-  send_as_caller (flow, WIRE_SYN, 0);
+  begin_flow (flow);
   return G_SOURCE_CONTINUE;
 }
 
@@ -219,6 +243,39 @@
   return soak->evacuated && soak_now () - soak->evacuation_ended_at < SOAK_COLD_MS;
 }
 
+static gboolean
+forget_refused (gpointer data)
+{
+  struct SoakFlow *flow = data;
+
+  flow->timer = 0;
+  end_flow (flow);
+  return G_SOURCE_REMOVE;
+}
+
+/* A VM has reset FLOW before it opened.  It is kept for a while: a refusal says that nothing was
+ * run, so an upstream must not see its packets.  One that was sent only once, to a VM without a
+ * fault, must not have reached an upstream at all. */
+static void
+refused (struct SoakFlow *flow)
+{
+  struct Soak *soak = flow->soak;
+  int64_t calm_ms = soak_now () - soak->overload_until;
+
+  soak->refused++;
+  flow->refused = true;
+  flow->refused_unsent = flow->repeats == 0 && soak_is_stable (soak, flow->vm);
+  if (flow->refused_unsent && flow->reached)
+    soak_violation (soak, "SENT: flow %u was refused after it had reached an upstream", flow->port);
+  if (soak->overloads > 0 && calm_ms > SOAK_CALM_MS && flow->service_port != 82
+      && soak_is_stable (soak, flow->vm) && !is_capacity_reduced (soak))
+    soak_violation (soak, "CALM: flow %u to port %u refused %d ms after the last overload",
+                    flow->port, flow->service_port, (int) calm_ms);
+  if (flow->timer)
+    g_source_remove (flow->timer);
+  flow->timer = g_timeout_add (REFUSED_MS, forget_refused, flow);
+}
+
 /* Handles a reset: BY_BALANCER if it does not come from an upstream's address. */
 static void
 caller_reset (struct SoakFlow *flow, bool by_balancer)
@@ -237,7 +294,10 @@
       && soak_is_stable (soak, flow->vm) && soak_now () - soak->route_changed_at > SOAK_DRAIN_MS)
     soak_violation (soak, "CONFIG: flow %u refused although its route exists", flow->port);
   soak->resets += by_balancer && upstream && flow->service_port != 82;
-  end_flow (flow);
+  if (by_balancer && !upstream)
+    refused (flow);
+  else
+    end_flow (flow);
 }
 
 void
@@ -289,7 +349,7 @@
       = g_hash_table_lookup (soak->flows, GUINT_TO_POINTER (segment->service.port));
   struct SoakUpstream *upstream = upstream_of (soak, from);
 
-  if (!flow)
+  if (!flow || flow->refused)
     return;
   if (segment->flags & CF_SEGMENT_RST)
     caller_reset (flow, !upstream);
@@ -308,8 +368,11 @@
     return; /* again */
   else if (segment->flags & CF_SEGMENT_FIN)
     {
-      flow->received += SOAK_ANSWER_BYTES + 1;
-      count_served (flow);
+      flow->received += segment->data + 1;
+      if (segment->data == SOAK_BUSY_BYTES)
+        soak->stable_requests -= flow->stable;
+      else
+        count_served (flow);
       send_as_caller (flow, WIRE_FIN | WIRE_ACK, 0);
       end_flow (flow);
     }
@@ -343,22 +406,31 @@
   return G_SOURCE_CONTINUE;
 }
 
+/* VMs send resets to the address of the caller. */
 static bool
 bind_callers (struct Soak *soak)
 {
-  GSocketAddress *address
-      = g_inet_socket_address_new_from_string ("127.2.0.1", SOAK_FABRIC_PORT (soak));
-  bool bound = g_socket_bind (soak->callers, address, FALSE, NULL);
+  bool bound = true;
 
-  g_object_unref (address);
+  for (int i = 0; i < SOAK_CALLERS && bound; i++)
+    {
+      char ip[32];
+      GSocketAddress *address;
+
+      g_snprintf (ip, sizeof ip, "127.2.0.%d", 1 + i);
+      address = g_inet_socket_address_new_from_string (ip, SOAK_FABRIC_PORT (soak));
+      g_clear_object (&soak->callers[i]);
+      soak->callers[i] = g_socket_new (G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_DATAGRAM,
+                                       G_SOCKET_PROTOCOL_UDP, NULL);
+      bound = g_socket_bind (soak->callers[i], address, FALSE, NULL);
+      g_object_unref (address);
+    }
   return bound;
 }
 
 void
 soak_callers_bind (struct Soak *soak)
 {
-  soak->callers
-      = g_socket_new (G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_DATAGRAM, G_SOCKET_PROTOCOL_UDP, NULL);
   for (int i = 0; i < PORT_BLOCKS; i++)
     {
       soak->port = (uint16_t) (FIRST_PORT + (getpid () + i) % PORT_BLOCKS * BLOCK_PORTS);
@@ -372,17 +444,23 @@
 soak_callers_start (struct Soak *soak)
 {
   soak->flows = g_hash_table_new (NULL, NULL);
-  g_socket_set_blocking (soak->callers, FALSE);
-  soak->callers_source = g_socket_create_source (soak->callers, G_IO_IN, NULL);
-  g_source_set_callback (soak->callers_source, G_SOURCE_FUNC (on_caller_data), soak, NULL);
-  g_source_attach (soak->callers_source, NULL);
+  for (int i = 0; i < SOAK_CALLERS; i++)
+    {
+      g_socket_set_blocking (soak->callers[i], FALSE);
+      soak->callers_source[i] = g_socket_create_source (soak->callers[i], G_IO_IN, NULL);
+      g_source_set_callback (soak->callers_source[i], G_SOURCE_FUNC (on_caller_data), soak, NULL);
+      g_source_attach (soak->callers_source[i], NULL);
+    }
   g_timeout_add (OPEN_INTERVAL_MS, open_flow, soak);
 }
 
 void
 soak_callers_stop (struct Soak *soak)
 {
-  g_source_destroy (soak->callers_source);
-  g_source_unref (soak->callers_source);
-  g_object_unref (soak->callers);
+  for (int i = 0; i < SOAK_CALLERS; i++)
+    {
+      g_source_destroy (soak->callers_source[i]);
+      g_source_unref (soak->callers_source[i]);
+      g_object_unref (soak->callers[i]);
+    }
 }
--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -19,11 +19,15 @@
   char *text = g_strdup_printf (
       "{\"version\":%" G_GUINT64_FORMAT
       ",\"routes\":[{\"host\":\"198.18.0.1\",\"path-prefix\":\"/80/\",\"kind\":\"idempotent\","
-      "\"service\":\"s\"},"
+      "\"service\":\"s\"%s},"
       "{\"host\":\"198.18.0.1\",\"path-prefix\":\"/81/\",\"service\":\"t\"}%s],\"services\":["
       "{\"name\":\"s\",\"warmup-s\":0.5,\"warmup-per-s\":20},{\"name\":\"t\",\"warmup-s\":0.5,"
       "\"warmup-per-s\":20}],\"limits\":{\"idle-timeout-ms\":15000}}",
       soak->version,
+      soak->overload
+          ? ",\"priority\":2,\"target-latency-ms\":400},{\"host\":\"198.18.0.1\",\"path-prefix\":"
+            "\"/83/\",\"service\":\"s\",\"priority\":1,\"target-latency-ms\":400"
+          : "",
       soak->second_route ? ",{\"host\":\"198.18.0.1\",\"path-prefix\":\"/82/\",\"service\":\"t\"}"
                          : "");
 
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -8,8 +8,8 @@
 /* soak PROGRAM SECONDS SEED [VMS]: injects faults for SECONDS, then stops them and checks that the
  * system recovers.  The exit status is 1 if a guarantee was violated.  With SOAK_KEEP_STORE in the
  * environment the store is never restored from a copy, for fleets with builds from before eras;
- * SOAK_FAULTS lists the only kinds of faults to inject, by their names in faults.c, troubles.c and
- * odd.c. */
+ * SOAK_FAULTS lists the only kinds of faults to inject, by their names in faults.c, troubles.c,
+ * overload.c and odd.c. */
 
 #define SETTLE_MS 12000 /* minimum fault-free time at the end of the run */
 #define BEAT_MS 50
@@ -128,6 +128,7 @@
   soak_faults_start (soak);
   soak_troubles_start (soak);
   soak_odd_start (soak);
+  soak_overload_start (soak);
 }
 
 static void
@@ -162,6 +163,7 @@
   soak->trouble = g_rand_new_with_seed (~(guint32) atoi (argv[3]));
   if (g_rand_boolean (soak->trouble))
     soak->left_out = g_rand_int (soak->trouble);
+  soak_overload_init (soak, (guint32) atoi (argv[3]));
   soak->folder = g_dir_make_tmp ("cf-soak-XXXXXX", NULL);
   soak_callers_bind (soak);
   soak->loop = g_main_loop_new (NULL, FALSE);
@@ -178,12 +180,15 @@
                : 0;
   if (served < STABLE_SERVED_MIN)
     soak_violation (soak, "RECOVER: %.3f of the requests in stable periods were served", served);
-  printf (
-      "seed %s: %u requests, %u served; in stable periods %u requests, %u served, %u "
-      "in progress; %u open flows reset; %u troubles, %u odd entries, %u calls by clients, %lld MB "
-      "at most; held up %u times; %u violations; logs in %s\n",
-      argv[3], soak->requests, soak->served, soak->stable_requests, soak->stable_served,
-      in_progress, soak->resets, soak->troubles, soak->odd_entries, soak->client_requests,
-      soak->memory_max >> 20, soak->held_up, soak->violations, soak->folder);
+  printf ("seed %s: %u requests, %u served; in stable periods %u requests, %u served, %u "
+          "in progress; %u open flows reset; %u overloads%s, %u requests turned away, %u flows "
+          "refused; "
+          "%u troubles, %u odd entries, %u calls by clients, %lld MB at most; held up %u times; %u "
+          "violations; logs in %s\n",
+          argv[3], soak->requests, soak->served, soak->stable_requests, soak->stable_served,
+          in_progress, soak->resets, soak->overloads,
+          soak->extra_openings ? " with extra openings" : "", soak->turned_away, soak->refused,
+          soak->troubles, soak->odd_entries, soak->client_requests, soak->memory_max >> 20,
+          soak->held_up, soak->violations, soak->folder);
   return soak->violations > 0;
 }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -16,12 +16,14 @@
 #define SOAK_VMS_MAX 200
 #define SOAK_UPSTREAMS 10
 #define SOAK_DOMAINS 2
+#define SOAK_CALLERS 8
 
 #define SOAK_DRAIN_MS 3000  /* from a change in the store until new flows must follow it */
 #define SOAK_COLD_MS 2500   /* upstreams count as cold after the evacuation of their domain */
 #define SOAK_STABLE_MS 4000 /* time limits are only checked this long after the last fault */
 #define SOAK_GRACE_MS 6000  /* from SIGTERM until SIGKILL */
 #define SOAK_START_MS 4000  /* from a start, or the end of a fault on a VM, until it is ready */
+#define SOAK_CALM_MS 2000   /* from the end of an overload until all requests are served again */
 #define SOAK_EARLY_MS 30    /* signals to a process that starts are sent within this time */
 #define SOAK_LOADED_MS 10   /* or, half of the time, within this one */
 
@@ -147,6 +149,10 @@
 void soak_faults_start (struct Soak *soak);
 /* The same for signals, settings and restarts in series, which overlap with these faults. */
 void soak_troubles_start (struct Soak *soak);
+/* Slow upstreams and bursts of requests, which overlap with all of these. */
+void soak_overload_start (struct Soak *soak);
+/* Reads whether the command has overloads, and with which settings. */
+void soak_overload_init (struct Soak *soak, guint32 seed);
 /* Entries of another writer in the store. */
 void soak_odd_start (struct Soak *soak);
 /* Returns false if the command leaves faults called NAME out. */
@@ -181,7 +187,11 @@
   int64_t drained_at; /* when the store accepted that it drains */
   GSocket *socket;
   GSource *source;
-  GHashTable *flows; /* set of struct SoakFlow that are open here */
+  GHashTable *flows;  /* set of struct SoakFlow that are open here */
+  int64_t slow_until; /* requests take work_ms each until then, later ones none */
+  int work_ms;
+  int running;    /* requests that have a slot */
+  GQueue waiting; /* struct Job, requests that wait for one */
 };
 
 void soak_upstreams_start (struct Soak *soak);
@@ -193,6 +203,8 @@
 /* Chooses the ports of SOAK, which no other soak test on this machine uses, and holds them. */
 void soak_callers_bind (struct Soak *soak);
 void soak_callers_start (struct Soak *soak);
+/* Opens a flow for one request to SERVICE_PORT from CALLER, or from any caller (-1). */
+void soak_callers_request (struct Soak *soak, uint16_t service_port, int caller);
 /* Has the flows that are open now, to upstreams of DOMAIN or all (NULL), go silent for good: their
  * packets no longer reach their upstreams, which answer those of new flows. */
 void soak_callers_silence (struct Soak *soak, const char *domain);
@@ -213,8 +225,8 @@
   int vm_count;
   struct SoakUpstream upstreams[SOAK_UPSTREAMS];
   SoupSession *session;
-  GSocket *callers;
-  GSource *callers_source;
+  GSocket *callers[SOAK_CALLERS];
+  GSource *callers_source[SOAK_CALLERS];
   GHashTable *flows; /* port to struct SoakFlow */
   uint16_t next_port;
   int series_left; /* faults of the current series, which are all of series_kind */
@@ -241,7 +253,17 @@
   uint32_t served;
   uint32_t stable_requests; /* begun while stable */
   uint32_t stable_served;
-  uint32_t resets; /* open flows that the VMs reset */
+  uint32_t resets;        /* open flows that the VMs reset */
+  bool overload;          /* the VMs have overload control on */
+  bool extra_openings;    /* and extra openings */
+  GRand *overload_random; /* decides on overloads */
+  int64_t overload_until; /* end of the last overload */
+  int64_t press_until;    /* end of the last burst */
+  int press_caller;       /* the only address that it comes from, or -1 */
+  int press_flows;        /* that it opens at a time */
+  uint32_t overloads;
+  uint32_t refused;     /* new flows that the VMs reset */
+  uint32_t turned_away; /* requests that upstreams had no room for */
   uint32_t violations;
 };
 
--- a/tests/soak/traffic.h
+++ b/tests/soak/traffic.h
@@ -8,6 +8,7 @@
 
 #define SOAK_HEADER 32
 #define SOAK_ANSWER_BYTES 32
+#define SOAK_BUSY_BYTES 8 /* of an answer that says that the request was not run */
 
 enum
 {
@@ -21,7 +22,8 @@
 {
   struct Soak *soak;
   uint16_t port;         /* of the caller */
-  uint16_t service_port; /* 80: "s", 81 and 82: "t" */
+  uint16_t service_port; /* 80 and 83: "s", 81 and 82: "t" */
+  int caller;            /* index of its address */
   const struct SoakVm *vm;
   const struct SoakVm *pinned;   /* takes all packets until its process is gone, or NULL */
   int pinned_starts;             /* its number of starts then */
@@ -35,10 +37,14 @@
   uint32_t sent;     /* bytes by the caller */
   uint32_t received; /* bytes by the caller */
   int request_packets;
-  uint32_t repeats; /* of the current packet by the caller */
-  int misrouted;    /* packets that reached other upstreams while it was open */
-  bool stable;      /* the current request began while stable */
-  bool silent;      /* its packets do not reach its upstream any more */
+  uint32_t repeats;    /* of the current packet by the caller */
+  int misrouted;       /* packets that reached other upstreams while it was open */
+  bool stable;         /* the current request began while stable */
+  bool silent;         /* its packets do not reach its upstream any more */
+  bool reached;        /* an upstream got its first packet */
+  bool refused;        /* reset by a VM before it opened */
+  bool refused_unsent; /* so its first packet must not reach an upstream either */
+  bool queued;         /* the current request waits or is worked on */
   guint timer;
 };
 
--- a/tests/soak/upstreams.c
+++ b/tests/soak/upstreams.c
@@ -4,6 +4,19 @@
 
 /* Upstreams that answer requests, and the checks there. */
 
+#define SLOTS 2
+#define WAITING_MAX 3 /* requests that wait for a slot; further ones are turned away, */
+#define BUSY_MS 80    /* after this time */
+
+/* A request at an upstream that needs time. */
+struct Job
+{
+  struct SoakUpstream *upstream;
+  int64_t incarnation;
+  struct CfSegment segment;
+  bool turned_away;
+};
+
 static void
 send_as_upstream (struct SoakUpstream *upstream,
                   const struct CfSegment *segment,
@@ -11,10 +24,12 @@
                   unsigned len)
 {
   uint8_t packet[SOAK_HEADER + 64];
+  char ip[32];
 
   soak_wire_build (packet, flags, segment->service, segment->caller, 1, segment->cookie, len);
   soak_put32 (packet + 16, 1); /* a checksum: resets by the balancer have none */
-  soak_wire_send (upstream->socket, "127.2.0.1", SOAK_FABRIC_PORT (upstream->soak), packet,
+  g_snprintf (ip, sizeof ip, "127.2.0.%u", segment->caller.ip & 0xff);
+  soak_wire_send (upstream->socket, ip, SOAK_FABRIC_PORT (upstream->soak), packet,
                   SOAK_HEADER + len);
 }
 
@@ -24,7 +39,8 @@
   struct Soak *soak = upstream->soak;
   int64_t now = soak_now ();
 
-  if ((flow->service_port == 80) != (strcmp (upstream->service, "s") == 0))
+  if ((flow->service_port == 80 || flow->service_port == 83)
+      != (strcmp (upstream->service, "s") == 0))
     soak_violation (soak, "ROUTE: flow %u to port %u reached %s of %s", flow->port,
                     flow->service_port, upstream->id, upstream->service);
   if (!soak_is_stable (soak, flow->vm))
@@ -52,6 +68,89 @@
                     flow->upstream->id, upstream->id);
 }
 
+/* A VM has refused FLOW. */
+static void
+check_refused (struct SoakUpstream *upstream,
+               const struct SoakFlow *flow,
+               const struct CfSegment *segment)
+{
+  if (segment->size > SOAK_HEADER)
+    soak_violation (upstream->soak, "RAN: the request of refused flow %u reached %s", flow->port,
+                    upstream->id);
+  else if (flow->refused_unsent && soak_is_stable (upstream->soak, flow->vm))
+    soak_violation (upstream->soak, "SENT: flow %u reached %s after it was refused", flow->port,
+                    upstream->id);
+}
+
+static void
+answer (struct SoakUpstream *upstream, const struct CfSegment *segment, const struct SoakFlow *flow)
+{
+  /* A draining upstream closes each flow after its next answer. */
+  bool last = flow->further == 0 || upstream->draining;
+
+  send_as_upstream (upstream, segment, last ? WIRE_FIN | WIRE_ACK : WIRE_ACK, SOAK_ANSWER_BYTES);
+}
+
+static gboolean end_job (gpointer data);
+
+static void
+run (struct Job *job)
+{
+  job->upstream->running++;
+  g_timeout_add ((guint) job->upstream->work_ms, end_job, job);
+}
+
+static gboolean
+end_job (gpointer data)
+{
+  struct Job *job = data;
+  struct SoakUpstream *upstream = job->upstream;
+  struct SoakFlow *flow
+      = g_hash_table_lookup (upstream->soak->flows, GUINT_TO_POINTER (job->segment.caller.port));
+
+  if (job->incarnation == upstream->started_at)
+    {
+      if (flow && flow->queued && g_hash_table_contains (upstream->flows, flow))
+        {
+          flow->queued = false;
+          if (job->turned_away)
+            send_as_upstream (upstream, &job->segment, WIRE_FIN | WIRE_ACK, SOAK_BUSY_BYTES);
+          else if (!upstream->unresponsive)
+            answer (upstream, &job->segment, flow);
+        }
+      upstream->running -= !job->turned_away;
+      if (!job->turned_away && !g_queue_is_empty (&upstream->waiting))
+        run (g_queue_pop_head (&upstream->waiting));
+    }
+  g_free (job);
+  return G_SOURCE_REMOVE;
+}
+
+/* Works on a request, if there is room for it. */
+static void
+accept_request (struct SoakUpstream *upstream,
+                const struct CfSegment *segment,
+                struct SoakFlow *flow)
+{
+  struct Job *job;
+
+  if (flow->queued)
+    return; /* again */
+  flow->queued = true;
+  job = g_new0 (struct Job, 1);
+  *job = (struct Job){ upstream, upstream->started_at, *segment, false };
+  if (upstream->running < SLOTS)
+    run (job);
+  else if (g_queue_get_length (&upstream->waiting) < WAITING_MAX)
+    g_queue_push_tail (&upstream->waiting, job);
+  else
+    {
+      job->turned_away = true;
+      upstream->soak->turned_away++;
+      g_timeout_add (BUSY_MS, end_job, job);
+    }
+}
+
 static void
 upstream_packet (struct SoakUpstream *upstream, const struct CfSegment *segment)
 {
@@ -60,8 +159,14 @@
 
   if (!flow || flow->silent)
     return;
+  if (flow->refused)
+    {
+      check_refused (upstream, flow, segment);
+      return;
+    }
   if (segment->flags & CF_SEGMENT_SYN)
     {
+      flow->reached = true;
       check_first (upstream, flow);
       send_as_upstream (upstream, segment, WIRE_SYN | WIRE_ACK, 0);
     }
@@ -74,11 +179,10 @@
     {
       if (flow->request_packets++ == 0)
         g_usleep (100);
-      /* A draining upstream closes each flow after its next answer. */
-      if (flow->further == 0 || upstream->draining)
-        send_as_upstream (upstream, segment, WIRE_FIN | WIRE_ACK, SOAK_ANSWER_BYTES);
-      else
-        send_as_upstream (upstream, segment, WIRE_ACK, SOAK_ANSWER_BYTES);
+      if (soak_now () < upstream->slow_until)
+        accept_request (upstream, segment, flow);
+      else if (!flow->queued)
+        answer (upstream, segment, flow);
     }
 }
 
@@ -131,6 +235,8 @@
   upstream->draining = false;
   upstream->sequence = 0;
   upstream->unresponsive = false;
+  upstream->running = 0;
+  g_queue_clear_full (&upstream->waiting, g_free);
   g_hash_table_remove_all (upstream->flows);
   soak_upstream_announce (upstream);
 }
@@ -148,6 +254,7 @@
       upstream->domain = soak->vms[i % SOAK_DOMAINS].domain;
       upstream->service = i < SOAK_UPSTREAMS - 4 ? "s" : "t";
       upstream->flows = g_hash_table_new (NULL, NULL);
+      g_queue_init (&upstream->waiting);
       upstream->tag = (uint64_t) g_rand_int (soak->random) << 8 | 1;
       g_snprintf (upstream->id, sizeof upstream->id, "i-%010" G_GINT64_MODIFIER "x", upstream->tag);
       g_snprintf (upstream->ip, sizeof upstream->ip, "127.3.0.%d", 10 + i);
--- a/tests/soak/vms.c
+++ b/tests/soak/vms.c
@@ -350,11 +350,13 @@
   text = g_strdup_printf (
       "[vm]\nname=vm-%d\naddress=%s\nfailure-domain=%s\nregion=r\nfabric-address=%s:%u\n"
       "ready-address=%s:%u\nmetrics-port=%u\npeer-port=%u\nlink-mbps=%d\n[fleet]\n"
-      "seeds=%s:1,%s:1\n[store]\naddress=127.4.0.%d:%u\n[limits]\nflow-lifetime-s=60\n"
-      "grace-s=%d\n",
+      "seeds=%s:1,%s:1\n[store]\naddress=127.4.0.%d:%u\n%s%s"
+      "[limits]\nflow-lifetime-s=60\ngrace-s=%d\n",
       vm->index, vm->ip, vm->domain, vm->ip, SOAK_FABRIC_PORT (soak), vm->ready_ip,
       SOAK_READY_PORT (soak), SOAK_METRICS_PORT (soak), SOAK_PEER_PORT (soak), 1000 - vm->index,
-      seeds[0], seeds[1], 10 + vm->index, SOAK_STORE_PORT (soak), SOAK_GRACE_MS / 1000);
+      seeds[0], seeds[1], 10 + vm->index, SOAK_STORE_PORT (soak),
+      soak->overload ? "[overload]\nenabled=true\n" : "",
+      soak->extra_openings ? "[slow-answers]\nextra-openings=0.05\n" : "", SOAK_GRACE_MS / 1000);
   len = (ssize_t) (part * (double) strlen (text));
   if (fd < 0 || write (fd, text, (size_t) len) != len)
     g_error ("%s: cannot be written", vm->settings);
