--- a/src/balance/admission.c
+++ b/src/balance/admission.c
@@ -11,6 +11,10 @@
  * of them would be none. */
 #define RETRIES_MIN 2.0
 #define PRUNE_INTERVAL_MS 10000
+/* After so long without a tick, twice the usual interval during overload and a little less than
+ * the 200 ms after which callers retransmit, this VM was paused.  The first packets that waited
+ * meanwhile may have been retransmitted to another VM, which opened their flows. */
+#define PAUSED_MS 190
 /* Recent requests of a caller at one VM up to which it goes before no other. */
 #define CALLER_USE_USUAL 4.0
 
@@ -40,6 +44,7 @@
   GHashTable *services;  /* GQuark to struct Service */
   CfMillis report_until; /* load reports are sent until then */
   CfMillis pruned_at;
+  CfMillis ticked_at;
 };
 
 const char *
@@ -235,6 +240,13 @@
   return others > 0 ? cf_fair_share_admitted (service->callers, ip, admitted, now) / others : 1;
 }
 
+/* Returns true if what is handled before the next tick may have waited through a pause. */
+static bool
+was_paused (const struct CfAdmissionControl *control, CfMillis now)
+{
+  return now - control->ticked_at >= PAUSED_MS;
+}
+
 /* Returns the order of a caller within its priority: callers with about the same use are equal, and
  * go in the order in which they came. */
 static double
@@ -257,7 +269,7 @@
   enum CfAdmission admission;
   double rate;
 
-  if (!service->overload.active || route->target_latency_ms <= 0)
+  if (!service->overload.active || route->target_latency_ms <= 0 || was_paused (control, now))
     return verdict;
   verdict.caller_use = cf_fair_share_use (service->callers, segment->caller.ip, now);
   if (verdict.admitted < 1)
@@ -339,6 +351,8 @@
 
   if (!service)
     return end;
+  if (was_paused (control, now))
+    end = CF_ADMISSION_END_PLACE;
   *verdict = new_verdict (service, result->priority);
   if (end == CF_ADMISSION_END_EXPIRED)
     *verdict = refuse (control, service, &result->segment, *verdict, CF_REFUSAL_EXPIRED, now);
@@ -370,6 +384,7 @@
   GHashTableIter iter;
   gpointer value;
 
+  control->ticked_at = now;
   g_hash_table_iter_init (&iter, control->services);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     if (((struct Service *) value)->overload.active)
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -574,6 +574,36 @@
 }
 END_TEST
 
+/* VMs that were paused during an overload: they refused first packets that had waited meanwhile,
+ * whose callers had sent them again to another VM, where the flows were open. */
+START_TEST (test_pause)
+{
+  double rate[2][2];
+  uint32_t refused;
+
+  burst (2.0, rate);
+  play_new (5, true);
+  run (12000, calm);
+  run (14000, rate);
+  refused = play->refused[USUAL];
+  ck_assert_uint_gt (refused, 0);
+  for (int i = 0; i < 400; i++)
+    {
+      struct Request *request = g_new0 (struct Request, 1);
+
+      *request = (struct Request){ .class = USUAL, .domain = i % 2, .ip = 0x64400000 + i };
+      g_ptr_array_add (play->requests, request);
+      open_flow (request);
+    }
+  play->now += 200;
+  run (play->now + 1, idle);
+  ck_assert_uint_eq (play->refused[USUAL], refused);
+  run (15000, rate);
+  ck_assert_uint_gt (play->refused[USUAL], refused);
+  play_free ();
+}
+END_TEST
+
 int
 main (void)
 {
@@ -583,5 +613,6 @@
   suite_add_loop (suite, test_recovers_after_burst, 1);
   suite_add_loop (suite, test_one_domain_presses, 1);
   suite_add_loop (suite, test_full_is_not_failing, 1);
+  suite_add_loop (suite, test_pause, 1);
   return suite_run (suite);
 }
