--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -285,8 +285,13 @@
 
   if (by_balancer && upstream && !upstream->unresponsive && !flow->silent
       && upstream->started_at == flow->opened_incarnation && flow->service_port != 82)
-    soak_violation (soak, "FLOW: open flow %u at %s was reset by the balancer", flow->port,
-                    upstream->id);
+    soak_violation (
+        soak,
+        "FLOW: open flow %u to port %u at %s was reset by the balancer at %s, %d ms after "
+        "its request, sent again %u times%s",
+        flow->port, flow->service_port, upstream->id, flow->vm->ip,
+        (int) (soak_now () - flow->begun_at), flow->repeats,
+        flow->queued ? ", which is worked on" : "");
   if (by_balancer && !upstream && flow->stable)
     soak_violation (soak, "CONFIG: flow %u to port %u refused in a stable period", flow->port,
                     flow->service_port);
