--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -148,8 +148,10 @@
       end_flow (flow);
       return G_SOURCE_REMOVE;
     }
-  flow->repeats++;
-  if (flow->upstream)
+  flow->repeats += !flow->acknowledged;
+  if (flow->acknowledged)
+    ; /* the answer is on its way */
+  else if (flow->upstream)
     send_as_caller (flow, WIRE_ACK, REQUEST_BYTES);
   else
     send_as_caller (flow, WIRE_SYN, 0);
@@ -164,6 +166,7 @@
 send_request (struct SoakFlow *flow)
 {
   flow->answered = false;
+  flow->acknowledged = false;
   flow->sent += REQUEST_BYTES;
   send_as_caller (flow, WIRE_ACK, REQUEST_BYTES);
 }
@@ -390,6 +393,8 @@
       g_source_remove (flow->timer);
       flow->timer = g_timeout_add (pause_ms (flow), next_request, flow);
     }
+  else
+    flow->acknowledged = true;
 }
 
 static gboolean
--- a/tests/soak/traffic.h
+++ b/tests/soak/traffic.h
@@ -34,6 +34,7 @@
   int64_t opened_at;
   int further;       /* requests after the current one */
   bool answered;     /* the current request */
+  bool acknowledged; /* the current request, and its answer takes time */
   uint32_t sent;     /* bytes by the caller */
   uint32_t received; /* bytes by the caller */
   int request_packets;
--- a/tests/soak/upstreams.c
+++ b/tests/soak/upstreams.c
@@ -134,6 +134,8 @@
 {
   struct Job *job;
 
+  /* Callers send data again that nobody acknowledges, which shows that an upstream is silent. */
+  send_as_upstream (upstream, segment, WIRE_ACK, 0);
   if (flow->queued)
     return; /* again */
   flow->queued = true;
