--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -14,7 +14,7 @@
 #define SECOND_RETRANSMIT_MS 600
 #define GIVE_UP_MS 1500
 #define REQUEST_BYTES 8
-#define REFUSED_MS 2000 /* for which packets of a refused flow are looked for */
+#define REFUSED_MS 2000 /* more than GIVE_UP_MS: packets of a refused flow are looked for */
 
 /* Part of the flows to port 80 is long: further requests with pauses between them. */
 #define LONG_FLOW_ONE_IN 3
@@ -149,12 +149,10 @@
       return G_SOURCE_REMOVE;
     }
   flow->repeats += !flow->acknowledged;
-  if (flow->acknowledged)
-    ; /* the answer is on its way */
-  else if (flow->upstream)
-    send_as_caller (flow, WIRE_ACK, REQUEST_BYTES);
-  else
+  if (!flow->upstream)
     send_as_caller (flow, WIRE_SYN, 0);
+  else if (!flow->acknowledged)
+    send_as_caller (flow, WIRE_ACK, REQUEST_BYTES);
   flow->timer
       = g_timeout_add (age < SECOND_RETRANSMIT_MS - 10 ? SECOND_RETRANSMIT_MS - RETRANSMIT_MS
                                                        : GIVE_UP_MS - SECOND_RETRANSMIT_MS,
@@ -246,16 +244,6 @@
   return soak->evacuated && soak_now () - soak->evacuation_ended_at < SOAK_COLD_MS;
 }
 
-static gboolean
-forget_refused (gpointer data)
-{
-  struct SoakFlow *flow = data;
-
-  flow->timer = 0;
-  end_flow (flow);
-  return G_SOURCE_REMOVE;
-}
-
 /* A VM has reset FLOW before it opened.  It is kept for a while: a refusal says that nothing was
  * run, so an upstream must not see its packets.  One that was sent only once, to a VM without a
  * fault, must not have reached an upstream at all. */
@@ -267,16 +255,14 @@
 
   soak->refused++;
   flow->refused = true;
-  flow->refused_unsent = flow->repeats == 0 && soak_is_stable (soak, flow->vm);
-  if (flow->refused_unsent && flow->reached)
+  if (flow->reached && flow->repeats == 0 && soak_is_stable (soak, flow->vm))
     soak_violation (soak, "SENT: flow %u was refused after it had reached an upstream", flow->port);
   if (soak->overloads > 0 && calm_ms > SOAK_CALM_MS && flow->service_port != 82
       && soak_is_stable (soak, flow->vm) && !is_capacity_reduced (soak))
     soak_violation (soak, "CALM: flow %u to port %u refused %d ms after the last overload",
                     flow->port, flow->service_port, (int) calm_ms);
-  if (flow->timer)
-    g_source_remove (flow->timer);
-  flow->timer = g_timeout_add (REFUSED_MS, forget_refused, flow);
+  g_source_remove (flow->timer);
+  flow->timer = g_timeout_add (REFUSED_MS, on_timer, flow);
 }
 
 /* Handles a reset: BY_BALANCER if it does not come from an upstream's address. */
@@ -424,16 +410,15 @@
 
   for (int i = 0; i < SOAK_CALLERS && bound; i++)
     {
-      char ip[32];
-      GSocketAddress *address;
+      char *ip = g_strdup_printf ("127.2.0.%d", 1 + i);
+      GSocketAddress *address = g_inet_socket_address_new_from_string (ip, SOAK_FABRIC_PORT (soak));
 
-      g_snprintf (ip, sizeof ip, "127.2.0.%d", 1 + i);
-      address = g_inet_socket_address_new_from_string (ip, SOAK_FABRIC_PORT (soak));
       g_clear_object (&soak->callers[i]);
       soak->callers[i] = g_socket_new (G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_DATAGRAM,
                                        G_SOCKET_PROTOCOL_UDP, NULL);
       bound = g_socket_bind (soak->callers[i], address, FALSE, NULL);
       g_object_unref (address);
+      g_free (ip);
     }
   return bound;
 }
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -128,7 +128,6 @@
   soak_faults_start (soak);
   soak_troubles_start (soak);
   soak_odd_start (soak);
-  soak_overload_start (soak);
 }
 
 static void
@@ -163,7 +162,7 @@
   soak->trouble = g_rand_new_with_seed (~(guint32) atoi (argv[3]));
   if (g_rand_boolean (soak->trouble))
     soak->left_out = g_rand_int (soak->trouble);
-  soak_overload_init (soak, (guint32) atoi (argv[3]));
+  soak_overload_start (soak, (guint32) atoi (argv[3]));
   soak->folder = g_dir_make_tmp ("cf-soak-XXXXXX", NULL);
   soak_callers_bind (soak);
   soak->loop = g_main_loop_new (NULL, FALSE);
--- a/tests/soak/overload.c
+++ b/tests/soak/overload.c
@@ -8,8 +8,7 @@
 #define LENGTH_MIN_MS 1000
 #define LENGTH_MAX_MS 5000
 #define PRESS_INTERVAL_MS 5
-/* Flows each interval: 400 to 1,600 per second. */
-#define PRESS_FLOWS_MIN 2
+#define PRESS_FLOWS_MIN 2 /* each interval */
 #define PRESS_FLOWS_MAX 8
 
 static int
@@ -35,13 +34,6 @@
     }
 }
 
-/* Upstreams are slow, so that the usual requests fill some of them. */
-static void
-slow_upstreams (struct Soak *soak, int64_t until)
-{
-  slow_down (soak, draw (soak, 1, 2), 40, 100, until);
-}
-
 static gboolean
 press_on (gpointer data)
 {
@@ -82,7 +74,7 @@
   if (soak->ending)
     return G_SOURCE_REMOVE;
   if (busy && (!soak_has_fault (soak, "press") || draw (soak, 0, 1)))
-    slow_upstreams (soak, until);
+    slow_down (soak, draw (soak, 1, 2), 40, 100, until); /* the usual requests fill them */
   else
     press (soak, until);
   soak->overloads++;
@@ -93,16 +85,11 @@
 }
 
 void
-soak_overload_init (struct Soak *soak, guint32 seed)
+soak_overload_start (struct Soak *soak, guint32 seed)
 {
   soak->overload_random = g_rand_new_with_seed (seed ^ 0x5a5a5a5a);
   soak->overload = soak_has_fault (soak, "busy") || soak_has_fault (soak, "press");
   soak->extra_openings = soak->overload && g_rand_boolean (soak->overload_random);
-}
-
-void
-soak_overload_start (struct Soak *soak)
-{
   if (soak->overload)
     g_timeout_add (FIRST_MS, next_overload, soak);
 }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -149,10 +149,9 @@
 void soak_faults_start (struct Soak *soak);
 /* The same for signals, settings and restarts in series, which overlap with these faults. */
 void soak_troubles_start (struct Soak *soak);
-/* Slow upstreams and bursts of requests, which overlap with all of these. */
-void soak_overload_start (struct Soak *soak);
-/* Reads whether the command has overloads, and with which settings. */
-void soak_overload_init (struct Soak *soak, guint32 seed);
+/* Slow upstreams and bursts of requests, which overlap with all of these.  Before the settings are
+ * written, since these depend on them. */
+void soak_overload_start (struct Soak *soak, guint32 seed);
 /* Entries of another writer in the store. */
 void soak_odd_start (struct Soak *soak);
 /* Returns false if the command leaves faults called NAME out. */
--- a/tests/soak/traffic.h
+++ b/tests/soak/traffic.h
@@ -38,14 +38,13 @@
   uint32_t sent;     /* bytes by the caller */
   uint32_t received; /* bytes by the caller */
   int request_packets;
-  uint32_t repeats;    /* of the current packet by the caller */
-  int misrouted;       /* packets that reached other upstreams while it was open */
-  bool stable;         /* the current request began while stable */
-  bool silent;         /* its packets do not reach its upstream any more */
-  bool reached;        /* an upstream got its first packet */
-  bool refused;        /* reset by a VM before it opened */
-  bool refused_unsent; /* so its first packet must not reach an upstream either */
-  bool queued;         /* the current request waits or is worked on */
+  uint32_t repeats; /* of the current packet by the caller */
+  int misrouted;    /* packets that reached other upstreams while it was open */
+  bool stable;      /* the current request began while stable */
+  bool silent;      /* its packets do not reach its upstream any more */
+  bool reached;     /* an upstream got its first packet */
+  bool refused;     /* reset by a VM before it opened */
+  bool queued;      /* the current request waits or is worked on */
   guint timer;
 };
 
--- a/tests/soak/upstreams.c
+++ b/tests/soak/upstreams.c
@@ -77,7 +77,7 @@
   if (segment->size > SOAK_HEADER)
     soak_violation (upstream->soak, "RAN: the request of refused flow %u reached %s", flow->port,
                     upstream->id);
-  else if (flow->refused_unsent && soak_is_stable (upstream->soak, flow->vm))
+  else if (flow->repeats == 0 && soak_is_stable (upstream->soak, flow->vm))
     soak_violation (upstream->soak, "SENT: flow %u reached %s after it was refused", flow->port,
                     upstream->id);
 }
@@ -162,11 +162,8 @@
   if (!flow || flow->silent)
     return;
   if (flow->refused)
-    {
-      check_refused (upstream, flow, segment);
-      return;
-    }
-  if (segment->flags & CF_SEGMENT_SYN)
+    check_refused (upstream, flow, segment);
+  else if (segment->flags & CF_SEGMENT_SYN)
     {
       flow->reached = true;
       check_first (upstream, flow);
--- a/tests/sockets/soak.sh
+++ b/tests/sockets/soak.sh
@@ -18,10 +18,14 @@
 #           by signal 1; SOAK_FAULTS=settings: with status 2; SOAK_FAULTS=none: connections that their
 #           clients had closed filled the descriptors, and the ready port answered no more
 #   2       with bb7e186, SOAK_FAULTS=start-at-once: SIGTERM did not end a VM whose ports were taken
+#   3       with SOAK_FAULTS=press,busy,pause: a VM that was paused during an overload refused first
+#           packets that had waited, of flows that had opened at other VMs meanwhile
 # Of these, 11 and 6008 run here, and 1, which has all kinds of faults.  31 plays connections that go
-# silent for good, to the store and between VMs, beside restarts, partitions and drains.
+# silent for good, to the store and between VMs, beside restarts, partitions and drains; 3 overloads beside
+# VMs that are paused.
 set -e
 for seed in 1 11 6008; do
   "$1/soak" "$1/cyclamenferry" 12 "$seed"
 done
 SOAK_FAULTS=silent,path,stop,drain,route "$1/soak" "$1/cyclamenferry" 12 31
+SOAK_FAULTS=press,busy,pause "$1/soak" "$1/cyclamenferry" 12 3
