--- a/src/balance/overload.c
+++ b/src/balance/overload.c
@@ -223,3 +223,12 @@
 {
   return overload->active ? overload->admitted[MIN (priority, CF_LOAD_PRIORITIES - 1)] : 1;
 }
+
+bool
+cf_overload_admits_all (const struct CfOverload *overload)
+{
+  for (uint32_t i = 0; i < CF_LOAD_PRIORITIES; i++)
+    if (cf_overload_admitted (overload, i) < 1)
+      return false;
+  return true;
+}
--- a/src/balance/overload.h
+++ b/src/balance/overload.h
@@ -88,6 +88,9 @@
 /* Returns the part of the demand of PRIORITY that is admitted, 1 if there is no overload. */
 double cf_overload_admitted (const struct CfOverload *overload, uint32_t priority);
 
+/* Returns true if all demand is admitted, also during an overload. */
+bool cf_overload_admits_all (const struct CfOverload *overload);
+
 /* Divides CAPACITY between COUNT claims of the amounts DEMAND by max-min fairness: each gets what
  * it asks for, or a part of what is left in proportion to its WEIGHT (NULL: all alike).  Writes
  * each part to SHARE (0 to 1, 1 for a demand of 0). */
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -644,6 +644,36 @@
 }
 END_TEST
 
+/* VMs that were paused during an overload: they refused first packets that had waited meanwhile,
+ * whose callers had sent them again to another VM, where the flows were open. */
+START_TEST (test_pause)
+{
+  double rate[2][2];
+  uint32_t refused;
+
+  burst (2.0, rate);
+  play_new (5, true);
+  run (12000, calm);
+  run (14000, rate);
+  refused = play->refused[USUAL];
+  ck_assert_uint_gt (refused, 0);
+  for (int i = 0; i < 400; i++)
+    {
+      struct Request *request = g_new0 (struct Request, 1);
+
+      *request = (struct Request){ .class = USUAL, .domain = i % 2, .ip = 0x64400000 + i };
+      g_ptr_array_add (play->requests, request);
+      open_flow (request);
+    }
+  play->now += 200;
+  run (play->now + 1, idle);
+  ck_assert_uint_eq (play->refused[USUAL], refused);
+  run (15000, rate);
+  ck_assert_uint_gt (play->refused[USUAL], refused);
+  play_free ();
+}
+END_TEST
+
 /* Callers retransmit after 200 ms, maybe to another VM: a packet that was held for longer was
  * refused, although its retransmission had been sent to an upstream. */
 START_TEST (test_hold_ends_before_retransmission)
@@ -795,5 +825,6 @@
   suite_add_loop (suite, test_old_occupancy_hides_no_failure, 1);
   suite_add_loop (suite, test_start_refuses_nothing_old, 1);
   suite_add_loop (suite, test_route_without_service, 1);
+  suite_add_loop (suite, test_pause, 1);
   return suite_run (suite);
 }
