--- a/tests/test_balance_lifetime.c
+++ b/tests/test_balance_lifetime.c
@@ -14,6 +14,7 @@
 #define DOMAINS 3
 #define ADDRESSES 4
 #define CALLERS 40
+#define BURST 300 /* packets after a load report, so that some wait */
 
 struct Churn
 {
@@ -23,6 +24,7 @@
   uint64_t version;
   uint64_t revision;
   uint64_t seen; /* of what the outputs referred to */
+  uint32_t held;
 };
 
 static int
@@ -73,6 +75,15 @@
   read_target (context, target);
 }
 
+static void
+held (void *context, CfMillis wait)
+{
+  struct Churn *churn = context;
+
+  ck_assert_int_ge (wait, 0);
+  churn->held++;
+}
+
 static const struct CfBalanceOutputs outputs = {
   .forward = forward,
   .hand_on = hand_on,
@@ -80,6 +91,7 @@
   .decided = decided,
   .reach_changed = note_target,
   .failing = note_target,
+  .held = held,
 };
 
 static const char *
@@ -134,11 +146,13 @@
         .address = { .ip = 9, .port = (uint16_t) i },
         .split_count = 1,
         .idempotent = pick (churn, 2),
+        .priority = (uint32_t) pick (churn, 3),
+        .target_latency_ms = 400,
       };
 
       route.splits[0] = (struct CfSplit){
         .service = g_quark_from_string (name ("s", pick (churn, SERVICES))),
-        .weight = 1,
+        .weight = pick (churn, 10) > 0,
       };
       if (pick (churn, 4))
         g_array_append_val (manifest->routes, route);
@@ -187,6 +201,40 @@
   cf_balance_report (churn->balance, &report, churn->now);
 }
 
+/* Another VM reports a service that is full and turns requests away. */
+static void
+receive_load (struct Churn *churn)
+{
+  struct CfLoadReport report = {
+    .vm = "v",
+    .domain = "d0",
+    .incarnation = 1,
+    .sequence = (uint32_t) ++churn->revision,
+    .domain_vms = 2,
+    .service_count = 1,
+    .line_count = 1,
+  };
+
+  report.services[0].counts = (struct CfLoadCounts){
+    .demand = { 20, 20, 20 },
+    .answered = 20,
+    .shed = pick (churn, 2) * 20,
+    .in_progress = 200,
+    .usual = 20,
+  };
+  g_strlcpy (report.services[0].name, name ("s", pick (churn, SERVICES)),
+             sizeof report.services[0].name);
+  report.lines[0] = (struct CfLoadLine){
+    .cookie = cf_cookie (name ("i-", pick (churn, UPSTREAMS))),
+    .samples = 10,
+    .pace = pick (churn, 2) ? 0.1 : 10,
+  };
+  cf_balance_receive_load (churn->balance, &report, churn->now);
+  cf_balance_load_report (churn->balance, &report, churn->now);
+  for (int i = 0; i < BURST; i++)
+    receive_segment (churn);
+}
+
 static void
 pass_time (struct Churn *churn)
 {
@@ -208,8 +256,10 @@
     withdraw (churn);
   else if (kind < 70)
     receive_segment (churn);
-  else if (kind < 74)
+  else if (kind < 72)
     receive_report (churn);
+  else if (kind < 74)
+    receive_load (churn);
   else if (kind < 76)
     replace_manifest (churn);
   else if (kind < 78)
@@ -233,11 +283,14 @@
           .domain = "d0",
           .seed = (uint32_t) _i,
           .flow_lifetime_ms = lifetimes[_i % G_N_ELEMENTS (lifetimes)],
+          .admission = { .enabled = _i % 2, .hold_share = 0.25, .caller_prefix = 32 },
+          .extra_openings = _i % 2 ? 0.1 : 0,
       },
       &outputs, &churn);
   for (int i = 0; i < INPUTS; i++)
     input (&churn);
   ck_assert_uint_gt (churn.seen, 0);
+  ck_assert ((churn.held > 0) == _i % 2);
   cf_balance_free (churn.balance);
   g_rand_free (churn.random);
 }
