--- a/src/balance/overload.c
+++ b/src/balance/overload.c
@@ -53,11 +53,11 @@
 }
 
 double
-cf_overload_slots (const struct CfLoadSum *sum, double slots, uint32_t region_vms)
+cf_overload_slots (const struct CfLoadSum *sum, double slots, uint32_t fleet_vms)
 {
-  if (sum->vms == 0 || region_vms <= sum->vms)
+  if (sum->vms == 0 || fleet_vms <= sum->vms)
     return sane (slots);
-  return sane (slots) * sum->vms / region_vms;
+  return sane (slots) * sum->vms / fleet_vms;
 }
 
 static double
--- a/src/balance/overload.h
+++ b/src/balance/overload.h
@@ -69,9 +69,9 @@
 };
 
 /* Returns the part of SLOTS, those of all upstreams that may get flows, that falls to the VMs whose
- * counts SUM holds, of REGION_VMS VMs in all.  A VM that hears nobody has the counts of its own
+ * counts SUM holds, of FLEET_VMS VMs in all.  A VM that hears nobody has the counts of its own
  * failure domain only; against all slots it would never see an overload. */
-double cf_overload_slots (const struct CfLoadSum *sum, double slots, uint32_t region_vms);
+double cf_overload_slots (const struct CfLoadSum *sum, double slots, uint32_t fleet_vms);
 
 /* Decides anew from SUM, if CF_OVERLOAD_INTERVAL_MS have passed.  SLOTS is the result of
  * cf_overload_slots.  DOMAIN is this VM's failure domain. */
