--- a/src/balance/admission.c
+++ b/src/balance/admission.c
@@ -45,6 +45,8 @@
   CfMillis report_until; /* load reports are sent until then */
   CfMillis pruned_at;
   CfMillis ticked_at;
+  uint32_t overloads; /* services that are overloaded */
+  CfMillis update_at; /* when they are to be looked at next without a new flow */
 };
 
 const char *
@@ -176,6 +178,8 @@
       cf_overload_end (&service->overload);
       change = was_active ? CF_OVERLOAD_ENDS : CF_OVERLOAD_SAME;
     }
+  control->overloads += service->overload.active;
+  control->overloads -= was_active;
   if (change == CF_OVERLOAD_ENDS)
     cf_admission_release (control->queue, service->name, now);
   if (change != CF_OVERLOAD_SAME)
@@ -393,13 +397,16 @@
   gpointer value;
 
   control->ticked_at = now;
-  g_hash_table_iter_init (&iter, control->services);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (((struct Service *) value)->overload.active)
-      {
-        update_service (control, value, now);
-        next = MIN (next, now + CF_OVERLOAD_INTERVAL_MS);
-      }
+  if (control->overloads > 0 && now >= control->update_at)
+    {
+      control->update_at = now + CF_OVERLOAD_INTERVAL_MS;
+      g_hash_table_iter_init (&iter, control->services);
+      while (g_hash_table_iter_next (&iter, NULL, &value))
+        if (((struct Service *) value)->overload.active)
+          update_service (control, value, now);
+    }
+  if (control->overloads > 0)
+    next = MIN (next, control->update_at);
   if (now - control->pruned_at >= PRUNE_INTERVAL_MS)
     {
       control->pruned_at = now;
--- a/tests/test_balance_lifetime.c
+++ b/tests/test_balance_lifetime.c
@@ -216,7 +216,7 @@
   };
 
   report.services[0].counts = (struct CfLoadCounts){
-    .demand = { 20, 20, 20 },
+    .demand = { 10, 10, 40 },
     .answered = 20,
     .shed = pick (churn, 2) * 20,
     .in_progress = 200,
