--- a/src/balance/admission.h
+++ b/src/balance/admission.h
@@ -23,7 +23,7 @@
 };
 
 /* A VM sends load reports for this long after it has seen upstreams turn requests away, or has
- * heard a report of a VM that has. */
+ * received a report of a VM that has. */
 #define CF_ADMISSION_REPORT_MS 4000
 /* Requests a second that upstreams must turn away at one VM for it to report. */
 #define CF_ADMISSION_REPORT_SHED_RATE 1.0
--- a/src/balance/load_exchange.c
+++ b/src/balance/load_exchange.c
@@ -4,8 +4,8 @@
 #include <math.h>
 #include <string.h>
 
-/* Load reports: what this VM tells others of the services and upstreams that it uses, and what it
- * takes from theirs. */
+/* Load reports: what this VM reports of the services and upstreams that it uses, and what it takes
+ * from the reports of others. */
 
 /* An upstream of which this VM has seen fewer answers lately is not reported. */
 #define SAMPLES_MIN 1.0
--- a/src/balance/load_table.c
+++ b/src/balance/load_table.c
@@ -118,7 +118,7 @@
   struct DomainSum *sum = get_domain (sums, held->domain);
   double weight = exp2 (-(double) (now - held->received) / CF_LOAD_REPORT_HALF_LIFE_MS);
 
-  sum->domain.heard++;
+  sum->domain.reporting++;
   sum->weight += weight;
   if (held->received > sum->newest)
     {
@@ -133,17 +133,17 @@
       }
 }
 
-/* Scales the counts of SUM from the VMs that were heard to all. */
+/* Scales the counts of SUM from the VMs that have reported to all. */
 static void
 scale_to_all (struct DomainSum *sum)
 {
   struct CfLoadDomain *domain = &sum->domain;
-  struct CfLoadCounts heard = domain->counts;
+  struct CfLoadCounts reported = domain->counts;
 
   /* The list of VMs may be behind. */
-  domain->vms = MAX (domain->vms, domain->heard);
+  domain->vms = MAX (domain->vms, domain->reporting);
   domain->counts = (struct CfLoadCounts){ 0 };
-  add_counts (&domain->counts, &heard, domain->vms / sum->weight);
+  add_counts (&domain->counts, &reported, domain->vms / sum->weight);
 }
 
 /* This VM's own domain first, then the largest. */
@@ -165,7 +165,7 @@
 {
   add_counts (&sum->total, &domain->counts, 1);
   sum->vms += domain->vms;
-  sum->heard += domain->heard;
+  sum->reporting += domain->reporting;
   if (sum->domain_count < CF_LOAD_DOMAINS_MAX)
     sum->domains[sum->domain_count++] = *domain;
 }
@@ -182,7 +182,7 @@
   GArray *sums = g_array_new (FALSE, FALSE, sizeof (struct DomainSum));
   /* G_MAXINT64: no report replaces the size of this VM's own domain. */
   const struct DomainSum first = {
-    .domain = { .domain = domain, .vms = domain_vms, .heard = 1, .counts = *own },
+    .domain = { .domain = domain, .vms = domain_vms, .reporting = 1, .counts = *own },
     .newest = G_MAXINT64,
     .weight = 1,
   };
--- a/src/balance/load_table.h
+++ b/src/balance/load_table.h
@@ -8,14 +8,14 @@
 
 /* The load reports of other VMs (load_report.h), and their sum for each service.
  *
- * A VM hears of a random part of the others at a time.  What it has heard of a failure domain is
- * scaled to all VMs there, so a VM that was not heard counts like the mean of the others and not
+ * A VM receives the reports of a random part of the others at a time.  The sum of a failure domain
+ * is scaled to all VMs there, so a VM without a report counts like the mean of the others and not
  * as idle.  A report counts once, replaces the one before from the same VM, never goes back to an
  * earlier one, and expires.  No I/O. */
 
 /* A report counts for this long after it was received: the share of a VM that was killed, frozen or
- * cut off ends with it.  Each VM hears 8 reports/s, so that those of some 14 other VMs count at a
- * time. */
+ * cut off ends with it.  Each VM receives 8 reports/s, so that those of some 14 other VMs count at
+ * a time. */
 #define CF_LOAD_REPORT_AGE_MAX_MS 2000
 /* The incarnation and sequence of a VM's last report are remembered for this long after it was
  * received: longer than a datagram can be late.  A VM whose wall clock was set back before a
@@ -34,8 +34,8 @@
 {
   GQuark domain;
   uint32_t vms;               /* in the domain */
-  uint32_t heard;             /* of these, whose counts are known; this VM included */
-  struct CfLoadCounts counts; /* scaled from those that were heard to all */
+  uint32_t reporting;         /* of these, whose counts are known; this VM included */
+  struct CfLoadCounts counts; /* scaled from those that have reported to all */
 };
 
 struct CfLoadSum
@@ -43,8 +43,8 @@
   uint32_t domain_count;
   struct CfLoadDomain domains[CF_LOAD_DOMAINS_MAX]; /* this VM's first, then by size */
   struct CfLoadCounts total; /* of all domains, also of those that are left out above */
-  uint32_t vms;              /* VMs of all domains that were heard of */
-  uint32_t heard;
+  uint32_t vms;              /* VMs of all domains that are known */
+  uint32_t reporting;
   CfMillis age; /* mean age of the reports that were used, 0 if there is none */
 };
 
--- a/src/balance/overload.c
+++ b/src/balance/overload.c
@@ -80,7 +80,7 @@
   overload->occupancy = sane (slots) > 0 ? sane (sum->total.in_progress) / sane (slots) : 0;
   overload->shed_share = shed > 0 ? shed / (answered + shed) : 0;
   overload->age = sum->age;
-  overload->heard = sum->heard;
+  overload->reporting = sum->reporting;
 }
 
 static bool
--- a/src/balance/overload.h
+++ b/src/balance/overload.h
@@ -58,7 +58,7 @@
   double capacity;                     /* flows a second that all VMs together admit */
   double admitted[CF_LOAD_PRIORITIES]; /* part of this domain's demand that is admitted, 0 to 1 */
   CfMillis age;                        /* of the reports that decided */
-  uint32_t heard;                      /* VMs that it rests on, this one included */
+  uint32_t reporting;                  /* VMs that it rests on, this one included */
 };
 
 enum CfOverloadChange
@@ -69,8 +69,8 @@
 };
 
 /* Returns the part of SLOTS, those of all upstreams that may get flows, that falls to the VMs whose
- * counts SUM holds, of FLEET_VMS VMs in all.  A VM that hears nobody has the counts of its own
- * failure domain only; against all slots it would never see an overload. */
+ * counts SUM holds, of FLEET_VMS VMs in all.  A VM that receives no report has the counts of its
+ * own failure domain only; against all slots it would never see an overload. */
 double cf_overload_slots (const struct CfLoadSum *sum, double slots, uint32_t fleet_vms);
 
 /* Decides anew from SUM, if CF_OVERLOAD_INTERVAL_MS have passed.  SLOTS is the result of
--- a/src/serve/datapath_task.c
+++ b/src/serve/datapath_task.c
@@ -281,7 +281,7 @@
                           { .key = "admitted_1_pct", .number = percent (overload->admitted[1]) },
                           { .key = "admitted_2_pct", .number = percent (overload->admitted[2]) },
                           { .key = "admitted_3_pct", .number = percent (overload->admitted[3]) },
-                          { .key = "vms_heard", .number = overload->heard },
+                          { .key = "vms_reporting", .number = overload->reporting },
                           { .key = "reports_age_ms", .number = overload->age },
                           { 0 },
                       });
--- a/tests/test_load_table.c
+++ b/tests/test_load_table.c
@@ -58,7 +58,7 @@
   return cf_load_table_new ();
 }
 
-/* A VM that was not heard counts like the mean of its domain: counted as idle, an overload that a
+/* A VM without a report counts like the mean of its domain: counted as idle, an overload that a
  * part of the VMs sees would be missed. */
 START_TEST (test_scaled_by_domain)
 {
@@ -72,7 +72,7 @@
   ck_assert (merge (table, "b2", "b", 20, 1, T0 + 200));
   sum = sum_of (table, "s", T0 + 300);
   ck_assert_uint_eq (sum.domain_count, 2);
-  ck_assert_uint_eq (sum.heard, 4);
+  ck_assert_uint_eq (sum.reporting, 4);
   ck_assert_int_eq (sum.age, (200 + 200 + 100) / 3);
   /* This VM knows the size of its own domain; the newest report gives that of the other. */
   ck_assert_uint_eq (sum.vms, OWN_DOMAIN_VMS + 20);
@@ -84,7 +84,7 @@
   ck_assert_double_eq_tol (sum.total.in_progress, (OWN_DOMAIN_VMS + 20) * IN_PROGRESS, 1e-9);
   ck_assert (merge (table, "b1", "b", 40, 2, T0 + 300));
   ck_assert_uint_eq (sum_of (table, "s", T0 + 300).domains[1].vms, 40);
-  /* The list of VMs is behind: more were heard than it has. */
+  /* The list of VMs is behind: more have reported than it has. */
   for (uint32_t i = 3; i <= OWN_DOMAIN_VMS + 1; i++)
     merge (table, (char[]){ 'a', (char) ('0' + i), '\0' }, "a", 4, 1, T0 + 300);
   ck_assert_uint_eq (sum_of (table, "s", T0 + 300).domains[0].vms, OWN_DOMAIN_VMS + 1);
@@ -103,7 +103,7 @@
       CfMillis now = T0 + CF_LOAD_REPORT_AGE_MAX_MS - 1 + gone;
 
       ck_assert_uint_eq (cf_load_table_count (table, now), 1 - (uint32_t) gone);
-      ck_assert_uint_eq (sum_of (table, "s", now).heard, 2 - (uint32_t) gone);
+      ck_assert_uint_eq (sum_of (table, "s", now).reporting, 2 - (uint32_t) gone);
     }
   cf_load_table_free (table);
 }
@@ -119,7 +119,7 @@
   ck_assert (!merge (table, "b1", "b", 1, 4, T0 + 1));
   ck_assert (merge (table, "b1", "b", 1, 6, T0 + 500));
   ck_assert (!merge (table, "b1", "b", 1, 5, T0 + 600));
-  ck_assert_uint_eq (sum_of (table, "s", T0 + 600).heard, 2);
+  ck_assert_uint_eq (sum_of (table, "s", T0 + 600).reporting, 2);
   ck_assert (!merge (table, "b1", "b", 1, 6, T0 + 500 + CF_LOAD_REPORT_AGE_MAX_MS));
   cf_load_table_free (table);
 }
@@ -178,7 +178,7 @@
   ck_assert (!g_quark_try_string ("unknown") && !g_quark_try_string ("s"));
   /* A VM whose report does not name a service has nothing of it in progress. */
   ck_assert_double_eq (sum_of (table, "other", T0).total.in_progress, OWN_DOMAIN_VMS * IN_PROGRESS);
-  ck_assert_uint_eq (sum_of (table, "other", T0).heard, 2);
+  ck_assert_uint_eq (sum_of (table, "other", T0).reporting, 2);
   cf_load_table_free (table);
 }
 END_TEST
@@ -200,7 +200,7 @@
   g_snprintf (name, sizeof name, "n%u", CF_LOAD_REPORTS_MAX + 1);
   ck_assert (!merge (table, name, name, 1, 1, T0 + 600)); /* the newest were kept, this one too */
   sum = sum_of (table, "s", T0 + 600);
-  ck_assert_uint_eq (sum.heard, 1 + CF_LOAD_REPORTS_MAX);
+  ck_assert_uint_eq (sum.reporting, 1 + CF_LOAD_REPORTS_MAX);
   ck_assert_uint_eq (sum.domain_count, CF_LOAD_DOMAINS_MAX);
   ck_assert_uint_eq (sum.domains[0].vms, OWN_DOMAIN_VMS);
   ck_assert_uint_eq (sum.domains[1].vms, 2 * CF_LOAD_REPORTS_MAX);
--- a/tests/test_overload.c
+++ b/tests/test_overload.c
@@ -36,7 +36,7 @@
                .shed = shed,
                .in_progress = in_progress },
     .vms = VMS,
-    .heard = VMS,
+    .reporting = VMS,
   };
 
   for (int i = 0; i < DOMAINS; i++)
@@ -199,7 +199,7 @@
   struct CfOverload overload = { 0 };
 
   sum.vms = VMS / DOMAINS;
-  sum.heard = 1;
+  sum.reporting = 1;
   sum.domain_count = 1;
   sum.domains[0].counts = sum.total;
   ck_assert_double_eq_tol (cf_overload_slots (&sum, 90, VMS), 30, 1e-9);
@@ -230,7 +230,7 @@
   struct Vm vms[VMS]; /* VM i is in domain i % DOMAINS */
   struct CfLoadSum sums[REPORT_STEPS];
   int report_age; /* in steps of 100 ms, below REPORT_STEPS */
-  int heard;      /* VMs of each domain whose counts are known at a time */
+  int reporting;      /* VMs of each domain whose counts are known at a time */
   CfMillis now;
   uint32_t flows;
   uint32_t asked[DOMAINS][CF_LOAD_PRIORITIES];
@@ -265,7 +265,7 @@
   play->service.ended = on_ended;
   play->service.context = play;
   play->report_age = report_age;
-  play->heard = report_age > 3 ? 2 : VMS / DOMAINS;
+  play->reporting = report_age > 3 ? 2 : VMS / DOMAINS;
   for (int i = 0; i < VMS; i++)
     {
       play->vms[i].loads = cf_service_loads_new ();
@@ -339,14 +339,14 @@
   int step = (int) (play->now / CF_OVERLOAD_INTERVAL_MS);
   struct CfLoadSum *sum = &play->sums[step % REPORT_STEPS];
 
-  *sum = (struct CfLoadSum){ .domain_count = DOMAINS, .vms = VMS, .heard = VMS };
+  *sum = (struct CfLoadSum){ .domain_count = DOMAINS, .vms = VMS, .reporting = VMS };
   for (int i = 0; i < VMS; i++)
     {
-      const double factor = (double) VMS / (DOMAINS * play->heard);
+      const double factor = (double) VMS / (DOMAINS * play->reporting);
       struct CfLoadCounts counts;
 
       sum->domains[i % DOMAINS].domain = domain_at (i % DOMAINS);
-      if ((i / DOMAINS + step) % (VMS / DOMAINS) >= play->heard)
+      if ((i / DOMAINS + step) % (VMS / DOMAINS) >= play->reporting)
         continue;
       cf_service_loads_counts (play->vms[i].loads, service (), play->now, &counts);
       add_counts (&sum->domains[i % DOMAINS].counts, &counts, factor);
