--- a/src/balance/overload.c
+++ b/src/balance/overload.c
@@ -97,13 +97,11 @@
 {
   double probe = (CF_OVERLOAD_PROBE - 1) * MAX (1 - overload->shed_share / PROBE_SHED_MAX, 0);
   double answered = sane (sum->total.answered) * (1 + probe);
-  double room = CF_OVERLOAD_FILL_OCCUPANCY - overload->occupancy;
-  double grown = overload->capacity * (1 + CF_OVERLOAD_GROWTH * CLAMP (room, 0, 1));
+  double room = CLAMP (CF_OVERLOAD_FILL_OCCUPANCY - overload->occupancy, -1, 1);
+  double adjusted = overload->capacity * (1 + CF_OVERLOAD_GROWTH * room);
 
-  overload->capacity = answered;
   /* Beyond the demand, growth would only delay the reaction to the next burst. */
-  if (room > 0)
-    overload->capacity = MAX (answered, MIN (grown, total_demand (sum) * CF_OVERLOAD_PROBE));
+  overload->capacity = MAX (answered, MIN (adjusted, total_demand (sum) * CF_OVERLOAD_PROBE));
 }
 
 /* Returns the part of DOMAIN's demand of PRIORITY that is admitted when all domains together get
--- a/src/balance/overload.h
+++ b/src/balance/overload.h
@@ -32,10 +32,11 @@
  * is answered when 1 in 10 is.  In balance, 1 in 20 is turned away. */
 #define CF_OVERLOAD_PROBE 1.1
 /* Below this occupancy part of the slots is idle at times, so the capacity grows: by
- * CF_OVERLOAD_GROWTH each interval at one request less for each slot, in proportion above.  The
+ * CF_OVERLOAD_GROWTH each interval at one request less for each slot, in proportion above.  With a
+ * higher one it falls in the same way, down to the answered rate.  The
  * answered rate alone can't show idle slots, since it is never above what is admitted.  Doubling
  * takes 0.7 s, which is about the age of the counts. */
-#define CF_OVERLOAD_FILL_OCCUPANCY 3.0
+#define CF_OVERLOAD_FILL_OCCUPANCY 2.5
 #define CF_OVERLOAD_GROWTH 0.1
 /* Default part of the admitted rate that is kept for the priorities below the most urgent one; the
  * same part of the rest is kept for those below the next one, and so on.  What they do not ask for
