--- a/src/balance/admission.c
+++ b/src/balance/admission.c
@@ -150,28 +150,42 @@
          && counts->shed >= CF_OVERLOAD_ENTER_SHED * (counts->shed + counts->answered);
 }
 
+/* Writes to COUNTS what this VM sees of SERVICE, with the requests in progress at upstreams that
+ * may get flows.  Returns the room there. */
+static struct CfUsableRoom
+count_own (struct CfAdmissionControl *control,
+           GQuark service,
+           CfMillis now,
+           struct CfLoadCounts *counts)
+{
+  struct CfUsableRoom room = control->events->room (control->context, service, now);
+
+  cf_service_loads_counts (control->loads, service, now, counts);
+  counts->in_progress *= room.progress_share;
+  return room;
+}
+
 static void
 update_service (struct CfAdmissionControl *control, struct Service *service, CfMillis now)
 {
   struct CfLoadCounts own;
   struct CfLoadSum sum;
+  struct CfUsableRoom room;
   enum CfOverloadChange change;
   bool was_active = service->overload.active;
-  double slots;
 
   if (now - service->updated_at < CF_OVERLOAD_INTERVAL_MS)
     return;
   service->updated_at = now;
   if (!was_active)
     cf_service_loads_learn_usual (control->loads, service->name, now);
-  cf_service_loads_counts (control->loads, service->name, now, &own);
+  room = count_own (control, service->name, now, &own);
   if (sheds (&own))
     control->report_until = now + CF_ADMISSION_REPORT_MS;
   cf_load_table_sum (control->table, g_quark_to_string (service->name), &own, control->domain,
                      control->domain_vms, now, &sum);
-  slots = cf_overload_slots (&sum, control->events->slots (control->context, service->name, now),
-                             control->vms);
-  change = cf_overload_update (&service->overload, &sum, slots, control->domain,
+  change = cf_overload_update (&service->overload, &sum,
+                               cf_overload_slots (&sum, room.slots, control->vms), control->domain,
                                control->options.floor_share, now);
   if (service->overload.active && cf_spill_near_has_room (&service->spill, now))
     {
@@ -460,13 +474,14 @@
   g_hash_table_iter_init (&iter, control->services);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      const char *name = g_quark_to_string (((struct Service *) value)->name);
+      GQuark name = ((struct Service *) value)->name;
       struct CfLoadService service;
 
-      if (g_strlcpy (service.name, name, sizeof service.name) < sizeof service.name
-          && cf_service_loads_counts (control->loads, ((struct Service *) value)->name, now,
-                                      &service.counts))
-        add_service (report, &service);
+      if (g_strlcpy (service.name, g_quark_to_string (name), sizeof service.name)
+          >= sizeof service.name)
+        continue;
+      count_own (control, name, now, &service.counts);
+      add_service (report, &service);
     }
   return report->service_count > 0;
 }
--- a/src/balance/admission.h
+++ b/src/balance/admission.h
@@ -59,6 +59,13 @@
   CfMillis age;      /* of the reports that it rests on */
 };
 
+/* The upstreams of a service that may get flows. */
+struct CfUsableRoom
+{
+  double slots;          /* of all of them */
+  double progress_share; /* part of this VM's requests in progress that is there, 0 to 1 */
+};
+
 struct CfAdmissionEvents
 {
   /* SERVICE is overloaded (BEGINS) or no longer is.  SUM is what decided. */
@@ -67,8 +74,8 @@
                     const struct CfOverload *overload,
                     const struct CfLoadSum *sum,
                     bool begins);
-  /* Returns the slots of all upstreams of SERVICE that may get flows. */
-  double (*slots) (void *context, GQuark service, CfMillis now);
+  /* Returns the room of all upstreams of SERVICE that may get flows. */
+  struct CfUsableRoom (*room) (void *context, GQuark service, CfMillis now);
 };
 
 struct CfAdmissionControl;
--- a/src/balance/admit.c
+++ b/src/balance/admit.c
@@ -5,27 +5,39 @@
 /* Admission of new flows while their service is overloaded, and what the requests of this VM show
  * about the load of upstreams. */
 
-/* Returns the slots of all upstreams of SERVICE that may get flows.  Those that cannot be reached,
- * are cold or fail requests have no room for more. */
-static double
-usable_slots (void *context, GQuark service, CfMillis now)
+/* An upstream that cannot be reached, is cold or fails requests has no room for more. */
+static bool
+is_usable (const struct CfBalance *balance, const struct CfTarget *target, CfMillis now)
+{
+  return (target->state == CF_TARGET_READY || target->state == CF_TARGET_LAPSED)
+         && !target->collides && now >= target->cold_until && cf_reach_good (&target->reach)
+         && !cf_outages_suspects (balance->outages, target->domain)
+         && !cf_outlier_avoided (target, now)
+         && !g_hash_table_contains (balance->evacuated, GUINT_TO_POINTER (target->domain));
+}
+
+/* Requests to an upstream that has been lost fill no slot, though they still await an answer. */
+static struct CfUsableRoom
+usable_room (void *context, GQuark service, CfMillis now)
 {
   const struct CfBalance *balance = context;
   GPtrArray *targets = cf_directory_service (balance->directory, service);
-  double slots = 0;
+  struct CfUsableRoom room = { 0 };
+  uint32_t awaiting = 0;
+  uint32_t usable = 0;
 
   for (guint i = 0; targets && i < targets->len; i++)
     {
       const struct CfTarget *target = targets->pdata[i];
 
-      if ((target->state == CF_TARGET_READY || target->state == CF_TARGET_LAPSED)
-          && !target->collides && now >= target->cold_until && cf_reach_good (&target->reach)
-          && !cf_outages_suspects (balance->outages, target->domain)
-          && !cf_outlier_avoided (target, now)
-          && !g_hash_table_contains (balance->evacuated, GUINT_TO_POINTER (target->domain)))
-        slots += target->slots;
+      awaiting += target->awaiting;
+      if (!is_usable (balance, target, now))
+        continue;
+      usable += target->awaiting;
+      room.slots += target->slots;
     }
-  return slots;
+  room.progress_share = awaiting > 0 ? (double) usable / awaiting : 1;
+  return room;
 }
 
 static void
@@ -43,7 +55,7 @@
 
 static const struct CfAdmissionEvents events = {
   .overload = overload_changed,
-  .slots = usable_slots,
+  .room = usable_room,
 };
 
 static void
@@ -51,6 +63,12 @@
 {
   struct CfBalance *balance = context;
 
+  struct CfTarget *target = connection->target;
+
+  if (target && begins)
+    target->awaiting++;
+  else if (target && target->awaiting > 0)
+    target->awaiting--;
   cf_admission_record_progress (balance->admission, connection->service_name, begins, balance->now);
 }
 
@@ -137,7 +155,10 @@
   if (cf_admission_record_answer (balance->admission, target->service, connection->caller.ip,
                                   is_short, now))
     {
-      cf_pace_record_shed (&target->pace, now);
+      /* During an overload all upstreams turn requests away.  One that does so more often than the
+       * others may still have free slots, which would stay idle. */
+      if (!cf_admission_overloaded (balance->admission, target->service))
+        cf_pace_record_shed (&target->pace, now);
       return true;
     }
   /* An error may be quick: its wait says nothing about the upstream's load. */
--- a/src/balance/connections.c
+++ b/src/balance/connections.c
@@ -204,9 +204,9 @@
 void
 cf_connections_remove (struct CfConnections *connections, struct CfConnection *connection)
 {
+  cf_connections_stop_awaiting (connections, connection);
   cf_connection_set_target (connection, NULL);
   leave_queue (&connection->due);
-  cf_connections_stop_awaiting (connections, connection);
   cf_list_remove (&connection->link);
   cf_list_remove (&connection->silent_link);
   g_hash_table_remove (connections->table, connection);
--- a/src/balance/directory.h
+++ b/src/balance/directory.h
@@ -92,8 +92,9 @@
    * counts. */
   int64_t earlier_started;
   uint64_t earlier_revision;
-  uint32_t open; /* flows of this VM that are open or being opened there */
-  bool collides; /* an older upstream has the same cookie: gets no new flows */
+  uint32_t open;     /* flows of this VM that are open or being opened there */
+  uint32_t awaiting; /* requests of this VM there that await an answer */
+  bool collides;     /* an older upstream has the same cookie: gets no new flows */
   struct CfReach reach;
   CfMillis silent_at; /* when a silent flow to it was last counted (unreachable.h), 0: none since an
                          answer */
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -777,20 +777,20 @@
 }
 END_TEST
 
-static double
+static struct CfUsableRoom
 two_slots (void *context, GQuark service, CfMillis now)
 {
   (void) context;
   (void) service;
   (void) now;
-  return 2;
+  return (struct CfUsableRoom){ .slots = 2, .progress_share = 1 };
 }
 
 /* A service without new flows, but with requests on open ones: the occupancy of its last new flow
  * remained, so that errors counted as rejections and the upstream was not avoided. */
 START_TEST (test_old_occupancy_hides_no_failure)
 {
-  const struct CfAdmissionEvents events = { .slots = two_slots };
+  const struct CfAdmissionEvents events = { .room = two_slots };
   const struct CfAdmissionOptions options = { .enabled = true, .caller_prefix = 32 };
   const struct CfRouteEntry route = { .target_latency_ms = TARGET_LATENCY_MS };
   const struct CfSegment segment = { .caller = { .ip = 1, .port = 1 } };
