--- a/tests/test_overload.c
+++ b/tests/test_overload.c
@@ -230,7 +230,7 @@
   struct Vm vms[VMS]; /* VM i is in domain i % DOMAINS */
   struct CfLoadSum sums[REPORT_STEPS];
   int report_age; /* in steps of 100 ms, below REPORT_STEPS */
-  int reporting;      /* VMs of each domain whose counts are known at a time */
+  int reporting;  /* VMs of each domain whose counts are known at a time */
   CfMillis now;
   uint32_t flows;
   uint32_t asked[DOMAINS][CF_LOAD_PRIORITIES];
