--- a/src/balance/fair_share.h
+++ b/src/balance/fair_share.h
@@ -17,7 +17,7 @@
  * All others are counted together.  Memory does not grow with the number of callers.
  *
  * A caller is only held to a level above 4 requests and above the error of the counts: callers
- * below cannot be told apart, and are admitted alike.  If they ask for more than is admitted on
+ * below are not distinguished, and are admitted alike.  If they ask for more than is admitted on
  * their own, all parts are reduced by the same factor.  No I/O. */
 
 #define CF_FAIR_SHARE_CALLERS 128 /* counted one by one */
--- a/src/feed/era.c
+++ b/src/feed/era.c
@@ -15,7 +15,7 @@
 }
 
 enum CfEraVerdict
-cf_era_judge_store (struct CfEraDoubt *doubt, uint64_t held, uint64_t era, CfMillis now)
+cf_era_judge_store (struct CfEraCandidate *candidate, uint64_t held, uint64_t era, CfMillis now)
 {
   enum CfEraVerdict verdict = cf_era_judge (held, era);
 
@@ -23,14 +23,14 @@
     return verdict;
   if (verdict != CF_ERA_DOUBTED || era > CF_ERA_MAX)
     {
-      *doubt = (struct CfEraDoubt){ 0 };
+      *candidate = (struct CfEraCandidate){ 0 };
       return verdict;
     }
-  if (doubt->era != era)
-    *doubt = (struct CfEraDoubt){ .era = era, .since = now };
-  doubt->answers++;
-  if (doubt->answers < CF_ERA_CONFIRM_ANSWERS || now - doubt->since < CF_ERA_CONFIRM_MS)
+  if (candidate->era != era)
+    *candidate = (struct CfEraCandidate){ .era = era, .since = now };
+  candidate->answers++;
+  if (candidate->answers < CF_ERA_CONFIRM_ANSWERS || now - candidate->since < CF_ERA_CONFIRM_MS)
     return CF_ERA_DOUBTED;
-  *doubt = (struct CfEraDoubt){ 0 };
+  *candidate = (struct CfEraCandidate){ 0 };
   return CF_ERA_LATER;
 }
--- a/src/feed/era.h
+++ b/src/feed/era.h
@@ -35,8 +35,8 @@
   CF_ERA_DOUBTED,
 };
 
-/* The doubted era that the store gave last.  All 0: none. */
-struct CfEraDoubt
+/* The unconfirmed era that the store gave last.  All 0: none. */
+struct CfEraCandidate
 {
   uint64_t era;
   uint32_t answers; /* in a row */
@@ -49,6 +49,6 @@
 /* The same for an answer of the store at NOW.  CF_ERA_LATER may also be for an era below HELD that
  * has been confirmed. */
 enum CfEraVerdict
-cf_era_judge_store (struct CfEraDoubt *doubt, uint64_t held, uint64_t era, CfMillis now);
+cf_era_judge_store (struct CfEraCandidate *candidate, uint64_t held, uint64_t era, CfMillis now);
 
 #endif
--- a/src/serve/feed_internal.h
+++ b/src/serve/feed_internal.h
@@ -62,7 +62,7 @@
   GSource *timer;
   GRand *random;
   struct CfReplica replica;
-  struct CfEraDoubt era_doubt;
+  struct CfEraCandidate era_candidate;
   struct CfNames names; /* from records that this task has passed on */
   bool name_refused;    /* records were not passed on because of a name */
   struct CfSources *sources;
--- a/src/serve/feed_task.c
+++ b/src/serve/feed_task.c
@@ -212,7 +212,7 @@
           { .key = "era", .number = (int64_t) MIN (era, CF_ERA_MAX) },
           { .key = "held", .number = (int64_t) task->replica.era },
           { .key = "source", .text = source ? source : "store" },
-          { .key = "answers", .number = source ? 0 : task->era_doubt.answers },
+          { .key = "answers", .number = source ? 0 : task->era_candidate.answers },
           { 0 },
       },
       now);
@@ -223,8 +223,9 @@
 {
   uint64_t previous = task->replica.era;
   CfMillis now = cf_now ();
-  enum CfEraVerdict verdict = source ? cf_era_judge (previous, era)
-                                     : cf_era_judge_store (&task->era_doubt, previous, era, now);
+  enum CfEraVerdict verdict = source
+                                  ? cf_era_judge (previous, era)
+                                  : cf_era_judge_store (&task->era_candidate, previous, era, now);
 
   if (verdict == CF_ERA_DOUBTED)
     log_doubted_era (task, source, era, now);
--- a/tests/test_eras.c
+++ b/tests/test_eras.c
@@ -193,25 +193,26 @@
 }
 END_TEST
 
-/* One wrong answer, or several that differ, must not be enough, and a right one ends the doubt. */
+/* One wrong answer, or several that differ, must not be enough, and a right one discards it. */
 START_TEST (test_doubted_era_needs_confirmation)
 {
-  struct CfEraDoubt doubt = { 0 };
+  struct CfEraCandidate candidate = { 0 };
   const CfMillis end = CF_ERA_CONFIRM_MS;
 
-  ck_assert_int_eq (cf_era_judge_store (&doubt, 0, 5000, 0), CF_ERA_LATER);
-  ck_assert_int_eq (cf_era_judge_store (&doubt, 5, 5 + CF_ERA_JUMP_MAX, 0), CF_ERA_LATER);
-  ck_assert_int_eq (cf_era_judge_store (&doubt, 5000, 5000 - CF_ERA_JUMP_MAX, 0), CF_ERA_EARLIER);
-  ck_assert_int_eq (cf_era_judge_store (&doubt, 5000, 5, 0), CF_ERA_DOUBTED);
-  ck_assert_int_eq (cf_era_judge_store (&doubt, 5000, 5, 1), CF_ERA_DOUBTED);
-  ck_assert_int_eq (cf_era_judge_store (&doubt, 5000, 5, end - 1), CF_ERA_DOUBTED);
-  ck_assert_int_eq (cf_era_judge_store (&doubt, 5000, 5000, end), CF_ERA_HELD);
-  ck_assert_int_eq (cf_era_judge_store (&doubt, 5000, 5, end), CF_ERA_DOUBTED);
-  ck_assert_int_eq (cf_era_judge_store (&doubt, 5000, 6, 2 * end), CF_ERA_DOUBTED);
-  ck_assert_int_eq (cf_era_judge_store (&doubt, 5000, 6, 3 * end), CF_ERA_DOUBTED);
-  ck_assert_int_eq (cf_era_judge_store (&doubt, 5000, 6, 3 * end), CF_ERA_LATER);
+  ck_assert_int_eq (cf_era_judge_store (&candidate, 0, 5000, 0), CF_ERA_LATER);
+  ck_assert_int_eq (cf_era_judge_store (&candidate, 5, 5 + CF_ERA_JUMP_MAX, 0), CF_ERA_LATER);
+  ck_assert_int_eq (cf_era_judge_store (&candidate, 5000, 5000 - CF_ERA_JUMP_MAX, 0),
+                    CF_ERA_EARLIER);
+  ck_assert_int_eq (cf_era_judge_store (&candidate, 5000, 5, 0), CF_ERA_DOUBTED);
+  ck_assert_int_eq (cf_era_judge_store (&candidate, 5000, 5, 1), CF_ERA_DOUBTED);
+  ck_assert_int_eq (cf_era_judge_store (&candidate, 5000, 5, end - 1), CF_ERA_DOUBTED);
+  ck_assert_int_eq (cf_era_judge_store (&candidate, 5000, 5000, end), CF_ERA_HELD);
+  ck_assert_int_eq (cf_era_judge_store (&candidate, 5000, 5, end), CF_ERA_DOUBTED);
+  ck_assert_int_eq (cf_era_judge_store (&candidate, 5000, 6, 2 * end), CF_ERA_DOUBTED);
+  ck_assert_int_eq (cf_era_judge_store (&candidate, 5000, 6, 3 * end), CF_ERA_DOUBTED);
+  ck_assert_int_eq (cf_era_judge_store (&candidate, 5000, 6, 3 * end), CF_ERA_LATER);
   for (int i = 0; i <= 2 * CF_ERA_CONFIRM_ANSWERS; i++)
-    ck_assert_int_eq (cf_era_judge_store (&doubt, 5, CF_ERA_MAX + 1, i * end), CF_ERA_DOUBTED);
+    ck_assert_int_eq (cf_era_judge_store (&candidate, 5, CF_ERA_MAX + 1, i * end), CF_ERA_DOUBTED);
 }
 END_TEST
 
