--- a/src/balance/admission.c
+++ b/src/balance/admission.c
@@ -10,8 +10,8 @@
 /* Repeated tries admitted in any case, in a window of the retry budget: with few requests, a share
  * of them would be none. */
 #define RETRIES_MIN 2.0
-#define PRUNE_INTERVAL_MS                                                                          \
-  10000 /* interval at which expired load reports and idle services are removed */
+/* Interval at which expired load reports and idle services are removed. */
+#define PRUNE_INTERVAL_MS 10000
 /* After so long without a tick, twice the usual interval during overload and a little less than
  * the 200 ms after which callers retransmit, this VM was paused.  The first packets that waited
  * meanwhile may have been retransmitted to another VM, which opened their flows. */
