--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -119,12 +119,13 @@
   bool paused;
   bool in_rotation;
   int failed_checks;
-  bool compared;                 /* its metrics were read at the end */
-  int64_t ready_at;              /* when it last answered a check of its readiness with success */
-  int64_t last_fault_at;         /* end of the last fault on it */
-  struct SoakProxy *proxy;       /* to the store */
-  struct SoakProxy *peers_proxy; /* from other VMs: at ip, to ready_ip */
-  GSocket *check;                /* the readiness check in progress, or NULL */
+  bool compared;         /* its metrics were read at the end */
+  int64_t ready_at;      /* when it last answered a check of its readiness with success */
+  int64_t last_fault_at; /* end of the last fault on it */
+  int64_t silent_at[SOAK_UPSTREAMS]; /* when it last got data again of a flow that was silenced */
+  struct SoakProxy *proxy;           /* to the store */
+  struct SoakProxy *peers_proxy;     /* from other VMs: at ip, to ready_ip */
+  GSocket *check;                    /* the readiness check in progress, or NULL */
   struct SoakWatch *check_watch;
 };
 
