--- a/src/balance/overload.c
+++ b/src/balance/overload.c
@@ -91,11 +91,30 @@
          && sane (sum->total.shed) >= CF_OVERLOAD_SHED_RATE_MIN;
 }
 
+/* Returns how far the requests turned away are below the part at which no more is admitted than is
+ * answered, 0 to 1. */
+static double
+shed_margin (const struct CfOverload *overload)
+{
+  return MAX (1 - overload->shed_share / PROBE_SHED_MAX, 0);
+}
+
+/* Returns the flows a second with which an overload begins: as many as would fill the queues to
+ * CF_OVERLOAD_FILL_OCCUPANCY, less as more are turned away.  The answered rate is no measure then:
+ * it lags by the age of the reports, and is low while upstreams that have just crashed still get
+ * flows. */
+static double
+first_capacity (const struct CfOverload *overload, const struct CfLoadSum *sum)
+{
+  return total_demand (sum) * shed_margin (overload) * CF_OVERLOAD_FILL_OCCUPANCY
+         / MAX (overload->occupancy, CF_OVERLOAD_ENTER_OCCUPANCY);
+}
+
 /* Estimates the flows a second that all VMs together can admit. */
 static void
 estimate_capacity (struct CfOverload *overload, const struct CfLoadSum *sum)
 {
-  double probe = (CF_OVERLOAD_PROBE - 1) * MAX (1 - overload->shed_share / PROBE_SHED_MAX, 0);
+  double probe = (CF_OVERLOAD_PROBE - 1) * shed_margin (overload);
   double answered = sane (sum->total.answered) * (1 + probe);
   double room = CLAMP (CF_OVERLOAD_FILL_OCCUPANCY - overload->occupancy, -1, 1);
   double adjusted = overload->capacity * (1 + CF_OVERLOAD_GROWTH * room);
@@ -202,6 +221,7 @@
         return CF_OVERLOAD_SAME;
       overload->active = began = true;
       overload->since = now;
+      overload->capacity = first_capacity (overload, sum);
     }
   estimate_capacity (overload, sum);
   all = divide_capacity (overload, sum, domain, CLAMP (sane (floor_share), 0, 0.5));
--- a/tests/test_overload.c
+++ b/tests/test_overload.c
@@ -467,6 +467,19 @@
 }
 END_TEST
 
+/* Half of the upstreams have just crashed: the answered rate is low since flows still go there,
+ * while the others have free slots.  Guards against refusals by that rate. */
+START_TEST (test_begin_after_crash)
+{
+  struct CfOverload overload = { 0 };
+
+  ck_assert_int_eq (decide (&overload, sum_of (600, 5000, 2900, 120, 130), 100),
+                    CF_OVERLOAD_BEGINS);
+  ck_assert_double_eq (cf_overload_admitted (&overload, 1), 1);
+  ck_assert_double_ge (cf_overload_admitted (&overload, 2), 0.985);
+}
+END_TEST
+
 /* More urgent flows than room.  Guards against a lower priority without its floor. */
 START_TEST (test_floor)
 {
@@ -547,6 +560,7 @@
   suite_add_loop (suite, test_no_collapse, 1);
   suite_add_loop (suite, test_hears_nobody, 1);
   suite_add_loop (suite, test_burst, 8);
+  suite_add_loop (suite, test_begin_after_crash, 1);
   suite_add_loop (suite, test_floor, 1);
   suite_add_loop (suite, test_domain_presses, 2);
   suite_add_loop (suite, test_capacity_returns, 2);
