--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,8 @@
 
 LIB_SRC := $(wildcard src/base/*.c src/config/*.c src/gue/*.c src/packet/*.c src/peer/*.c \
   src/balance/*.c src/feed/*.c)
-APP_SRC := $(wildcard platform/*.c src/objectstore/*.c src/serve/*.c src/check/*.c src/cli/*.c)
+APP_SRC := $(wildcard platform/*.c src/objectstore/*.c src/runtime/*.c src/gued/*.c src/balancer/*.c \
+  src/check/*.c src/cli/*.c)
 # The play of a task needs the other tasks, too.
 FEED_PLAY_SRC := tests/feed_play.c
 TEST_LIB_SRC := $(filter-out tests/test_%.c tests/live.c tests/objectstore.c tests/foreign.c $(FEED_PLAY_SRC),\
@@ -34,8 +35,8 @@
 LIB_OBJ = $(LIB_SRC:%.c=$(BUILD)/%.o)
 APP_OBJ = $(APP_SRC:%.c=$(BUILD)/%.o)
 PLATFORM_OBJ = $(filter $(BUILD)/src/objectstore/% $(BUILD)/platform/%,$(APP_OBJ))
-SERVE_TEST_OBJ = $(addprefix $(BUILD)/src/serve/,balance_settings.o crash_report.o event_log.o \
-  http_listen.o metrics_label.o process_setup.o task.o udp.o)
+RUNTIME_OBJ = $(filter $(BUILD)/src/runtime/%,$(APP_OBJ))
+DAEMON_OBJ = $(filter $(BUILD)/src/gued/% $(BUILD)/src/balancer/%,$(APP_OBJ))
 CHECK_OBJ = $(filter $(BUILD)/src/check/%,$(APP_OBJ))
 TEST_LIB_OBJ = $(TEST_LIB_SRC:%.c=$(BUILD)/%.o)
 TESTS = $(TEST_SRC:tests/%.c=$(BUILD)/%)
@@ -63,8 +64,8 @@
 $(BUILD)/cyclamenferry: $(LIB_OBJ) $(APP_OBJ)
 	$(CC) $^ $(LIBS) -o $@
 
-$(TESTS): $(BUILD)/%: $(BUILD)/tests/%.o $(TEST_LIB_OBJ) $(PLATFORM_OBJ) $(SERVE_TEST_OBJ) \
-  $(CHECK_OBJ) $(LIB_OBJ)
+$(TESTS): $(BUILD)/%: $(BUILD)/tests/%.o $(TEST_LIB_OBJ) $(PLATFORM_OBJ) $(RUNTIME_OBJ) \
+  $(BUILD)/src/balancer/balance_settings.o $(CHECK_OBJ) $(LIB_OBJ)
 	$(CC) $^ $(LIBS) $(CHECK_LIBS) -o $@
 
 # These tests run a task of the program, or what tasks share.
@@ -72,9 +73,9 @@
 $(FEED_TESTS): $(FEED_PLAY_SRC:%.c=$(BUILD)/%.o)
 $(FEED_TESTS) \
 $(BUILD)/test_connection_reset $(BUILD)/test_platform_task: \
-  $(filter $(BUILD)/src/serve/%,$(APP_OBJ))
+  $(DAEMON_OBJ)
 
-$(STANDINS): $(BUILD)/%: $(BUILD)/tests/%.o $(TEST_LIB_OBJ) $(BUILD)/src/serve/udp.o $(LIB_OBJ)
+$(STANDINS): $(BUILD)/%: $(BUILD)/tests/%.o $(TEST_LIB_OBJ) $(BUILD)/src/runtime/udp.o $(LIB_OBJ)
 	$(CC) $^ $(LIBS) -o $@
 
 $(BUILD)/measure: $(BENCH_SRC:%.c=$(BUILD)/%.o) $(TEST_LIB_OBJ) $(PLATFORM_OBJ) $(LIB_OBJ)
--- a/src/serve/balance_settings.h
+++ b/src/balancer/balance_settings.h
@@ -1,5 +1,5 @@
-#ifndef CF_SERVE_BALANCE_SETTINGS_H
-#define CF_SERVE_BALANCE_SETTINGS_H
+#ifndef CF_BALANCER_BALANCE_SETTINGS_H
+#define CF_BALANCER_BALANCE_SETTINGS_H
 
 #include "balance/admission.h"
 
--- a/src/serve/balancer.c
+++ b/src/balancer/balancer.c
@@ -1,9 +1,9 @@
 #include "balancer.h"
-#include "crash_report.h"
+#include "runtime/crash_report.h"
 #include "feed/rotation.h"
-#include "log.h"
-#include "process_setup.h"
-#include "server.h"
+#include "runtime/log.h"
+#include "runtime/process_setup.h"
+#include "gued/server.h"
 
 #include <glib-unix.h>
 #include <json-glib/json-glib.h>
--- a/src/serve/balancer.h
+++ b/src/balancer/balancer.h
@@ -1,11 +1,11 @@
-#ifndef CF_SERVE_BALANCER_H
-#define CF_SERVE_BALANCER_H
+#ifndef CF_BALANCER_BALANCER_H
+#define CF_BALANCER_BALANCER_H
 
 #include "balance/balance.h"
 #include "balance_settings.h"
-#include "event_log.h"
+#include "runtime/event_log.h"
 #include "feed/record.h"
-#include "task.h"
+#include "runtime/task.h"
 
 #include <stdatomic.h>
 
--- a/src/serve/balancer_admin_task.c
+++ b/src/balancer/balancer_admin_task.c
@@ -1,9 +1,9 @@
 #include "balancer.h"
-#include "http_listen.h"
-#include "log.h"
+#include "runtime/http_listen.h"
+#include "runtime/log.h"
 #include "platform/store_requests.h"
-#include "process_usage.h"
-#include "server.h"
+#include "runtime/process_usage.h"
+#include "gued/server.h"
 
 #include <string.h>
 
--- a/src/serve/datapath_internal.h
+++ b/src/balancer/datapath_internal.h
@@ -1,10 +1,10 @@
-#ifndef CF_SERVE_DATAPATH_INTERNAL_H
-#define CF_SERVE_DATAPATH_INTERNAL_H
+#ifndef CF_BALANCER_DATAPATH_INTERNAL_H
+#define CF_BALANCER_DATAPATH_INTERNAL_H
 
 #include "balancer.h"
 #include "cf_stats.h"
 #include "platform/datagram.h"
-#include "server.h"
+#include "gued/server.h"
 
 #include <netinet/in.h>
 #include <sys/socket.h>
--- a/src/serve/datapath_messages.c
+++ b/src/balancer/datapath_messages.c
@@ -1,4 +1,4 @@
-#include "crash_report.h"
+#include "runtime/crash_report.h"
 #include "datapath_internal.h"
 
 #include <inttypes.h>
--- a/src/serve/feed_internal.h
+++ b/src/balancer/feed_internal.h
@@ -1,5 +1,5 @@
-#ifndef CF_SERVE_FEED_INTERNAL_H
-#define CF_SERVE_FEED_INTERNAL_H
+#ifndef CF_BALANCER_FEED_INTERNAL_H
+#define CF_BALANCER_FEED_INTERNAL_H
 
 #include "balancer.h"
 #include "feed/era.h"
@@ -11,7 +11,7 @@
 #include "feed/rotation.h"
 #include "feed/sources.h"
 #include "base/http_call.h"
-#include "http_listen.h"
+#include "runtime/http_listen.h"
 
 /* The parts of the feed task, which owns all of them:
  *
--- a/src/serve/feed_relay.c
+++ b/src/balancer/feed_relay.c
@@ -1,6 +1,6 @@
-#include "crash_report.h"
+#include "runtime/crash_report.h"
 #include "feed_internal.h"
-#include "server.h"
+#include "gued/server.h"
 
 #include <string.h>
 
--- a/src/serve/feed_rotation.c
+++ b/src/balancer/feed_rotation.c
@@ -1,7 +1,7 @@
-#include "crash_report.h"
+#include "runtime/crash_report.h"
 #include "feed_internal.h"
 #include "feed/gossip.h"
-#include "server.h"
+#include "gued/server.h"
 
 #include <string.h>
 
--- a/src/serve/feed_task.c
+++ b/src/balancer/feed_task.c
@@ -1,8 +1,8 @@
-#include "crash_report.h"
+#include "runtime/crash_report.h"
 #include "feed_internal.h"
 #include "platform/objects.h"
 #include "platform/store_requests.h"
-#include "server.h"
+#include "gued/server.h"
 
 #include <arpa/inet.h>
 
--- a/src/serve/overload_metrics.c
+++ b/src/balancer/overload_metrics.c
@@ -1,6 +1,6 @@
 #include "balance/load_table.h"
 #include "datapath_internal.h"
-#include "metrics_label.h"
+#include "runtime/metrics_label.h"
 
 #include <inttypes.h>
 
--- a/src/check/settings.h
+++ b/src/check/settings.h
@@ -3,7 +3,7 @@
 
 #include "balance/routes.h"
 #include "finding.h"
-#include "serve/balance_settings.h"
+#include "balancer/balance_settings.h"
 
 /* Checks of a settings file of "cyclamenferry balance".  FILE names it in the findings. */
 
--- a/src/cli/balance.c
+++ b/src/cli/balance.c
@@ -1,5 +1,5 @@
 #include "commands.h"
-#include "serve/balancer.h"
+#include "balancer/balancer.h"
 
 #include <argp.h>
 #include <stdio.h>
--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -1,5 +1,5 @@
 #include "commands.h"
-#include "serve/process_setup.h"
+#include "runtime/process_setup.h"
 
 #include <argp.h>
 #include <locale.h>
--- a/src/cli/serve.c
+++ b/src/cli/serve.c
@@ -1,5 +1,5 @@
 #include "commands.h"
-#include "serve/server.h"
+#include "gued/server.h"
 
 #include <stdio.h>
 
--- a/src/serve/admin_task.c
+++ b/src/gued/admin_task.c
@@ -1,6 +1,6 @@
 #include "server.h"
-#include "http_listen.h"
-#include "log.h"
+#include "runtime/http_listen.h"
+#include "runtime/log.h"
 
 #include <libsoup/soup.h>
 #include <string.h>
--- a/src/serve/folder_task.c
+++ b/src/gued/folder_task.c
@@ -1,5 +1,5 @@
 #include "server.h"
-#include "log.h"
+#include "runtime/log.h"
 
 #include <glib/gstdio.h>
 #include <string.h>
--- a/src/serve/metrics.c
+++ b/src/gued/metrics.c
@@ -1,4 +1,4 @@
-#include "metrics_label.h"
+#include "runtime/metrics_label.h"
 #include "server.h"
 
 #define PREFIX "cyclamenferry_"
--- a/src/serve/packet_messages.c
+++ b/src/gued/packet_messages.c
@@ -1,5 +1,5 @@
 #include "packet_task.h"
-#include "log.h"
+#include "runtime/log.h"
 
 /* Messages to the packet task and their handlers. */
 
--- a/src/serve/packet_task.c
+++ b/src/gued/packet_task.c
@@ -1,5 +1,5 @@
 #include "packet_task.h"
-#include "log.h"
+#include "runtime/log.h"
 
 #include <string.h>
 #include <time.h>
--- a/src/serve/packet_task.h
+++ b/src/gued/packet_task.h
@@ -1,5 +1,5 @@
-#ifndef CF_SERVE_PACKET_TASK_H
-#define CF_SERVE_PACKET_TASK_H
+#ifndef CF_GUED_PACKET_TASK_H
+#define CF_GUED_PACKET_TASK_H
 
 #include "tx_queue.h"
 #include "server.h"
--- a/src/serve/peer_task.c
+++ b/src/gued/peer_task.c
@@ -1,5 +1,5 @@
 #include "server.h"
-#include "log.h"
+#include "runtime/log.h"
 #include "peer/replay.h"
 
 #include <stdatomic.h>
--- a/src/serve/platform_task.c
+++ b/src/gued/platform_task.c
@@ -1,5 +1,5 @@
 #include "server.h"
-#include "log.h"
+#include "runtime/log.h"
 #include "base/http_call.h"
 #include "base/json_text.h"
 #include "objectstore/http.h"
--- a/src/serve/server.c
+++ b/src/gued/server.c
@@ -1,7 +1,7 @@
 #include "server.h"
-#include "crash_report.h"
-#include "log.h"
-#include "process_setup.h"
+#include "runtime/crash_report.h"
+#include "runtime/log.h"
+#include "runtime/process_setup.h"
 
 #include <glib-unix.h>
 #include <poll.h>
--- a/src/serve/server.h
+++ b/src/gued/server.h
@@ -1,9 +1,9 @@
-#ifndef CF_SERVE_SERVER_H
-#define CF_SERVE_SERVER_H
+#ifndef CF_GUED_SERVER_H
+#define CF_GUED_SERVER_H
 
 #include "cf_core.h"
 #include "settings.h"
-#include "task.h"
+#include "runtime/task.h"
 
 /* The parts of a running entry VM and the messages between them. */
 
--- a/src/serve/settings.h
+++ b/src/gued/settings.h
@@ -1,5 +1,5 @@
-#ifndef CF_SERVE_SETTINGS_H
-#define CF_SERVE_SETTINGS_H
+#ifndef CF_GUED_SETTINGS_H
+#define CF_GUED_SETTINGS_H
 
 #include "cf_types.h"
 #include "peer/codec.h"
--- a/src/serve/tx_queue.h
+++ b/src/gued/tx_queue.h
@@ -1,5 +1,5 @@
-#ifndef CF_SERVE_TX_QUEUE_H
-#define CF_SERVE_TX_QUEUE_H
+#ifndef CF_GUED_TX_QUEUE_H
+#define CF_GUED_TX_QUEUE_H
 
 #include "cf_types.h"
 
--- a/src/serve/crash_report.h
+++ b/src/runtime/crash_report.h
@@ -1,5 +1,5 @@
-#ifndef CF_SERVE_CRASH_REPORT_H
-#define CF_SERVE_CRASH_REPORT_H
+#ifndef CF_RUNTIME_CRASH_REPORT_H
+#define CF_RUNTIME_CRASH_REPORT_H
 
 /* Reports the end of the process by a fault of its own (SIGSEGV, SIGBUS, SIGFPE, SIGILL, SIGABRT,
  * SIGTRAP): one line of the event log, written by the signal handler, after which the signal takes
--- a/src/serve/event_log.h
+++ b/src/runtime/event_log.h
@@ -1,5 +1,5 @@
-#ifndef CF_SERVE_EVENT_LOG_H
-#define CF_SERVE_EVENT_LOG_H
+#ifndef CF_RUNTIME_EVENT_LOG_H
+#define CF_RUNTIME_EVENT_LOG_H
 
 #include "cf_types.h"
 
--- a/src/serve/http_listen.h
+++ b/src/runtime/http_listen.h
@@ -1,5 +1,5 @@
-#ifndef CF_SERVE_HTTP_LISTEN_H
-#define CF_SERVE_HTTP_LISTEN_H
+#ifndef CF_RUNTIME_HTTP_LISTEN_H
+#define CF_RUNTIME_HTTP_LISTEN_H
 
 #include "cf_types.h"
 
--- a/src/serve/log.h
+++ b/src/runtime/log.h
@@ -1,5 +1,5 @@
-#ifndef CF_SERVE_LOG_H
-#define CF_SERVE_LOG_H
+#ifndef CF_RUNTIME_LOG_H
+#define CF_RUNTIME_LOG_H
 
 #define G_LOG_USE_STRUCTURED
 #ifndef G_LOG_DOMAIN
--- a/src/serve/process_setup.h
+++ b/src/runtime/process_setup.h
@@ -1,5 +1,5 @@
-#ifndef CF_SERVE_PROCESS_SETUP_H
-#define CF_SERVE_PROCESS_SETUP_H
+#ifndef CF_RUNTIME_PROCESS_SETUP_H
+#define CF_RUNTIME_PROCESS_SETUP_H
 
 /* Makes a process that serves independent of the state in which it was started. */
 
--- a/src/serve/process_usage.h
+++ b/src/runtime/process_usage.h
@@ -1,5 +1,5 @@
-#ifndef CF_SERVE_PROCESS_USAGE_H
-#define CF_SERVE_PROCESS_USAGE_H
+#ifndef CF_RUNTIME_PROCESS_USAGE_H
+#define CF_RUNTIME_PROCESS_USAGE_H
 
 #include <glib.h>
 #include <stdbool.h>
--- a/src/serve/task.h
+++ b/src/runtime/task.h
@@ -1,5 +1,5 @@
-#ifndef CF_SERVE_TASK_H
-#define CF_SERVE_TASK_H
+#ifndef CF_RUNTIME_TASK_H
+#define CF_RUNTIME_TASK_H
 
 #include "cf_types.h"
 
--- a/src/serve/udp.c
+++ b/src/runtime/udp.c
@@ -1,4 +1,4 @@
-#include "server.h"
+#include "gued/server.h"
 
 #include <netinet/in.h>
 #include <string.h>
--- a/tests/live.c
+++ b/tests/live.c
@@ -9,7 +9,7 @@
 #include <string.h>
 #include <unistd.h>
 
-#include "serve/server.h"
+#include "gued/server.h"
 
 /* Simulates the callers, fabric and upstreams of running entry VMs, on loopback, in
  * one process.  It reads commands from standard input, one a line:
--- a/tests/test_crash_report.c
+++ b/tests/test_crash_report.c
@@ -1,4 +1,4 @@
-#include "serve/crash_report.h"
+#include "runtime/crash_report.h"
 #include "suite.h"
 
 #include <glib.h>
--- a/tests/test_event_log.c
+++ b/tests/test_event_log.c
@@ -1,4 +1,4 @@
-#include "serve/event_log.h"
+#include "runtime/event_log.h"
 #include "suite.h"
 
 #include <json-glib/json-glib.h>
--- a/tests/test_feed_load.c
+++ b/tests/test_feed_load.c
@@ -2,7 +2,7 @@
 #include "feed/gossip.h"
 #include "feed/load_message.h"
 #include "feed_play.h"
-#include "serve/datapath_internal.h"
+#include "balancer/datapath_internal.h"
 #include "suite.h"
 
 /* Load reports between the tasks of a VM, "vm-2", and another, "vm-1", over loopback sockets. */
--- a/tests/test_feed_names.c
+++ b/tests/test_feed_names.c
@@ -1,6 +1,6 @@
 #include "feed_play.h"
 #include "feed/names.h"
-#include "serve/datapath_internal.h"
+#include "balancer/datapath_internal.h"
 #include "suite.h"
 
 /* Names from records are kept for good: what other writers make up must not make a VM grow. */
--- a/tests/test_feed_relay.c
+++ b/tests/test_feed_relay.c
@@ -1,5 +1,5 @@
 #include "feed_play.h"
-#include "serve/datapath_internal.h"
+#include "balancer/datapath_internal.h"
 #include "suite.h"
 
 #include <arpa/inet.h>
--- a/tests/test_fuzz.c
+++ b/tests/test_fuzz.c
@@ -8,7 +8,7 @@
 #include "platform/store_requests.h"
 #include "platform/datagram.h"
 #include "platform/objects.h"
-#include "serve/balance_settings.h"
+#include "balancer/balance_settings.h"
 #include "suite.h"
 
 #include <glib/gstdio.h>
--- a/tests/test_http_listen.c
+++ b/tests/test_http_listen.c
@@ -1,4 +1,4 @@
-#include "serve/http_listen.h"
+#include "runtime/http_listen.h"
 #include "suite.h"
 
 #include <arpa/inet.h>
--- a/tests/test_metrics.c
+++ b/tests/test_metrics.c
@@ -1,4 +1,4 @@
-#include "serve/metrics_label.h"
+#include "runtime/metrics_label.h"
 #include "suite.h"
 
 #include <glib.h>
--- a/tests/test_platform_task.c
+++ b/tests/test_platform_task.c
@@ -1,4 +1,4 @@
-#include "serve/server.h"
+#include "gued/server.h"
 #include "silent_server.h"
 #include "suite.h"
 
--- a/tests/test_process_setup.c
+++ b/tests/test_process_setup.c
@@ -1,4 +1,4 @@
-#include "serve/process_setup.h"
+#include "runtime/process_setup.h"
 #include "suite.h"
 
 #include <signal.h>
--- a/tests/test_task.c
+++ b/tests/test_task.c
@@ -1,4 +1,4 @@
-#include "serve/task.h"
+#include "runtime/task.h"
 #include "suite.h"
 
 #define STARTS 9
