--- a/src/balancer/balancer.c
+++ b/src/balancer/balancer.c
@@ -3,7 +3,7 @@
 #include "feed/rotation.h"
 #include "runtime/log.h"
 #include "runtime/process_setup.h"
-#include "gued/server.h"
+#include "runtime/clock.h"
 
 #include <glib-unix.h>
 #include <json-glib/json-glib.h>
--- a/src/balancer/balancer_admin_task.c
+++ b/src/balancer/balancer_admin_task.c
@@ -3,7 +3,6 @@
 #include "runtime/log.h"
 #include "platform/store_requests.h"
 #include "runtime/process_usage.h"
-#include "gued/server.h"
 
 #include <string.h>
 
--- a/src/balancer/datapath_internal.h
+++ b/src/balancer/datapath_internal.h
@@ -4,7 +4,6 @@
 #include "balancer.h"
 #include "cf_stats.h"
 #include "platform/datagram.h"
-#include "gued/server.h"
 
 #include <netinet/in.h>
 #include <sys/socket.h>
--- a/src/balancer/datapath_messages.c
+++ b/src/balancer/datapath_messages.c
@@ -1,5 +1,7 @@
 #include "runtime/crash_report.h"
 #include "datapath_internal.h"
+#include "runtime/clock.h"
+#include "runtime/metrics_text.h"
 
 #include <inttypes.h>
 
--- a/src/balancer/feed_enroll.c
+++ b/src/balancer/feed_enroll.c
@@ -1,7 +1,7 @@
 #include "runtime/crash_report.h"
 #include "feed_internal.h"
 #include "platform/store_requests.h"
-#include "gued/server.h"
+#include "runtime/clock.h"
 
 /* This VM's record in the store holds its address and failure domain, so that other VMs can
  * follow it and know how many VMs share the rate of new flows that a cold upstream can take. */
--- a/src/balancer/feed_follow.c
+++ b/src/balancer/feed_follow.c
@@ -1,6 +1,6 @@
 #include "runtime/crash_report.h"
 #include "feed_internal.h"
-#include "gued/server.h"
+#include "runtime/clock.h"
 
 /* How long the followed VM may hold a request until there are changes (long polling).  A VM that
  * has lost power is noticed this much later, and changes of upstreams must be in force within
--- a/src/balancer/feed_relay.c
+++ b/src/balancer/feed_relay.c
@@ -1,6 +1,6 @@
 #include "runtime/crash_report.h"
 #include "feed_internal.h"
-#include "gued/server.h"
+#include "runtime/clock.h"
 
 #include <string.h>
 
--- a/src/balancer/feed_rotation.c
+++ b/src/balancer/feed_rotation.c
@@ -1,7 +1,8 @@
 #include "runtime/crash_report.h"
 #include "feed_internal.h"
 #include "feed/gossip.h"
-#include "gued/server.h"
+#include "runtime/clock.h"
+#include "runtime/udp.h"
 
 #include <string.h>
 
--- a/src/balancer/feed_store.c
+++ b/src/balancer/feed_store.c
@@ -1,7 +1,7 @@
 #include "runtime/crash_report.h"
 #include "feed_internal.h"
 #include "platform/store_requests.h"
-#include "gued/server.h"
+#include "runtime/clock.h"
 
 /* The list of VMs changes with deploys only, and no bound on its age is promised; but a new VM is
  * not followed and not counted among those that share a cold upstream while a connection that has
--- a/src/balancer/feed_task.c
+++ b/src/balancer/feed_task.c
@@ -2,7 +2,7 @@
 #include "feed_internal.h"
 #include "platform/objects.h"
 #include "platform/store_requests.h"
-#include "gued/server.h"
+#include "runtime/clock.h"
 
 #include <arpa/inet.h>
 
--- a/src/balancer/overload_metrics.c
+++ b/src/balancer/overload_metrics.c
@@ -1,6 +1,7 @@
 #include "balance/load_table.h"
 #include "datapath_internal.h"
-#include "runtime/metrics_label.h"
+#include "runtime/metrics_text.h"
+#include "runtime/clock.h"
 
 #include <inttypes.h>
 
--- a/src/gued/health_task.c
+++ b/src/gued/health_task.c
@@ -2,6 +2,7 @@
 #include "runtime/log.h"
 #include "base/http_call.h"
 #include "base/json_text.h"
+#include "runtime/clock.h"
 
 #include <libsoup/soup.h>
 #include <stdatomic.h>
--- a/src/gued/metrics.c
+++ b/src/gued/metrics.c
@@ -1,4 +1,4 @@
-#include "runtime/metrics_label.h"
+#include "runtime/metrics_text.h"
 #include "server.h"
 
 #define PREFIX "cyclamenferry_"
@@ -35,40 +35,6 @@
     write_value (text, "dropped_total", "reason", cf_drop_name ((enum CfDrop) i), stats->drop[i]);
 }
 
-void
-cf_metrics_histogram (GString *text,
-                      const char *name,
-                      const char *tenant_name,
-                      const char *service_name,
-                      const struct CfHistogram *histogram)
-{
-  char *tenant = cf_metrics_label (tenant_name);
-  char *service = cf_metrics_label (service_name);
-  uint64_t sum = 0;
-
-  for (int i = 0; i < CF_HISTOGRAM_BUCKETS; i++)
-    {
-      if (!histogram->count[i])
-        continue;
-      sum += histogram->count[i];
-      g_string_append_printf (
-          text,
-          PREFIX "%s_bucket{tenant=\"%s\",service=\"%s\",le=\"%" G_GUINT64_FORMAT
-                 "\"} %" G_GUINT64_FORMAT "\n",
-          name, tenant, service, i ? (G_GUINT64_CONSTANT (1) << i) - 1 : 0, sum);
-    }
-  g_string_append_printf (text,
-                          PREFIX "%s_bucket{tenant=\"%s\",service=\"%s\",le=\"+Inf\"} "
-                                 "%" G_GUINT64_FORMAT "\n" PREFIX
-                                 "%s_sum{tenant=\"%s\",service=\"%s\"} %" G_GUINT64_FORMAT
-                                 "\n" PREFIX
-                                 "%s_count{tenant=\"%s\",service=\"%s\"} %" G_GUINT64_FORMAT "\n",
-                          name, tenant, service, histogram->total, name, tenant, service,
-                          histogram->sum, name, tenant, service, histogram->total);
-  g_free (service);
-  g_free (tenant);
-}
-
 static void
 write_service_counter (GString *text,
                        const char *name,
--- a/src/gued/packet_messages.c
+++ b/src/gued/packet_messages.c
@@ -1,5 +1,6 @@
 #include "packet_task.h"
 #include "runtime/log.h"
+#include "runtime/clock.h"
 
 /* Messages to the packet task and their handlers. */
 
--- a/src/gued/packet_task.c
+++ b/src/gued/packet_task.c
@@ -1,5 +1,7 @@
 #include "packet_task.h"
 #include "runtime/log.h"
+#include "runtime/clock.h"
+#include "runtime/udp.h"
 
 #include <string.h>
 #include <time.h>
--- a/src/gued/peer_task.c
+++ b/src/gued/peer_task.c
@@ -1,6 +1,7 @@
 #include "server.h"
 #include "runtime/log.h"
 #include "peer/replay.h"
+#include "runtime/udp.h"
 
 #include <stdatomic.h>
 #include <string.h>
--- a/src/gued/server.h
+++ b/src/gued/server.h
@@ -100,25 +100,6 @@
 /* STATUS is the JSON text of this VM's status object; the platform task frees it. */
 void cf_send_platform_status (struct CfServer *server, char *status);
 
-/* Returns milliseconds of the monotonic clock. */
-CfMillis cf_now (void);
-
-/* Returns a GSocketAddress for ADDRESS. */
-GSocketAddress *cf_socket_address (const struct CfAddress *address);
-
-/* Reads a GSocketAddress into ADDRESS.  Returns false if it is not an IP address. */
-bool cf_from_socket_address (GSocketAddress *socket_address, struct CfAddress *address);
-
-/* Opens a non-blocking UDP socket at IP and PORT, or returns NULL with ERROR. */
-GSocket *cf_udp_open (const char *ip, uint16_t port, struct CfError *error);
-
-/* Appends HISTOGRAM as the metric NAME of SERVICE, in Prometheus text format, to TEXT. */
-void cf_metrics_histogram (GString *text,
-                           const char *name,
-                           const char *tenant,
-                           const char *service,
-                           const struct CfHistogram *histogram);
-
 struct CfMetricsInput
 {
   const struct CfCore *core;
--- a/src/gued/tx_queue.c
+++ b/src/gued/tx_queue.c
@@ -1,5 +1,6 @@
 #include "tx_queue.h"
 #include "server.h"
+#include "runtime/udp.h"
 
 #include <string.h>
 
--- a/src/runtime/http_listen.c
+++ b/src/runtime/http_listen.c
@@ -1,6 +1,6 @@
 #include "http_listen.h"
 #include "base/list.h"
-#include "gued/server.h"
+#include "udp.h"
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
--- a/src/runtime/udp.c
+++ b/src/runtime/udp.c
@@ -1,4 +1,4 @@
-#include "gued/server.h"
+#include "udp.h"
 
 #include <netinet/in.h>
 #include <string.h>
@@ -6,12 +6,6 @@
 
 #define SOCKET_BUFFER_BYTES (4 << 20)
 
-CfMillis
-cf_now (void)
-{
-  return g_get_monotonic_time () / G_TIME_SPAN_MILLISECOND;
-}
-
 GSocketAddress *
 cf_socket_address (const struct CfAddress *address)
 {
--- a/tests/feed_play.h
+++ b/tests/feed_play.h
@@ -2,7 +2,6 @@
 #define CF_TEST_FEED_PLAY_H
 
 #include "balancer/feed_internal.h"
-#include "gued/server.h"
 
 /* The feed task of a VM, "vm-2", on the test's thread.  The loopback network is the test process's
  * own: host 1 is for "vm-1", which precedes it in the order of the failure domain, host 2 is the VM
--- a/tests/layers.sh
+++ b/tests/layers.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
 # Checks that each file of src/gue calls only files that stand before it in the list of
-# src/gue/internal.h, and that JSON and answers over HTTP are read in one place each, where their
+# src/gue/internal.h, that the daemons and the runtime include only what is below them, and that JSON and answers over HTTP are read in one place each, where their
 # depth, size and time are bounded.  The argument is the build folder.
 set -eu
 
@@ -13,6 +13,20 @@
   exit 1
 fi
 status=0
+# Checks that no file of FOLDER includes one of the folders in ABOVE (a pattern).
+below() { # FOLDER ABOVE
+  if grep -n "^#include \"\($2\)/" "src/$1"/*.[ch]; then
+    echo "src/$1 includes a folder that it must not know"
+    status=1
+  fi
+}
+daemons='gued\|balancer\|check\|cli'
+below runtime "$daemons\|gue\|balance\|feed\|peer\|config\|objectstore\|platform"
+below gued 'balancer\|check\|cli\|balance\|feed\|platform'
+below balancer 'gued\|check\|cli\|gue\|peer\|config\|objectstore'
+for folder in base config packet gue balance feed peer objectstore; do
+  below $folder "$daemons\|runtime"
+done
 # Prints the objects of the program, except FILE, that call a function that matches PATTERN.
 callers() { # PATTERN FILE
   find "$1/src" "$1/platform" -name '*.o' ! -name "$3.o" -exec nm -A -u {} + | grep " U $2" || true
--- a/tests/live.c
+++ b/tests/live.c
@@ -9,7 +9,8 @@
 #include <string.h>
 #include <unistd.h>
 
-#include "gued/server.h"
+#include "runtime/clock.h"
+#include "runtime/udp.h"
 
 /* Simulates the callers, fabric and upstreams of running entry VMs, on loopback, in
  * one process.  It reads commands from standard input, one a line:
--- a/tests/test_connection_reset.c
+++ b/tests/test_connection_reset.c
@@ -1,5 +1,5 @@
 #include "base/http_call.h"
-#include "gued/server.h"
+#include "cf_types.h"
 #include "suite.h"
 #include "tcp_server.h"
 
--- a/tests/test_feed_calls.c
+++ b/tests/test_feed_calls.c
@@ -2,6 +2,7 @@
 #include "silent_server.h"
 #include "store.h"
 #include "suite.h"
+#include "runtime/clock.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/tests/test_feed_lifetime.c
+++ b/tests/test_feed_lifetime.c
@@ -1,5 +1,6 @@
 #include "feed_play.h"
 #include "suite.h"
+#include "runtime/udp.h"
 
 /* What the feed task refers to while it handles an answer must outlive the handling, also where the
  * answer itself removes it.  The task runs on the test's thread, with the VM that it follows on
--- a/tests/test_feed_load.c
+++ b/tests/test_feed_load.c
@@ -4,6 +4,8 @@
 #include "feed_play.h"
 #include "balancer/datapath_internal.h"
 #include "suite.h"
+#include "runtime/clock.h"
+#include "runtime/udp.h"
 
 /* Load reports between the tasks of a VM, "vm-2", and another, "vm-1", over loopback sockets. */
 
--- a/tests/test_feed_relay.c
+++ b/tests/test_feed_relay.c
@@ -1,6 +1,7 @@
 #include "feed_play.h"
 #include "balancer/datapath_internal.h"
 #include "suite.h"
+#include "runtime/clock.h"
 
 #include <arpa/inet.h>
 #include <netinet/tcp.h>
--- a/tests/test_metrics.c
+++ b/tests/test_metrics.c
@@ -1,4 +1,4 @@
-#include "runtime/metrics_label.h"
+#include "runtime/metrics_text.h"
 #include "suite.h"
 
 #include <glib.h>
--- a/tests/test_odd_answers.c
+++ b/tests/test_odd_answers.c
@@ -1,5 +1,4 @@
 #include "base/http_call.h"
-#include "gued/server.h"
 #include "suite.h"
 #include "tcp_server.h"
 
