--- /dev/null
+++ b/src/balancer/admin_messages.h
@@ -0,0 +1,11 @@
+#ifndef CF_BALANCER_ADMIN_MESSAGES_H
+#define CF_BALANCER_ADMIN_MESSAGES_H
+
+/* Messages to the admin task, which owns the content from then on. */
+enum CfAdminMessage
+{
+  CF_TO_ADMIN_METRICS, /* struct CfMetricsRequest (datapath_messages.h) with its text */
+  CF_TO_ADMIN_KINDS,
+};
+
+#endif
--- a/src/balancer/balancer.c
+++ b/src/balancer/balancer.c
@@ -1,4 +1,5 @@
 #include "balancer.h"
+#include "feed_messages.h"
 #include "runtime/crash_report.h"
 #include "feed/rotation.h"
 #include "runtime/log.h"
@@ -116,7 +117,7 @@
       return G_SOURCE_CONTINUE;
     }
   log_event (balancer, "stopping", "SIGTERM");
-  cf_send_stop (balancer);
+  cf_task_post (&balancer->feed, CF_TO_FEED_STOP, NULL);
   g_timeout_add (LEAVE_CHECK_MS, wait_for_leave, supervisor);
   return G_SOURCE_CONTINUE;
 }
@@ -189,7 +190,7 @@
     {
       log_settings (supervisor, "reloaded", why);
       log_notes (supervisor, &fresh);
-      cf_send_seeds (&supervisor->balancer, g_steal_pointer (&fresh.seeds));
+      cf_task_post (&supervisor->balancer.feed, CF_TO_FEED_SEEDS, g_steal_pointer (&fresh.seeds));
     }
   else if (!supervisor->used)
     {
--- a/src/balancer/balancer_admin_task.c
+++ b/src/balancer/balancer_admin_task.c
@@ -1,4 +1,6 @@
 #include "balancer.h"
+#include "admin_messages.h"
+#include "datapath_messages.h"
 #include "runtime/http_listen.h"
 #include "runtime/log.h"
 #include "platform/store_requests.h"
@@ -66,7 +68,7 @@
   request->text = g_string_new (NULL);
   request->message = g_object_ref (message);
   soup_server_message_pause (message);
-  cf_send_metrics_request (task->balancer, request);
+  cf_task_post (&task->balancer->datapath, CF_TO_DATAPATH_METRICS, request);
 }
 
 static void
@@ -94,12 +96,6 @@
   g_free (request);
 }
 
-void
-cf_send_metrics (struct CfBalancer *balancer, struct CfMetricsRequest *request)
-{
-  cf_task_post (&balancer->admin, handle_metrics, request, free_request);
-}
-
 static bool
 listen_for_metrics (struct AdminTask *task, struct CfError *error)
 {
@@ -153,7 +149,17 @@
   cf_http_close (&task->metrics);
 }
 
-const struct CfTaskClass cf_balancer_admin_task = { .name = "admin", .start = start, .stop = stop };
+static const struct CfMessageHandler handlers[CF_TO_ADMIN_KINDS] = {
+  [CF_TO_ADMIN_METRICS] = { handle_metrics, free_request },
+};
+
+const struct CfTaskClass cf_balancer_admin_task = {
+  .name = "admin",
+  .handlers = handlers,
+  .handler_count = G_N_ELEMENTS (handlers),
+  .start = start,
+  .stop = stop,
+};
 
 void *
 cf_balancer_admin_task_new (struct CfBalancer *balancer)
--- a/src/balancer/datapath_internal.h
+++ b/src/balancer/datapath_internal.h
@@ -3,6 +3,7 @@
 
 #include "balancer.h"
 #include "cf_stats.h"
+#include "datapath_messages.h"
 #include "platform/datagram.h"
 
 #include <netinet/in.h>
@@ -56,6 +57,8 @@
   unsigned out_count;
 };
 
+extern const struct CfMessageHandler cf_datapath_handlers[CF_TO_DATAPATH_KINDS];
+
 /* Updates the readiness that the admin task reports. */
 void cf_datapath_update_serving (struct DatapathTask *task);
 
--- a/src/balancer/datapath_messages.c
+++ b/src/balancer/datapath_messages.c
@@ -1,5 +1,7 @@
 #include "runtime/crash_report.h"
 #include "datapath_internal.h"
+#include "admin_messages.h"
+#include "feed_messages.h"
 #include "runtime/clock.h"
 #include "runtime/metrics_text.h"
 
@@ -42,7 +44,7 @@
     return;
   task->next_report_at = now + REPORT_INTERVAL_MS;
   if (cf_balance_report (task->balance, &report, now))
-    cf_send_quality (task->balancer, &report);
+    cf_task_post (&task->balancer->feed, CF_TO_FEED_QUALITY, g_memdup2 (&report, sizeof report));
 }
 
 static void
@@ -53,13 +55,6 @@
   cf_balance_receive_report (task->balance, message, cf_now ());
 }
 
-void
-cf_send_peer_quality (struct CfBalancer *balancer, const struct CfQualityReport *report)
-{
-  cf_task_post (&balancer->datapath, handle_peer_quality, g_memdup2 (report, sizeof *report),
-                g_free);
-}
-
 void
 cf_datapath_report_load (struct DatapathTask *task, CfMillis now)
 {
@@ -69,7 +64,7 @@
     return;
   task->next_load_report_at = now + CF_LOAD_REPORT_INTERVAL_MS;
   if (cf_balance_load_report (task->balance, &report, now))
-    cf_send_load (task->balancer, &report);
+    cf_task_post (&task->balancer->feed, CF_TO_FEED_LOAD, g_memdup2 (&report, sizeof report));
 }
 
 static void
@@ -80,12 +75,6 @@
   cf_balance_receive_load (task->balance, message, cf_now ());
 }
 
-void
-cf_send_peer_load (struct CfBalancer *balancer, const struct CfLoadReport *report)
-{
-  cf_task_post (&balancer->datapath, handle_peer_load, g_memdup2 (report, sizeof *report), g_free);
-}
-
 static void
 log_upstream (struct DatapathTask *task, const struct CfTarget *target)
 {
@@ -172,23 +161,11 @@
   cf_datapath_update_serving (task);
 }
 
-void
-cf_send_update (struct CfBalancer *balancer, struct CfUpdate *update)
-{
-  cf_task_post (&balancer->datapath, handle_update, update, cf_update_free);
-}
-
-struct FeedState
-{
-  CfMillis synced_at;
-  bool settled;
-};
-
 static void
 handle_feed_state (void *data, void *message)
 {
   struct DatapathTask *task = data;
-  const struct FeedState *feed_state = message;
+  const struct CfFeedState *feed_state = message;
 
   cf_balance_synced (task->balance, feed_state->synced_at);
   /* First packets may be queued until data from the store arrives: send them now. */
@@ -198,15 +175,6 @@
     cf_directory_expire_lapsed (cf_balance_directory (task->balance), cf_now ());
 }
 
-void
-cf_send_feed_state (struct CfBalancer *balancer, CfMillis synced_at, bool settled)
-{
-  struct FeedState *feed_state = g_new (struct FeedState, 1);
-
-  *feed_state = (struct FeedState){ .synced_at = synced_at, .settled = settled };
-  cf_task_post (&balancer->datapath, handle_feed_state, feed_state, g_free);
-}
-
 static void
 write_metrics (void *data, void *message)
 {
@@ -235,11 +203,13 @@
     cf_metrics_histogram (request->text, "flow_open_ms", "",
                           g_quark_to_string (GPOINTER_TO_UINT (key)), value);
   cf_datapath_write_overload_metrics (task, request->text);
-  cf_send_metrics (task->balancer, request);
+  cf_task_post (&task->balancer->admin, CF_TO_ADMIN_METRICS, request);
 }
 
-void
-cf_send_metrics_request (struct CfBalancer *balancer, struct CfMetricsRequest *request)
-{
-  cf_task_post (&balancer->datapath, write_metrics, request, NULL);
-}
+const struct CfMessageHandler cf_datapath_handlers[CF_TO_DATAPATH_KINDS] = {
+  [CF_TO_DATAPATH_UPDATE] = { handle_update, cf_update_free },
+  [CF_TO_DATAPATH_FEED_STATE] = { handle_feed_state, g_free },
+  [CF_TO_DATAPATH_QUALITY] = { handle_peer_quality, g_free },
+  [CF_TO_DATAPATH_LOAD] = { handle_peer_load, g_free },
+  [CF_TO_DATAPATH_METRICS] = { write_metrics, NULL },
+};
--- a/src/balancer/datapath_task.c
+++ b/src/balancer/datapath_task.c
@@ -395,7 +395,13 @@
   g_clear_object (&task->socket);
 }
 
-const struct CfTaskClass cf_datapath_task = { .name = "datapath", .start = start, .stop = stop };
+const struct CfTaskClass cf_datapath_task = {
+  .name = "datapath",
+  .handlers = cf_datapath_handlers,
+  .handler_count = G_N_ELEMENTS (cf_datapath_handlers),
+  .start = start,
+  .stop = stop,
+};
 
 void *
 cf_datapath_task_new (struct CfBalancer *balancer)
--- a/src/balancer/feed_internal.h
+++ b/src/balancer/feed_internal.h
@@ -2,6 +2,7 @@
 #define CF_BALANCER_FEED_INTERNAL_H
 
 #include "balancer.h"
+#include "datapath_messages.h"
 #include "feed/era.h"
 #include "feed/feed.h"
 #include "feed/reader.h"
@@ -169,6 +170,11 @@
  * Returns false if it is not a valid report. */
 bool cf_feed_receive_load (struct FeedTask *task, const struct feed_loads *loads, size_t len);
 
+/* Handlers of messages (feed_messages.h). */
+void cf_feed_handle_quality (void *data, void *message);
+void cf_feed_handle_load (void *data, void *message);
+void cf_feed_handle_stop (void *data, void *message);
+
 void cf_feed_enroll_start (struct FeedTask *task);
 void cf_feed_enroll_stop (struct FeedTask *task);
 CfMillis cf_feed_enroll_tick (struct FeedTask *task, CfMillis now);
--- a/src/balancer/feed_load.c
+++ b/src/balancer/feed_load.c
@@ -8,8 +8,8 @@
 #define FANOUT 4
 #define FAR_FANOUT 3
 
-static void
-send_load_report (void *data, void *message)
+void
+cf_feed_handle_load (void *data, void *message)
 {
   struct FeedTask *task = data;
   struct CfLoadReport *report = message;
@@ -39,12 +39,6 @@
   g_ptr_array_unref (far);
 }
 
-void
-cf_send_load (struct CfBalancer *balancer, const struct CfLoadReport *report)
-{
-  cf_task_post (&balancer->feed, send_load_report, g_memdup2 (report, sizeof *report), g_free);
-}
-
 bool
 cf_feed_receive_load (struct FeedTask *task, const struct feed_loads *loads, size_t len)
 {
@@ -60,6 +54,6 @@
   /* The domain of a listed VM is from the store.  It may have no upstream, so that the datapath
    * task does not know it yet. */
   if (cf_names_admit (&task->names, CF_NAME_DOMAIN, report.domain))
-    cf_send_peer_load (balancer, &report);
+    cf_task_post (&balancer->datapath, CF_TO_DATAPATH_LOAD, g_memdup2 (&report, sizeof report));
   return true;
 }
--- a/src/balancer/feed_rotation.c
+++ b/src/balancer/feed_rotation.c
@@ -33,7 +33,8 @@
       || !cf_sources_is_neighbour (task->sources, qualities->name))
     return;
   cf_gossip_read_quality (qualities, &report);
-  cf_send_peer_quality (task->balancer, &report);
+  cf_task_post (&task->balancer->datapath, CF_TO_DATAPATH_QUALITY,
+                g_memdup2 (&report, sizeof report));
 }
 
 static void
@@ -138,8 +139,8 @@
   g_ptr_array_unref (ips);
 }
 
-static void
-send_quality_report (void *data, void *message)
+void
+cf_feed_handle_quality (void *data, void *message)
 {
   struct FeedTask *task = data;
   struct CfQualityReport *report = message;
@@ -154,12 +155,6 @@
   g_ptr_array_unref (ips);
 }
 
-void
-cf_send_quality (struct CfBalancer *balancer, const struct CfQualityReport *report)
-{
-  cf_task_post (&balancer->feed, send_quality_report, g_memdup2 (report, sizeof *report), g_free);
-}
-
 static void
 try_to_leave (struct FeedTask *task, CfMillis now)
 {
@@ -199,8 +194,8 @@
   return task->next_hello_at;
 }
 
-static void
-handle_stop (void *data, void *message)
+void
+cf_feed_handle_stop (void *data, void *message)
 {
   struct FeedTask *task = data;
 
@@ -212,12 +207,6 @@
   cf_feed_tick (task);
 }
 
-void
-cf_send_stop (struct CfBalancer *balancer)
-{
-  cf_task_post (&balancer->feed, handle_stop, NULL, NULL);
-}
-
 bool
 cf_feed_rotation_start (struct FeedTask *task, struct CfError *error)
 {
--- a/src/balancer/feed_task.c
+++ b/src/balancer/feed_task.c
@@ -1,5 +1,6 @@
 #include "runtime/crash_report.h"
 #include "feed_internal.h"
+#include "feed_messages.h"
 #include "platform/objects.h"
 #include "platform/store_requests.h"
 #include "runtime/clock.h"
@@ -181,7 +182,7 @@
       update->domain_vms = cf_sources_domain_size (task->sources);
       update->peers = peers (task);
     }
-  cf_send_update (task->balancer, update);
+  cf_task_post (&task->balancer->datapath, CF_TO_DATAPATH_UPDATE, update);
 }
 
 /* A manifest may list names that were refused: passes on the records that were not. */
@@ -293,6 +294,8 @@
 void
 cf_feed_set_synced_at (struct FeedTask *task, const char *reader, CfMillis synced_at, bool settled)
 {
+  struct CfFeedState *state;
+
   if (synced_at <= task->synced_at)
     return;
   g_free (task->reader);
@@ -301,7 +304,9 @@
   task->settled = settled;
   if (settled)
     end_carry (task, cf_now ());
-  cf_send_feed_state (task->balancer, synced_at, settled);
+  state = g_new (struct CfFeedState, 1);
+  *state = (struct CfFeedState){ .synced_at = synced_at, .settled = settled };
+  cf_task_post (&task->balancer->datapath, CF_TO_DATAPATH_FEED_STATE, state);
 }
 
 CfMillis
@@ -419,7 +424,7 @@
 
   cf_sources_seed (task->sources, seeds);
   update->peers = peers (task);
-  cf_send_update (task->balancer, update);
+  cf_task_post (&task->balancer->datapath, CF_TO_DATAPATH_UPDATE, update);
 }
 
 static void
@@ -434,12 +439,6 @@
   g_strfreev (seeds);
 }
 
-void
-cf_send_seeds (struct CfBalancer *balancer, char **seeds)
-{
-  cf_task_post (&balancer->feed, handle_seeds, seeds, free_seeds);
-}
-
 static bool
 start (struct CfTask *base, void *data, struct CfError *error)
 {
@@ -476,7 +475,20 @@
   g_clear_object (&task->session);
 }
 
-const struct CfTaskClass cf_feed_task = { .name = "feed", .start = start, .stop = stop };
+static const struct CfMessageHandler handlers[CF_TO_FEED_KINDS] = {
+  [CF_TO_FEED_SEEDS] = { handle_seeds, free_seeds },
+  [CF_TO_FEED_QUALITY] = { cf_feed_handle_quality, g_free },
+  [CF_TO_FEED_LOAD] = { cf_feed_handle_load, g_free },
+  [CF_TO_FEED_STOP] = { cf_feed_handle_stop, NULL },
+};
+
+const struct CfTaskClass cf_feed_task = {
+  .name = "feed",
+  .handlers = handlers,
+  .handler_count = G_N_ELEMENTS (handlers),
+  .start = start,
+  .stop = stop,
+};
 
 void *
 cf_feed_task_new (struct CfBalancer *balancer)
--- a/src/balancer/update.c
+++ b/src/balancer/update.c
@@ -1,4 +1,4 @@
-#include "balancer.h"
+#include "datapath_messages.h"
 #include "platform/objects.h"
 
 struct CfUpdate *
--- a/src/gued/admin_task.c
+++ b/src/gued/admin_task.c
@@ -1,4 +1,6 @@
 #include "server.h"
+#include "admin_messages.h"
+#include "packet_messages.h"
 #include "runtime/http_listen.h"
 #include "runtime/log.h"
 
@@ -84,7 +86,7 @@
     }
   report->request = g_object_ref (message);
   soup_server_message_pause (message);
-  cf_send_report_request (task->server, report);
+  cf_task_post (&task->server->packet, CF_TO_PACKET_REPORT, report);
 }
 
 static void
@@ -114,12 +116,6 @@
   g_free (report);
 }
 
-void
-cf_send_report (struct CfServer *server, struct CfReport *report)
-{
-  cf_task_post (&server->admin, handle_report, report, free_report);
-}
-
 static bool
 start (struct CfTask *base, void *data, struct CfError *error)
 {
@@ -142,7 +138,17 @@
   cf_http_close (&task->http);
 }
 
-const struct CfTaskClass cf_admin_task = { .name = "admin", .start = start, .stop = stop };
+static const struct CfMessageHandler handlers[CF_TO_ADMIN_KINDS] = {
+  [CF_TO_ADMIN_REPORT] = { handle_report, free_report },
+};
+
+const struct CfTaskClass cf_admin_task = {
+  .name = "admin",
+  .handlers = handlers,
+  .handler_count = G_N_ELEMENTS (handlers),
+  .start = start,
+  .stop = stop,
+};
 
 void *
 cf_admin_task_new (struct CfServer *server)
--- a/src/gued/folder_task.c
+++ b/src/gued/folder_task.c
@@ -1,4 +1,6 @@
 #include "server.h"
+#include "packet_messages.h"
+#include "source_messages.h"
 #include "runtime/log.h"
 
 #include <glib/gstdio.h>
@@ -49,7 +51,7 @@
   for (guint i = 0; i < faults->len; i++)
     cf_log_warning ("CONFIG", "fault", "%s", (const char *) faults->pdata[i]);
   if (config)
-    cf_send_folder (task->server, config);
+    cf_task_post (&task->server->packet, CF_TO_PACKET_FOLDER, config);
   else
     cf_log_warning ("CONFIG", "fault",
                     "the folder has faults; keeping the last valid configuration");
@@ -93,7 +95,25 @@
   g_clear_pointer (&task->timer, g_source_unref);
 }
 
-const struct CfTaskClass cf_folder_task = { .name = "folder", .start = start, .stop = stop };
+static void
+reload (void *data, void *message)
+{
+  (void) message;
+  read_folder (data);
+}
+
+static const struct CfMessageHandler handlers[CF_TO_SOURCE_KINDS] = {
+  [CF_TO_SOURCE_RELOAD] = { reload, NULL },
+  [CF_TO_SOURCE_STATUS] = { NULL, g_free },
+};
+
+const struct CfTaskClass cf_folder_task = {
+  .name = "folder",
+  .handlers = handlers,
+  .handler_count = G_N_ELEMENTS (handlers),
+  .start = start,
+  .stop = stop,
+};
 
 void *
 cf_folder_task_new (struct CfServer *server)
@@ -109,17 +129,3 @@
 {
   g_free (data);
 }
-
-static void
-reload (void *data, void *message)
-{
-  (void) message;
-  read_folder (data);
-}
-
-void
-cf_send_reload (struct CfServer *server)
-{
-  if (server->settings.config_dir)
-    cf_task_post (&server->source, reload, NULL, NULL);
-}
--- a/src/gued/health_task.c
+++ b/src/gued/health_task.c
@@ -1,11 +1,12 @@
 #include "server.h"
+#include "health_messages.h"
+#include "packet_messages.h"
 #include "runtime/log.h"
 #include "base/http_call.h"
 #include "base/json_text.h"
 #include "runtime/clock.h"
 
 #include <libsoup/soup.h>
-#include <stdatomic.h>
 
 /* The health task probes the upstreams whose state this VM decides for the fleet (as their
  * gatekeeper): GET /health, answered by a JSON object with "serving" (boolean), "start"
@@ -21,10 +22,9 @@
   struct CfServer *server;
   SoupSession *session;
   GSource *timer;
-  GArray *probes;      /* of struct CfProbe */
-  guint next;          /* index in probes of the next one to send */
-  GQueue requests;     /* of struct Request, oldest first */
-  atomic_uint waiting; /* number of requests */
+  GArray *probes;  /* of struct CfProbe */
+  guint next;      /* index in probes of the next one to send */
+  GQueue requests; /* of struct Request, oldest first */
   bool stopping;
 };
 
@@ -74,10 +74,10 @@
     {
       if (body && soup_message_get_status (request->message) == SOUP_STATUS_OK)
         answer.reachable = read_answer (body, &answer);
-      cf_send_health (task->server, &answer);
+      cf_task_post (&task->server->packet, CF_TO_PACKET_HEALTH, g_memdup2 (&answer, sizeof answer));
     }
   g_queue_unlink (&task->requests, &request->link);
-  atomic_store (&task->waiting, task->requests.length);
+  atomic_store (&task->server->health_waiting, task->requests.length);
   g_clear_pointer (&body, g_bytes_unref);
   g_object_unref (request->cancellable);
   g_object_unref (request->message);
@@ -102,7 +102,7 @@
     .cancellable = g_cancellable_new (),
   };
   g_queue_push_tail_link (&task->requests, &request->link);
-  atomic_store (&task->waiting, task->requests.length);
+  atomic_store (&task->server->health_waiting, task->requests.length);
   cf_http_fetch (task->session, request->message, CF_HTTP_SHORT_BODY_MAX_BYTES,
                  request->cancellable, answered, request);
   g_free (url);
@@ -180,28 +180,6 @@
   g_clear_object (&task->session);
 }
 
-const struct CfTaskClass cf_health_task = { .name = "health", .start = start, .stop = stop };
-
-void *
-cf_health_task_new (struct CfServer *server)
-{
-  struct HealthTask *task = g_new0 (struct HealthTask, 1);
-
-  task->server = server;
-  task->probes = g_array_new (FALSE, FALSE, sizeof (struct CfProbe));
-  g_queue_init (&task->requests);
-  return task;
-}
-
-void
-cf_health_task_free (void *data)
-{
-  struct HealthTask *task = data;
-
-  g_array_unref (task->probes);
-  g_free (task);
-}
-
 static void
 handle_probes (void *data, void *message)
 {
@@ -217,16 +195,34 @@
   g_array_unref (data);
 }
 
-void
-cf_send_probes (struct CfServer *server, GArray *probes)
+static const struct CfMessageHandler handlers[CF_TO_HEALTH_KINDS] = {
+  [CF_TO_HEALTH_PROBES] = { handle_probes, free_array },
+};
+
+const struct CfTaskClass cf_health_task = {
+  .name = "health",
+  .handlers = handlers,
+  .handler_count = G_N_ELEMENTS (handlers),
+  .start = start,
+  .stop = stop,
+};
+
+void *
+cf_health_task_new (struct CfServer *server)
 {
-  cf_task_post (&server->health, handle_probes, probes, free_array);
+  struct HealthTask *task = g_new0 (struct HealthTask, 1);
+
+  task->server = server;
+  task->probes = g_array_new (FALSE, FALSE, sizeof (struct CfProbe));
+  g_queue_init (&task->requests);
+  return task;
 }
 
-uint64_t
-cf_health_task_waiting (const struct CfServer *server)
+void
+cf_health_task_free (void *data)
 {
-  struct HealthTask *task = server->health.data;
+  struct HealthTask *task = data;
 
-  return atomic_load (&task->waiting);
+  g_array_unref (task->probes);
+  g_free (task);
 }
--- a/src/gued/metrics.c
+++ b/src/gued/metrics.c
@@ -83,11 +83,12 @@
   write_type (text, "peer_messages_total", "counter");
   for (int i = 0; i < CF_PEER_RESULT_COUNT; i++)
     write_value (text, "peer_messages_total", "result", cf_peer_result_name ((enum CfPeerResult) i),
-                 cf_peer_task_results (input->server, (enum CfPeerResult) i));
+                 atomic_load (&input->server->peer_results[i]));
   write_value (text, "bad_gue_total", NULL, NULL, input->bad_gue);
   write_value (text, "bad_transfers_total", NULL, NULL, input->bad_transfers);
   write_value (text, "send_failures_total", NULL, NULL, input->send_failures);
-  write_value (text, "health_probes_waiting", NULL, NULL, cf_health_task_waiting (input->server));
+  write_value (text, "health_probes_waiting", NULL, NULL,
+               atomic_load (&input->server->health_waiting));
   write_value (text, "flow_table_bytes", NULL, NULL, cf_core_flow_bytes (input->core));
   write_value (text, "config_version", NULL, NULL, config ? config->version : 0);
   write_value (text, "settled", NULL, NULL, cf_core_settled (input->core));
--- a/src/gued/packet_messages.c
+++ b/src/gued/packet_messages.c
@@ -1,8 +1,9 @@
 #include "packet_task.h"
+#include "admin_messages.h"
 #include "runtime/log.h"
 #include "runtime/clock.h"
 
-/* Messages to the packet task and their handlers. */
+/* Handlers of the messages to the packet task. */
 
 void
 cf_packet_log_config (const struct CfConfig *config, const char *from)
@@ -27,12 +28,6 @@
   g_free (data);
 }
 
-void
-cf_send_envelope (struct CfServer *server, struct peer_envelope *envelope)
-{
-  cf_task_post (&server->packet, handle_envelope, envelope, free_envelope);
-}
-
 static void
 handle_config (void *data, void *message)
 {
@@ -48,12 +43,6 @@
   cf_config_unref (data);
 }
 
-void
-cf_send_config (struct CfServer *server, struct CfConfig *config)
-{
-  cf_task_post (&server->packet, handle_config, config, free_config);
-}
-
 static void
 handle_folder (void *data, void *message)
 {
@@ -71,24 +60,12 @@
     }
 }
 
-void
-cf_send_folder (struct CfServer *server, struct CfConfig *config)
-{
-  cf_task_post (&server->packet, handle_folder, config, free_config);
-}
-
 static void
 handle_health (void *data, void *message)
 {
   cf_core_health (((struct PacketTask *) data)->core, message, cf_now ());
 }
 
-void
-cf_send_health (struct CfServer *server, const struct CfHealthAnswer *answer)
-{
-  cf_task_post (&server->packet, handle_health, g_memdup2 (answer, sizeof *answer), g_free);
-}
-
 static void
 handle_vm_list (void *data, void *message)
 {
@@ -104,12 +81,6 @@
   g_array_unref (data);
 }
 
-void
-cf_send_vm_list (struct CfServer *server, GArray *vms)
-{
-  cf_task_post (&server->packet, handle_vm_list, vms, free_array);
-}
-
 static void
 handle_leave (void *data, void *message)
 {
@@ -117,12 +88,6 @@
   cf_core_leave (((struct PacketTask *) data)->core, cf_now ());
 }
 
-void
-cf_send_leave (struct CfServer *server)
-{
-  cf_task_post (&server->packet, handle_leave, NULL, NULL);
-}
-
 static void
 handle_report_request (void *data, void *message)
 {
@@ -146,11 +111,15 @@
   else
     cf_core_explain (task->core, &report->caller, &report->service, report->protocol, report->text,
                      input.now);
-  cf_send_report (task->server, report);
-}
-
-void
-cf_send_report_request (struct CfServer *server, struct CfReport *report)
-{
-  cf_task_post (&server->packet, handle_report_request, report, NULL);
-}
+  cf_task_post (&task->server->admin, CF_TO_ADMIN_REPORT, report);
+}
+
+const struct CfMessageHandler cf_packet_handlers[CF_TO_PACKET_KINDS] = {
+  [CF_TO_PACKET_ENVELOPE] = { handle_envelope, free_envelope },
+  [CF_TO_PACKET_CONFIG] = { handle_config, free_config },
+  [CF_TO_PACKET_FOLDER] = { handle_folder, free_config },
+  [CF_TO_PACKET_HEALTH] = { handle_health, g_free },
+  [CF_TO_PACKET_VM_LIST] = { handle_vm_list, free_array },
+  [CF_TO_PACKET_LEAVE] = { handle_leave, NULL },
+  [CF_TO_PACKET_REPORT] = { handle_report_request, NULL },
+};
--- a/src/gued/packet_task.c
+++ b/src/gued/packet_task.c
@@ -1,4 +1,7 @@
 #include "packet_task.h"
+#include "health_messages.h"
+#include "peer_messages.h"
+#include "source_messages.h"
 #include "runtime/log.h"
 #include "runtime/clock.h"
 #include "runtime/udp.h"
@@ -79,7 +82,13 @@
                                CF_PEER_DATAGRAM_MAX);
 
   if (len > 0)
-    cf_send_datagram (task->server, address, g_bytes_new (datagram, len));
+    {
+      struct CfPeerDatagram *content = g_new (struct CfPeerDatagram, 1);
+
+      *content
+          = (struct CfPeerDatagram){ .address = *address, .bytes = g_bytes_new (datagram, len) };
+      cf_task_post (&task->server->peer, CF_TO_PEER_DATAGRAM, content);
+    }
   g_free (datagram);
 }
 
@@ -96,7 +105,7 @@
 
       g_array_append_val (probes, item);
     }
-  cf_send_probes (task->server, probes);
+  cf_task_post (&task->server->health, CF_TO_HEALTH_PROBES, probes);
 }
 
 static void
@@ -105,7 +114,7 @@
   struct PacketTask *task = context;
 
   task->watching = watch;
-  cf_send_watch (task->server, watch);
+  cf_task_post (&task->server->source, CF_TO_SOURCE_WATCH, GINT_TO_POINTER (watch));
 }
 
 static void
@@ -316,11 +325,11 @@
     return;
   task->status_at = now;
   task->status_version = config->version;
-  cf_send_platform_status (task->server,
-                           g_strdup_printf ("{\"config_version\":%" G_GUINT64_FORMAT
-                                            ",\"config_digest\":\"%016" G_GINT64_MODIFIER
-                                            "x\",\"settled\":true}",
-                                            config->version, config->digest));
+  cf_task_post (&task->server->source, CF_TO_SOURCE_STATUS,
+                g_strdup_printf ("{\"config_version\":%" G_GUINT64_FORMAT
+                                 ",\"config_digest\":\"%016" G_GINT64_MODIFIER
+                                 "x\",\"settled\":true}",
+                                 config->version, config->digest));
 }
 
 static gboolean
@@ -389,7 +398,13 @@
   g_clear_object (&task->transfer);
 }
 
-const struct CfTaskClass cf_packet_task = { .name = "packet", .start = start, .stop = stop };
+const struct CfTaskClass cf_packet_task = {
+  .name = "packet",
+  .handlers = cf_packet_handlers,
+  .handler_count = G_N_ELEMENTS (cf_packet_handlers),
+  .start = start,
+  .stop = stop,
+};
 
 void *
 cf_packet_task_new (struct CfServer *server)
--- a/src/gued/packet_task.h
+++ b/src/gued/packet_task.h
@@ -1,6 +1,7 @@
 #ifndef CF_GUED_PACKET_TASK_H
 #define CF_GUED_PACKET_TASK_H
 
+#include "packet_messages.h"
 #include "tx_queue.h"
 #include "server.h"
 
@@ -34,6 +35,8 @@
   CfMillis stop_at;        /* 0: not leaving, or the handover is in progress */
 };
 
+extern const struct CfMessageHandler cf_packet_handlers[CF_TO_PACKET_KINDS];
+
 /* Logs that CONFIG is in force; FROM names its source. */
 void cf_packet_log_config (const struct CfConfig *config, const char *from);
 
--- a/src/gued/peer_task.c
+++ b/src/gued/peer_task.c
@@ -1,9 +1,10 @@
 #include "server.h"
+#include "packet_messages.h"
+#include "peer_messages.h"
 #include "runtime/log.h"
 #include "peer/replay.h"
 #include "runtime/udp.h"
 
-#include <stdatomic.h>
 #include <string.h>
 
 /* The peer task owns the socket for messages between entry VMs.  It verifies
@@ -17,7 +18,6 @@
   GSocket *socket;
   GSource *source;
   GHashTable *windows; /* VM id to struct CfReplayWindow */
-  atomic_uint_fast64_t results[CF_PEER_RESULT_COUNT];
   uint8_t buffer[CF_PEER_DATAGRAM_MAX];
 };
 
@@ -47,9 +47,9 @@
       cf_peer_release (envelope);
       result = CF_PEER_REPLAYED;
     }
-  atomic_fetch_add (&task->results[result], 1);
+  atomic_fetch_add (&task->server->peer_results[result], 1);
   if (result == CF_PEER_OK)
-    cf_send_envelope (task->server, envelope);
+    cf_task_post (&task->server->packet, CF_TO_PACKET_ENVELOPE, envelope);
   else
     g_free (envelope);
 }
@@ -98,37 +98,10 @@
   g_clear_object (&task->socket);
 }
 
-const struct CfTaskClass cf_peer_task = { .name = "peer", .start = start, .stop = stop };
-
-void *
-cf_peer_task_new (struct CfServer *server)
-{
-  struct PeerTask *task = g_new0 (struct PeerTask, 1);
-
-  task->server = server;
-  task->windows = g_hash_table_new_full (NULL, NULL, NULL, g_free);
-  return task;
-}
-
-void
-cf_peer_task_free (void *data)
-{
-  struct PeerTask *task = data;
-
-  g_hash_table_destroy (task->windows);
-  g_free (task);
-}
-
-struct Datagram
-{
-  struct CfAddress address;
-  GBytes *bytes;
-};
-
 static void
 free_datagram (gpointer data)
 {
-  struct Datagram *datagram = data;
+  struct CfPeerDatagram *datagram = data;
 
   g_bytes_unref (datagram->bytes);
   g_free (datagram);
@@ -138,7 +111,7 @@
 send_datagram (void *data, void *message)
 {
   struct PeerTask *task = data;
-  struct Datagram *datagram = message;
+  struct CfPeerDatagram *datagram = message;
   GSocketAddress *to;
   gsize len;
   const char *bytes = g_bytes_get_data (datagram->bytes, &len);
@@ -151,19 +124,33 @@
   g_object_unref (to);
 }
 
-void
-cf_send_datagram (struct CfServer *server, const struct CfAddress *address, GBytes *bytes)
+static const struct CfMessageHandler handlers[CF_TO_PEER_KINDS] = {
+  [CF_TO_PEER_DATAGRAM] = { send_datagram, free_datagram },
+};
+
+const struct CfTaskClass cf_peer_task = {
+  .name = "peer",
+  .handlers = handlers,
+  .handler_count = G_N_ELEMENTS (handlers),
+  .start = start,
+  .stop = stop,
+};
+
+void *
+cf_peer_task_new (struct CfServer *server)
 {
-  struct Datagram *datagram = g_new (struct Datagram, 1);
+  struct PeerTask *task = g_new0 (struct PeerTask, 1);
 
-  *datagram = (struct Datagram){ .address = *address, .bytes = bytes };
-  cf_task_post (&server->peer, send_datagram, datagram, free_datagram);
+  task->server = server;
+  task->windows = g_hash_table_new_full (NULL, NULL, NULL, g_free);
+  return task;
 }
 
-uint64_t
-cf_peer_task_results (const struct CfServer *server, enum CfPeerResult result)
+void
+cf_peer_task_free (void *data)
 {
-  struct PeerTask *task = server->peer.data;
+  struct PeerTask *task = data;
 
-  return atomic_load (&task->results[result]);
+  g_hash_table_destroy (task->windows);
+  g_free (task);
 }
--- a/src/gued/platform_task.c
+++ b/src/gued/platform_task.c
@@ -1,4 +1,6 @@
 #include "server.h"
+#include "packet_messages.h"
+#include "source_messages.h"
 #include "runtime/log.h"
 #include "base/http_call.h"
 #include "base/json_text.h"
@@ -97,7 +99,7 @@
   task->tag = g_steal_pointer (&object->tag);
   task->has_read = true;
   if (config)
-    cf_send_config (task->server, config);
+    cf_task_post (&task->server->packet, CF_TO_PACKET_CONFIG, config);
   else
     cf_log_warning ("CONFIG", "fault", "the platform's configuration is not valid: %s", error.text);
 }
@@ -194,7 +196,7 @@
           if (read_vm (task, json_array_get_element (array, i), &vm))
             g_array_append_val (vms, vm);
         }
-      cf_send_vm_list (task->server, vms);
+      cf_task_post (&task->server->packet, CF_TO_PACKET_VM_LIST, vms);
       task->list_skip = LIST_SKIP - 1;
     }
   g_clear_pointer (&root, json_node_unref);
@@ -270,26 +272,6 @@
   g_object_unref (session);
 }
 
-const struct CfTaskClass cf_platform_task = { .name = "platform", .start = start, .stop = stop };
-
-void *
-cf_platform_task_new (struct CfServer *server)
-{
-  struct PlatformTask *task = g_new0 (struct PlatformTask, 1);
-
-  task->server = server;
-  return task;
-}
-
-void
-cf_platform_task_free (void *data)
-{
-  struct PlatformTask *task = data;
-
-  g_free (task->tag);
-  g_free (task);
-}
-
 static void
 handle_watch (void *data, void *message)
 {
@@ -300,13 +282,6 @@
     begin_watch (task);
 }
 
-void
-cf_send_watch (struct CfServer *server, bool watch)
-{
-  if (server->settings.platform && !server->settings.config_dir)
-    cf_task_post (&server->source, handle_watch, GINT_TO_POINTER (watch), NULL);
-}
-
 static void
 finish_status (void *data, SoupMessage *message, GBytes *body)
 {
@@ -338,11 +313,33 @@
   g_free (url);
 }
 
+static const struct CfMessageHandler handlers[CF_TO_SOURCE_KINDS] = {
+  [CF_TO_SOURCE_WATCH] = { handle_watch, NULL },
+  [CF_TO_SOURCE_STATUS] = { handle_status, g_free },
+};
+
+const struct CfTaskClass cf_platform_task = {
+  .name = "platform",
+  .handlers = handlers,
+  .handler_count = G_N_ELEMENTS (handlers),
+  .start = start,
+  .stop = stop,
+};
+
+void *
+cf_platform_task_new (struct CfServer *server)
+{
+  struct PlatformTask *task = g_new0 (struct PlatformTask, 1);
+
+  task->server = server;
+  return task;
+}
+
 void
-cf_send_platform_status (struct CfServer *server, char *status)
+cf_platform_task_free (void *data)
 {
-  if (server->settings.platform && !server->settings.config_dir)
-    cf_task_post (&server->source, handle_status, status, g_free);
-  else
-    g_free (status);
+  struct PlatformTask *task = data;
+
+  g_free (task->tag);
+  g_free (task);
 }
--- a/src/gued/server.c
+++ b/src/gued/server.c
@@ -1,4 +1,6 @@
 #include "server.h"
+#include "packet_messages.h"
+#include "source_messages.h"
 #include "runtime/crash_report.h"
 #include "runtime/log.h"
 #include "runtime/process_setup.h"
@@ -37,7 +39,7 @@
 
   /* Without the packet task there are no flows to hand over, and no task that ends the process. */
   if (cf_task_is_running (&server->packet))
-    cf_send_leave (server);
+    cf_task_post (&server->packet, CF_TO_PACKET_LEAVE, NULL);
   else
     g_main_loop_quit (server->main_loop);
   return G_SOURCE_CONTINUE;
@@ -46,7 +48,7 @@
 static gboolean
 on_reload (gpointer data)
 {
-  cf_send_reload (data);
+  cf_task_post (&((struct CfServer *) data)->source, CF_TO_SOURCE_RELOAD, NULL);
   return G_SOURCE_CONTINUE;
 }
 
--- a/src/runtime/task.c
+++ b/src/runtime/task.c
@@ -17,9 +17,8 @@
 struct Message
 {
   struct CfTask *task;
-  CfTaskFunc *func;
-  void *message;
-  GDestroyNotify free;
+  const struct CfMessageHandler *handler;
+  void *content;
 };
 
 static void
@@ -116,11 +115,23 @@
   return true;
 }
 
+/* Has FUNC called with DATA on the thread of TASK, and then FREE. */
 static void
-quit_loop (void *data, void *message)
+call_later (struct CfTask *task, GSourceFunc func, void *data, GDestroyNotify free)
 {
-  (void) data;
-  g_main_loop_quit (((struct CfTask *) message)->loop);
+  GSource *source = g_idle_source_new ();
+
+  g_source_set_priority (source, G_PRIORITY_DEFAULT);
+  g_source_set_callback (source, func, data, free);
+  g_source_attach (source, task->context);
+  g_source_unref (source);
+}
+
+static gboolean
+quit_loop (gpointer task)
+{
+  g_main_loop_quit (((struct CfTask *) task)->loop);
+  return G_SOURCE_REMOVE;
 }
 
 void
@@ -129,7 +140,7 @@
   if (!task->thread)
     return;
   g_atomic_int_set (&task->quit, 1);
-  cf_task_post (task, quit_loop, task, NULL);
+  call_later (task, quit_loop, task, NULL);
   g_thread_join (task->thread);
   task->thread = NULL;
 }
@@ -152,7 +163,8 @@
 {
   struct Message *message = data;
 
-  message->func (message->task->data, message->message);
+  if (message->handler->handle)
+    message->handler->handle (message->task->data, message->content);
   return G_SOURCE_REMOVE;
 }
 
@@ -161,22 +173,23 @@
 {
   struct Message *message = data;
 
-  if (message->free)
-    message->free (message->message);
+  if (message->handler->free)
+    message->handler->free (message->content);
   g_free (message);
 }
 
 void
-cf_task_post (struct CfTask *task, CfTaskFunc *func, void *message, GDestroyNotify free)
+cf_task_post (struct CfTask *task, unsigned kind, void *content)
 {
-  struct Message *copy = g_new (struct Message, 1);
-  GSource *source = g_idle_source_new ();
+  struct Message *message = g_new (struct Message, 1);
 
-  *copy = (struct Message){ .task = task, .func = func, .message = message, .free = free };
-  g_source_set_priority (source, G_PRIORITY_DEFAULT);
-  g_source_set_callback (source, deliver, copy, free_message);
-  g_source_attach (source, task->context);
-  g_source_unref (source);
+  g_assert (kind < task->class->handler_count);
+  *message = (struct Message){
+    .task = task,
+    .handler = &task->class->handlers[kind],
+    .content = content,
+  };
+  call_later (task, deliver, message, free_message);
 }
 
 GSource *
--- a/src/runtime/task.h
+++ b/src/runtime/task.h
@@ -10,9 +10,23 @@
 
 struct CfTask;
 
+/* How a task handles one kind of message. */
+struct CfMessageHandler
+{
+  /* Gets the task's data.  NULL: the message is ignored. */
+  void (*handle) (void *data, void *message);
+  /* Frees the message once it is handled, or cannot be.  NULL: it holds nothing, or the handler
+   * passes it on. */
+  GDestroyNotify free;
+};
+
 struct CfTaskClass
 {
   const char *name;
+  /* Of each kind of message.  The kinds and what they hold are declared by the header of the task's
+   * messages. */
+  const struct CfMessageHandler *handlers;
+  size_t handler_count;
   /* Opens the task's sockets and adds its sources to the thread-default context.  Returns false
    * with ERROR filled in if that failed; the task is then restarted after an exponential delay. */
   bool (*start) (struct CfTask *task, void *data, struct CfError *error);
@@ -32,8 +46,6 @@
   int running;  /* atomic: it has started, so that messages are delivered */
 };
 
-typedef void CfTaskFunc (void *data, void *message);
-
 /* Registers the types that several tasks use, before there are threads: GIO 2.74 can
  * deadlock when two threads register a type and its parent at the same time. */
 void cf_task_register_types (void);
@@ -54,9 +66,9 @@
  * start yet wait until it has. */
 bool cf_task_is_running (const struct CfTask *task);
 
-/* Calls FUNC with the task's data and MESSAGE on the task's thread, then frees
- * MESSAGE with FREE (may be NULL).  Messages of one sender arrive in order. */
-void cf_task_post (struct CfTask *task, CfTaskFunc *func, void *message, GDestroyNotify free);
+/* Has TASK handle a message of KIND on its own thread.  TASK owns CONTENT from now on.  Messages of
+ * one sender arrive in order. */
+void cf_task_post (struct CfTask *task, unsigned kind, void *content);
 
 /* Adds a timer that calls FUNC with the task's data every INTERVAL_MS.  To be called from start. */
 GSource *cf_task_timer (struct CfTask *task, guint interval_ms, GSourceFunc func);
--- a/tests/feed_play.c
+++ b/tests/feed_play.c
@@ -6,16 +6,6 @@
 #define PORT_MIN 20000
 #define PORTS 10000
 
-static void
-never_stop (struct CfTask *task, void *data)
-{
-  (void) task;
-  (void) data;
-}
-
-/* Messages to the other tasks are kept and freed with them. */
-static const struct CfTaskClass idle_class = { .name = "idle", .stop = never_stop };
-
 char *
 feed_play_ip (int host)
 {
@@ -43,7 +33,8 @@
   };
   ck_assert (cf_address_parse (balancer->settings.ip, 0, &balancer->settings.ready));
   balancer->log = cf_event_log_new ("vm-2");
-  cf_task_prepare (&balancer->datapath, &idle_class, NULL);
+  /* It is not started: messages to it are kept and freed with it. */
+  cf_task_prepare (&balancer->datapath, &cf_datapath_task, NULL);
   cf_task_prepare (&balancer->feed, &cf_feed_task, cf_feed_task_new (balancer));
   play->task = balancer->feed.data;
   g_main_context_push_thread_default (balancer->feed.context);
--- a/tests/layers.sh
+++ b/tests/layers.sh
@@ -1,10 +1,12 @@
 #!/bin/sh
 # Checks that each file of src/gue calls only files that stand before it in the list of
-# src/gue/internal.h, that the daemons and the runtime include only what is below them, and that JSON and answers over HTTP are read in one place each, where their
-# depth, size and time are bounded.  The argument is the build folder.
+# src/gue/internal.h, that the runtime and the daemons include only what is below them, that no task
+# calls another, and that JSON and answers over HTTP are read in one place each, where their depth,
+# size and time are bounded.  The argument is the build folder.
 set -eu
 
-objects=$1/src/gue
+build=$1
+objects=$build/src/gue
 layers=$(sed -n 's|^/\* \([a-z_]*\)\.c \*/$|\1|p' src/gue/internal.h)
 layers="flow_table owners $layers explain core status"
 count=$(ls src/gue/*.c | wc -l)
@@ -13,6 +15,8 @@
   exit 1
 fi
 status=0
+above=$(mktemp)
+trap 'rm -f "$above"' EXIT
 # Checks that no file of FOLDER includes one of the folders in ABOVE (a pattern).
 below() { # FOLDER ABOVE
   if grep -n "^#include \"\($2\)/" "src/$1"/*.[ch]; then
@@ -27,6 +31,21 @@
 for folder in base config packet gue balance feed peer objectstore; do
   below $folder "$daemons\|runtime"
 done
+# Checks that no task of FOLDER calls a function of another: each is given by a pattern of its files.
+apart() { # FOLDER TASK...
+  folder=$1
+  shift
+  for task; do
+    for other; do
+      [ "$task" = "$other" ] && continue
+      nm --defined-only -g "$build/src/$folder"/$other.o | awk 'NF == 3 { print " U " $3 "$" }' > "$above"
+      if nm -A -u "$build/src/$folder"/$task.o | grep -f "$above"; then
+        echo "in src/$folder, $task calls $other, which takes messages"
+        status=1
+      fi
+    done
+  done
+}
 # Prints the objects of the program, except FILE, that call a function that matches PATTERN.
 callers() { # PATTERN FILE
   find "$1/src" "$1/platform" -name '*.o' ! -name "$3.o" -exec nm -A -u {} + | grep " U $2" || true
@@ -39,8 +58,9 @@
   echo "a call is sent without base/http_call.c, which bounds its time and its answer"
   status=1
 fi
-above=$(mktemp)
-trap 'rm -f "$above"' EXIT
+apart gued 'packet_*' peer_task health_task platform_task folder_task admin_task
+apart balancer 'datapath_*' 'feed_*' '*admin_task'
+truncate -s 0 "$above"
 for layer in $(echo "$layers" | tr ' ' '\n' | tac); do
   # The highest layer is visited first; $above lists the symbols of the layers visited so far.
   for symbol in $(nm -u "$objects/$layer.o" | awk '{ print $2 }' | grep '^cf_' || true); do
--- a/tests/test_feed_load.c
+++ b/tests/test_feed_load.c
@@ -3,6 +3,7 @@
 #include "feed/load_message.h"
 #include "feed_play.h"
 #include "balancer/datapath_internal.h"
+#include "balancer/feed_messages.h"
 #include "suite.h"
 #include "runtime/clock.h"
 #include "runtime/udp.h"
@@ -81,7 +82,7 @@
   ck_assert_msg (other != NULL, "%s", error.text);
   cf_feed_apply (play.task, CF_FEED_VMS, records, 1, true, true);
 
-  cf_send_load (balancer, &report);
+  cf_task_post (&balancer->feed, CF_TO_FEED_LOAD, g_memdup2 (&report, sizeof report));
   feed_play_await (&play, has_sent, &play, "a report is sent");
   len = (size_t) g_socket_receive (other, (char *) buffer, sizeof buffer, NULL, NULL);
   ck_assert (cf_gossip_decode (buffer, len, &datagram));
--- a/tests/test_platform_task.c
+++ b/tests/test_platform_task.c
@@ -1,4 +1,5 @@
 #include "gued/server.h"
+#include "gued/source_messages.h"
 #include "silent_server.h"
 #include "suite.h"
 
@@ -22,8 +23,6 @@
   int reads;      /* of the configuration, guarded by the platform's mutex */
 };
 
-static const struct CfTaskClass idle_class = { .name = "idle" };
-
 /* A list of VMs and a configuration that never changes. */
 static GBytes *
 answer (void *data, struct SilentRequest *request)
@@ -59,12 +58,13 @@
   play->platform.data = play;
   silent_server_start (&play->platform, NULL, 0);
   play->server.settings.platform = g_strdup_printf ("http://127.0.0.1:%u", play->platform.tcp.port);
-  cf_task_prepare (&play->server.packet, &idle_class, NULL);
+  /* It is not started: messages to it are kept and freed with it. */
+  cf_task_prepare (&play->server.packet, &cf_packet_task, NULL);
   cf_task_prepare (task, &cf_platform_task, cf_platform_task_new (&play->server));
   g_main_context_push_thread_default (task->context);
   ck_assert_msg (cf_platform_task.start (task, task->data, &error), "%s", error.text);
   g_atomic_int_set (&task->running, 1);
-  cf_send_watch (&play->server, true);
+  cf_task_post (task, CF_TO_SOURCE_WATCH, GINT_TO_POINTER (true));
 }
 
 static void
