--- a/src/balancer/feed_enroll.c
+++ b/src/balancer/feed_enroll.c
@@ -30,59 +30,44 @@
   });
 }
 
-void
-cf_feed_enroll_read (struct FeedTask *task, const struct CfRecord *record)
-{
-  struct CfVmRecord vm;
-  struct CfVmRecordHolder *holder;
-
-  cf_crash_report_input ("vm-record", record->name);
-  holder = cf_vm_record_parse (record->text, &vm);
-  if (!record->deleted && !holder)
-    cf_event_log_write (task->balancer->log, "vm-unreadable",
-                        (struct CfField[]){ { .key = "name", .text = record->name }, { 0 } });
-  cf_sources_set (task->sources, record->name, holder ? &vm : NULL);
-  cf_vm_record_release (holder);
-}
-
 /* Returns true if this VM's record in the store is up to date. */
 static bool
-is_enrolled (struct FeedTask *task)
+is_enrolled (struct FeedEnroll *enroll)
 {
+  const struct CfFeed *feed = enroll->feed;
   const struct CfRecord *record
-      = g_hash_table_lookup (task->replica.records[CF_FEED_VMS], task->balancer->settings.name);
+      = g_hash_table_lookup (feed->replica->records[CF_FEED_VMS], feed->balancer->settings.name);
 
-  task->enroll.replace
-      = record && !record->deleted && !cf_replica_is_carried (&task->replica, record);
-  return task->enroll.replace && cf_vm_record_equal (record->text, task->enroll.content);
+  enroll->replace = record && !record->deleted && !cf_replica_is_carried (feed->replica, record);
+  return enroll->replace && cf_vm_record_equal (record->text, enroll->content);
 }
 
 void
-cf_feed_enroll_check (struct FeedTask *task, CfMillis now)
+cf_feed_enroll_check (struct FeedEnroll *enroll, CfMillis now)
 {
-  task->enroll.check_at = now;
-  task->enroll.next_at = now;
+  enroll->check_at = now;
+  enroll->next_at = now;
 }
 
 static void
 written (void *data, SoupMessage *message, GBytes *body)
 {
-  struct FeedTask *task = data;
-  struct FeedEnroll *enroll = &task->enroll;
+  struct FeedEnroll *enroll = data;
+  const struct CfFeed *feed = enroll->feed;
   guint status = body ? soup_message_get_status (message) : 0;
   CfMillis delay = (CfMillis) RETRY_MIN_MS << MIN (enroll->failures, 8);
   uint64_t era = cf_platform_era (message);
 
   enroll->call = NULL;
-  cf_feed_learn_era (task, NULL, era);
-  if (era > 0 && era < task->replica.era)
+  feed->calls->learn_era (feed->context, NULL, era);
+  if (era > 0 && era < feed->replica->era)
     {
       /* The store was restored since, perhaps from a copy without this write, or is another one and
        * stays in that era. */
       enroll->failures++;
       enroll->next_at = cf_now () + MIN (delay, RETRY_MAX_MS);
       enroll->check_at = enroll->next_at;
-      cf_feed_tick (task);
+      feed->calls->run_due (feed->context);
       return;
     }
   if (status >= 200 && status < 300)
@@ -95,113 +80,115 @@
   /* A write without a response may have taken effect; the write is idempotent. */
   enroll->failures++;
   enroll->next_at = cf_now () + MIN (delay, RETRY_MAX_MS);
-  cf_event_log_write (task->balancer->log, "enroll-failed",
+  cf_event_log_write (feed->balancer->log, "enroll-failed",
                       (struct CfField[]){
                           { .key = "status", .number = status },
                           { .key = "replace", .number = enroll->replace },
                           { .key = "failures", .number = enroll->failures },
                           { 0 },
                       });
-  cf_feed_tick (task);
+  feed->calls->run_due (feed->context);
 }
 
 static void
 deleted (void *data, SoupMessage *message, GBytes *body)
 {
-  struct FeedTask *task = data;
+  struct FeedEnroll *enroll = data;
+  const struct CfFeed *feed = enroll->feed;
   guint status = body ? soup_message_get_status (message) : 0;
 
-  task->enroll.delete = NULL;
-  cf_feed_learn_era (task, NULL, cf_platform_era (message));
+  enroll->delete = NULL;
+  feed->calls->learn_era (feed->context, NULL, cf_platform_era (message));
   /* A failed delete is tried again at the next check.  If the VM does run, it writes its record
    * again. */
   if (status < 200 || status >= 300)
-    cf_event_log_write (task->balancer->log, "expire-failed",
+    cf_event_log_write (feed->balancer->log, "expire-failed",
                         (struct CfField[]){ { .key = "status", .number = status }, { 0 } });
 }
 
 /* The VM that reads the store deletes the records of VMs that no longer run. */
 static void
-delete_expired (struct FeedTask *task, CfMillis now)
+delete_expired (struct FeedEnroll *enroll, CfMillis now)
 {
-  struct FeedEnroll *enroll = &task->enroll;
-  const struct CfSource *vm = cf_sources_expired (task->sources, now_s ());
+  const struct CfFeed *feed = enroll->feed;
+  const struct CfSource *vm = cf_sources_expired (feed->sources, now_s ());
   const struct CfRecord *record
-      = vm ? g_hash_table_lookup (task->replica.records[CF_FEED_VMS], vm->name) : NULL;
+      = vm ? g_hash_table_lookup (feed->replica->records[CF_FEED_VMS], vm->name) : NULL;
 
-  if (enroll->delete || !record || cf_replica_is_carried (&task->replica, record)
+  if (enroll->delete || !record || cf_replica_is_carried (feed->replica, record)
       || now < enroll->next_delete_at)
     return;
   enroll->next_delete_at = now + DELETE_INTERVAL_MS;
-  cf_event_log_write (task->balancer->log, "vm-expired",
+  cf_event_log_write (feed->balancer->log, "vm-expired",
                       (struct CfField[]){
                           { .key = "name", .text = vm->name },
                           { .key = "hour", .number = vm->hour },
                           { .key = "revision", .number = (int64_t) record->revision },
                           { 0 },
                       });
-  atomic_fetch_add (&task->balancer->store_calls, 1);
+  atomic_fetch_add (&feed->balancer->store_calls, 1);
   enroll->delete = cf_http_call_begin (
-      task->session,
-      cf_platform_delete (task->balancer->settings.store, CF_FEED_VMS, vm->name, record->revision),
-      DEADLINE_MS, deleted, task);
+      feed->session,
+      cf_platform_delete (feed->balancer->settings.store, CF_FEED_VMS, vm->name, record->revision),
+      DEADLINE_MS, deleted, enroll);
 }
 
 static void
-update_content (struct FeedTask *task)
+update_content (struct FeedEnroll *enroll)
 {
-  char *content = format_own_record (&task->balancer->settings);
+  char *content = format_own_record (&enroll->feed->balancer->settings);
 
-  g_free (task->enroll.content);
-  task->enroll.content = content;
+  g_free (enroll->content);
+  enroll->content = content;
 }
 
 CfMillis
-cf_feed_enroll_tick (struct FeedTask *task, CfMillis now)
+cf_feed_enroll_tick (struct FeedEnroll *enroll, CfMillis now)
 {
-  struct FeedEnroll *enroll = &task->enroll;
-  const struct CfBalanceSettings *settings = &task->balancer->settings;
+  const struct CfFeed *feed = enroll->feed;
+  const struct CfBalanceSettings *settings = &feed->balancer->settings;
 
-  if (task->source && !*task->source)
-    delete_expired (task, now);
-  if (enroll->call || task->replica.revision[CF_FEED_VMS] == 0)
+  if (feed->status->source && !*feed->status->source)
+    delete_expired (enroll, now);
+  if (enroll->call || feed->replica->revision[CF_FEED_VMS] == 0)
     return now + RETRY_MAX_MS;
   if (now < enroll->check_at)
     return enroll->check_at;
-  update_content (task);
-  if (is_enrolled (task))
+  update_content (enroll);
+  if (is_enrolled (enroll))
     {
       enroll->check_at = now + CHECK_INTERVAL_MS;
       return enroll->check_at;
     }
   if (now < enroll->next_at)
     return enroll->next_at;
-  atomic_fetch_add (&task->balancer->store_calls, 1);
+  atomic_fetch_add (&feed->balancer->store_calls, 1);
   enroll->call
-      = cf_http_call_begin (task->session,
+      = cf_http_call_begin (feed->session,
                             cf_platform_write (settings->store, CF_FEED_VMS, settings->name,
                                                enroll->content, enroll->replace),
-                            DEADLINE_MS, written, task);
+                            DEADLINE_MS, written, enroll);
   return now + RETRY_MAX_MS;
 }
 
 void
-cf_feed_enroll_start (struct FeedTask *task)
+cf_feed_enroll_start (struct FeedEnroll *enroll)
 {
-  task->enroll = (struct FeedEnroll){
-    .content = format_own_record (&task->balancer->settings),
+  *enroll = (struct FeedEnroll){
+    .feed = enroll->feed,
+    .content = format_own_record (&enroll->feed->balancer->settings),
     .next_at = cf_now (),
   };
 }
 
 void
-cf_feed_enroll_stop (struct FeedTask *task)
+cf_feed_enroll_stop (struct FeedEnroll *enroll)
 {
-  if (task->enroll.call)
-    cf_http_call_cancel (task->enroll.call);
-  task->enroll.call = NULL;
-  if (task->enroll.delete)
-    cf_http_call_cancel (task->enroll.delete);
-  task->enroll.delete = NULL;
-  g_clear_pointer (&task->enroll.content, g_free);
+  if (enroll->call)
+    cf_http_call_cancel (enroll->call);
+  enroll->call = NULL;
+  if (enroll->delete)
+    cf_http_call_cancel (enroll->delete);
+  enroll->delete = NULL;
+  g_clear_pointer (&enroll->content, g_free);
 }
--- a/src/balancer/feed_follow.c
+++ b/src/balancer/feed_follow.c
@@ -14,49 +14,54 @@
 /* READER read the store at SYNCED_AT.  If this VM began to read the store before that, and READER
  * precedes it in the order of readers, this VM stops reading. */
 static void
-stop_reading_store (struct FeedTask *task, const char *reader, CfMillis synced_at, CfMillis now)
+stop_reading_store (struct FeedFollow *follow, const char *reader, CfMillis synced_at, CfMillis now)
 {
-  if (now >= task->read_until || synced_at < task->read_until - CF_SOURCES_READ_MIN_MS
-      || !cf_sources_precedes (task->sources, reader))
+  const struct CfFeed *feed = follow->feed;
+  CfMillis until = feed->status->read_until;
+
+  if (now >= until || synced_at < until - CF_SOURCES_READ_MIN_MS
+      || !cf_sources_precedes (feed->sources, reader))
     return;
-  task->read_until = now;
-  cf_event_log_write_limited (task->balancer->log, &task->source_rate, "reading-ended",
-                              (struct CfField[]){
-                                  { .key = "reader", .text = reader },
-                                  { .key = "source", .text = task->follow.name },
-                                  { .key = "news_age_ms", .number = now - synced_at },
-                                  { 0 },
-                              },
-                              now);
+  feed->calls->stop_reading (feed->context, now);
+  feed->calls->log (feed->context, "reading-ended",
+                    (struct CfField[]){
+                        { .key = "reader", .text = reader },
+                        { .key = "source", .text = follow->name },
+                        { .key = "news_age_ms", .number = now - synced_at },
+                        { 0 },
+                    },
+                    now);
 }
 
 /* Returns true if the records of a response with the header ERA (NULL: none) are of the replica's
  * era, which becomes ERA if that is later. */
 static bool
-accept_era (struct FeedTask *task, const char *era)
+accept_era (struct FeedFollow *follow, const char *era)
 {
+  const struct CfFeed *feed = follow->feed;
   uint64_t number;
 
   /* A build before eras does not know that the store was restored, if it was. */
   if (!era)
-    return task->replica.carry_since < 0;
-  if (!cf_relay_parse_era (era, &number) || number < task->replica.era)
+    return feed->replica->carry_since < 0;
+  if (!cf_relay_parse_era (era, &number) || number < feed->replica->era)
     return false;
-  return cf_feed_learn_era (task, task->follow.name, number) != CF_ERA_DOUBTED;
+  return feed->calls->learn_era (feed->context, follow->name, number) != CF_ERA_DOUBTED;
 }
 
 static bool
-apply_response (struct FeedTask *task, const char *era, GBytes *body, CfMillis now)
+apply_response (struct FeedFollow *follow, const char *era, GBytes *body, CfMillis now)
 {
+  const struct CfFeed *feed = follow->feed;
   struct CfRelayUpdate update;
   CfMillis synced_at;
   gsize len;
   const void *data = g_bytes_get_data (body, &len);
 
-  cf_crash_report_input ("vm-update", task->follow.name);
+  cf_crash_report_input ("vm-update", follow->name);
   if (!cf_relay_decode (data, len, &update))
     return false;
-  if (!accept_era (task, era))
+  if (!accept_era (follow, era))
     {
       cf_relay_clear (&update);
       return false;
@@ -69,15 +74,16 @@
       if (part->revision == 0)
         continue;
       records = cf_relay_records (part);
-      cf_feed_apply (task, (enum CfFeedKind) kind, records, part->revision, part->whole,
-                     update.origin.settled);
+      feed->calls->apply (feed->context, (enum CfFeedKind) kind, records, part->revision,
+                          part->whole, update.origin.settled);
       g_ptr_array_unref (records);
     }
   synced_at = now - update.origin.age;
-  stop_reading_store (task, update.origin.reader, synced_at, now);
-  cf_feed_set_synced_at (task, update.origin.reader, synced_at, update.origin.settled);
+  stop_reading_store (follow, update.origin.reader, synced_at, now);
+  feed->calls->set_synced_at (feed->context, update.origin.reader, synced_at,
+                              update.origin.settled);
   cf_relay_clear (&update);
-  return task->synced_at >= 0 && now - task->synced_at < CF_SOURCES_STALE_FIRST_MS;
+  return cf_feed_age (feed, now) < CF_SOURCES_STALE_FIRST_MS;
 }
 
 static const char *
@@ -93,39 +99,39 @@
 static void
 answered (void *data, SoupMessage *message, GBytes *body)
 {
-  struct FeedTask *task = data;
-  struct FeedFollow *follow = &task->follow;
+  struct FeedFollow *follow = data;
+  const struct CfFeed *feed = follow->feed;
   CfMillis now = cf_now ();
   bool answer = body && soup_message_get_status (message) == SOUP_STATUS_OK;
   const char *era = answer ? soup_message_headers_get_one (
                         soup_message_get_response_headers (message), CF_RELAY_ERA_HEADER)
                            : NULL;
-  bool good = answer && apply_response (task, era, body, now);
+  bool good = answer && apply_response (follow, era, body, now);
 
   follow->call = NULL;
   follow->next_at = now + (good ? PAUSE_MS : RETRY_MS);
   if (!good)
-    cf_event_log_write_limited (task->balancer->log, &task->source_rate, "source-failed",
-                                (struct CfField[]){
-                                    { .key = "source", .text = follow->name },
-                                    { .key = "outcome", .text = outcome_name (message, body) },
-                                    { .key = "news_age_ms", .number = cf_feed_age (task, now) },
-                                    { 0 },
-                                },
-                                now);
+    feed->calls->log (feed->context, "source-failed",
+                      (struct CfField[]){
+                          { .key = "source", .text = follow->name },
+                          { .key = "outcome", .text = outcome_name (message, body) },
+                          { .key = "news_age_ms", .number = cf_feed_age (feed, now) },
+                          { 0 },
+                      },
+                      now);
   if (good)
-    cf_sources_answered (task->sources, follow->name);
+    feed->calls->source_answered (feed->context, follow->name, now);
   else
-    cf_sources_failed (task->sources, follow->name, now);
-  cf_feed_tick (task);
+    feed->calls->source_failed (feed->context, follow->name, now);
+  feed->calls->run_due (feed->context);
 }
 
 CfMillis
-cf_feed_follow_tick (struct FeedTask *task, const struct CfSource *source, CfMillis now)
+cf_feed_follow_tick (struct FeedFollow *follow, const struct CfSource *source, CfMillis now)
 {
-  struct FeedFollow *follow = &task->follow;
-  struct CfFeedPosition position = { .era = task->replica.era };
-  int wait = cf_replica_is_empty (&task->replica) ? SEED_WAIT_MS : WAIT_MS;
+  const struct CfFeed *feed = follow->feed;
+  struct CfFeedPosition position = { .era = feed->replica->era };
+  int wait = cf_replica_is_empty (feed->replica) ? SEED_WAIT_MS : WAIT_MS;
   char *query;
   char *url;
 
@@ -134,24 +140,24 @@
   if (now < follow->next_at)
     return follow->next_at;
   for (int kind = 0; kind < CF_FEED_KINDS; kind++)
-    position.revision[kind] = task->replica.revision[kind];
+    position.revision[kind] = feed->replica->revision[kind];
   query = cf_feed_position_format (&position);
   url = g_strdup_printf ("http://%s:%u/feed?%s&wait-ms=%d", source->ip,
-                         task->balancer->settings.peer_port, query, wait);
+                         feed->balancer->settings.peer_port, query, wait);
   g_free (follow->name);
   follow->name = g_strdup (source->name);
-  follow->call = cf_http_call_begin (task->session, soup_message_new ("GET", url),
-                                     (guint) wait + DEADLINE_MS, answered, task);
+  follow->call = cf_http_call_begin (feed->session, soup_message_new ("GET", url),
+                                     (guint) wait + DEADLINE_MS, answered, follow);
   g_free (url);
   g_free (query);
   return now + CF_MS_PER_S;
 }
 
 void
-cf_feed_follow_stop (struct FeedTask *task)
+cf_feed_follow_stop (struct FeedFollow *follow)
 {
-  if (task->follow.call)
-    cf_http_call_cancel (task->follow.call);
-  task->follow.call = NULL;
-  g_clear_pointer (&task->follow.name, g_free);
+  if (follow->call)
+    cf_http_call_cancel (follow->call);
+  follow->call = NULL;
+  g_clear_pointer (&follow->name, g_free);
 }
--- a/src/balancer/feed_relay.c
+++ b/src/balancer/feed_relay.c
@@ -12,8 +12,8 @@
 /* A follower's request that waits for changes. */
 struct RelayRequest
 {
-  GList link; /* in the task's waiting */
-  struct FeedTask *task;
+  GList link; /* in the relay's waiting */
+  struct FeedRelay *relay;
   SoupServerMessage *message;
   gulong finished; /* signal handler */
   struct CfFeedPosition position;
@@ -24,7 +24,7 @@
 /* A response that a client receives. */
 struct RelayResponse
 {
-  struct FeedTask *task;
+  struct FeedRelay *relay;
   SoupServerMessage *message;
   gulong finished; /* signal handlers */
   gulong wrote;
@@ -51,7 +51,7 @@
   struct RelayResponse *response = data;
 
   (void) message;
-  g_ptr_array_remove (response->task->sending, response);
+  g_ptr_array_remove (response->relay->sending, response);
 }
 
 static void
@@ -65,11 +65,11 @@
 }
 
 static void
-add_response (struct FeedTask *task, SoupServerMessage *message, GBytes *parts, CfMillis now)
+add_response (struct FeedRelay *relay, SoupServerMessage *message, GBytes *parts, CfMillis now)
 {
   struct RelayResponse *response = g_new0 (struct RelayResponse, 1);
 
-  response->task = task;
+  response->relay = relay;
   response->message = g_object_ref (message);
   response->parts = g_bytes_ref (parts);
   response->began_at = now;
@@ -77,19 +77,19 @@
   response->finished = g_signal_connect (message, "finished", G_CALLBACK (on_sent), response);
   response->wrote
       = g_signal_connect (message, "wrote-body-data", G_CALLBACK (on_progress), response);
-  g_ptr_array_add (task->sending, response);
+  g_ptr_array_add (relay->sending, response);
 }
 
 /* Ends RESPONSE, and with it the connection. */
 static void
 end_response (struct RelayResponse *response, CfMillis now)
 {
-  struct FeedTask *task = response->task;
+  struct FeedRelay *relay = response->relay;
   SoupServerMessage *message = g_object_ref (response->message);
   const char *client = soup_server_message_get_remote_host (message);
 
   cf_event_log_write_limited (
-      task->balancer->log, &task->relay_rate, "follower-too-slow",
+      relay->feed->balancer->log, &relay->rate, "follower-too-slow",
       (struct CfField[]){
           { .key = "client", .text = client ? client : "" },
           { .key = "began_ago_ms", .number = now - response->began_at },
@@ -97,20 +97,20 @@
           { 0 },
       },
       now);
-  g_ptr_array_remove (task->sending, response);
-  cf_http_end (task->relay, message);
+  g_ptr_array_remove (relay->sending, response);
+  cf_http_end (relay->server, message);
   g_object_unref (message);
 }
 
 /* Returns the response that has made no progress for the longest, NULL if there is none. */
 static struct RelayResponse *
-slowest (const struct FeedTask *task)
+slowest (const struct FeedRelay *relay)
 {
   struct RelayResponse *found = NULL;
 
-  for (guint i = 0; i < task->sending->len; i++)
+  for (guint i = 0; i < relay->sending->len; i++)
     {
-      struct RelayResponse *response = task->sending->pdata[i];
+      struct RelayResponse *response = relay->sending->pdata[i];
 
       if (!found || response->progress_at < found->progress_at)
         found = response;
@@ -120,18 +120,18 @@
 
 /* Returns the bytes that responses under way and one with PARTS hold beside the cache. */
 static gsize
-held_bytes (const struct FeedTask *task, GBytes *parts)
+held_bytes (const struct FeedRelay *relay, GBytes *parts)
 {
   GHashTable *seen = g_hash_table_new (NULL, NULL);
   gsize sum = g_bytes_get_size (parts);
 
   g_hash_table_add (seen, parts);
   for (int i = 0; i < CF_RELAY_CACHED; i++)
-    if (task->relay_cache.entries[i].parts)
-      g_hash_table_add (seen, task->relay_cache.entries[i].parts);
-  for (guint i = 0; i < task->sending->len; i++)
+    if (relay->cache.entries[i].parts)
+      g_hash_table_add (seen, relay->cache.entries[i].parts);
+  for (guint i = 0; i < relay->sending->len; i++)
     {
-      const struct RelayResponse *response = task->sending->pdata[i];
+      const struct RelayResponse *response = relay->sending->pdata[i];
 
       if (g_hash_table_add (seen, response->parts))
         sum += g_bytes_get_size (response->parts);
@@ -142,13 +142,13 @@
 
 /* Makes room for a response with PARTS.  Returns false if there is none. */
 static bool
-make_room (struct FeedTask *task, GBytes *parts, CfMillis now)
+make_room (struct FeedRelay *relay, GBytes *parts, CfMillis now)
 {
-  while (task->sending->len > 0
-         && (task->sending->len >= CF_RELAY_SENDING_MAX
-             || held_bytes (task, parts) > CF_RELAY_HELD_MAX_BYTES))
+  while (relay->sending->len > 0
+         && (relay->sending->len >= CF_RELAY_SENDING_MAX
+             || held_bytes (relay, parts) > CF_RELAY_HELD_MAX_BYTES))
     {
-      struct RelayResponse *response = slowest (task);
+      struct RelayResponse *response = slowest (relay);
 
       if (now - response->progress_at < CF_RELAY_YIELD_MS)
         return false;
@@ -159,13 +159,13 @@
 
 /* Ends the responses whose clients take too long.  Returns when the next one may be due. */
 static CfMillis
-end_slow_responses (struct FeedTask *task, CfMillis now)
+end_slow_responses (struct FeedRelay *relay, CfMillis now)
 {
   CfMillis due = G_MAXINT64;
 
-  for (guint i = task->sending->len; i > 0; i--)
+  for (guint i = relay->sending->len; i > 0; i--)
     {
-      struct RelayResponse *response = task->sending->pdata[i - 1];
+      struct RelayResponse *response = relay->sending->pdata[i - 1];
       CfMillis end = MIN (response->progress_at + CF_RELAY_STALL_MS,
                           response->began_at + CF_RELAY_SEND_MAX_MS);
 
@@ -178,11 +178,11 @@
 }
 
 static void
-refuse (struct FeedTask *task, SoupServerMessage *message, CfMillis now)
+refuse (struct FeedRelay *relay, SoupServerMessage *message, CfMillis now)
 {
-  cf_event_log_write_limited (task->balancer->log, &task->relay_rate, "follower-refused",
+  cf_event_log_write_limited (relay->feed->balancer->log, &relay->rate, "follower-refused",
                               (struct CfField[]){
-                                  { .key = "responses", .number = task->sending->len },
+                                  { .key = "responses", .number = relay->sending->len },
                                   { 0 },
                               },
                               now);
@@ -190,36 +190,36 @@
 }
 
 static void
-respond (struct FeedTask *task,
+respond (struct FeedRelay *relay,
          SoupServerMessage *message,
          const struct CfFeedPosition *position,
          CfMillis now)
 {
+  const struct CfFeed *feed = relay->feed;
   const struct CfUpdateOrigin origin = {
-    .reader = task->reader,
-    .age = cf_feed_age (task, now),
-    .settled = task->settled,
+    .reader = feed->status->reader,
+    .age = cf_feed_age (feed, now),
+    .settled = feed->status->settled,
   };
   SoupMessageHeaders *headers = soup_server_message_get_response_headers (message);
   SoupMessageBody *body = soup_server_message_get_response_body (message);
   struct CfRelayChunks chunks;
   char era[24];
 
-  if (!cf_relay_encode_chunks (&task->relay_cache, &task->replica, position, &origin, &chunks))
+  if (!cf_relay_encode_chunks (&relay->cache, feed->replica, position, &origin, &chunks))
     {
-      cf_event_log_write_limited (
-          task->balancer->log, &task->source_rate, "relay-failed",
-          (struct CfField[]){
-              { .key = "fault", .text = "the records exceed the format's bounds" },
-              { 0 },
-          },
-          now);
+      feed->calls->log (feed->context, "relay-failed",
+                        (struct CfField[]){
+                            { .key = "fault", .text = "the records exceed the format's bounds" },
+                            { 0 },
+                        },
+                        now);
       soup_server_message_set_status (message, SOUP_STATUS_INTERNAL_SERVER_ERROR, NULL);
       return;
     }
-  if (make_room (task, chunks.parts, now))
+  if (make_room (relay, chunks.parts, now))
     {
-      g_snprintf (era, sizeof era, "%" G_GUINT64_FORMAT, task->replica.era);
+      g_snprintf (era, sizeof era, "%" G_GUINT64_FORMAT, feed->replica->era);
       soup_message_headers_replace (headers, CF_RELAY_ERA_HEADER, era);
       soup_message_headers_replace (headers, "Content-Type", "application/octet-stream");
       soup_server_message_set_status (message, SOUP_STATUS_OK, NULL);
@@ -227,10 +227,10 @@
       soup_message_body_append_bytes (body, chunks.parts);
       if (g_bytes_get_size (chunks.padding) > 0)
         soup_message_body_append_bytes (body, chunks.padding);
-      add_response (task, message, chunks.parts, now);
+      add_response (relay, message, chunks.parts, now);
     }
   else
-    refuse (task, message, now);
+    refuse (relay, message, now);
   cf_relay_chunks_clear (&chunks);
 }
 
@@ -245,7 +245,7 @@
 static void
 remove_request (struct RelayRequest *request)
 {
-  g_queue_unlink (&request->task->waiting, &request->link);
+  g_queue_unlink (&request->relay->waiting, &request->link);
   free_request (request);
 }
 
@@ -257,7 +257,7 @@
 }
 
 static void
-defer_request (struct FeedTask *task,
+defer_request (struct FeedRelay *relay,
                SoupServerMessage *message,
                const struct CfFeedPosition *position,
                CfMillis until)
@@ -265,13 +265,13 @@
   struct RelayRequest *request = g_new0 (struct RelayRequest, 1);
 
   request->link.data = request;
-  request->task = task;
+  request->relay = relay;
   request->message = g_object_ref (message);
   request->position = *position;
-  request->synced_at = task->synced_at;
+  request->synced_at = relay->feed->status->synced_at;
   request->until = until;
   request->finished = g_signal_connect (message, "finished", G_CALLBACK (on_finished), request);
-  g_queue_push_tail_link (&task->waiting, &request->link);
+  g_queue_push_tail_link (&relay->waiting, &request->link);
   soup_server_message_pause (message);
 }
 
@@ -282,9 +282,10 @@
         GHashTable *query,
         gpointer data)
 {
-  struct FeedTask *task = data;
+  struct FeedRelay *relay = data;
+  const struct CfFeed *feed = relay->feed;
   const char *text = query ? g_hash_table_lookup (query, "wait-ms") : NULL;
-  struct CfFeedPosition position = { .era = task->replica.era };
+  struct CfFeedPosition position = { .era = feed->replica->era };
   guint64 wait = 0;
   CfMillis now = cf_now ();
 
@@ -301,44 +302,44 @@
       soup_server_message_set_status (message, SOUP_STATUS_BAD_REQUEST, NULL);
       return;
     }
-  if (wait == 0 || cf_relay_has_changes (&task->replica, &position)
-      || cf_feed_age (task, now) >= CF_SOURCES_STALE_FIRST_MS
-      || task->waiting.length >= WAITING_MAX)
-    respond (task, message, &position, now);
+  if (wait == 0 || cf_relay_has_changes (feed->replica, &position)
+      || cf_feed_age (feed, now) >= CF_SOURCES_STALE_FIRST_MS
+      || relay->waiting.length >= WAITING_MAX)
+    respond (relay, message, &position, now);
   else
     {
-      defer_request (task, message, &position, now + (CfMillis) wait);
-      cf_feed_tick (task);
+      defer_request (relay, message, &position, now + (CfMillis) wait);
+      feed->calls->run_due (feed->context);
     }
 }
 
 /* Returns true if REQUEST can be answered with changes, or with the confirmation that there are
  * none. */
 static bool
-has_update (const struct FeedTask *task, const struct RelayRequest *request)
+has_update (const struct FeedRelay *relay, const struct RelayRequest *request)
 {
-  return cf_relay_has_changes (&task->replica, &request->position)
-         || task->synced_at - request->synced_at >= CONFIRM_MS;
+  return cf_relay_has_changes (relay->feed->replica, &request->position)
+         || relay->feed->status->synced_at - request->synced_at >= CONFIRM_MS;
 }
 
 CfMillis
-cf_feed_relay_tick (struct FeedTask *task, CfMillis now)
+cf_feed_relay_tick (struct FeedRelay *relay, CfMillis now)
 {
-  CfMillis due = MIN (now + WAIT_MAX_MS, end_slow_responses (task, now));
+  CfMillis due = MIN (now + WAIT_MAX_MS, end_slow_responses (relay, now));
   GList *next;
 
-  for (GList *link = task->waiting.head; link; link = next)
+  for (GList *link = relay->waiting.head; link; link = next)
     {
       struct RelayRequest *request = link->data;
       SoupServerMessage *message = request->message;
 
       next = link->next;
-      if (now < request->until && !has_update (task, request))
+      if (now < request->until && !has_update (relay, request))
         {
           due = MIN (due, request->until);
           continue;
         }
-      respond (task, message, &request->position, now);
+      respond (relay, message, &request->position, now);
       g_object_ref (message);
       remove_request (request);
       soup_server_message_unpause (message);
@@ -348,26 +349,26 @@
 }
 
 bool
-cf_feed_relay_start (struct FeedTask *task, struct CfError *error)
+cf_feed_relay_start (struct FeedRelay *relay, struct CfError *error)
 {
-  const struct CfBalanceSettings *settings = &task->balancer->settings;
+  const struct CfBalanceSettings *settings = &relay->feed->balancer->settings;
   struct CfAddress address = settings->ready;
 
-  g_queue_init (&task->waiting);
-  task->sending = g_ptr_array_new_with_free_func (free_response);
+  g_queue_init (&relay->waiting);
+  relay->sending = g_ptr_array_new_with_free_func (free_response);
   address.port = settings->peer_port;
-  task->relay = cf_http_listen (&address, handle, task, error);
-  return task->relay != NULL;
+  relay->server = cf_http_listen (&address, handle, relay, error);
+  return relay->server != NULL;
 }
 
 void
-cf_feed_relay_stop (struct FeedTask *task)
+cf_feed_relay_stop (struct FeedRelay *relay)
 {
   GList *link;
 
-  while ((link = g_queue_pop_head_link (&task->waiting)))
+  while ((link = g_queue_pop_head_link (&relay->waiting)))
     free_request (link->data);
-  g_clear_pointer (&task->sending, g_ptr_array_unref);
-  cf_http_close (&task->relay);
-  cf_relay_cache_clear (&task->relay_cache);
+  g_clear_pointer (&relay->sending, g_ptr_array_unref);
+  cf_http_close (&relay->server);
+  cf_relay_cache_clear (&relay->cache);
 }
--- a/src/balancer/feed_store.c
+++ b/src/balancer/feed_store.c
@@ -24,7 +24,7 @@
 
   if (failed != channel->failed)
     cf_event_log_write (
-        channel->task->balancer->log, failed ? "store-lost" : "store-regained",
+        channel->store->feed->balancer->log, failed ? "store-lost" : "store-regained",
         (struct CfField[]){
             { .key = "kind", .text = cf_feed_kind_name (channel->reader.kind) },
             { .key = "outcome", .text = cf_read_outcome_name (outcome) },
@@ -38,31 +38,31 @@
 /* Returns when the store last answered for every kind whose age is bounded by a promise, all but
  * the VMs; -1: never. */
 static CfMillis
-all_answered_at (const struct FeedTask *task)
+all_answered_at (const struct FeedStore *store)
 {
-  CfMillis oldest = task->channels[CF_FEED_MANIFEST].reader.answered_at;
+  CfMillis oldest = store->channels[CF_FEED_MANIFEST].reader.answered_at;
 
   for (int kind = 0; kind < CF_FEED_VMS; kind++)
-    oldest = MIN (oldest, task->channels[kind].reader.answered_at);
+    oldest = MIN (oldest, store->channels[kind].reader.answered_at);
   return oldest;
 }
 
 static bool
-all_trusted (const struct FeedTask *task, CfMillis now)
+all_trusted (const struct FeedStore *store, CfMillis now)
 {
   for (int kind = 0; kind < CF_FEED_VMS; kind++)
-    if (!cf_reader_trusted (&task->channels[kind].reader, now))
+    if (!cf_reader_trusted (&store->channels[kind].reader, now))
       return false;
   return true;
 }
 
 /* The store answers again: reads every kind at once whose last call failed. */
 static void
-retry_failed_channels (struct FeedTask *task, CfMillis now)
+retry_failed_channels (struct FeedStore *store, CfMillis now)
 {
   for (int kind = 0; kind < CF_FEED_KINDS; kind++)
     {
-      struct FeedChannel *channel = &task->channels[kind];
+      struct FeedChannel *channel = &store->channels[kind];
 
       if (!channel->failed)
         continue;
@@ -74,10 +74,10 @@
 static void
 log_list (const struct FeedChannel *channel, uint64_t known_revision, uint64_t era)
 {
-  const struct CfReplica *replica = &channel->task->replica;
+  const struct CfReplica *replica = channel->store->feed->replica;
   enum CfFeedKind kind = channel->reader.kind;
 
-  cf_event_log_write (channel->task->balancer->log, "store-listed",
+  cf_event_log_write (channel->store->feed->balancer->log, "store-listed",
                       (struct CfField[]){
                           { .key = "kind", .text = cf_feed_kind_name (kind) },
                           { .key = "records", .number = channel->list->len },
@@ -90,13 +90,13 @@
 }
 
 void
-cf_feed_store_enter_era (struct FeedTask *task, CfMillis now)
+cf_feed_store_enter_era (struct FeedStore *store, CfMillis now)
 {
   for (int kind = 0; kind < CF_FEED_KINDS; kind++)
     {
-      struct FeedChannel *channel = &task->channels[kind];
+      struct FeedChannel *channel = &store->channels[kind];
 
-      if (!cf_reader_enter_era (&channel->reader, task->replica.era, now))
+      if (!cf_reader_enter_era (&channel->reader, store->feed->replica->era, now))
         continue;
       if (channel->call)
         cf_http_call_cancel (channel->call);
@@ -108,7 +108,8 @@
 answered (void *data, SoupMessage *message, GBytes *body)
 {
   struct FeedChannel *channel = data;
-  struct FeedTask *task = channel->task;
+  struct FeedStore *store = channel->store;
+  const struct CfFeed *feed = store->feed;
   struct CfReader *reader = &channel->reader;
   struct CfFeedResponse response;
   enum CfReadOutcome outcome;
@@ -123,71 +124,71 @@
   if (outcome == CF_READ_ANSWERED && cf_reader_is_stuck (reader, &response))
     outcome = CF_READ_UNREADABLE;
   outcome = cf_reader_outcome (reader, outcome, response.era);
-  if (cf_feed_learn_era (task, NULL, response.era) == CF_ERA_DOUBTED)
+  if (feed->calls->learn_era (feed->context, NULL, response.era) == CF_ERA_DOUBTED)
     outcome = CF_READ_REJECTED;
-  known_revision = task->replica.revision[reader->kind];
+  known_revision = feed->replica->revision[reader->kind];
   if (response.skipped > 0 || response.emptied > 0)
-    cf_event_log_write_limited (task->balancer->log, &task->source_rate, "answer-partly-unreadable",
-                                (struct CfField[]){
-                                    { .key = "kind", .text = cf_feed_kind_name (reader->kind) },
-                                    { .key = "skipped", .number = response.skipped },
-                                    { .key = "emptied", .number = response.emptied },
-                                    { 0 },
-                                },
-                                now);
+    feed->calls->log (feed->context, "answer-partly-unreadable",
+                      (struct CfField[]){
+                          { .key = "kind", .text = cf_feed_kind_name (reader->kind) },
+                          { .key = "skipped", .number = response.skipped },
+                          { .key = "emptied", .number = response.emptied },
+                          { 0 },
+                      },
+                      now);
   update_channel_state (channel, outcome, now);
   if (listing && !reader->asked.after)
     g_ptr_array_set_size (channel->list, 0);
-  whole = cf_reader_handle_outcome (reader, outcome, &response, now, task->random);
+  whole = cf_reader_handle_outcome (reader, outcome, &response, now, feed->random);
   if (outcome == CF_READ_ANSWERED || outcome == CF_READ_OVERTAKEN)
     {
-      cf_sources_answered (task->sources, NULL);
-      task->probed_at = now;
-      retry_failed_channels (task, now);
+      feed->calls->source_answered (feed->context, NULL, now);
+      retry_failed_channels (store, now);
     }
   if (outcome == CF_READ_ANSWERED)
     {
       if (listing)
         g_ptr_array_extend_and_steal (channel->list, g_steal_pointer (&response.records));
       if (whole || !listing)
-        cf_feed_apply (task, reader->kind, whole ? channel->list : response.records,
-                       reader->revision, whole, cf_reader_trusted (reader, now));
+        feed->calls->apply (feed->context, reader->kind, whole ? channel->list : response.records,
+                            reader->revision, whole, cf_reader_trusted (reader, now));
       if (whole)
         log_list (channel, known_revision, response.era);
-      cf_feed_set_synced_at (task, task->balancer->settings.name, all_answered_at (task),
-                             all_trusted (task, now));
+      feed->calls->set_synced_at (feed->context, feed->balancer->settings.name,
+                                  all_answered_at (store), all_trusted (store, now));
     }
   else if (reader->failures >= FAILURES_MAX)
-    cf_sources_failed (task->sources, NULL, now);
+    feed->calls->source_failed (feed->context, NULL, now);
   cf_feed_response_clear (&response);
-  cf_feed_tick (task);
+  feed->calls->run_due (feed->context);
 }
 
 /* Returns true if the last call of some kind failed. */
 static bool
-any_channel_failed (const struct FeedTask *task)
+any_channel_failed (const struct FeedStore *store)
 {
   for (int kind = 0; kind < CF_FEED_KINDS; kind++)
-    if (task->channels[kind].failed)
+    if (store->channels[kind].failed)
       return true;
   return false;
 }
 
 static void
-begin_call (struct FeedTask *task, struct FeedChannel *channel, bool probe)
+begin_call (struct FeedStore *store, struct FeedChannel *channel, bool probe)
 {
   const struct CfReader *reader = &channel->reader;
-  const char *store = task->balancer->settings.store;
+  const struct CfFeed *feed = store->feed;
+  const char *address = feed->balancer->settings.store;
   CfMillis usual = reader->kind == CF_FEED_VMS ? VMS_WAIT_MS : CF_READER_WAIT_MS;
   CfMillis wait
-      = cf_reader_wait (reader, usual, cf_sources_stale_ms (task->sources), probe, cf_now ());
+      = cf_reader_wait (reader, usual, cf_sources_stale_ms (feed->sources), probe, cf_now ());
   const struct CfReadCall *asked = &reader->asked;
   SoupMessage *message = asked->list
-                             ? cf_platform_list (store, reader->kind, asked->after)
-                             : cf_platform_watch (store, reader->kind, asked->revision, wait);
+                             ? cf_platform_list (address, reader->kind, asked->after)
+                             : cf_platform_watch (address, reader->kind, asked->revision, wait);
 
-  atomic_fetch_add (&task->balancer->store_calls, 1);
-  channel->call = cf_http_call_begin (task->session, message,
+  atomic_fetch_add (&feed->balancer->store_calls, 1);
+  channel->call = cf_http_call_begin (feed->session, message,
                                       (guint) (wait + CF_READER_DEADLINE_MS), answered, channel);
 }
 
@@ -195,33 +196,33 @@
  * probe it, and a VM that reads it because of stale data does not need the list of VMs.  Until that
  * kind has failed, too, its call may be a long poll: others that have failed are called, too. */
 static bool
-is_wanted (const struct FeedTask *task, enum CfStoreUse use, int kind)
+is_wanted (const struct FeedStore *store, enum CfStoreUse use, int kind)
 {
   if (use == CF_STORE_USE_NONE)
     return false;
-  if (use == CF_STORE_USE_PROBE || any_channel_failed (task))
+  if (use == CF_STORE_USE_PROBE || any_channel_failed (store))
     return kind == PROBE_KIND
-           || (use == CF_STORE_USE_READ && task->channels[kind].failed
-               && !task->channels[PROBE_KIND].failed);
-  return kind != CF_FEED_VMS || task->source[0] == 0
-         || (task->replica.revision[kind] == 0 && task->replica.carry_since < 0);
+           || (use == CF_STORE_USE_READ && store->channels[kind].failed
+               && !store->channels[PROBE_KIND].failed);
+  return kind != CF_FEED_VMS || store->feed->status->source[0] == 0
+         || (store->feed->replica->revision[kind] == 0 && store->feed->replica->carry_since < 0);
 }
 
 CfMillis
-cf_feed_store_tick (struct FeedTask *task, enum CfStoreUse use, CfMillis now)
+cf_feed_store_tick (struct FeedStore *store, enum CfStoreUse use, CfMillis now)
 {
-  bool stale = cf_feed_age (task, now) >= CF_SOURCES_STALE_FIRST_MS;
+  bool stale = cf_feed_age (store->feed, now) >= CF_SOURCES_STALE_FIRST_MS;
   CfMillis next = now + (stale ? STALE_CHECK_MS : CF_MS_PER_S);
 
   for (int kind = 0; kind < CF_FEED_KINDS; kind++)
     {
-      struct FeedChannel *channel = &task->channels[kind];
+      struct FeedChannel *channel = &store->channels[kind];
 
-      if (!is_wanted (task, use, kind))
+      if (!is_wanted (store, use, kind))
         continue;
-      cf_reader_skip_to (&channel->reader, task->replica.revision[kind]);
+      cf_reader_skip_to (&channel->reader, store->feed->replica->revision[kind]);
       if (cf_reader_start_due (&channel->reader, now))
-        begin_call (task, channel, use == CF_STORE_USE_PROBE || any_channel_failed (task));
+        begin_call (store, channel, use == CF_STORE_USE_PROBE || any_channel_failed (store));
       else if (!channel->reader.in_flight)
         next = MIN (next, channel->reader.next_at);
     }
@@ -229,25 +230,25 @@
 }
 
 void
-cf_feed_store_start (struct FeedTask *task)
+cf_feed_store_start (struct FeedStore *store)
 {
   for (int kind = 0; kind < CF_FEED_KINDS; kind++)
     {
-      struct FeedChannel *channel = &task->channels[kind];
+      struct FeedChannel *channel = &store->channels[kind];
 
-      channel->task = task;
+      channel->store = store;
       channel->list = g_ptr_array_new_with_free_func (cf_record_free);
       cf_reader_init (&channel->reader, (enum CfFeedKind) kind, cf_now ());
-      cf_reader_enter_era (&channel->reader, task->replica.era, cf_now ());
+      cf_reader_enter_era (&channel->reader, store->feed->replica->era, cf_now ());
     }
 }
 
 void
-cf_feed_store_stop (struct FeedTask *task)
+cf_feed_store_stop (struct FeedStore *store)
 {
   for (int kind = 0; kind < CF_FEED_KINDS; kind++)
     {
-      struct FeedChannel *channel = &task->channels[kind];
+      struct FeedChannel *channel = &store->channels[kind];
 
       if (channel->call)
         cf_http_call_cancel (channel->call);
--- a/src/balancer/feed_task.c
+++ b/src/balancer/feed_task.c
@@ -1,214 +1,24 @@
 #include "runtime/crash_report.h"
 #include "feed_internal.h"
+#include "datapath_messages.h"
 #include "feed_messages.h"
 #include "platform/objects.h"
 #include "platform/store_requests.h"
 #include "runtime/clock.h"
 
-#include <arpa/inet.h>
-
 /* The feed task keeps a copy of the store's records up to date and passes changes to the datapath
- * task. */
+ * task.  This file owns the copy, chooses the source and implements the interface for the parts. */
 
-/* Log lines about changes of source: in an outage a VM tries several a second. */
-#define SOURCE_LINES_PER_S 1
-#define SOURCE_LINES_BURST 10
+/* Log lines of a kind.  In an outage a VM tries several sources a second. */
+#define LINES_PER_S 1
+#define LINES_BURST 10
 #define SUMMARY_INTERVAL_MS 10000 /* a line about the state of the feed */
 
-/* Returns true if NAME, of KIND, is within the bound of names.  If it is not, ERROR says so of
- * RECORD. */
-static bool
-admit_name (struct FeedTask *task,
-            const struct CfRecord *record,
-            enum CfNameKind kind,
-            const char *name,
-            struct CfError *error)
-{
-  if (cf_names_admit (&task->names, kind, name))
-    return true;
-  task->name_refused = true;
-  return cf_error_set (
-      error, CF_ERROR_INPUT,
-      "%s: its %s is in no manifest, and above %d bytes or the bound of %d such names",
-      record->name, kind == CF_NAME_SERVICE ? "service" : "failure domain", CF_NAME_MAX_BYTES,
-      CF_NAMES_MAX);
-}
-
-static bool
-read_announcement (struct FeedTask *task,
-                   const struct CfRecord *record,
-                   struct CfAnnouncement *announcement,
-                   struct CfError *error)
-{
-  if (!cf_platform_read_announcement (record, announcement, error))
-    return false;
-  if (admit_name (task, record, CF_NAME_SERVICE, announcement->service, error)
-      && admit_name (task, record, CF_NAME_DOMAIN, announcement->domain, error))
-    return true;
-  cf_platform_announcement_clear (announcement);
-  return false;
-}
-
-static void
-add_upstream (struct FeedTask *task, struct CfUpdate *update, const struct CfRecord *record)
-{
-  struct CfAnnouncement announcement;
-  struct CfError error = { 0 };
-
-  cf_crash_report_input ("announcement", record->name);
-  if (record->deleted)
-    {
-      g_ptr_array_add (update->withdrawn, g_strdup (record->name));
-      return;
-    }
-  if (read_announcement (task, record, &announcement, &error))
-    {
-      g_array_append_val (update->announcements, announcement);
-      return;
-    }
-  cf_event_log_write_limited (task->balancer->log, &task->record_rate, "announcement-unreadable",
-                              (struct CfField[]){
-                                  { .key = "upstream", .text = record->name },
-                                  { .key = "revision", .number = (int64_t) record->revision },
-                                  { .key = "fault", .text = error.text },
-                                  { 0 },
-                              },
-                              cf_now ());
-  g_ptr_array_add (update->withdrawn, g_strdup (record->name));
-}
-
-static void
-add_manifest (struct FeedTask *task, struct CfUpdate *update, const struct CfRecord *record)
-{
-  struct CfError error = { 0 };
-  struct CfManifest *manifest;
-
-  cf_crash_report_input ("manifest", record->name);
-  if (record->deleted)
-    return;
-  manifest = cf_platform_read_manifest (record, &error);
-  if (!manifest)
-    {
-      cf_event_log_write (task->balancer->log, "manifest-unreadable",
-                          (struct CfField[]){
-                              { .key = "revision", .number = (int64_t) record->revision },
-                              { .key = "fault", .text = error.text },
-                              { 0 },
-                          });
-      return;
-    }
-  g_clear_pointer (&update->manifest, cf_manifest_free);
-  update->manifest = manifest;
-}
-
-static void
-add_evacuation (struct FeedTask *task, struct CfUpdate *update, const struct CfRecord *record)
-{
-  struct CfError error = { 0 };
-
-  if (record->deleted)
-    {
-      if (g_quark_try_string (record->name))
-        g_ptr_array_add (update->returned, g_strdup (record->name));
-      return;
-    }
-  if (admit_name (task, record, CF_NAME_DOMAIN, record->name, &error))
-    {
-      g_ptr_array_add (update->evacuated, g_strdup (record->name));
-      return;
-    }
-  cf_event_log_write_limited (task->balancer->log, &task->record_rate, "evacuation-unreadable",
-                              (struct CfField[]){
-                                  { .key = "domain", .text = record->name },
-                                  { .key = "revision", .number = (int64_t) record->revision },
-                                  { .key = "fault", .text = error.text },
-                                  { 0 },
-                              },
-                              cf_now ());
-}
-
-/* Returns the IPs of other VMs, an array of uint32_t. */
-static GArray *
-peers (struct FeedTask *task)
-{
-  GArray *numbers = g_array_new (FALSE, FALSE, sizeof (uint32_t));
-  GPtrArray *ips = cf_sources_ips (task->sources);
-
-  for (guint i = 0; i < ips->len; i++)
-    {
-      struct in_addr address;
-      uint32_t number;
-
-      if (inet_pton (AF_INET, ips->pdata[i], &address) != 1)
-        continue;
-      number = ntohl (address.s_addr);
-      g_array_append_val (numbers, number);
-    }
-  g_ptr_array_unref (ips);
-  return numbers;
-}
-
-/* Passes changed records, an array of struct CfRecord, to the datapath task. */
-static void
-send_records (struct FeedTask *task, enum CfFeedKind kind, GPtrArray *changes, bool trusted)
-{
-  struct CfUpdate *update = cf_update_new (kind, trusted);
-
-  for (guint i = 0; i < changes->len; i++)
-    {
-      const struct CfRecord *record = changes->pdata[i];
-
-      switch (kind)
-        {
-        case CF_FEED_MANIFEST:
-          add_manifest (task, update, record);
-          break;
-        case CF_FEED_UPSTREAMS:
-          add_upstream (task, update, record);
-          break;
-        case CF_FEED_EVACUATIONS:
-          add_evacuation (task, update, record);
-          break;
-        case CF_FEED_VMS:
-          cf_feed_enroll_read (task, record);
-          break;
-        case CF_FEED_KINDS:
-          break;
-        }
-    }
-  if (kind == CF_FEED_VMS)
-    {
-      update->vms = cf_replica_count (&task->replica, kind);
-      update->domain_vms = cf_sources_domain_size (task->sources);
-      update->peers = peers (task);
-    }
-  cf_task_post (&task->balancer->datapath, CF_TO_DATAPATH_UPDATE, update);
-}
-
-/* A manifest may list names that were refused: passes on the records that were not. */
-static void
-send_refused (struct FeedTask *task)
-{
-  static const enum CfFeedKind kinds[] = { CF_FEED_EVACUATIONS, CF_FEED_UPSTREAMS };
-
-  task->name_refused = false;
-  for (size_t i = 0; i < G_N_ELEMENTS (kinds); i++)
-    {
-      GPtrArray *records = cf_replica_since (&task->replica, kinds[i], 0);
-
-      for (guint j = records->len; j > 0; j--)
-        if (((const struct CfRecord *) records->pdata[j - 1])->deleted)
-          g_ptr_array_remove_index_fast (records, j - 1);
-      send_records (task, kinds[i], records, false);
-      g_ptr_array_unref (records);
-    }
-}
-
 static void
 log_doubted_era (struct FeedTask *task, const char *source, uint64_t era, CfMillis now)
 {
   cf_event_log_write_limited (
-      task->balancer->log, &task->source_rate, "store-era-doubted",
+      task->feed.balancer->log, &task->source_rate, "store-era-doubted",
       (struct CfField[]){
           { .key = "era", .number = (int64_t) MIN (era, CF_ERA_MAX) },
           { .key = "held", .number = (int64_t) task->replica.era },
@@ -219,9 +29,10 @@
       now);
 }
 
-enum CfEraVerdict
-cf_feed_learn_era (struct FeedTask *task, const char *source, uint64_t era)
+static enum CfEraVerdict
+learn_era (void *context, const char *source, uint64_t era)
 {
+  struct FeedTask *task = context;
   uint64_t previous = task->replica.era;
   CfMillis now = cf_now ();
   enum CfEraVerdict verdict = source
@@ -233,37 +44,38 @@
   if (verdict != CF_ERA_LATER)
     return verdict;
   cf_replica_enter_era (&task->replica, era, now);
-  cf_feed_store_enter_era (task, now);
-  cf_feed_enroll_check (task, now);
-  task->settled = false;
-  atomic_store (&task->balancer->store_era, era);
-  cf_event_log_write (task->balancer->log, "store-era",
+  cf_feed_store_enter_era (&task->store, now);
+  cf_feed_enroll_check (&task->enroll, now);
+  task->status.settled = false;
+  atomic_store (&task->feed.balancer->store_era, era);
+  cf_event_log_write (task->feed.balancer->log, "store-era",
                       (struct CfField[]){
                           { .key = "era", .number = (int64_t) era },
                           { .key = "previous", .number = (int64_t) previous },
-                          { .key = "news_age_ms", .number = cf_feed_age (task, now) },
+                          { .key = "news_age_ms", .number = cf_feed_age (&task->feed, now) },
                           { 0 },
                       });
   return verdict;
 }
 
-void
-cf_feed_apply (struct FeedTask *task,
-               enum CfFeedKind kind,
-               GPtrArray *records,
-               uint64_t revision,
-               bool whole,
-               bool trusted)
+static void
+apply (void *context,
+       enum CfFeedKind kind,
+       GPtrArray *records,
+       uint64_t revision,
+       bool whole,
+       bool trusted)
 {
+  struct FeedTask *task = context;
   GPtrArray *changes;
 
   for (guint i = 0; i < records->len; i++)
     cf_platform_read_order (kind, records->pdata[i]);
   changes = cf_replica_apply (&task->replica, kind, records, revision, whole);
   if (changes->len > 0)
-    send_records (task, kind, changes, trusted);
-  if (kind == CF_FEED_MANIFEST && changes->len > 0 && task->name_refused)
-    send_refused (task);
+    cf_feed_records_send (&task->records, kind, changes, trusted);
+  if (kind == CF_FEED_MANIFEST && changes->len > 0 && task->records.name_refused)
+    cf_feed_records_send_refused (&task->records);
   g_ptr_array_unref (changes);
 }
 
@@ -278,41 +90,36 @@
       if (changes->len > 0)
         {
           cf_event_log_write (
-              task->balancer->log, "carry-ended",
+              task->feed.balancer->log, "carry-ended",
               (struct CfField[]){
                   { .key = "kind", .text = cf_feed_kind_name ((enum CfFeedKind) kind) },
                   { .key = "records", .number = changes->len },
                   { .key = "era", .number = (int64_t) task->replica.era },
                   { 0 },
               });
-          send_records (task, (enum CfFeedKind) kind, changes, true);
+          cf_feed_records_send (&task->records, (enum CfFeedKind) kind, changes, true);
         }
       g_ptr_array_unref (changes);
     }
 }
 
-void
-cf_feed_set_synced_at (struct FeedTask *task, const char *reader, CfMillis synced_at, bool settled)
+static void
+set_synced_at (void *context, const char *reader, CfMillis synced_at, bool settled)
 {
+  struct FeedTask *task = context;
   struct CfFeedState *state;
 
-  if (synced_at <= task->synced_at)
+  if (synced_at <= task->status.synced_at)
     return;
-  g_free (task->reader);
-  task->reader = g_strdup (reader);
-  task->synced_at = synced_at;
-  task->settled = settled;
+  g_free (task->status.reader);
+  task->status.reader = g_strdup (reader);
+  task->status.synced_at = synced_at;
+  task->status.settled = settled;
   if (settled)
     end_carry (task, cf_now ());
   state = g_new (struct CfFeedState, 1);
   *state = (struct CfFeedState){ .synced_at = synced_at, .settled = settled };
-  cf_task_post (&task->balancer->datapath, CF_TO_DATAPATH_FEED_STATE, state);
-}
-
-CfMillis
-cf_feed_age (const struct FeedTask *task, CfMillis now)
-{
-  return task->synced_at >= 0 ? now - task->synced_at : G_MAXINT32;
+  cf_task_post (&task->feed.balancer->datapath, CF_TO_DATAPATH_FEED_STATE, state);
 }
 
 static void
@@ -322,15 +129,16 @@
     return;
   task->summary_at = now + SUMMARY_INTERVAL_MS;
   cf_event_log_write (
-      task->balancer->log, "feed",
+      task->feed.balancer->log, "feed",
       (struct CfField[]){
-          { .key = "source", .text = task->source },
-          { .key = "reader", .text = task->reader ? task->reader : "" },
-          { .key = "news_age_ms", .number = cf_feed_age (task, now) },
-          { .key = "era", .number = (int64_t) atomic_load (&task->balancer->store_era) },
+          { .key = "source", .text = task->status.source },
+          { .key = "reader", .text = task->status.reader ? task->status.reader : "" },
+          { .key = "news_age_ms", .number = cf_feed_age (&task->feed, now) },
+          { .key = "era", .number = (int64_t) atomic_load (&task->feed.balancer->store_era) },
           { .key = "revision", .number = (int64_t) task->replica.revision[CF_FEED_MANIFEST] },
-          { .key = "store_calls", .number = (int64_t) atomic_load (&task->balancer->store_calls) },
-          { .key = "followers", .number = task->waiting.length },
+          { .key = "store_calls",
+            .number = (int64_t) atomic_load (&task->feed.balancer->store_calls) },
+          { .key = "followers", .number = task->relay.waiting.length },
           { 0 },
       });
 }
@@ -340,15 +148,15 @@
 {
   const char *name = source->name ? source->name : "";
 
-  if (g_strcmp0 (name, task->source) == 0)
+  if (g_strcmp0 (name, task->status.source) == 0)
     return;
-  g_free (task->source);
-  task->source = g_strdup (name);
+  g_free (task->status.source);
+  task->status.source = g_strdup (name);
   cf_event_log_write_limited (
-      task->balancer->log, &task->source_rate, "source",
+      task->feed.balancer->log, &task->source_rate, "source",
       (struct CfField[]){
           { .key = "source", .text = source->name ? source->name : "store" },
-          { .key = "news_age_ms", .number = cf_feed_age (task, now) },
+          { .key = "news_age_ms", .number = cf_feed_age (&task->feed, now) },
           { 0 },
       },
       now);
@@ -360,14 +168,14 @@
   struct CfStoreUseInput input = {
     .reader = !source->name,
     .empty = cf_replica_is_empty (&task->replica),
-    .synced_at = task->synced_at,
-    .read_until = task->read_until,
-    .probed_at = task->probed_at,
+    .synced_at = task->status.synced_at,
+    .read_until = task->status.read_until,
+    .probed_at = task->status.probed_at,
   };
-  enum CfStoreUse use = cf_sources_store_use (task->sources, &input, now);
+  enum CfStoreUse use = cf_sources_store_use (task->feed.sources, &input, now);
 
-  if (use == CF_STORE_USE_READ && !input.reader && !input.empty && now >= task->read_until)
-    task->read_until = now + CF_SOURCES_READ_MIN_MS;
+  if (use == CF_STORE_USE_READ && !input.reader && !input.empty && now >= task->status.read_until)
+    task->status.read_until = now + CF_SOURCES_READ_MIN_MS;
   return use;
 }
 
@@ -375,36 +183,113 @@
 static CfMillis
 stale_at (struct FeedTask *task, CfMillis now)
 {
-  CfMillis stale = cf_sources_stale_ms (task->sources);
+  CfMillis stale = cf_sources_stale_ms (task->feed.sources);
 
-  return cf_feed_age (task, now) < stale ? task->synced_at + stale : G_MAXINT64;
+  return cf_feed_age (&task->feed, now) < stale ? task->status.synced_at + stale : G_MAXINT64;
 }
 
-void
-cf_feed_tick (struct FeedTask *task)
+static void
+run_due (void *context)
 {
+  struct FeedTask *task = context;
   CfMillis now = cf_now ();
-  const struct CfSource *source = cf_sources_choose (task->sources, now);
-  CfMillis next = MIN (cf_feed_enroll_tick (task, now), stale_at (task, now));
+  const struct CfSource *source = cf_sources_choose (task->feed.sources, now);
+  CfMillis next = MIN (cf_feed_enroll_tick (&task->enroll, now), stale_at (task, now));
 
   update_source (task, source, now);
   log_summary (task, now);
-  next = MIN (next, cf_feed_store_tick (task, store_use (task, source, now), now));
+  next = MIN (next, cf_feed_store_tick (&task->store, store_use (task, source, now), now));
   if (!source->name && cf_replica_is_empty (&task->replica))
-    source = cf_sources_choose_seed (task->sources, now);
-  else if (!source->name && cf_feed_age (task, now) >= cf_sources_stale_ms (task->sources))
-    source = cf_sources_choose_vm (task->sources, now);
+    source = cf_sources_choose_seed (task->feed.sources, now);
+  else if (!source->name
+           && cf_feed_age (&task->feed, now) >= cf_sources_stale_ms (task->feed.sources))
+    source = cf_sources_choose_vm (task->feed.sources, now);
   if (source && source->name)
-    next = MIN (next, cf_feed_follow_tick (task, source, now));
-  next = MIN (next, cf_feed_rotation_tick (task, now));
-  next = MIN (next, cf_feed_relay_tick (task, now));
+    next = MIN (next, cf_feed_follow_tick (&task->follow, source, now));
+  next = MIN (next, cf_feed_rotation_tick (&task->rotation, now));
+  next = MIN (next, cf_feed_relay_tick (&task->relay, now));
   g_source_set_ready_time (task->timer, next * G_TIME_SPAN_MILLISECOND);
 }
 
+static void
+source_answered (void *context, const char *name, CfMillis now)
+{
+  struct FeedTask *task = context;
+
+  cf_sources_answered (task->feed.sources, name);
+  if (!name)
+    task->status.probed_at = now;
+}
+
+static void
+source_failed (void *context, const char *name, CfMillis now)
+{
+  cf_sources_failed (((struct FeedTask *) context)->feed.sources, name, now);
+}
+
+static void
+stop_reading (void *context, CfMillis now)
+{
+  ((struct FeedTask *) context)->status.read_until = now;
+}
+
+static void
+set_vm (void *context, const char *name, const struct CfVmRecord *vm)
+{
+  cf_sources_set (((struct FeedTask *) context)->feed.sources, name, vm);
+}
+
+static bool
+admit_name (void *context, enum CfNameKind kind, const char *name)
+{
+  return cf_names_admit (&((struct FeedTask *) context)->names, kind, name);
+}
+
+static bool
+receive (void *context, const struct feed_datagram *datagram, size_t len, CfMillis now)
+{
+  struct FeedTask *task = context;
+
+  switch (datagram->kind)
+    {
+    case FEED_HELLO:
+      cf_feed_rotation_receive (&task->rotation, &datagram->feed_datagram_u.hello, now);
+      break;
+    case FEED_QUALITIES:
+      cf_feed_reports_receive_quality (&task->reports, &datagram->feed_datagram_u.qualities);
+      break;
+    case FEED_LOADS:
+      return cf_feed_reports_receive_load (&task->reports, &datagram->feed_datagram_u.loads, len);
+    }
+  return true;
+}
+
+static void
+log_limited (void *context, const char *event, const struct CfField *fields, CfMillis now)
+{
+  struct FeedTask *task = context;
+
+  cf_event_log_write_limited (task->feed.balancer->log, &task->source_rate, event, fields, now);
+}
+
+const struct CfFeedCalls cf_feed_calls = {
+  .learn_era = learn_era,
+  .apply = apply,
+  .set_synced_at = set_synced_at,
+  .source_answered = source_answered,
+  .source_failed = source_failed,
+  .stop_reading = stop_reading,
+  .set_vm = set_vm,
+  .admit_name = admit_name,
+  .receive = receive,
+  .log = log_limited,
+  .run_due = run_due,
+};
+
 static gboolean
 on_timer (gpointer data)
 {
-  cf_feed_tick (data);
+  run_due (data);
   return G_SOURCE_CONTINUE;
 }
 
@@ -420,11 +305,8 @@
 static void
 use_seeds (struct FeedTask *task, char *const *seeds)
 {
-  struct CfUpdate *update = cf_update_new (CF_FEED_VMS, false);
-
-  cf_sources_seed (task->sources, seeds);
-  update->peers = peers (task);
-  cf_task_post (&task->balancer->datapath, CF_TO_DATAPATH_UPDATE, update);
+  cf_sources_seed (task->feed.sources, seeds);
+  cf_feed_records_send_peers (&task->records);
 }
 
 static void
@@ -444,18 +326,19 @@
 {
   struct FeedTask *task = data;
 
-  task->session = soup_session_new_with_options ("proxy-resolver", NULL, "max-conns", 16,
-                                                 "max-conns-per-host", 16, NULL);
-  cf_feed_store_start (task);
-  cf_feed_enroll_start (task);
-  if (!cf_feed_rotation_start (task, error))
+  task->feed.session = soup_session_new_with_options ("proxy-resolver", NULL, "max-conns", 16,
+                                                      "max-conns-per-host", 16, NULL);
+  cf_feed_store_start (&task->store);
+  cf_feed_enroll_start (&task->enroll);
+  if (!cf_feed_gossip_start (&task->gossip, error))
     return false;
-  use_seeds (task, task->balancer->settings.seeds);
+  cf_feed_rotation_start (&task->rotation);
+  use_seeds (task, task->feed.balancer->settings.seeds);
   task->timer = g_source_new (&timer_funcs, sizeof (GSource));
   g_source_set_callback (task->timer, on_timer, task, NULL);
   g_source_set_ready_time (task->timer, 0);
   g_source_attach (task->timer, base->context);
-  return cf_feed_relay_start (task, error);
+  return cf_feed_relay_start (&task->relay, error);
 }
 
 static void
@@ -464,22 +347,41 @@
   struct FeedTask *task = data;
 
   (void) base;
-  cf_feed_relay_stop (task);
-  cf_feed_rotation_stop (task);
-  cf_feed_enroll_stop (task);
-  cf_feed_follow_stop (task);
-  cf_feed_store_stop (task);
+  cf_feed_relay_stop (&task->relay);
+  cf_feed_gossip_stop (&task->gossip);
+  cf_feed_enroll_stop (&task->enroll);
+  cf_feed_follow_stop (&task->follow);
+  cf_feed_store_stop (&task->store);
   if (task->timer)
     g_source_destroy (task->timer);
   g_clear_pointer (&task->timer, g_source_unref);
-  g_clear_object (&task->session);
+  g_clear_object (&task->feed.session);
+}
+
+static void
+handle_quality (void *data, void *message)
+{
+  cf_feed_reports_send_quality (&((struct FeedTask *) data)->reports, message);
+}
+
+static void
+handle_load (void *data, void *message)
+{
+  cf_feed_reports_send_load (&((struct FeedTask *) data)->reports, message);
+}
+
+static void
+handle_stop (void *data, void *message)
+{
+  (void) message;
+  cf_feed_rotation_stop_vm (&((struct FeedTask *) data)->rotation, cf_now ());
 }
 
 static const struct CfMessageHandler handlers[CF_TO_FEED_KINDS] = {
   [CF_TO_FEED_SEEDS] = { handle_seeds, free_seeds },
-  [CF_TO_FEED_QUALITY] = { cf_feed_handle_quality, g_free },
-  [CF_TO_FEED_LOAD] = { cf_feed_handle_load, g_free },
-  [CF_TO_FEED_STOP] = { cf_feed_handle_stop, NULL },
+  [CF_TO_FEED_QUALITY] = { handle_quality, g_free },
+  [CF_TO_FEED_LOAD] = { handle_load, g_free },
+  [CF_TO_FEED_STOP] = { handle_stop, NULL },
 };
 
 const struct CfTaskClass cf_feed_task = {
@@ -493,23 +395,38 @@
 void *
 cf_feed_task_new (struct CfBalancer *balancer)
 {
-  struct FeedTask *task = g_new0 (struct FeedTask, 1);
-
-  task->balancer = balancer;
-  task->random = g_rand_new ();
-  task->synced_at = -1;
-  task->probed_at = -1;
-  task->source_rate
-      = (struct CfEventRate){ .per_s = SOURCE_LINES_PER_S, .burst = SOURCE_LINES_BURST };
-  task->datagram_rate = task->source_rate;
-  task->record_rate = task->source_rate;
-  task->relay_rate = task->source_rate;
-  task->stop_at = -1;
-  task->incarnation = (uint64_t) (g_get_real_time () / G_TIME_SPAN_MILLISECOND);
-  task->sources = cf_sources_new (balancer->settings.name, balancer->settings.failure_domain,
-                                  balancer->settings.region);
+  static const struct CfEventRate rate = { .per_s = LINES_PER_S, .burst = LINES_BURST };
+  const struct CfBalanceSettings *settings = &balancer->settings;
+  struct FeedTask *task = g_new (struct FeedTask, 1);
+  const struct CfFeed *feed = &task->feed;
+
+  *task = (struct FeedTask){
+    .feed = {
+      .balancer = balancer,
+      .replica = &task->replica,
+      .status = &task->status,
+      .sources = cf_sources_new (settings->name, settings->failure_domain, settings->region),
+      .random = g_rand_new (),
+      .calls = &cf_feed_calls,
+      .context = task,
+    },
+    .status = { .synced_at = -1, .probed_at = -1 },
+    .source_rate = rate,
+    .records = { .feed = feed, .rate = rate },
+    .store = { .feed = feed },
+    .follow = { .feed = feed },
+    .relay = { .feed = feed, .rate = rate },
+    .enroll = { .feed = feed },
+    .gossip = { .feed = feed, .rate = rate },
+    .rotation = { .feed = feed, .gossip = &task->gossip, .stop_at = -1 },
+    .reports = {
+      .feed = feed,
+      .gossip = &task->gossip,
+      .incarnation = (uint64_t) (g_get_real_time () / G_TIME_SPAN_MILLISECOND),
+    },
+  };
   cf_replica_init (&task->replica);
-  cf_rotation_init (&task->rotation);
+  cf_rotation_init (&task->rotation.rotation);
   return task;
 }
 
@@ -518,11 +435,11 @@
 {
   struct FeedTask *task = data;
 
-  cf_rotation_clear (&task->rotation);
-  cf_sources_free (task->sources);
+  cf_rotation_clear (&task->rotation.rotation);
+  cf_sources_free (task->feed.sources);
   cf_replica_clear (&task->replica);
-  g_free (task->reader);
-  g_rand_free (task->random);
-  g_free (task->source);
+  g_free (task->status.reader);
+  g_rand_free (task->feed.random);
+  g_free (task->status.source);
   g_free (task);
 }
--- a/tests/layers.sh
+++ b/tests/layers.sh
@@ -31,18 +31,24 @@
 for folder in base config packet gue balance feed peer objectstore; do
   below $folder "$daemons\|runtime"
 done
-# Checks that no task of FOLDER calls a function of another: each is given by a pattern of its files.
-apart() { # FOLDER TASK...
-  folder=$1
+# Checks that no file of USER calls or reads what a file of OTHER defines (patterns of objects).
+separate() { # USER OTHER REASON
+  nm --defined-only -g "$build/src"/$2.o | awk 'NF == 3 { print " U " $3 "$" }' > "$above"
+  if nm -A -u "$build/src"/$1.o | grep -f "$above"; then
+    echo "$1 uses $2: $3"
+    status=1
+  fi
+}
+# The same in both directions for each two of the tasks, or parts of one.
+apart() { # REASON OBJECTS...
+  reason=$1
   shift
-  for task; do
+  while [ $# -gt 1 ]; do
+    first=$1
+    shift
     for other; do
-      [ "$task" = "$other" ] && continue
-      nm --defined-only -g "$build/src/$folder"/$other.o | awk 'NF == 3 { print " U " $3 "$" }' > "$above"
-      if nm -A -u "$build/src/$folder"/$task.o | grep -f "$above"; then
-        echo "in src/$folder, $task calls $other, which takes messages"
-        status=1
-      fi
+      separate "$first" "$other" "$reason"
+      separate "$other" "$first" "$reason"
     done
   done
 }
@@ -58,8 +64,16 @@
   echo "a call is sent without base/http_call.c, which bounds its time and its answer"
   status=1
 fi
-apart gued 'packet_*' peer_task health_task platform_task folder_task admin_task
-apart balancer 'datapath_*' 'feed_*' '*admin_task'
+apart "tasks post messages to each other" 'gued/packet_*' gued/peer_task gued/health_task \
+  gued/platform_task gued/folder_task gued/admin_task
+apart "tasks post messages to each other" 'balancer/datapath_*' 'balancer/feed_*' \
+  'balancer/*admin_task'
+parts='balancer/feed_store balancer/feed_follow balancer/feed_relay balancer/feed_enroll
+  balancer/feed_records balancer/feed_rotation balancer/feed_reports'
+apart "parts of the feed change it by the calls of its interface" $parts
+for part in $parts balancer/feed_gossip; do
+  separate $part balancer/feed_task "parts of the feed change it by the calls of its interface"
+done
 truncate -s 0 "$above"
 for layer in $(echo "$layers" | tr ' ' '\n' | tac); do
   # The highest layer is visited first; $above lists the symbols of the layers visited so far.
--- a/tests/test_feed_calls.c
+++ b/tests/test_feed_calls.c
@@ -228,7 +228,7 @@
       settings->seeds = g_new0 (char *, 2);
       settings->seeds[0] = g_strdup (ip);
     }
-  cf_feed_learn_era (play->feed.task, NULL, 1);
+  cf_feed_calls.learn_era (play->feed.task, NULL, 1);
   feed_play_start (&play->feed);
   g_free (ip);
 }
@@ -302,8 +302,8 @@
   put (&play, CF_FEED_UPSTREAMS, "i-1", "{}");
   feed_play_await (&play.feed, knows_upstream, &play, "the change");
   ck_assert_int_gt (play.held, 0);
-  ck_assert (play.feed.task->channels[CF_FEED_EVACUATIONS].call);
-  ck_assert (!play.feed.task->channels[CF_FEED_EVACUATIONS].failed);
+  ck_assert (play.feed.task->store.channels[CF_FEED_EVACUATIONS].call);
+  ck_assert (!play.feed.task->store.channels[CF_FEED_EVACUATIONS].failed);
   stop (&play);
 }
 END_TEST
@@ -503,7 +503,7 @@
 static bool
 has_lost_store (const void *data)
 {
-  return ((const struct Play *) data)->feed.task->channels[CF_FEED_UPSTREAMS].failed;
+  return ((const struct Play *) data)->feed.task->store.channels[CF_FEED_UPSTREAMS].failed;
 }
 
 /* An answer gives an era above 2^63, or one that no restores can explain.  The VM believed it, and
@@ -553,7 +553,7 @@
   copy_store (&play);
   play.era = "Store-Era: 1\r\n";
   begin (&play, false);
-  cf_feed_learn_era (play.feed.task, NULL, 1000000);
+  cf_feed_calls.learn_era (play.feed.task, NULL, 1000000);
   put (&play, CF_FEED_UPSTREAMS, "i-1", "{}");
   feed_play_await (&play.feed, knows_upstream, &play, "the store's records");
   ck_assert_uint_eq (play.feed.task->replica.era, 1);
--- a/tests/test_feed_lifetime.c
+++ b/tests/test_feed_lifetime.c
@@ -101,10 +101,10 @@
   cf_replica_init (&feed->answer);
   feed->followed = listen_at (ip, settings->peer_port, feed);
   feed_play_start (&feed->play);
-  cf_feed_learn_era (feed->play.task, NULL, 1);
+  cf_feed_calls.learn_era (feed->play.task, NULL, 1);
   add_vm (records, "vm-1", ip, 1);
   add_vm (records, "vm-2", settings->ip, 1);
-  cf_feed_apply (feed->play.task, CF_FEED_VMS, records, 1, true, true);
+  cf_feed_calls.apply (feed->play.task, CF_FEED_VMS, records, 1, true, true);
   cf_replica_enter_era (&feed->answer, 1, 0);
   apply_and_free (&feed->answer, records, 1, true);
   g_free (ip);
@@ -169,7 +169,7 @@
   await_response (&feed);
   ck_assert_str_eq (feed.play.task->follow.name, "vm-1");
   ck_assert_uint_eq (feed.play.task->replica.revision[CF_FEED_VMS], 2);
-  ck_assert_uint_eq (cf_sources_domain_size (feed.play.task->sources), 1);
+  ck_assert_uint_eq (cf_sources_domain_size (feed.play.task->feed.sources), 1);
   stop_feed (&feed);
 }
 END_TEST
@@ -218,7 +218,7 @@
   ck_assert (cf_feed_task.start (&feed.play.balancer.feed, feed.play.task, &error));
   for (int kind = 0; kind < CF_FEED_KINDS; kind++)
     {
-      struct CfReader *reader = &feed.play.task->channels[kind].reader;
+      struct CfReader *reader = &feed.play.task->store.channels[kind].reader;
 
       reader->listed = true;
       ck_assert_int_eq (cf_reader_outcome (reader, CF_READ_ANSWERED, 1), CF_READ_ANSWERED);
--- a/tests/test_feed_load.c
+++ b/tests/test_feed_load.c
@@ -80,7 +80,7 @@
       g_free (name);
     }
   ck_assert_msg (other != NULL, "%s", error.text);
-  cf_feed_apply (play.task, CF_FEED_VMS, records, 1, true, true);
+  cf_feed_calls.apply (play.task, CF_FEED_VMS, records, 1, true, true);
 
   cf_task_post (&balancer->feed, CF_TO_FEED_LOAD, g_memdup2 (&report, sizeof report));
   feed_play_await (&play, has_sent, &play, "a report is sent");
--- a/tests/test_feed_names.c
+++ b/tests/test_feed_names.c
@@ -39,7 +39,7 @@
   GPtrArray *records = g_ptr_array_new_with_free_func (cf_record_free);
 
   g_ptr_array_add (records, cf_record_new (name, ++play->revision, false, text));
-  cf_feed_apply (play->feed.task, kind, records, play->revision, false, true);
+  cf_feed_calls.apply (play->feed.task, kind, records, play->revision, false, true);
   while (g_main_context_iteration (play->feed.balancer.datapath.context, FALSE))
     ;
   g_ptr_array_unref (records);
--- a/tests/test_feed_relay.c
+++ b/tests/test_feed_relay.c
@@ -81,8 +81,8 @@
       g_ptr_array_add (records, cf_record_new (name, ++play->revision, false, text->str));
       g_string_free (text, TRUE);
     }
-  cf_feed_apply (play->feed.task, CF_FEED_UPSTREAMS, records, play->revision,
-                 play->revision == (uint64_t) count, true);
+  cf_feed_calls.apply (play->feed.task, CF_FEED_UPSTREAMS, records, play->revision,
+                       play->revision == (uint64_t) count, true);
   g_rand_free (random);
   g_ptr_array_unref (records);
 }
@@ -102,7 +102,7 @@
   play->feed.balancer.datapath.data = play->datapath;
   feed_play_start (&play->feed);
   announce (play, upstreams, extra);
-  cf_feed_set_synced_at (play->feed.task, "vm-2", cf_now (), false);
+  cf_feed_calls.set_synced_at (play->feed.task, "vm-2", cf_now (), false);
   run (play, RUN_MS);
 }
 
