--- a/src/serve/datapath_internal.h
+++ b/src/balancer/datapath_internal.h
@@ -1,10 +1,10 @@
-#ifndef CF_SERVE_DATAPATH_INTERNAL_H
-#define CF_SERVE_DATAPATH_INTERNAL_H
+#ifndef CF_BALANCER_DATAPATH_INTERNAL_H
+#define CF_BALANCER_DATAPATH_INTERNAL_H
 
 #include "balancer.h"
 #include "cf_stats.h"
+#include "datapath_messages.h"
 #include "platform/datagram.h"
-#include "server.h"
 
 #include <netinet/in.h>
 #include <sys/socket.h>
@@ -57,6 +57,8 @@
   unsigned out_count;
 };
 
+extern const struct CfMessageHandler cf_datapath_handlers[CF_TO_DATAPATH_KINDS];
+
 /* Updates the readiness that the admin task reports. */
 void cf_datapath_update_serving (struct DatapathTask *task);
 
--- a/src/serve/datapath_task.c
+++ b/src/balancer/datapath_task.c
@@ -1,5 +1,7 @@
-#include "crash_report.h"
+#include "runtime/crash_report.h"
 #include "datapath_internal.h"
+#include "runtime/clock.h"
+#include "runtime/udp.h"
 
 #include <errno.h>
 #include <string.h>
@@ -393,7 +395,13 @@
   g_clear_object (&task->socket);
 }
 
-const struct CfTaskClass cf_datapath_task = { .name = "datapath", .start = start, .stop = stop };
+const struct CfTaskClass cf_datapath_task = {
+  .name = "datapath",
+  .handlers = cf_datapath_handlers,
+  .handler_count = G_N_ELEMENTS (cf_datapath_handlers),
+  .start = start,
+  .stop = stop,
+};
 
 void *
 cf_datapath_task_new (struct CfBalancer *balancer)
--- a/tests/layers.sh
+++ b/tests/layers.sh
@@ -1,10 +1,12 @@
 #!/bin/sh
 # Checks that each file of src/gue calls only files that stand before it in the list of
-# src/gue/internal.h, and that JSON and answers over HTTP are read in one place each, where their
-# depth, size and time are bounded.  The argument is the build folder.
+# src/gue/internal.h, that the runtime and the daemons include only what is below them, that no task
+# calls another, and that JSON and answers over HTTP are read in one place each, where their depth,
+# size and time are bounded.  The argument is the build folder.
 set -eu
 
-objects=$1/src/gue
+build=$1
+objects=$build/src/gue
 layers=$(sed -n 's|^/\* \([a-z_]*\)\.c \*/$|\1|p' src/gue/internal.h)
 layers="flow_table owners $layers explain core status"
 count=$(ls src/gue/*.c | wc -l)
@@ -13,6 +15,43 @@
   exit 1
 fi
 status=0
+above=$(mktemp)
+trap 'rm -f "$above"' EXIT
+# Checks that no file of FOLDER includes one of the folders in ABOVE (a pattern).
+below() { # FOLDER ABOVE
+  if grep -n "^#include \"\($2\)/" "src/$1"/*.[ch]; then
+    echo "src/$1 includes a folder that it must not know"
+    status=1
+  fi
+}
+daemons='gued\|balancer\|check\|cli'
+below runtime "$daemons\|gue\|balance\|feed\|peer\|config\|objectstore\|platform"
+below gued 'balancer\|check\|cli\|balance\|feed\|platform'
+below balancer 'gued\|check\|cli\|gue\|peer\|config\|objectstore'
+for folder in base config packet gue balance feed peer objectstore; do
+  below $folder "$daemons\|runtime"
+done
+# Checks that no file of USER calls or reads what a file of OTHER defines (patterns of objects).
+separate() { # USER OTHER REASON
+  nm --defined-only -g "$build/src"/$2.o | awk 'NF == 3 { print " U " $3 "$" }' > "$above"
+  if nm -A -u "$build/src"/$1.o | grep -f "$above"; then
+    echo "$1 uses $2: $3"
+    status=1
+  fi
+}
+# The same in both directions for each two of the tasks, or parts of one.
+apart() { # REASON OBJECTS...
+  reason=$1
+  shift
+  while [ $# -gt 1 ]; do
+    first=$1
+    shift
+    for other; do
+      separate "$first" "$other" "$reason"
+      separate "$other" "$first" "$reason"
+    done
+  done
+}
 # Prints the objects of the program, except FILE, that call a function that matches PATTERN.
 callers() { # PATTERN FILE
   find "$1/src" "$1/platform" -name '*.o' ! -name "$3.o" -exec nm -A -u {} + | grep " U $2" || true
@@ -25,8 +64,17 @@
   echo "a call is sent without base/http_call.c, which bounds its time and its answer"
   status=1
 fi
-above=$(mktemp)
-trap 'rm -f "$above"' EXIT
+apart "tasks post messages to each other" 'gued/packet_*' gued/peer_task gued/health_task \
+  gued/platform_task gued/folder_task gued/admin_task
+apart "tasks post messages to each other" 'balancer/datapath_*' 'balancer/feed_*' \
+  'balancer/*admin_task'
+parts='balancer/feed_store balancer/feed_follow balancer/feed_relay balancer/feed_enroll
+  balancer/feed_records balancer/feed_rotation balancer/feed_reports'
+apart "parts of the feed change it by the calls of its interface" $parts
+for part in $parts balancer/feed_gossip; do
+  separate $part balancer/feed_task "parts of the feed change it by the calls of its interface"
+done
+truncate -s 0 "$above"
 for layer in $(echo "$layers" | tr ' ' '\n' | tac); do
   # The highest layer is visited first; $above lists the symbols of the layers visited so far.
   for symbol in $(nm -u "$objects/$layer.o" | awk '{ print $2 }' | grep '^cf_' || true); do
