--- a/bench/bench.h
+++ b/bench/bench.h
@@ -1,6 +1,7 @@
 #ifndef CF_BENCH_H
 #define CF_BENCH_H
 
+#include "balance/balance.h"
 #include "fleet.h"
 
 /* Checks the measurement VALUE, called NAME, against its target, at most BOUND.  A miss is
@@ -25,6 +26,19 @@
 /* The same for packets with flow cookies, compared with the given GUE times in ns. */
 void bench_cookies (double gue_later, double gue_first);
 
+/* Measures whole requests with flow cookies, with and without overload control. */
+void bench_requests (void);
+
+/* Returns a balancer that routes 198.18.0.1:80 to UPSTREAMS upstreams with 2 slots each, half of
+ * them in failure domain "a". */
+struct CfBalance *bench_new_balance (const struct CfBalanceOptions *options,
+                                     const struct CfBalanceOutputs *callbacks,
+                                     uint32_t upstreams);
+
+#define BENCH_HEADER_BYTES 32
+/* Writes to PACKET the header of a packet of the flow that CALLER opens to that address. */
+void bench_build_packet (uint8_t *packet, uint32_t caller, uint8_t flags, uint32_t cookie);
+
 /* Measures how costs grow with the number of members and of upstreams. */
 void bench_scaling (void);
 
--- a/bench/cookies.c
+++ b/bench/cookies.c
@@ -50,11 +50,12 @@
   .reset = reset,
 };
 
-static struct CfBalance *
-build_balance (uint32_t upstreams)
+struct CfBalance *
+bench_new_balance (const struct CfBalanceOptions *options,
+                   const struct CfBalanceOutputs *callbacks,
+                   uint32_t upstreams)
 {
-  struct CfBalance *balance
-      = cf_balance_new (&(struct CfBalanceOptions){ .domain = "a", .seed = 1 }, &outputs, NULL);
+  struct CfBalance *balance = cf_balance_new (options, callbacks, NULL);
   struct CfManifest *manifest = cf_manifest_new ();
   struct CfRouteEntry route = {
     .address = { .ip = 0xc6120001, .port = 80 },
@@ -85,10 +86,17 @@
   return balance;
 }
 
-static void
-build_packet (uint8_t *packet, uint32_t caller, uint8_t flags, uint32_t cookie)
+static struct CfBalance *
+build_balance (uint32_t upstreams)
+{
+  return bench_new_balance (&(struct CfBalanceOptions){ .domain = "a", .seed = 1 }, &outputs,
+                            upstreams);
+}
+
+void
+bench_build_packet (uint8_t *packet, uint32_t caller, uint8_t flags, uint32_t cookie)
 {
-  memset (packet, 0, 32);
+  memset (packet, 0, BENCH_HEADER_BYTES);
   packet[2] = flags;
   packet[4] = 0xc6;
   packet[5] = 0x12;
@@ -104,10 +112,10 @@
 static void
 receive_packet (struct CfBalance *balance, uint32_t caller, uint8_t flags, uint32_t cookie)
 {
-  uint8_t packet[32];
+  uint8_t packet[BENCH_HEADER_BYTES];
   struct CfSegment segment;
 
-  build_packet (packet, caller, flags, cookie);
+  bench_build_packet (packet, caller, flags, cookie);
   if (cf_platform_codec.parse (packet, sizeof packet, &segment))
     cf_balance_segment (balance, &segment, 1);
 }
--- a/bench/main.c
+++ b/bench/main.c
@@ -19,6 +19,7 @@
 {
   setvbuf (stdout, NULL, _IOLBF, 0);
   bench_packets ();
+  bench_requests ();
   bench_scaling ();
   bench_balance ();
   bench_scenarios ();
