--- a/src/balance/directory.c
+++ b/src/balance/directory.c
@@ -3,11 +3,17 @@
 #include <sodium.h>
 #include <string.h>
 
+struct Service
+{
+  GPtrArray *targets; /* of struct CfTarget */
+  struct CfServicePace pace;
+};
+
 struct CfDirectory
 {
   GHashTable *by_id;      /* id to struct CfTarget, owned */
   GHashTable *by_cookie;  /* cookie to struct CfTarget */
-  GHashTable *by_service; /* GQuark to GPtrArray of struct CfTarget */
+  GHashTable *by_service; /* GQuark to struct Service, owned; none is removed */
 };
 
 static void
@@ -22,9 +28,12 @@
 }
 
 static void
-free_array (gpointer data)
+free_service (gpointer data)
 {
-  g_ptr_array_unref (data);
+  struct Service *service = data;
+
+  g_ptr_array_unref (service->targets);
+  g_free (service);
 }
 
 struct CfDirectory *
@@ -34,7 +43,7 @@
 
   directory->by_id = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_target);
   directory->by_cookie = g_hash_table_new (NULL, NULL);
-  directory->by_service = g_hash_table_new_full (NULL, NULL, NULL, free_array);
+  directory->by_service = g_hash_table_new_full (NULL, NULL, NULL, free_service);
   return directory;
 }
 
@@ -82,23 +91,31 @@
   target->state_since = now;
 }
 
+static struct Service *
+find_service (const struct CfDirectory *directory, GQuark name)
+{
+  return g_hash_table_lookup (directory->by_service, GUINT_TO_POINTER (name));
+}
+
 static void
-index_by_service (struct CfDirectory *directory, struct CfTarget *target, GQuark service)
+index_by_service (struct CfDirectory *directory, struct CfTarget *target, GQuark name)
 {
-  GPtrArray *list;
+  struct Service *service;
 
-  if (target->service == service)
+  if (target->service == name)
     return;
   if (target->service)
     g_ptr_array_remove_fast (cf_directory_service (directory, target->service), target);
-  target->service = service;
-  list = cf_directory_service (directory, service);
-  if (!list)
+  target->service = name;
+  service = find_service (directory, name);
+  if (!service)
     {
-      list = g_ptr_array_new ();
-      g_hash_table_insert (directory->by_service, GUINT_TO_POINTER (service), list);
+      service = g_new0 (struct Service, 1);
+      service->targets = g_ptr_array_new ();
+      g_hash_table_insert (directory->by_service, GUINT_TO_POINTER (name), service);
     }
-  g_ptr_array_add (list, target);
+  g_ptr_array_add (service->targets, target);
+  cf_pace_set_service (&target->pace, &service->pace);
 }
 
 /* Of two upstreams with the same cookie the later gets no new flows: it would receive packets of
@@ -299,7 +316,36 @@
 GPtrArray *
 cf_directory_service (const struct CfDirectory *directory, GQuark service)
 {
-  return g_hash_table_lookup (directory->by_service, GUINT_TO_POINTER (service));
+  const struct Service *entry = find_service (directory, service);
+
+  return entry ? entry->targets : NULL;
+}
+
+/* Computes anew until when any upstream of SERVICE may be uneven: samples and reports only move the
+ * time later. */
+static void
+check_pace (struct Service *service, CfMillis now)
+{
+  service->pace.checked_at = now;
+  service->pace.uneven_until = 0;
+  for (guint i = 0; i < service->targets->len; i++)
+    {
+      const struct CfTarget *target = service->targets->pdata[i];
+
+      service->pace.uneven_until = MAX (service->pace.uneven_until, target->pace.uneven_until);
+    }
+}
+
+bool
+cf_directory_uneven (struct CfDirectory *directory, GQuark service, CfMillis now)
+{
+  struct Service *entry = find_service (directory, service);
+
+  if (!entry || now >= entry->pace.uneven_until)
+    return false;
+  if (now - entry->pace.checked_at >= CF_PACE_CHECK_MS)
+    check_pace (entry, now);
+  return now < entry->pace.uneven_until;
 }
 
 GHashTable *
--- a/src/balance/directory.h
+++ b/src/balance/directory.h
@@ -131,6 +131,10 @@
 /* Returns the upstreams of SERVICE, an array of struct CfTarget *, or NULL. */
 GPtrArray *cf_directory_service (const struct CfDirectory *directory, GQuark service);
 
+/* Returns true if the pace of any upstream of SERVICE is outside the tolerance (pace.h), or was
+ * CF_PACE_CHECK_MS ago.  Costs a look at each upstream every CF_PACE_CHECK_MS while it is true. */
+bool cf_directory_uneven (struct CfDirectory *directory, GQuark service, CfMillis now);
+
 /* Returns all upstreams, by id. */
 GHashTable *cf_directory_all (const struct CfDirectory *directory);
 
--- a/src/balance/pace.c
+++ b/src/balance/pace.c
@@ -20,7 +20,63 @@
 cf_pace_clear (struct CfPace *pace)
 {
   g_clear_pointer (&pace->remote, g_array_unref);
-  *pace = (struct CfPace){ 0 };
+  *pace = (struct CfPace){ .service = pace->service };
+}
+
+/* Returns the sum of the VM's own samples and of those in reports at NOW. */
+static struct CfPaceTally
+sum_samples (const struct CfPace *pace, CfMillis now)
+{
+  struct CfPaceTally all = decay (&pace->own, now);
+
+  for (guint i = 0; pace->remote && i < pace->remote->len; i++)
+    {
+      struct CfPaceTally tally
+          = decay (&g_array_index (pace->remote, struct CfPaceRemote, i).tally, now);
+
+      all.samples += tally.samples;
+      all.sum += tally.sum;
+    }
+  return all;
+}
+
+static double
+value (const struct CfPaceTally *all)
+{
+  return (all->sum + CF_PACE_PRIOR_SAMPLES) / (all->samples + CF_PACE_PRIOR_SAMPLES);
+}
+
+/* Returns for how long the pace by the samples ALL stays outside the tolerance.  All samples decay
+ * alike while the prior stays, so that the pace only moves towards 1: it reaches the tolerance when
+ * the decay equals the inverse of the ratio computed here. */
+static CfMillis
+uneven_for (const struct CfPaceTally *all)
+{
+  double slower = all->sum - CF_PACE_TOLERANCE * all->samples;
+  double faster = all->samples - CF_PACE_TOLERANCE * all->sum;
+  double ratio = MAX (slower, faster) / (CF_PACE_PRIOR_SAMPLES * (CF_PACE_TOLERANCE - 1));
+
+  return ratio > 1 ? (CfMillis) ceil (CF_PACE_HALF_LIFE_MS * log2 (ratio)) : 0;
+}
+
+/* Samples or reports have changed. */
+static void
+update (struct CfPace *pace, CfMillis now)
+{
+  struct CfPaceTally all = sum_samples (pace, now);
+
+  pace->cached = value (&all);
+  pace->cached_at = now;
+  pace->uneven_until = now + uneven_for (&all);
+  if (pace->service)
+    pace->service->uneven_until = MAX (pace->service->uneven_until, pace->uneven_until);
+}
+
+void
+cf_pace_set_service (struct CfPace *pace, struct CfServicePace *service)
+{
+  pace->service = service;
+  service->uneven_until = MAX (service->uneven_until, pace->uneven_until);
 }
 
 static void
@@ -29,7 +85,7 @@
   pace->own = decay (&pace->own, now);
   pace->own.samples++;
   pace->own.sum += CLAMP (relative_wait, CF_LOAD_PACE_MIN, CF_LOAD_PACE_MAX);
-  pace->cached = 0;
+  update (pace, now);
 }
 
 void
@@ -75,31 +131,23 @@
     .vm = vm,
     .tally = { .samples = samples, .sum = samples * mean, .at = received },
   };
-  pace->cached = 0;
+  update (pace, received);
 }
 
 double
 cf_pace_value (const struct CfPace *pace, CfMillis now)
 {
-  struct CfPaceTally all = decay (&pace->own, now);
+  struct CfPaceTally all = sum_samples (pace, now);
 
-  for (guint i = 0; pace->remote && i < pace->remote->len; i++)
-    {
-      struct CfPaceTally tally
-          = decay (&g_array_index (pace->remote, struct CfPaceRemote, i).tally, now);
-
-      all.samples += tally.samples;
-      all.sum += tally.sum;
-    }
-  return (all.sum + CF_PACE_PRIOR_SAMPLES) / (all.samples + CF_PACE_PRIOR_SAMPLES);
+  return value (&all);
 }
 
 double
 cf_pace_cached (struct CfPace *pace, CfMillis now)
 {
-  if (pace->own.samples <= 0 && !pace->remote)
+  if (now >= pace->uneven_until)
     return 1;
-  if (pace->cached <= 0 || now - pace->cached_at >= CF_PACE_CACHE_MS)
+  if (now - pace->cached_at >= CF_PACE_CACHE_MS)
     {
       pace->cached = cf_pace_value (pace, now);
       pace->cached_at = now;
--- a/src/balance/pace.h
+++ b/src/balance/pace.h
@@ -29,6 +29,8 @@
 #define CF_PACE_REMOTE_MAX 24 /* VMs whose samples of one upstream are held */
 /* A computed pace is used again for this long unless samples come: it decays by 5% meanwhile. */
 #define CF_PACE_CACHE_MS 100
+/* Interval at which it is looked at whether a service with an uneven upstream still has one. */
+#define CF_PACE_CHECK_MS 500
 
 /* Samples of one upstream, decayed to the time AT. */
 struct CfPaceTally
@@ -44,17 +46,32 @@
   struct CfPaceTally tally;
 };
 
+/* Of a service: until when the pace of any upstream may be outside the tolerance.  All zero: of
+ * none.  A sample or report can only move it later; the directory computes it anew. */
+struct CfServicePace
+{
+  CfMillis uneven_until;
+  CfMillis checked_at; /* when it was last computed from all upstreams */
+};
+
 /* Of one upstream.  All zero: nothing is known. */
 struct CfPace
 {
-  struct CfPaceTally own;
-  GArray *remote; /* of struct CfPaceRemote; NULL: none */
-  double cached;  /* pace at cached_at, 0: to be computed */
+  /* Without further samples and reports, the pace is within the tolerance from then on. */
+  CfMillis uneven_until;
+  double cached; /* pace at cached_at */
   CfMillis cached_at;
+  struct CfPaceTally own;
+  GArray *remote;                /* of struct CfPaceRemote; NULL: none */
+  struct CfServicePace *service; /* of the upstream's service, NULL: none; borrowed */
 };
 
+/* Forgets all samples and reports. */
 void cf_pace_clear (struct CfPace *pace);
 
+/* Sets the state of the upstream's service, which is borrowed. */
+void cf_pace_set_service (struct CfPace *pace, struct CfServicePace *service);
+
 /* Records an answer that began WAIT after its request, where MEAN (ms, above 0) is usual. */
 void cf_pace_record (struct CfPace *pace, CfMillis wait, double mean, CfMillis now);
 
@@ -71,7 +88,8 @@
  * that takes twice as long. */
 double cf_pace_value (const struct CfPace *pace, CfMillis now);
 
-/* Returns the same, at most CF_PACE_CACHE_MS old, without computing the decay each time. */
+/* Returns 1 if the pace at NOW is within the tolerance, else the pace, at most CF_PACE_CACHE_MS
+ * old, without computing the decay each time. */
 double cf_pace_cached (struct CfPace *pace, CfMillis now);
 
 /* Returns PACE, or 1 if it is within the tolerance. */
--- a/src/balance/place.c
+++ b/src/balance/place.c
@@ -234,6 +234,7 @@
   uint32_t random_bits = g_rand_int (placement->random) | 1;
   uint32_t group_bits = random_bits;
   uint32_t ties = 0;
+  bool uneven = placement->use_pace && cf_directory_uneven (placement->directory, service, now);
 
   *reason = CF_PLACE_NONE;
   for (guint i = 0; targets && i < targets->len; i++)
@@ -247,8 +248,7 @@
       candidate_reason = classify (placement, target, now);
       if (candidate_reason == CF_PLACE_NONE)
         continue;
-      if (placement->use_pace
-          && (candidate_reason == CF_PLACE_NEAR || candidate_reason == CF_PLACE_FAR))
+      if (uneven && (candidate_reason == CF_PLACE_NEAR || candidate_reason == CF_PLACE_FAR))
         {
           struct Group *group = candidate_reason == CF_PLACE_NEAR ? &near : &far;
 
--- a/src/balance/place.h
+++ b/src/balance/place.h
@@ -16,7 +16,7 @@
 
 struct CfPlacement
 {
-  const struct CfDirectory *directory;
+  struct CfDirectory *directory;
   GQuark domain;         /* of this VM */
   GHashTable *evacuated; /* set of GQuark: domains that get no new flows */
   double cold_share;     /* share of this VM in a cold upstream's capacity, flows/s */
--- a/tests/test_pace.c
+++ b/tests/test_pace.c
@@ -2,6 +2,8 @@
 #include "balance/pace.h"
 #include "suite.h"
 
+#include <math.h>
+
 /* The pace of one upstream, on virtual time. */
 
 #define MEAN_MS 15.0
@@ -127,6 +129,83 @@
 }
 END_TEST
 
+/* Guards against a pace outside the tolerance that is taken for 1, and against costs that go on for
+ * one within it: the time at which it returns is worked out in advance. */
+START_TEST (test_uneven_until)
+{
+  GRand *random = g_rand_new_with_seed ((guint32) _i);
+  struct CfServicePace service = { 0 };
+  struct CfPace pace = { 0 };
+  uint32_t uneven = 0;
+
+  cf_pace_set_service (&pace, &service);
+  for (CfMillis now = 1; now < 60000; now++)
+    {
+      double chance = g_rand_double (random);
+
+      if (chance < 0.002)
+        record_many (&pace, exp2 (g_rand_double_range (random, -4, 4)), 1 + now % 4, now);
+      else if (chance < 0.004)
+        cf_pace_merge (&pace, now % 3, g_rand_double_range (random, 0, 20),
+                       exp2 (g_rand_double_range (random, -3, 3)), now);
+      /* It ends up to 1 ms late by its rounding. */
+      if (cf_pace_weight (cf_pace_value (&pace, now)) != 1)
+        ck_assert_int_lt (now, pace.uneven_until);
+      else
+        ck_assert_int_ge (now + 1, pace.uneven_until);
+      ck_assert_double_eq_tol (cf_pace_cached (&pace, now),
+                               cf_pace_weight (cf_pace_value (&pace, now)), 0.6);
+      ck_assert_int_ge (service.uneven_until, pace.uneven_until);
+      uneven += now < pace.uneven_until;
+    }
+  ck_assert_uint_gt (uneven, 10000);
+  ck_assert_uint_lt (uneven, 50000);
+  cf_pace_clear (&pace);
+  g_rand_free (random);
+}
+END_TEST
+
+/* Guards against a service whose flows ignore that an upstream has turned slow, and against one for
+ * which pace is computed although all upstreams are alike again. */
+START_TEST (test_uneven_service)
+{
+  struct CfDirectory *directory = cf_directory_new ();
+  GQuark service = g_quark_from_static_string ("s");
+  struct CfAnnouncement announcement = { .service = "s", .domain = "a", .started = 1 };
+  struct CfTarget *slow;
+  struct CfTarget *moved;
+
+  ck_assert (!cf_directory_uneven (directory, service, 1000));
+  announcement.id = "slow";
+  slow = cf_directory_announce (directory, &announcement, 0);
+  announcement.id = "moved";
+  moved = cf_directory_announce (directory, &announcement, 0);
+  ck_assert (!cf_directory_uneven (directory, service, 1000));
+  cf_pace_merge (&slow->pace, 1, 20, 6, 1000);
+  ck_assert (cf_directory_uneven (directory, service, 1000));
+  cf_pace_merge (&slow->pace, 1, 20, 1, 1100);
+  ck_assert (!cf_directory_uneven (directory, service, 1000 + CF_PACE_CHECK_MS));
+  cf_pace_merge (&slow->pace, 1, 20, 6, 2000);
+  ck_assert (cf_directory_uneven (directory, service, 2000));
+  ck_assert (!cf_directory_uneven (directory, service, 2000 + 10 * CF_PACE_HALF_LIFE_MS));
+  /* What is known of an upstream goes with it to another service. */
+  cf_pace_merge (&moved->pace, 1, 20, 6, 30000);
+  announcement.service = "t";
+  announcement.revision = 1;
+  cf_directory_announce (directory, &announcement, 30000);
+  ck_assert (cf_directory_uneven (directory, g_quark_from_static_string ("t"), 30000));
+  ck_assert (!cf_directory_uneven (directory, service, 30000 + CF_PACE_CHECK_MS));
+  /* Another incarnation forgets it, and is looked at as before. */
+  announcement.started = 2;
+  announcement.revision = 2;
+  cf_directory_announce (directory, &announcement, 31000);
+  ck_assert (!cf_directory_uneven (directory, g_quark_from_static_string ("t"), 31000));
+  cf_pace_merge (&moved->pace, 1, 20, 0.1, 31000);
+  ck_assert (cf_directory_uneven (directory, g_quark_from_static_string ("t"), 31000));
+  cf_directory_free (directory);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -138,5 +217,7 @@
   suite_add_loop (suite, test_rejections, 1);
   suite_add_loop (suite, test_reports, 1);
   suite_add_loop (suite, test_new_incarnation, 1);
+  suite_add_loop (suite, test_uneven_until, 4);
+  suite_add_loop (suite, test_uneven_service, 1);
   return suite_run (suite);
 }
