--- a/src/balance/spill.c
+++ b/src/balance/spill.c
@@ -36,22 +36,26 @@
     *tally = (struct CfSpillTally){ .samples = samples, .sum = samples * mean, .at = now };
 }
 
+static double
+mean (const struct CfSpillTally *tally)
+{
+  return tally->samples > 0 ? tally->sum / tally->samples : 0;
+}
+
 void
 cf_spill_record (struct CfSpill *spill, bool near, double wait, CfMillis now)
 {
   struct CfSpillTally *tally = near ? &spill->near_recent : &spill->far_recent;
   CfMillis *answered_at = near ? &spill->near_answered_at : &spill->far_answered_at;
+  double limit = CF_SPILL_BEGIN_WAIT_MAX * mean (&spill->near_usual);
 
   decay_recent (tally, *answered_at, now);
   *answered_at = now;
   tally->samples++;
   tally->sum += wait;
-}
-
-static double
-mean (const struct CfSpillTally *tally)
-{
-  return tally->samples > 0 ? tally->sum / tally->samples : 0;
+  /* While the usual wait is not known, no spill begins. */
+  if (near)
+    add (&spill->near_limited, MIN (wait, limit), CF_SPILL_BEGIN_HALF_LIFE_MS, now);
 }
 
 /* Adds the recent near wait to the usual one, once for each decision, so that a burst of answers
@@ -70,13 +74,13 @@
   add (&spill->near_usual, wait, CF_SPILL_USUAL_HALF_LIFE_MS, now);
 }
 
-/* Returns true if near waits are above RATIO times the usual ones, by more than the clock and the
- * network alone may cause. */
+/* Returns true if the near waits of TALLY are above RATIO times the usual ones, by more than the
+ * clock and the network alone may cause. */
 static bool
-above_usual (const struct CfSpill *spill, double ratio)
+above_usual (const struct CfSpill *spill, const struct CfSpillTally *tally, double ratio)
 {
   double usual = mean (&spill->near_usual);
-  double near = mean (&spill->near_recent);
+  double near = mean (tally);
 
   return near >= ratio * usual && near >= usual + CF_SPILL_EXCESS_MIN_MS;
 }
@@ -86,7 +90,8 @@
 {
   return now >= spill->retry_at && spill->near_usual.samples >= CF_SPILL_USUAL_SAMPLES_MIN
          && spill->near_recent.samples >= CF_SPILL_BEGIN_SAMPLES_MIN
-         && above_usual (spill, CF_SPILL_BEGIN_RATIO);
+         && spill->near_limited.samples >= CF_SPILL_BEGIN_LIMITED_MIN
+         && above_usual (spill, &spill->near_limited, CF_SPILL_BEGIN_RATIO);
 }
 
 /* Returns by how much the spill's share changes. */
@@ -102,11 +107,11 @@
     return spill->share <= CF_SPILL_FIRST && now - spill->begun_at < CF_SPILL_PROBE_MS
                ? 0
                : -CF_SPILL_STEP;
-  if (!above_usual (spill, CF_SPILL_END_RATIO))
+  if (!above_usual (spill, &spill->near_recent, CF_SPILL_END_RATIO))
     return -CF_SPILL_STEP;
   if (near < CF_SPILL_SHRINK_RATIO * far)
     return -CF_SPILL_BACK_STEP;
-  if (!above_usual (spill, CF_SPILL_BEGIN_RATIO))
+  if (!above_usual (spill, &spill->near_recent, CF_SPILL_BEGIN_RATIO))
     return -CF_SPILL_SLOW_STEP;
   return near >= CF_SPILL_GROW_RATIO * far ? CF_SPILL_STEP : 0;
 }
@@ -121,6 +126,7 @@
   spill->decided_at = now;
   decay_recent (&spill->near_recent, spill->near_answered_at, now);
   decay_recent (&spill->far_recent, spill->far_answered_at, now);
+  decay (&spill->near_limited, CF_SPILL_BEGIN_HALF_LIFE_MS, now);
   learn_usual (spill, now);
   if (before <= 0)
     {
@@ -142,5 +148,5 @@
   return spill->near_usual.samples >= CF_SPILL_USUAL_SAMPLES_MIN
          && spill->near_recent.samples >= CF_SPILL_SAMPLES_MIN
          && now - spill->near_answered_at <= CF_SPILL_HALF_LIFE_MS
-         && !above_usual (spill, CF_SPILL_END_RATIO);
+         && !above_usual (spill, &spill->near_recent, CF_SPILL_END_RATIO);
 }
--- a/src/balance/spill.h
+++ b/src/balance/spill.h
@@ -32,6 +32,15 @@
 #define CF_SPILL_STALE_MS 1000
 /* Near answers, decayed, that the beginning of a spill needs: chance doubles the mean of fewer. */
 #define CF_SPILL_BEGIN_SAMPLES_MIN 6.0
+/* In the mean that begins a spill, a wait counts as at most this many times the usual one, and no
+ * answer may make up more than half of what the mean is above the usual wait.  With BEGIN_RATIO 2
+ * an answer adds up to 3.5 - 1, half of the 5 x (2 - 1) that 5 answers need: that many have to be
+ * seen.  So (2 - 1) / (3.5 - 1), two fifths, of the answers have to be long. */
+#define CF_SPILL_BEGIN_WAIT_MAX 3.5
+#define CF_SPILL_BEGIN_LIMITED_MIN 5.0
+/* Half-life of that mean: shorter than that of the others, since with limited waits it rises more
+ * slowly when a load begins. */
+#define CF_SPILL_BEGIN_HALF_LIFE_MS 150
 /* Intervals, decayed, from which the usual wait is known.  A VM that starts amid a load has none to
  * compare with, and spills later. */
 #define CF_SPILL_USUAL_SAMPLES_MIN 20.0
@@ -64,7 +73,8 @@
 {
   struct CfSpillTally near_recent;
   struct CfSpillTally far_recent;
-  struct CfSpillTally near_usual; /* a sample is the mean recent wait at a decision */
+  struct CfSpillTally near_limited; /* waits up to CF_SPILL_BEGIN_WAIT_MAX times the usual one */
+  struct CfSpillTally near_usual;   /* a sample is the mean recent wait at a decision */
   CfMillis near_answered_at;
   CfMillis far_answered_at;
   double share; /* part of new flows that goes far, 0 to CF_SPILL_MAX */
--- a/tests/test_spill.c
+++ b/tests/test_spill.c
@@ -165,6 +165,46 @@
 }
 END_TEST
 
+/* Guards against spills by single slow answers: each tenth takes 7 or 20 times as long, as after a
+ * pause of its upstream.  _i selects the factor and the rate, from the least that begins a spill.
+ */
+START_TEST (test_single_slow_answers)
+{
+  struct Play play = play_new (_i % 2 ? 100 : 23, (uint32_t) _i);
+  double factor = _i / 2 ? 20 : 7;
+  uint32_t answers = 0;
+  double due = 0;
+
+  for (; play.now < 300000; play.now += STEP_MS)
+    {
+      ck_assert_double_eq (cf_spill_update (&play.spill, play.now), 0);
+      due += play.per_s * STEP_MS / 1000;
+      while (due >= 1)
+        {
+          due--;
+          cf_spill_record (&play.spill, true,
+                           play.near_work * (0.5 + g_rand_double (play.random))
+                               * (answers++ % 10 == 0 ? factor : 1),
+                           play.now);
+        }
+    }
+  g_rand_free (play.random);
+}
+END_TEST
+
+/* Guards against a spill that begins later than 300 ms, three decisions, after callers of its
+ * domain press, or only when waits are far above twice the usual ones. */
+START_TEST (test_begins_in_time)
+{
+  struct Play play = play_new (_i % 2 ? 100 : 40, (uint32_t) _i);
+
+  run (&play, 20000, 0.5, 0.3);
+  run (&play, 300, 1.6, 0.3);
+  ck_assert_double_gt (play.spill.share, 0);
+  g_rand_free (play.random);
+}
+END_TEST
+
 /* Guards against flows that go on to a far side that no longer answers. */
 START_TEST (test_far_falls_silent)
 {
@@ -192,6 +232,8 @@
   suite_add_loop (suite, test_just_full, 4);
   suite_add_loop (suite, test_loaded_alike, 4);
   suite_add_loop (suite, test_quiet, 6);
+  suite_add_loop (suite, test_single_slow_answers, 4);
+  suite_add_loop (suite, test_begins_in_time, 20);
   suite_add_loop (suite, test_far_falls_silent, 1);
   return suite_run (suite);
 }
