--- a/src/balance/admission_queue.c
+++ b/src/balance/admission_queue.c
@@ -477,13 +477,23 @@
   service->filled_at = now;
 }
 
+/* Asked for each packet.  Without overload nothing waits. */
+static struct Waiting *
+find_waiting (const struct CfAdmissionQueue *queue,
+              struct CfEndpoint caller,
+              struct CfEndpoint service)
+{
+  const struct Waiting key = { .caller = caller, .address = service };
+
+  return g_hash_table_size (queue->flows) > 0 ? g_hash_table_lookup (queue->flows, &key) : NULL;
+}
+
 void
 cf_admission_forget (struct CfAdmissionQueue *queue,
                      struct CfEndpoint caller,
                      struct CfEndpoint service)
 {
-  const struct Waiting key = { .caller = caller, .address = service };
-  struct Waiting *waiting = g_hash_table_lookup (queue->flows, &key);
+  struct Waiting *waiting = find_waiting (queue, caller, service);
 
   if (waiting)
     remove_waiting (queue, waiting);
@@ -527,9 +537,7 @@
                     struct CfEndpoint caller,
                     struct CfEndpoint service)
 {
-  const struct Waiting key = { .caller = caller, .address = service };
-
-  return g_hash_table_contains (queue->flows, &key);
+  return find_waiting (queue, caller, service) != NULL;
 }
 
 uint32_t
--- a/src/balance/admit.c
+++ b/src/balance/admit.c
@@ -7,13 +7,12 @@
 
 /* An upstream that cannot be reached, is cold or fails requests has no room for more. */
 static bool
-is_usable (const struct CfBalance *balance, const struct CfTarget *target, CfMillis now)
+is_usable (const struct CfAvoidedDomains *avoided, const struct CfTarget *target, CfMillis now)
 {
   return (target->state == CF_TARGET_READY || target->state == CF_TARGET_LAPSED)
          && !target->collides && now >= target->cold_until && cf_reach_good (&target->reach)
-         && !cf_outages_suspects (balance->outages, target->domain)
-         && !cf_outlier_avoided (target, now)
-         && !g_hash_table_contains (balance->evacuated, GUINT_TO_POINTER (target->domain));
+         && !cf_domain_suspected (avoided, target->domain) && !cf_outlier_avoided (target, now)
+         && !cf_domain_evacuated (avoided, target->domain);
 }
 
 /* Requests to an upstream that has been lost fill no slot, though they still await an answer. */
@@ -22,6 +21,7 @@
 {
   const struct CfBalance *balance = context;
   GPtrArray *targets = cf_directory_service (balance->directory, service);
+  struct CfAvoidedDomains avoided = cf_avoided_domains (balance->evacuated, balance->outages);
   struct CfUsableRoom room = { 0 };
   uint32_t awaiting = 0;
   uint32_t usable = 0;
@@ -31,7 +31,7 @@
       const struct CfTarget *target = targets->pdata[i];
 
       awaiting += target->awaiting;
-      if (!is_usable (balance, target, now))
+      if (!is_usable (&avoided, target, now))
         continue;
       usable += target->awaiting;
       room.slots += target->slots;
--- a/src/balance/outage.c
+++ b/src/balance/outage.c
@@ -50,6 +50,12 @@
   return suspected;
 }
 
+bool
+cf_outages_any (const struct CfOutages *outages)
+{
+  return outages->suspected > 0;
+}
+
 bool
 cf_outages_suspects (const struct CfOutages *outages, GQuark domain)
 {
--- a/src/balance/outage.h
+++ b/src/balance/outage.h
@@ -28,6 +28,9 @@
 /* Records that an upstream of DOMAIN has answered.  Returns true if that ends an outage. */
 bool cf_outages_record_answer (struct CfOutages *outages, GQuark domain);
 
+/* Returns true if any domain is to be avoided. */
+bool cf_outages_any (const struct CfOutages *outages);
+
 /* Returns true if DOMAIN is to be avoided. */
 bool cf_outages_suspects (const struct CfOutages *outages, GQuark domain);
 
--- a/src/balance/outlier.c
+++ b/src/balance/outlier.c
@@ -401,9 +401,3 @@
     }
   return report->count > 0;
 }
-
-bool
-cf_outlier_avoided (const struct CfTarget *target, CfMillis now)
-{
-  return now < target->quality.avoided_until;
-}
--- a/src/balance/outlier.h
+++ b/src/balance/outlier.h
@@ -91,6 +91,10 @@
                         CfMillis now);
 
 /* Returns true if TARGET is to be avoided at NOW. */
-bool cf_outlier_avoided (const struct CfTarget *target, CfMillis now);
+static inline bool
+cf_outlier_avoided (const struct CfTarget *target, CfMillis now)
+{
+  return now < target->quality.avoided_until;
+}
 
 #endif
--- a/src/balance/place.c
+++ b/src/balance/place.c
@@ -25,13 +25,13 @@
 }
 
 static bool
-eligible (const struct CfPlacement *placement, const struct CfTarget *target)
+eligible (const struct CfAvoidedDomains *avoided, const struct CfTarget *target)
 {
   if (target->state != CF_TARGET_READY && target->state != CF_TARGET_LAPSED)
     return false;
   if (target->collides)
     return false;
-  return !g_hash_table_contains (placement->evacuated, GUINT_TO_POINTER (target->domain));
+  return !cf_domain_evacuated (avoided, target->domain);
 }
 
 /* Returns the interval between two flows of this VM to a cold upstream, at least 1 ms. */
@@ -64,14 +64,17 @@
 }
 
 static enum CfPlaceReason
-classify (const struct CfPlacement *placement, struct CfTarget *target, CfMillis now)
+classify (const struct CfPlacement *placement,
+          const struct CfAvoidedDomains *avoided,
+          struct CfTarget *target,
+          CfMillis now)
 {
   if (now < target->cold_until)
     return cold_due (placement, target, now) ? CF_PLACE_COLD : CF_PLACE_NONE;
   if (!cf_reach_good (&target->reach))
     return placement->may_try && cf_reach_may_try (&target->reach, now) ? CF_PLACE_TRY
                                                                         : CF_PLACE_SUSPECT;
-  if (cf_outages_suspects (placement->outages, target->domain))
+  if (cf_domain_suspected (avoided, target->domain))
     return placement->may_try ? CF_PLACE_TRY : CF_PLACE_OUTAGE;
   if (cf_outlier_avoided (target, now))
     return CF_PLACE_FAILING;
@@ -227,6 +230,7 @@
                enum CfPlaceReason *reason)
 {
   GPtrArray *targets = cf_directory_service (placement->directory, service);
+  struct CfAvoidedDomains avoided = cf_avoided_domains (placement->evacuated, placement->outages);
   struct Group near = { 0 };
   struct Group far = { 0 };
   struct CfTarget *best = NULL;
@@ -243,9 +247,9 @@
       enum CfPlaceReason candidate_reason;
       double candidate_cost;
 
-      if (!eligible (placement, target) || is_tried (target, tried, count))
+      if (!eligible (&avoided, target) || is_tried (target, tried, count))
         continue;
-      candidate_reason = classify (placement, target, now);
+      candidate_reason = classify (placement, &avoided, target, now);
       if (candidate_reason == CF_PLACE_NONE)
         continue;
       if (uneven && (candidate_reason == CF_PLACE_NEAR || candidate_reason == CF_PLACE_FAR))
--- a/src/balance/place.h
+++ b/src/balance/place.h
@@ -52,6 +52,35 @@
   CF_PLACE_NONE,
 };
 
+/* Failure domains that are avoided, looked up for each upstream.  NULL: none, as nearly always. */
+struct CfAvoidedDomains
+{
+  GHashTable *evacuated; /* set of GQuark: domains that get no new flows */
+  const struct CfOutages *outages;
+};
+
+static inline struct CfAvoidedDomains
+cf_avoided_domains (GHashTable *evacuated, const struct CfOutages *outages)
+{
+  return (struct CfAvoidedDomains){
+    .evacuated = g_hash_table_size (evacuated) > 0 ? evacuated : NULL,
+    .outages = cf_outages_any (outages) ? outages : NULL,
+  };
+}
+
+static inline bool
+cf_domain_evacuated (const struct CfAvoidedDomains *avoided, GQuark domain)
+{
+  return avoided->evacuated
+         && g_hash_table_contains (avoided->evacuated, GUINT_TO_POINTER (domain));
+}
+
+static inline bool
+cf_domain_suspected (const struct CfAvoidedDomains *avoided, GQuark domain)
+{
+  return avoided->outages && cf_outages_suspects (avoided->outages, domain);
+}
+
 const char *cf_place_reason_name (enum CfPlaceReason reason);
 
 /* Returns the best upstream of SERVICE that is not among the COUNT upstreams TRIED, or NULL, and
--- a/src/balance/reach.c
+++ b/src/balance/reach.c
@@ -1,11 +1,5 @@
 #include "reach.h"
 
-bool
-cf_reach_good (const struct CfReach *reach)
-{
-  return reach->failures == 0;
-}
-
 bool
 cf_reach_may_try (const struct CfReach *reach, CfMillis now)
 {
--- a/src/balance/reach.h
+++ b/src/balance/reach.h
@@ -18,7 +18,11 @@
 #define CF_REACH_RETRY_MAX_MS 2000
 
 /* Returns true if the upstream is not suspected. */
-bool cf_reach_good (const struct CfReach *reach);
+static inline bool
+cf_reach_good (const struct CfReach *reach)
+{
+  return reach->failures == 0;
+}
 
 /* Returns true if the upstream is suspected and a trial is due at NOW. */
 bool cf_reach_may_try (const struct CfReach *reach, CfMillis now);
--- a/src/balance/retry_tracker.c
+++ b/src/balance/retry_tracker.c
@@ -127,6 +127,8 @@
   struct Caller *caller;
 
   expire (tracker, now);
+  if (!oldest (tracker)) /* nearly always */
+    return false;
   caller = find_caller (tracker, ip, service);
   if (!caller)
     return false;
