--- a/Makefile
+++ b/Makefile
@@ -68,7 +68,7 @@
 	$(CC) $^ $(LIBS) $(CHECK_LIBS) -o $@
 
 # These tests run a task of the program, or what tasks share.
-FEED_TESTS = $(addprefix $(BUILD)/test_feed_,lifetime calls load names relay)
+FEED_TESTS = $(addprefix $(BUILD)/test_feed_,carry lifetime calls load names relay)
 $(FEED_TESTS): $(FEED_PLAY_SRC:%.c=$(BUILD)/%.o)
 $(FEED_TESTS) \
 $(BUILD)/test_connection_reset $(BUILD)/test_platform_task: \
--- a/src/feed/replica.c
+++ b/src/feed/replica.c
@@ -342,7 +342,8 @@
 }
 
 GPtrArray *
-cf_replica_end_carry (struct CfReplica *replica, enum CfFeedKind kind, CfMillis now)
+cf_replica_end_carry (
+    struct CfReplica *replica, enum CfFeedKind kind, CfMillis synced_at, bool settled, CfMillis now)
 {
   static const CfMillis carry_ms[CF_FEED_KINDS] = {
     [CF_FEED_UPSTREAMS] = CF_REPLICA_CARRY_UPSTREAMS_MS,
@@ -350,14 +351,18 @@
     [CF_FEED_VMS] = CF_REPLICA_CARRY_VMS_MS,
   };
   GPtrArray *changes = g_ptr_array_new ();
+  bool by_data = kind == CF_FEED_EVACUATIONS; /* they do not expire, so SETTLED does not matter */
+  CfMillis known_at = by_data ? synced_at : now;
   GHashTableIter iter;
   gpointer value;
 
   if (kind == CF_FEED_MANIFEST || !replica->carrying[kind] || replica->revision[kind] == 0)
     return changes;
+  if (!by_data && !settled)
+    return changes;
   if (replica->carry_since < 0)
     replica->carry_since = now; /* another VM sent records that it carries */
-  if (now - replica->carry_since < carry_ms[kind])
+  if (known_at - replica->carry_since < carry_ms[kind])
     return changes;
   replica->carrying[kind] = false;
   g_hash_table_iter_init (&iter, replica->records[kind]);
--- a/src/feed/replica.h
+++ b/src/feed/replica.h
@@ -9,7 +9,19 @@
  *
  * When the store begins a new era, the records are carried over: they stay as they are until the
  * store has them again, or until their writers have had time to write them again.  So do records of
- * which the store has an earlier content, from its copy, and records deleted since that. */
+ * which the store has an earlier content, from its copy, and records deleted since that.
+ *
+ * What ends the carrying of a record depends on who writes it.  The start of the era is the time at
+ * which this VM first carried records into it (carry_since), the latest one if there are several.
+ *
+ * - Any record: the store has had it in the new era, at a revision, also if it is deleted since.
+ * - Manifest (operators): nothing else.
+ * - Evacuation (operators): data of a time 3,000 ms after the start.  An evacuation does not
+ * expire, so one that the store lacks at that time was not written again, or was withdrawn. Whether
+ * calls to the store have failed since does not matter.
+ * - Upstream (renews its announcement): 2,500 ms, and the data have to be settled.  An announcement
+ *   that the store lacks may have expired in an outage and be about to be renewed.
+ * - VM (renews its record each hour, and when it learns of the era): 10,000 ms, settled. */
 
 /* Deleted records that are kept for followers that lag behind; one takes about 100 bytes. */
 #define CF_REPLICA_DELETED_MAX 2048
@@ -51,11 +63,17 @@
  * have it in this one. */
 bool cf_replica_is_carried (const struct CfReplica *replica, const struct CfRecord *record);
 
-/* Gives the records of KIND that have been carried for long enough at NOW the content that the
- * store has, or deletes them if it has none.  To be called when the store's data of this era are
- * complete. Manifests are carried until the next one.  Returns the records that changed, as
- * cf_replica_apply does. */
-GPtrArray *cf_replica_end_carry (struct CfReplica *replica, enum CfFeedKind kind, CfMillis now);
+/* Gives the records of KIND that have been carried for long enough the content that the store has,
+ * or deletes them if it has none.  To be called after data of the replica's era were applied at
+ * NOW. With them the replica holds all that the store had at SYNCED_AT (-1: not known).  With
+ * SETTLED the store had not failed for a time, so that announcements which expired in an outage
+ * have been renewed.  Manifests are carried until the next one.  Returns the records that changed,
+ * as cf_replica_apply does. */
+GPtrArray *cf_replica_end_carry (struct CfReplica *replica,
+                                 enum CfFeedKind kind,
+                                 CfMillis synced_at,
+                                 bool settled,
+                                 CfMillis now);
 
 /* Applies RECORDS of KIND in the replica's era, all changes up to REVISION; with WHOLE they are all
  * records that exist.  A record with revision 0 is carried by the VM that sent it.  Returns the
--- a/src/serve/feed_task.c
+++ b/src/serve/feed_task.c
@@ -266,13 +266,14 @@
   g_ptr_array_unref (changes);
 }
 
-/* The store's data of this era are complete: what is still carried was not written again. */
+/* Gives up what was carried for long enough and not written again. */
 static void
 end_carry (struct FeedTask *task, CfMillis now)
 {
   for (int kind = 0; kind < CF_FEED_KINDS; kind++)
     {
-      GPtrArray *changes = cf_replica_end_carry (&task->replica, (enum CfFeedKind) kind, now);
+      GPtrArray *changes = cf_replica_end_carry (&task->replica, (enum CfFeedKind) kind,
+                                                 task->synced_at, task->settled, now);
 
       if (changes->len > 0)
         {
@@ -299,8 +300,7 @@
   task->reader = g_strdup (reader);
   task->synced_at = synced_at;
   task->settled = settled;
-  if (settled)
-    end_carry (task, cf_now ());
+  end_carry (task, cf_now ());
   cf_send_feed_state (task->balancer, synced_at, settled);
 }
 
--- a/tests/test_eras.c
+++ b/tests/test_eras.c
@@ -38,7 +38,7 @@
 static uint32_t
 end_carry (struct CfReplica *replica, enum CfFeedKind kind, CfMillis now)
 {
-  GPtrArray *changes = cf_replica_end_carry (replica, kind, now);
+  GPtrArray *changes = cf_replica_end_carry (replica, kind, now, true, now);
   uint32_t count = changes->len;
 
   g_ptr_array_unref (changes);
--- a/tests/test_fuzz_messages.c
+++ b/tests/test_fuzz_messages.c
@@ -251,8 +251,8 @@
       if (i % 100 == 99)
         cf_replica_enter_era (&replica, replica.era + 1, i * CF_MS_PER_S);
       for (int kind = 0; kind < CF_FEED_KINDS; kind++)
-        g_ptr_array_unref (
-            cf_replica_end_carry (&replica, (enum CfFeedKind) kind, i * CF_MS_PER_S));
+        g_ptr_array_unref (cf_replica_end_carry (&replica, (enum CfFeedKind) kind, i * CF_MS_PER_S,
+                                                 true, i * CF_MS_PER_S));
     }
   ck_assert_int_gt (accepted, message_count () / 4);
   cf_relay_cache_clear (&cache);
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -122,7 +122,7 @@
   cf_replica_init (&replica);
   cf_replica_enter_era (&replica, 1, 1000);
   apply_record (&replica, "i-1", 5, false, true);
-  g_ptr_array_unref (cf_replica_end_carry (&replica, CF_FEED_UPSTREAMS, 9000));
+  g_ptr_array_unref (cf_replica_end_carry (&replica, CF_FEED_UPSTREAMS, 9000, true, 9000));
   ck_assert_int_lt (replica.carry_since, 0);
   cf_replica_clear (&replica);
 }
--- a/tests/test_restored_store.c
+++ b/tests/test_restored_store.c
@@ -2,6 +2,7 @@
 #include "feed/reader.h"
 #include "feed/relay.h"
 #include "feed/replica.h"
+#include "feed/sources.h"
 #include "platform/objects.h"
 #include "platform/store_requests.h"
 #include "store.h"
@@ -24,6 +25,10 @@
 #define IN_FORCE_MS 3000    /* from the store's confirmation until all VMs have it */
 #define FOLLOW_MS 300       /* between two requests of a follower */
 #define UNTIL_QUIET_MS 8000 /* time without changes before the end */
+#define EVACUATION_SEEDS 200
+#define EVACUATION_WRITE_MS 6000 /* mean time between writes of the evacuation */
+#define AGAIN_MS 6000            /* the store is away again within this time after its return */
+#define CALL_LOSS_PCT 70         /* most calls that degraded paths lose */
 
 struct Upstream
 {
@@ -44,7 +49,9 @@
   struct CfDirectory *directory;
   uint64_t version;     /* highest version of the manifest that it has had */
   CfMillis next_follow; /* INT64_MAX: it reads the store */
-  CfMillis answered_at; /* when its data were the store's */
+  CfMillis synced_at;   /* its data are the store's of this time */
+  CfMillis era_at;      /* when it carried its records into its era */
+  bool evacuated;       /* it held the evacuation after the last step */
 };
 
 struct Play
@@ -54,7 +61,9 @@
   CfMillis now;
   CfMillis away_from;
   CfMillis away_until;
-  CfMillis age; /* of the copy that the store returns with */
+  CfMillis age;      /* of the copy that the store returns with, -1: it has lost nothing */
+  CfMillis again_ms; /* from its return until it is away again */
+  bool second_loses_nothing;
   bool restored;
   int restores_left; /* after the next one */
   uint64_t version;  /* of the operators' latest manifest */
@@ -62,6 +71,10 @@
   bool evacuated;
   CfMillis evacuated_at;
   CfMillis operator_at; /* when the operators write next */
+  int loss_pct;         /* calls that are lost, to the store and between VMs */
+  uint64_t era;         /* of the store, when it was last looked at */
+  CfMillis stored_at;   /* since when the store has had the evacuation, -1: it has not */
+  bool withdrawn;       /* from the store, in its era */
   struct Upstream upstreams[UPSTREAMS];
   struct Vm vms[VMS];
 };
@@ -72,6 +85,12 @@
   return play->now >= play->away_from && play->now < play->away_until;
 }
 
+static bool
+is_lost (struct Play *play)
+{
+  return g_rand_int_range (play->random, 0, 100) < play->loss_pct;
+}
+
 static CfMillis
 random_ms (struct Play *play, CfMillis mean)
 {
@@ -182,11 +201,10 @@
   if (!play->restored && play->now >= play->away_until)
     {
       play->restored = true;
-      test_store_restore (play->store, play->away_from - play->age);
-      play->operator_at = play->now + random_ms (play, REWRITE_MS / 2);
+      if (play->age >= 0)
+        test_store_restore (play->store, play->away_from - play->age);
     }
-  if (!play->restored || play->restores_left == 0
-      || play->now < play->away_until + REWRITE_MS + IN_FORCE_MS)
+  if (!play->restored || play->restores_left == 0 || play->now < play->away_until + play->again_ms)
     return;
   play->restores_left--;
   play->restored = false;
@@ -198,7 +216,11 @@
 static void
 step_writers (struct Play *play)
 {
+  bool restored = play->restored;
+
   step_store (play);
+  if (play->restored && !restored)
+    play->operator_at = play->now + random_ms (play, REWRITE_MS / 2);
   if (is_away (play))
     return;
   step_operators (play);
@@ -252,18 +274,21 @@
 {
   if (era <= vm->replica.era)
     return;
+  vm->era_at = now;
   cf_replica_enter_era (&vm->replica, era, now);
   for (int kind = 0; kind < CF_FEED_KINDS; kind++)
     cf_reader_enter_era (&vm->readers[kind], era, now);
 }
 
-/* Ends what VM carries once the store, or SETTLED another VM, has its data complete. */
+/* Ends what VM carries, by its own data or, if SETTLED, those of the VM that it follows. */
 static void
 end_carry (struct Vm *vm, bool settled, CfMillis now)
 {
-  for (int kind = 0; kind < CF_FEED_KINDS && settled; kind++)
-    pass_on (vm, (enum CfFeedKind) kind,
-             cf_replica_end_carry (&vm->replica, (enum CfFeedKind) kind, now), true, now);
+  for (int kind = 0; kind < CF_FEED_KINDS; kind++)
+    pass_on (
+        vm, (enum CfFeedKind) kind,
+        cf_replica_end_carry (&vm->replica, (enum CfFeedKind) kind, vm->synced_at, settled, now),
+        true, now);
   if (settled)
     cf_directory_expire_lapsed (vm->directory, now);
 }
@@ -277,6 +302,17 @@
   return true;
 }
 
+/* Returns when the store last answered VM for every kind, -1: never in this era. */
+static CfMillis
+all_answered_at (const struct Vm *vm)
+{
+  CfMillis oldest = G_MAXINT64;
+
+  for (int kind = 0; kind < CF_FEED_VMS; kind++)
+    oldest = MIN (oldest, vm->readers[kind].answered_at);
+  return oldest;
+}
+
 static void
 read_kind (struct Play *play, struct Vm *vm, enum CfFeedKind kind)
 {
@@ -290,7 +326,7 @@
   if (!cf_reader_start_due (reader, play->now))
     return;
   listing = !reader->listed;
-  if (is_away (play))
+  if (is_away (play) || is_lost (play))
     outcome = CF_READ_NO_ANSWER;
   else if (listing)
     test_store_list (play->store, kind, NULL, G_MAXUINT, &response);
@@ -301,9 +337,10 @@
   whole = cf_reader_handle_outcome (reader, outcome, &response, play->now, play->random);
   if (outcome == CF_READ_ANSWERED)
     {
-      vm->answered_at = play->now;
+      ck_assert_ptr_nonnull (response.records);
       apply (vm, kind, response.records, reader->revision, whole,
              cf_reader_trusted (reader, play->now), play->now);
+      vm->synced_at = MAX (vm->synced_at, all_answered_at (vm));
       end_carry (vm, is_settled (vm, play->now), play->now);
     }
   cf_feed_response_clear (&response);
@@ -316,14 +353,14 @@
   struct CfRelayCache cache = { 0 };
   struct CfRelayUpdate update;
   struct CfUpdateOrigin origin = {
-    .age = play->now - source->answered_at,
+    .age = play->now - source->synced_at,
     .settled = is_settled (source, play->now),
   };
   GBytes *bytes;
   gsize len;
   const void *data;
 
-  if (source->replica.era < vm->replica.era)
+  if (source->replica.era < vm->replica.era || is_lost (play))
     return;
   for (int kind = 0; kind < CF_FEED_KINDS; kind++)
     position.revision[kind] = vm->replica.revision[kind];
@@ -331,7 +368,6 @@
   data = g_bytes_get_data (bytes, &len);
   ck_assert (cf_relay_decode (data, len, &update));
   learn_era (vm, source->replica.era, play->now);
-  vm->answered_at = MAX (vm->answered_at, source->answered_at);
   for (int kind = 0; kind < CF_FEED_KINDS; kind++)
     {
       const struct feed_part *part = &update.parts.parts.parts_val[kind];
@@ -342,6 +378,7 @@
                play->now);
       g_ptr_array_unref (records);
     }
+  vm->synced_at = MAX (vm->synced_at, source->synced_at);
   end_carry (vm, origin.settled, play->now);
   cf_relay_clear (&update);
   cf_relay_cache_clear (&cache);
@@ -356,7 +393,7 @@
   struct Vm *vm = &play->vms[index];
   int source = g_rand_boolean (play->random) ? 0 : g_rand_int_range (play->random, 0, VMS);
 
-  if (index == 0 || play->now - vm->answered_at > 2000)
+  if (index == 0 || play->now - vm->synced_at > 2000)
     for (int kind = 0; kind < CF_FEED_VMS; kind++)
       read_kind (play, vm, (enum CfFeedKind) kind);
   if (index == 0 || play->now < vm->next_follow || source == index)
@@ -466,6 +503,7 @@
   play->away_until = play->away_from + g_rand_int_range (play->random, 200, 4000);
   play->age = g_rand_int_range (play->random, 500, 11000);
   play->restores_left = seed % 2;
+  play->again_ms = REWRITE_MS + IN_FORCE_MS;
   for (int i = 0; i < UPSTREAMS; i++)
     {
       g_snprintf (play->upstreams[i].name, sizeof play->upstreams[i].name, "i-%d", i + 1);
@@ -496,6 +534,95 @@
   g_rand_free (play->random);
 }
 
+/* The operators write an evacuation that the copy lacks, and the store may be away again while the
+ * VMs carry it. */
+static void
+begin_evacuation (struct Play *play, int seed)
+{
+  begin (play, seed);
+  play->loss_pct = g_rand_int_range (play->random, 0, CALL_LOSS_PCT + 1);
+  play->age = g_rand_int_range (play->random, IN_FORCE_MS, 2 * IN_FORCE_MS);
+  play->operator_at = play->away_from - g_rand_int_range (play->random, STEP_MS, IN_FORCE_MS);
+  play->again_ms = g_rand_int_range (play->random, 0, AGAIN_MS);
+  play->second_loses_nothing = g_rand_boolean (play->random);
+}
+
+static void
+step_evacuation (struct Play *play)
+{
+  const char *held;
+
+  step_store (play);
+  if (play->second_loses_nothing && play->era > 1)
+    play->age = -1;
+  if (play->era != test_store_era (play->store))
+    {
+      play->era = test_store_era (play->store);
+      play->stored_at = test_store_get (play->store, CF_FEED_EVACUATIONS, "a") ? play->now : -1;
+      play->withdrawn = false;
+    }
+  if (is_away (play))
+    return;
+  for (int i = 0; i < UPSTREAMS; i++)
+    step_upstream (play, &play->upstreams[i]);
+  if (play->now < play->operator_at)
+    return;
+  play->operator_at = play->now + random_ms (play, EVACUATION_WRITE_MS);
+  held = test_store_get (play->store, CF_FEED_EVACUATIONS, "a");
+  if (!test_store_put (play->store, CF_FEED_EVACUATIONS, "a", held ? NULL : "{}", play->now))
+    return;
+  play->withdrawn = play->withdrawn || held;
+  play->stored_at = held ? -1 : play->now;
+}
+
+static void
+check_evacuation (struct Play *play, int index)
+{
+  struct Vm *vm = &play->vms[index];
+  const struct CfRecord *record
+      = g_hash_table_lookup (vm->replica.records[CF_FEED_EVACUATIONS], "a");
+  bool evacuated = holds_evacuation (vm);
+  CfMillis carried = play->now - vm->era_at;
+
+  if (evacuated && cf_replica_is_carried (&vm->replica, record)
+      && play->now - vm->synced_at <= CF_SOURCES_STALE_MAX_MS)
+    ck_assert_msg (carried <= CF_REPLICA_CARRY_EVACUATIONS_MS + CF_SOURCES_STALE_MAX_MS,
+                   "%lld ms, vm %d: carried for %lld ms", (long long) play->now, index,
+                   (long long) carried);
+  if (!evacuated && vm->evacuated && !play->withdrawn)
+    {
+      ck_assert_msg (play->stored_at < 0
+                         || play->stored_at > vm->era_at + CF_REPLICA_CARRY_EVACUATIONS_MS,
+                     "%lld ms, vm %d: dropped, though written again at %lld ms",
+                     (long long) play->now, index, (long long) play->stored_at);
+    }
+  if (play->era == vm->replica.era && play->stored_at >= 0 && play->stored_at <= vm->synced_at)
+    ck_assert_msg (evacuated, "%lld ms, vm %d: no evacuation, which the store has",
+                   (long long) play->now, index);
+  vm->evacuated = evacuated;
+}
+
+/* The store is restored without an evacuation, and VMs lose calls to it and to each other all the
+ * while: they carried it until no call had failed for 2.5 s.  Nor may a VM give it up when the
+ * store has it again. */
+START_TEST (test_lost_evacuation_is_carried_for_3_s)
+{
+  struct Play play = { 0 };
+
+  begin_evacuation (&play, _i);
+  for (play.now = STEP_MS; play.now < END_MS; play.now += STEP_MS)
+    {
+      step_evacuation (&play);
+      for (int i = 0; i < VMS; i++)
+        {
+          step_vm (&play, i);
+          check_evacuation (&play, i);
+        }
+    }
+  end (&play);
+}
+END_TEST
+
 START_TEST (test_changes_after_restore_are_in_force)
 {
   struct Play play = { 0 };
@@ -521,5 +648,6 @@
   Suite *suite = suite_create ("restored_store");
 
   suite_add_loop (suite, test_changes_after_restore_are_in_force, SEEDS);
+  suite_add_loop (suite, test_lost_evacuation_is_carried_for_3_s, EVACUATION_SEEDS);
   return suite_run (suite);
 }
