--- a/src/feed/replica.c
+++ b/src/feed/replica.c
@@ -336,7 +336,10 @@
       set_stored (replica, record, record->superseded->revision);
       return changed;
     }
-  set_stored (replica, record, replica->revision[kind]);
+  /* An evacuation stays a carried record, which followers get no deletion of: they count the time
+   * from the beginning of their own carrying. */
+  if (kind != CF_FEED_EVACUATIONS)
+    set_stored (replica, record, replica->revision[kind]);
   set_deleted (record);
   return changed;
 }
--- a/src/feed/replica.h
+++ b/src/feed/replica.h
@@ -16,12 +16,15 @@
  *
  * - Any record: the store has had it in the new era, at a revision, also if it is deleted since.
  * - Manifest (operators): nothing else.
- * - Evacuation (operators): data of a time 3,000 ms after the start.  An evacuation does not
- * expire, so one that the store lacks at that time was not written again, or was withdrawn. Whether
- * calls to the store have failed since does not matter.
+ * - Evacuation (operators): data of a time 3,000 ms after the start.  It does not expire, so one
+ *   that the store lacks at that time was not written again, or was withdrawn, whether or not calls
+ *   to the store have failed since.
  * - Upstream (renews its announcement): 2,500 ms, and the data have to be settled.  An announcement
  *   that the store lacks may have expired in an outage and be about to be renewed.
- * - VM (renews its record each hour, and when it learns of the era): 10,000 ms, settled. */
+ * - VM (renews its record each hour, and when it learns of the era): 10,000 ms, settled.
+ *
+ * A VM that gives an evacuation up sends no deletion to its followers, since the store has none:
+ * each VM counts from its own start.  docs/PLATFORM.md says what happens in each case. */
 
 /* Deleted records that are kept for followers that lag behind; one takes about 100 bytes. */
 #define CF_REPLICA_DELETED_MAX 2048
--- a/tests/test_restored_store.c
+++ b/tests/test_restored_store.c
@@ -591,6 +591,9 @@
                    (long long) carried);
   if (!evacuated && vm->evacuated && !play->withdrawn)
     {
+      ck_assert_msg (carried >= CF_REPLICA_CARRY_EVACUATIONS_MS,
+                     "%lld ms, vm %d: carried for %lld ms only", (long long) play->now, index,
+                     (long long) carried);
       ck_assert_msg (play->stored_at < 0
                          || play->stored_at > vm->era_at + CF_REPLICA_CARRY_EVACUATIONS_MS,
                      "%lld ms, vm %d: dropped, though written again at %lld ms",
@@ -603,8 +606,8 @@
 }
 
 /* The store is restored without an evacuation, and VMs lose calls to it and to each other all the
- * while: they carried it until no call had failed for 2.5 s.  Nor may a VM give it up when the
- * store has it again. */
+ * while: they carried it until no call had failed for 2.5 s.  Nor may a VM give it up before its
+ * time, or when the store has it again. */
 START_TEST (test_lost_evacuation_is_carried_for_3_s)
 {
   struct Play play = { 0 };
