--- a/src/balance/balance.h
+++ b/src/balance/balance.h
@@ -61,6 +61,10 @@
   CfMillis state_age;                /* how long the upstream has been in its state */
   CfMillis sync_age; /* since the last sync with the store, direct or through a peer;
                         -1: never */
+  /* Of CF_OUTCOME_RESET_UNREACHABLE: since this VM last saw an answer of the upstream, and of any
+   * upstream of its failure domain; -1: never. */
+  CfMillis upstream_heard_age;
+  CfMillis domain_heard_age;
 };
 
 struct CfBalanceOutputs
--- a/src/balance/directory.c
+++ b/src/balance/directory.c
@@ -122,6 +122,7 @@
   target->cookie = cf_cookie (announcement->id);
   target->state_since = now;
   target->reach.confirmed_at = -1;
+  target->heard_at = -1;
   g_hash_table_insert (directory->by_id, target->id, target);
   index_by_cookie (directory, target);
   return target;
@@ -183,6 +184,7 @@
     {
       target->reach = (struct CfReach){ .confirmed_at = -1 };
       target->silent_at = 0;
+      target->heard_at = -1;
       g_clear_pointer (&target->quality.remote, g_array_unref);
       target->quality = (struct CfQuality){ 0 };
       cf_pace_clear (&target->pace);
--- a/src/balance/directory.h
+++ b/src/balance/directory.h
@@ -98,6 +98,7 @@
   struct CfReach reach;
   CfMillis silent_at; /* when a silent flow to it was last counted (unreachable.h), 0: none since an
                          answer */
+  CfMillis heard_at;  /* when an answer of it was last seen, -1: never */
   struct CfQuality quality;
   struct CfPace pace;
 };
--- a/src/balance/later_packet.c
+++ b/src/balance/later_packet.c
@@ -41,7 +41,7 @@
   CfMillis sent_at = first_sent_at (connection, target);
 
   cf_isolation_record_open (&balance->isolation);
-  cf_unreachable_record_answer (balance->unreachable, target, sent_at);
+  cf_unreachable_record_answer (balance->unreachable, target, sent_at, now);
   for (uint32_t i = 0; i < connection->tries; i++)
     if (connection->tried[i] == target
         && (i + 1 == connection->tries || i + 1 == connection->extra))
@@ -181,7 +181,7 @@
   struct CfDeliveryUpdate update = cf_delivery_update (&connection->delivery, segment, now);
 
   if (update.answered)
-    cf_unreachable_record_answer (balance->unreachable, target, update.sent_at);
+    cf_unreachable_record_answer (balance->unreachable, target, update.sent_at, now);
   if (update.repeated)
     {
       cf_unreachable_record_repeat (balance->unreachable, target, &connection->delivery,
@@ -194,6 +194,13 @@
   return cf_unreachable_check (balance->unreachable, target, &connection->delivery, &update, now);
 }
 
+/* Returns the time since HEARD_AT, -1 if that is: never. */
+static CfMillis
+heard_age (CfMillis heard_at, CfMillis now)
+{
+  return heard_at >= 0 ? now - heard_at : -1;
+}
+
 static void
 reset_unreachable (struct CfBalance *balance,
                    struct CfConnection *connection,
@@ -202,6 +209,8 @@
                    enum CfUnreachableReason evidence,
                    CfMillis now)
 {
+  CfMillis domain_heard_at = cf_unreachable_domain_heard_at (balance->unreachable, target->domain);
+
   balance->out->reset (balance->context, segment);
   cf_balance_report_decision (balance, &(struct CfDecision){
                                            .outcome = CF_OUTCOME_RESET_UNREACHABLE,
@@ -213,6 +222,8 @@
                                            .manifest_version = cf_routes_version (balance->routes),
                                            .state_age = now - target->state_since,
                                            .sync_age = cf_balance_sync_age (balance, now),
+                                           .upstream_heard_age = heard_age (target->heard_at, now),
+                                           .domain_heard_age = heard_age (domain_heard_at, now),
                                        });
   cf_connections_remove (&balance->connections, connection);
 }
--- a/src/balance/unreachable.c
+++ b/src/balance/unreachable.c
@@ -9,6 +9,7 @@
   uint32_t caller_count;
   CfMillis silent_at;    /* when a silent flow was last counted, 0: never */
   CfMillis delivered_at; /* when the latest data that it answered had been sent, -1: never */
+  CfMillis heard_at;     /* when an answer from it was last seen, -1: never */
 };
 
 struct CfUnreachable
@@ -56,6 +57,7 @@
     {
       domain = g_new0 (struct Domain, 1);
       domain->delivered_at = -1;
+      domain->heard_at = -1;
       g_hash_table_insert (unreachable->domains, GUINT_TO_POINTER (name), domain);
     }
   return domain;
@@ -87,16 +89,25 @@
 void
 cf_unreachable_record_answer (struct CfUnreachable *unreachable,
                               struct CfTarget *target,
-                              CfMillis sent_at)
+                              CfMillis sent_at,
+                              CfMillis now)
 {
   struct Domain *domain = find_domain (unreachable, target->domain);
 
   unreachable->delivered_at = MAX (unreachable->delivered_at, sent_at);
   domain->delivered_at = MAX (domain->delivered_at, sent_at);
+  domain->heard_at = now;
+  target->heard_at = now;
   target->silent_at = 0;
   forget_silent (domain);
 }
 
+CfMillis
+cf_unreachable_domain_heard_at (const struct CfUnreachable *unreachable, GQuark domain)
+{
+  return find_domain (unreachable, domain)->heard_at;
+}
+
 void
 cf_unreachable_record_repeat (struct CfUnreachable *unreachable,
                               struct CfTarget *target,
--- a/src/balance/unreachable.h
+++ b/src/balance/unreachable.h
@@ -62,10 +62,15 @@
 struct CfUnreachable *cf_unreachable_new (void);
 void cf_unreachable_free (struct CfUnreachable *unreachable);
 
-/* Records that TARGET has answered what was sent on any flow at SENT_AT (-1: not known). */
+/* Records that TARGET was seen at NOW to have answered what was sent on any flow at SENT_AT (-1:
+ * not known). */
 void cf_unreachable_record_answer (struct CfUnreachable *unreachable,
                                    struct CfTarget *target,
-                                   CfMillis sent_at);
+                                   CfMillis sent_at,
+                                   CfMillis now);
+
+/* Returns when an answer from DOMAIN was last seen, -1: never.  For the log only. */
+CfMillis cf_unreachable_domain_heard_at (const struct CfUnreachable *unreachable, GQuark domain);
 
 /* Records that the data of DELIVERY, a flow of the caller at CALLER_IP to TARGET, was repeated.
  * Counts once for each data. */
--- a/src/serve/datapath_task.c
+++ b/src/serve/datapath_task.c
@@ -144,6 +144,7 @@
   const struct CfTarget *target = decision->target;
   struct CfEventRate *rate
       = decision->outcome == CF_OUTCOME_PLACED ? &task->placed_rate : &task->notable_rate;
+  bool unreachable = decision->outcome == CF_OUTCOME_RESET_UNREACHABLE;
   char flow[CF_ADDRESS_TEXT_MAX];
   char service[CF_ADDRESS_TEXT_MAX];
 
@@ -174,6 +175,11 @@
           { .key = "tries", .number = decision->tries },
           { .key = "manifest", .number = (int64_t) decision->manifest_version },
           { .key = "news_age_ms", .number = decision->sync_age },
+          /* The fields end here unless the flow's upstream could not be reached. */
+          { .key = unreachable ? "domain" : NULL,
+            .text = target ? g_quark_to_string (target->domain) : "" },
+          { .key = "upstream_heard_ago_ms", .number = decision->upstream_heard_age },
+          { .key = "domain_heard_ago_ms", .number = decision->domain_heard_age },
           { 0 },
       },
       cf_now ());
--- a/tests/simulation.c
+++ b/tests/simulation.c
@@ -110,10 +110,19 @@
     flow->reset = true;
 }
 
+static void
+decided (void *context, const struct CfDecision *decision)
+{
+  struct Simulation *sim = context;
+
+  sim->decision = *decision;
+}
+
 static const struct CfBalanceOutputs outputs = {
   .forward = forward,
   .hand_on = hand_on,
   .reset = reset,
+  .decided = decided,
 };
 
 static void
--- a/tests/simulation.h
+++ b/tests/simulation.h
@@ -44,6 +44,7 @@
   const struct CfTarget *last;         /* target of the last forwarded packet */
   bool request_at_once;                /* the second packet of a flow carries its first request */
   struct CfAdmissionOptions admission; /* of VMs that are added from now on; off at first */
+  struct CfDecision decision;          /* the last one that was reported */
   CfMillis round_trip; /* from the first packet of a flow to the second, at the VM */
 };
 
--- a/tests/test_unreachable.c
+++ b/tests/test_unreachable.c
@@ -202,6 +202,30 @@
 }
 END_TEST
 
+/* The log of a reset could not tell an upstream that had lost one packet from a domain that had
+ * been silent for a while. */
+START_TEST (test_reset_says_when_answers_came)
+{
+  struct SimFlow *far[4];
+  struct Scene scene = set_up (far);
+  const struct CfDecision *decision = &scene.sim->decision;
+  CfMillis upstream_at;
+  CfMillis domain_at;
+
+  let_answer (&scene, far[2]);
+  upstream_at = scene.sim->now;
+  let_answer (&scene, far[3]);
+  domain_at = scene.sim->now;
+  for (int i = 0; i < 3; i++)
+    stay_silent (&scene, far[i]);
+  ck_assert (far[2]->reset);
+  ck_assert_int_eq (decision->outcome, CF_OUTCOME_RESET_UNREACHABLE);
+  ck_assert_int_eq (decision->upstream_heard_age, scene.sim->now - upstream_at);
+  ck_assert_int_eq (decision->domain_heard_age, scene.sim->now - domain_at);
+  sim_free (scene.sim);
+}
+END_TEST
+
 /* Two of a domain's four upstreams die and the others answer: a flow at one of these that loses a
  * packet is not reset. */
 START_TEST (test_part_of_a_domain)
@@ -785,6 +809,7 @@
   suite_add_loop (suite, test_one_caller, 1);
   suite_add_loop (suite, test_flow_that_opens, 1);
   suite_add_loop (suite, test_upstreams_of_a_domain, 1);
+  suite_add_loop (suite, test_reset_says_when_answers_came, 1);
   suite_add_loop (suite, test_part_of_a_domain, 1);
   suite_add_loop (suite, test_slow_answers, 1);
   suite_add_loop (suite, test_pause, 1);
