--- a/src/serve/feed_task.c
+++ b/src/serve/feed_task.c
@@ -241,6 +241,8 @@
                           { .key = "era", .number = (int64_t) era },
                           { .key = "previous", .number = (int64_t) previous },
                           { .key = "news_age_ms", .number = cf_feed_age (task, now) },
+                          { .key = "evacuations",
+                            .number = cf_replica_count (&task->replica, CF_FEED_EVACUATIONS) },
                           { 0 },
                       });
   return verdict;
@@ -283,6 +285,8 @@
                   { .key = "kind", .text = cf_feed_kind_name ((enum CfFeedKind) kind) },
                   { .key = "records", .number = changes->len },
                   { .key = "era", .number = (int64_t) task->replica.era },
+                  { .key = "carried_ms", .number = now - task->replica.carry_since },
+                  { .key = "news_age_ms", .number = cf_feed_age (task, now) },
                   { 0 },
               });
           send_records (task, (enum CfFeedKind) kind, changes, true);
