--- a/src/balancer/feed_task.c
+++ b/src/balancer/feed_task.c
@@ -53,6 +53,8 @@
                           { .key = "era", .number = (int64_t) era },
                           { .key = "previous", .number = (int64_t) previous },
                           { .key = "news_age_ms", .number = cf_feed_age (&task->feed, now) },
+                          { .key = "evacuations",
+                            .number = cf_replica_count (&task->replica, CF_FEED_EVACUATIONS) },
                           { 0 },
                       });
   return verdict;
@@ -79,13 +81,14 @@
   g_ptr_array_unref (changes);
 }
 
-/* The store's data of this era are complete: what is still carried was not written again. */
+/* Gives up what was carried for long enough and not written again. */
 static void
 end_carry (struct FeedTask *task, CfMillis now)
 {
   for (int kind = 0; kind < CF_FEED_KINDS; kind++)
     {
-      GPtrArray *changes = cf_replica_end_carry (&task->replica, (enum CfFeedKind) kind, now);
+      GPtrArray *changes = cf_replica_end_carry (&task->replica, (enum CfFeedKind) kind,
+                                                 task->status.synced_at, task->status.settled, now);
 
       if (changes->len > 0)
         {
@@ -95,6 +98,8 @@
                   { .key = "kind", .text = cf_feed_kind_name ((enum CfFeedKind) kind) },
                   { .key = "records", .number = changes->len },
                   { .key = "era", .number = (int64_t) task->replica.era },
+                  { .key = "carried_ms", .number = now - task->replica.carry_since },
+                  { .key = "news_age_ms", .number = cf_feed_age (&task->feed, now) },
                   { 0 },
               });
           cf_feed_records_send (&task->records, (enum CfFeedKind) kind, changes, true);
@@ -115,8 +120,7 @@
   task->status.reader = g_strdup (reader);
   task->status.synced_at = synced_at;
   task->status.settled = settled;
-  if (settled)
-    end_carry (task, cf_now ());
+  end_carry (task, cf_now ());
   state = g_new (struct CfFeedState, 1);
   *state = (struct CfFeedState){ .synced_at = synced_at, .settled = settled };
   cf_task_post (&task->feed.balancer->datapath, CF_TO_DATAPATH_FEED_STATE, state);
