--- a/tests/feed_play.c
+++ b/tests/feed_play.c
@@ -1,5 +1,6 @@
 #include "feed_play.h"
 #include "suite.h"
+#include "tcp_server.h"
 
 #include <unistd.h>
 
@@ -16,14 +17,6 @@
 /* Messages to the other tasks are kept and freed with them. */
 static const struct CfTaskClass idle_class = { .name = "idle", .stop = never_stop };
 
-char *
-feed_play_ip (int host)
-{
-  pid_t pid = getpid ();
-
-  return g_strdup_printf ("127.%d.%d.%d", 1 + (pid >> 8) % 250, pid & 0xff, host);
-}
-
 void
 feed_play_prepare (struct FeedPlay *play, char *store)
 {
@@ -33,7 +26,7 @@
   *play = (struct FeedPlay){ .task = NULL };
   balancer->settings = (struct CfBalanceSettings){
     .name = g_strdup ("vm-2"),
-    .ip = feed_play_ip (2),
+    .ip = tcp_server_own_ip (2),
     .failure_domain = g_strdup ("d"),
     .region = g_strdup ("r"),
     .seeds = g_new0 (char *, 1),
--- a/tests/feed_play.h
+++ b/tests/feed_play.h
@@ -16,9 +16,6 @@
   struct FeedTask *task;
 };
 
-/* Returns the address of HOST, to be freed with g_free. */
-char *feed_play_ip (int host);
-
 /* Sets up the VM with the store at the address STORE, which the play takes over. */
 void feed_play_prepare (struct FeedPlay *play, char *store);
 /* Starts its feed task.  What it listens to has to be there. */
--- a/tests/tcp_server.c
+++ b/tests/tcp_server.c
@@ -75,6 +75,15 @@
   return NULL;
 }
 
+char *
+tcp_server_own_ip (int host)
+{
+  pid_t pid = getpid ();
+
+  /* The soak test has the networks below 127.10, the scripts those below 127.110. */
+  return g_strdup_printf ("127.%d.%d.%d", 110 + pid / 256 % 146, pid % 256, host);
+}
+
 void
 tcp_server_start (struct TcpServer *server)
 {
--- a/tests/tcp_server.h
+++ b/tests/tcp_server.h
@@ -26,6 +26,11 @@
 /* Listens at IP and PORT, 0: any. */
 void tcp_server_start_at (struct TcpServer *server, const char *ip, uint16_t port);
 
+/* Returns the address of HOST, below 256, in a loopback network of this process; to be freed with
+ * g_free.  Tests run side by side, and so do whole runs in several checkouts: two processes share a
+ * network only if their ids differ by a multiple of 37,376. */
+char *tcp_server_own_ip (int host);
+
 /* Waits until all connections are closed. */
 void tcp_server_stop (struct TcpServer *server);
 
--- a/tests/test_feed_calls.c
+++ b/tests/test_feed_calls.c
@@ -176,7 +176,7 @@
 static void
 add_vm (struct Play *play, const char *name, int host)
 {
-  char *ip = feed_play_ip (host);
+  char *ip = tcp_server_own_ip (host);
   char *content = feed_play_vm_record (name, ip);
 
   test_store_put (play->data, CF_FEED_VMS, name, content, 0);
@@ -216,7 +216,7 @@
 begin (struct Play *play, bool seed)
 {
   struct CfBalanceSettings *settings = &play->feed.balancer.settings;
-  char *ip = feed_play_ip (1);
+  char *ip = tcp_server_own_ip (1);
 
   silent_server_start (&play->store, NULL, 0);
   feed_play_prepare (&play->feed, g_strdup_printf ("127.0.0.1:%u", play->store.tcp.port));
--- a/tests/test_feed_lifetime.c
+++ b/tests/test_feed_lifetime.c
@@ -1,5 +1,6 @@
 #include "feed_play.h"
 #include "suite.h"
+#include "tcp_server.h"
 
 /* What the feed task refers to while it handles an answer must outlive the handling, also where the
  * answer itself removes it.  The task runs on the test's thread, with the VM that it follows on
@@ -92,7 +93,7 @@
 start_feed (struct Feed *feed)
 {
   const struct CfBalanceSettings *settings = &feed->play.balancer.settings;
-  char *ip = feed_play_ip (1);
+  char *ip = tcp_server_own_ip (1);
   GPtrArray *records = new_records ();
 
   *feed = (struct Feed){ .origin = { .age = 0 } };
--- a/tests/test_feed_load.c
+++ b/tests/test_feed_load.c
@@ -4,6 +4,7 @@
 #include "feed_play.h"
 #include "serve/datapath_internal.h"
 #include "suite.h"
+#include "tcp_server.h"
 
 /* Load reports between the tasks of a VM, "vm-2", and another, "vm-1", over loopback sockets. */
 
@@ -65,7 +66,7 @@
   for (int host = 1; host <= VMS; host++)
     {
       char *name = g_strdup_printf ("vm-%d", host);
-      char *ip = feed_play_ip (host);
+      char *ip = tcp_server_own_ip (host);
       char *content = cf_vm_record_format (&(struct CfVmRecord){
           .ip = ip, .domain = host <= NEAR_VMS ? "d" : "e", .region = "r", .link_mbps = 100 });
 
--- a/tests/test_http_listen.c
+++ b/tests/test_http_listen.c
@@ -1,5 +1,6 @@
 #include "serve/http_listen.h"
 #include "suite.h"
+#include "tcp_server.h"
 
 #include <arpa/inet.h>
 #include <signal.h>
@@ -18,11 +19,7 @@
 #define PAYLOAD_BYTES 67108864 /* of a client that sends too much */
 #define GROWTH_MAX_KB 16384    /* of the server's memory meanwhile */
 
-/* Each test has an address of its own, since tests run side by side. */
-static struct CfAddress server_address = {
-  .ip = { [10] = 0xff, [11] = 0xff, [12] = 127, [13] = 9 },
-  .port = PORT,
-};
+static struct CfAddress server_address;
 
 /* Freed memory that the sanitizer keeps must not count as the server's. */
 const char *__asan_default_options (void);
@@ -49,15 +46,17 @@
 
 /* Runs a server in a child process, and returns its id when it listens. */
 static pid_t
-start_server (uint8_t test)
+start_server (void)
 {
+  char *ip = tcp_server_own_ip (1);
   struct rlimit limit = { .rlim_cur = DESCRIPTORS, .rlim_max = DESCRIPTORS };
   struct CfError error = { 0 };
   int ready[2];
   pid_t pid;
   char byte = 0;
 
-  server_address.ip[15] = test;
+  ck_assert (cf_address_parse (ip, PORT, &server_address));
+  g_free (ip);
   ck_assert_int_eq (pipe (ready), 0);
   pid = fork ();
   if (pid == 0)
@@ -127,7 +126,7 @@
 /* Idle connections used up the descriptors; the server stopped accepting for good. */
 START_TEST (test_idle_connections_do_not_stop_server)
 {
-  pid_t pid = start_server (1);
+  pid_t pid = start_server ();
   int idle[2 * DESCRIPTORS];
 
   for (size_t i = 0; i < G_N_ELEMENTS (idle); i++)
@@ -143,7 +142,7 @@
 /* The descriptors of connections that clients had closed stayed open, one for each request. */
 START_TEST (test_requests_leave_no_descriptors)
 {
-  pid_t pid = start_server (2);
+  pid_t pid = start_server ();
 
   for (int i = 0; i < 4 * DESCRIPTORS; i++)
     ck_assert (is_new_connection_answered ());
@@ -176,7 +175,7 @@
 START_TEST (test_endless_request_takes_no_memory)
 {
   static char payload[65536];
-  pid_t pid = start_server ((uint8_t) (3 + _i));
+  pid_t pid = start_server ();
   long before;
   int fd;
 
