--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 
 CC = gcc
 BUILD = build
-PACKAGES = glib-2.0 gio-2.0 gio-unix-2.0 libsodium libtirpc libsoup-3.0 json-glib-1.0
+PACKAGES = glib-2.0 gio-2.0 gio-unix-2.0 libsodium libtirpc libsoup-3.0 json-glib-1.0 libzstd
 CPPFLAGS = -D_GNU_SOURCE -Iinclude -Isrc -I. -Itests
 CFLAGS = -O2 -g
 # Empty in the deployed build, which must not depend on what another compiler or newer headers warn of.
--- a/src/feed/feed.h
+++ b/src/feed/feed.h
@@ -43,6 +43,31 @@
 	} parts;
 };
 typedef struct feed_parts feed_parts;
+#define FEED_CHECKSUM_BYTES 32
+#define FEED_DIFFERENCES_MAX 1024
+#define FEED_FRAME_MAX 524288
+
+struct feed_difference {
+	u_int kind;
+	char *name;
+	u_quad_t base;
+	u_quad_t revision;
+	u_int size;
+	char checksum[FEED_CHECKSUM_BYTES];
+	struct {
+		u_int frame_len;
+		char *frame_val;
+	} frame;
+};
+typedef struct feed_difference feed_difference;
+
+struct feed_differences {
+	struct {
+		u_int list_len;
+		feed_difference *list_val;
+	} list;
+};
+typedef struct feed_differences feed_differences;
 #define FEED_PARTS_MAX 16777216
 
 struct feed_news {
@@ -143,6 +168,8 @@
 extern  bool_t xdr_feed_record (XDR *, feed_record*);
 extern  bool_t xdr_feed_part (XDR *, feed_part*);
 extern  bool_t xdr_feed_parts (XDR *, feed_parts*);
+extern  bool_t xdr_feed_difference (XDR *, feed_difference*);
+extern  bool_t xdr_feed_differences (XDR *, feed_differences*);
 extern  bool_t xdr_feed_news (XDR *, feed_news*);
 extern  bool_t xdr_feed_hello (XDR *, feed_hello*);
 extern  bool_t xdr_feed_quality (XDR *, feed_quality*);
@@ -157,6 +184,8 @@
 extern bool_t xdr_feed_record ();
 extern bool_t xdr_feed_part ();
 extern bool_t xdr_feed_parts ();
+extern bool_t xdr_feed_difference ();
+extern bool_t xdr_feed_differences ();
 extern bool_t xdr_feed_news ();
 extern bool_t xdr_feed_hello ();
 extern bool_t xdr_feed_quality ();
--- a/src/feed/feed.x
+++ b/src/feed/feed.x
@@ -25,6 +25,26 @@
   feed_part parts<8>;
 };
 
+const FEED_CHECKSUM_BYTES = 32;      /* of SHA-256 */
+const FEED_DIFFERENCES_MAX = 1024;   /* a sender has no more earlier texts: 4 MB, 4 KB each */
+const FEED_FRAME_MAX = 524288;       /* less than half of the text */
+
+/* A record whose text changed, for a follower that has the earlier text. */
+struct feed_difference {
+  unsigned int kind;        /* of the record, as in the order of feed_parts */
+  string name<FEED_NAME_MAX>;
+  unsigned hyper base;      /* revision of the earlier text */
+  unsigned hyper revision;
+  unsigned int size;        /* bytes of the text, up to FEED_TEXT_MAX */
+  opaque checksum[FEED_CHECKSUM_BYTES];  /* of the text */
+  opaque frame<FEED_FRAME_MAX>;  /* Zstandard, with the earlier text as prefix */
+};
+
+/* May follow a feed_parts, whose records it adds to, for a follower that asks for it. */
+struct feed_differences {
+  feed_difference list<FEED_DIFFERENCES_MAX>;
+};
+
 /* Many followers get the same parts, encoded once: only the fields before them differ. */
 const FEED_PARTS_MAX = 16777216;  /* bytes; 16,000 upstreams take 4 MB, a manifest 1 MB */
 
@@ -33,7 +53,7 @@
   unsigned hyper age_ms;  /* since the store sent it */
   bool settled;           /* announcements that expired in a store outage have been renewed */
   unsigned int size;      /* bytes before compression, up to FEED_PARTS_MAX; the length of "parts" if not deflated */
-  opaque parts<FEED_PARTS_MAX>;  /* a feed_parts */
+  opaque parts<FEED_PARTS_MAX>;  /* a feed_parts, and a feed_differences if there are any */
 };
 
 /* A VM tells the others of its failure domain that it leaves the fabric's rotation, or
--- a/src/feed/feed_xdr.c
+++ b/src/feed/feed_xdr.c
@@ -47,6 +47,40 @@
 	return TRUE;
 }
 
+bool_t
+xdr_feed_difference (XDR *xdrs, feed_difference *objp)
+{
+	register int32_t *buf;
+
+	int i;
+	 if (!xdr_u_int (xdrs, &objp->kind))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->name, FEED_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->base))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->revision))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->size))
+		 return FALSE;
+	 if (!xdr_opaque (xdrs, objp->checksum, FEED_CHECKSUM_BYTES))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->frame.frame_val, (u_int *) &objp->frame.frame_len, FEED_FRAME_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_feed_differences (XDR *xdrs, feed_differences *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->list.list_val, (u_int *) &objp->list.list_len, FEED_DIFFERENCES_MAX,
+		sizeof (feed_difference), (xdrproc_t) xdr_feed_difference))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_feed_news (XDR *xdrs, feed_news *objp)
 {
--- a/src/feed/relay.c
+++ b/src/feed/relay.c
@@ -1,13 +1,17 @@
 #include "relay.h"
 #include "deflate.h"
+#include "relay_difference.h"
 #include "xdr_memory.h"
 
 #include <string.h>
 
 /* Deflating shorter responses gains nothing. */
 #define DEFLATE_MIN_BYTES 512
-#define ERA_KEY "era" /* in the query of a request */
-#define XDR_UNIT 4    /* bytes; what is encoded takes a multiple of it */
+/* Keys of the query of a request. */
+#define ERA_KEY "era"
+#define DIFFERENCES_KEY "differences" /* 1: the follower can apply them */
+
+#define XDR_UNIT 4 /* bytes; what is encoded takes a multiple of it */
 
 static const char zeros[XDR_UNIT];
 
@@ -21,9 +25,11 @@
 cf_feed_position_parse (GHashTable *query, struct CfFeedPosition *position)
 {
   const char *era = query ? g_hash_table_lookup (query, ERA_KEY) : NULL;
+  const char *differences = query ? g_hash_table_lookup (query, DIFFERENCES_KEY) : NULL;
 
   if (era && !parse_number (era, &position->era))
     return false;
+  position->differences = g_strcmp0 (differences, "1") == 0;
   for (int kind = 0; kind < CF_FEED_KINDS; kind++)
     {
       const char *text
@@ -44,6 +50,8 @@
   for (int kind = 0; kind < CF_FEED_KINDS; kind++)
     g_string_append_printf (text, "&%s=%" G_GUINT64_FORMAT,
                             cf_feed_kind_name ((enum CfFeedKind) kind), position->revision[kind]);
+  if (position->differences)
+    g_string_append (text, "&" DIFFERENCES_KEY "=1");
   return g_string_free (text, FALSE);
 }
 
@@ -70,8 +78,12 @@
   };
 }
 
+/* Fills PART, and DIFFERENCES (NULL: none are made), with the records of KIND that changed after
+ * SINCE. */
 static void
 fill_part (struct feed_part *part,
+           GArray *differences,
+           const struct CfVersions *versions,
            const struct CfReplica *replica,
            enum CfFeedKind kind,
            uint64_t since)
@@ -89,6 +101,9 @@
       const struct CfRecord *record = changed->pdata[i];
       bool carried = cf_replica_is_carried (replica, record);
 
+      if (differences && !part->whole
+          && cf_relay_add_difference (differences, versions, replica, kind, record, since))
+        continue;
       if (!record->deleted || (!part->whole && !carried))
         add_item (part, record, carried ? 0 : record->revision);
       if (record->superseded)
@@ -97,8 +112,7 @@
   g_ptr_array_unref (changed);
 }
 
-/* Encodes VALUE, a struct feed_parts or feed_news.  Returns NULL if it exceeds the format's
- * bounds. */
+/* Encodes VALUE by ENCODER.  Returns NULL if it exceeds the format's bounds. */
 static GBytes *
 encode (xdrproc_t encoder, void *value)
 {
@@ -116,20 +130,51 @@
   return NULL;
 }
 
+/* Appends VALUE, encoded by ENCODER, to ARRAY.  Returns false if it exceeds the format's bounds. */
+static bool
+append_encoded (GByteArray *array, xdrproc_t encoder, void *value)
+{
+  GBytes *bytes = encode (encoder, value);
+
+  if (!bytes)
+    return false;
+  g_byte_array_append (array, g_bytes_get_data (bytes, NULL), (guint) g_bytes_get_size (bytes));
+  g_bytes_unref (bytes);
+  return true;
+}
+
+/* Encodes the changes of REPLICA after POSITION, and sets HAS_DIFFERENCES.  Returns NULL if they
+ * exceed the format's bounds. */
 static GBytes *
-encode_parts (const struct CfReplica *replica, const struct CfFeedPosition *position)
+encode_parts (const struct CfVersions *versions,
+              const struct CfReplica *replica,
+              const struct CfFeedPosition *position,
+              bool *has_differences)
 {
   struct feed_part list[CF_FEED_KINDS] = { 0 };
   struct feed_parts parts = { .parts = { .parts_len = CF_FEED_KINDS, .parts_val = list } };
-  GBytes *bytes;
+  bool same_era = position->era == replica->era;
+  GArray *changed = cf_relay_new_differences ();
+  struct feed_differences differences;
+  GByteArray *array = g_byte_array_new ();
+  bool ok;
 
   for (int kind = 0; kind < CF_FEED_KINDS; kind++)
-    fill_part (&list[kind], replica, (enum CfFeedKind) kind,
-               position->era == replica->era ? position->revision[kind] : 0);
-  bytes = encode ((xdrproc_t) xdr_feed_parts, &parts);
+    fill_part (&list[kind], same_era && position->differences ? changed : NULL, versions, replica,
+               (enum CfFeedKind) kind, same_era ? position->revision[kind] : 0);
+  differences.list.list_len = changed->len;
+  differences.list.list_val = (struct feed_difference *) (void *) changed->data;
+  ok = append_encoded (array, (xdrproc_t) xdr_feed_parts, &parts);
+  if (changed->len > 0)
+    ok = ok && append_encoded (array, (xdrproc_t) xdr_feed_differences, &differences);
+  *has_differences = changed->len > 0;
+  g_array_unref (changed);
   for (int kind = 0; kind < CF_FEED_KINDS; kind++)
     g_free (list[kind].records.records_val);
-  return bytes;
+  if (ok)
+    return g_byte_array_free_to_bytes (array);
+  g_byte_array_unref (array);
+  return NULL;
 }
 
 static bool
@@ -137,8 +182,11 @@
          const struct CfReplica *replica,
          const struct CfFeedPosition *position)
 {
-  return entry->parts && entry->generation == replica->generation
-         && memcmp (&entry->position, position, sizeof *position) == 0;
+  const struct CfFeedPosition *cached = &entry->position;
+
+  return entry->parts && entry->generation == replica->generation && cached->era == position->era
+         && cached->differences == position->differences
+         && memcmp (cached->revision, position->revision, sizeof cached->revision) == 0;
 }
 
 /* Returns the entry of CACHE with the changes of REPLICA after POSITION, encoded now if it is not
@@ -149,13 +197,14 @@
                 const struct CfFeedPosition *position)
 {
   struct CfRelayEntry *entry;
+  bool differences;
   GBytes *parts;
   GBytes *deflated;
 
   for (int i = 0; i < CF_RELAY_CACHED; i++)
     if (is_same (&cache->entries[i], replica, position))
       return &cache->entries[i];
-  parts = encode_parts (replica, position);
+  parts = encode_parts (&cache->versions, replica, position, &differences);
   if (parts && g_bytes_get_size (parts) > FEED_PARTS_MAX)
     g_clear_pointer (&parts, g_bytes_unref);
   if (!parts)
@@ -164,6 +213,7 @@
   g_clear_pointer (&entry->parts, g_bytes_unref);
   entry->position = *position;
   entry->generation = replica->generation;
+  entry->differences = differences;
   entry->size = (uint32_t) g_bytes_get_size (parts);
   deflated = entry->size >= DEFLATE_MIN_BYTES ? cf_deflate (parts) : NULL;
   entry->parts = deflated ? deflated : g_bytes_ref (parts);
@@ -209,6 +259,7 @@
   memcpy (head->data + head->len - sizeof len, &len, sizeof len);
   chunks->head = g_byte_array_free_to_bytes (head);
   chunks->parts = g_bytes_ref (entry->parts);
+  chunks->differences = entry->differences;
   chunks->padding = g_bytes_new_static (
       zeros, (XDR_UNIT - g_bytes_get_size (entry->parts) % XDR_UNIT) % XDR_UNIT);
   return true;
@@ -247,6 +298,7 @@
 {
   for (int i = 0; i < CF_RELAY_CACHED; i++)
     g_clear_pointer (&cache->entries[i].parts, g_bytes_unref);
+  cf_versions_clear (&cache->versions);
 }
 
 /* The store counts in signed numbers, so a later one is wrong.  A VM that believed it would take
@@ -273,8 +325,22 @@
   return g_ascii_string_to_unsigned (text, 10, 0, CF_RELAY_NUMBER_MAX, era, NULL);
 }
 
+/* Decodes DATA of LEN bytes: parts, and differences if anything follows them. */
+static bool
+decode_records (const void *data, size_t len, struct CfRelayUpdate *update)
+{
+  XDR xdr;
+  bool ok;
+
+  xdrmem_create (&xdr, (char *) data, (u_int) len, XDR_DECODE);
+  ok = xdr_feed_parts (&xdr, &update->parts)
+       && (xdr_getpos (&xdr) == len || xdr_feed_differences (&xdr, &update->differences));
+  xdr_destroy (&xdr);
+  return ok;
+}
+
 static bool
-decode_parts (const struct feed_news *wire, struct feed_parts *parts)
+decode_parts (const struct feed_news *wire, struct CfRelayUpdate *update)
 {
   GBytes *inflated;
   gsize len;
@@ -282,12 +348,12 @@
   bool ok;
 
   if (wire->size == wire->parts.parts_len)
-    return cf_xdr_decode ((xdrproc_t) xdr_feed_parts, wire->parts.parts_val, wire->size, parts);
+    return decode_records (wire->parts.parts_val, wire->size, update);
   if (wire->size > FEED_PARTS_MAX
       || !(inflated = cf_inflate (wire->parts.parts_val, wire->parts.parts_len, wire->size)))
     return false;
   data = g_bytes_get_data (inflated, &len);
-  ok = cf_xdr_decode ((xdrproc_t) xdr_feed_parts, data, len, parts);
+  ok = decode_records (data, len, update);
   g_bytes_unref (inflated);
   return ok;
 }
@@ -305,8 +371,8 @@
       .settled = wire.settled,
     },
   };
-  ok = ok && decode_parts (&wire, &update->parts) && update->parts.parts.parts_len == CF_FEED_KINDS
-       && has_valid_revisions (&update->parts);
+  ok = ok && decode_parts (&wire, update) && update->parts.parts.parts_len == CF_FEED_KINDS
+       && has_valid_revisions (&update->parts) && cf_relay_differences_valid (&update->differences);
   xdr_free ((xdrproc_t) xdr_feed_news, &wire);
   if (!ok)
     cf_relay_clear (update);
@@ -317,6 +383,7 @@
 cf_relay_clear (struct CfRelayUpdate *update)
 {
   xdr_free ((xdrproc_t) xdr_feed_parts, &update->parts);
+  xdr_free ((xdrproc_t) xdr_feed_differences, &update->differences);
   g_free (update->origin.reader);
   memset (update, 0, sizeof *update);
 }
--- a/src/feed/relay.h
+++ b/src/feed/relay.h
@@ -3,7 +3,7 @@
 
 #include "cf_types.h"
 #include "feed.h"
-#include "replica.h"
+#include "versions.h"
 
 /* Sends the records of one VM's replica to another VM, the follower. */
 
@@ -16,11 +16,13 @@
 /* Reads the value TEXT of that header.  Returns false if it is not valid. */
 bool cf_relay_parse_era (const char *text, uint64_t *era);
 
-/* The follower's era, and its revision of each kind in it, 0 if it has no records. */
+/* What a follower has and understands: its era, and its revision of each kind in it, 0 if it has no
+ * records. */
 struct CfFeedPosition
 {
   uint64_t era;
   uint64_t revision[CF_FEED_KINDS];
+  bool differences; /* the follower can apply differences */
 };
 
 /* Reads POSITION from the query of a request.  POSITION keeps its era if the query, from a build
@@ -33,7 +35,8 @@
 /* Returns true if REPLICA has changes after POSITION. */
 bool cf_relay_has_changes (const struct CfReplica *replica, const struct CfFeedPosition *position);
 
-/* The responses that were encoded last.  Most followers are at the same position. */
+/* The responses that were encoded last, and what differences are made from.  Most followers are at
+ * the same position. */
 #define CF_RELAY_CACHED 4
 
 struct CfRelayCache
@@ -43,9 +46,11 @@
     struct CfFeedPosition position;
     uint64_t generation; /* of the replica */
     uint32_t size;       /* before compression */
+    bool differences;    /* records are among them as differences */
     GBytes *parts;       /* NULL: free */
   } entries[CF_RELAY_CACHED];
   uint32_t next; /* entry to be replaced */
+  struct CfVersions versions;
 };
 
 void cf_relay_cache_clear (struct CfRelayCache *cache);
@@ -65,6 +70,7 @@
   GBytes *head;
   GBytes *parts;
   GBytes *padding;
+  bool differences; /* records are among them as differences */
 };
 
 void cf_relay_chunks_clear (struct CfRelayChunks *chunks);
@@ -89,6 +95,7 @@
 {
   struct CfUpdateOrigin origin;
   struct feed_parts parts; /* CF_FEED_KINDS of them */
+  struct feed_differences differences;
 };
 
 /* Decodes DATA of LEN bytes into UPDATE, to be released with cf_relay_clear.  Returns false
@@ -96,6 +103,13 @@
 bool cf_relay_decode (const void *data, size_t len, struct CfRelayUpdate *update);
 void cf_relay_clear (struct CfRelayUpdate *update);
 
+/* Adds the records that the differences of UPDATE make of those of REPLICA, of the same era, to its
+ * parts.  Differences to a text that REPLICA has, or had before a later one, are skipped.  Returns
+ * NULL, or the difference that does not apply.  Then no record was added, and none of UPDATE may be
+ * applied: its revisions would say that the record is there. */
+const struct feed_difference *cf_relay_apply_differences (struct CfRelayUpdate *update,
+                                                          const struct CfReplica *replica);
+
 /* Returns the records of PART, an array of struct CfRecord. */
 GPtrArray *cf_relay_records (const struct feed_part *part);
 
--- a/src/feed/replica.c
+++ b/src/feed/replica.c
@@ -37,6 +37,16 @@
   return record->era < replica->eras;
 }
 
+const struct CfRecord *
+cf_replica_stored (const struct CfReplica *replica, enum CfFeedKind kind, const char *name)
+{
+  const struct CfRecord *record = g_hash_table_lookup (replica->records[kind], name);
+
+  if (record && cf_replica_is_carried (replica, record))
+    record = record->superseded;
+  return record && record->text ? record : NULL;
+}
+
 static void
 set_deleted (struct CfRecord *record)
 {
--- a/src/feed/replica.h
+++ b/src/feed/replica.h
@@ -51,6 +51,11 @@
  * have it in this one. */
 bool cf_replica_is_carried (const struct CfReplica *replica, const struct CfRecord *record);
 
+/* Returns what the store has of the record NAME of KIND in this era, as far as the replica knows: a
+ * record with a text that is not carried, or NULL. */
+const struct CfRecord *
+cf_replica_stored (const struct CfReplica *replica, enum CfFeedKind kind, const char *name);
+
 /* Gives the records of KIND that have been carried for long enough at NOW the content that the
  * store has, or deletes them if it has none.  To be called when the store's data of this era are
  * complete. Manifests are carried until the next one.  Returns the records that changed, as
--- a/src/serve/balancer.h
+++ b/src/serve/balancer.h
@@ -12,6 +12,14 @@
 /* The parts of a running entry VM behind a fabric whose packets carry flow cookies, and
  * the messages between them. */
 
+/* Forms of the updates that a VM sends to its followers, by what they hold of changed records. */
+enum CfUpdateForm
+{
+  CF_UPDATE_WHOLE,      /* no differences */
+  CF_UPDATE_DIFFERENCE, /* at least one */
+  CF_UPDATE_FORMS,
+};
+
 struct CfBalancer
 {
   struct CfBalanceSettings settings;
@@ -26,6 +34,7 @@
   atomic_uint_fast64_t load_report_bytes_sent;
   atomic_uint_fast64_t load_reports_received; /* those that were dropped included */
   atomic_uint_fast64_t load_report_bytes_received;
+  atomic_uint_fast64_t update_bytes_sent[CF_UPDATE_FORMS];
   atomic_bool serving; /* new flows can be served */
   atomic_bool leaving; /* after SIGTERM: readiness checks fail so that the fabric stops sending */
 };
--- a/src/serve/datapath_messages.c
+++ b/src/serve/datapath_messages.c
@@ -210,6 +210,7 @@
 {
   struct DatapathTask *task = data;
   struct CfMetricsRequest *request = message;
+  const atomic_uint_fast64_t *sent = task->balancer->update_bytes_sent;
   GHashTableIter iter;
   gpointer key;
   gpointer value;
@@ -223,11 +224,16 @@
                           "cyclamenferry_flows %u\n"
                           "cyclamenferry_manifest_version %" PRIu64 "\n"
                           "cyclamenferry_store_calls_total %" PRIu64 "\n"
-                          "cyclamenferry_store_era %" PRIu64 "\n",
+                          "cyclamenferry_store_era %" PRIu64 "\n"
+                          "cyclamenferry_update_bytes_sent_total{form=\"whole\"} %" PRIu64 "\n"
+                          "cyclamenferry_update_bytes_sent_total{form=\"difference\"} %" PRIu64
+                          "\n",
                           task->malformed, task->send_failures, cf_balance_flows (task->balance),
                           cf_routes_version (cf_balance_routes (task->balance)),
                           (uint64_t) atomic_load (&task->balancer->store_calls),
-                          (uint64_t) atomic_load (&task->balancer->store_era));
+                          (uint64_t) atomic_load (&task->balancer->store_era),
+                          (uint64_t) atomic_load (&sent[CF_UPDATE_WHOLE]),
+                          (uint64_t) atomic_load (&sent[CF_UPDATE_DIFFERENCE]));
   g_hash_table_iter_init (&iter, task->opened);
   while (g_hash_table_iter_next (&iter, &key, &value))
     cf_metrics_histogram (request->text, "flow_open_ms", "",
--- a/src/serve/feed_follow.c
+++ b/src/serve/feed_follow.c
@@ -11,6 +11,10 @@
 #define SEED_WAIT_MS 300 /* a VM that starts must not lose time on a seed without data */
 #define PAUSE_MS 50      /* after a response, so that changes that come together cost one request */
 
+/* After a difference that did not apply, none are asked for during this time: if the fault is in a
+ * VM's data or build, its next difference does not apply either, and costs a whole update more. */
+#define NO_DIFFERENCES_MS 60000
+
 /* READER read the store at SYNCED_AT.  If this VM began to read the store before that, and READER
  * precedes it in the order of readers, this VM stops reading. */
 static void
@@ -45,9 +49,32 @@
   return cf_feed_learn_era (task, task->follow.name, number) != CF_ERA_DOUBTED;
 }
 
+/* Notes that DIFFERENCE did not apply. */
+static void
+drop_difference (struct FeedTask *task, const struct feed_difference *difference, CfMillis now)
+{
+  enum CfFeedKind kind = (enum CfFeedKind) difference->kind;
+  const struct CfRecord *held = cf_replica_stored (&task->replica, kind, difference->name);
+
+  task->follow.ask_all = true;
+  task->follow.no_differences_until = now + NO_DIFFERENCES_MS;
+  cf_event_log_write_limited (task->balancer->log, &task->source_rate, "difference-dropped",
+                              (struct CfField[]){
+                                  { .key = "source", .text = task->follow.name },
+                                  { .key = "kind", .text = cf_feed_kind_name (kind) },
+                                  { .key = "record", .text = difference->name },
+                                  { .key = "base", .number = (int64_t) difference->base },
+                                  { .key = "revision", .number = (int64_t) difference->revision },
+                                  { .key = "held", .number = held ? (int64_t) held->revision : 0 },
+                                  { 0 },
+                              },
+                              now);
+}
+
 static bool
 apply_response (struct FeedTask *task, const char *era, GBytes *body, CfMillis now)
 {
+  const struct feed_difference *failed;
   struct CfRelayUpdate update;
   CfMillis synced_at;
   gsize len;
@@ -61,6 +88,14 @@
       cf_relay_clear (&update);
       return false;
     }
+  failed = cf_relay_apply_differences (&update, &task->replica);
+  if (failed)
+    {
+      drop_difference (task, failed, now);
+      cf_relay_clear (&update);
+      return false;
+    }
+  task->follow.ask_all = false;
   for (int kind = 0; kind < CF_FEED_KINDS; kind++)
     {
       const struct feed_part *part = &update.parts.parts.parts_val[kind];
@@ -100,11 +135,14 @@
   const char *era = answer ? soup_message_headers_get_one (
                         soup_message_get_response_headers (message), CF_RELAY_ERA_HEADER)
                            : NULL;
+  bool asked_all = follow->ask_all;
   bool good = answer && apply_response (task, era, body, now);
+  /* A VM whose difference did not apply can be asked for everything. */
+  bool failed = !good && (asked_all || !follow->ask_all);
 
   follow->call = NULL;
-  follow->next_at = now + (good ? PAUSE_MS : RETRY_MS);
-  if (!good)
+  follow->next_at = now + (failed ? RETRY_MS : PAUSE_MS);
+  if (failed)
     cf_event_log_write_limited (task->balancer->log, &task->source_rate, "source-failed",
                                 (struct CfField[]){
                                     { .key = "source", .text = follow->name },
@@ -115,7 +153,7 @@
                                 now);
   if (good)
     cf_sources_answered (task->sources, follow->name);
-  else
+  if (failed)
     cf_sources_failed (task->sources, follow->name, now);
   cf_feed_tick (task);
 }
@@ -124,7 +162,8 @@
 cf_feed_follow_tick (struct FeedTask *task, const struct CfSource *source, CfMillis now)
 {
   struct FeedFollow *follow = &task->follow;
-  struct CfFeedPosition position = { .era = task->replica.era };
+  struct CfFeedPosition position
+      = { .era = task->replica.era, .differences = now >= follow->no_differences_until };
   int wait = cf_replica_is_empty (&task->replica) ? SEED_WAIT_MS : WAIT_MS;
   char *query;
   char *url;
@@ -134,7 +173,7 @@
   if (now < follow->next_at)
     return follow->next_at;
   for (int kind = 0; kind < CF_FEED_KINDS; kind++)
-    position.revision[kind] = task->replica.revision[kind];
+    position.revision[kind] = follow->ask_all ? 0 : task->replica.revision[kind];
   query = cf_feed_position_format (&position);
   url = g_strdup_printf ("http://%s:%u/feed?%s&wait-ms=%d", source->ip,
                          task->balancer->settings.peer_port, query, wait);
--- a/src/serve/feed_internal.h
+++ b/src/serve/feed_internal.h
@@ -41,6 +41,8 @@
   struct CfHttpCall *call; /* NULL: none in progress */
   char *name;              /* of the VM that is followed */
   CfMillis next_at;
+  bool ask_all; /* a difference did not apply: the next request is for everything */
+  CfMillis no_differences_until; /* none are asked for before this time */
 };
 
 struct FeedEnroll
--- a/src/serve/feed_relay.c
+++ b/src/serve/feed_relay.c
@@ -189,6 +189,16 @@
   soup_server_message_set_status (message, SOUP_STATUS_SERVICE_UNAVAILABLE, NULL);
 }
 
+static void
+count_bytes (struct FeedTask *task, const struct CfRelayChunks *chunks)
+{
+  enum CfUpdateForm form = chunks->differences ? CF_UPDATE_DIFFERENCE : CF_UPDATE_WHOLE;
+
+  atomic_fetch_add (&task->balancer->update_bytes_sent[form],
+                    g_bytes_get_size (chunks->head) + g_bytes_get_size (chunks->parts)
+                        + g_bytes_get_size (chunks->padding));
+}
+
 static void
 respond (struct FeedTask *task,
          SoupServerMessage *message,
@@ -228,6 +238,7 @@
       if (g_bytes_get_size (chunks.padding) > 0)
         soup_message_body_append_bytes (body, chunks.padding);
       add_response (task, message, chunks.parts, now);
+      count_bytes (task, &chunks);
     }
   else
     refuse (task, message, now);
--- a/src/serve/feed_task.c
+++ b/src/serve/feed_task.c
@@ -258,6 +258,7 @@
 
   for (guint i = 0; i < records->len; i++)
     cf_platform_read_order (kind, records->pdata[i]);
+  cf_versions_keep (&task->relay_cache.versions, &task->replica, kind, records);
   changes = cf_replica_apply (&task->replica, kind, records, revision, whole);
   if (changes->len > 0)
     send_records (task, kind, changes, trusted);
--- a/tests/test_feed_calls.c
+++ b/tests/test_feed_calls.c
@@ -41,9 +41,10 @@
   int hold_from;
   int held; /* of these, those that came */
   struct SilentServer vm;
-  struct CfReplica vm_data; /* of "vm-1", guarded by its mutex, like the next two */
+  struct CfReplica vm_data; /* of "vm-1", guarded by its mutex, like the next three */
   struct CfRelayCache vm_cache;
   struct CfUpdateOrigin vm_origin;
+  int asked_all; /* requests to it for all upstreams */
 };
 
 static void
@@ -141,6 +142,8 @@
   GBytes *body = NULL;
 
   ck_assert (cf_feed_position_parse (query, &position));
+  if (position.revision[CF_FEED_UPSTREAMS] == 0)
+    play->asked_all++;
   if (request->over || play->vm_origin.age > 0 || cf_relay_has_changes (&play->vm_data, &position))
     body = cf_relay_encode (&play->vm_cache, &play->vm_data, &position, &play->vm_origin);
   g_hash_table_unref (query);
@@ -560,6 +563,68 @@
 }
 END_TEST
 
+/* "vm-1" has TEXT as the record "i-1" from REVISION on.  With DAMAGED it makes differences from
+ * another text than it sent. */
+static void
+put_at_vm (struct Play *play, uint64_t revision, const char *text, bool damaged)
+{
+  GPtrArray *records = g_ptr_array_new_with_free_func (cf_record_free);
+  struct CfVersions *versions = &play->vm_cache.versions;
+
+  g_ptr_array_add (records, cf_record_new ("i-1", revision, false, text));
+  g_mutex_lock (&play->vm.mutex);
+  cf_versions_keep (versions, &play->vm_data, CF_FEED_UPSTREAMS, records);
+  if (damaged)
+    ((struct CfVersion *) versions->list.tail->data)->text[0] = 'b';
+  g_ptr_array_unref (
+      cf_replica_apply (&play->vm_data, CF_FEED_UPSTREAMS, records, revision, false));
+  g_cond_broadcast (&play->vm.changed);
+  g_mutex_unlock (&play->vm.mutex);
+  g_ptr_array_unref (records);
+}
+
+static bool
+knows_second_text (const void *data)
+{
+  const struct Play *play = data;
+  const struct CfRecord *record
+      = cf_replica_stored (&play->feed.task->replica, CF_FEED_UPSTREAMS, "i-1");
+
+  return record && record->text[0] == 'b';
+}
+
+/* A difference that did not apply left the follower without the record, or asking for the same
+ * difference again and again. */
+START_TEST (test_follower_asks_for_all_after_a_difference)
+{
+  char *text = g_strnfill (2 * CF_VERSIONS_TEXT_MIN_BYTES, 'a');
+  GRand *random = g_rand_new_with_seed (31);
+  struct Play play;
+  int asked_all;
+
+  /* Deflated, the record is still long. */
+  for (char *c = text + 1; *c; c++)
+    *c = (char) g_rand_int_range (random, 'A', 'Z');
+  start (&play, true);
+  put_at_vm (&play, 1000, text, false);
+  feed_play_await (&play.feed, knows_upstream, &play, "the record");
+  g_mutex_lock (&play.vm.mutex);
+  asked_all = play.asked_all;
+  g_mutex_unlock (&play.vm.mutex);
+  text[0] = 'b';
+  put_at_vm (&play, 1001, text, _i);
+  feed_play_await (&play.feed, knows_second_text, &play, "the change");
+  ck_assert (!play.feed.task->follow.ask_all);
+  ck_assert ((play.feed.task->follow.no_differences_until > cf_now ()) == _i);
+  g_mutex_lock (&play.vm.mutex);
+  ck_assert_int_eq (play.asked_all, asked_all + _i);
+  g_mutex_unlock (&play.vm.mutex);
+  g_rand_free (random);
+  g_free (text);
+  stop (&play);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -577,5 +642,6 @@
   suite_add_loop (suite, test_unbelievable_era_is_not_adopted, 3);
   suite_add_loop (suite, test_unbelievable_era_of_vm_is_not_adopted, 1);
   suite_add_loop (suite, test_wrong_era_is_left, 1);
+  suite_add_loop (suite, test_follower_asks_for_all_after_a_difference, 2);
   return suite_run (suite);
 }
--- a/tests/test_feed_relay.c
+++ b/tests/test_feed_relay.c
@@ -113,10 +113,10 @@
   cf_datapath_task_free (play->datapath);
 }
 
-/* Requests what changed after REVISION, to wait for WAIT_MS.  Returns the connection, which does
- * not block. */
+/* Requests what changed after REVISION, to wait for WAIT_MS, with QUERY.  Returns the connection,
+ * which does not block. */
 static int
-request (struct Play *play, uint64_t revision, int wait_ms, int buffer)
+request_with (struct Play *play, uint64_t revision, int wait_ms, int buffer, const char *query)
 {
   const struct CfBalanceSettings *settings = &play->feed.balancer.settings;
 
@@ -124,8 +124,8 @@
   struct sockaddr_in to = { .sin_family = AF_INET, .sin_port = htons (settings->peer_port) };
   int fd = socket (AF_INET, SOCK_STREAM, 0);
   char *text = g_strdup_printf ("GET /feed?era=0&manifest=0&upstreams=%" G_GUINT64_FORMAT
-                                "&evacuations=0&vms=0&wait-ms=%d HTTP/1.1\r\nHost: a\r\n\r\n",
-                                revision, wait_ms);
+                                "&evacuations=0&vms=0&wait-ms=%d%s HTTP/1.1\r\nHost: a\r\n\r\n",
+                                revision, wait_ms, query);
 
   ck_assert_int_eq (inet_pton (AF_INET, settings->ip, &to.sin_addr), 1);
   /* As on an Ethernet: on loopback the kernel takes some MB of a response at once. */
@@ -138,6 +138,12 @@
   return fd;
 }
 
+static int
+request (struct Play *play, uint64_t revision, int wait_ms, int buffer)
+{
+  return request_with (play, revision, wait_ms, buffer, "");
+}
+
 /* Returns the bytes that arrive on FD until its end, read PER_READ at a time each EVERY_MS, or -1
  * if the response is not good.  *AT_END tells whether the end came with all that was announced. */
 static gint64
@@ -271,6 +277,25 @@
 }
 END_TEST
 
+/* A follower that understands differences was sent the changed record whole. */
+START_TEST (test_changed_record_is_sent_as_difference)
+{
+  struct Play play;
+  const atomic_uint_fast64_t *sent;
+
+  start (&play, 1, 10000);
+  sent = play.feed.balancer.update_bytes_sent;
+  announce (&play, 1, 10000);
+  ck_assert_int_gt (read_all (&play, request (&play, 1, 0, 0), 65536, 1), 5000);
+  ck_assert_uint_gt (atomic_load (&sent[CF_UPDATE_WHOLE]), 5000);
+  ck_assert_uint_eq (atomic_load (&sent[CF_UPDATE_DIFFERENCE]), 0);
+  ck_assert_int_lt (read_all (&play, request_with (&play, 1, 0, 0, "&differences=1"), 65536, 1),
+                    500);
+  ck_assert_uint_gt (atomic_load (&sent[CF_UPDATE_DIFFERENCE]), 100);
+  stop (&play);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -280,5 +305,6 @@
   suite_add_loop (suite, test_clients_that_do_not_read, 1);
   suite_add_loop (suite, test_clients_beyond_bound_are_refused, 1);
   suite_add_loop (suite, test_slow_follower_is_served, 1);
+  suite_add_loop (suite, test_changed_record_is_sent_as_difference, 1);
   return suite_run (suite);
 }
--- a/tests/test_fuzz_messages.c
+++ b/tests/test_fuzz_messages.c
@@ -155,6 +155,28 @@
 
 #define RECORDS_MAX 6
 
+/* Appends any differences to XDR, in a third of the cases from a record that the VM may have. */
+static void
+append_differences (XDR *xdr, GRand *random)
+{
+  static const char frame[] = "\x28\xb5\x2f\xfd\x20\x01\x09\x00\x00\x00";
+  struct feed_difference list[RECORDS_MAX] = { 0 };
+  struct feed_differences differences = { .list = { .list_val = list } };
+
+  differences.list.list_len = (u_int) g_rand_int_range (random, 0, RECORDS_MAX + 1);
+  for (u_int i = 0; i < differences.list.list_len; i++)
+    list[i] = (struct feed_difference){
+      .kind = (u_int) g_rand_int_range (random, 0, g_rand_int_range (random, 0, 8) ? 4 : 6),
+      .name = (char *) any_name (random),
+      .base = any_number (random),
+      .revision = any_number (random) & INT64_MAX,
+      .size = (u_int) (g_rand_boolean (random) ? 1 : any_number (random)),
+      .frame = { .frame_len = (u_int) g_rand_int_range (random, 0, sizeof frame),
+                 .frame_val = (char *) frame },
+    };
+  ck_assert (xdr_feed_differences (xdr, &differences));
+}
+
 /* Returns a message as another VM sends it, with any values. */
 static GBytes *
 any_update (GRand *random)
@@ -195,6 +217,8 @@
     }
   xdrmem_create (&xdr, inner, sizeof inner, XDR_ENCODE);
   ck_assert (xdr_feed_parts (&xdr, &parts));
+  if (g_rand_boolean (random))
+    append_differences (&xdr, random);
   news.parts.parts_val = inner;
   news.parts.parts_len = xdr_getpos (&xdr);
   news.size = g_rand_int_range (random, 0, 20) ? news.parts.parts_len : (u_int) any_number (random);
@@ -239,7 +263,8 @@
         {
           accepted++;
           ck_assert_int_ge (decoded.origin.age, 0);
-          apply_update (&replica, &decoded);
+          if (!cf_relay_apply_differences (&decoded, &replica))
+            apply_update (&replica, &decoded);
           cf_relay_clear (&decoded);
         }
       g_bytes_unref (update);
@@ -261,6 +286,71 @@
 }
 END_TEST
 
+/* A difference that a VM made, with bytes changed on the way: what is accepted is the text. */
+START_TEST (test_damaged_differences)
+{
+  GRand *random = g_rand_new_with_seed (25);
+  char *texts[] = { g_strnfill (8000, 'a'), g_strnfill (8000, 'a') };
+  struct CfReplica replicas[2];
+  struct CfRelayCache cache = { 0 };
+  const struct CfUpdateOrigin origin = { .age = 1 };
+  const struct CfFeedPosition position = { .revision = { 1 }, .differences = true };
+  GBytes *update;
+  gsize len;
+  const char *data;
+  int accepted = 0;
+
+  for (int i = 0; i < 8000; i++)
+    texts[0][i] = texts[1][i] = (char) g_rand_int_range (random, ' ', '~');
+  texts[1][5000] = 'a';
+  for (uint64_t revision = 1; revision <= 2; revision++)
+    for (int vm = 0; vm < (revision == 1 ? 2 : 1); vm++)
+      {
+        GPtrArray *records = g_ptr_array_new_with_free_func (cf_record_free);
+
+        if (revision == 1)
+          cf_replica_init (&replicas[vm]);
+        g_ptr_array_add (records, cf_record_new ("main", revision, false, texts[revision - 1]));
+        cf_versions_keep (&cache.versions, &replicas[vm], CF_FEED_MANIFEST, records);
+        g_ptr_array_unref (
+            cf_replica_apply (&replicas[vm], CF_FEED_MANIFEST, records, revision, revision == 1));
+        g_ptr_array_unref (records);
+      }
+  update = cf_relay_encode (&cache, &replicas[0], &position, &origin);
+  data = g_bytes_get_data (update, &len);
+  ck_assert_uint_lt (len, 1000);
+  for (int i = 0; i < message_count (); i++)
+    {
+      char *copy = g_memdup2 (data, len);
+      struct CfRelayUpdate decoded;
+
+      for (int count = g_rand_int_range (random, 0, 3); count > 0; count--)
+        copy[g_rand_int_range (random, 0, (gint32) len)] ^= (char) g_rand_int (random);
+      if (cf_relay_decode (copy, len, &decoded))
+        {
+          if (!cf_relay_apply_differences (&decoded, &replicas[1])
+              && decoded.differences.list.list_len == 1
+              && decoded.parts.parts.parts_val[0].records.records_len == 1)
+            {
+              ck_assert_str_eq (decoded.parts.parts.parts_val[0].records.records_val[0].text,
+                                texts[1]);
+              accepted++;
+            }
+          cf_relay_clear (&decoded);
+        }
+      g_free (copy);
+    }
+  ck_assert_int_gt (accepted, message_count () / 10);
+  g_bytes_unref (update);
+  cf_relay_cache_clear (&cache);
+  cf_replica_clear (&replicas[0]);
+  cf_replica_clear (&replicas[1]);
+  g_free (texts[0]);
+  g_free (texts[1]);
+  g_rand_free (random);
+}
+END_TEST
+
 /* The parts of a datagram that it refers to. */
 struct Lines
 {
@@ -407,6 +497,7 @@
   suite_add_loop (suite, test_any_packets, 1);
   suite_add_loop (suite, test_any_datagram_length, 1);
   suite_add_loop (suite, test_any_updates, 1);
+  suite_add_loop (suite, test_damaged_differences, 1);
   suite_add_loop (suite, test_any_gossip, 1);
   return suite_run (suite);
 }
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -369,13 +369,16 @@
 
 START_TEST (test_position)
 {
-  struct CfFeedPosition position = { .revision = { 1, 2, 3, 18446744073709551615ULL } };
+  struct CfFeedPosition position
+      = { .era = 7, .revision = { 1, 2, 3, 18446744073709551615ULL }, .differences = _i };
   struct CfFeedPosition copy;
   char *query = cf_feed_position_format (&position);
   GHashTable *parsed = g_uri_parse_params (query, -1, "&", G_URI_PARAMS_NONE, NULL);
 
   ck_assert (cf_feed_position_parse (parsed, &copy));
-  ck_assert (memcmp (&position, &copy, sizeof copy) == 0);
+  ck_assert_uint_eq (copy.era, position.era);
+  ck_assert (memcmp (position.revision, copy.revision, sizeof copy.revision) == 0);
+  ck_assert (copy.differences == position.differences);
   g_hash_table_remove (parsed, "upstreams");
   ck_assert (!cf_feed_position_parse (parsed, &copy));
   ck_assert (!cf_feed_position_parse (NULL, &copy));
@@ -399,6 +402,6 @@
   suite_add_loop (suite, test_impossible_numbers_are_rejected, 2);
   suite_add_loop (suite, test_relay_many, 1);
   suite_add_loop (suite, test_replica_prunes_deleted, 1);
-  suite_add_loop (suite, test_position, 1);
+  suite_add_loop (suite, test_position, 2);
   return suite_run (suite);
 }
