--- a/src/feed/feed.h
+++ b/src/feed/feed.h
@@ -81,6 +81,17 @@
 	} parts;
 };
 typedef struct feed_news feed_news;
+#define FEED_REFERRAL_MAX 3
+
+typedef char *feed_ip;
+
+struct feed_referral {
+	struct {
+		u_int ips_len;
+		feed_ip *ips_val;
+	} ips;
+};
+typedef struct feed_referral feed_referral;
 
 struct feed_hello {
 	char *name;
@@ -171,6 +182,8 @@
 extern  bool_t xdr_feed_difference (XDR *, feed_difference*);
 extern  bool_t xdr_feed_differences (XDR *, feed_differences*);
 extern  bool_t xdr_feed_news (XDR *, feed_news*);
+extern  bool_t xdr_feed_ip (XDR *, feed_ip*);
+extern  bool_t xdr_feed_referral (XDR *, feed_referral*);
 extern  bool_t xdr_feed_hello (XDR *, feed_hello*);
 extern  bool_t xdr_feed_quality (XDR *, feed_quality*);
 extern  bool_t xdr_feed_qualities (XDR *, feed_qualities*);
@@ -187,6 +200,8 @@
 extern bool_t xdr_feed_difference ();
 extern bool_t xdr_feed_differences ();
 extern bool_t xdr_feed_news ();
+extern bool_t xdr_feed_ip ();
+extern bool_t xdr_feed_referral ();
 extern bool_t xdr_feed_hello ();
 extern bool_t xdr_feed_quality ();
 extern bool_t xdr_feed_qualities ();
--- a/src/feed/feed.x
+++ b/src/feed/feed.x
@@ -56,6 +56,15 @@
   opaque parts<FEED_PARTS_MAX>;  /* a feed_parts, and a feed_differences if there are any */
 };
 
+const FEED_REFERRAL_MAX = 3;
+
+typedef string feed_ip<15>;  /* IPv4, as text */
+
+/* The body of a response with status 503: VMs that the follower may ask instead. */
+struct feed_referral {
+  feed_ip ips<FEED_REFERRAL_MAX>;
+};
+
 /* A VM tells the others of its failure domain that it leaves the fabric's rotation, or
  * that it has returned.  Sent as a datagram, several times. */
 struct feed_hello {
--- a/src/feed/feed_xdr.c
+++ b/src/feed/feed_xdr.c
@@ -99,6 +99,27 @@
 	return TRUE;
 }
 
+bool_t
+xdr_feed_ip (XDR *xdrs, feed_ip *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, objp, 15))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_feed_referral (XDR *xdrs, feed_referral *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->ips.ips_val, (u_int *) &objp->ips.ips_len, FEED_REFERRAL_MAX,
+		sizeof (feed_ip), (xdrproc_t) xdr_feed_ip))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_feed_hello (XDR *xdrs, feed_hello *objp)
 {
--- a/src/serve/balancer.h
+++ b/src/serve/balancer.h
@@ -35,7 +35,8 @@
   atomic_uint_fast64_t load_reports_received; /* those that were dropped included */
   atomic_uint_fast64_t load_report_bytes_received;
   atomic_uint_fast64_t update_bytes_sent[CF_UPDATE_FORMS];
-  atomic_bool serving; /* new flows can be served */
+  atomic_uint_fast64_t update_referrals; /* VMs without data that were referred to others */
+  atomic_bool serving;                   /* new flows can be served */
   atomic_bool leaving; /* after SIGTERM: readiness checks fail so that the fabric stops sending */
 };
 
--- a/src/serve/datapath_messages.c
+++ b/src/serve/datapath_messages.c
@@ -226,14 +226,15 @@
                           "cyclamenferry_store_calls_total %" PRIu64 "\n"
                           "cyclamenferry_store_era %" PRIu64 "\n"
                           "cyclamenferry_update_bytes_sent_total{form=\"whole\"} %" PRIu64 "\n"
-                          "cyclamenferry_update_bytes_sent_total{form=\"difference\"} %" PRIu64
-                          "\n",
+                          "cyclamenferry_update_bytes_sent_total{form=\"difference\"} %" PRIu64 "\n"
+                          "cyclamenferry_update_referrals_total %" PRIu64 "\n",
                           task->malformed, task->send_failures, cf_balance_flows (task->balance),
                           cf_routes_version (cf_balance_routes (task->balance)),
                           (uint64_t) atomic_load (&task->balancer->store_calls),
                           (uint64_t) atomic_load (&task->balancer->store_era),
                           (uint64_t) atomic_load (&sent[CF_UPDATE_WHOLE]),
-                          (uint64_t) atomic_load (&sent[CF_UPDATE_DIFFERENCE]));
+                          (uint64_t) atomic_load (&sent[CF_UPDATE_DIFFERENCE]),
+                          (uint64_t) atomic_load (&task->balancer->update_referrals));
   g_hash_table_iter_init (&iter, task->opened);
   while (g_hash_table_iter_next (&iter, &key, &value))
     cf_metrics_histogram (request->text, "flow_open_ms", "",
--- a/src/serve/feed_follow.c
+++ b/src/serve/feed_follow.c
@@ -2,6 +2,8 @@
 #include "feed_internal.h"
 #include "server.h"
 
+#include <inttypes.h>
+
 /* How long the followed VM may hold a request until there are changes (long polling).  A VM that
  * has lost power is noticed this much later, and changes of upstreams must be in force within
  * 3 s. */
@@ -125,6 +127,33 @@
   return soup_message_get_status (message) == SOUP_STATUS_OK ? "stale" : "no-answer";
 }
 
+/* Reads the referral in BODY, if MESSAGE is one to this VM without data. */
+static bool
+receive_referral (struct FeedTask *task, SoupMessage *message, GBytes *body, CfMillis now)
+{
+  struct FeedFollow *follow = &task->follow;
+  gsize len;
+  const void *data;
+
+  if (!body || soup_message_get_status (message) != SOUP_STATUS_SERVICE_UNAVAILABLE
+      || !cf_replica_is_empty (&task->replica))
+    return false;
+  data = g_bytes_get_data (body, &len);
+  cf_crash_report_input ("vm-referral", follow->name);
+  if (!cf_referral_receive (&follow->referral, follow->named, data, len, now))
+    return false;
+  cf_event_log_write_limited (
+      task->balancer->log, &task->source_rate, "referred",
+      (struct CfField[]){
+          { .key = "source", .text = follow->name },
+          { .key = "vms", .number = follow->referral.count },
+          { .key = "waited_ms", .number = cf_referral_waited (&follow->referral, now) },
+          { 0 },
+      },
+      now);
+  return true;
+}
+
 static void
 answered (void *data, SoupMessage *message, GBytes *body)
 {
@@ -138,10 +167,13 @@
   bool asked_all = follow->ask_all;
   bool good = answer && apply_response (task, era, body, now);
   /* A VM whose difference did not apply can be asked for everything. */
-  bool failed = !good && (asked_all || !follow->ask_all);
+  bool failed
+      = !good && (asked_all || !follow->ask_all) && !receive_referral (task, message, body, now);
 
   follow->call = NULL;
   follow->next_at = now + (failed ? RETRY_MS : PAUSE_MS);
+  if (cf_referral_holds (&follow->referral, now))
+    follow->next_at = now; /* the next named VM */
   if (failed)
     cf_event_log_write_limited (task->balancer->log, &task->source_rate, "source-failed",
                                 (struct CfField[]){
@@ -158,31 +190,60 @@
   cf_feed_tick (task);
 }
 
-CfMillis
-cf_feed_follow_tick (struct FeedTask *task, const struct CfSource *source, CfMillis now)
+/* Returns the URL of a request for changes to the VM at IP, to wait for WAIT ms. */
+static char *
+feed_url (const struct FeedTask *task, const char *ip, int wait, CfMillis now)
 {
-  struct FeedFollow *follow = &task->follow;
+  const struct FeedFollow *follow = &task->follow;
   struct CfFeedPosition position
       = { .era = task->replica.era, .differences = now >= follow->no_differences_until };
-  int wait = cf_replica_is_empty (&task->replica) ? SEED_WAIT_MS : WAIT_MS;
+  GString *url = g_string_new (NULL);
   char *query;
+
+  for (int kind = 0; kind < CF_FEED_KINDS; kind++)
+    position.revision[kind] = follow->ask_all ? 0 : task->replica.revision[kind];
+  query = cf_feed_position_format (&position);
+  g_string_append_printf (url, "http://%s:%u/feed?%s&wait-ms=%d", ip,
+                          task->balancer->settings.peer_port, query, wait);
+  if (cf_replica_is_empty (&task->replica))
+    g_string_append_printf (url, "&referral-wait-ms=%" PRId64 "&referral-named=%d",
+                            cf_referral_waited (&follow->referral, now), follow->named);
+  g_free (query);
+  return g_string_free (url, FALSE);
+}
+
+CfMillis
+cf_feed_follow_tick (struct FeedTask *task, const struct CfSource *source, CfMillis now)
+{
+  struct FeedFollow *follow = &task->follow;
+  bool empty = cf_replica_is_empty (&task->replica);
+  int wait = empty ? SEED_WAIT_MS : WAIT_MS;
+  guint deadline = (guint) wait + DEADLINE_MS;
+  const char *ip = source->ip;
+  CfMillis due = now;
   char *url;
 
   if (follow->call)
     return now + CF_MS_PER_S;
   if (now < follow->next_at)
     return follow->next_at;
-  for (int kind = 0; kind < CF_FEED_KINDS; kind++)
-    position.revision[kind] = follow->ask_all ? 0 : task->replica.revision[kind];
-  query = cf_feed_position_format (&position);
-  url = g_strdup_printf ("http://%s:%u/feed?%s&wait-ms=%d", source->ip,
-                         task->balancer->settings.peer_port, query, wait);
+  if (!empty)
+    follow->referral = (struct CfReferral){ .referred = false };
+  follow->named = cf_referral_holds (&follow->referral, now);
+  if (follow->named)
+    {
+      ip = cf_referral_next (&follow->referral, now, &due);
+      wait = 0;
+      deadline = CF_REFERRAL_CALL_MS;
+    }
+  if (!ip)
+    return due;
   g_free (follow->name);
-  follow->name = g_strdup (source->name);
-  follow->call = cf_http_call_begin (task->session, soup_message_new ("GET", url),
-                                     (guint) wait + DEADLINE_MS, answered, task);
+  follow->name = follow->named ? g_strconcat ("named ", ip, NULL) : g_strdup (source->name);
+  url = feed_url (task, ip, wait, now);
+  follow->call
+      = cf_http_call_begin (task->session, soup_message_new ("GET", url), deadline, answered, task);
   g_free (url);
-  g_free (query);
   return now + CF_MS_PER_S;
 }
 
--- a/src/serve/feed_internal.h
+++ b/src/serve/feed_internal.h
@@ -5,6 +5,7 @@
 #include "feed/era.h"
 #include "feed/feed.h"
 #include "feed/reader.h"
+#include "feed/referral.h"
 #include "feed/names.h"
 #include "feed/relay.h"
 #include "feed/replica.h"
@@ -41,6 +42,8 @@
   struct CfHttpCall *call; /* NULL: none in progress */
   char *name;              /* of the VM that is followed */
   CfMillis next_at;
+  struct CfReferral referral;
+  bool named;   /* the call is to a VM that was named in a referral */
   bool ask_all; /* a difference did not apply: the next request is for everything */
   CfMillis no_differences_until; /* none are asked for before this time */
 };
@@ -91,6 +94,7 @@
   uint32_t load_sequence; /* of its last load report */
   struct CfHttpServer *relay;
   struct CfRelayCache relay_cache;
+  struct CfReferrer referrer;
   GQueue waiting;     /* of struct RelayRequest: followers that wait for changes */
   GPtrArray *sending; /* of struct RelayResponse: responses under way */
   struct CfEventRate relay_rate;
--- a/src/serve/feed_relay.c
+++ b/src/serve/feed_relay.c
@@ -29,6 +29,7 @@
   gulong finished; /* signal handlers */
   gulong wrote;
   GBytes *parts; /* the shared chunk of its body */
+  bool whole;    /* to a VM without data of this era */
   CfMillis began_at;
   CfMillis progress_at; /* when the connection last took a part of it */
 };
@@ -64,14 +65,26 @@
   response->progress_at = cf_now ();
 }
 
+/* Returns true if the follower at POSITION has data of the replica's era. */
+static bool
+has_data (const struct FeedTask *task, const struct CfFeedPosition *position)
+{
+  return position->era == task->replica.era && position->revision[CF_FEED_MANIFEST] > 0;
+}
+
 static void
-add_response (struct FeedTask *task, SoupServerMessage *message, GBytes *parts, CfMillis now)
+add_response (struct FeedTask *task,
+              SoupServerMessage *message,
+              const struct CfFeedPosition *position,
+              GBytes *parts,
+              CfMillis now)
 {
   struct RelayResponse *response = g_new0 (struct RelayResponse, 1);
 
   response->task = task;
   response->message = g_object_ref (message);
   response->parts = g_bytes_ref (parts);
+  response->whole = !has_data (task, position);
   response->began_at = now;
   response->progress_at = now;
   response->finished = g_signal_connect (message, "finished", G_CALLBACK (on_sent), response);
@@ -190,13 +203,41 @@
 }
 
 static void
-count_bytes (struct FeedTask *task, const struct CfRelayChunks *chunks)
+count_bytes (struct FeedTask *task, const struct CfRelayChunks *chunks, CfMillis now)
 {
   enum CfUpdateForm form = chunks->differences ? CF_UPDATE_DIFFERENCE : CF_UPDATE_WHOLE;
+  gsize bytes = g_bytes_get_size (chunks->head) + g_bytes_get_size (chunks->parts)
+                + g_bytes_get_size (chunks->padding);
+
+  atomic_fetch_add (&task->balancer->update_bytes_sent[form], bytes);
+  cf_referrer_sent (&task->referrer, bytes, now);
+}
 
-  atomic_fetch_add (&task->balancer->update_bytes_sent[form],
-                    g_bytes_get_size (chunks->head) + g_bytes_get_size (chunks->parts)
-                        + g_bytes_get_size (chunks->padding));
+/* Refers the VM without data that sent MESSAGE with QUERY to others, if this VM is busy and the
+ * other one understands that. */
+static bool
+refer (struct FeedTask *task, SoupServerMessage *message, GHashTable *query, CfMillis now)
+{
+  const char *waited = g_hash_table_lookup (query, "referral-wait-ms");
+  bool named = g_strcmp0 (g_hash_table_lookup (query, "referral-named"), "1") == 0;
+  const char *ip = soup_server_message_get_remote_host (message);
+  guint64 waited_ms;
+  guint under_way = 0;
+  GBytes *body;
+
+  if (!ip || !waited || !g_ascii_string_to_unsigned (waited, 10, 0, G_MAXINT32, &waited_ms, NULL)
+      || cf_replica_is_empty (&task->replica))
+    return false;
+  for (guint i = 0; i < task->sending->len; i++)
+    under_way += ((const struct RelayResponse *) task->sending->pdata[i])->whole;
+  if (!cf_referrer_refers (&task->referrer, under_way, (CfMillis) waited_ms, named, now)
+      || !(body = cf_referrer_encode (&task->referrer, ip, now)))
+    return false;
+  soup_server_message_set_status (message, SOUP_STATUS_SERVICE_UNAVAILABLE, NULL);
+  soup_message_body_append_bytes (soup_server_message_get_response_body (message), body);
+  g_bytes_unref (body);
+  atomic_fetch_add (&task->balancer->update_referrals, 1);
+  return true;
 }
 
 static void
@@ -237,8 +278,8 @@
       soup_message_body_append_bytes (body, chunks.parts);
       if (g_bytes_get_size (chunks.padding) > 0)
         soup_message_body_append_bytes (body, chunks.padding);
-      add_response (task, message, chunks.parts, now);
-      count_bytes (task, &chunks);
+      add_response (task, message, position, chunks.parts, now);
+      count_bytes (task, &chunks, now);
     }
   else
     refuse (task, message, now);
@@ -296,6 +337,7 @@
   struct FeedTask *task = data;
   const char *text = query ? g_hash_table_lookup (query, "wait-ms") : NULL;
   struct CfFeedPosition position = { .era = task->replica.era };
+  const char *ip = soup_server_message_get_remote_host (message);
   guint64 wait = 0;
   CfMillis now = cf_now ();
 
@@ -312,6 +354,10 @@
       soup_server_message_set_status (message, SOUP_STATUS_BAD_REQUEST, NULL);
       return;
     }
+  if (ip)
+    cf_referrer_asked (&task->referrer, ip, task->replica.era, has_data (task, &position), now);
+  if (!has_data (task, &position) && refer (task, message, query, now))
+    return;
   if (wait == 0 || cf_relay_has_changes (&task->replica, &position)
       || cf_feed_age (task, now) >= CF_SOURCES_STALE_FIRST_MS
       || task->waiting.length >= WAITING_MAX)
@@ -381,4 +427,5 @@
   g_clear_pointer (&task->sending, g_ptr_array_unref);
   cf_http_close (&task->relay);
   cf_relay_cache_clear (&task->relay_cache);
+  cf_referrer_clear (&task->referrer);
 }
--- a/tests/test_feed_calls.c
+++ b/tests/test_feed_calls.c
@@ -29,8 +29,9 @@
   struct FeedPlay feed;
   bool follows;
   struct SilentServer store;
-  struct TestStore *data; /* guarded by the store's mutex, like the next seven */
+  struct TestStore *data; /* guarded by the store's mutex, like the next eight */
   guint page;             /* records of a page of a list */
+  bool hold_all;          /* nothing is answered */
   bool hold_list;         /* lists of upstreams are not answered */
   bool hold_writes;
   int writes;            /* that came */
@@ -113,6 +114,8 @@
   if (!g_str_has_prefix (request->head, "GET "))
     return answer_write (play, request);
   request->headers = play->era;
+  if (play->hold_all)
+    return NULL;
   if (!watch && kind == CF_FEED_UPSTREAMS && play->hold_list)
     return NULL;
   if (!watch)
@@ -625,6 +628,59 @@
 }
 END_TEST
 
+static GBytes *
+answer_with_referral (void *data, struct SilentRequest *request)
+{
+  struct feed_referral referral;
+  char *ips[] = { feed_play_ip (4), feed_play_ip (3) };
+  char bytes[64];
+  XDR xdr;
+
+  (void) data;
+  ck_assert_ptr_nonnull (strstr (request->path, "&referral-wait-ms=0&referral-named=0"));
+  referral.ips.ips_len = 2;
+  referral.ips.ips_val = ips;
+  xdrmem_create (&xdr, bytes, sizeof bytes, XDR_ENCODE);
+  ck_assert (xdr_feed_referral (&xdr, &referral));
+  g_free (ips[0]);
+  g_free (ips[1]);
+  return g_bytes_new (bytes, xdr_getpos (&xdr));
+}
+
+static GBytes *
+answer_as_named_vm (void *data, struct SilentRequest *request)
+{
+  ck_assert_ptr_nonnull (strstr (request->path, "&wait-ms=0&referral-wait-ms="));
+  ck_assert_ptr_nonnull (strstr (request->path, "&referral-named=1"));
+  return answer_as_vm (data, request);
+}
+
+/* A VM whose seed was busy asked it again and again, or never again.  Of the two VMs that are
+ * named, nothing listens at the first. */
+START_TEST (test_referred_vm_asks_named_ones)
+{
+  struct Play play;
+  struct SilentServer named
+      = { .answer = answer_as_named_vm, .data = &play, .headers = CF_RELAY_ERA_HEADER ": 1\r\n" };
+  char *ip = feed_play_ip (3);
+
+  prepare (&play);
+  copy_store (&play);
+  put_at_vm (&play, 1000, "{}", false);
+  play.hold_all = true;
+  play.vm.answer = answer_with_referral;
+  play.vm.status = "503 Service Unavailable";
+  begin (&play, true);
+  silent_server_start (&named, ip, play.feed.balancer.settings.peer_port);
+  feed_play_await (&play.feed, knows_upstream, &play, "the named VM's records");
+  ck_assert_int_eq (silent_server_requests (&play.vm), 1);
+  ck_assert_int_eq (silent_server_requests (&named), 1);
+  stop (&play);
+  silent_server_stop (&named);
+  g_free (ip);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -643,5 +699,6 @@
   suite_add_loop (suite, test_unbelievable_era_of_vm_is_not_adopted, 1);
   suite_add_loop (suite, test_wrong_era_is_left, 1);
   suite_add_loop (suite, test_follower_asks_for_all_after_a_difference, 2);
+  suite_add_loop (suite, test_referred_vm_asks_named_ones, 1);
   return suite_run (suite);
 }
--- a/tests/test_feed_relay.c
+++ b/tests/test_feed_relay.c
@@ -296,6 +296,28 @@
 }
 END_TEST
 
+/* A VM that sends much referred no one, or one that it has to serve: of the build before, with
+ * data, or without for long. */
+START_TEST (test_busy_vm_refers)
+{
+  static const char *const queries[]
+      = { "&referral-wait-ms=0", "&referral-wait-ms=1000", "&referral-wait-ms=x", "" };
+  struct Play play;
+  GPtrArray *records = g_ptr_array_new_with_free_func (cf_record_free);
+
+  start (&play, 200, 10000);
+  g_ptr_array_add (records, cf_record_new ("main", 1, false, "{}"));
+  cf_feed_apply (play.feed.task, CF_FEED_MANIFEST, records, 1, true, true);
+  g_ptr_array_unref (records);
+  ck_assert_int_gt (read_all (&play, request_with (&play, 0, 0, 0, queries[0]), 1 << 22, 1),
+                    1000000);
+  ck_assert ((read_all (&play, request_with (&play, 0, 0, 0, queries[_i]), 1 << 22, 1) < 0)
+             == (_i == 0));
+  ck_assert_uint_eq (atomic_load (&play.feed.balancer.update_referrals), _i == 0);
+  stop (&play);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -306,5 +328,6 @@
   suite_add_loop (suite, test_clients_beyond_bound_are_refused, 1);
   suite_add_loop (suite, test_slow_follower_is_served, 1);
   suite_add_loop (suite, test_changed_record_is_sent_as_difference, 1);
+  suite_add_loop (suite, test_busy_vm_refers, 4);
   return suite_run (suite);
 }
--- a/tests/test_fuzz_messages.c
+++ b/tests/test_fuzz_messages.c
@@ -1,5 +1,6 @@
 #include "balance/connections.h"
 #include "feed/gossip.h"
+#include "feed/referral.h"
 #include "feed/load_message.h"
 #include "feed/relay.h"
 #include "feed/rotation.h"
@@ -351,6 +352,37 @@
 }
 END_TEST
 
+/* Any bytes as a referral, half of them near a valid one. */
+START_TEST (test_any_referral)
+{
+  static const char valid[] = "\0\0\0\1\0\0\0\x8"
+                              "10.0.0.2";
+  GRand *random = g_rand_new_with_seed (26);
+  struct CfReferral referral = { .count = 0 };
+  int accepted = 0;
+
+  for (int i = 0; i < message_count (); i++)
+    {
+      char data[sizeof valid];
+      size_t len = (size_t) g_rand_int_range (random, 0, sizeof data);
+      CfMillis due;
+      const char *ip;
+
+      memcpy (data, valid, sizeof data);
+      for (size_t at = g_rand_boolean (random) ? 8 : 0; at < sizeof data; at++)
+        if (g_rand_int_range (random, 0, 4) == 0)
+          data[at] = (char) g_rand_int_range (random, g_rand_boolean (random) ? 0 : '.', '9' + 1);
+      accepted += cf_referral_receive (&referral, g_rand_boolean (random), data,
+                                       g_rand_boolean (random) ? sizeof data : len, i);
+      ip = cf_referral_next (&referral, i, &due);
+      ck_assert (!ip || strspn (ip, "0123456789.") == strlen (ip));
+      ck_assert_uint_le (referral.count, CF_REFERRAL_NAMED_MAX);
+    }
+  ck_assert_int_gt (accepted, 0);
+  g_rand_free (random);
+}
+END_TEST
+
 /* The parts of a datagram that it refers to. */
 struct Lines
 {
@@ -498,6 +530,7 @@
   suite_add_loop (suite, test_any_datagram_length, 1);
   suite_add_loop (suite, test_any_updates, 1);
   suite_add_loop (suite, test_damaged_differences, 1);
+  suite_add_loop (suite, test_any_referral, 1);
   suite_add_loop (suite, test_any_gossip, 1);
   return suite_run (suite);
 }
