--- a/src/balancer/balancer.h
+++ b/src/balancer/balancer.h
@@ -10,6 +10,14 @@
 /* The parts of a running entry VM behind a fabric whose packets carry flow cookies.  Each task's
  * messages are declared in a header of their own. */
 
+/* Forms of the updates that a VM sends to its followers, by what they hold of changed records. */
+enum CfUpdateForm
+{
+  CF_UPDATE_WHOLE,      /* no differences */
+  CF_UPDATE_DIFFERENCE, /* at least one */
+  CF_UPDATE_FORMS,
+};
+
 struct CfBalancer
 {
   struct CfBalanceSettings settings;
@@ -24,7 +32,9 @@
   atomic_uint_fast64_t load_report_bytes_sent;
   atomic_uint_fast64_t load_reports_received; /* those that were dropped included */
   atomic_uint_fast64_t load_report_bytes_received;
-  atomic_bool serving; /* new flows can be served */
+  atomic_uint_fast64_t update_bytes_sent[CF_UPDATE_FORMS];
+  atomic_uint_fast64_t update_referrals; /* VMs without data that were referred to others */
+  atomic_bool serving;                   /* new flows can be served */
   atomic_bool leaving; /* after SIGTERM: readiness checks fail so that the fabric stops sending */
 };
 
--- a/src/balancer/feed_follow.c
+++ b/src/balancer/feed_follow.c
@@ -2,6 +2,8 @@
 #include "feed_internal.h"
 #include "runtime/clock.h"
 
+#include <inttypes.h>
+
 /* How long the followed VM may hold a request until there are changes (long polling).  A VM that
  * has lost power is noticed this much later, and changes of upstreams must be in force within
  * 3 s. */
@@ -11,6 +13,10 @@
 #define SEED_WAIT_MS 300 /* a VM that starts must not lose time on a seed without data */
 #define PAUSE_MS 50      /* after a response, so that changes that come together cost one request */
 
+/* After a difference that did not apply, none are asked for during this time: if the fault is in a
+ * VM's data or build, its next difference does not apply either, and costs a whole update more. */
+#define NO_DIFFERENCES_MS 60000
+
 /* READER read the store at SYNCED_AT.  If this VM began to read the store before that, and READER
  * precedes it in the order of readers, this VM stops reading. */
 static void
@@ -49,10 +55,34 @@
   return feed->calls->learn_era (feed->context, follow->name, number) != CF_ERA_DOUBTED;
 }
 
+/* Notes that DIFFERENCE did not apply. */
+static void
+drop_difference (struct FeedFollow *follow, const struct feed_difference *difference, CfMillis now)
+{
+  const struct CfFeed *feed = follow->feed;
+  enum CfFeedKind kind = (enum CfFeedKind) difference->kind;
+  const struct CfRecord *held = cf_replica_stored (feed->replica, kind, difference->name);
+
+  follow->ask_all = true;
+  follow->no_differences_until = now + NO_DIFFERENCES_MS;
+  feed->calls->log (feed->context, "difference-dropped",
+                    (struct CfField[]){
+                        { .key = "source", .text = follow->name },
+                        { .key = "kind", .text = cf_feed_kind_name (kind) },
+                        { .key = "record", .text = difference->name },
+                        { .key = "base", .number = (int64_t) difference->base },
+                        { .key = "revision", .number = (int64_t) difference->revision },
+                        { .key = "held", .number = held ? (int64_t) held->revision : 0 },
+                        { 0 },
+                    },
+                    now);
+}
+
 static bool
 apply_response (struct FeedFollow *follow, const char *era, GBytes *body, CfMillis now)
 {
   const struct CfFeed *feed = follow->feed;
+  const struct feed_difference *failed;
   struct CfRelayUpdate update;
   CfMillis synced_at;
   gsize len;
@@ -66,6 +96,14 @@
       cf_relay_clear (&update);
       return false;
     }
+  failed = cf_relay_apply_differences (&update, feed->replica);
+  if (failed)
+    {
+      drop_difference (follow, failed, now);
+      cf_relay_clear (&update);
+      return false;
+    }
+  follow->ask_all = false;
   for (int kind = 0; kind < CF_FEED_KINDS; kind++)
     {
       const struct feed_part *part = &update.parts.parts.parts_val[kind];
@@ -96,6 +134,33 @@
   return soup_message_get_status (message) == SOUP_STATUS_OK ? "stale" : "no-answer";
 }
 
+/* Reads the referral in BODY, if MESSAGE is one to this VM without data. */
+static bool
+receive_referral (struct FeedFollow *follow, SoupMessage *message, GBytes *body, CfMillis now)
+{
+  const struct CfFeed *feed = follow->feed;
+  gsize len;
+  const void *data;
+
+  if (!body || soup_message_get_status (message) != SOUP_STATUS_SERVICE_UNAVAILABLE
+      || !cf_replica_is_empty (feed->replica))
+    return false;
+  data = g_bytes_get_data (body, &len);
+  cf_crash_report_input ("vm-referral", follow->name);
+  if (!cf_referral_receive (&follow->referral, follow->named, data, len, now))
+    return false;
+  feed->calls->log (
+      feed->context, "referred",
+      (struct CfField[]){
+          { .key = "source", .text = follow->name },
+          { .key = "vms", .number = follow->referral.count },
+          { .key = "waited_ms", .number = cf_referral_waited (&follow->referral, now) },
+          { 0 },
+      },
+      now);
+  return true;
+}
+
 static void
 answered (void *data, SoupMessage *message, GBytes *body)
 {
@@ -106,11 +171,17 @@
   const char *era = answer ? soup_message_headers_get_one (
                         soup_message_get_response_headers (message), CF_RELAY_ERA_HEADER)
                            : NULL;
+  bool asked_all = follow->ask_all;
   bool good = answer && apply_response (follow, era, body, now);
+  /* A VM whose difference did not apply can be asked for everything. */
+  bool failed
+      = !good && (asked_all || !follow->ask_all) && !receive_referral (follow, message, body, now);
 
   follow->call = NULL;
-  follow->next_at = now + (good ? PAUSE_MS : RETRY_MS);
-  if (!good)
+  follow->next_at = now + (failed ? RETRY_MS : PAUSE_MS);
+  if (cf_referral_holds (&follow->referral, now))
+    follow->next_at = now; /* the next named VM */
+  if (failed)
     feed->calls->log (feed->context, "source-failed",
                       (struct CfField[]){
                           { .key = "source", .text = follow->name },
@@ -121,35 +192,65 @@
                       now);
   if (good)
     feed->calls->source_answered (feed->context, follow->name, now);
-  else
+  if (failed)
     feed->calls->source_failed (feed->context, follow->name, now);
   feed->calls->run_due (feed->context);
 }
 
+/* Returns the URL of a request for changes to the VM at IP, to wait for WAIT ms. */
+static char *
+feed_url (const struct FeedFollow *follow, const char *ip, int wait, CfMillis now)
+{
+  const struct CfFeed *feed = follow->feed;
+  struct CfFeedPosition position
+      = { .era = feed->replica->era, .differences = now >= follow->no_differences_until };
+  GString *url = g_string_new (NULL);
+  char *query;
+
+  for (int kind = 0; kind < CF_FEED_KINDS; kind++)
+    position.revision[kind] = follow->ask_all ? 0 : feed->replica->revision[kind];
+  query = cf_feed_position_format (&position);
+  g_string_append_printf (url, "http://%s:%u/feed?%s&wait-ms=%d", ip,
+                          feed->balancer->settings.peer_port, query, wait);
+  if (cf_replica_is_empty (feed->replica))
+    g_string_append_printf (url, "&referral-wait-ms=%" PRId64 "&referral-named=%d",
+                            cf_referral_waited (&follow->referral, now), follow->named);
+  g_free (query);
+  return g_string_free (url, FALSE);
+}
+
 CfMillis
 cf_feed_follow_tick (struct FeedFollow *follow, const struct CfSource *source, CfMillis now)
 {
   const struct CfFeed *feed = follow->feed;
-  struct CfFeedPosition position = { .era = feed->replica->era };
-  int wait = cf_replica_is_empty (feed->replica) ? SEED_WAIT_MS : WAIT_MS;
-  char *query;
+  bool empty = cf_replica_is_empty (feed->replica);
+  int wait = empty ? SEED_WAIT_MS : WAIT_MS;
+  guint deadline = (guint) wait + DEADLINE_MS;
+  const char *ip = source->ip;
+  CfMillis due = now;
   char *url;
 
   if (follow->call)
     return now + CF_MS_PER_S;
   if (now < follow->next_at)
     return follow->next_at;
-  for (int kind = 0; kind < CF_FEED_KINDS; kind++)
-    position.revision[kind] = feed->replica->revision[kind];
-  query = cf_feed_position_format (&position);
-  url = g_strdup_printf ("http://%s:%u/feed?%s&wait-ms=%d", source->ip,
-                         feed->balancer->settings.peer_port, query, wait);
+  if (!empty)
+    follow->referral = (struct CfReferral){ .referred = false };
+  follow->named = cf_referral_holds (&follow->referral, now);
+  if (follow->named)
+    {
+      ip = cf_referral_next (&follow->referral, now, &due);
+      wait = 0;
+      deadline = CF_REFERRAL_CALL_MS;
+    }
+  if (!ip)
+    return due;
   g_free (follow->name);
-  follow->name = g_strdup (source->name);
-  follow->call = cf_http_call_begin (feed->session, soup_message_new ("GET", url),
-                                     (guint) wait + DEADLINE_MS, answered, follow);
+  follow->name = follow->named ? g_strconcat ("named ", ip, NULL) : g_strdup (source->name);
+  url = feed_url (follow, ip, wait, now);
+  follow->call = cf_http_call_begin (feed->session, soup_message_new ("GET", url), deadline,
+                                     answered, follow);
   g_free (url);
-  g_free (query);
   return now + CF_MS_PER_S;
 }
 
--- a/src/balancer/feed_internal.h
+++ b/src/balancer/feed_internal.h
@@ -5,6 +5,7 @@
 #include "balance/load_report.h"
 #include "balance/quality_report.h"
 #include "feed/reader.h"
+#include "feed/referral.h"
 #include "feed/relay.h"
 #include "feed/rotation.h"
 #include "base/http_call.h"
@@ -70,6 +71,10 @@
   struct CfHttpCall *call; /* NULL: none in progress */
   char *name;              /* of the VM that is followed */
   CfMillis next_at;
+  struct CfReferral referral;
+  bool named;   /* the call is to a VM that was named in a referral */
+  bool ask_all; /* a difference did not apply: the next request is for everything */
+  CfMillis no_differences_until; /* none are asked for before this time */
 };
 
 void cf_feed_follow_stop (struct FeedFollow *follow);
@@ -97,6 +102,7 @@
   const struct CfFeed *feed;
   struct CfHttpServer *server;
   struct CfRelayCache cache;
+  struct CfReferrer referrer;
   GQueue waiting;     /* of struct RelayRequest: followers that wait for changes */
   GPtrArray *sending; /* of struct RelayResponse: responses under way */
   struct CfEventRate rate;
--- a/src/balancer/feed_relay.c
+++ b/src/balancer/feed_relay.c
@@ -29,6 +29,7 @@
   gulong finished; /* signal handlers */
   gulong wrote;
   GBytes *parts; /* the shared chunk of its body */
+  bool whole;    /* to a VM without data of this era */
   CfMillis began_at;
   CfMillis progress_at; /* when the connection last took a part of it */
 };
@@ -64,14 +65,26 @@
   response->progress_at = cf_now ();
 }
 
+/* Returns true if the follower at POSITION has data of the replica's era. */
+static bool
+has_data (const struct FeedRelay *relay, const struct CfFeedPosition *position)
+{
+  return position->era == relay->feed->replica->era && position->revision[CF_FEED_MANIFEST] > 0;
+}
+
 static void
-add_response (struct FeedRelay *relay, SoupServerMessage *message, GBytes *parts, CfMillis now)
+add_response (struct FeedRelay *relay,
+              SoupServerMessage *message,
+              const struct CfFeedPosition *position,
+              GBytes *parts,
+              CfMillis now)
 {
   struct RelayResponse *response = g_new0 (struct RelayResponse, 1);
 
   response->relay = relay;
   response->message = g_object_ref (message);
   response->parts = g_bytes_ref (parts);
+  response->whole = !has_data (relay, position);
   response->began_at = now;
   response->progress_at = now;
   response->finished = g_signal_connect (message, "finished", G_CALLBACK (on_sent), response);
@@ -189,6 +202,44 @@
   soup_server_message_set_status (message, SOUP_STATUS_SERVICE_UNAVAILABLE, NULL);
 }
 
+static void
+count_bytes (struct FeedRelay *relay, const struct CfRelayChunks *chunks, CfMillis now)
+{
+  enum CfUpdateForm form = chunks->differences ? CF_UPDATE_DIFFERENCE : CF_UPDATE_WHOLE;
+  gsize bytes = g_bytes_get_size (chunks->head) + g_bytes_get_size (chunks->parts)
+                + g_bytes_get_size (chunks->padding);
+
+  atomic_fetch_add (&relay->feed->balancer->update_bytes_sent[form], bytes);
+  cf_referrer_sent (&relay->referrer, bytes, now);
+}
+
+/* Refers the VM without data that sent MESSAGE with QUERY to others, if this VM is busy and the
+ * other one understands that. */
+static bool
+refer (struct FeedRelay *relay, SoupServerMessage *message, GHashTable *query, CfMillis now)
+{
+  const char *waited = g_hash_table_lookup (query, "referral-wait-ms");
+  bool named = g_strcmp0 (g_hash_table_lookup (query, "referral-named"), "1") == 0;
+  const char *ip = soup_server_message_get_remote_host (message);
+  guint64 waited_ms;
+  guint under_way = 0;
+  GBytes *body;
+
+  if (!ip || !waited || !g_ascii_string_to_unsigned (waited, 10, 0, G_MAXINT32, &waited_ms, NULL)
+      || cf_replica_is_empty (relay->feed->replica))
+    return false;
+  for (guint i = 0; i < relay->sending->len; i++)
+    under_way += ((const struct RelayResponse *) relay->sending->pdata[i])->whole;
+  if (!cf_referrer_refers (&relay->referrer, under_way, (CfMillis) waited_ms, named, now)
+      || !(body = cf_referrer_encode (&relay->referrer, ip, now)))
+    return false;
+  soup_server_message_set_status (message, SOUP_STATUS_SERVICE_UNAVAILABLE, NULL);
+  soup_message_body_append_bytes (soup_server_message_get_response_body (message), body);
+  g_bytes_unref (body);
+  atomic_fetch_add (&relay->feed->balancer->update_referrals, 1);
+  return true;
+}
+
 static void
 respond (struct FeedRelay *relay,
          SoupServerMessage *message,
@@ -227,7 +278,8 @@
       soup_message_body_append_bytes (body, chunks.parts);
       if (g_bytes_get_size (chunks.padding) > 0)
         soup_message_body_append_bytes (body, chunks.padding);
-      add_response (relay, message, chunks.parts, now);
+      add_response (relay, message, position, chunks.parts, now);
+      count_bytes (relay, &chunks, now);
     }
   else
     refuse (relay, message, now);
@@ -286,6 +338,7 @@
   const struct CfFeed *feed = relay->feed;
   const char *text = query ? g_hash_table_lookup (query, "wait-ms") : NULL;
   struct CfFeedPosition position = { .era = feed->replica->era };
+  const char *ip = soup_server_message_get_remote_host (message);
   guint64 wait = 0;
   CfMillis now = cf_now ();
 
@@ -302,6 +355,10 @@
       soup_server_message_set_status (message, SOUP_STATUS_BAD_REQUEST, NULL);
       return;
     }
+  if (ip)
+    cf_referrer_asked (&relay->referrer, ip, feed->replica->era, has_data (relay, &position), now);
+  if (!has_data (relay, &position) && refer (relay, message, query, now))
+    return;
   if (wait == 0 || cf_relay_has_changes (feed->replica, &position)
       || cf_feed_age (feed, now) >= CF_SOURCES_STALE_FIRST_MS
       || relay->waiting.length >= WAITING_MAX)
@@ -371,4 +428,5 @@
   g_clear_pointer (&relay->sending, g_ptr_array_unref);
   cf_http_close (&relay->server);
   cf_relay_cache_clear (&relay->cache);
+  cf_referrer_clear (&relay->referrer);
 }
--- a/src/balancer/feed_task.c
+++ b/src/balancer/feed_task.c
@@ -73,6 +73,7 @@
 
   for (guint i = 0; i < records->len; i++)
     cf_platform_read_order (kind, records->pdata[i]);
+  cf_versions_keep (&task->relay.cache.versions, &task->replica, kind, records);
   changes = cf_replica_apply (&task->replica, kind, records, revision, whole);
   if (changes->len > 0)
     cf_feed_records_send (&task->records, kind, changes, trusted);
--- a/tests/test_feed_calls.c
+++ b/tests/test_feed_calls.c
@@ -30,8 +30,9 @@
   struct FeedPlay feed;
   bool follows;
   struct SilentServer store;
-  struct TestStore *data; /* guarded by the store's mutex, like the next seven */
+  struct TestStore *data; /* guarded by the store's mutex, like the next eight */
   guint page;             /* records of a page of a list */
+  bool hold_all;          /* nothing is answered */
   bool hold_list;         /* lists of upstreams are not answered */
   bool hold_writes;
   int writes;            /* that came */
@@ -42,9 +43,10 @@
   int hold_from;
   int held; /* of these, those that came */
   struct SilentServer vm;
-  struct CfReplica vm_data; /* of "vm-1", guarded by its mutex, like the next two */
+  struct CfReplica vm_data; /* of "vm-1", guarded by its mutex, like the next three */
   struct CfRelayCache vm_cache;
   struct CfUpdateOrigin vm_origin;
+  int asked_all; /* requests to it for all upstreams */
 };
 
 static void
@@ -113,6 +115,8 @@
   if (!g_str_has_prefix (request->head, "GET "))
     return answer_write (play, request);
   request->headers = play->era;
+  if (play->hold_all)
+    return NULL;
   if (!watch && kind == CF_FEED_UPSTREAMS && play->hold_list)
     return NULL;
   if (!watch)
@@ -142,6 +146,8 @@
   GBytes *body = NULL;
 
   ck_assert (cf_feed_position_parse (query, &position));
+  if (position.revision[CF_FEED_UPSTREAMS] == 0)
+    play->asked_all++;
   if (request->over || play->vm_origin.age > 0 || cf_relay_has_changes (&play->vm_data, &position))
     body = cf_relay_encode (&play->vm_cache, &play->vm_data, &position, &play->vm_origin);
   g_hash_table_unref (query);
@@ -561,6 +567,121 @@
 }
 END_TEST
 
+/* "vm-1" has TEXT as the record "i-1" from REVISION on.  With DAMAGED it makes differences from
+ * another text than it sent. */
+static void
+put_at_vm (struct Play *play, uint64_t revision, const char *text, bool damaged)
+{
+  GPtrArray *records = g_ptr_array_new_with_free_func (cf_record_free);
+  struct CfVersions *versions = &play->vm_cache.versions;
+
+  g_ptr_array_add (records, cf_record_new ("i-1", revision, false, text));
+  g_mutex_lock (&play->vm.mutex);
+  cf_versions_keep (versions, &play->vm_data, CF_FEED_UPSTREAMS, records);
+  if (damaged)
+    ((struct CfVersion *) versions->list.tail->data)->text[0] = 'b';
+  g_ptr_array_unref (
+      cf_replica_apply (&play->vm_data, CF_FEED_UPSTREAMS, records, revision, false));
+  g_cond_broadcast (&play->vm.changed);
+  g_mutex_unlock (&play->vm.mutex);
+  g_ptr_array_unref (records);
+}
+
+static bool
+knows_second_text (const void *data)
+{
+  const struct Play *play = data;
+  const struct CfRecord *record
+      = cf_replica_stored (&play->feed.task->replica, CF_FEED_UPSTREAMS, "i-1");
+
+  return record && record->text[0] == 'b';
+}
+
+/* A difference that did not apply left the follower without the record, or asking for the same
+ * difference again and again. */
+START_TEST (test_follower_asks_for_all_after_a_difference)
+{
+  char *text = g_strnfill (2 * CF_VERSIONS_TEXT_MIN_BYTES, 'a');
+  GRand *random = g_rand_new_with_seed (31);
+  struct Play play;
+  int asked_all;
+
+  /* Deflated, the record is still long. */
+  for (char *c = text + 1; *c; c++)
+    *c = (char) g_rand_int_range (random, 'A', 'Z');
+  start (&play, true);
+  put_at_vm (&play, 1000, text, false);
+  feed_play_await (&play.feed, knows_upstream, &play, "the record");
+  g_mutex_lock (&play.vm.mutex);
+  asked_all = play.asked_all;
+  g_mutex_unlock (&play.vm.mutex);
+  text[0] = 'b';
+  put_at_vm (&play, 1001, text, _i);
+  feed_play_await (&play.feed, knows_second_text, &play, "the change");
+  ck_assert (!play.feed.task->follow.ask_all);
+  ck_assert ((play.feed.task->follow.no_differences_until > cf_now ()) == _i);
+  g_mutex_lock (&play.vm.mutex);
+  ck_assert_int_eq (play.asked_all, asked_all + _i);
+  g_mutex_unlock (&play.vm.mutex);
+  g_rand_free (random);
+  g_free (text);
+  stop (&play);
+}
+END_TEST
+
+static GBytes *
+answer_with_referral (void *data, struct SilentRequest *request)
+{
+  struct feed_referral referral;
+  char *ips[] = { tcp_server_own_ip (4), tcp_server_own_ip (3) };
+  char bytes[64];
+  XDR xdr;
+
+  (void) data;
+  ck_assert_ptr_nonnull (strstr (request->path, "&referral-wait-ms=0&referral-named=0"));
+  referral.ips.ips_len = 2;
+  referral.ips.ips_val = ips;
+  xdrmem_create (&xdr, bytes, sizeof bytes, XDR_ENCODE);
+  ck_assert (xdr_feed_referral (&xdr, &referral));
+  g_free (ips[0]);
+  g_free (ips[1]);
+  return g_bytes_new (bytes, xdr_getpos (&xdr));
+}
+
+static GBytes *
+answer_as_named_vm (void *data, struct SilentRequest *request)
+{
+  ck_assert_ptr_nonnull (strstr (request->path, "&wait-ms=0&referral-wait-ms="));
+  ck_assert_ptr_nonnull (strstr (request->path, "&referral-named=1"));
+  return answer_as_vm (data, request);
+}
+
+/* A VM whose seed was busy asked it again and again, or never again.  Of the two VMs that are
+ * named, nothing listens at the first. */
+START_TEST (test_referred_vm_asks_named_ones)
+{
+  struct Play play;
+  struct SilentServer named
+      = { .answer = answer_as_named_vm, .data = &play, .headers = CF_RELAY_ERA_HEADER ": 1\r\n" };
+  char *ip = tcp_server_own_ip (3);
+
+  prepare (&play);
+  copy_store (&play);
+  put_at_vm (&play, 1000, "{}", false);
+  play.hold_all = true;
+  play.vm.answer = answer_with_referral;
+  play.vm.status = "503 Service Unavailable";
+  begin (&play, true);
+  silent_server_start (&named, ip, play.feed.balancer.settings.peer_port);
+  feed_play_await (&play.feed, knows_upstream, &play, "the named VM's records");
+  ck_assert_int_eq (silent_server_requests (&play.vm), 1);
+  ck_assert_int_eq (silent_server_requests (&named), 1);
+  stop (&play);
+  silent_server_stop (&named);
+  g_free (ip);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -578,5 +699,7 @@
   suite_add_loop (suite, test_unbelievable_era_is_not_adopted, 3);
   suite_add_loop (suite, test_unbelievable_era_of_vm_is_not_adopted, 1);
   suite_add_loop (suite, test_wrong_era_is_left, 1);
+  suite_add_loop (suite, test_follower_asks_for_all_after_a_difference, 2);
+  suite_add_loop (suite, test_referred_vm_asks_named_ones, 1);
   return suite_run (suite);
 }
