--- a/src/balance/directory.c
+++ b/src/balance/directory.c
@@ -24,7 +24,7 @@
   g_clear_pointer (&target->quality.remote, g_array_unref);
   cf_pace_clear (&target->pace);
   g_free (target->id);
-  g_free (target);
+  g_aligned_free (target);
 }
 
 static void
@@ -133,7 +133,7 @@
 static struct CfTarget *
 add_target (struct CfDirectory *directory, const struct CfAnnouncement *announcement, CfMillis now)
 {
-  struct CfTarget *target = g_new0 (struct CfTarget, 1);
+  struct CfTarget *target = g_aligned_alloc0 (1, sizeof (struct CfTarget), CF_CACHE_LINE);
 
   target->id = g_strdup (announcement->id);
   target->cookie = cf_cookie (announcement->id);
--- a/src/balance/directory.h
+++ b/src/balance/directory.h
@@ -5,6 +5,7 @@
 #include "segment.h"
 
 #include <glib.h>
+#include <stddef.h>
 
 /* The known upstreams: what each announced of itself, whether the announcement is still valid, and
  * what this VM has inferred from its own traffic and from the reports of other VMs.  No I/O; times
@@ -39,11 +40,11 @@
 /* Whether first packets reach an upstream: the state of a circuit breaker. */
 struct CfReach
 {
-  uint32_t failures;     /* consecutive first packets that no packet followed */
-  CfMillis failed_at;    /* when the last of them timed out */
+  CfMillis failed_at;    /* when the last failure timed out */
   CfMillis retry_at;     /* with failures: earliest time of the next trial */
   CfMillis confirmed_at; /* when a flow last opened, -1: never */
   CfMillis trial_until;  /* a trial is under way until then at most, 0: none is */
+  uint32_t failures;     /* consecutive first packets that no packet followed */
 };
 
 /* Recent answers, with exponential decay. */
@@ -64,27 +65,40 @@
 /* Whether a reachable upstream answers requests: the state of the outlier detection. */
 struct CfQuality
 {
-  struct CfTally tally;  /* observed by this VM */
-  GArray *remote;        /* of struct CfRemoteTally: observed by other VMs; NULL: none */
-  CfMillis report_until; /* a VM observed a failure: report until then */
   CfMillis avoided_until;
+  struct CfTally tally;   /* observed by this VM */
+  GArray *remote;         /* of struct CfRemoteTally: observed by other VMs; NULL: none */
+  CfMillis report_until;  /* a VM observed a failure: report until then */
   uint32_t avoided_times; /* in a row */
 };
 
-/* An upstream.  Pointers to it stay valid until it is pruned. */
+#define CF_CACHE_LINE 64
+
+/* An upstream.  Pointers to it stay valid until it is pruned.
+ *
+ * A choice reads reach.failures to quality.avoided_until of each candidate.  They share a cache
+ * line: a VM handles some tens of flows a second, between which its caches are used by others. */
 struct CfTarget
 {
   char *id;
   uint64_t tag;
   uint32_t cookie;
-  GQuark service;
-  GQuark domain;
   struct CfEndpoint address;
+  CfMillis silent_at; /* when a silent flow to it was last counted (unreachable.h), 0: none since an
+                         answer */
+  struct CfReach reach;
+  GQuark domain;
   uint32_t slots;
   enum CfTargetState state;
-  CfMillis state_since;
+  uint32_t open;     /* flows of this VM that are open or being opened there */
+  uint32_t awaiting; /* requests of this VM there that await an answer */
+  bool collides;     /* an older upstream has the same cookie: gets no new flows */
   CfMillis cold_until;
+  struct CfQuality quality;
+  struct CfPace pace;
   CfMillis cold_next; /* while cold: when this VM may open its next flow */
+  CfMillis state_since;
+  GQuark service;
   int64_t started;
   uint64_t era; /* of the store, which the revision counts in */
   uint64_t revision;
@@ -92,16 +106,11 @@
    * counts. */
   int64_t earlier_started;
   uint64_t earlier_revision;
-  uint32_t open;     /* flows of this VM that are open or being opened there */
-  uint32_t awaiting; /* requests of this VM there that await an answer */
-  bool collides;     /* an older upstream has the same cookie: gets no new flows */
-  struct CfReach reach;
-  CfMillis silent_at; /* when a silent flow to it was last counted (unreachable.h), 0: none since an
-                         answer */
-  struct CfQuality quality;
-  struct CfPace pace;
 };
 
+G_STATIC_ASSERT (offsetof (struct CfTarget, reach.failures) / CF_CACHE_LINE
+                 == offsetof (struct CfTarget, quality.avoided_until) / CF_CACHE_LINE);
+
 struct CfDirectory;
 
 struct CfDirectory *cf_directory_new (void);
