--- a/src/balance/place.c
+++ b/src/balance/place.c
@@ -161,14 +161,20 @@
 static uint32_t
 add_to_group (struct Group *group, struct CfTarget *target, uint32_t random_bits, CfMillis now)
 {
-  double pace = cf_pace_cached (&target->pace, now);
   double slots = MAX (target->slots, 1);
-  double weight = cf_pace_share (pace) * slots;
-  double load = (target->open + 1) / slots * cf_pace_weight (pace);
+  double weight = slots;
+  double load = (target->open + 1) / slots;
 
+  if (now < target->pace.uneven_until)
+    {
+      double pace = cf_pace_cached (&target->pace, now);
+
+      weight *= cf_pace_share (pace);
+      load *= cf_pace_weight (pace);
+      group->uneven |= cf_pace_weight (pace) != 1;
+    }
   group->count++;
   group->open += target->open;
-  group->uneven |= cf_pace_weight (pace) != 1;
   update_least (group, target, load, weight, random_bits * HASH_FACTOR);
   group->weight += weight;
   for (uint32_t i = 0; i < CF_PLACE_DRAWS; i++)
