--- a/src/balancer/admin_messages.h
+++ b/src/balancer/admin_messages.h
@@ -4,7 +4,7 @@
 /* Messages to the admin task, which owns the content from then on. */
 enum CfAdminMessage
 {
-  CF_TO_ADMIN_METRICS, /* struct CfMetricsRequest (datapath_messages.h) with its text */
+  CF_TO_ADMIN_METRICS, /* struct CfReport with the metrics of the datapath task */
   CF_TO_ADMIN_KINDS,
 };
 
--- a/src/balancer/balancer.c
+++ b/src/balancer/balancer.c
@@ -3,15 +3,14 @@
 #include "runtime/crash_report.h"
 #include "feed/rotation.h"
 #include "runtime/log.h"
-#include "runtime/process_setup.h"
+#include "runtime/supervisor.h"
 #include "runtime/clock.h"
 
-#include <glib-unix.h>
 #include <json-glib/json-glib.h>
 #include <libsoup/soup.h>
 
-/* The supervisor of an entry VM behind a fabric with flow cookies: starts the tasks, turns signals
- * and a changed settings file into messages, and stops the tasks in reverse order. */
+/* The daemon of an entry VM behind a fabric with flow cookies.  Its supervisor also turns a changed
+ * settings file into messages. */
 
 /* Time from leaving the rotation to the exit of the process.  The fabric checks readiness twice a
  * second and removes a VM after two failed checks; packets in flight then still have to be
@@ -32,14 +31,6 @@
 #define SETTINGS_LINES_PER_S 2
 #define SETTINGS_LINES_BURST 10
 
-struct Child
-{
-  const struct CfTaskClass *class;
-  struct CfTask *task;
-  void *(*new) (struct CfBalancer *balancer);
-  void (*free) (void *data);
-};
-
 struct Supervisor
 {
   struct CfBalancer balancer;
@@ -270,39 +261,14 @@
   return G_SOURCE_CONTINUE;
 }
 
-static bool
-run_children (struct CfBalancer *balancer,
-              struct Child *children,
-              size_t count,
-              struct CfError *error)
-{
-  bool ok = true;
-
-  for (size_t i = 0; i < count; i++)
-    cf_task_prepare (children[i].task, children[i].class, children[i].new(balancer));
-  for (size_t i = 0; i < count && ok; i++)
-    ok = cf_task_start (children[i].task, error);
-  if (ok)
-    g_main_loop_run (balancer->main_loop);
-  for (size_t i = count; i > 0; i--)
-    cf_task_stop (children[i - 1].task);
-  for (size_t i = count; i > 0; i--)
-    {
-      cf_task_finish (children[i - 1].task);
-      children[i - 1].free (children[i - 1].task->data);
-    }
-  return ok;
-}
-
 static bool
 serve (struct Supervisor *supervisor, struct CfError *error)
 {
   struct CfBalancer *balancer = &supervisor->balancer;
-  struct Child children[] = {
-    { &cf_datapath_task, &balancer->datapath, cf_datapath_task_new, cf_datapath_task_free },
-    { &cf_feed_task, &balancer->feed, cf_feed_task_new, cf_feed_task_free },
-    { &cf_balancer_admin_task, &balancer->admin, cf_balancer_admin_task_new,
-      cf_balancer_admin_task_free },
+  const struct CfChild children[] = {
+    { &balancer->datapath, &cf_datapath_task },
+    { &balancer->feed, &cf_feed_task },
+    { &balancer->admin, &cf_balancer_admin_task },
   };
   bool ok;
 
@@ -314,7 +280,7 @@
   log_event (balancer, "started", supervisor->path);
   log_notes (supervisor, &balancer->settings);
   g_timeout_add_seconds (SETTINGS_CHECK_S, check_settings, supervisor);
-  ok = run_children (balancer, children, G_N_ELEMENTS (children), error);
+  ok = cf_supervisor_run (children, G_N_ELEMENTS (children), balancer, balancer->main_loop, error);
   log_event (balancer, "stopped", "");
   cf_event_log_free (balancer->log);
   cf_crash_report_install ("");
@@ -333,11 +299,7 @@
   supervisor->rate
       = (struct CfEventRate){ .per_s = SETTINGS_LINES_PER_S, .burst = SETTINGS_LINES_BURST };
   balancer->main_loop = g_main_loop_new (NULL, FALSE);
-  /* A signal that comes before the main loop runs is handled when it does. */
-  g_unix_signal_add (SIGTERM, on_stop, supervisor);
-  g_unix_signal_add (SIGINT, on_stop, supervisor);
-  g_unix_signal_add (SIGHUP, on_reload, supervisor);
-  cf_process_unblock_signals ();
+  cf_supervisor_handle_signals (on_stop, on_reload, supervisor);
   await_settings (supervisor);
   ok = supervisor->stopping;
   if (!ok && supervisor->loaded)
--- a/src/balancer/balancer.h
+++ b/src/balancer/balancer.h
@@ -32,14 +32,6 @@
 extern const struct CfTaskClass cf_feed_task;
 extern const struct CfTaskClass cf_balancer_admin_task;
 
-/* Each task's state, created before the first start and freed after the last. */
-void *cf_datapath_task_new (struct CfBalancer *balancer);
-void cf_datapath_task_free (void *data);
-void *cf_feed_task_new (struct CfBalancer *balancer);
-void cf_feed_task_free (void *data);
-void *cf_balancer_admin_task_new (struct CfBalancer *balancer);
-void cf_balancer_admin_task_free (void *data);
-
 /* Runs an entry VM with the settings file PATH until SIGTERM.  Returns false with ERROR: of
  * CF_ERROR_INPUT if the file cannot be used, CF_ERROR_IO if the system has no threads left. */
 bool cf_balancer_run (const char *path, struct CfError *error);
--- a/src/balancer/balancer_admin_task.c
+++ b/src/balancer/balancer_admin_task.c
@@ -6,8 +6,6 @@
 #include "platform/store_requests.h"
 #include "runtime/process_usage.h"
 
-#include <string.h>
-
 /* The admin task answers the fabric's readiness checks and serves /metrics.  A VM whose metrics
  * port is taken still serves callers. */
 
@@ -21,14 +19,6 @@
   GSource *metrics_retry;       /* NULL: none is due */
 };
 
-static void
-respond (SoupServerMessage *message, guint status, const char *text, gsize len)
-{
-  soup_server_message_set_status (message, status, NULL);
-  soup_server_message_set_response (message, "text/plain; version=0.0.4", SOUP_MEMORY_COPY, text,
-                                    len);
-}
-
 static void
 answer_ready (SoupServer *soup,
               SoupServerMessage *message,
@@ -42,9 +32,10 @@
   (void) soup;
   (void) query;
   if (strcmp (path, cf_platform_ready_path) != 0)
-    respond (message, SOUP_STATUS_NOT_FOUND, "", 0);
+    cf_http_respond (message, SOUP_STATUS_NOT_FOUND, CF_METRICS_TYPE, "");
   else
-    respond (message, ready ? SOUP_STATUS_OK : SOUP_STATUS_SERVICE_UNAVAILABLE, "", 0);
+    cf_http_respond (message, ready ? SOUP_STATUS_OK : SOUP_STATUS_SERVICE_UNAVAILABLE,
+                     CF_METRICS_TYPE, "");
 }
 
 static void
@@ -55,45 +46,33 @@
                 gpointer data)
 {
   struct AdminTask *task = data;
-  struct CfMetricsRequest *request;
+  struct CfReport *report;
 
   (void) soup;
   (void) query;
   if (strcmp (path, "/metrics") != 0)
     {
-      respond (message, SOUP_STATUS_NOT_FOUND, "not found; the path is /metrics\n", 32);
+      cf_http_respond (message, SOUP_STATUS_NOT_FOUND, CF_METRICS_TYPE,
+                       "not found; the path is /metrics\n");
       return;
     }
-  request = g_new0 (struct CfMetricsRequest, 1);
-  request->text = g_string_new (NULL);
-  request->message = g_object_ref (message);
-  soup_server_message_pause (message);
-  cf_task_post (&task->balancer->datapath, CF_TO_DATAPATH_METRICS, request);
+  report = g_new (struct CfReport, 1);
+  cf_report_begin (report, message);
+  cf_task_post (&task->balancer->datapath, CF_TO_DATAPATH_METRICS, report);
 }
 
 static void
 handle_metrics (void *data, void *message)
 {
   struct AdminTask *task = data;
-  struct CfMetricsRequest *request = message;
+  struct CfReport *report = message;
   struct CfProcessUsage usage;
 
   if (!task->metrics)
     return;
   if (cf_process_usage_read (&usage))
-    cf_process_usage_write (&usage, request->text);
-  respond (request->message, SOUP_STATUS_OK, request->text->str, request->text->len);
-  soup_server_message_unpause (request->message);
-}
-
-static void
-free_request (gpointer data)
-{
-  struct CfMetricsRequest *request = data;
-
-  g_object_unref (request->message);
-  g_string_free (request->text, TRUE);
-  g_free (request);
+    cf_process_usage_write (&usage, report->text);
+  cf_report_end (report, CF_METRICS_TYPE);
 }
 
 static bool
@@ -142,36 +121,30 @@
   struct AdminTask *task = data;
 
   (void) base;
-  if (task->metrics_retry)
-    g_source_destroy (task->metrics_retry);
-  g_clear_pointer (&task->metrics_retry, g_source_unref);
+  cf_task_source_clear (&task->metrics_retry);
   cf_http_close (&task->ready);
   cf_http_close (&task->metrics);
 }
 
+static void *
+create (void *owner)
+{
+  struct AdminTask *task = g_new0 (struct AdminTask, 1);
+
+  task->balancer = owner;
+  return task;
+}
+
 static const struct CfMessageHandler handlers[CF_TO_ADMIN_KINDS] = {
-  [CF_TO_ADMIN_METRICS] = { handle_metrics, free_request },
+  [CF_TO_ADMIN_METRICS] = { handle_metrics, cf_report_free },
 };
 
 const struct CfTaskClass cf_balancer_admin_task = {
   .name = "admin",
   .handlers = handlers,
   .handler_count = G_N_ELEMENTS (handlers),
+  .create = create,
+  .destroy = g_free,
   .start = start,
   .stop = stop,
 };
-
-void *
-cf_balancer_admin_task_new (struct CfBalancer *balancer)
-{
-  struct AdminTask *task = g_new0 (struct AdminTask, 1);
-
-  task->balancer = balancer;
-  return task;
-}
-
-void
-cf_balancer_admin_task_free (void *data)
-{
-  g_free (data);
-}
--- a/src/balancer/datapath_messages.c
+++ b/src/balancer/datapath_messages.c
@@ -5,8 +5,6 @@
 #include "runtime/clock.h"
 #include "runtime/metrics_text.h"
 
-#include <inttypes.h>
-
 #define REPORT_INTERVAL_MS 500 /* between quality reports while requests fail */
 
 void
@@ -179,31 +177,28 @@
 write_metrics (void *data, void *message)
 {
   struct DatapathTask *task = data;
-  struct CfMetricsRequest *request = message;
+  struct CfBalancer *balancer = task->balancer;
+  GString *text = ((struct CfReport *) message)->text;
   GHashTableIter iter;
   gpointer key;
   gpointer value;
 
   for (int outcome = 0; outcome < CF_OUTCOME_COUNT; outcome++)
-    g_string_append_printf (request->text, "cyclamenferry_packets_total{fate=\"%s\"} %" PRIu64 "\n",
-                            cf_outcome_name ((enum CfOutcome) outcome), task->outcomes[outcome]);
-  g_string_append_printf (request->text,
-                          "cyclamenferry_packets_malformed_total %" PRIu64 "\n"
-                          "cyclamenferry_send_failures_total %" PRIu64 "\n"
-                          "cyclamenferry_flows %u\n"
-                          "cyclamenferry_manifest_version %" PRIu64 "\n"
-                          "cyclamenferry_store_calls_total %" PRIu64 "\n"
-                          "cyclamenferry_store_era %" PRIu64 "\n",
-                          task->malformed, task->send_failures, cf_balance_flows (task->balance),
-                          cf_routes_version (cf_balance_routes (task->balance)),
-                          (uint64_t) atomic_load (&task->balancer->store_calls),
-                          (uint64_t) atomic_load (&task->balancer->store_era));
+    cf_metrics_value (text, task->outcomes[outcome], "packets_total{fate=\"%s\"}",
+                      cf_outcome_name ((enum CfOutcome) outcome));
+  cf_metrics_value (text, task->malformed, "packets_malformed_total");
+  cf_metrics_value (text, task->send_failures, "send_failures_total");
+  cf_metrics_value (text, cf_balance_flows (task->balance), "flows");
+  cf_metrics_value (text, cf_routes_version (cf_balance_routes (task->balance)),
+                    "manifest_version");
+  cf_metrics_value (text, atomic_load (&balancer->store_calls), "store_calls_total");
+  cf_metrics_value (text, atomic_load (&balancer->store_era), "store_era");
   g_hash_table_iter_init (&iter, task->opened);
   while (g_hash_table_iter_next (&iter, &key, &value))
-    cf_metrics_histogram (request->text, "flow_open_ms", "",
-                          g_quark_to_string (GPOINTER_TO_UINT (key)), value);
-  cf_datapath_write_overload_metrics (task, request->text);
-  cf_task_post (&task->balancer->admin, CF_TO_ADMIN_METRICS, request);
+    cf_metrics_histogram (text, "flow_open_ms", "", g_quark_to_string (GPOINTER_TO_UINT (key)),
+                          value);
+  cf_datapath_write_overload_metrics (task, text);
+  cf_task_post (&balancer->admin, CF_TO_ADMIN_METRICS, message);
 }
 
 const struct CfMessageHandler cf_datapath_handlers[CF_TO_DATAPATH_KINDS] = {
--- a/src/balancer/datapath_messages.h
+++ b/src/balancer/datapath_messages.h
@@ -3,6 +3,7 @@
 
 #include "balance/balance.h"
 #include "feed/record.h"
+#include "runtime/report.h"
 
 #include <glib.h>
 
@@ -13,7 +14,7 @@
   CF_TO_DATAPATH_FEED_STATE, /* struct CfFeedState */
   CF_TO_DATAPATH_QUALITY,    /* struct CfQualityReport of another VM */
   CF_TO_DATAPATH_LOAD,       /* struct CfLoadReport of another VM of the region */
-  CF_TO_DATAPATH_METRICS,    /* struct CfMetricsRequest, which goes back to the admin task */
+  CF_TO_DATAPATH_METRICS, /* struct CfReport, which goes back to the admin task with the metrics */
   CF_TO_DATAPATH_KINDS,
 };
 
@@ -45,11 +46,4 @@
                    renewed */
 };
 
-/* A request to append the datapath task's metrics to TEXT. */
-struct CfMetricsRequest
-{
-  GString *text;
-  void *message; /* the admin task's HTTP request */
-};
-
 #endif
--- a/src/balancer/datapath_task.c
+++ b/src/balancer/datapath_task.c
@@ -185,14 +185,9 @@
 opened (void *context, GQuark service, CfMillis wait)
 {
   struct DatapathTask *task = context;
-  struct CfHistogram *histogram = g_hash_table_lookup (task->opened, GUINT_TO_POINTER (service));
 
-  if (!histogram)
-    {
-      histogram = g_new0 (struct CfHistogram, 1);
-      g_hash_table_insert (task->opened, GUINT_TO_POINTER (service), histogram);
-    }
-  cf_histogram_add (histogram, (uint64_t) wait);
+  cf_histogram_add (cf_table_get (task->opened, service, sizeof (struct CfHistogram)),
+                    (uint64_t) wait);
 }
 
 static void
@@ -387,25 +382,14 @@
   struct DatapathTask *task = data;
 
   (void) base;
-  if (task->source)
-    {
-      g_source_destroy (task->source);
-      g_clear_pointer (&task->source, g_source_unref);
-    }
+  cf_task_source_clear (&task->source);
   g_clear_object (&task->socket);
 }
 
-const struct CfTaskClass cf_datapath_task = {
-  .name = "datapath",
-  .handlers = cf_datapath_handlers,
-  .handler_count = G_N_ELEMENTS (cf_datapath_handlers),
-  .start = start,
-  .stop = stop,
-};
-
-void *
-cf_datapath_task_new (struct CfBalancer *balancer)
+static void *
+create (void *owner)
 {
+  struct CfBalancer *balancer = owner;
   struct DatapathTask *task = g_new0 (struct DatapathTask, 1);
   const struct CfBalanceSettings *settings = &balancer->settings;
 
@@ -428,8 +412,8 @@
   return task;
 }
 
-void
-cf_datapath_task_free (void *data)
+static void
+destroy (void *data)
 {
   struct DatapathTask *task = data;
 
@@ -438,3 +422,13 @@
   g_hash_table_unref (task->refused);
   g_free (task);
 }
+
+const struct CfTaskClass cf_datapath_task = {
+  .name = "datapath",
+  .handlers = cf_datapath_handlers,
+  .handler_count = G_N_ELEMENTS (cf_datapath_handlers),
+  .create = create,
+  .destroy = destroy,
+  .start = start,
+  .stop = stop,
+};
--- a/src/balancer/feed_enroll.c
+++ b/src/balancer/feed_enroll.c
@@ -184,11 +184,7 @@
 void
 cf_feed_enroll_stop (struct FeedEnroll *enroll)
 {
-  if (enroll->call)
-    cf_http_call_cancel (enroll->call);
-  enroll->call = NULL;
-  if (enroll->delete)
-    cf_http_call_cancel (enroll->delete);
-  enroll->delete = NULL;
+  cf_http_call_cancel (&enroll->call);
+  cf_http_call_cancel (&enroll->delete);
   g_clear_pointer (&enroll->content, g_free);
 }
--- a/src/balancer/feed_follow.c
+++ b/src/balancer/feed_follow.c
@@ -156,8 +156,6 @@
 void
 cf_feed_follow_stop (struct FeedFollow *follow)
 {
-  if (follow->call)
-    cf_http_call_cancel (follow->call);
-  follow->call = NULL;
+  cf_http_call_cancel (&follow->call);
   g_clear_pointer (&follow->name, g_free);
 }
--- a/src/balancer/feed_gossip.c
+++ b/src/balancer/feed_gossip.c
@@ -92,19 +92,13 @@
   gossip->socket = cf_udp_open (settings->ip, settings->peer_port, error);
   if (!gossip->socket)
     return false;
-  gossip->source = g_socket_create_source (gossip->socket, G_IO_IN, NULL);
-  g_source_set_callback (gossip->source, G_SOURCE_FUNC (on_datagram), gossip, NULL);
-  g_source_attach (gossip->source, g_main_context_get_thread_default ());
+  gossip->source = cf_udp_watch (gossip->socket, on_datagram, gossip);
   return true;
 }
 
 void
 cf_feed_gossip_stop (struct FeedGossip *gossip)
 {
-  if (gossip->source)
-    {
-      g_source_destroy (gossip->source);
-      g_clear_pointer (&gossip->source, g_source_unref);
-    }
+  cf_task_source_clear (&gossip->source);
   g_clear_object (&gossip->socket);
 }
--- a/src/balancer/feed_store.c
+++ b/src/balancer/feed_store.c
@@ -96,11 +96,8 @@
     {
       struct FeedChannel *channel = &store->channels[kind];
 
-      if (!cf_reader_enter_era (&channel->reader, store->feed->replica->era, now))
-        continue;
-      if (channel->call)
-        cf_http_call_cancel (channel->call);
-      channel->call = NULL;
+      if (cf_reader_enter_era (&channel->reader, store->feed->replica->era, now))
+        cf_http_call_cancel (&channel->call);
     }
 }
 
@@ -250,9 +247,7 @@
     {
       struct FeedChannel *channel = &store->channels[kind];
 
-      if (channel->call)
-        cf_http_call_cancel (channel->call);
-      channel->call = NULL;
+      cf_http_call_cancel (&channel->call);
       g_clear_pointer (&channel->list, g_ptr_array_unref);
       cf_reader_clear (&channel->reader);
     }
--- a/src/balancer/feed_task.c
+++ b/src/balancer/feed_task.c
@@ -315,12 +315,6 @@
   use_seeds (data, message);
 }
 
-static void
-free_seeds (void *seeds)
-{
-  g_strfreev (seeds);
-}
-
 static bool
 start (struct CfTask *base, void *data, struct CfError *error)
 {
@@ -352,9 +346,7 @@
   cf_feed_enroll_stop (&task->enroll);
   cf_feed_follow_stop (&task->follow);
   cf_feed_store_stop (&task->store);
-  if (task->timer)
-    g_source_destroy (task->timer);
-  g_clear_pointer (&task->timer, g_source_unref);
+  cf_task_source_clear (&task->timer);
   g_clear_object (&task->feed.session);
 }
 
@@ -377,24 +369,10 @@
   cf_feed_rotation_stop_vm (&((struct FeedTask *) data)->rotation, cf_now ());
 }
 
-static const struct CfMessageHandler handlers[CF_TO_FEED_KINDS] = {
-  [CF_TO_FEED_SEEDS] = { handle_seeds, free_seeds },
-  [CF_TO_FEED_QUALITY] = { handle_quality, g_free },
-  [CF_TO_FEED_LOAD] = { handle_load, g_free },
-  [CF_TO_FEED_STOP] = { handle_stop, NULL },
-};
-
-const struct CfTaskClass cf_feed_task = {
-  .name = "feed",
-  .handlers = handlers,
-  .handler_count = G_N_ELEMENTS (handlers),
-  .start = start,
-  .stop = stop,
-};
-
-void *
-cf_feed_task_new (struct CfBalancer *balancer)
+static void *
+create (void *owner)
 {
+  struct CfBalancer *balancer = owner;
   static const struct CfEventRate rate = { .per_s = LINES_PER_S, .burst = LINES_BURST };
   const struct CfBalanceSettings *settings = &balancer->settings;
   struct FeedTask *task = g_new (struct FeedTask, 1);
@@ -430,8 +408,8 @@
   return task;
 }
 
-void
-cf_feed_task_free (void *data)
+static void
+destroy (void *data)
 {
   struct FeedTask *task = data;
 
@@ -443,3 +421,20 @@
   g_free (task->status.source);
   g_free (task);
 }
+
+static const struct CfMessageHandler handlers[CF_TO_FEED_KINDS] = {
+  [CF_TO_FEED_SEEDS] = { handle_seeds, (GDestroyNotify) g_strfreev },
+  [CF_TO_FEED_QUALITY] = { handle_quality, g_free },
+  [CF_TO_FEED_LOAD] = { handle_load, g_free },
+  [CF_TO_FEED_STOP] = { handle_stop, NULL },
+};
+
+const struct CfTaskClass cf_feed_task = {
+  .name = "feed",
+  .handlers = handlers,
+  .handler_count = G_N_ELEMENTS (handlers),
+  .create = create,
+  .destroy = destroy,
+  .start = start,
+  .stop = stop,
+};
--- a/src/balancer/overload_metrics.c
+++ b/src/balancer/overload_metrics.c
@@ -9,13 +9,8 @@
 cf_datapath_count_refusal (struct DatapathTask *task, const struct CfAdmissionVerdict *verdict)
 {
   struct CfRefusals *refusals
-      = g_hash_table_lookup (task->refused, GUINT_TO_POINTER (verdict->service));
+      = cf_table_get (task->refused, verdict->service, sizeof (struct CfRefusals));
 
-  if (!refusals)
-    {
-      refusals = g_new0 (struct CfRefusals, 1);
-      g_hash_table_insert (task->refused, GUINT_TO_POINTER (verdict->service), refusals);
-    }
   refusals->count[MIN (verdict->priority, CF_LOAD_PRIORITIES - 1)][verdict->reason]++;
 }
 
@@ -52,11 +47,9 @@
       for (uint32_t i = 0; i < CF_LOAD_PRIORITIES; i++)
         for (uint32_t j = 0; j < CF_REFUSAL_COUNT; j++)
           if (refusals->count[i][j] > 0)
-            g_string_append_printf (text,
-                                    "cyclamenferry_refused_total{service=\"%s\",priority=\"%u\","
-                                    "reason=\"%s\"} %" PRIu64 "\n",
-                                    label, i, cf_refusal_reason_name ((enum CfRefusalReason) j),
-                                    refusals->count[i][j]);
+            cf_metrics_value (text, refusals->count[i][j],
+                              "refused_total{service=\"%s\",priority=\"%u\",reason=\"%s\"}", label,
+                              i, cf_refusal_reason_name ((enum CfRefusalReason) j));
       g_free (label);
     }
 }
@@ -68,19 +61,17 @@
   struct CfLoadTable *table = cf_admission_load_table (cf_balance_admission (task->balance));
   CfMillis now = cf_now ();
 
-  g_string_append_printf (text,
-                          "cyclamenferry_load_reports_total{direction=\"sent\"} %" PRIu64 "\n"
-                          "cyclamenferry_load_reports_total{direction=\"received\"} %" PRIu64 "\n"
-                          "cyclamenferry_load_report_bytes_total{direction=\"sent\"} %" PRIu64 "\n"
-                          "cyclamenferry_load_report_bytes_total{direction=\"received\"} %" PRIu64
-                          "\n"
-                          "cyclamenferry_load_reports_valid %u\n"
-                          "cyclamenferry_load_report_age_ms %" PRId64 "\n",
-                          (uint64_t) atomic_load (&balancer->load_reports_sent),
-                          (uint64_t) atomic_load (&balancer->load_reports_received),
-                          (uint64_t) atomic_load (&balancer->load_report_bytes_sent),
-                          (uint64_t) atomic_load (&balancer->load_report_bytes_received),
-                          cf_load_table_count (table, now), cf_load_table_age (table, now));
+  cf_metrics_value (text, atomic_load (&balancer->load_reports_sent),
+                    "load_reports_total{direction=\"sent\"}");
+  cf_metrics_value (text, atomic_load (&balancer->load_reports_received),
+                    "load_reports_total{direction=\"received\"}");
+  cf_metrics_value (text, atomic_load (&balancer->load_report_bytes_sent),
+                    "load_report_bytes_total{direction=\"sent\"}");
+  cf_metrics_value (text, atomic_load (&balancer->load_report_bytes_received),
+                    "load_report_bytes_total{direction=\"received\"}");
+  cf_metrics_value (text, cf_load_table_count (table, now), "load_reports_valid");
+  g_string_append_printf (text, "cyclamenferry_load_report_age_ms %" PRId64 "\n",
+                          cf_load_table_age (table, now));
 }
 
 void
@@ -90,15 +81,14 @@
 
   for (int i = 0; i < CF_EXTRA_OPEN_COUNT; i++)
     if (task->extra_openings[i] > 0)
-      g_string_append_printf (
-          text, "cyclamenferry_extra_openings_total{result=\"%s\"} %" PRIu64 "\n",
-          cf_extra_open_result_name ((enum CfExtraOpenResult) i), task->extra_openings[i]);
+      cf_metrics_value (text, task->extra_openings[i], "extra_openings_total{result=\"%s\"}",
+                        cf_extra_open_result_name ((enum CfExtraOpenResult) i));
   if (!admission)
     return;
   cf_admission_each_service (admission, write_service, text);
   write_refusals (task, text);
   write_load_reports (task, text);
-  g_string_append_printf (text, "cyclamenferry_first_packets_held %u\n",
-                          cf_admission_waiting (cf_admission_control_queue (admission)));
+  cf_metrics_value (text, cf_admission_waiting (cf_admission_control_queue (admission)),
+                    "first_packets_held");
   cf_metrics_histogram (text, "held_ms", "", "", &task->held);
 }
--- a/src/base/http_call.c
+++ b/src/base/http_call.c
@@ -194,8 +194,12 @@
 }
 
 void
-cf_http_call_cancel (struct CfHttpCall *call)
+cf_http_call_cancel (struct CfHttpCall **call)
 {
-  call->done = NULL;
-  g_cancellable_cancel (call->cancellable);
+  struct CfHttpCall *begun = g_steal_pointer (call);
+
+  if (!begun)
+    return;
+  begun->done = NULL;
+  g_cancellable_cancel (begun->cancellable);
 }
--- a/src/base/http_call.h
+++ b/src/base/http_call.h
@@ -50,7 +50,7 @@
 struct CfHttpCall *cf_http_call_begin (
     SoupSession *session, SoupMessage *message, guint deadline_ms, CfHttpDone *done, void *data);
 
-/* Cancels CALL, which has not completed yet; DONE is not called. */
-void cf_http_call_cancel (struct CfHttpCall *call);
+/* Cancels *CALL, which has not completed yet or is NULL, and makes it NULL; DONE is not called. */
+void cf_http_call_cancel (struct CfHttpCall **call);
 
 #endif
--- a/src/gued/admin_task.c
+++ b/src/gued/admin_task.c
@@ -2,9 +2,7 @@
 #include "admin_messages.h"
 #include "packet_messages.h"
 #include "runtime/http_listen.h"
-#include "runtime/log.h"
 
-#include <libsoup/soup.h>
 #include <string.h>
 
 /* The admin task serves /metrics, /status and /explain over HTTP.  It passes each request
@@ -16,13 +14,6 @@
   struct CfHttpServer *http;
 };
 
-static void
-respond (SoupServerMessage *message, guint status, const char *type, const char *text)
-{
-  soup_server_message_set_status (message, status, NULL);
-  soup_server_message_set_response (message, type, SOUP_MEMORY_COPY, text, strlen (text));
-}
-
 /* Parses an address written as IP:PORT or [IP]:PORT. */
 static bool
 parse_endpoint (const char *text, struct CfAddress *address)
@@ -40,7 +31,7 @@
 }
 
 static bool
-parse_explain (GHashTable *query, struct CfReport *report)
+parse_explain (GHashTable *query, struct CfCoreReport *report)
 {
   const char *protocol = query ? g_hash_table_lookup (query, "protocol") : NULL;
 
@@ -59,15 +50,16 @@
         gpointer data)
 {
   struct AdminTask *task = data;
-  struct CfReport *report;
+  struct CfCoreReport *report;
 
   (void) soup;
   if (strcmp (soup_server_message_get_method (message), "GET") != 0)
     {
-      respond (message, SOUP_STATUS_METHOD_NOT_ALLOWED, "text/plain", "only GET is supported\n");
+      cf_http_respond (message, SOUP_STATUS_METHOD_NOT_ALLOWED, "text/plain",
+                       "only GET is supported\n");
       return;
     }
-  report = g_new0 (struct CfReport, 1);
+  report = g_new0 (struct CfCoreReport, 1);
   if (strcmp (path, "/metrics") == 0)
     report->kind = CF_REPORT_METRICS;
   else if (strcmp (path, "/status") == 0)
@@ -78,14 +70,14 @@
     {
       bool known = strcmp (path, "/explain") == 0;
 
-      respond (message, known ? SOUP_STATUS_BAD_REQUEST : SOUP_STATUS_NOT_FOUND, "text/plain",
-               known ? "caller=IP:PORT and service=IP:PORT are required\n"
-                     : "not found; the paths are /metrics, /status and /explain\n");
+      cf_http_respond (message, known ? SOUP_STATUS_BAD_REQUEST : SOUP_STATUS_NOT_FOUND,
+                       "text/plain",
+                       known ? "caller=IP:PORT and service=IP:PORT are required\n"
+                             : "not found; the paths are /metrics, /status and /explain\n");
       g_free (report);
       return;
     }
-  report->request = g_object_ref (message);
-  soup_server_message_pause (message);
+  cf_report_begin (&report->http, message);
   cf_task_post (&task->server->packet, CF_TO_PACKET_REPORT, report);
 }
 
@@ -93,27 +85,15 @@
 handle_report (void *data, void *message)
 {
   struct AdminTask *task = data;
-  struct CfReport *report = message;
+  struct CfCoreReport *report = message;
   static const char *const types[] = {
-    [CF_REPORT_METRICS] = "text/plain; version=0.0.4",
+    [CF_REPORT_METRICS] = CF_METRICS_TYPE,
     [CF_REPORT_STATUS] = "application/json",
     [CF_REPORT_EXPLAIN] = "text/plain",
   };
 
-  if (!task->http)
-    return;
-  respond (report->request, SOUP_STATUS_OK, types[report->kind], report->text->str);
-  soup_server_message_unpause (report->request);
-}
-
-static void
-free_report (gpointer data)
-{
-  struct CfReport *report = data;
-
-  g_object_unref (report->request);
-  g_string_free (report->text, TRUE);
-  g_free (report);
+  if (task->http)
+    cf_report_end (&report->http, types[report->kind]);
 }
 
 static bool
@@ -138,29 +118,25 @@
   cf_http_close (&task->http);
 }
 
+static void *
+create (void *owner)
+{
+  struct AdminTask *task = g_new0 (struct AdminTask, 1);
+
+  task->server = owner;
+  return task;
+}
+
 static const struct CfMessageHandler handlers[CF_TO_ADMIN_KINDS] = {
-  [CF_TO_ADMIN_REPORT] = { handle_report, free_report },
+  [CF_TO_ADMIN_REPORT] = { handle_report, cf_report_free },
 };
 
 const struct CfTaskClass cf_admin_task = {
   .name = "admin",
   .handlers = handlers,
   .handler_count = G_N_ELEMENTS (handlers),
+  .create = create,
+  .destroy = g_free,
   .start = start,
   .stop = stop,
 };
-
-void *
-cf_admin_task_new (struct CfServer *server)
-{
-  struct AdminTask *task = g_new0 (struct AdminTask, 1);
-
-  task->server = server;
-  return task;
-}
-
-void
-cf_admin_task_free (void *data)
-{
-  g_free (data);
-}
--- a/src/gued/folder_task.c
+++ b/src/gued/folder_task.c
@@ -90,9 +90,7 @@
   struct FolderTask *task = data;
 
   (void) base;
-  if (task->timer)
-    g_source_destroy (task->timer);
-  g_clear_pointer (&task->timer, g_source_unref);
+  cf_task_source_clear (&task->timer);
 }
 
 static void
@@ -102,6 +100,15 @@
   read_folder (data);
 }
 
+static void *
+create (void *owner)
+{
+  struct FolderTask *task = g_new0 (struct FolderTask, 1);
+
+  task->server = owner;
+  return task;
+}
+
 static const struct CfMessageHandler handlers[CF_TO_SOURCE_KINDS] = {
   [CF_TO_SOURCE_RELOAD] = { reload, NULL },
   [CF_TO_SOURCE_STATUS] = { NULL, g_free },
@@ -111,21 +118,8 @@
   .name = "folder",
   .handlers = handlers,
   .handler_count = G_N_ELEMENTS (handlers),
+  .create = create,
+  .destroy = g_free,
   .start = start,
   .stop = stop,
 };
-
-void *
-cf_folder_task_new (struct CfServer *server)
-{
-  struct FolderTask *task = g_new0 (struct FolderTask, 1);
-
-  task->server = server;
-  return task;
-}
-
-void
-cf_folder_task_free (void *data)
-{
-  g_free (data);
-}
--- a/src/gued/health_task.c
+++ b/src/gued/health_task.c
@@ -175,8 +175,7 @@
   cancel_requests (task, G_MAXINT64);
   while (task->requests.length > 0)
     g_main_context_iteration (base->context, TRUE);
-  g_source_destroy (task->timer);
-  g_clear_pointer (&task->timer, g_source_unref);
+  cf_task_source_clear (&task->timer);
   g_clear_object (&task->session);
 }
 
@@ -189,27 +188,10 @@
   task->probes = g_array_ref (message);
 }
 
-static void
-free_array (gpointer data)
-{
-  g_array_unref (data);
-}
-
-static const struct CfMessageHandler handlers[CF_TO_HEALTH_KINDS] = {
-  [CF_TO_HEALTH_PROBES] = { handle_probes, free_array },
-};
-
-const struct CfTaskClass cf_health_task = {
-  .name = "health",
-  .handlers = handlers,
-  .handler_count = G_N_ELEMENTS (handlers),
-  .start = start,
-  .stop = stop,
-};
-
-void *
-cf_health_task_new (struct CfServer *server)
+static void *
+create (void *owner)
 {
+  struct CfServer *server = owner;
   struct HealthTask *task = g_new0 (struct HealthTask, 1);
 
   task->server = server;
@@ -218,11 +200,25 @@
   return task;
 }
 
-void
-cf_health_task_free (void *data)
+static void
+destroy (void *data)
 {
   struct HealthTask *task = data;
 
   g_array_unref (task->probes);
   g_free (task);
 }
+
+static const struct CfMessageHandler handlers[CF_TO_HEALTH_KINDS] = {
+  [CF_TO_HEALTH_PROBES] = { handle_probes, (GDestroyNotify) g_array_unref },
+};
+
+const struct CfTaskClass cf_health_task = {
+  .name = "health",
+  .handlers = handlers,
+  .handler_count = G_N_ELEMENTS (handlers),
+  .create = create,
+  .destroy = destroy,
+  .start = start,
+  .stop = stop,
+};
--- a/src/gued/metrics.c
+++ b/src/gued/metrics.c
@@ -3,16 +3,6 @@
 
 #define PREFIX "cyclamenferry_"
 
-static void
-write_value (GString *text, const char *name, const char *label, const char *value, uint64_t n)
-{
-  if (label)
-    g_string_append_printf (text, PREFIX "%s{%s=\"%s\"} %" G_GUINT64_FORMAT "\n", name, label,
-                            value, n);
-  else
-    g_string_append_printf (text, PREFIX "%s %" G_GUINT64_FORMAT "\n", name, n);
-}
-
 static void
 write_type (GString *text, const char *name, const char *type)
 {
@@ -27,12 +17,13 @@
       char *name = g_strdup_printf ("%s_total", cf_counter_name ((enum CfCounter) i));
 
       write_type (text, name, "counter");
-      write_value (text, name, NULL, NULL, stats->counter[i]);
+      cf_metrics_value (text, stats->counter[i], "%s", name);
       g_free (name);
     }
   write_type (text, "dropped_total", "counter");
   for (int i = 1; i < CF_DROP_COUNT; i++)
-    write_value (text, "dropped_total", "reason", cf_drop_name ((enum CfDrop) i), stats->drop[i]);
+    cf_metrics_value (text, stats->drop[i], "dropped_total{reason=\"%s\"}",
+                      cf_drop_name ((enum CfDrop) i));
 }
 
 static void
@@ -44,8 +35,7 @@
   char *tenant_label = cf_metrics_label (service->tenant);
   char *service_label = cf_metrics_label (service->name);
 
-  g_string_append_printf (text, PREFIX "%s{tenant=\"%s\",service=\"%s\"} %" G_GUINT64_FORMAT "\n",
-                          name, tenant_label, service_label, n);
+  cf_metrics_value (text, n, "%s{tenant=\"%s\",service=\"%s\"}", name, tenant_label, service_label);
   g_free (service_label);
   g_free (tenant_label);
 }
@@ -82,15 +72,15 @@
   write_counters (text, cf_core_stats (input->core));
   write_type (text, "peer_messages_total", "counter");
   for (int i = 0; i < CF_PEER_RESULT_COUNT; i++)
-    write_value (text, "peer_messages_total", "result", cf_peer_result_name ((enum CfPeerResult) i),
-                 atomic_load (&input->server->peer_results[i]));
-  write_value (text, "bad_gue_total", NULL, NULL, input->bad_gue);
-  write_value (text, "bad_transfers_total", NULL, NULL, input->bad_transfers);
-  write_value (text, "send_failures_total", NULL, NULL, input->send_failures);
-  write_value (text, "health_probes_waiting", NULL, NULL,
-               atomic_load (&input->server->health_waiting));
-  write_value (text, "flow_table_bytes", NULL, NULL, cf_core_flow_bytes (input->core));
-  write_value (text, "config_version", NULL, NULL, config ? config->version : 0);
-  write_value (text, "settled", NULL, NULL, cf_core_settled (input->core));
+    cf_metrics_value (text, atomic_load (&input->server->peer_results[i]),
+                      "peer_messages_total{result=\"%s\"}",
+                      cf_peer_result_name ((enum CfPeerResult) i));
+  cf_metrics_value (text, input->bad_gue, "bad_gue_total");
+  cf_metrics_value (text, input->bad_transfers, "bad_transfers_total");
+  cf_metrics_value (text, input->send_failures, "send_failures_total");
+  cf_metrics_value (text, atomic_load (&input->server->health_waiting), "health_probes_waiting");
+  cf_metrics_value (text, cf_core_flow_bytes (input->core), "flow_table_bytes");
+  cf_metrics_value (text, config ? config->version : 0, "config_version");
+  cf_metrics_value (text, cf_core_settled (input->core), "settled");
   write_services (input, text);
 }
--- a/src/gued/packet_messages.c
+++ b/src/gued/packet_messages.c
@@ -37,12 +37,6 @@
     cf_packet_log_config (message, "the platform");
 }
 
-static void
-free_config (gpointer data)
-{
-  cf_config_unref (data);
-}
-
 static void
 handle_folder (void *data, void *message)
 {
@@ -75,12 +69,6 @@
                    (const struct CfListedVm *) (const void *) vms->data, vms->len, cf_now ());
 }
 
-static void
-free_array (gpointer data)
-{
-  g_array_unref (data);
-}
-
 static void
 handle_leave (void *data, void *message)
 {
@@ -92,7 +80,7 @@
 handle_report_request (void *data, void *message)
 {
   struct PacketTask *task = data;
-  struct CfReport *report = message;
+  struct CfCoreReport *report = message;
   struct CfMetricsInput input = {
     .core = task->core,
     .decision_ns = task->decision_ns,
@@ -103,23 +91,22 @@
     .send_failures = task->out.failed,
   };
 
-  report->text = g_string_new (NULL);
   if (report->kind == CF_REPORT_METRICS)
-    cf_metrics_write (&input, report->text);
+    cf_metrics_write (&input, report->http.text);
   else if (report->kind == CF_REPORT_STATUS)
-    cf_core_status (task->core, report->text, input.now);
+    cf_core_status (task->core, report->http.text, input.now);
   else
-    cf_core_explain (task->core, &report->caller, &report->service, report->protocol, report->text,
-                     input.now);
+    cf_core_explain (task->core, &report->caller, &report->service, report->protocol,
+                     report->http.text, input.now);
   cf_task_post (&task->server->admin, CF_TO_ADMIN_REPORT, report);
 }
 
 const struct CfMessageHandler cf_packet_handlers[CF_TO_PACKET_KINDS] = {
   [CF_TO_PACKET_ENVELOPE] = { handle_envelope, free_envelope },
-  [CF_TO_PACKET_CONFIG] = { handle_config, free_config },
-  [CF_TO_PACKET_FOLDER] = { handle_folder, free_config },
+  [CF_TO_PACKET_CONFIG] = { handle_config, (GDestroyNotify) cf_config_unref },
+  [CF_TO_PACKET_FOLDER] = { handle_folder, (GDestroyNotify) cf_config_unref },
   [CF_TO_PACKET_HEALTH] = { handle_health, g_free },
-  [CF_TO_PACKET_VM_LIST] = { handle_vm_list, free_array },
+  [CF_TO_PACKET_VM_LIST] = { handle_vm_list, (GDestroyNotify) g_array_unref },
   [CF_TO_PACKET_LEAVE] = { handle_leave, NULL },
   [CF_TO_PACKET_REPORT] = { handle_report_request, NULL },
 };
--- a/src/gued/packet_messages.h
+++ b/src/gued/packet_messages.h
@@ -2,6 +2,7 @@
 #define CF_GUED_PACKET_MESSAGES_H
 
 #include "cf_core.h"
+#include "runtime/report.h"
 
 #include <glib.h>
 
@@ -14,7 +15,7 @@
   CF_TO_PACKET_HEALTH,   /* struct CfHealthAnswer */
   CF_TO_PACKET_VM_LIST,  /* GArray of struct CfListedVm */
   CF_TO_PACKET_LEAVE,    /* NULL: this VM has to hand over its flows and end */
-  CF_TO_PACKET_REPORT,   /* struct CfReport, which goes back to the admin task with its text */
+  CF_TO_PACKET_REPORT,   /* struct CfCoreReport, which goes back to the admin task with its text */
   CF_TO_PACKET_KINDS,
 };
 
@@ -26,14 +27,13 @@
 };
 
 /* A request for a report on the core. */
-struct CfReport
+struct CfCoreReport
 {
+  struct CfReport http;
   enum CfReportKind kind;
   struct CfAddress caller; /* for CF_REPORT_EXPLAIN */
   struct CfAddress service;
   uint8_t protocol;
-  void *request; /* the admin task's HTTP request */
-  GString *text; /* of the response */
 };
 
 #endif
--- a/src/gued/packet_task.c
+++ b/src/gued/packet_task.c
@@ -160,19 +160,6 @@
   return now.tv_sec * G_GINT64_CONSTANT (1000000000) + now.tv_nsec;
 }
 
-static struct CfHistogram *
-decision_histogram (struct PacketTask *task)
-{
-  gpointer key = GUINT_TO_POINTER (task->decided_service);
-  struct CfHistogram *histogram = g_hash_table_lookup (task->decision_ns, key);
-
-  if (histogram)
-    return histogram;
-  histogram = g_new0 (struct CfHistogram, 1);
-  g_hash_table_insert (task->decision_ns, key, histogram);
-  return histogram;
-}
-
 static void
 handle_fabric (struct PacketTask *task,
                const uint8_t *data,
@@ -197,7 +184,9 @@
   began = nanoseconds ();
   cf_core_packet (task->core, data + offset, len - offset, from, now);
   if (task->decided_service)
-    cf_histogram_add (decision_histogram (task), (uint64_t) (nanoseconds () - began));
+    cf_histogram_add (
+        cf_table_get (task->decision_ns, task->decided_service, sizeof (struct CfHistogram)),
+        (uint64_t) (nanoseconds () - began));
 }
 
 static void
@@ -349,19 +338,6 @@
   return G_SOURCE_CONTINUE;
 }
 
-static GSource *
-watch_socket (GSocket *socket,
-              GSocketSourceFunc func,
-              struct PacketTask *task,
-              GMainContext *context)
-{
-  GSource *source = g_socket_create_source (socket, G_IO_IN, NULL);
-
-  g_source_set_callback (source, G_SOURCE_FUNC (func), task, NULL);
-  g_source_attach (source, context);
-  return source;
-}
-
 static bool
 start (struct CfTask *base, void *data, struct CfError *error)
 {
@@ -375,8 +351,8 @@
   if (!task->transfer)
     return false;
   cf_tx_queue_init (&task->out, task->fabric);
-  task->sources[0] = watch_socket (task->fabric, fabric_ready, task, base->context);
-  task->sources[1] = watch_socket (task->transfer, transfer_ready, task, base->context);
+  task->sources[0] = cf_udp_watch (task->fabric, fabric_ready, task);
+  task->sources[1] = cf_udp_watch (task->transfer, transfer_ready, task);
   task->sources[2] = cf_task_timer (base, CF_TICK_MS, tick);
   return true;
 }
@@ -388,27 +364,16 @@
 
   (void) base;
   for (size_t i = 0; i < G_N_ELEMENTS (task->sources); i++)
-    if (task->sources[i])
-      {
-        g_source_destroy (task->sources[i]);
-        g_clear_pointer (&task->sources[i], g_source_unref);
-      }
+    cf_task_source_clear (&task->sources[i]);
   cf_tx_queue_clear (&task->out);
   g_clear_object (&task->fabric);
   g_clear_object (&task->transfer);
 }
 
-const struct CfTaskClass cf_packet_task = {
-  .name = "packet",
-  .handlers = cf_packet_handlers,
-  .handler_count = G_N_ELEMENTS (cf_packet_handlers),
-  .start = start,
-  .stop = stop,
-};
-
-void *
-cf_packet_task_new (struct CfServer *server)
+static void *
+create (void *owner)
 {
+  struct CfServer *server = owner;
   struct PacketTask *task = g_new0 (struct PacketTask, 1);
   const struct CfSettings *settings = &server->settings;
   struct CfCoreOptions options = {
@@ -426,8 +391,8 @@
   return task;
 }
 
-void
-cf_packet_task_free (void *data)
+static void
+destroy (void *data)
 {
   struct PacketTask *task = data;
 
@@ -436,3 +401,13 @@
   g_hash_table_destroy (task->decision_ns);
   g_free (task);
 }
+
+const struct CfTaskClass cf_packet_task = {
+  .name = "packet",
+  .handlers = cf_packet_handlers,
+  .handler_count = G_N_ELEMENTS (cf_packet_handlers),
+  .create = create,
+  .destroy = destroy,
+  .start = start,
+  .stop = stop,
+};
--- a/src/gued/peer_task.c
+++ b/src/gued/peer_task.c
@@ -21,18 +21,6 @@
   uint8_t buffer[CF_PEER_DATAGRAM_MAX];
 };
 
-static struct CfReplayWindow *
-window_of (struct PeerTask *task, uint32_t vm)
-{
-  struct CfReplayWindow *window = g_hash_table_lookup (task->windows, GUINT_TO_POINTER (vm));
-
-  if (window)
-    return window;
-  window = g_new0 (struct CfReplayWindow, 1);
-  g_hash_table_insert (task->windows, GUINT_TO_POINTER (vm), window);
-  return window;
-}
-
 static void
 handle (struct PeerTask *task, size_t len)
 {
@@ -42,7 +30,9 @@
       = cf_peer_decode (&task->server->keys, task->buffer, len, &xid, envelope);
 
   if (result == CF_PEER_OK
-      && !cf_replay_accept (window_of (task, envelope->vm), envelope->incarnation, xid))
+      && !cf_replay_accept (
+          cf_table_get (task->windows, envelope->vm, sizeof (struct CfReplayWindow)),
+          envelope->incarnation, xid))
     {
       cf_peer_release (envelope);
       result = CF_PEER_REPLAYED;
@@ -77,12 +67,11 @@
   struct PeerTask *task = data;
   const struct CfSettings *settings = &task->server->settings;
 
+  (void) base;
   task->socket = cf_udp_open (settings->ip, settings->peer_port, error);
   if (!task->socket)
     return false;
-  task->source = g_socket_create_source (task->socket, G_IO_IN, NULL);
-  g_source_set_callback (task->source, G_SOURCE_FUNC (ready), task, NULL);
-  g_source_attach (task->source, base->context);
+  task->source = cf_udp_watch (task->socket, ready, task);
   return true;
 }
 
@@ -92,9 +81,7 @@
   struct PeerTask *task = data;
 
   (void) base;
-  if (task->source)
-    g_source_destroy (task->source);
-  g_clear_pointer (&task->source, g_source_unref);
+  cf_task_source_clear (&task->source);
   g_clear_object (&task->socket);
 }
 
@@ -124,21 +111,10 @@
   g_object_unref (to);
 }
 
-static const struct CfMessageHandler handlers[CF_TO_PEER_KINDS] = {
-  [CF_TO_PEER_DATAGRAM] = { send_datagram, free_datagram },
-};
-
-const struct CfTaskClass cf_peer_task = {
-  .name = "peer",
-  .handlers = handlers,
-  .handler_count = G_N_ELEMENTS (handlers),
-  .start = start,
-  .stop = stop,
-};
-
-void *
-cf_peer_task_new (struct CfServer *server)
+static void *
+create (void *owner)
 {
+  struct CfServer *server = owner;
   struct PeerTask *task = g_new0 (struct PeerTask, 1);
 
   task->server = server;
@@ -146,11 +122,25 @@
   return task;
 }
 
-void
-cf_peer_task_free (void *data)
+static void
+destroy (void *data)
 {
   struct PeerTask *task = data;
 
   g_hash_table_destroy (task->windows);
   g_free (task);
 }
+
+static const struct CfMessageHandler handlers[CF_TO_PEER_KINDS] = {
+  [CF_TO_PEER_DATAGRAM] = { send_datagram, free_datagram },
+};
+
+const struct CfTaskClass cf_peer_task = {
+  .name = "peer",
+  .handlers = handlers,
+  .handler_count = G_N_ELEMENTS (handlers),
+  .create = create,
+  .destroy = destroy,
+  .start = start,
+  .stop = stop,
+};
--- a/src/gued/platform_task.c
+++ b/src/gued/platform_task.c
@@ -244,14 +244,6 @@
   return true;
 }
 
-static void
-cancel_call (struct CfHttpCall **call)
-{
-  if (*call)
-    cf_http_call_cancel (*call);
-  *call = NULL;
-}
-
 static void
 stop (struct CfTask *base, void *data)
 {
@@ -261,14 +253,11 @@
   (void) base;
   if (!session)
     return;
-  cancel_call (&task->watch);
-  cancel_call (&task->list);
-  cancel_call (&task->status);
-  if (task->retry)
-    g_source_destroy (task->retry);
-  g_clear_pointer (&task->retry, g_source_unref);
-  g_source_destroy (task->list_timer);
-  g_clear_pointer (&task->list_timer, g_source_unref);
+  cf_http_call_cancel (&task->watch);
+  cf_http_call_cancel (&task->list);
+  cf_http_call_cancel (&task->status);
+  cf_task_source_clear (&task->retry);
+  cf_task_source_clear (&task->list_timer);
   g_object_unref (session);
 }
 
@@ -313,33 +302,35 @@
   g_free (url);
 }
 
-static const struct CfMessageHandler handlers[CF_TO_SOURCE_KINDS] = {
-  [CF_TO_SOURCE_WATCH] = { handle_watch, NULL },
-  [CF_TO_SOURCE_STATUS] = { handle_status, g_free },
-};
-
-const struct CfTaskClass cf_platform_task = {
-  .name = "platform",
-  .handlers = handlers,
-  .handler_count = G_N_ELEMENTS (handlers),
-  .start = start,
-  .stop = stop,
-};
-
-void *
-cf_platform_task_new (struct CfServer *server)
+static void *
+create (void *owner)
 {
   struct PlatformTask *task = g_new0 (struct PlatformTask, 1);
 
-  task->server = server;
+  task->server = owner;
   return task;
 }
 
-void
-cf_platform_task_free (void *data)
+static void
+destroy (void *data)
 {
   struct PlatformTask *task = data;
 
   g_free (task->tag);
   g_free (task);
 }
+
+static const struct CfMessageHandler handlers[CF_TO_SOURCE_KINDS] = {
+  [CF_TO_SOURCE_WATCH] = { handle_watch, NULL },
+  [CF_TO_SOURCE_STATUS] = { handle_status, g_free },
+};
+
+const struct CfTaskClass cf_platform_task = {
+  .name = "platform",
+  .handlers = handlers,
+  .handler_count = G_N_ELEMENTS (handlers),
+  .create = create,
+  .destroy = destroy,
+  .start = start,
+  .stop = stop,
+};
--- a/src/gued/server.h
+++ b/src/gued/server.h
@@ -32,20 +32,6 @@
 extern const struct CfTaskClass cf_platform_task;
 extern const struct CfTaskClass cf_admin_task;
 
-/* Each task's state, created before the first start and freed after the last. */
-void *cf_packet_task_new (struct CfServer *server);
-void cf_packet_task_free (void *data);
-void *cf_peer_task_new (struct CfServer *server);
-void cf_peer_task_free (void *data);
-void *cf_health_task_new (struct CfServer *server);
-void cf_health_task_free (void *data);
-void *cf_folder_task_new (struct CfServer *server);
-void cf_folder_task_free (void *data);
-void *cf_platform_task_new (struct CfServer *server);
-void cf_platform_task_free (void *data);
-void *cf_admin_task_new (struct CfServer *server);
-void cf_admin_task_free (void *data);
-
 struct CfMetricsInput
 {
   const struct CfCore *core;
--- a/src/runtime/metrics_text.c
+++ b/src/runtime/metrics_text.c
@@ -17,6 +17,18 @@
   return g_string_free (text, FALSE);
 }
 
+void
+cf_metrics_value (GString *text, uint64_t value, const char *format, ...)
+{
+  va_list args;
+
+  g_string_append (text, PREFIX);
+  va_start (args, format);
+  g_string_append_vprintf (text, format, args);
+  va_end (args);
+  g_string_append_printf (text, " %" G_GUINT64_FORMAT "\n", value);
+}
+
 void
 cf_metrics_histogram (GString *text,
                       const char *name,
--- a/src/runtime/process_usage.c
+++ b/src/runtime/process_usage.c
@@ -1,4 +1,5 @@
 #include "process_usage.h"
+#include "metrics_text.h"
 
 #include <sys/resource.h>
 #include <unistd.h>
@@ -52,11 +53,8 @@
 void
 cf_process_usage_write (const struct CfProcessUsage *usage, GString *text)
 {
-  g_string_append_printf (text,
-                          "cyclamenferry_resident_bytes %" G_GUINT64_FORMAT "\n"
-                          "cyclamenferry_threads %" G_GUINT64_FORMAT "\n"
-                          "cyclamenferry_descriptors %" G_GUINT64_FORMAT "\n"
-                          "cyclamenferry_descriptors_max %" G_GUINT64_FORMAT "\n",
-                          usage->resident_bytes, usage->threads, usage->descriptors,
-                          usage->descriptors_max);
+  cf_metrics_value (text, usage->resident_bytes, "resident_bytes");
+  cf_metrics_value (text, usage->threads, "threads");
+  cf_metrics_value (text, usage->descriptors, "descriptors");
+  cf_metrics_value (text, usage->descriptors_max, "descriptors_max");
 }
--- a/src/runtime/task.c
+++ b/src/runtime/task.c
@@ -85,11 +85,11 @@
 }
 
 void
-cf_task_prepare (struct CfTask *task, const struct CfTaskClass *class, void *data)
+cf_task_prepare (struct CfTask *task, const struct CfTaskClass *class, void *owner)
 {
   *task = (struct CfTask){
     .class = class,
-    .data = data,
+    .data = class->create ? class->create (owner) : owner,
     .context = g_main_context_new (),
   };
   task->loop = g_main_loop_new (task->context, FALSE);
@@ -150,6 +150,8 @@
 {
   g_main_loop_unref (task->loop);
   g_main_context_unref (task->context);
+  if (task->class->destroy)
+    task->class->destroy (task->data);
 }
 
 bool
@@ -203,8 +205,22 @@
 }
 
 void
-cf_task_fail (struct CfTask *task, const struct CfError *error)
+cf_task_source_clear (GSource **source)
 {
-  cf_log_warning ("TASK", task->class->name, "task %s failed: %s", task->class->name, error->text);
-  g_main_loop_quit (task->loop);
+  if (*source)
+    g_source_destroy (*source);
+  g_clear_pointer (source, g_source_unref);
+}
+
+void *
+cf_table_get (GHashTable *table, uint32_t key, size_t size)
+{
+  void *value = g_hash_table_lookup (table, GUINT_TO_POINTER (key));
+
+  if (!value)
+    {
+      value = g_malloc0 (size);
+      g_hash_table_insert (table, GUINT_TO_POINTER (key), value);
+    }
+  return value;
 }
--- a/src/runtime/task.h
+++ b/src/runtime/task.h
@@ -27,6 +27,10 @@
    * messages. */
   const struct CfMessageHandler *handlers;
   size_t handler_count;
+  /* Returns the task's state for its OWNER, the daemon.  NULL: the owner is the state. */
+  void *(*create) (void *owner);
+  /* Frees it after the last stop.  NULL: nothing is to be freed. */
+  void (*destroy) (void *data);
   /* Opens the task's sockets and adds its sources to the thread-default context.  Returns false
    * with ERROR filled in if that failed; the task is then restarted after an exponential delay. */
   bool (*start) (struct CfTask *task, void *data, struct CfError *error);
@@ -50,8 +54,8 @@
  * deadlock when two threads register a type and its parent at the same time. */
 void cf_task_register_types (void);
 
-/* Prepares TASK of CLASS, whose functions get DATA.  From now on messages can be posted to it. */
-void cf_task_prepare (struct CfTask *task, const struct CfTaskClass *class, void *data);
+/* Prepares TASK of CLASS for OWNER.  From now on messages can be posted to it. */
+void cf_task_prepare (struct CfTask *task, const struct CfTaskClass *class, void *owner);
 
 /* Starts the thread of TASK.  Returns false with ERROR if none can be created within 2 s. */
 bool cf_task_start (struct CfTask *task, struct CfError *error);
@@ -59,7 +63,7 @@
 /* Stops TASK and waits for its thread.  Messages can still be posted. */
 void cf_task_stop (struct CfTask *task);
 
-/* Releases TASK and the messages that were not delivered. */
+/* Releases TASK, the messages that were not delivered, and its state. */
 void cf_task_finish (struct CfTask *task);
 
 /* Returns true if TASK has started: messages to it are handled now.  Those to a task that could not
@@ -73,7 +77,11 @@
 /* Adds a timer that calls FUNC with the task's data every INTERVAL_MS.  To be called from start. */
 GSource *cf_task_timer (struct CfTask *task, guint interval_ms, GSourceFunc func);
 
-/* Logs the failure ERROR and has TASK stopped and started again. */
-void cf_task_fail (struct CfTask *task, const struct CfError *error);
+/* Returns the value of KEY in TABLE, which frees its values with g_free.  If there is none it is
+ * created: SIZE bytes of 0. */
+void *cf_table_get (GHashTable *table, uint32_t key, size_t size);
+
+/* Destroys and releases *SOURCE, which may be NULL. */
+void cf_task_source_clear (GSource **source);
 
 #endif
--- a/src/runtime/udp.c
+++ b/src/runtime/udp.c
@@ -74,3 +74,13 @@
   g_object_unref (local);
   return socket;
 }
+
+GSource *
+cf_udp_watch (GSocket *socket, GSocketSourceFunc func, void *data)
+{
+  GSource *source = g_socket_create_source (socket, G_IO_IN, NULL);
+
+  g_source_set_callback (source, G_SOURCE_FUNC (func), data, NULL);
+  g_source_attach (source, g_main_context_get_thread_default ());
+  return source;
+}
--- a/src/runtime/udp.h
+++ b/src/runtime/udp.h
@@ -14,4 +14,7 @@
 /* Opens a non-blocking UDP socket at IP and PORT, or returns NULL with ERROR. */
 GSocket *cf_udp_open (const char *ip, uint16_t port, struct CfError *error);
 
+/* Has FUNC called with DATA, on the thread-default context, when SOCKET has datagrams. */
+GSource *cf_udp_watch (GSocket *socket, GSocketSourceFunc func, void *data);
+
 #endif
--- a/tests/feed_play.c
+++ b/tests/feed_play.c
@@ -34,8 +34,8 @@
   ck_assert (cf_address_parse (balancer->settings.ip, 0, &balancer->settings.ready));
   balancer->log = cf_event_log_new ("vm-2");
   /* It is not started: messages to it are kept and freed with it. */
-  cf_task_prepare (&balancer->datapath, &cf_datapath_task, NULL);
-  cf_task_prepare (&balancer->feed, &cf_feed_task, cf_feed_task_new (balancer));
+  cf_task_prepare (&balancer->datapath, &cf_datapath_task, balancer);
+  cf_task_prepare (&balancer->feed, &cf_feed_task, balancer);
   play->task = balancer->feed.data;
   g_main_context_push_thread_default (balancer->feed.context);
 }
@@ -59,7 +59,6 @@
   g_main_context_pop_thread_default (balancer->feed.context);
   cf_task_finish (&balancer->feed);
   cf_task_finish (&balancer->datapath);
-  cf_feed_task_free (play->task);
   cf_event_log_free (balancer->log);
   cf_balance_settings_clear (&balancer->settings);
 }
--- a/tests/test_feed_load.c
+++ b/tests/test_feed_load.c
@@ -63,7 +63,9 @@
   feed_play_prepare (&play, g_strdup ("127.0.0.1:1")); /* nothing listens there */
   balancer->settings.overload.admission
       = (struct CfAdmissionOptions){ .enabled = true, .caller_prefix = 32 };
-  datapath = balancer->datapath.data = cf_datapath_task_new (balancer);
+  cf_task_finish (&balancer->datapath);
+  cf_task_prepare (&balancer->datapath, &cf_datapath_task, balancer);
+  datapath = balancer->datapath.data;
   feed_play_start (&play);
   for (int host = 1; host <= VMS; host++)
     {
@@ -107,7 +109,6 @@
   g_ptr_array_unref (records);
   g_object_unref (other);
   feed_play_stop (&play);
-  cf_datapath_task_free (datapath);
 }
 END_TEST
 
--- a/tests/test_feed_names.c
+++ b/tests/test_feed_names.c
@@ -22,15 +22,13 @@
 {
   *play = (struct Play){ .revision = 0 };
   feed_play_prepare (&play->feed, g_strdup ("127.0.0.1:1"));
-  play->datapath = cf_datapath_task_new (&play->feed.balancer);
-  play->feed.balancer.datapath.data = play->datapath;
+  play->datapath = play->feed.balancer.datapath.data;
 }
 
 static void
 stop (struct Play *play)
 {
   feed_play_stop (&play->feed);
-  cf_datapath_task_free (play->datapath);
 }
 
 static void
--- a/tests/test_feed_relay.c
+++ b/tests/test_feed_relay.c
@@ -97,9 +97,8 @@
   ck_assert_int_eq (setrlimit (RLIMIT_NOFILE, &limit), 0);
   *play = (struct Play){ .revision = 0 };
   feed_play_prepare (&play->feed, g_strdup ("127.0.0.1:1"));
-  play->datapath = cf_datapath_task_new (&play->feed.balancer);
+  play->datapath = play->feed.balancer.datapath.data;
   play->datapath->source = g_timeout_source_new (G_MAXINT32);
-  play->feed.balancer.datapath.data = play->datapath;
   feed_play_start (&play->feed);
   announce (play, upstreams, extra);
   cf_feed_calls.set_synced_at (play->feed.task, "vm-2", cf_now (), false);
@@ -109,9 +108,8 @@
 static void
 stop (struct Play *play)
 {
-  feed_play_stop (&play->feed);
   g_source_unref (play->datapath->source);
-  cf_datapath_task_free (play->datapath);
+  feed_play_stop (&play->feed);
 }
 
 /* Requests what changed after REVISION, to wait for WAIT_MS.  Returns the connection, which does
--- a/tests/test_http_call.c
+++ b/tests/test_http_call.c
@@ -164,6 +164,7 @@
   SoupMessage *message = soup_message_new ("GET", "http://:7720/feed");
   struct Outcome outcome = { 0 };
   gint64 began = g_get_monotonic_time ();
+  struct CfHttpCall *call;
 
   ck_assert_ptr_null (message);
   cf_http_call_begin (session, message, DEADLINE_MS, done, &outcome);
@@ -174,7 +175,9 @@
   ck_assert_uint_eq (outcome.len, 0);
   /* One that is cancelled at once. */
   outcome.done = false;
-  cf_http_call_cancel (cf_http_call_begin (session, NULL, DEADLINE_MS, done, &outcome));
+  call = cf_http_call_begin (session, NULL, DEADLINE_MS, done, &outcome);
+  cf_http_call_cancel (&call);
+  ck_assert_ptr_null (call);
   while (g_main_context_iteration (NULL, FALSE))
     ;
   ck_assert (!outcome.done);
--- a/tests/test_platform_task.c
+++ b/tests/test_platform_task.c
@@ -18,6 +18,7 @@
 struct Play
 {
   struct CfServer server;
+  struct CfTaskClass packet_class; /* without a core */
   struct SilentServer platform;
   bool immediate; /* reads do not wait */
   int reads;      /* of the configuration, guarded by the platform's mutex */
@@ -59,8 +60,11 @@
   silent_server_start (&play->platform, NULL, 0);
   play->server.settings.platform = g_strdup_printf ("http://127.0.0.1:%u", play->platform.tcp.port);
   /* It is not started: messages to it are kept and freed with it. */
-  cf_task_prepare (&play->server.packet, &cf_packet_task, NULL);
-  cf_task_prepare (task, &cf_platform_task, cf_platform_task_new (&play->server));
+  play->packet_class = cf_packet_task;
+  play->packet_class.create = NULL;
+  play->packet_class.destroy = NULL;
+  cf_task_prepare (&play->server.packet, &play->packet_class, NULL);
+  cf_task_prepare (task, &cf_platform_task, &play->server);
   g_main_context_push_thread_default (task->context);
   ck_assert_msg (cf_platform_task.start (task, task->data, &error), "%s", error.text);
   g_atomic_int_set (&task->running, 1);
@@ -79,7 +83,6 @@
   g_main_context_pop_thread_default (task->context);
   cf_task_finish (task);
   cf_task_finish (&play->server.packet);
-  cf_platform_task_free (task->data);
   silent_server_stop (&play->platform);
   g_free ((char *) play->server.settings.platform);
 }
