--- a/src/balance/admission.c
+++ b/src/balance/admission.c
@@ -50,18 +50,6 @@
   CfMillis update_at; /* when they are to be looked at next without a new flow */
 };
 
-const char *
-cf_refusal_reason_name (enum CfRefusalReason reason)
-{
-  static const char *const names[] = {
-    [CF_REFUSAL_NONE] = "",         [CF_REFUSAL_PRIORITY] = "priority",
-    [CF_REFUSAL_CALLER] = "caller", [CF_REFUSAL_RETRY] = "retry",
-    [CF_REFUSAL_QUEUE] = "queue",   [CF_REFUSAL_EXPIRED] = "expired",
-  };
-
-  return names[reason];
-}
-
 static void
 free_service (gpointer data)
 {
--- a/src/balance/admission_queue.c
+++ b/src/balance/admission_queue.c
@@ -1,22 +1,17 @@
 #include "admission_queue.h"
 
+#include "admission_tokens.h"
 #include "base/list.h"
 #include "load_report.h"
 
-#include <math.h>
 #include <string.h>
 
 /* Rounding may leave a sum of parts just below a whole token. */
 #define WHOLE_TOKEN (1 - 1e-9)
 
-/* The tokens and the waiting packets of one priority of a service. */
-struct Bucket
+/* The waiting packets of one priority of a service. */
+struct Line
 {
-  double tokens; /* below 0: used in advance by more urgent flows */
-  double rate;   /* tokens a second */
-  CfMillis rate_at;
-  bool whole;             /* the whole demand is admitted */
-  bool seen;              /* it has had a request */
   struct CfLink waiting;  /* struct Waiting, next one first */
   CfMillis waiting_since; /* since when the list is not empty */
 };
@@ -25,13 +20,13 @@
 {
   struct CfLink link; /* in services */
   GQuark name;
-  CfMillis filled_at;
-  struct Bucket buckets[CF_LOAD_PRIORITIES];
+  struct CfTokens tokens;
+  struct Line lines[CF_LOAD_PRIORITIES];
 };
 
 struct Waiting
 {
-  struct CfLink link; /* in the list of its bucket, or in finished */
+  struct CfLink link; /* in its line, or in finished */
   struct CfLink due;  /* in by_deadline */
   struct CfEndpoint caller;
   struct CfEndpoint address;
@@ -48,7 +43,7 @@
 struct CfAdmissionQueue
 {
   struct CfLink services;
-  struct CfLink by_deadline; /* of those in buckets, soonest first */
+  struct CfLink by_deadline; /* of those in lines, soonest first */
   struct CfLink finished;    /* their end is decided, and they are not yet taken */
   GHashTable *flows;         /* set of struct Waiting, by caller and address */
   uint32_t displaced;        /* in finished, dropped for more urgent ones */
@@ -116,122 +111,13 @@
     return service;
   service = g_new0 (struct Service, 1);
   service->name = name;
-  service->filled_at = now;
+  service->tokens.filled_at = now;
   for (uint32_t i = 0; i < CF_LOAD_PRIORITIES; i++)
-    cf_list_init (&service->buckets[i].waiting);
+    cf_list_init (&service->lines[i].waiting);
   cf_list_insert (&queue->services, &service->link);
   return service;
 }
 
-static double
-bucket_rate (const struct Bucket *bucket, CfMillis now)
-{
-  return now <= bucket->rate_at + CF_ADMISSION_RATE_AGE_MAX_MS ? bucket->rate : 0;
-}
-
-/* Returns the tokens that have come from SINCE to NOW, while the rate was up to date. */
-static double
-tokens_since (const struct Bucket *bucket, CfMillis since, CfMillis now)
-{
-  CfMillis end = MIN (now, bucket->rate_at + CF_ADMISSION_RATE_AGE_MAX_MS);
-
-  return bucket->rate * (double) MAX (end - since, 0) / CF_MS_PER_S;
-}
-
-static double
-bucket_depth (const struct Bucket *bucket)
-{
-  return bucket->seen ? MAX (bucket->rate * CF_ADMISSION_BURST_MS / CF_MS_PER_S, 1) : 0;
-}
-
-/* Adds the tokens of the time since the last call.  What a bucket has no room for goes to the next
- * less urgent one. */
-static void
-fill (struct Service *service, CfMillis now)
-{
-  double excess = 0;
-
-  for (uint32_t i = 0; i < CF_LOAD_PRIORITIES; i++)
-    {
-      struct Bucket *bucket = &service->buckets[i];
-      double depth = bucket_depth (bucket);
-      double added = tokens_since (bucket, service->filled_at, now);
-
-      /* With no other priority to pay, a debt is a chance deviation from the mean rate: repaid at
-       * that rate it would last, and refuse flows of a priority that is admitted whole. */
-      if (bucket->whole && bucket->tokens < 0)
-        added += MIN (added, -bucket->tokens);
-      bucket->tokens += added + excess;
-      excess = MAX (bucket->tokens - depth, 0);
-      bucket->tokens -= excess;
-    }
-  service->filled_at = MAX (service->filled_at, now);
-}
-
-/* Returns the least urgent priority whose tokens PRIORITY may use.  That of a priority admitted
- * whole is the first that is not: it gets what is left over, and what the others need beyond their
- * own tokens is taken from it.  Those after it have only their floor. */
-static uint32_t
-last_usable (const struct Service *service, uint32_t priority, CfMillis now)
-{
-  uint32_t last = priority;
-
-  for (uint32_t i = priority; i < CF_LOAD_PRIORITIES && service->buckets[last].whole; i++)
-    if (bucket_rate (&service->buckets[i], now) > 0)
-      last = i;
-  return last;
-}
-
-/* Returns the tokens a second that flows of PRIORITY may use. */
-static double
-usable_rate (const struct Service *service, uint32_t priority, CfMillis now)
-{
-  uint32_t last = last_usable (service, priority, now);
-  double rate = 0;
-
-  for (uint32_t i = priority; i <= last; i++)
-    rate += bucket_rate (&service->buckets[i], now);
-  return rate;
-}
-
-/* Returns the tokens that flows of PRIORITY may use in advance. */
-static double
-advance (const struct Service *service, uint32_t priority, CfMillis now)
-{
-  if (!service->buckets[priority].whole)
-    return 0;
-  return CF_ADMISSION_ADVANCE_TOKENS
-         + usable_rate (service, priority, now) * CF_ADMISSION_ADVANCE_MS / CF_MS_PER_S;
-}
-
-/* Returns the tokens that flows of PRIORITY may use now. */
-static double
-available (const struct Service *service, uint32_t priority, CfMillis now)
-{
-  uint32_t last = last_usable (service, priority, now);
-  double tokens = advance (service, priority, now);
-
-  for (uint32_t i = priority; i <= last; i++)
-    tokens += service->buckets[i].tokens;
-  return tokens;
-}
-
-static void
-take_token (struct Service *service, uint32_t priority, CfMillis now)
-{
-  uint32_t last = last_usable (service, priority, now);
-  double need = 1;
-
-  for (uint32_t i = priority; i <= last; i++)
-    {
-      double part = CLAMP (service->buckets[i].tokens, 0, need);
-
-      service->buckets[i].tokens -= part;
-      need -= part;
-    }
-  service->buckets[last].tokens -= need;
-}
-
 /* Returns true if WAITING is to be served before a flow with CALLER_USE that comes now. */
 static bool
 precedes (const struct Waiting *waiting, double caller_use)
@@ -248,11 +134,11 @@
 
   for (uint32_t i = 0; i <= priority; i++)
     {
-      const struct Bucket *bucket = &service->buckets[i];
+      const struct Line *line = &service->lines[i];
 
-      if (i < priority && !bucket->whole)
+      if (i < priority && !service->tokens.buckets[i].whole)
         continue;
-      for (struct CfLink *link = bucket->waiting.next; link != &bucket->waiting; link = link->next)
+      for (struct CfLink *link = line->waiting.next; link != &line->waiting; link = link->next)
         ahead += i < priority || precedes (CF_LIST_ENTRY (link, struct Waiting, link), caller_use);
     }
   return ahead;
@@ -260,14 +146,14 @@
 
 /* Returns the hold time of a flow that comes now, less in a standing queue. */
 static CfMillis
-hold_time (const struct Bucket *bucket, CfMillis hold_ms, CfMillis now)
+hold_time (const struct Line *line, CfMillis hold_ms, CfMillis now)
 {
-  if (!cf_list_empty (&bucket->waiting) && now - bucket->waiting_since >= CF_ADMISSION_STANDING_MS)
+  if (!cf_list_empty (&line->waiting) && now - line->waiting_since >= CF_ADMISSION_STANDING_MS)
     return hold_ms / CF_ADMISSION_STANDING_DIVISOR;
   return hold_ms;
 }
 
-/* Takes WAITING out of its bucket; its end is END. */
+/* Takes WAITING out of its line; its end is END. */
 static void
 finish (struct CfAdmissionQueue *queue, struct Waiting *waiting, enum CfAdmissionEnd end)
 {
@@ -291,8 +177,8 @@
       struct Service *service = CF_LIST_ENTRY (link, struct Service, link);
 
       for (uint32_t i = priority + 1; i < CF_LOAD_PRIORITIES; i++)
-        if (!cf_list_empty (&service->buckets[i].waiting) && (!least || i > least->priority))
-          least = CF_LIST_ENTRY (service->buckets[i].waiting.prev, struct Waiting, link);
+        if (!cf_list_empty (&service->lines[i].waiting) && (!least || i > least->priority))
+          least = CF_LIST_ENTRY (service->lines[i].waiting.prev, struct Waiting, link);
     }
   if (!least)
     return false;
@@ -309,7 +195,7 @@
              CfMillis deadline,
              CfMillis now)
 {
-  struct Bucket *bucket = &service->buckets[priority];
+  struct Line *line = &service->lines[priority];
   struct Waiting *waiting = g_new0 (struct Waiting, 1);
   struct CfLink *position;
 
@@ -322,9 +208,9 @@
   waiting->caller_use = request->caller_use;
   waiting->since = now;
   waiting->deadline = deadline;
-  if (cf_list_empty (&bucket->waiting))
-    bucket->waiting_since = now;
-  for (position = bucket->waiting.next; position != &bucket->waiting; position = position->next)
+  if (cf_list_empty (&line->waiting))
+    line->waiting_since = now;
+  for (position = line->waiting.next; position != &line->waiting; position = position->next)
     if (!precedes (CF_LIST_ENTRY (position, struct Waiting, link), request->caller_use))
       break;
   cf_list_insert (position, &waiting->link);
@@ -337,18 +223,6 @@
   g_hash_table_add (queue->flows, waiting);
 }
 
-static void
-set_rate (struct Bucket *bucket, const struct CfAdmissionRequest *request, CfMillis now)
-{
-  bucket->rate = isfinite (request->rate) && request->rate > 0 ? request->rate : 0;
-  bucket->rate_at = now;
-  bucket->whole = request->admitted >= 1;
-  if (bucket->seen)
-    return;
-  bucket->seen = true;
-  bucket->tokens += bucket_depth (bucket);
-}
-
 enum CfAdmission
 cf_admission_request (struct CfAdmissionQueue *queue,
                       const struct CfAdmissionRequest *request,
@@ -358,25 +232,25 @@
       = { .caller = request->segment->caller, .address = request->segment->service };
   struct Service *service = get_service (queue, request->service, now);
   uint32_t priority = MIN (request->priority, CF_LOAD_PRIORITIES - 1);
-  struct Bucket *bucket = &service->buckets[priority];
   CfMillis hold;
   double missing;
   uint32_t ahead;
 
-  fill (service, now);
-  set_rate (bucket, request, now);
+  cf_tokens_fill (&service->tokens, now);
+  cf_tokens_set_rate (&service->tokens, priority, request->rate, request->admitted >= 1, now);
   if (g_hash_table_contains (queue->flows, &key))
     return CF_ADMISSION_HELD;
   ahead = count_ahead (service, priority, request->caller_use);
-  missing = ahead + 1 - available (service, priority, now);
+  missing = ahead + 1 - cf_tokens_available (&service->tokens, priority, now);
   if (missing <= 1 - WHOLE_TOKEN)
     {
-      take_token (service, priority, now);
+      cf_tokens_take (&service->tokens, priority, now);
       return CF_ADMISSION_PLACE;
     }
-  hold = hold_time (bucket, request->hold_ms, now);
+  hold = hold_time (&service->lines[priority], request->hold_ms, now);
   /* With a rate of 0 the right side is 0. */
-  if (hold <= 0 || missing > usable_rate (service, priority, now) * (double) hold / CF_MS_PER_S)
+  if (hold <= 0
+      || missing > cf_tokens_rate (&service->tokens, priority, now) * (double) hold / CF_MS_PER_S)
     return CF_ADMISSION_REFUSE;
   if (request->segment->size > CF_ADMISSION_BYTES_MAX)
     return CF_ADMISSION_FULL;
@@ -406,14 +280,14 @@
     {
       struct Service *service = CF_LIST_ENTRY (link, struct Service, link);
 
-      fill (service, now);
+      cf_tokens_fill (&service->tokens, now);
       for (uint32_t i = 0; i < CF_LOAD_PRIORITIES; i++)
         {
-          if (cf_list_empty (&service->buckets[i].waiting)
-              || available (service, i, now) < WHOLE_TOKEN)
+          if (cf_list_empty (&service->lines[i].waiting)
+              || cf_tokens_available (&service->tokens, i, now) < WHOLE_TOKEN)
             continue;
-          take_token (service, i, now);
-          finish (queue, CF_LIST_ENTRY (service->buckets[i].waiting.next, struct Waiting, link),
+          cf_tokens_take (&service->tokens, i, now);
+          finish (queue, CF_LIST_ENTRY (service->lines[i].waiting.next, struct Waiting, link),
                   CF_ADMISSION_END_PLACE);
           return;
         }
@@ -464,17 +338,14 @@
     return;
   for (uint32_t i = 0; i < CF_LOAD_PRIORITIES; i++)
     {
-      struct Bucket *bucket = &service->buckets[i];
+      struct Line *line = &service->lines[i];
 
-      while (!cf_list_empty (&bucket->waiting))
-        finish (queue, CF_LIST_ENTRY (bucket->waiting.next, struct Waiting, link),
+      while (!cf_list_empty (&line->waiting))
+        finish (queue, CF_LIST_ENTRY (line->waiting.next, struct Waiting, link),
                 CF_ADMISSION_END_PLACE);
-      /* The next overload begins with full buckets. */
-      bucket->tokens = 0;
-      bucket->seen = false;
-      bucket->rate = 0;
     }
-  service->filled_at = now;
+  /* The next overload begins with full buckets. */
+  cf_tokens_reset (&service->tokens, now);
 }
 
 void
@@ -489,18 +360,6 @@
     remove_waiting (queue, waiting);
 }
 
-/* Returns when there will be a token for the first waiting packet of PRIORITY. */
-static CfMillis
-token_due (const struct Service *service, uint32_t priority)
-{
-  double rate = usable_rate (service, priority, service->filled_at);
-  double missing = 1 - available (service, priority, service->filled_at);
-
-  if (rate <= 0)
-    return G_MAXINT64;
-  return service->filled_at + (CfMillis) ceil (MAX (missing, 0) / rate * CF_MS_PER_S);
-}
-
 CfMillis
 cf_admission_due (const struct CfAdmissionQueue *queue)
 {
@@ -516,8 +375,8 @@
       const struct Service *service = CF_LIST_ENTRY (link, struct Service, link);
 
       for (uint32_t i = 0; i < CF_LOAD_PRIORITIES; i++)
-        if (!cf_list_empty (&service->buckets[i].waiting))
-          due = MIN (due, token_due (service, i));
+        if (!cf_list_empty (&service->lines[i].waiting))
+          due = MIN (due, cf_tokens_due (&service->tokens, i));
     }
   return due;
 }
--- a/src/balance/outcome_names.c
+++ b/src/balance/outcome_names.c
@@ -1,3 +1,4 @@
+#include "admission.h"
 #include "balance.h"
 
 const char *
@@ -26,3 +27,15 @@
 
   return names[outcome];
 }
+
+const char *
+cf_refusal_reason_name (enum CfRefusalReason reason)
+{
+  static const char *const names[] = {
+    [CF_REFUSAL_NONE] = "",         [CF_REFUSAL_PRIORITY] = "priority",
+    [CF_REFUSAL_CALLER] = "caller", [CF_REFUSAL_RETRY] = "retry",
+    [CF_REFUSAL_QUEUE] = "queue",   [CF_REFUSAL_EXPIRED] = "expired",
+  };
+
+  return names[reason];
+}
