--- a/src/balance/overload.c
+++ b/src/balance/overload.c
@@ -181,6 +181,8 @@
 {
   for (uint32_t i = 0; i < CF_LOAD_PRIORITIES; i++)
     overload->admitted[i] = 1;
+  if (overload->active)
+    overload->ended_at = overload->decided_at;
   overload->active = false;
   overload->capacity = 0;
   overload->calm_since = 0;
@@ -221,7 +223,8 @@
         return CF_OVERLOAD_SAME;
       overload->active = began = true;
       overload->since = now;
-      overload->capacity = first_capacity (overload, sum);
+      if (overload->ended_at == 0 || now - overload->ended_at > CF_OVERLOAD_AGAIN_MS)
+        overload->capacity = first_capacity (overload, sum);
     }
   estimate_capacity (overload, sum);
   all = divide_capacity (overload, sum, domain, CLAMP (sane (floor_share), 0, 0.5));
--- a/src/balance/overload.h
+++ b/src/balance/overload.h
@@ -42,6 +42,9 @@
  * same part of the rest is kept for those below the next one, and so on.  What they do not ask for
  * is not kept. */
 #define CF_OVERLOAD_FLOOR 0.1
+/* An overload that begins this soon after the last one begins with the answered rate: the reports
+ * were sent during that one, and show what the upstreams can do. */
+#define CF_OVERLOAD_AGAIN_MS 2000
 /* What was decided is computed again after this long. */
 #define CF_OVERLOAD_INTERVAL_MS 100
 /* After a longer time without a decision this VM was paused, which is no evidence of calm. */
@@ -52,6 +55,7 @@
 {
   bool active;
   CfMillis since;      /* when it began */
+  CfMillis ended_at;   /* when the last one ended, 0: never */
   CfMillis calm_since; /* while active: since when the conditions to leave hold; 0: they do not */
   CfMillis decided_at;
   double occupancy;                    /* requests in progress for each slot */
