--- a/src/balance/admission_queue.c
+++ b/src/balance/admission_queue.c
@@ -483,9 +483,13 @@
               struct CfEndpoint caller,
               struct CfEndpoint service)
 {
-  const struct Waiting key = { .caller = caller, .address = service };
+  struct Waiting key;
 
-  return g_hash_table_size (queue->flows) > 0 ? g_hash_table_lookup (queue->flows, &key) : NULL;
+  if (g_hash_table_size (queue->flows) == 0)
+    return NULL;
+  key.caller = caller;
+  key.address = service;
+  return g_hash_table_lookup (queue->flows, &key);
 }
 
 void
--- a/src/balance/load_table.c
+++ b/src/balance/load_table.c
@@ -11,7 +11,8 @@
 
 struct CfLoadTable
 {
-  GHashTable *reports; /* name of the VM to struct HeldReport */
+  GHashTable *reports;  /* name of the VM to struct HeldReport */
+  CfMillis valid_until; /* of the newest report */
 };
 
 /* The sum of the reports of one failure domain. */
@@ -44,6 +45,13 @@
   return now - held->received < CF_LOAD_REPORT_AGE_MAX_MS;
 }
 
+/* Returns true if any report is valid at NOW. */
+static bool
+has_valid (const struct CfLoadTable *table, CfMillis now)
+{
+  return now < table->valid_until;
+}
+
 /* Returns true if REPORT, received at NOW, may replace HELD of the same VM. */
 static bool
 supersedes (const struct CfLoadReport *report, const struct HeldReport *held, CfMillis now)
@@ -84,6 +92,7 @@
   held = g_new (struct HeldReport, 1);
   *held = (struct HeldReport){ .report = *report, .domain = domain, .received = now };
   g_hash_table_replace (table->reports, held->report.vm, held);
+  table->valid_until = MAX (table->valid_until, now + CF_LOAD_REPORT_AGE_MAX_MS);
   return true;
 }
 
@@ -179,18 +188,26 @@
                    CfMillis now,
                    struct CfLoadSum *sum)
 {
-  GArray *sums = g_array_new (FALSE, FALSE, sizeof (struct DomainSum));
   /* G_MAXINT64: no report replaces the size of this VM's own domain. */
-  const struct DomainSum first = {
+  struct DomainSum first = {
     .domain = { .domain = domain, .vms = domain_vms, .reporting = 1, .counts = *own },
     .newest = G_MAXINT64,
     .weight = 1,
   };
+  GArray *sums;
   uint32_t reports = 0;
   GHashTableIter iter;
   gpointer value;
 
   *sum = (struct CfLoadSum){ 0 };
+  /* Asked every 100 ms for each service, and without overload no VM reports. */
+  if (!has_valid (table, now))
+    {
+      scale_to_all (&first);
+      add_domain (sum, &first.domain);
+      return;
+    }
+  sums = g_array_new (FALSE, FALSE, sizeof first);
   g_array_append_val (sums, first);
   g_hash_table_iter_init (&iter, table->reports);
   while (g_hash_table_iter_next (&iter, NULL, &value))
--- a/src/balance/service_load.c
+++ b/src/balance/service_load.c
@@ -86,6 +86,8 @@
 static double
 decayed_rate (const struct Decayed *decayed, CfMillis half_life, CfMillis now)
 {
+  if (decayed->count <= 0) /* of most priorities, and of requests that were turned away */
+    return 0;
   return decayed->count * decay_factor (decayed->at, now, half_life) * G_LN2 * CF_MS_PER_S
          / (double) half_life;
 }
