--- a/tests/live.c
+++ b/tests/live.c
@@ -29,7 +29,7 @@
 #define FABRIC_PORT 6080
 #define STEP_MS 2
 #define DRAIN_CHECK_MS 4500
-#define LONGEST_RUN_MS 60000
+#define LONGEST_RUN_MS 300000 /* on a busy machine a script takes minutes */
 
 struct Live
 {
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -240,6 +240,7 @@
   bool keep_store;             /* the store is never restored from an older copy */
   bool ending;                 /* no further faults are injected, only changes */
   bool over;                   /* and no changes either */
+  int64_t over_since;          /* end of the changes */
   uint32_t left_out;           /* kinds of faults that are not injected, bits */
   long long memory_max;        /* of a VM, in bytes */
   uint32_t odd_entries;
