--- a/src/balance/admission.c
+++ b/src/balance/admission.c
@@ -169,13 +169,13 @@
   if (!was_active)
     cf_service_loads_learn_usual (control->loads, service->name, now);
   room = count_own (control, service->name, now, &own);
-  if (sheds (&own))
-    control->report_until = now + CF_ADMISSION_REPORT_MS;
   cf_load_table_sum (control->table, g_quark_to_string (service->name), &own, control->domain,
                      control->domain_vms, now, &sum);
   change = cf_overload_update (&service->overload, &sum,
                                cf_overload_slots (&sum, room.slots, control->vms), control->domain,
                                control->options.floor_share, now);
+  if (sheds (&own) && service->overload.occupancy >= CF_ADMISSION_REPORT_OCCUPANCY)
+    control->report_until = now + CF_ADMISSION_REPORT_MS;
   if (service->overload.active && cf_spill_near_has_room (&service->spill, now))
     {
       cf_overload_end (&service->overload);
--- a/src/balance/admission.h
+++ b/src/balance/admission.h
@@ -27,6 +27,10 @@
 #define CF_ADMISSION_REPORT_MS 4000
 /* Requests a second that upstreams must turn away at one VM for it to report. */
 #define CF_ADMISSION_REPORT_SHED_RATE 1.0
+/* Requests in progress for each slot from which it reports, half of those at which an overload may
+ * begin.  Short answers of upstreams with free slots are small ones or errors: on days without
+ * overload they made VMs send reports between failure domains. */
+#define CF_ADMISSION_REPORT_OCCUPANCY 0.5
 /* Longest hold time, whatever the target latency: callers retransmit their first packet after 200
  * ms, maybe to another VM, which sends it to an upstream. */
 #define CF_ADMISSION_HOLD_MAX_MS 180
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -89,6 +89,8 @@
   bool duplicates;      /* the network delivers each first packet twice */
   int paused;           /* VM that does not run, whose packets the fabric moves; -1: none */
   CfMillis longest_hold;
+  uint32_t reports; /* load reports sent */
+  int small_one_in; /* one in so many answers is small; 0: none */
 };
 
 static struct Play *play; /* of the test that runs: callbacks of eight balancers use it */
@@ -246,7 +248,9 @@
 static void
 answer (struct Flow *flow, const struct CfTarget *target)
 {
-  uint32_t bytes = target ? ANSWER_BYTES : ERROR_BYTES;
+  bool small
+      = play->small_one_in > 0 && g_rand_int_range (play->random, 0, play->small_one_in) == 0;
+  uint32_t bytes = target && !small ? ANSWER_BYTES : ERROR_BYTES;
 
   if (target)
     {
@@ -406,6 +410,7 @@
 
       if (!cf_balance_load_report (play->vms[i], &report, play->now))
         continue;
+      play->reports++;
       g_snprintf (report.vm, sizeof report.vm, "vm-%d", i);
       g_strlcpy (report.domain, i % 2 ? "b" : "a", sizeof report.domain);
       report.sequence = (uint32_t) play->now;
@@ -581,6 +586,23 @@
 }
 END_TEST
 
+/* Upstreams give small answers, too: VMs sent load reports for these without any load. */
+START_TEST (test_small_answers_cause_no_reports)
+{
+  double rate[2][2];
+
+  play_new (9, true);
+  play->small_one_in = 10;
+  run (12000, calm);
+  ck_assert_uint_eq (play->reports, 0);
+  burst (1.3, rate);
+  run (13000, rate);
+  ck_assert_uint_gt (play->reports, 0);
+  run (16000, idle);
+  play_free ();
+}
+END_TEST
+
 /* Upstreams that turn requests away have no free slot: they were taken for failing ones, and a
  * third of the service was avoided. */
 START_TEST (test_full_is_not_failing)
@@ -817,6 +839,7 @@
   suite_add_loop (suite, test_burst_beyond_slots, 4);
   suite_add_loop (suite, test_recovers_after_burst, 1);
   suite_add_loop (suite, test_one_domain_presses, 1);
+  suite_add_loop (suite, test_small_answers_cause_no_reports, 1);
   suite_add_loop (suite, test_full_is_not_failing, 1);
   suite_add_loop (suite, test_duplicate_is_not_refused, 1);
   suite_add_loop (suite, test_paused_vm_refuses_nothing, 1);
