--- a/review/lab-2/flows.c
+++ b/review/lab-2/flows.c
@@ -353,6 +353,8 @@
   char spec[512];
   int64_t cold = endpoint->cold_until - lab_now ();
 
+  if (store_is_down ())
+    return;
   snprintf (spec, sizeof spec,
             "{\"service\":\"%s\",\"address\":\"%s:%d\",\"zone\":\"%s\",\"version\":\"v1\","
             "\"slots\":2,\"state\":\"%s\",\"warmup-remaining-ms\":%lld,\"sequence\":1,"
--- a/review/lab-2/lab.h
+++ b/review/lab-2/lab.h
@@ -61,6 +61,9 @@
 /* Writes SPEC at KIND/NAME; a write that changes nothing gives no event. */
 void store_put (const char *kind, const char *name, const char *spec);
 void store_delete (const char *kind, const char *name);
+/* While it is down the store answers nobody; endpoints cannot write. */
+void store_set_down (bool down);
+bool store_is_down (void);
 
 /* Packets. */
 
--- a/review/lab-2/store.c
+++ b/review/lab-2/store.c
@@ -55,6 +55,7 @@
 static size_t event_count;
 static uint64_t store_revision = 500;
 static struct Client *clients;
+static bool is_down;
 
 static void
 free_client (struct Client *client)
@@ -181,7 +182,7 @@
 {
   struct Wait *wait = data;
 
-  for (struct Client *client = clients; client; client = client->next)
+  for (struct Client *client = clients; client && !is_down; client = client->next)
     if (client == wait->client && client->serial == wait->serial)
       {
         respond_events (client, true);
@@ -375,6 +376,8 @@
     }
   client->len += (size_t) n;
   client->text[client->len] = 0;
+  if (is_down)
+    return;
   end = strstr (client->text, "\r\n\r\n");
   if (!end)
     return;
@@ -386,6 +389,22 @@
   handle (client, end + 4);
 }
 
+void
+store_set_down (bool down)
+{
+  record ("the store %s", down ? "is down: it answers nobody" : "is back");
+  is_down = down;
+  /* What was asked before or meanwhile gets no answer. */
+  while (!down && clients)
+    free_client (clients);
+}
+
+bool
+store_is_down (void)
+{
+  return is_down;
+}
+
 static void
 on_accept (void *data)
 {
