--- a/review/lab-2/flows.c
+++ b/review/lab-2/flows.c
@@ -389,15 +389,33 @@
   return most;
 }
 
+struct Beat
+{
+  struct Endpoint *endpoint;
+  unsigned beats;
+};
+
 static void
 beat (void *data)
 {
-  struct Endpoint *endpoint = data;
+  struct Beat *due = data;
 
-  if (!endpoint->alive)
-    return;
-  endpoint_announce (endpoint);
-  lab_after (BEAT_MS, beat, endpoint);
+  if (!due->endpoint->alive || due->endpoint->beats != due->beats)
+    {
+      free (due);
+      return;
+    }
+  endpoint_announce (due->endpoint);
+  lab_after (BEAT_MS, beat, due);
+}
+
+void
+endpoint_beat_in (struct Endpoint *endpoint, int64_t ms)
+{
+  struct Beat *due = malloc (sizeof *due);
+
+  *due = (struct Beat){ endpoint, ++endpoint->beats };
+  lab_after (ms, beat, due);
 }
 
 struct Endpoint *
@@ -421,8 +439,7 @@
   lab_watch (endpoint->fd, endpoint_readable, endpoint);
   all_endpoints[endpoint_count++] = endpoint;
   endpoint_announce (endpoint);
-  endpoint->beat_phase = rand () % BEAT_MS;
-  lab_after (endpoint->beat_phase, beat, endpoint);
+  endpoint_beat_in (endpoint, rand () % BEAT_MS);
   return endpoint;
 }
 
--- a/review/lab-2/lab.h
+++ b/review/lab-2/lab.h
@@ -101,7 +101,7 @@
   bool draining;
   bool alive;
   int64_t cold_until;  /* 0: warm */
-  int64_t beat_phase;  /* of its writes to the store, ms */
+  unsigned beats;      /* changes when its writes to the store get another phase */
   int lose_data;       /* so many data packets are lost on their way to it */
   struct Flow *flows;
   int64_t *arrivals;   /* when opening packets came */
@@ -116,6 +116,8 @@
                                  int64_t work_ms);
 /* The endpoint is cold for MS from now on; its next write to the store says so. */
 void endpoint_become_cold (struct Endpoint *endpoint, int64_t ms);
+/* Its next write to the store is MS from now; the others follow at the usual interval. */
+void endpoint_beat_in (struct Endpoint *endpoint, int64_t ms);
 /* Returns the most opening packets that came in any second from FROM to TO. */
 unsigned endpoint_most_per_s (const struct Endpoint *endpoint, int64_t from, int64_t to);
 /* Writes the entry to the store. */
