--- a/review/6/case.c
+++ b/review/6/case.c
@@ -1,4 +1,4 @@
-#include "../lab-2/lab.h"
+#include "../lab-2.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -89,14 +89,15 @@
   caller_event = event;
   route_ip = lab_ip (9, 1);
   store_listen (lab_ip (0, 1));
-  snprintf (manifest, sizeof manifest,
-            "{\"version\":7,\"routes\":[{\"name\":\"r-1\",\"host\":\"%s\",\"path-prefix\":\"/%d/\","
-            "\"kind\":\"idempotent\",\"timeout-ms\":3000,\"target-latency-ms\":500,\"priority\":2,"
-            "\"service\":\"s1\",\"max-attempts\":2}],\"services\":[{\"name\":\"s1\","
-            "\"health-check-path\":\"/health\",\"max-connections\":2000,\"protocol\":\"h1\","
-            "\"tls\":false,\"warmup-s\":2.0,\"warmup-per-s\":0.0}],\"limits\":{\"max-header-bytes\":"
-            "16384,\"max-body-bytes\":262144,\"header-timeout-ms\":3000,\"idle-timeout-ms\":15000}}",
-            lab_ip_text (route_ip), ROUTE_PORT);
+  snprintf (
+      manifest, sizeof manifest,
+      "{\"version\":7,\"routes\":[{\"name\":\"r-1\",\"host\":\"%s\",\"path-prefix\":\"/%d/\","
+      "\"kind\":\"idempotent\",\"timeout-ms\":3000,\"target-latency-ms\":500,\"priority\":2,"
+      "\"service\":\"s1\",\"max-attempts\":2}],\"services\":[{\"name\":\"s1\","
+      "\"health-check-path\":\"/health\",\"max-connections\":2000,\"protocol\":\"h1\","
+      "\"tls\":false,\"warmup-s\":2.0,\"warmup-per-s\":0.0}],\"limits\":{\"max-header-bytes\":"
+      "16384,\"max-body-bytes\":262144,\"header-timeout-ms\":3000,\"idle-timeout-ms\":15000}}",
+      lab_ip_text (route_ip), ROUTE_PORT);
   store_put ("config", "main", manifest);
   for (unsigned i = 0; i < 4; i++)
     far[i] = endpoint_start (1 + i, NULL, "s1", "zone-b", WORK_MS);
--- a/review/8/case.c
+++ b/review/8/case.c
@@ -1,12 +1,12 @@
-#include "../lab-2/lab.h"
+#include "../lab-2.h"
 
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
 
 /* Two endpoints have ids with the same flow cookie, the lower 32 bits of a hash.  The VMs keep new
- * flows from the one that they learned of later.  A VM that is restarted, as planned, learns of both
- * at once.  Flows that are open at the older one must still reach it through this VM. */
+ * flows from the one that they learned of later.  A VM that is restarted, as planned, learns of
+ * both at once.  Flows that are open at the older one must still reach it through this VM. */
 
 enum
 {
@@ -60,14 +60,15 @@
   caller_event = event;
   route_ip = lab_ip (9, 1);
   store_listen (lab_ip (0, 1));
-  snprintf (manifest, sizeof manifest,
-            "{\"version\":7,\"routes\":[{\"name\":\"r-1\",\"host\":\"%s\",\"path-prefix\":\"/%d/\","
-            "\"kind\":\"non_idempotent\",\"timeout-ms\":3000,\"target-latency-ms\":500,"
-            "\"priority\":2,\"service\":\"s1\",\"max-attempts\":2}],\"services\":[{\"name\":\"s1\","
-            "\"health-check-path\":\"/health\",\"max-connections\":2000,\"protocol\":\"h1\","
-            "\"tls\":false,\"warmup-s\":2.0,\"warmup-per-s\":0.0}],\"limits\":{\"max-header-bytes\":"
-            "16384,\"max-body-bytes\":262144,\"header-timeout-ms\":3000,\"idle-timeout-ms\":15000}}",
-            lab_ip_text (route_ip), ROUTE_PORT);
+  snprintf (
+      manifest, sizeof manifest,
+      "{\"version\":7,\"routes\":[{\"name\":\"r-1\",\"host\":\"%s\",\"path-prefix\":\"/%d/\","
+      "\"kind\":\"non_idempotent\",\"timeout-ms\":3000,\"target-latency-ms\":500,"
+      "\"priority\":2,\"service\":\"s1\",\"max-attempts\":2}],\"services\":[{\"name\":\"s1\","
+      "\"health-check-path\":\"/health\",\"max-connections\":2000,\"protocol\":\"h1\","
+      "\"tls\":false,\"warmup-s\":2.0,\"warmup-per-s\":0.0}],\"limits\":{\"max-header-bytes\":"
+      "16384,\"max-body-bytes\":262144,\"header-timeout-ms\":3000,\"idle-timeout-ms\":15000}}",
+      lab_ip_text (route_ip), ROUTE_PORT);
   store_put ("config", "main", manifest);
   endpoint_start (1, older_id, "s1", "zone-a", WORK_MS);
   endpoint_start (2, NULL, "s1", "zone-a", WORK_MS);
--- a/review/lab-2/flows.c
+++ b/review/lab-2-flows.c
@@ -1,4 +1,4 @@
-#include "lab.h"
+#include "lab-2.h"
 
 #include <arpa/inet.h>
 #include <stdlib.h>
--- a/review/lab-2/store.c
+++ b/review/lab-2-store.c
@@ -1,4 +1,4 @@
-#include "lab.h"
+#include "lab-2.h"
 
 #include <arpa/inet.h>
 #include <errno.h>
@@ -95,17 +95,14 @@
 }
 
 static size_t
-add_object (char *out,
-            size_t room,
-            const char *name,
-            const char *spec,
-            uint64_t revision,
-            uint64_t created)
+add_object (
+    char *out, size_t room, const char *name, const char *spec, uint64_t revision, uint64_t created)
 {
   return (size_t) snprintf (out, room,
                             "{\"meta\":{\"name\":\"%s\",\"revision\":%llu,\"create-revision\":%llu,"
                             "\"finalizers\":[],\"deleting\":false},\"spec\":%s,\"status\":null}",
-                            name, (unsigned long long) revision, (unsigned long long) created, spec);
+                            name, (unsigned long long) revision, (unsigned long long) created,
+                            spec);
 }
 
 static int
@@ -156,8 +153,9 @@
 
       if (event->revision <= client->after || strcmp (event->kind, client->kind) != 0)
         continue;
-      len += (size_t) snprintf (body + len, room - len, "%s{\"deleted\":%s,\"object\":",
-                                any ? "," : "", event->deleted ? "true" : "false");
+      len += (size_t) snprintf (body + len, room - len,
+                                "%s{\"deleted\":%s,\"object\":", any ? "," : "",
+                                event->deleted ? "true" : "false");
       len += add_object (body + len, room - len, event->name, event->spec, event->revision,
                          event->create_revision);
       body[len++] = '}';
--- a/review/lab-2/lab.c
+++ b/review/lab-2.c
@@ -1,4 +1,4 @@
-#include "lab.h"
+#include "lab-2.h"
 
 #include <arpa/inet.h>
 #include <errno.h>
@@ -210,7 +210,8 @@
   static unsigned next;
   char *text = texts[next++ % 8];
 
-  snprintf (text, INET_ADDRSTRLEN, "%u.%u.%u.%u", ip >> 24, ip >> 16 & 255, ip >> 8 & 255, ip & 255);
+  snprintf (text, INET_ADDRSTRLEN, "%u.%u.%u.%u", ip >> 24, ip >> 16 & 255, ip >> 8 & 255,
+            ip & 255);
   return text;
 }
 
@@ -313,10 +314,11 @@
 
   if (!file)
     lab_cannot_run ("cannot write the settings");
-  fprintf (file,
-           "[vm]\nname=%s\naddress=%s\nfailure-domain=%s\nregion=area\nfabric-address=%s:%d\n"
-           "ready-address=%s:%d\nmetrics-port=%d\npeer-port=%d\nlink-mbps=1000.0\n\n[fleet]\nseeds=",
-           vm->name, ip, vm->zone, ip, DATAGRAM_PORT, ip, READY_PORT, METRICS_PORT, INTERNAL_PORT);
+  fprintf (
+      file,
+      "[vm]\nname=%s\naddress=%s\nfailure-domain=%s\nregion=area\nfabric-address=%s:%d\n"
+      "ready-address=%s:%d\nmetrics-port=%d\npeer-port=%d\nlink-mbps=1000.0\n\n[fleet]\nseeds=",
+      vm->name, ip, vm->zone, ip, DATAGRAM_PORT, ip, READY_PORT, METRICS_PORT, INTERNAL_PORT);
   for (size_t i = 0; i < vm_count && i < 3; i++)
     fprintf (file, "%s%s:%d", i ? "," : "", lab_ip_text (vms[i]->ip), CONTROL_PORT);
   fprintf (file,
--- a/review/lab-2/lab.h
+++ b/review/lab-2.h
@@ -100,20 +100,17 @@
   int64_t work_ms;
   bool draining;
   bool alive;
-  int64_t cold_until;  /* 0: warm */
-  unsigned beats;      /* changes when its writes to the store get another phase */
-  int lose_data;       /* so many data packets are lost on their way to it */
+  int64_t cold_until; /* 0: warm */
+  unsigned beats;     /* changes when its writes to the store get another phase */
+  int lose_data;      /* so many data packets are lost on their way to it */
   struct Flow *flows;
-  int64_t *arrivals;   /* when opening packets came */
+  int64_t *arrivals; /* when opening packets came */
   size_t arrival_count;
 };
 
 /* ID is "i-" and hexadecimal digits, NULL for random ones. */
-struct Endpoint *endpoint_start (unsigned host,
-                                 const char *id,
-                                 const char *service,
-                                 const char *zone,
-                                 int64_t work_ms);
+struct Endpoint *endpoint_start (
+    unsigned host, const char *id, const char *service, const char *zone, int64_t work_ms);
 /* The endpoint is cold for MS from now on; its next write to the store says so. */
 void endpoint_become_cold (struct Endpoint *endpoint, int64_t ms);
 /* Its next write to the store is MS from now; the others follow at the usual interval. */
@@ -133,7 +130,7 @@
   uint16_t sport;
   uint32_t dst;
   uint16_t dport;
-  bool keep;          /* the flow stays open after the answer */
+  bool keep; /* the flow stays open after the answer */
   bool idempotent;
   enum
   {
@@ -141,10 +138,10 @@
     OPEN,
     ENDED,
   } state;
-  bool waiting;       /* a request awaits its answer */
-  int64_t sent_at;    /* of the opening packet */
+  bool waiting;    /* a request awaits its answer */
+  int64_t sent_at; /* of the opening packet */
   uint32_t seq, next_seq, peer_next, echo;
-  unsigned copies;    /* of the opening packet, or of the data */
+  unsigned copies; /* of the opening packet, or of the data */
   unsigned generation;
   bool reset_by_system;
   bool reset_by_endpoint;
