Unreachable domains: upstreams that may have ended are no evidence

Cause: every silent flow counted against the failure domain of its upstream, whatever the state of that upstream, and kept counting after the upstream had changed its state, its incarnation or its domain.

Change: only ready upstreams count. The evidence is held for each upstream, and dropped when the directory says that the upstream changes. Silent flows to an upstream that drains or has lapsed still protect flows of other domains, as this VM's own link may be the cause; those to one that is gone no longer do.

--- a/src/balance/balance.c
+++ b/src/balance/balance.c
@@ -7,6 +7,14 @@
 
 #define PRUNE_INTERVAL_MS 10000 /* interval at which expired upstreams are removed */
 
+/* A CfUpstreamChange. */
+static void
+upstream_changes (void *context, struct CfTarget *target)
+{
+  (void) context;
+  cf_unreachable_forget (target);
+}
+
 struct CfBalance *
 cf_balance_new (const struct CfBalanceOptions *options,
                 const struct CfBalanceOutputs *outputs,
@@ -20,6 +28,7 @@
   balance->out = outputs;
   balance->context = context;
   balance->directory = cf_directory_new ();
+  cf_directory_watch (balance->directory, upstream_changes, balance);
   balance->routes = cf_routes_new ();
   balance->evacuated = g_hash_table_new (NULL, NULL);
   balance->random = g_rand_new_with_seed (options->seed);
--- a/src/balance/directory.c
+++ b/src/balance/directory.c
@@ -14,6 +14,8 @@
   GHashTable *by_id;      /* id to struct CfTarget, owned */
   GHashTable *by_cookie;  /* cookie to struct CfTarget */
   GHashTable *by_service; /* GQuark to struct Service, owned; none is removed */
+  CfUpstreamChange *changes;
+  void *context;
 };
 
 static void
@@ -56,6 +58,20 @@
   g_free (directory);
 }
 
+void
+cf_directory_watch (struct CfDirectory *directory, CfUpstreamChange *func, void *context)
+{
+  directory->changes = func;
+  directory->context = context;
+}
+
+static void
+notify_change (const struct CfDirectory *directory, struct CfTarget *target)
+{
+  if (directory->changes)
+    directory->changes (directory->context, target);
+}
+
 uint32_t
 cf_cookie (const char *id)
 {
@@ -83,10 +99,14 @@
 }
 
 static void
-set_state (struct CfTarget *target, enum CfTargetState state, CfMillis now)
+set_state (const struct CfDirectory *directory,
+           struct CfTarget *target,
+           enum CfTargetState state,
+           CfMillis now)
 {
   if (target->state == state)
     return;
+  notify_change (directory, target);
   target->state = state;
   target->state_since = now;
 }
@@ -140,6 +160,7 @@
   target->state_since = now;
   target->reach.confirmed_at = -1;
   target->heard_at = -1;
+  cf_list_init (&target->silence.link);
   g_hash_table_insert (directory->by_id, target->id, target);
   index_by_cookie (directory, target);
   return target;
@@ -192,15 +213,18 @@
                        CfMillis now)
 {
   struct CfTarget *target = cf_directory_by_id (directory, announcement->id);
+  GQuark domain;
 
   if (target && is_older (announcement, target))
     return target;
   if (!target)
     target = add_target (directory, announcement, now);
+  domain = g_quark_from_string (announcement->domain);
+  if (announcement->started != target->started || domain != target->domain)
+    notify_change (directory, target);
   if (announcement->started != target->started)
     {
       target->reach = (struct CfReach){ .confirmed_at = -1 };
-      target->silent_at = 0;
       target->heard_at = -1;
       g_clear_pointer (&target->quality.remote, g_array_unref);
       target->quality = (struct CfQuality){ 0 };
@@ -214,22 +238,22 @@
   target->era = announcement->era;
   target->revision = announcement->revision;
   target->tag = announcement->tag;
-  target->domain = g_quark_from_string (announcement->domain);
+  target->domain = domain;
   target->address = announcement->address;
   target->slots = announcement->slots;
   index_by_service (directory, target, g_quark_from_string (announcement->service));
-  set_state (target, announcement->draining ? CF_TARGET_LEAVING : CF_TARGET_READY, now);
+  set_state (directory, target, announcement->draining ? CF_TARGET_LEAVING : CF_TARGET_READY, now);
   return target;
 }
 
 static void
-withdraw (struct CfTarget *target, bool trusted, CfMillis now)
+withdraw (const struct CfDirectory *directory, struct CfTarget *target, bool trusted, CfMillis now)
 {
   /* The end of a draining upstream's announcement is expected, whatever the store's state. */
   if (trusted || target->state == CF_TARGET_LEAVING)
-    set_state (target, CF_TARGET_GONE, now);
+    set_state (directory, target, CF_TARGET_GONE, now);
   else if (target->state == CF_TARGET_READY)
-    set_state (target, CF_TARGET_LAPSED, now);
+    set_state (directory, target, CF_TARGET_LAPSED, now);
 }
 
 void
@@ -238,7 +262,7 @@
   struct CfTarget *target = cf_directory_by_id (directory, id);
 
   if (target)
-    withdraw (target, trusted, now);
+    withdraw (directory, target, trusted, now);
 }
 
 void
@@ -250,7 +274,7 @@
   g_hash_table_iter_init (&iter, directory->by_id);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     if (((struct CfTarget *) value)->state == CF_TARGET_LAPSED)
-      set_state (value, CF_TARGET_GONE, now);
+      set_state (directory, value, CF_TARGET_GONE, now);
 }
 
 /* Reassigns the cookie of TARGET, which is about to be removed, to an upstream that collides. */
--- a/src/balance/directory.h
+++ b/src/balance/directory.h
@@ -1,6 +1,7 @@
 #ifndef CF_BALANCE_DIRECTORY_H
 #define CF_BALANCE_DIRECTORY_H
 
+#include "base/list.h"
 #include "pace.h"
 #include "segment.h"
 
@@ -72,6 +73,20 @@
   uint32_t avoided_times; /* in a row */
 };
 
+#define CF_SILENCE_CALLERS 4
+
+/* Evidence that an upstream cannot be reached: its silent flows, since its failure domain last
+ * answered (unreachable.h). */
+struct CfSilence
+{
+  struct CfLink link; /* in the evidence against its failure domain, or empty */
+  CfMillis at;        /* when a silent flow was last recorded, 0: none since an answer */
+  bool counted;       /* as another upstream than those before it, */
+  uint32_t caller_ip; /* for a flow of this caller */
+  uint32_t callers[CF_SILENCE_CALLERS]; /* different ones with a silent flow */
+  uint32_t caller_count;
+};
+
 #define CF_CACHE_LINE 64
 
 /* An upstream.  Pointers to it stay valid until it is pruned.
@@ -84,8 +99,6 @@
   uint64_t tag;
   uint32_t cookie;
   struct CfEndpoint address;
-  CfMillis silent_at; /* when a silent flow to it was last counted (unreachable.h), 0: none since an
-                         answer */
   struct CfReach reach;
   GQuark domain;
   uint32_t slots;
@@ -107,6 +120,7 @@
   int64_t earlier_started;
   uint64_t earlier_revision;
   CfMillis heard_at; /* when an answer of it was last seen, -1: never */
+  struct CfSilence silence;
 };
 
 G_STATIC_ASSERT (offsetof (struct CfTarget, reach.failures) / CF_CACHE_LINE
@@ -117,6 +131,13 @@
 struct CfDirectory *cf_directory_new (void);
 void cf_directory_free (struct CfDirectory *directory);
 
+/* Called before the state, the incarnation or the failure domain of TARGET changes: what its
+ * silence, or that of its flows, has shown so far no longer holds. */
+typedef void CfUpstreamChange (void *context, struct CfTarget *target);
+
+/* Has FUNC (NULL: nothing) called with CONTEXT. */
+void cf_directory_watch (struct CfDirectory *directory, CfUpstreamChange *func, void *context);
+
 /* Applies ANNOUNCEMENT unless a newer one of the same upstream is known.  Returns the upstream. */
 struct CfTarget *cf_directory_announce (struct CfDirectory *directory,
                                         const struct CfAnnouncement *announcement,
--- a/src/balance/unreachable.h
+++ b/src/balance/unreachable.h
@@ -18,6 +18,12 @@
  * upstreams that the store has removed, under callers that keep their flows open.  It does not act
  * on slow answers.  No I/O.
  *
+ * Only upstreams that are ready are evidence against their domain.  One that drains, has lapsed or
+ * is gone may have ended, which says nothing about the others there.  So an upstream is no evidence
+ * any more once it changes its state, its incarnation or its domain.  Flows to one that has not
+ * been removed may still be silent because of this VM's own link, and keep flows of other domains
+ * from being reset.
+ *
  * A caller repeats its data after 200 ms and again 400 ms later.  If it repeats before the evidence
  * is complete, its second repeat comes too late for a request that is to be answered within 500 ms.
  * So the reset of a flow for the loss of its domain also resets flows there that were repeated
@@ -35,7 +41,7 @@
 #define CF_UNREACHABLE_UPSTREAMS 3
 /* Number of callers with a silent flow to the domain, with no answer from the domain meanwhile, for
  * a flow that does not repeat its data now. */
-#define CF_UNREACHABLE_CALLERS 4
+#define CF_UNREACHABLE_CALLERS CF_SILENCE_CALLERS
 /* Milliseconds from a repeat to the data whose answer shows that the repeat would have been
  * answered.  Flows of services that usually take longer are not reset before their next repeat. */
 #define CF_UNREACHABLE_CONFIRM_MS 100
@@ -80,6 +86,9 @@
                                    uint32_t caller_ip,
                                    CfMillis now);
 
+/* Drops what was recorded of the silence of TARGET: it may have ended. */
+void cf_unreachable_forget (struct CfTarget *target);
+
 /* Returns why a flow of idempotent requests to TARGET should be reset now that its packet changed
  * DELIVERY by UPDATE.  What UPDATE shows must be recorded before. */
 enum CfUnreachableReason cf_unreachable_check (const struct CfUnreachable *unreachable,
--- a/tests/test_unreachable.c
+++ b/tests/test_unreachable.c
@@ -343,6 +343,146 @@
 }
 END_TEST
 
+/* How an upstream leaves the state in which its silence says something about its domain. */
+enum Ending
+{
+  ENDING_DRAINS,
+  ENDING_DRAINS_AND_GOES,
+  ENDING_IS_REMOVED,
+  ENDING_LAPSES,
+  ENDING_LAPSES_AND_GOES,
+  ENDING_STARTS_AGAIN, /* this and what follows: flows may be silent until then only */
+  ENDING_MOVES,
+  ENDINGS,
+};
+
+static void
+announce_again (struct Scene *scene, const char *id, bool draining, bool restarted, bool moved)
+{
+  struct CfDirectory *directory = cf_balance_directory (scene->balance);
+  const struct CfTarget *target = cf_directory_by_id (directory, id);
+
+  cf_directory_announce (directory,
+                         &(struct CfAnnouncement){
+                             .id = id,
+                             .tag = target->tag,
+                             .service = "s",
+                             .domain = moved ? "c" : g_quark_to_string (target->domain),
+                             .address = target->address,
+                             .slots = target->slots,
+                             .draining = draining,
+                             .started = restarted ? scene->sim->now : target->started,
+                             .revision = target->revision + 1,
+                         },
+                         scene->sim->now);
+}
+
+static void
+end_upstream (struct Scene *scene, const char *id, enum Ending ending)
+{
+  struct CfDirectory *directory = cf_balance_directory (scene->balance);
+  bool drains = ending == ENDING_DRAINS || ending == ENDING_DRAINS_AND_GOES;
+  bool lapses = ending == ENDING_LAPSES || ending == ENDING_LAPSES_AND_GOES;
+
+  if (drains || ending >= ENDING_STARTS_AGAIN)
+    announce_again (scene, id, drains, ending == ENDING_STARTS_AGAIN, ending == ENDING_MOVES);
+  if (lapses)
+    cf_directory_withdraw (directory, id, false, scene->sim->now);
+  if (ending == ENDING_LAPSES_AND_GOES)
+    cf_directory_expire_lapsed (directory, scene->sim->now);
+  if (ending == ENDING_DRAINS_AND_GOES || ending == ENDING_IS_REMOVED)
+    cf_directory_withdraw (directory, id, true, scene->sim->now);
+}
+
+/* Two upstreams of a domain were drained and taken away, or have lapsed, and callers go on with
+ * flows there.  A flow to another upstream of the domain that lost one packet was reset. */
+START_TEST (test_upstreams_that_ended)
+{
+  struct SimFlow *far[4];
+  struct Scene scene = set_up (far);
+
+  end_upstream (&scene, "far-0", (enum Ending) _i);
+  end_upstream (&scene, "far-1", (enum Ending) _i);
+  for (int i = 0; i < 3; i++)
+    stay_silent (&scene, far[i]);
+  ck_assert_int_eq (far[2]->target->state, CF_TARGET_READY);
+  ck_assert (!far[2]->reset);
+  sim_free (scene.sim);
+}
+END_TEST
+
+/* The same where this VM learns only after the silent flows that their upstreams have ended. */
+START_TEST (test_upstreams_that_end_after_silence)
+{
+  struct SimFlow *far[4];
+  struct Scene scene = set_up (far);
+
+  stay_silent (&scene, far[0]);
+  stay_silent (&scene, far[1]);
+  end_upstream (&scene, "far-0", (enum Ending) _i);
+  end_upstream (&scene, "far-1", (enum Ending) _i);
+  stay_silent (&scene, far[2]);
+  ck_assert (!far[2]->reset);
+  sim_free (scene.sim);
+}
+END_TEST
+
+/* A domain is cut off while one of its upstreams drains: the others are evidence as before, and the
+ * flow to that one is reset on it, too. */
+START_TEST (test_cut_domain_with_draining_upstream)
+{
+  struct SimFlow *far[4];
+  struct Scene scene = set_up (far);
+
+  end_upstream (&scene, "far-0", ENDING_DRAINS);
+  for (int i = 1; i < 4; i++)
+    stay_silent (&scene, far[i]);
+  ck_assert (!far[1]->reset && !far[2]->reset);
+  ck_assert (far[3]->reset);
+  stay_silent (&scene, far[0]);
+  ck_assert (far[0]->reset);
+  sim_free (scene.sim);
+}
+END_TEST
+
+/* An upstream of another domain has been removed.  That callers go on with its flows does not keep
+ * a cut domain from being found; what may be this VM's own link does. */
+START_TEST (test_cut_domain_and_upstream_elsewhere)
+{
+  struct SimFlow *far[4];
+  struct Scene scene = set_up (far);
+  struct SimFlow *other;
+
+  sim_add_upstream (scene.sim, NULL, "near-2", "s", "a", 0);
+  other = open_flow_at (&scene, "near-2");
+  end_upstream (&scene, "near-2", (enum Ending) _i);
+  ck_assert (_i != ENDING_DRAINS || other->target->state == CF_TARGET_LEAVING);
+  stay_silent (&scene, other);
+  for (int i = 0; i < 3; i++)
+    stay_silent (&scene, far[i]);
+  ck_assert (far[2]->reset == (other->target->state == CF_TARGET_GONE));
+  sim_free (scene.sim);
+}
+END_TEST
+
+/* An upstream that had lapsed is back: its silence counts from then on. */
+START_TEST (test_upstream_that_is_back)
+{
+  struct SimFlow *far[4];
+  struct Scene scene = set_up (far);
+
+  end_upstream (&scene, "far-0", ENDING_LAPSES);
+  stay_silent (&scene, far[0]);
+  announce_again (&scene, "far-0", false, false, false);
+  for (int i = 1; i < 3; i++)
+    stay_silent (&scene, far[i]);
+  ck_assert (!far[2]->reset);
+  stay_silent (&scene, far[0]);
+  ck_assert (far[0]->reset);
+  sim_free (scene.sim);
+}
+END_TEST
+
 /* A request that must not run twice is not repeated by its caller after a reset. */
 START_TEST (test_not_idempotent)
 {
@@ -479,6 +619,28 @@
 }
 END_TEST
 
+/* Callers of upstreams that have ended do not confirm the loss of their domain: a flow that had
+ * repeated its data earlier, and whose packet may only have been lost, was reset as well. */
+START_TEST (test_callers_of_upstreams_that_ended)
+{
+  struct SimFlow *far[4];
+  struct Scene scene = set_up (far);
+  struct SimFlow *flows[4];
+
+  sim_add_upstream (scene.sim, NULL, "far-4", "s", "b", 0);
+  cf_balance_evacuate (scene.balance, "a", true, scene.sim->now);
+  flows[0] = far[0];
+  flows[1] = open_flow_at (&scene, "far-4");
+  flows[2] = far[1];
+  flows[3] = far[2];
+  end_upstream (&scene, "far-4", (enum Ending) _i);
+  stay_silent_together (&scene, flows, 4, &(struct Elsewhere){ .until = 1000, .pause = 70 });
+  ck_assert (flows[3]->reset);
+  ck_assert (!flows[0]->reset);
+  sim_free (scene.sim);
+}
+END_TEST
+
 /* A packet is lost, and its repeat arrives and is answered: the flow is healthy, whatever others
  * say afterwards. */
 START_TEST (test_repeat_that_is_answered)
@@ -816,10 +978,16 @@
   suite_add_loop (suite, test_own_link, 1);
   suite_add_loop (suite, test_queue_of_own_link, 1);
   suite_add_loop (suite, test_loss_for_a_moment, 1);
+  suite_add_loop (suite, test_upstreams_that_ended, ENDING_STARTS_AGAIN);
+  suite_add_loop (suite, test_upstreams_that_end_after_silence, ENDINGS);
+  suite_add_loop (suite, test_cut_domain_with_draining_upstream, 1);
+  suite_add_loop (suite, test_cut_domain_and_upstream_elsewhere, ENDING_STARTS_AGAIN);
+  suite_add_loop (suite, test_upstream_that_is_back, 1);
   suite_add_loop (suite, test_not_idempotent, 1);
   suite_add_loop (suite, test_gone, 1);
   suite_add_loop (suite, test_moved_flows, 1);
   suite_add_loop (suite, test_flow_that_repeated_earlier, 1);
+  suite_add_loop (suite, test_callers_of_upstreams_that_ended, ENDING_STARTS_AGAIN);
   suite_add_loop (suite, test_repeat_that_is_answered, 1);
   suite_add_loop (suite, test_earlier_flow_and_loss_for_a_moment, 1);
   suite_add_loop (suite, test_earlier_flow_not_idempotent, 1);
