Soak: planned scale-in with open flows

What excuses a reset of a healthy flow (domain_seems_unreachable) also counted silent flows to upstreams that drained or had been replaced.

Change: scale-in as a kind of fault. A domain is evacuated and its callers pause, two of its three upstreams of "s" drain and end, then the callers go on and the first data for the third is lost. The excuse counts only upstreams that a VM in touch may still take for ready.

--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -156,7 +156,7 @@
   else if (!flow->acknowledged)
     {
       send_as_caller (flow, WIRE_ACK, REQUEST_BYTES);
-      if (flow->silent)
+      if (flow->silent && flow->upstream->started_at == flow->opened_incarnation)
         flow->soak->vms[flow->vm->index].silent_at[flow->upstream - flow->soak->upstreams]
             = soak_now ();
     }
@@ -181,7 +181,14 @@
 next_request (gpointer data)
 {
   struct SoakFlow *flow = data;
+  int64_t paused_ms = flow->soak->paused_until - soak_now ();
 
+  if (flow->upstream->domain == flow->soak->paused_domain && paused_ms > 0)
+    {
+      paused_ms += g_rand_int_range (flow->soak->scale_random, 0, SOAK_RESUME_MS - 20);
+      flow->timer = g_timeout_add ((guint) paused_ms, next_request, flow);
+      return G_SOURCE_REMOVE;
+    }
   flow->further--;
   flow->repeats = 0;
   count_request (flow);
@@ -272,6 +279,20 @@
   flow->timer = g_timeout_add (REFUSED_MS, on_timer, flow);
 }
 
+/* Returns true if what the VM of FLOW has seen of UPSTREAM may count as evidence against its
+ * domain: a silent flow a short time ago, and the VM need not know that the upstream drains or has
+ * been replaced since. */
+static bool
+is_evidence (const struct SoakFlow *flow, const struct SoakUpstream *upstream)
+{
+  int64_t silent_at = flow->vm->silent_at[upstream->index];
+  bool in_touch = soak_is_stable (flow->soak, flow->vm);
+
+  if (soak_now () - silent_at > CF_UNREACHABLE_FRESH_MS)
+    return false;
+  return !in_touch || !upstream->draining || soak_now () - upstream->drained_at <= SOAK_DRAIN_MS;
+}
+
 /* Returns true if the VM of FLOW has seen what shows that its upstream's domain is unreachable, as
  * unreachable.h states it.  A VM cannot tell that only the flows that were open before some moment
  * are lost: one that opened after it, and sends its next request amid their repeats, is reset. */
@@ -283,7 +304,7 @@
 
   for (int i = 0; i < SOAK_UPSTREAMS; i++)
     silent += soak->upstreams[i].domain == flow->upstream->domain
-              && soak_now () - flow->vm->silent_at[i] <= CF_UNREACHABLE_FRESH_MS;
+              && is_evidence (flow, &soak->upstreams[i]);
   return silent >= CF_UNREACHABLE_UPSTREAMS
          && soak_now () - flow->vm->silent_at[flow->upstream - soak->upstreams]
                 <= CF_UNREACHABLE_FRESH_MS;
--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -156,8 +156,17 @@
   return G_SOURCE_REMOVE;
 }
 
-static void
-drain (struct SoakUpstream *upstream, int ms)
+void
+soak_evacuate (struct Soak *soak, const char *domain, int ms)
+{
+  soak->evacuated = domain;
+  soak->evacuated_at = soak_now ();
+  soak_store_put (soak->store, CF_FEED_EVACUATIONS, domain, "{}");
+  g_timeout_add (SOAK_DRAIN_MS + (guint) ms, end_evacuation, soak);
+}
+
+void
+soak_upstream_drain (struct SoakUpstream *upstream, int ms)
 {
   if (upstream->draining || upstream->unresponsive)
     return;
@@ -235,7 +244,7 @@
       soak_upstream_restart (upstream, true);
       break;
     case FAULT_DRAIN:
-      drain (upstream, ms);
+      soak_upstream_drain (upstream, ms);
       break;
     case FAULT_ROUTE:
       change_route (soak);
@@ -255,10 +264,7 @@
     default:
       if (soak->evacuated)
         break;
-      soak->evacuated = soak_domains[g_rand_int_range (soak->random, 0, SOAK_DOMAINS)];
-      soak->evacuated_at = soak_now ();
-      soak_store_put (soak->store, CF_FEED_EVACUATIONS, soak->evacuated, "{}");
-      g_timeout_add (SOAK_DRAIN_MS + (guint) ms, end_evacuation, soak);
+      soak_evacuate (soak, soak_domains[g_rand_int_range (soak->random, 0, SOAK_DOMAINS)], ms);
       break;
     }
   soak->any_fault_at = MAX (soak->any_fault_at, soak_now () + ms + SOAK_DRAIN_MS);
@@ -274,7 +280,7 @@
     if (soak->upstreams[i].draining || soak->upstreams[i].odd)
       return;
   if (strcmp (upstream->service, "s") == 0)
-    drain (upstream, 0);
+    soak_upstream_drain (upstream, 0);
 }
 
 /* Changes are no faults: what is stable stays so. */
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -189,6 +189,7 @@
   if (g_rand_boolean (soak->trouble))
     soak->left_out = g_rand_int (soak->trouble);
   soak_overload_start (soak, (guint32) atoi (argv[3]));
+  soak_scale_in_start (soak, (guint32) atoi (argv[3]));
   soak->folder = g_dir_make_tmp ("cf-soak-XXXXXX", NULL);
   soak_callers_bind (soak);
   soak->loop = g_main_loop_new (NULL, FALSE);
@@ -208,12 +209,13 @@
   printf ("seed %s: %u requests, %u served; in stable periods %u requests, %u served, %u "
           "in progress; %u open flows reset; %u overloads%s, %u requests turned away, %u flows "
           "refused; "
-          "%u troubles, %u odd entries, %u calls by clients, %lld MB at most; held up %u times; %u "
+          "%u troubles, %u scale-ins, %u odd entries, %u calls by clients, %lld MB at most; held "
+          "up %u times; %u "
           "violations; logs in %s\n",
           argv[3], soak->requests, soak->served, soak->stable_requests, soak->stable_served,
           in_progress, soak->resets, soak->overloads,
           soak->extra_openings ? " with extra openings" : "", soak->turned_away, soak->refused,
-          soak->troubles, soak->odd_entries, soak->client_requests, soak->memory_max >> 20,
-          soak->held_up, soak->violations, soak->folder);
+          soak->troubles, soak->scale_ins, soak->odd_entries, soak->client_requests,
+          soak->memory_max >> 20, soak->held_up, soak->violations, soak->folder);
   return soak->violations > 0;
 }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -24,6 +24,7 @@
 #define SOAK_GRACE_MS 6000  /* from SIGTERM until SIGKILL */
 #define SOAK_START_MS 4000  /* from a start, or the end of a fault on a VM, until it is ready */
 #define SOAK_CALM_MS 2000   /* from the end of an overload until all requests are served again */
+#define SOAK_RESUME_MS 120  /* callers of a domain go on within this time after they paused */
 #define SOAK_EARLY_MS 30    /* signals to a process that starts are sent within this time */
 #define SOAK_LOADED_MS 10   /* or, half of the time, within this one */
 
@@ -153,6 +154,10 @@
 /* Slow upstreams and bursts of requests, which overlap with all of these.  Before the settings are
  * written, since these depend on them. */
 void soak_overload_start (struct Soak *soak, guint32 seed);
+/* Planned scale-in of upstreams with open flows. */
+void soak_scale_in_start (struct Soak *soak, guint32 seed);
+/* Evacuates DOMAIN for MS, or longer; no domain may be evacuated. */
+void soak_evacuate (struct Soak *soak, const char *domain, int ms);
 /* Entries of another writer in the store. */
 void soak_odd_start (struct Soak *soak);
 /* Returns false if the command leaves faults called NAME out. */
@@ -185,6 +190,7 @@
   bool odd;           /* another writer has replaced its entry */
   uint32_t sequence;  /* counts its announcements */
   int64_t drained_at; /* when the store accepted that it drains */
+  int64_t loses_from; /* data that comes within SOAK_RESUME_MS from then on is lost */
   GSocket *socket;
   GSource *source;
   GHashTable *flows;  /* set of struct SoakFlow that are open here */
@@ -200,6 +206,10 @@
 /* Replaces the upstream by a new incarnation, with the same id or a new one. */
 void soak_upstream_restart (struct SoakUpstream *upstream, bool same_id);
 
+/* Drains the upstream, unless it does or is unresponsive, and replaces it MS after its drain time.
+ */
+void soak_upstream_drain (struct SoakUpstream *upstream, int ms);
+
 /* Chooses the ports of SOAK, which no other soak test on this machine uses, and holds them. */
 void soak_callers_bind (struct Soak *soak);
 void soak_callers_start (struct Soak *soak);
@@ -254,14 +264,18 @@
   uint32_t served;
   uint32_t stable_requests; /* begun while stable */
   uint32_t stable_served;
-  uint32_t resets;        /* open flows that the VMs reset */
-  bool overload;          /* the VMs have overload control on */
-  bool extra_openings;    /* and extra openings */
-  GRand *overload_random; /* decides on overloads */
-  int64_t overload_until; /* end of the last overload */
-  int64_t press_until;    /* end of the last burst */
-  int press_caller;       /* the only address that it comes from, or -1 */
-  int press_flows;        /* that it opens at a time */
+  uint32_t resets;     /* open flows that the VMs reset */
+  bool overload;       /* the VMs have overload control on */
+  bool extra_openings; /* and extra openings */
+  GRand *scale_random; /* decides on scale-in */
+  uint32_t scale_ins;
+  const char *paused_domain; /* callers with open flows there send no requests */
+  int64_t paused_until;      /* before this time */
+  GRand *overload_random;    /* decides on overloads */
+  int64_t overload_until;    /* end of the last overload */
+  int64_t press_until;       /* end of the last burst */
+  int press_caller;          /* the only address that it comes from, or -1 */
+  int press_flows;           /* that it opens at a time */
   uint32_t overloads;
   uint32_t refused;     /* new flows that the VMs reset */
   uint32_t turned_away; /* requests that upstreams had no room for */
--- a/tests/soak/upstreams.c
+++ b/tests/soak/upstreams.c
@@ -176,6 +176,9 @@
     }
   else if (segment->size > SOAK_HEADER)
     {
+      if (soak_now () >= upstream->loses_from
+          && soak_now () - upstream->loses_from < SOAK_RESUME_MS)
+        return;
       if (flow->request_packets++ == 0)
         g_usleep (100);
       if (soak_now () < upstream->slow_until)
@@ -234,6 +237,7 @@
   upstream->draining = false;
   upstream->sequence = 0;
   upstream->unresponsive = false;
+  upstream->loses_from = 0;
   upstream->running = 0;
   g_queue_clear_full (&upstream->waiting, g_free);
   g_hash_table_remove_all (upstream->flows);
