Cookies: the owner is the same on all VMs

Cause: the owner was the upstream that a VM learned of first, and a VM that starts learns of all at once, in the order of a list or a hash table. After the owner was pruned, the next one was the first in a hash table. And VMs that knew an upstream that had gone sent packets with its cookie there for a flow's longest life, while one that started later opened flows at the next one; these went silent or were reset.

Change: the upstreams with one cookie are kept in order of start time, then id, which every VM has from the entries of any source or build. Packets go to the first that is not gone; only the first of all that are known gets new flows. If the first changes while both may have flows, the new one gets none for 4 s, until all VMs know. A VM keeps a flow that it opened at its upstream, and a moved flow follows the cookie.

--- a/src/balance/admit.c
+++ b/src/balance/admit.c
@@ -10,9 +10,9 @@
 is_usable (const struct CfAvoidedDomains *avoided, const struct CfTarget *target, CfMillis now)
 {
   return (target->state == CF_TARGET_READY || target->state == CF_TARGET_LAPSED)
-         && !target->collides && now >= target->cold_until && cf_reach_good (&target->reach)
-         && !cf_domain_suspected (avoided, target->domain) && !cf_outlier_avoided (target, now)
-         && !cf_domain_evacuated (avoided, target->domain);
+         && !cf_target_shares_cookie (target, now) && now >= target->cold_until
+         && cf_reach_good (&target->reach) && !cf_domain_suspected (avoided, target->domain)
+         && !cf_outlier_avoided (target, now) && !cf_domain_evacuated (avoided, target->domain);
 }
 
 /* Requests to an upstream that has been lost fill no slot, though they still await an answer. */
--- a/src/balance/balance.c
+++ b/src/balance/balance.c
@@ -161,6 +161,7 @@
 cf_balance_synced (struct CfBalance *balance, CfMillis now)
 {
   balance->synced_at = now;
+  cf_directory_set_listed (balance->directory);
 }
 
 void
--- a/src/balance/connections.h
+++ b/src/balance/connections.h
@@ -46,6 +46,7 @@
   GQuark service_name;
   uint32_t priority; /* of its route */
   bool sent;         /* an upstream got the first packet */
+  bool opened_here;  /* this VM sent the first packet to the target, where the flow has opened */
   bool idempotent;   /* its requests may be repeated */
   bool extra_due;    /* while pending: at due_at, an extra opening is due and no time-out */
   uint32_t extra;    /* index of the attempt that is an extra opening, 0: none */
--- a/src/balance/directory.c
+++ b/src/balance/directory.c
@@ -12,8 +12,9 @@
 struct CfDirectory
 {
   GHashTable *by_id;      /* id to struct CfTarget, owned */
-  GHashTable *by_cookie;  /* cookie to struct CfTarget */
+  GHashTable *by_cookie;  /* cookie to struct CfTarget, the first with it of all that are known */
   GHashTable *by_service; /* GQuark to struct Service, owned; none is removed */
+  bool listed;
   CfUpstreamChange *changes;
   void *context;
 };
@@ -138,16 +139,82 @@
   cf_pace_set_service (&target->pace, &service->pace);
 }
 
-/* Of two upstreams with the same cookie the later gets no new flows: it would receive packets of
- * flows that are open at the earlier. */
+static struct CfTarget *
+first_of_cookie (const struct CfDirectory *directory, uint32_t cookie)
+{
+  return g_hash_table_lookup (directory->by_cookie, GUINT_TO_POINTER (cookie));
+}
+
+/* Returns true if A has the right to a cookie before B.  A start time that is not given is the
+ * latest. */
+static bool
+precedes (const struct CfTarget *a, const struct CfTarget *b)
+{
+  if (a->started != b->started)
+    return b->started == 0 || (a->started != 0 && a->started < b->started);
+  return strcmp (a->id, b->id) < 0;
+}
+
 static void
-index_by_cookie (struct CfDirectory *directory, struct CfTarget *target)
+set_first (struct CfDirectory *directory, uint32_t cookie, struct CfTarget *first)
 {
-  struct CfTarget *other = cf_directory_by_cookie (directory, target->cookie);
+  if (first)
+    g_hash_table_insert (directory->by_cookie, GUINT_TO_POINTER (cookie), first);
+  else
+    g_hash_table_remove (directory->by_cookie, GUINT_TO_POINTER (cookie));
+  for (struct CfTarget *target = first; target; target = target->next_of_cookie)
+    target->collides = target != first;
+}
 
-  target->collides = other && other != target;
-  if (!target->collides)
-    g_hash_table_insert (directory->by_cookie, GUINT_TO_POINTER (target->cookie), target);
+/* Removes TARGET from the upstreams with its cookie. */
+static void
+leave_cookie (struct CfDirectory *directory, struct CfTarget *target)
+{
+  struct CfTarget *first = first_of_cookie (directory, target->cookie);
+  struct CfTarget **link = &first;
+
+  while (*link && *link != target)
+    link = &(*link)->next_of_cookie;
+  if (*link)
+    *link = target->next_of_cookie;
+  target->next_of_cookie = NULL;
+  set_first (directory, target->cookie, first);
+}
+
+/* Adds TARGET to the upstreams with its cookie, in their order. */
+static void
+enter_cookie (struct CfDirectory *directory, struct CfTarget *target)
+{
+  struct CfTarget *first = first_of_cookie (directory, target->cookie);
+  struct CfTarget **link = &first;
+
+  while (*link && precedes (*link, target))
+    link = &(*link)->next_of_cookie;
+  target->next_of_cookie = *link;
+  *link = target;
+  set_first (directory, target->cookie, first);
+}
+
+/* Sets when TARGET started, by which upstreams with one cookie are ordered. */
+static void
+set_started (struct CfDirectory *directory, struct CfTarget *target, int64_t started, CfMillis now)
+{
+  const struct CfTarget *before = first_of_cookie (directory, target->cookie);
+  struct CfTarget *first;
+
+  leave_cookie (directory, target);
+  target->started = started;
+  enter_cookie (directory, target);
+  first = first_of_cookie (directory, target->cookie);
+  /* VMs that do not know of the change still send packets with this cookie to BEFORE. */
+  if (directory->listed && before && first != before)
+    first->cookie_settles_at = now + CF_DIRECTORY_SETTLE_MS;
+}
+
+void
+cf_directory_set_listed (struct CfDirectory *directory)
+{
+  directory->listed = true;
 }
 
 static struct CfTarget *
@@ -161,8 +228,9 @@
   target->reach.confirmed_at = -1;
   target->heard_at = -1;
   cf_list_init (&target->silence.link);
+  target->started = announcement->started;
   g_hash_table_insert (directory->by_id, target->id, target);
-  index_by_cookie (directory, target);
+  set_started (directory, target, announcement->started, now);
   return target;
 }
 
@@ -230,11 +298,11 @@
       target->quality = (struct CfQuality){ 0 };
       cf_pace_clear (&target->pace);
       target->cold_until = 0;
+      set_started (directory, target, announcement->started, now);
     }
   if (announcement->era != target->era || announcement->revision != target->revision)
     set_cold (target, announcement->cold_ms > 0 ? now + announcement->cold_ms : 0, now);
   target->earlier_revision = 0;
-  target->started = announcement->started;
   target->era = announcement->era;
   target->revision = announcement->revision;
   target->tag = announcement->tag;
@@ -277,29 +345,6 @@
       set_state (directory, value, CF_TARGET_GONE, now);
 }
 
-/* Reassigns the cookie of TARGET, which is about to be removed, to an upstream that collides. */
-static void
-reassign_cookie (struct CfDirectory *directory, const struct CfTarget *target)
-{
-  GHashTableIter iter;
-  gpointer value;
-
-  if (cf_directory_by_cookie (directory, target->cookie) != target)
-    return;
-  g_hash_table_remove (directory->by_cookie, GUINT_TO_POINTER (target->cookie));
-  g_hash_table_iter_init (&iter, directory->by_id);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      struct CfTarget *other = value;
-
-      if (other != target && other->cookie == target->cookie)
-        {
-          index_by_cookie (directory, other);
-          return;
-        }
-    }
-}
-
 void
 cf_directory_prune (struct CfDirectory *directory, CfMillis now, CfMillis flow_lifetime_ms)
 {
@@ -320,7 +365,7 @@
     {
       struct CfTarget *target = old->pdata[i];
 
-      reassign_cookie (directory, target);
+      leave_cookie (directory, target);
       g_ptr_array_remove_fast (cf_directory_service (directory, target->service), target);
       g_hash_table_remove (directory->by_id, target->id);
     }
@@ -336,7 +381,12 @@
 struct CfTarget *
 cf_directory_by_cookie (const struct CfDirectory *directory, uint32_t cookie)
 {
-  return g_hash_table_lookup (directory->by_cookie, GUINT_TO_POINTER (cookie));
+  struct CfTarget *first = first_of_cookie (directory, cookie);
+  struct CfTarget *target = first;
+
+  while (target && target->state == CF_TARGET_GONE)
+    target = target->next_of_cookie;
+  return target ? target : first;
 }
 
 GPtrArray *
--- a/src/balance/directory.h
+++ b/src/balance/directory.h
@@ -103,9 +103,10 @@
   GQuark domain;
   uint32_t slots;
   enum CfTargetState state;
-  uint32_t open;     /* flows of this VM that are open or being opened there */
-  uint32_t awaiting; /* requests of this VM there that await an answer */
-  bool collides;     /* an older upstream has the same cookie: gets no new flows */
+  uint32_t open;              /* flows of this VM that are open or being opened there */
+  uint32_t awaiting;          /* requests of this VM there that await an answer */
+  bool collides;              /* an earlier upstream has the same cookie: gets no new flows, */
+  CfMillis cookie_settles_at; /* nor before this time, until other VMs know that it has none */
   CfMillis cold_until;
   struct CfQuality quality;
   struct CfPace pace;
@@ -121,6 +122,7 @@
   uint64_t earlier_revision;
   CfMillis heard_at; /* when an answer of it was last seen, -1: never */
   struct CfSilence silence;
+  struct CfTarget *next_of_cookie; /* the next later one with the same cookie, or NULL */
 };
 
 G_STATIC_ASSERT (offsetof (struct CfTarget, reach.failures) / CF_CACHE_LINE
@@ -157,8 +159,29 @@
 void cf_directory_prune (struct CfDirectory *directory, CfMillis now, CfMillis flow_lifetime_ms);
 
 struct CfTarget *cf_directory_by_id (const struct CfDirectory *directory, const char *id);
+
+/* Returns the upstream that packets with COOKIE are for, or NULL.
+ *
+ * Of several upstreams with one cookie that is the one that started first, or that has the lowest
+ * id of those that started at the same time, and that is not gone.  All VMs know the start times
+ * and ids, whenever and in whatever order they learned of the upstreams.  Only the first of all
+ * that are known, also of those that are gone, gets new flows. */
 struct CfTarget *cf_directory_by_cookie (const struct CfDirectory *directory, uint32_t cookie);
 
+/* The first list of upstreams is complete: from now on others have begun, or have changed. */
+void cf_directory_set_listed (struct CfDirectory *directory);
+
+/* Milliseconds after which every VM knows of an upstream, or of its restart. */
+#define CF_DIRECTORY_SETTLE_MS 4000
+
+/* Returns true if TARGET gets no new flows at NOW, as their packets could reach another upstream
+ * with its cookie. */
+static inline bool
+cf_target_shares_cookie (const struct CfTarget *target, CfMillis now)
+{
+  return target->collides || now < target->cookie_settles_at;
+}
+
 /* Returns the upstreams of SERVICE, an array of struct CfTarget *, or NULL. */
 GPtrArray *cf_directory_service (const struct CfDirectory *directory, GQuark service);
 
--- a/src/balance/later_packet.c
+++ b/src/balance/later_packet.c
@@ -58,6 +58,7 @@
   if (cf_outages_record_answer (balance->outages, target->domain))
     end_outage (balance, target->domain, now);
   cf_connection_set_target (connection, target);
+  connection->opened_here = sent_at >= 0;
   if (balance->out->opened)
     balance->out->opened (balance->context, target->service, now - connection->begun_at);
 }
@@ -169,6 +170,22 @@
   return connection;
 }
 
+/* Returns the upstream that SEGMENT of the flow CONNECTION (NULL: not known) is for, or NULL.  If
+ * this VM has sent its first packet, that may be another one than its cookie names by now. */
+static struct CfTarget *
+find_target (const struct CfBalance *balance,
+             const struct CfConnection *connection,
+             const struct CfSegment *segment)
+{
+  if (connection && connection->pending)
+    for (uint32_t i = 0; i < connection->tries; i++)
+      if (connection->tried[i]->cookie == segment->cookie)
+        return connection->tried[i];
+  if (connection && connection->opened_here && connection->target->cookie == segment->cookie)
+    return connection->target;
+  return cf_directory_by_cookie (balance->directory, segment->cookie);
+}
+
 /* Returns why the flow CONNECTION should be reset instead of forwarding SEGMENT to TARGET. */
 static enum CfUnreachableReason
 check_unreachable (struct CfBalance *balance,
@@ -283,9 +300,9 @@
 cf_balance_later_packet (struct CfBalance *balance, const struct CfSegment *segment, CfMillis now)
 {
   const struct CfRouteEntry *route = cf_routes_find (balance->routes, segment->service);
-  struct CfTarget *target = cf_directory_by_cookie (balance->directory, segment->cookie);
   struct CfConnection *connection
       = cf_connections_find (&balance->connections, segment->caller, segment->service);
+  struct CfTarget *target = find_target (balance, connection, segment);
   enum CfUnreachableReason evidence = CF_UNREACHABLE_NOT;
 
   if (route && route->removed)
@@ -302,6 +319,12 @@
     connection = track_moved_flow (balance, segment, target, now);
   if (connection && connection->pending)
     opened (balance, connection, target, now);
+  else if (connection && connection->target != target && connection->target
+           && connection->target->cookie == target->cookie)
+    {
+      cf_connections_stop_awaiting (&balance->connections, connection);
+      cf_connection_set_target (connection, target);
+    }
   if (connection)
     evidence = check_unreachable (balance, route, connection, segment, target, now);
   if (evidence != CF_UNREACHABLE_NOT)
--- a/src/balance/place.c
+++ b/src/balance/place.c
@@ -25,11 +25,11 @@
 }
 
 static bool
-eligible (const struct CfAvoidedDomains *avoided, const struct CfTarget *target)
+eligible (const struct CfAvoidedDomains *avoided, const struct CfTarget *target, CfMillis now)
 {
   if (target->state != CF_TARGET_READY && target->state != CF_TARGET_LAPSED)
     return false;
-  if (target->collides)
+  if (cf_target_shares_cookie (target, now))
     return false;
   return !cf_domain_evacuated (avoided, target->domain);
 }
@@ -253,7 +253,7 @@
       enum CfPlaceReason candidate_reason;
       double candidate_cost;
 
-      if (!eligible (&avoided, target) || is_tried (target, tried, count))
+      if (!eligible (&avoided, target, now) || is_tried (target, tried, count))
         continue;
       candidate_reason = classify (placement, &avoided, target, now);
       if (candidate_reason == CF_PLACE_NONE)
