Soak: upstreams that share a cookie, and resets by other upstreams

Change: with the fault "cookies" upstreams get ids that were found to share one, and are replaced one after the other while VMs restart. A reset by another upstream than the flow's own breaks FLOW if that one lives and the VM could learn of changes for 4 s, whether or not it has restarted (soak_is_in_touch).

--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -310,12 +310,18 @@
                 <= CF_UNREACHABLE_FRESH_MS;
 }
 
-/* Handles a reset: BY_BALANCER if it does not come from an upstream's address. */
+/* Handles a reset from the address of SENDER (NULL: by the balancer). */
 static void
-caller_reset (struct SoakFlow *flow, bool by_balancer)
+caller_reset (struct SoakFlow *flow, const struct SoakUpstream *sender)
 {
   struct SoakUpstream *upstream = flow->upstream;
   struct Soak *soak = flow->soak;
+  bool by_balancer = !sender;
+
+  if (sender && upstream && sender != upstream && !upstream->unresponsive
+      && upstream->started_at == flow->opened_incarnation && soak_is_in_touch (flow->vm))
+    soak_violation (soak, "FLOW: open flow %u to port %u at %s was reset by %s, at %s", flow->port,
+                    flow->service_port, upstream->id, sender->id, flow->vm->ip);
 
   if (by_balancer && upstream && !upstream->unresponsive && !flow->silent
       && upstream->started_at == flow->opened_incarnation && flow->service_port != 82
@@ -392,7 +398,7 @@
   if (!flow || flow->refused)
     return;
   if (segment->flags & CF_SEGMENT_RST)
-    caller_reset (flow, !upstream);
+    caller_reset (flow, upstream);
   else if (segment->flags & CF_SEGMENT_SYN)
     {
       if (flow->upstream)
--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -63,7 +63,7 @@
   struct SoakVm *vm = data;
 
   soak_proxy_set (vm->proxy, SOAK_PATH_OPEN);
-  soak_vm_note_fault (vm, soak_now ());
+  soak_vm_note_cut (vm, soak_now ());
   return G_SOURCE_REMOVE;
 }
 
@@ -71,7 +71,7 @@
 soak_degrade_path (struct SoakVm *vm, enum SoakPath path, int ms)
 {
   soak_proxy_set (vm->proxy, path);
-  soak_vm_note_fault (vm, soak_now () + ms);
+  soak_vm_note_cut (vm, soak_now () + ms);
   g_timeout_add ((guint) ms, restore_path, vm);
 }
 
@@ -152,7 +152,7 @@
   g_timeout_add ((guint) g_rand_int_range (soak->random, 0, REWRITE_MS), operate_again, soak);
   g_timeout_add (EXPIRE_MS, expire_announcements, soak);
   for (int i = 0; i < soak->vm_count; i++)
-    soak_vm_note_fault (&soak->vms[i], soak_now () + EXPIRE_MS);
+    soak_vm_note_cut (&soak->vms[i], soak_now () + EXPIRE_MS);
   return G_SOURCE_REMOVE;
 }
 
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -47,6 +47,12 @@
   return soak_now () - since > SOAK_STABLE_MS;
 }
 
+bool
+soak_is_in_touch (const struct SoakVm *vm)
+{
+  return soak_now () - vm->cut_until > SOAK_STABLE_MS;
+}
+
 /* The store, its paths and the fabric are in this process: if it is held up, the VMs see a store
  * that does not answer and a fabric that does not read. */
 static gboolean
@@ -60,7 +66,7 @@
       soak->held_up++;
       soak->any_fault_at = MAX (soak->any_fault_at, now);
       for (int i = 0; i < soak->vm_count; i++)
-        soak_vm_note_fault (&soak->vms[i], now);
+        soak_vm_note_cut (&soak->vms[i], now);
     }
   soak->beat_at = now;
   return G_SOURCE_CONTINUE;
@@ -190,6 +196,7 @@
     soak->left_out = g_rand_int (soak->trouble);
   soak_overload_start (soak, (guint32) atoi (argv[3]));
   soak_scale_in_start (soak, (guint32) atoi (argv[3]));
+  soak_cookies_start (soak, (guint32) atoi (argv[3]));
   soak->folder = g_dir_make_tmp ("cf-soak-XXXXXX", NULL);
   soak_callers_bind (soak);
   soak->loop = g_main_loop_new (NULL, FALSE);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -122,7 +122,8 @@
   int failed_checks;
   bool compared;         /* its metrics were read at the end */
   int64_t ready_at;      /* when it last answered a check of its readiness with success */
-  int64_t last_fault_at; /* end of the last fault on it */
+  int64_t last_fault_at; /* end of the last fault on it, */
+  int64_t cut_until;     /* and of the last one that may have kept it from learning of changes */
   int64_t silent_at[SOAK_UPSTREAMS]; /* when it last got data again of a flow that was silenced */
   struct SoakProxy *proxy;           /* to the store */
   struct SoakProxy *peers_proxy;     /* from other VMs: at ip, to ready_ip */
@@ -142,6 +143,8 @@
 void soak_vm_pause (struct SoakVm *vm, int ms);
 /* Records a fault on VM that lasts until UNTIL.  Faults overlap: the latest end counts. */
 void soak_vm_note_fault (struct SoakVm *vm, int64_t until);
+/* Records one that may keep VM from learning of changes. */
+void soak_vm_note_cut (struct SoakVm *vm, int64_t until);
 /* Writes the first PART (0 to 1) of the settings of VM in place, with other seeds. */
 void soak_settings_write (struct SoakVm *vm, double part);
 
@@ -156,6 +159,8 @@
 void soak_overload_start (struct Soak *soak, guint32 seed);
 /* Planned scale-in of upstreams with open flows. */
 void soak_scale_in_start (struct Soak *soak, guint32 seed);
+/* Upstreams whose ids share a cookie are replaced while VMs restart. */
+void soak_cookies_start (struct Soak *soak, guint32 seed);
 /* Evacuates DOMAIN for MS, or longer; no domain may be evacuated. */
 void soak_evacuate (struct Soak *soak, const char *domain, int ms);
 /* Entries of another writer in the store. */
@@ -264,10 +269,11 @@
   uint32_t served;
   uint32_t stable_requests; /* begun while stable */
   uint32_t stable_served;
-  uint32_t resets;     /* open flows that the VMs reset */
-  bool overload;       /* the VMs have overload control on */
-  bool extra_openings; /* and extra openings */
-  GRand *scale_random; /* decides on scale-in */
+  uint32_t resets;       /* open flows that the VMs reset */
+  bool overload;         /* the VMs have overload control on */
+  bool extra_openings;   /* and extra openings */
+  GRand *scale_random;   /* decides on scale-in */
+  GRand *cookies_random; /* decides on upstreams that share a cookie */
   uint32_t scale_ins;
   const char *paused_domain; /* callers with open flows there send no requests */
   int64_t paused_until;      /* before this time */
@@ -288,6 +294,9 @@
 void soak_violation (struct Soak *soak, const char *format, ...)
     __attribute__ ((format (printf, 2, 3)));
 
+/* Returns true if VM has long been able to learn of changes, whether or not it has restarted. */
+bool soak_is_in_touch (const struct SoakVm *vm);
+
 /* Returns true if VM (NULL: every VM) has had no fault for SOAK_STABLE_MS. */
 bool soak_is_stable (const struct Soak *soak, const struct SoakVm *vm);
 
--- a/tests/soak/troubles.c
+++ b/tests/soak/troubles.c
@@ -187,7 +187,7 @@
     {
       struct SoakVm *vm = &soak->vms[i];
 
-      soak_vm_note_fault (vm, soak_now ());
+      soak_vm_note_cut (vm, soak_now ());
       if (only && vm != only)
         continue;
       if (paths & 1)
@@ -211,7 +211,7 @@
 
   soak_store_set_garbled (soak->store, true);
   for (int i = 0; i < soak->vm_count; i++)
-    soak_vm_note_fault (&soak->vms[i], soak_now () + ms);
+    soak_vm_note_cut (&soak->vms[i], soak_now () + ms);
   g_timeout_add ((guint) ms, end_garbled, soak);
 }
 
--- a/tests/soak/upstreams.c
+++ b/tests/soak/upstreams.c
@@ -8,6 +8,18 @@
 #define WAITING_MAX 3 /* requests that wait for a slot; further ones are turned away, */
 #define BUSY_MS 80    /* after this time */
 
+#define SHARERS_MAX 3        /* upstreams of a service whose ids share a cookie */
+#define ANY_SERVICE_ONE_IN 4 /* one in so many may share it with one of another service */
+
+/* Tags whose ids have the same cookie, for "t", "s" and any service, found by search among 9
+ * million.  They are used in this order, and the store lists their ids in the opposite one. */
+#define SHARERS 3
+static const uint64_t sharing_tags[][SHARERS] = {
+  { 0x00854a5401, 0x006389ce01, 0x0044ff4001 },
+  { 0x007ea4f901, 0x003a5b4501, 0x001247c601 },
+  { 0x008819ff01, 0x006ca44201, 0x004604f501 },
+};
+
 /* A request at an upstream that needs time. */
 struct Job
 {
@@ -224,14 +236,64 @@
   g_free (content);
 }
 
+static const struct SoakUpstream *
+find_tag (const struct Soak *soak, uint64_t tag)
+{
+  for (int i = 0; i < SOAK_UPSTREAMS; i++)
+    if (soak->upstreams[i].tag == tag)
+      return &soak->upstreams[i];
+  return NULL;
+}
+
+/* Returns the number of other upstreams of the service of UPSTREAM whose ids share a cookie. */
+static int
+count_sharers (const struct SoakUpstream *upstream)
+{
+  int count = 0;
+
+  for (size_t i = 0; i < G_N_ELEMENTS (sharing_tags); i++)
+    for (int j = 0; j < SHARERS; j++)
+      {
+        const struct SoakUpstream *other = find_tag (upstream->soak, sharing_tags[i][j]);
+
+        count += other && other != upstream && strcmp (other->service, upstream->service) == 0;
+      }
+  return count;
+}
+
+/* Returns the tag of an upstream that starts in place of UPSTREAM: one whose id shares its cookie
+ * with others, mostly of the same service, unless MOST of this have one, as only one of them gets
+ * new flows. */
+static uint64_t
+draw_tag (const struct SoakUpstream *upstream, int most)
+{
+  struct Soak *soak = upstream->soak;
+  uint64_t drawn = (uint64_t) g_rand_int (soak->random) << 8 | 1;
+  bool any_service = g_rand_int_range (soak->cookies_random, 0, ANY_SERVICE_ONE_IN) == 0;
+  const uint64_t *tags = sharing_tags[any_service ? 2 : strcmp (upstream->service, "s") == 0];
+
+  if (!soak_has_fault (soak, "cookies") || count_sharers (upstream) >= most)
+    return drawn;
+  for (int i = 0; i < SHARERS; i++)
+    if (!find_tag (soak, tags[i]))
+      return tags[i];
+  return drawn;
+}
+
+static void
+set_tag (struct SoakUpstream *upstream, uint64_t tag)
+{
+  upstream->tag = tag;
+  g_snprintf (upstream->id, sizeof upstream->id, "i-%010" G_GINT64_MODIFIER "x", tag);
+}
+
 void
 soak_upstream_restart (struct SoakUpstream *upstream, bool same_id)
 {
   if (!same_id)
     {
       soak_store_put (upstream->soak->store, CF_FEED_UPSTREAMS, upstream->id, NULL);
-      upstream->tag = (uint64_t) g_rand_int (upstream->soak->random) << 8 | 1;
-      g_snprintf (upstream->id, sizeof upstream->id, "i-%010" G_GINT64_MODIFIER "x", upstream->tag);
+      set_tag (upstream, draw_tag (upstream, SHARERS_MAX));
     }
   upstream->started_at = soak_now ();
   upstream->draining = false;
@@ -258,8 +320,7 @@
       upstream->service = i < SOAK_UPSTREAMS - 4 ? "s" : "t";
       upstream->flows = g_hash_table_new (NULL, NULL);
       g_queue_init (&upstream->waiting);
-      upstream->tag = (uint64_t) g_rand_int (soak->random) << 8 | 1;
-      g_snprintf (upstream->id, sizeof upstream->id, "i-%010" G_GINT64_MODIFIER "x", upstream->tag);
+      set_tag (upstream, draw_tag (upstream, 1));
       g_snprintf (upstream->ip, sizeof upstream->ip, "127.3.0.%d", 10 + i);
       address = g_inet_socket_address_new_from_string (upstream->ip, SOAK_UPSTREAM_PORT (soak));
       upstream->socket = g_socket_new (G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_DATAGRAM,
--- a/tests/soak/vms.c
+++ b/tests/soak/vms.c
@@ -33,6 +33,13 @@
   vm->last_fault_at = MAX (vm->last_fault_at, until);
 }
 
+void
+soak_vm_note_cut (struct SoakVm *vm, int64_t until)
+{
+  soak_vm_note_fault (vm, until);
+  vm->cut_until = MAX (vm->cut_until, until);
+}
+
 /* Returns true if the set of signals that FIELD of TEXT, a process's status, shows has SIGHUP, the
  * first of them. */
 static bool
@@ -271,6 +278,7 @@
   if (vm->paused || !vm->process)
     return;
   vm->paused = true;
+  soak_vm_note_cut (vm, soak_now () + ms);
   soak_vm_signal (vm, SIGSTOP);
   g_timeout_add ((guint) ms, resume_vm, vm);
 }
--- a/tests/sockets/soak.sh
+++ b/tests/sockets/soak.sh
@@ -22,10 +22,11 @@
 #           packets that had waited, of flows that had opened at other VMs meanwhile; once in four runs
 #           without the change (21 with press,pause)
 #   2, 3    with 3a49c1a, SOAK_FAULTS=scale-in, 20 s: flows to an upstream that stayed were reset on the
-#           evidence of upstreams that had ended (violation FLOW)
+#           evidence of upstreams that had ended (violation FLOW); also 2, 3 and 4 with
+#           SOAK_FAULTS=cookies, 20 s: a restarted VM mistook the owner of a cookie
 # Of these, 11 and 6008 run here, and 1, which has all kinds of faults.  31 plays connections that go
 # silent for good, to the store and between VMs, beside restarts, partitions and drains; 3 overloads beside
-# VMs that are paused; 2 planned scale-in of upstreams with open flows.
+# VMs that are paused; 2 planned scale-in of upstreams with open flows; 4 upstreams that share cookies.
 set -e
 for seed in 1 11 6008; do
   "$1/soak" "$1/cyclamenferry" 12 "$seed"
@@ -33,3 +34,4 @@
 SOAK_FAULTS=silent,path,stop,drain,route "$1/soak" "$1/cyclamenferry" 12 31
 SOAK_FAULTS=press,busy,pause "$1/soak" "$1/cyclamenferry" 12 3
 SOAK_FAULTS=scale-in "$1/soak" "$1/cyclamenferry" 12 2
+SOAK_FAULTS=cookies "$1/soak" "$1/cyclamenferry" 12 4
