Unreachable domains: an upstream whose address another one has is no evidence

An upstream that crashes and starts again under a new id leaves its old announcement for some seconds, and its old flows are silent: the new process ignores packets for another id.

Change: of upstreams with one address the last that started has it. Silent flows to the others are not recorded, and what was recorded is dropped when the address is taken.

Measured: the four new loops of test_unreachable (ENDING_IS_REPLACED) fail without the change and pass with it.

--- a/src/balance/directory.c
+++ b/src/balance/directory.c
@@ -14,6 +14,7 @@
   GHashTable *by_id;      /* id to struct CfTarget, owned */
   GHashTable *by_cookie;  /* cookie to struct CfTarget, the first with it of all that are known */
   GHashTable *by_service; /* GQuark to struct Service, owned; none is removed */
+  GHashTable *by_address; /* address to the struct CfTarget that started last of those with it */
   bool listed;
   CfUpstreamChange *changes;
   void *context;
@@ -39,6 +40,18 @@
   g_free (service);
 }
 
+static guint
+hash_address (gconstpointer key)
+{
+  return cf_endpoint_hash (*(const struct CfEndpoint *) key);
+}
+
+static gboolean
+equal_address (gconstpointer a, gconstpointer b)
+{
+  return cf_endpoint_equal (*(const struct CfEndpoint *) a, *(const struct CfEndpoint *) b);
+}
+
 struct CfDirectory *
 cf_directory_new (void)
 {
@@ -47,12 +60,14 @@
   directory->by_id = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_target);
   directory->by_cookie = g_hash_table_new (NULL, NULL);
   directory->by_service = g_hash_table_new_full (NULL, NULL, NULL, free_service);
+  directory->by_address = g_hash_table_new (hash_address, equal_address);
   return directory;
 }
 
 void
 cf_directory_free (struct CfDirectory *directory)
 {
+  g_hash_table_unref (directory->by_address);
   g_hash_table_unref (directory->by_service);
   g_hash_table_unref (directory->by_cookie);
   g_hash_table_unref (directory->by_id);
@@ -211,6 +226,45 @@
     first->cookie_settles_at = now + CF_DIRECTORY_SETTLE_MS;
 }
 
+static struct CfTarget *
+holder_of (const struct CfDirectory *directory, const struct CfEndpoint *address)
+{
+  return g_hash_table_lookup (directory->by_address, address);
+}
+
+static void
+leave_address (struct CfDirectory *directory, const struct CfTarget *target)
+{
+  if (holder_of (directory, &target->address) == target)
+    g_hash_table_remove (directory->by_address, &target->address);
+}
+
+/* Sets the address of TARGET.  Of several upstreams with one address the last that started has it,
+ * unless it is gone. */
+static void
+set_address (struct CfDirectory *directory, struct CfTarget *target, struct CfEndpoint address)
+{
+  struct CfTarget *holder;
+
+  leave_address (directory, target);
+  target->address = address;
+  holder = holder_of (directory, &address);
+  if (holder && holder->state != CF_TARGET_GONE && precedes (target, holder))
+    return;
+  if (holder)
+    notify_change (directory, holder);
+  /* The key is in the holder. */
+  g_hash_table_replace (directory->by_address, &target->address, target);
+}
+
+bool
+cf_directory_replaced (const struct CfDirectory *directory, const struct CfTarget *target)
+{
+  const struct CfTarget *holder = holder_of (directory, &target->address);
+
+  return holder && holder != target && holder->state != CF_TARGET_GONE && precedes (target, holder);
+}
+
 void
 cf_directory_set_listed (struct CfDirectory *directory)
 {
@@ -307,7 +361,7 @@
   target->revision = announcement->revision;
   target->tag = announcement->tag;
   target->domain = domain;
-  target->address = announcement->address;
+  set_address (directory, target, announcement->address);
   target->slots = announcement->slots;
   index_by_service (directory, target, g_quark_from_string (announcement->service));
   set_state (directory, target, announcement->draining ? CF_TARGET_LEAVING : CF_TARGET_READY, now);
@@ -366,6 +420,7 @@
       struct CfTarget *target = old->pdata[i];
 
       leave_cookie (directory, target);
+      leave_address (directory, target);
       g_ptr_array_remove_fast (cf_directory_service (directory, target->service), target);
       g_hash_table_remove (directory->by_id, target->id);
     }
--- a/src/balance/directory.h
+++ b/src/balance/directory.h
@@ -133,8 +133,9 @@
 struct CfDirectory *cf_directory_new (void);
 void cf_directory_free (struct CfDirectory *directory);
 
-/* Called before the state, the incarnation or the failure domain of TARGET changes: what its
- * silence, or that of its flows, has shown so far no longer holds. */
+/* Called before the state, the incarnation or the failure domain of TARGET changes, or another
+ * upstream takes over its address: what its silence, or that of its flows, has shown so far no
+ * longer holds. */
 typedef void CfUpstreamChange (void *context, struct CfTarget *target);
 
 /* Has FUNC (NULL: nothing) called with CONTEXT. */
@@ -182,6 +183,10 @@
   return target->collides || now < target->cookie_settles_at;
 }
 
+/* Returns true if an upstream that started later than TARGET has announced the same address: the
+ * process of TARGET has ended, although its announcement has not expired yet. */
+bool cf_directory_replaced (const struct CfDirectory *directory, const struct CfTarget *target);
+
 /* Returns the upstreams of SERVICE, an array of struct CfTarget *, or NULL. */
 GPtrArray *cf_directory_service (const struct CfDirectory *directory, GQuark service);
 
--- a/src/balance/later_packet.c
+++ b/src/balance/later_packet.c
@@ -201,8 +201,9 @@
     cf_unreachable_record_answer (balance->unreachable, target, update.sent_at, now);
   if (update.repeated)
     {
-      cf_unreachable_record_repeat (balance->unreachable, target, &connection->delivery,
-                                    segment->caller.ip, now);
+      if (!cf_directory_replaced (balance->directory, target))
+        cf_unreachable_record_repeat (balance->unreachable, target, &connection->delivery,
+                                      segment->caller.ip, now);
       cf_connections_add_silent (&balance->connections, connection);
     }
   /* A request that must not run twice is not repeated after a reset; its answer may still come. */
--- a/tests/test_unreachable.c
+++ b/tests/test_unreachable.c
@@ -351,6 +351,7 @@
   ENDING_IS_REMOVED,
   ENDING_LAPSES,
   ENDING_LAPSES_AND_GOES,
+  ENDING_IS_REPLACED,  /* crashed: another one has announced its address, under a new id */
   ENDING_STARTS_AGAIN, /* this and what follows: flows may be silent until then only */
   ENDING_MOVES,
   ENDINGS,
@@ -377,6 +378,27 @@
                          scene->sim->now);
 }
 
+static void
+replace_upstream (struct Scene *scene, const char *id)
+{
+  struct CfDirectory *directory = cf_balance_directory (scene->balance);
+  char new_id[16];
+
+  g_snprintf (new_id, sizeof new_id, "new-%s", id);
+  cf_directory_announce (directory,
+                         &(struct CfAnnouncement){
+                             .id = new_id,
+                             .tag = 2,
+                             .service = "s",
+                             .domain = "b",
+                             .address = cf_directory_by_id (directory, id)->address,
+                             .slots = 2,
+                             .started = scene->sim->now,
+                             .revision = 1,
+                         },
+                         scene->sim->now);
+}
+
 static void
 end_upstream (struct Scene *scene, const char *id, enum Ending ending)
 {
@@ -384,7 +406,9 @@
   bool drains = ending == ENDING_DRAINS || ending == ENDING_DRAINS_AND_GOES;
   bool lapses = ending == ENDING_LAPSES || ending == ENDING_LAPSES_AND_GOES;
 
-  if (drains || ending >= ENDING_STARTS_AGAIN)
+  if (ending == ENDING_IS_REPLACED)
+    replace_upstream (scene, id);
+  if (drains || ending == ENDING_STARTS_AGAIN || ending == ENDING_MOVES)
     announce_again (scene, id, drains, ending == ENDING_STARTS_AGAIN, ending == ENDING_MOVES);
   if (lapses)
     cf_directory_withdraw (directory, id, false, scene->sim->now);
@@ -460,7 +484,7 @@
   stay_silent (&scene, other);
   for (int i = 0; i < 3; i++)
     stay_silent (&scene, far[i]);
-  ck_assert (far[2]->reset == (other->target->state == CF_TARGET_GONE));
+  ck_assert (far[2]->reset == (_i == ENDING_IS_REPLACED || other->target->state == CF_TARGET_GONE));
   sim_free (scene.sim);
 }
 END_TEST
