Lost first packets: upstreams that have ended are no evidence

Found by reading; no run of processes has shown it.

Change: the losses of a domain are held by upstream and dropped when one drains, goes, starts again or is replaced. Upstreams that lapse still get flows, so their losses stay. An outage goes on until no loss is left or one answers, so that a domain that is cut off does not come back while its announcements expire one by one.

Measured: test_lost_at_upstreams_that_ended and test_isolation_and_upstreams_that_ended 0 fail without the change; test_lost_at_upstreams_that_lapsed fails if losses at lapsed upstreams are dropped, too.

--- a/src/balance/balance.c
+++ b/src/balance/balance.c
@@ -1,5 +1,6 @@
 #include "balance_internal.h"
 #include "exchange.h"
+#include "reach.h"
 
 /* Upstreams announce themselves about this often.  When the evacuation of a domain ends, its
  * upstreams may have become cold without having announced it yet. */
@@ -9,10 +10,17 @@
 
 /* A CfUpstreamChange. */
 static void
-upstream_changes (void *context, struct CfTarget *target)
+upstream_changes (void *context, struct CfTarget *target, bool ends)
 {
-  (void) context;
+  struct CfBalance *balance = context;
+
   cf_unreachable_forget (target);
+  if (!ends)
+    return;
+  if (!cf_reach_good (&target->reach))
+    cf_isolation_forget (&balance->isolation);
+  if (cf_outages_forget (balance->outages, target))
+    cf_balance_notify_outage (balance, target->domain, false);
 }
 
 struct CfBalance *
--- a/src/balance/directory.c
+++ b/src/balance/directory.c
@@ -82,10 +82,10 @@
 }
 
 static void
-notify_change (const struct CfDirectory *directory, struct CfTarget *target)
+notify_change (const struct CfDirectory *directory, struct CfTarget *target, bool ends)
 {
   if (directory->changes)
-    directory->changes (directory->context, target);
+    directory->changes (directory->context, target, ends);
 }
 
 uint32_t
@@ -122,7 +122,7 @@
 {
   if (target->state == state)
     return;
-  notify_change (directory, target);
+  notify_change (directory, target, state == CF_TARGET_LEAVING || state == CF_TARGET_GONE);
   target->state = state;
   target->state_since = now;
 }
@@ -252,7 +252,7 @@
   if (holder && holder->state != CF_TARGET_GONE && precedes (target, holder))
     return;
   if (holder)
-    notify_change (directory, holder);
+    notify_change (directory, holder, true);
   /* The key is in the holder. */
   g_hash_table_replace (directory->by_address, &target->address, target);
 }
@@ -282,6 +282,7 @@
   target->reach.confirmed_at = -1;
   target->heard_at = -1;
   cf_list_init (&target->silence.link);
+  cf_list_init (&target->lost_link);
   target->started = announcement->started;
   g_hash_table_insert (directory->by_id, target->id, target);
   set_started (directory, target, announcement->started, now);
@@ -343,7 +344,7 @@
     target = add_target (directory, announcement, now);
   domain = g_quark_from_string (announcement->domain);
   if (announcement->started != target->started || domain != target->domain)
-    notify_change (directory, target);
+    notify_change (directory, target, true);
   if (announcement->started != target->started)
     {
       target->reach = (struct CfReach){ .confirmed_at = -1 };
--- a/src/balance/directory.h
+++ b/src/balance/directory.h
@@ -122,6 +122,7 @@
   uint64_t earlier_revision;
   CfMillis heard_at; /* when an answer of it was last seen, -1: never */
   struct CfSilence silence;
+  struct CfLink lost_link; /* in the first packets lost in its domain (outage.h), or empty */
   struct CfTarget *next_of_cookie; /* the next later one with the same cookie, or NULL */
 };
 
@@ -133,10 +134,10 @@
 struct CfDirectory *cf_directory_new (void);
 void cf_directory_free (struct CfDirectory *directory);
 
-/* Called before the state, the incarnation or the failure domain of TARGET changes, or another
+/* Called before TARGET changes its state, its incarnation or its failure domain, or another
  * upstream takes over its address: what its silence, or that of its flows, has shown so far no
- * longer holds. */
-typedef void CfUpstreamChange (void *context, struct CfTarget *target);
+ * longer holds. With ENDS it gets no new flows as it is, without it has lapsed or is back. */
+typedef void CfUpstreamChange (void *context, struct CfTarget *target, bool ends);
 
 /* Has FUNC (NULL: nothing) called with CONTEXT. */
 void cf_directory_watch (struct CfDirectory *directory, CfUpstreamChange *func, void *context);
--- a/src/balance/first_packet.c
+++ b/src/balance/first_packet.c
@@ -322,6 +322,15 @@
     }
 }
 
+/* Returns true if this VM has learned that TARGET drains, has ended or was replaced.  One that has
+ * lapsed gets flows. */
+static bool
+may_have_ended (const struct CfBalance *balance, const struct CfTarget *target)
+{
+  return target->state == CF_TARGET_LEAVING || target->state == CF_TARGET_GONE
+         || cf_directory_replaced (balance->directory, target);
+}
+
 /* The attempt number INDEX of CONNECTION was lost. */
 static void
 record_loss (struct CfBalance *balance,
@@ -332,12 +341,14 @@
   struct CfTarget *target = connection->tried[index];
   bool good = cf_reach_good (&target->reach);
 
-  cf_isolation_record_loss (&balance->isolation, connection->tried_at[index], now);
   cf_reach_record_failure (&target->reach, connection->tried_at[index], now);
+  if (may_have_ended (balance, target))
+    return;
+  cf_isolation_record_loss (&balance->isolation, connection->tried_at[index], now);
   if (!good || cf_reach_good (&target->reach))
     return;
   cf_balance_notify_reach (balance, target);
-  if (cf_outages_record_loss (balance->outages, target->domain))
+  if (cf_outages_record_loss (balance->outages, target))
     cf_balance_notify_outage (balance, target->domain, true);
 }
 
--- a/src/balance/isolation.c
+++ b/src/balance/isolation.c
@@ -15,6 +15,13 @@
     isolation->lost_since = now;
 }
 
+void
+cf_isolation_forget (struct CfIsolation *isolation)
+{
+  if (isolation->detected_at < 0)
+    isolation->lost = 0;
+}
+
 void
 cf_isolation_record_open (struct CfIsolation *isolation)
 {
--- a/src/balance/isolation.h
+++ b/src/balance/isolation.h
@@ -23,6 +23,9 @@
 /* Records that a first packet, sent to an upstream at SENT, was lost. */
 void cf_isolation_record_loss (struct CfIsolation *isolation, CfMillis sent, CfMillis now);
 
+/* Drops the first packets lost so far, unless this VM is isolated: the upstreams have ended. */
+void cf_isolation_forget (struct CfIsolation *isolation);
+
 /* Records that a flow has opened. */
 void cf_isolation_record_open (struct CfIsolation *isolation);
 
--- a/tests/test_first_packets.c
+++ b/tests/test_first_packets.c
@@ -317,6 +317,93 @@
 }
 END_TEST
 
+/* Three upstreams of a domain have ended, and this VM learns of it only after it has lost first
+ * packets there.  Their domain was avoided until an upstream there answered. */
+START_TEST (test_lost_at_upstreams_that_ended)
+{
+  static const char *const ids[] = { "b-0", "b-1", "b-2" };
+  struct Simulation *sim = sim_new ();
+  struct CfBalance *balance = sim_add_vm (sim, "b", 0);
+  struct CfDirectory *directory = cf_balance_directory (balance);
+
+  for (int i = 0; i < 3; i++)
+    {
+      sim_add_upstream (sim, NULL, ids[i], "s", "b", 0);
+      g_hash_table_add (sim->unresponsive, (gpointer) ids[i]);
+    }
+  sim_open_flow (sim, balance, 80);
+  sim_run (sim, sim->now + 3000);
+  for (int i = 0; i < 3; i++)
+    {
+      ck_assert (!cf_reach_good (&cf_directory_by_id (directory, ids[i])->reach));
+      cf_directory_withdraw (directory, ids[i], true, sim->now);
+    }
+  sim_add_upstream (sim, NULL, "a-0", "s", "a", 0);
+  sim_add_upstream (sim, NULL, "b-3", "s", "b", 0);
+  for (int i = 0; i < 2; i++)
+    {
+      sim_open_flow (sim, balance, 80);
+      ck_assert_str_eq (sim->last->id, "b-3");
+      ck_assert_int_eq (sim->decision.reason, CF_PLACE_NEAR);
+    }
+  sim_free (sim);
+}
+END_TEST
+
+/* A domain is cut off while the store is unreliable: its upstreams lapse, which ends no outage,
+ * since they may still be used. */
+START_TEST (test_lost_at_upstreams_that_lapsed)
+{
+  static const char *const ids[] = { "b-0", "b-1", "b-2", "b-3", "b-4", "b-5" };
+  struct Simulation *sim = sim_new ();
+  struct CfBalance *balance = sim_add_vm (sim, "b", 0);
+  struct CfDirectory *directory = cf_balance_directory (balance);
+
+  for (int i = 0; i < 6; i++)
+    {
+      sim_add_upstream (sim, NULL, ids[i], "s", "b", 0);
+      g_hash_table_add (sim->unresponsive, (gpointer) ids[i]);
+    }
+  sim_open_flow (sim, balance, 80);
+  sim_run (sim, sim->now + 180);
+  sim_add_upstream (sim, NULL, "a-0", "s", "a", 0);
+  for (int i = 0; i < 6; i++)
+    cf_directory_withdraw (directory, ids[i], false, sim->now);
+  sim_open_flow (sim, balance, 80); /* a trial */
+  sim_open_flow (sim, balance, 80);
+  ck_assert_str_eq (sim->last->id, "a-0");
+  sim_free (sim);
+}
+END_TEST
+
+/* First packets were lost at upstreams that have ended: one more that is lost elsewhere does not
+ * make this VM count as isolated, which takes it out of the rotation. */
+START_TEST (test_isolation_and_upstreams_that_ended)
+{
+  struct Simulation *sim = sim_new ();
+  struct CfBalance *balance = sim_add_vm (sim, "a", 0);
+  struct CfDirectory *directory = cf_balance_directory (balance);
+
+  sim_add_upstream (sim, NULL, "t-0", "t", "a", 0);
+  sim_add_upstream (sim, NULL, "s-0", "s", "a", 0);
+  g_hash_table_add (sim->unresponsive, (gpointer) "t-0");
+  g_hash_table_add (sim->unresponsive, (gpointer) "s-0");
+  for (int i = 0; i < CF_ISOLATION_LOST - 1; i++)
+    {
+      sim_open_flow (sim, balance, 81);
+      sim_run (sim, sim->now + 50);
+    }
+  sim_run (sim, sim->now + 100);
+  if (_i == 0)
+    cf_directory_withdraw (directory, "t-0", true, sim->now);
+  for (int i = 0; i < (_i == 0 ? 1 : CF_ISOLATION_LOST); i++)
+    sim_open_flow (sim, balance, 80);
+  sim_run (sim, sim->now + 150);
+  ck_assert (cf_balance_isolated (balance, sim->now) == (_i == 1));
+  sim_free (sim);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -331,5 +418,8 @@
   suite_add_loop (suite, test_retransmission_ends_attempt, 1);
   suite_add_loop (suite, test_domain_goes_away, 1);
   suite_add_loop (suite, test_some_unreachable_no_outage, 1);
+  suite_add_loop (suite, test_lost_at_upstreams_that_ended, 1);
+  suite_add_loop (suite, test_lost_at_upstreams_that_lapsed, 1);
+  suite_add_loop (suite, test_isolation_and_upstreams_that_ended, 2);
   return suite_run (suite);
 }
