Outlier detection: upstreams that have ended are no reference

Change: only ready upstreams count for the one in three. The answers of an upstream of which some failed are dropped from its service when it ends, and no answer from one that is gone is not counted. For 4 s after a restart reports on the upstream's answers and pace are ignored: other VMs may not know of it.

Measured: test_gone_upstream_leaves_room, both loops of test_failures_of_ended_upstream and test_report_about_previous_incarnation fail without the change and pass with it.

--- a/src/balance/balance.c
+++ b/src/balance/balance.c
@@ -17,6 +17,8 @@
   cf_unreachable_forget (target);
   if (!ends)
     return;
+  if (target->service)
+    cf_outlier_forget (balance->outlier_detector, target, balance->now);
   if (!cf_reach_good (&target->reach))
     cf_isolation_forget (&balance->isolation);
   if (cf_outages_forget (balance->outages, target))
--- a/src/balance/directory.c
+++ b/src/balance/directory.c
@@ -281,6 +281,7 @@
   target->state_since = now;
   target->reach.confirmed_at = -1;
   target->heard_at = -1;
+  target->restarted_at = -1;
   cf_list_init (&target->silence.link);
   cf_list_init (&target->lost_link);
   target->started = announcement->started;
@@ -353,6 +354,7 @@
       target->quality = (struct CfQuality){ 0 };
       cf_pace_clear (&target->pace);
       target->cold_until = 0;
+      target->restarted_at = now;
       set_started (directory, target, announcement->started, now);
     }
   if (announcement->era != target->era || announcement->revision != target->revision)
--- a/src/balance/directory.h
+++ b/src/balance/directory.h
@@ -114,7 +114,9 @@
   CfMillis state_since;
   GQuark service;
   int64_t started;
-  uint64_t era; /* of the store, which the revision counts in */
+  CfMillis
+      restarted_at; /* when this VM learned of its present incarnation, -1: with the upstream */
+  uint64_t era;     /* of the store, which the revision counts in */
   uint64_t revision;
   /* Of the last announcement that was ignored for its start time; revision 0: none since one that
    * counts. */
@@ -176,6 +178,13 @@
 /* Milliseconds after which every VM knows of an upstream, or of its restart. */
 #define CF_DIRECTORY_SETTLE_MS 4000
 
+/* Returns true if other VMs may still take TARGET for its previous incarnation at NOW. */
+static inline bool
+cf_target_restarted_lately (const struct CfTarget *target, CfMillis now)
+{
+  return target->restarted_at >= 0 && now - target->restarted_at < CF_DIRECTORY_SETTLE_MS;
+}
+
 /* Returns true if TARGET gets no new flows at NOW, as their packets could reach another upstream
  * with its cookie. */
 static inline bool
--- a/src/balance/outlier.c
+++ b/src/balance/outlier.c
@@ -183,8 +183,10 @@
     {
       const struct CfTarget *target = siblings->pdata[i];
 
+      if (target->state != CF_TARGET_READY)
+        continue;
       avoided += cf_outlier_avoided (target, now);
-      ready += target->state == CF_TARGET_READY;
+      ready++;
     }
   return (avoided + 1) * CF_OUTLIER_AVOID_ONE_IN <= ready;
 }
@@ -274,8 +276,11 @@
                             uint32_t bytes,
                             CfMillis now)
 {
-  bool failed = bytes == 0 || record_size (detector, address, bytes);
+  bool failed;
 
+  if (bytes == 0 && target->state == CF_TARGET_GONE)
+    return false;
+  failed = bytes == 0 || record_size (detector, address, bytes);
   count_answer (service_tally (detector, target->service), failed, now);
   count_answer (&target->quality.tally, failed, now);
   if (!failed)
@@ -284,6 +289,20 @@
   return avoid_if_outlier (detector, target, siblings, now);
 }
 
+void
+cf_outlier_forget (struct CfOutlierDetector *detector, struct CfTarget *target, CfMillis now)
+{
+  struct CfTally *all = service_tally (detector, target->service);
+  struct CfTally own = decay (&target->quality.tally, now);
+
+  if (own.failed <= 0)
+    return;
+  *all = decay (all, now);
+  all->answers = MAX (all->answers - own.answers, 0);
+  all->failed = MAX (all->failed - own.failed, 0);
+  target->quality.tally = (struct CfTally){ .at = now };
+}
+
 /* Stores the observations of the VM named VM of an upstream.  Returns by how much its failures
  * have grown since its last report. */
 static double
@@ -325,8 +344,11 @@
                          CfMillis now)
 {
   struct CfQuality *quality = &target->quality;
-  bool worse = store_remote_tally (quality, vm, line, now) >= CF_OUTLIER_FAILURES_MIN_REPEATED;
+  bool worse;
 
+  if (cf_target_restarted_lately (target, now))
+    return false;
+  worse = store_remote_tally (quality, vm, line, now) >= CF_OUTLIER_FAILURES_MIN_REPEATED;
   if (!worse && !line->avoided)
     return false;
   if (worse)
--- a/src/balance/outlier.h
+++ b/src/balance/outlier.h
@@ -48,7 +48,8 @@
 void cf_outlier_detector_free (struct CfOutlierDetector *detector);
 
 /* Records that a request to ADDRESS, handled by TARGET, got BYTES of an answer.  SIBLINGS are all
- * upstreams of its service.  Returns true if TARGET is avoided from now on. */
+ * upstreams of its service.  Returns true if TARGET is avoided from now on.  No answer from an
+ * upstream that is gone does not count. */
 bool cf_outlier_record_response (struct CfOutlierDetector *detector,
                                  struct CfTarget *target,
                                  GPtrArray *siblings,
@@ -56,6 +57,10 @@
                                  uint32_t bytes,
                                  CfMillis now);
 
+/* Drops the answers of TARGET from those of its service, if some failed: its process has ended, and
+ * its failures say nothing of what is usual. */
+void cf_outlier_forget (struct CfOutlierDetector *detector, struct CfTarget *target, CfMillis now);
+
 /* Records that the first byte of an answer from ADDRESS came after WAIT. */
 void cf_outlier_record_first_byte (struct CfOutlierDetector *detector,
                                    struct CfEndpoint address,
@@ -75,7 +80,7 @@
 CfMillis cf_outlier_stall_ms (const struct CfOutlierDetector *detector, struct CfEndpoint address);
 
 /* Merges LINE, the report on TARGET by the VM named VM.  Returns true if TARGET is avoided from
- * now on. */
+ * now on.  Ignores it if it may be about the previous incarnation of TARGET. */
 bool cf_outlier_merge_report (struct CfOutlierDetector *detector,
                               struct CfTarget *target,
                               GPtrArray *siblings,
--- a/tests/test_outlier.c
+++ b/tests/test_outlier.c
@@ -302,6 +302,129 @@
 }
 END_TEST
 
+/* Has the upstream ID answer COUNT requests, of which the first FAILED get a short answer. */
+static void
+answer_requests (struct Scenario *scenario, const char *id, int count, int failed)
+{
+  struct SimFlow *flow = NULL;
+
+  for (int i = 0; i < 400 && (!flow || !g_str_equal (flow->target->id, id)); i++)
+    {
+      flow = sim_open_flow (scenario->sim, scenario->balance, 80);
+      sim_run (scenario->sim, scenario->sim->now + scenario->sim->round_trip + 2);
+    }
+  ck_assert_str_eq (flow->target->id, id);
+  for (int i = 0; i < count; i++)
+    {
+      sim_send_request (flow);
+      sim_run (scenario->sim, scenario->sim->now + 10);
+      sim_acknowledge (flow, i < failed ? BAD_BYTES : GOOD_BYTES);
+    }
+}
+
+static struct Scenario
+scenario_with (int upstreams)
+{
+  struct Scenario scenario = { .sim = sim_new (), .random = g_rand_new_with_seed (1) };
+
+  scenario.balance = sim_add_vm (scenario.sim, "a", 0);
+  for (int i = 0; i < upstreams; i++)
+    {
+      char id[16];
+
+      g_snprintf (id, sizeof id, "i-%d", i);
+      sim_add_upstream (scenario.sim, NULL, id, "s", "a", 0);
+    }
+  return scenario;
+}
+
+static void
+restart_upstream (struct Scenario *scenario, const char *id)
+{
+  struct CfDirectory *directory = cf_balance_directory (scenario->balance);
+  const struct CfTarget *target = cf_directory_by_id (directory, id);
+
+  cf_directory_announce (directory,
+                         &(struct CfAnnouncement){
+                             .id = id,
+                             .tag = target->tag,
+                             .service = "s",
+                             .domain = "a",
+                             .address = target->address,
+                             .slots = target->slots,
+                             .started = scenario->sim->now,
+                             .revision = target->revision + 1,
+                         },
+                         scenario->sim->now);
+}
+
+static bool
+is_avoided (const struct Scenario *scenario, const char *id)
+{
+  return cf_outlier_avoided (cf_directory_by_id (cf_balance_directory (scenario->balance), id),
+                             scenario->sim->now);
+}
+
+/* An upstream that was avoided has gone, and took the place of the one in three that may be:
+ * another that failed was used on. */
+START_TEST (test_gone_upstream_leaves_room)
+{
+  struct Scenario scenario = scenario_with (4);
+  struct CfDirectory *directory = cf_balance_directory (scenario.balance);
+
+  answer_requests (&scenario, "i-2", 20, 0);
+  answer_requests (&scenario, "i-0", 8, 8);
+  ck_assert (is_avoided (&scenario, "i-0"));
+  cf_directory_withdraw (directory, "i-0", true, scenario.sim->now);
+  answer_requests (&scenario, "i-1", 8, 8);
+  ck_assert (is_avoided (&scenario, "i-1"));
+  scenario_free (&scenario);
+}
+END_TEST
+
+/* The failures of an upstream that has gone, or has started again, made those of another one look
+ * usual. */
+START_TEST (test_failures_of_ended_upstream)
+{
+  struct Scenario scenario = scenario_with (4);
+  struct CfDirectory *directory = cf_balance_directory (scenario.balance);
+
+  answer_requests (&scenario, "i-2", 20, 0);
+  answer_requests (&scenario, "i-0", 8, 8);
+  if (_i == 0)
+    cf_directory_withdraw (directory, "i-0", true, scenario.sim->now);
+  else
+    restart_upstream (&scenario, "i-0");
+  answer_requests (&scenario, "i-1", 8, 6);
+  ck_assert (is_avoided (&scenario, "i-1"));
+  scenario_free (&scenario);
+}
+END_TEST
+
+/* An upstream has started again, and a VM that does not know yet reports failures of its previous
+ * process. */
+START_TEST (test_report_about_previous_incarnation)
+{
+  static const struct CfQualityReport report = {
+    .vm = "other",
+    .lines = { { .id = "i-0", .answers = 20, .failed = 20, .avoided = true } },
+    .count = 1,
+  };
+  struct Scenario scenario = scenario_with (4);
+  struct CfDirectory *directory = cf_balance_directory (scenario.balance);
+  struct CfTarget *target = cf_directory_by_id (directory, "i-0");
+
+  answer_requests (&scenario, "i-2", 20, 0);
+  restart_upstream (&scenario, "i-0");
+  cf_balance_receive_report (scenario.balance, &report, scenario.sim->now);
+  ck_assert (!is_avoided (&scenario, "i-0"));
+  answer_requests (&scenario, "i-2", 20, 0);
+  cf_balance_receive_report (scenario.balance, &report, scenario.sim->now + CF_DIRECTORY_SETTLE_MS);
+  ck_assert (cf_outlier_avoided (target, scenario.sim->now + CF_DIRECTORY_SETTLE_MS));
+  scenario_free (&scenario);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -314,5 +437,8 @@
   suite_add_loop (suite, test_pause_not_counted_as_failure, 1);
   suite_add_loop (suite, test_report_without_common_failures, 1);
   suite_add_loop (suite, test_shared_reports, 1);
+  suite_add_loop (suite, test_gone_upstream_leaves_room, 1);
+  suite_add_loop (suite, test_failures_of_ended_upstream, 2);
+  suite_add_loop (suite, test_report_about_previous_incarnation, 1);
   return suite_run (suite);
 }
