--- a/src/balancer/datapath_messages.c
+++ b/src/balancer/datapath_messages.c
@@ -90,6 +90,26 @@
       cf_now ());
 }
 
+/* Logs which upstream packets with the cookie of TARGET are for, if that is another one. */
+static void
+log_shared_cookie (struct DatapathTask *task, const struct CfTarget *target)
+{
+  const struct CfTarget *owner
+      = cf_directory_by_cookie (cf_balance_directory (task->balance), target->cookie);
+
+  if (owner == target)
+    return;
+  cf_event_log_write_limited (
+      task->balancer->log, &task->notable_rate, "cookie-shared",
+      (struct CfField[]){
+          { .key = "upstream", .text = target->id },
+          { .key = "owner", .text = owner->id },
+          { .key = "owner_state", .text = cf_target_state_name (owner->state) },
+          { 0 },
+      },
+      cf_now ());
+}
+
 static void
 apply_upstreams (struct DatapathTask *task, const struct CfUpdate *update, CfMillis now)
 {
@@ -100,7 +120,10 @@
       const struct CfAnnouncement *announcement
           = &g_array_index (update->announcements, struct CfAnnouncement, i);
 
-      log_upstream (task, cf_directory_announce (directory, announcement, now));
+      const struct CfTarget *target = cf_directory_announce (directory, announcement, now);
+
+      log_upstream (task, target);
+      log_shared_cookie (task, target);
     }
   for (guint i = 0; i < update->withdrawn->len; i++)
     {
