Directory: upstreams by cookie in a file of their own

The order of upstreams with one cookie is one job (balance/cookie_index.c). Names say index and remove instead of enter and leave. No change of behaviour: test_cookie_owner, test_directory and test_unreachable give the same results.

--- a/src/balance/balance.c
+++ b/src/balance/balance.c
@@ -10,7 +10,7 @@
 
 /* A CfUpstreamChange. */
 static void
-upstream_changes (void *context, struct CfTarget *target, bool ends)
+drop_evidence (void *context, struct CfTarget *target, bool ends)
 {
   struct CfBalance *balance = context;
 
@@ -38,7 +38,7 @@
   balance->out = outputs;
   balance->context = context;
   balance->directory = cf_directory_new ();
-  cf_directory_watch (balance->directory, upstream_changes, balance);
+  cf_directory_watch (balance->directory, drop_evidence, balance);
   balance->routes = cf_routes_new ();
   balance->evacuated = g_hash_table_new (NULL, NULL);
   balance->random = g_rand_new_with_seed (options->seed);
--- a/src/balance/directory.c
+++ b/src/balance/directory.c
@@ -1,4 +1,5 @@
 #include "directory.h"
+#include "cookie_index.h"
 
 #include <sodium.h>
 #include <string.h>
@@ -11,8 +12,8 @@
 
 struct CfDirectory
 {
-  GHashTable *by_id;      /* id to struct CfTarget, owned */
-  GHashTable *by_cookie;  /* cookie to struct CfTarget, the first with it of all that are known */
+  GHashTable *by_id; /* id to struct CfTarget, owned */
+  struct CfCookieIndex *by_cookie;
   GHashTable *by_service; /* GQuark to struct Service, owned; none is removed */
   GHashTable *by_address; /* address to the struct CfTarget that started last of those with it */
   bool listed;
@@ -58,7 +59,7 @@
   struct CfDirectory *directory = g_new0 (struct CfDirectory, 1);
 
   directory->by_id = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_target);
-  directory->by_cookie = g_hash_table_new (NULL, NULL);
+  directory->by_cookie = cf_cookie_index_new ();
   directory->by_service = g_hash_table_new_full (NULL, NULL, NULL, free_service);
   directory->by_address = g_hash_table_new (hash_address, equal_address);
   return directory;
@@ -69,7 +70,7 @@
 {
   g_hash_table_unref (directory->by_address);
   g_hash_table_unref (directory->by_service);
-  g_hash_table_unref (directory->by_cookie);
+  cf_cookie_index_free (directory->by_cookie);
   g_hash_table_unref (directory->by_id);
   g_free (directory);
 }
@@ -154,88 +155,32 @@
   cf_pace_set_service (&target->pace, &service->pace);
 }
 
-static struct CfTarget *
-first_of_cookie (const struct CfDirectory *directory, uint32_t cookie)
-{
-  return g_hash_table_lookup (directory->by_cookie, GUINT_TO_POINTER (cookie));
-}
-
-/* Returns true if A has the right to a cookie before B.  A start time that is not given is the
- * latest. */
-static bool
-precedes (const struct CfTarget *a, const struct CfTarget *b)
-{
-  if (a->started != b->started)
-    return b->started == 0 || (a->started != 0 && a->started < b->started);
-  return strcmp (a->id, b->id) < 0;
-}
-
-static void
-set_first (struct CfDirectory *directory, uint32_t cookie, struct CfTarget *first)
-{
-  if (first)
-    g_hash_table_insert (directory->by_cookie, GUINT_TO_POINTER (cookie), first);
-  else
-    g_hash_table_remove (directory->by_cookie, GUINT_TO_POINTER (cookie));
-  for (struct CfTarget *target = first; target; target = target->next_of_cookie)
-    target->collides = target != first;
-}
-
-/* Removes TARGET from the upstreams with its cookie. */
-static void
-leave_cookie (struct CfDirectory *directory, struct CfTarget *target)
-{
-  struct CfTarget *first = first_of_cookie (directory, target->cookie);
-  struct CfTarget **link = &first;
-
-  while (*link && *link != target)
-    link = &(*link)->next_of_cookie;
-  if (*link)
-    *link = target->next_of_cookie;
-  target->next_of_cookie = NULL;
-  set_first (directory, target->cookie, first);
-}
-
-/* Adds TARGET to the upstreams with its cookie, in their order. */
-static void
-enter_cookie (struct CfDirectory *directory, struct CfTarget *target)
-{
-  struct CfTarget *first = first_of_cookie (directory, target->cookie);
-  struct CfTarget **link = &first;
-
-  while (*link && precedes (*link, target))
-    link = &(*link)->next_of_cookie;
-  target->next_of_cookie = *link;
-  *link = target;
-  set_first (directory, target->cookie, first);
-}
-
 /* Sets when TARGET started, by which upstreams with one cookie are ordered. */
 static void
 set_started (struct CfDirectory *directory, struct CfTarget *target, int64_t started, CfMillis now)
 {
-  const struct CfTarget *before = first_of_cookie (directory, target->cookie);
+  const struct CfTarget *before = cf_cookie_index_first (directory->by_cookie, target->cookie);
   struct CfTarget *first;
 
-  leave_cookie (directory, target);
+  cf_cookie_index_remove (directory->by_cookie, target);
   target->started = started;
-  enter_cookie (directory, target);
-  first = first_of_cookie (directory, target->cookie);
+  cf_cookie_index_add (directory->by_cookie, target);
+  first = cf_cookie_index_first (directory->by_cookie, target->cookie);
   /* VMs that do not know of the change still send packets with this cookie to BEFORE. */
   if (directory->listed && before && first != before)
     first->cookie_settles_at = now + CF_DIRECTORY_SETTLE_MS;
 }
 
 static struct CfTarget *
-holder_of (const struct CfDirectory *directory, const struct CfEndpoint *address)
+find_by_address (const struct CfDirectory *directory, const struct CfEndpoint *address)
 {
   return g_hash_table_lookup (directory->by_address, address);
 }
 
 static void
-leave_address (struct CfDirectory *directory, const struct CfTarget *target)
+unindex_address (struct CfDirectory *directory, const struct CfTarget *target)
 {
-  if (holder_of (directory, &target->address) == target)
+  if (find_by_address (directory, &target->address) == target)
     g_hash_table_remove (directory->by_address, &target->address);
 }
 
@@ -246,10 +191,10 @@
 {
   struct CfTarget *holder;
 
-  leave_address (directory, target);
+  unindex_address (directory, target);
   target->address = address;
-  holder = holder_of (directory, &address);
-  if (holder && holder->state != CF_TARGET_GONE && precedes (target, holder))
+  holder = find_by_address (directory, &address);
+  if (holder && holder->state != CF_TARGET_GONE && cf_cookie_precedes (target, holder))
     return;
   if (holder)
     notify_change (directory, holder, true);
@@ -260,9 +205,10 @@
 bool
 cf_directory_replaced (const struct CfDirectory *directory, const struct CfTarget *target)
 {
-  const struct CfTarget *holder = holder_of (directory, &target->address);
+  const struct CfTarget *holder = find_by_address (directory, &target->address);
 
-  return holder && holder != target && holder->state != CF_TARGET_GONE && precedes (target, holder);
+  return holder && holder != target && holder->state != CF_TARGET_GONE
+         && cf_cookie_precedes (target, holder);
 }
 
 void
@@ -284,7 +230,6 @@
   target->restarted_at = -1;
   cf_list_init (&target->silence.link);
   cf_list_init (&target->lost_link);
-  target->started = announcement->started;
   g_hash_table_insert (directory->by_id, target->id, target);
   set_started (directory, target, announcement->started, now);
   return target;
@@ -422,8 +367,8 @@
     {
       struct CfTarget *target = old->pdata[i];
 
-      leave_cookie (directory, target);
-      leave_address (directory, target);
+      cf_cookie_index_remove (directory->by_cookie, target);
+      unindex_address (directory, target);
       g_ptr_array_remove_fast (cf_directory_service (directory, target->service), target);
       g_hash_table_remove (directory->by_id, target->id);
     }
@@ -439,12 +384,7 @@
 struct CfTarget *
 cf_directory_by_cookie (const struct CfDirectory *directory, uint32_t cookie)
 {
-  struct CfTarget *first = first_of_cookie (directory, cookie);
-  struct CfTarget *target = first;
-
-  while (target && target->state == CF_TARGET_GONE)
-    target = target->next_of_cookie;
-  return target ? target : first;
+  return cf_cookie_index_owner (directory->by_cookie, cookie);
 }
 
 GPtrArray *
--- a/src/balance/directory.h
+++ b/src/balance/directory.h
@@ -164,12 +164,7 @@
 
 struct CfTarget *cf_directory_by_id (const struct CfDirectory *directory, const char *id);
 
-/* Returns the upstream that packets with COOKIE are for, or NULL.
- *
- * Of several upstreams with one cookie that is the one that started first, or that has the lowest
- * id of those that started at the same time, and that is not gone.  All VMs know the start times
- * and ids, whenever and in whatever order they learned of the upstreams.  Only the first of all
- * that are known, also of those that are gone, gets new flows. */
+/* Returns the upstream that packets with COOKIE are for, or NULL (cookie_index.h). */
 struct CfTarget *cf_directory_by_cookie (const struct CfDirectory *directory, uint32_t cookie);
 
 /* The first list of upstreams is complete: from now on others have begun, or have changed. */
@@ -180,7 +175,7 @@
 
 /* Returns true if other VMs may still take TARGET for its previous incarnation at NOW. */
 static inline bool
-cf_target_restarted_lately (const struct CfTarget *target, CfMillis now)
+cf_target_restarted_recently (const struct CfTarget *target, CfMillis now)
 {
   return target->restarted_at >= 0 && now - target->restarted_at < CF_DIRECTORY_SETTLE_MS;
 }
--- a/src/balance/load_exchange.c
+++ b/src/balance/load_exchange.c
@@ -20,7 +20,7 @@
       const struct CfLoadLine *line = &report->lines[i];
       struct CfTarget *target = cf_directory_by_cookie (balance->directory, line->cookie);
 
-      if (target && !cf_target_restarted_lately (target, now))
+      if (target && !cf_target_restarted_recently (target, now))
         cf_pace_merge (&target->pace, g_str_hash (report->vm), line->samples, line->pace, now);
     }
   return true;
--- a/src/balance/outlier.c
+++ b/src/balance/outlier.c
@@ -346,7 +346,7 @@
   struct CfQuality *quality = &target->quality;
   bool worse;
 
-  if (cf_target_restarted_lately (target, now))
+  if (cf_target_restarted_recently (target, now))
     return false;
   worse = store_remote_tally (quality, vm, line, now) >= CF_OUTLIER_FAILURES_MIN_REPEATED;
   if (!worse && !line->avoided)
--- a/tests/test_cookie_owner.c
+++ b/tests/test_cookie_owner.c
@@ -84,7 +84,7 @@
         {
           int which = orders[_i][i];
           struct CfAnnouncement content
-              = announcement (ids[which], plays[play].started[which], (uint64_t) (5 + i));
+              = announcement (ids[which], plays[play].started[which], 5 + (uint64_t) i);
 
           cf_directory_announce (directory, &content, i);
         }
@@ -395,7 +395,7 @@
   for (int i = 0; i < ID_COUNT; i++)
     {
       int which = orders[_i][i];
-      struct CfAnnouncement content = announcement (ids[which], started[which], (uint64_t) (3 + i));
+      struct CfAnnouncement content = announcement (ids[which], started[which], 3 + (uint64_t) i);
 
       content.era = 2;
       cf_directory_announce (directory, &content, scene.sim->now);
