Cookies: no look into upstreams that were tried and may be pruned

test_random_removals 11 under sanitizers: a packet of a flow that is being opened read the cookies of the upstreams that its first packet was sent to. Where a first packet is repeated after a pause of over 1.5 s without a tick, one of these may have gone and been pruned.

Change: the upstreams with the packet's cookie, which are known, are looked for among those that were tried, by address only.

Three of its ids share a cookie now.

--- a/src/balance/directory.c
+++ b/src/balance/directory.c
@@ -387,6 +387,12 @@
   return cf_cookie_index_owner (directory->by_cookie, cookie);
 }
 
+struct CfTarget *
+cf_directory_first_by_cookie (const struct CfDirectory *directory, uint32_t cookie)
+{
+  return cf_cookie_index_first (directory->by_cookie, cookie);
+}
+
 GPtrArray *
 cf_directory_service (const struct CfDirectory *directory, GQuark service)
 {
--- a/src/balance/directory.h
+++ b/src/balance/directory.h
@@ -167,6 +167,11 @@
 /* Returns the upstream that packets with COOKIE are for, or NULL (cookie_index.h). */
 struct CfTarget *cf_directory_by_cookie (const struct CfDirectory *directory, uint32_t cookie);
 
+/* Returns the first upstream with COOKIE, whatever its state, or NULL; next_of_cookie leads to the
+ * others. */
+struct CfTarget *cf_directory_first_by_cookie (const struct CfDirectory *directory,
+                                               uint32_t cookie);
+
 /* The first list of upstreams is complete: from now on others have begun, or have changed. */
 void cf_directory_set_listed (struct CfDirectory *directory);
 
--- a/src/balance/later_packet.c
+++ b/src/balance/later_packet.c
@@ -177,10 +177,11 @@
              const struct CfConnection *connection,
              const struct CfSegment *segment)
 {
-  if (connection && connection->pending)
-    for (uint32_t i = 0; i < connection->tries; i++)
-      if (connection->tried[i]->cookie == segment->cookie)
-        return connection->tried[i];
+  struct CfTarget *target = cf_directory_first_by_cookie (balance->directory, segment->cookie);
+
+  for (; target && connection && connection->pending; target = target->next_of_cookie)
+    if (first_sent_at (connection, target) >= 0)
+      return target;
   if (connection && connection->opened_here && connection->target->cookie == segment->cookie)
     return connection->target;
   return cf_directory_by_cookie (balance->directory, segment->cookie);
--- a/tests/test_balance_lifetime.c
+++ b/tests/test_balance_lifetime.c
@@ -8,7 +8,7 @@
  * was freed shows under the address sanitizer: all inputs come in random order, the clock jumps,
  * and every output is read. */
 
-#define INPUTS 20000
+#define INPUTS 80000
 #define UPSTREAMS 24
 #define SERVICES 3
 #define DOMAINS 3
@@ -105,12 +105,22 @@
   return text;
 }
 
+/* Some ids share a cookie. */
+static const char *
+pick_id (struct Churn *churn)
+{
+  static const char *const sharing[] = { "i-0044ff4001", "i-006389ce01", "i-00854a5401" };
+  int number = pick (churn, UPSTREAMS);
+
+  return number < (int) G_N_ELEMENTS (sharing) ? sharing[number] : name ("i-", number);
+}
+
 static void
 announce (struct Churn *churn)
 {
   static const int64_t starts[] = { -1, 0, 100, 200, 300 };
   struct CfAnnouncement announcement = {
-    .id = name ("i-", pick (churn, UPSTREAMS)),
+    .id = pick_id (churn),
     .service = name ("s", pick (churn, SERVICES)),
     .domain = pick (churn, 2) ? "d0" : "d1",
     .address = { .ip = 1, .port = 1 },
@@ -128,8 +138,8 @@
 static void
 withdraw (struct Churn *churn)
 {
-  cf_directory_withdraw (cf_balance_directory (churn->balance),
-                         name ("i-", pick (churn, UPSTREAMS)), pick (churn, 4) > 0, churn->now);
+  cf_directory_withdraw (cf_balance_directory (churn->balance), pick_id (churn),
+                         pick (churn, 4) > 0, churn->now);
 }
 
 /* Each address is left out of one manifest in four. */
@@ -181,7 +191,7 @@
     .size = sizeof bytes,
   };
 
-  segment.cookie = cf_cookie (name ("i-", pick (churn, UPSTREAMS)));
+  segment.cookie = cf_cookie (pick_id (churn));
   cf_balance_segment (churn->balance, &segment, churn->now);
   g_free (copy);
 }
@@ -196,7 +206,7 @@
     .failed = pick (churn, 20),
     .avoided = pick (churn, 2),
   };
-  g_strlcpy (report.lines[0].id, name ("i-", pick (churn, UPSTREAMS)), sizeof report.lines[0].id);
+  g_strlcpy (report.lines[0].id, pick_id (churn), sizeof report.lines[0].id);
   cf_balance_receive_report (churn->balance, &report, churn->now);
   cf_balance_report (churn->balance, &report, churn->now);
 }
@@ -225,7 +235,7 @@
   g_strlcpy (report.services[0].name, name ("s", pick (churn, SERVICES)),
              sizeof report.services[0].name);
   report.lines[0] = (struct CfLoadLine){
-    .cookie = cf_cookie (name ("i-", pick (churn, UPSTREAMS))),
+    .cookie = cf_cookie (pick_id (churn)),
     .samples = 10,
     .pace = pick (churn, 2) ? 0.1 : 10,
   };
