Unreachable domains: lapsed upstreams are evidence for lapsed ones

Change: lapsed upstreams are counted again, but only for flows to upstreams that have lapsed, too. A flow to a ready one is judged by ready ones alone, and an upstream that is back starts anew.

--- a/src/balance/balance.c
+++ b/src/balance/balance.c
@@ -14,7 +14,8 @@
 {
   struct CfBalance *balance = context;
 
-  cf_unreachable_forget (target);
+  if (ends || target->state == CF_TARGET_LAPSED)
+    cf_unreachable_forget (target);
   if (!ends)
     return;
   if (target->service)
--- a/src/balance/unreachable.c
+++ b/src/balance/unreachable.c
@@ -35,6 +35,15 @@
   return CF_LIST_ENTRY (link, struct CfSilence, link);
 }
 
+/* Returns true if the upstream of LINK is evidence for a flow to an upstream in STATE. */
+static bool
+is_evidence (struct CfLink *link, enum CfTargetState state)
+{
+  const struct CfTarget *target = CF_LIST_ENTRY (link, struct CfTarget, silence.link);
+
+  return target->state == CF_TARGET_READY || target->state == state;
+}
+
 /* The silence of an upstream is no evidence against its domain any more. */
 static void
 remove_evidence (struct CfSilence *silence)
@@ -120,10 +129,10 @@
   return NULL;
 }
 
-/* Returns the number of upstreams of DOMAIN that were counted, of different callers in a row, up to
- * CF_UNREACHABLE_UPSTREAMS. */
+/* Returns the number of upstreams of DOMAIN that were counted and are evidence for a flow to one in
+ * STATE, of different callers in a row, up to CF_UNREACHABLE_UPSTREAMS. */
 static uint32_t
-count_upstreams (const struct Domain *domain)
+count_upstreams (const struct Domain *domain, enum CfTargetState state)
 {
   const struct CfSilence *last = NULL;
   uint32_t count = 0;
@@ -133,7 +142,8 @@
     {
       const struct CfSilence *silence = silence_of (link);
 
-      if (!silence->counted || (last && last->caller_ip == silence->caller_ip))
+      if (!silence->counted || !is_evidence (link, state)
+          || (last && last->caller_ip == silence->caller_ip))
         continue;
       last = silence;
       count++;
@@ -141,7 +151,8 @@
   return count;
 }
 
-/* Returns the number of callers with a silent flow to DOMAIN, up to CF_UNREACHABLE_CALLERS. */
+/* Returns the number of callers with a silent flow to a ready upstream of DOMAIN, up to
+ * CF_UNREACHABLE_CALLERS. */
 static uint32_t
 count_callers (const struct Domain *domain)
 {
@@ -150,7 +161,8 @@
 
   for (struct CfLink *link = domain->silent.next;
        link != &domain->silent && count < CF_UNREACHABLE_CALLERS; link = link->next)
-    for (uint32_t i = 0; i < silence_of (link)->caller_count; i++)
+    for (uint32_t i = 0; is_evidence (link, CF_TARGET_READY) && i < silence_of (link)->caller_count;
+         i++)
       count = add_caller (callers, count, silence_of (link)->callers[i]);
   return count;
 }
@@ -200,7 +212,7 @@
   if (!is_fresh (domain->silent_at, now))
     forget_silent (domain);
   domain->silent_at = now;
-  if (target->state != CF_TARGET_READY)
+  if (target->state == CF_TARGET_LEAVING)
     return;
   silence->at = now;
   silence->caller_count = add_caller (silence->callers, silence->caller_count, caller_ip);
@@ -256,7 +268,7 @@
   if (update->repeated && target->state == CF_TARGET_GONE)
     return CF_UNREACHABLE_GONE;
   return domain->delivered_at <= since && is_fresh (domain->silent_at, now)
-                 && count_upstreams (domain) >= CF_UNREACHABLE_UPSTREAMS
+                 && count_upstreams (domain, target->state) >= CF_UNREACHABLE_UPSTREAMS
              ? CF_UNREACHABLE_DOMAIN
              : CF_UNREACHABLE_NOT;
 }
--- a/src/balance/unreachable.h
+++ b/src/balance/unreachable.h
@@ -20,9 +20,10 @@
  *
  * Only upstreams that are ready are evidence against their domain.  One that drains, has lapsed or
  * is gone may have ended, which says nothing about the others there.  So an upstream is no evidence
- * any more once it changes its state, its incarnation or its domain.  Flows to one that has not
- * been removed may still be silent because of this VM's own link, and keep flows of other domains
- * from being reset.
+ * any more once it changes its state, its incarnation or its domain.  Those that have lapsed are
+ * evidence for flows to others that have: the domain is cut off, or the store forgot them all.
+ * Flows to an upstream that has not been removed may still be silent because of this VM's own link,
+ * and keep flows of other domains from being reset.
  *
  * A caller repeats its data after 200 ms and again 400 ms later.  If it repeats before the evidence
  * is complete, its second repeat comes too late for a request that is to be answered within 500 ms.
--- a/tests/test_unreachable.c
+++ b/tests/test_unreachable.c
@@ -489,6 +489,35 @@
 }
 END_TEST
 
+/* A domain is cut off while the store is unreliable, and its upstreams lapse before or after their
+ * flows are silent: these are reset as if it had been ready, and flows to one that is ready not. */
+START_TEST (test_domain_that_lapsed)
+{
+  struct SimFlow *far[4];
+  struct Scene scene = set_up (far);
+
+  for (int i = 0; i < 3; i++)
+    {
+      char id[8];
+
+      g_snprintf (id, sizeof id, "far-%d", i);
+      if (_i == 0)
+        end_upstream (&scene, id, ENDING_LAPSES);
+      if (i < 2 || _i == 0)
+        stay_silent (&scene, far[i]);
+      if (_i == 1)
+        end_upstream (&scene, id, ENDING_LAPSES);
+    }
+  if (_i == 1)
+    stay_silent (&scene, far[2]);
+  ck_assert (far[2]->reset);
+  stay_silent (&scene, far[3]);
+  ck_assert_int_eq (far[3]->target->state, CF_TARGET_READY);
+  ck_assert (!far[3]->reset);
+  sim_free (scene.sim);
+}
+END_TEST
+
 /* An upstream that had lapsed is back: its silence counts from then on. */
 START_TEST (test_upstream_that_is_back)
 {
@@ -1006,6 +1035,7 @@
   suite_add_loop (suite, test_upstreams_that_end_after_silence, ENDINGS);
   suite_add_loop (suite, test_cut_domain_with_draining_upstream, 1);
   suite_add_loop (suite, test_cut_domain_and_upstream_elsewhere, ENDING_STARTS_AGAIN);
+  suite_add_loop (suite, test_domain_that_lapsed, 2);
   suite_add_loop (suite, test_upstream_that_is_back, 1);
   suite_add_loop (suite, test_not_idempotent, 1);
   suite_add_loop (suite, test_gone, 1);
