--- a/src/balance/directory.h
+++ b/src/balance/directory.h
@@ -81,8 +81,8 @@
 {
   struct CfLink link; /* in the evidence against its failure domain, or empty */
   CfMillis at;        /* when a silent flow was last recorded, 0: none since an answer */
-  bool counted;       /* as another upstream than those before it, */
-  uint32_t caller_ip; /* for a flow of this caller */
+  bool counted;       /* towards CF_UNREACHABLE_UPSTREAMS, */
+  uint32_t caller_ip; /* by a silent flow of this caller */
   uint32_t callers[CF_SILENCE_CALLERS]; /* different ones with a silent flow */
   uint32_t caller_count;
 };
@@ -106,7 +106,7 @@
   uint32_t open;              /* flows of this VM that are open or being opened there */
   uint32_t awaiting;          /* requests of this VM there that await an answer */
   bool collides;              /* an earlier upstream has the same cookie: gets no new flows, */
-  CfMillis cookie_settles_at; /* nor before this time, until other VMs know that it has none */
+  CfMillis cookie_settles_at; /* nor before this time: other VMs may not know yet */
   CfMillis cold_until;
   struct CfQuality quality;
   struct CfPace pace;
@@ -114,9 +114,8 @@
   CfMillis state_since;
   GQuark service;
   int64_t started;
-  CfMillis
-      restarted_at; /* when this VM learned of its present incarnation, -1: with the upstream */
-  uint64_t era;     /* of the store, which the revision counts in */
+  CfMillis restarted_at; /* when this VM learned that it had started again, -1: it has not */
+  uint64_t era;          /* of the store, which the revision counts in */
   uint64_t revision;
   /* Of the last announcement that was ignored for its start time; revision 0: none since one that
    * counts. */
@@ -138,7 +137,8 @@
 
 /* Called before TARGET changes its state, its incarnation or its failure domain, or another
  * upstream takes over its address: what its silence, or that of its flows, has shown so far no
- * longer holds. With ENDS it gets no new flows as it is, without it has lapsed or is back. */
+ * longer holds.  ENDS: it drains, is gone, has moved, or its process was replaced; else it has
+ * lapsed or is back. */
 typedef void CfUpstreamChange (void *context, struct CfTarget *target, bool ends);
 
 /* Has FUNC (NULL: nothing) called with CONTEXT. */
