Soak: an upstream whose entry was replaced goes on writing

Traced in the logs of that run: another writer had replaced the upstream's entry by one with a start time far in the future, and the upstream wrote its own once after that. VMs that had seen the other entry wait for a second write before they take an earlier start time for true (is_repeated_earlier_start), and the soak's upstream never made one; the platform's write every 1.5 s. So they took the other upstream for the owner for good, while a VM that had started later did not.

Change: the upstream writes again after 1.5 s, and a reset by another upstream is judged once all VMs can have learned of that.

--- a/tests/soak/odd.c
+++ b/tests/soak/odd.c
@@ -267,6 +267,15 @@
   return name;
 }
 
+/* An upstream goes on writing.  VMs that took the other writer's start time for that of a new
+ * process ignore the first write with its own. */
+static gboolean
+announce_again (gpointer data)
+{
+  soak_upstream_announce (data);
+  return G_SOURCE_REMOVE;
+}
+
 /* Whoever the entry belongs to writes it again, and the other writer removes the rest. */
 static gboolean
 end_odd (gpointer data)
@@ -279,7 +288,9 @@
   if (odd->upstream)
     {
       odd->upstream->odd = false;
+      odd->upstream->known_at = soak_now () + SOAK_HEARTBEAT_MS + SOAK_DRAIN_MS;
       soak_upstream_announce (odd->upstream);
+      g_timeout_add (SOAK_HEARTBEAT_MS, announce_again, odd->upstream);
     }
   if (odd->vm && g_strcmp0 (soak_store_get (store, CF_FEED_VMS, odd->vm), odd->text) == 0)
     soak_store_put (store, CF_FEED_VMS, odd->vm, odd->before);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -18,15 +18,16 @@
 #define SOAK_DOMAINS 2
 #define SOAK_CALLERS 8
 
-#define SOAK_DRAIN_MS 3000  /* from a change in the store until new flows must follow it */
-#define SOAK_COLD_MS 2500   /* upstreams count as cold after the evacuation of their domain */
-#define SOAK_STABLE_MS 4000 /* time limits are only checked this long after the last fault */
-#define SOAK_GRACE_MS 6000  /* from SIGTERM until SIGKILL */
-#define SOAK_START_MS 4000  /* from a start, or the end of a fault on a VM, until it is ready */
-#define SOAK_CALM_MS 2000   /* from the end of an overload until all requests are served again */
-#define SOAK_RESUME_MS 120  /* callers of a domain go on within this time after they paused */
-#define SOAK_EARLY_MS 30    /* signals to a process that starts are sent within this time */
-#define SOAK_LOADED_MS 10   /* or, half of the time, within this one */
+#define SOAK_DRAIN_MS 3000     /* from a change in the store until new flows must follow it */
+#define SOAK_COLD_MS 2500      /* upstreams count as cold after the evacuation of their domain */
+#define SOAK_STABLE_MS 4000    /* time limits are only checked this long after the last fault */
+#define SOAK_GRACE_MS 6000     /* from SIGTERM until SIGKILL */
+#define SOAK_START_MS 4000     /* from a start, or the end of a fault on a VM, until it is ready */
+#define SOAK_CALM_MS 2000      /* from the end of an overload until all requests are served again */
+#define SOAK_RESUME_MS 120     /* callers of a domain go on within this time after they paused */
+#define SOAK_HEARTBEAT_MS 1500 /* between two writes of an upstream */
+#define SOAK_EARLY_MS 30       /* signals to a process that starts are sent within this time */
+#define SOAK_LOADED_MS 10      /* or, half of the time, within this one */
 
 struct Soak;
 
@@ -193,6 +194,7 @@
   bool unresponsive;
   bool draining;
   bool odd;           /* another writer has replaced its entry */
+  int64_t known_at;   /* all VMs know again what it announces by then */
   uint32_t sequence;  /* counts its announcements */
   int64_t drained_at; /* when the store accepted that it drains */
   int64_t loses_from; /* data that comes within SOAK_RESUME_MS from then on is lost */
